Fix the interfaces to the platform and between processes

Everything else is built side by side against these: the platform's services as interfaces, the two protocols, the declared objects and the typed error.

--- /dev/null
+++ b/internal/model/fault/fault.go
@@ -0,0 +1,111 @@
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have run.
+type Verdict string
+
+// The verdicts.
+const (
+	// NotRun means the request did not run and never will.
+	NotRun Verdict = "notRun"
+	// MayHaveRun means nobody can tell.
+	MayHaveRun Verdict = "mayHaveRun"
+	// Ran means the request ran; its answer may be lost.
+	Ran Verdict = "ran"
+)
+
+// Code names the cause of an error.
+type Code string
+
+// The codes.
+const (
+	BadRequest   Code = "badRequest"
+	Unauthorized Code = "unauthorized"
+	Forbidden    Code = "forbidden"
+	NotFound     Code = "notFound"
+	Conflict     Code = "conflict"
+	TooLarge     Code = "tooLarge"
+	KeyReused    Code = "keyReused"
+	KeyExpired   Code = "keyExpired"
+	Quarantined  Code = "quarantined"
+	OverLimit    Code = "overLimit"
+	Overloaded   Code = "overloaded"
+	Draining     Code = "draining"
+	NotReady     Code = "notReady"
+	NoUpstream   Code = "noUpstream"
+	LogDown      Code = "logDown"
+	TooLate      Code = "tooLate"
+	Deadline     Code = "deadline"
+	Canceled     Code = "canceled"
+	Tombstoned   Code = "tombstoned"
+	WrongTarget  Code = "wrongTarget"
+	Crashed      Code = "crashed"
+	Silent       Code = "silent"
+	Transport    Code = "transport"
+	Malformed    Code = "malformed"
+	Incomplete   Code = "incomplete"
+	InProgress   Code = "inProgress"
+	Upstream     Code = "upstream"
+	Internal     Code = "internal"
+)
+
+// Error is a failed request, stage or attempt.
+type Error struct {
+	Verdict    Verdict
+	Code       Code
+	Message    string
+	RetryAfter time.Duration // zero when unknown
+	Cause      error
+}
+
+// New returns an error without a cause.
+func New(v Verdict, c Code, format string, args ...any) *Error {
+	return &Error{Verdict: v, Code: c, Message: fmt.Sprintf(format, args...)}
+}
+
+// WithCause returns a copy that wraps err.
+func (e *Error) WithCause(err error) *Error {
+	c := *e
+	c.Cause = err
+	return &c
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// WithVerdict returns a copy with another verdict.
+func (e *Error) WithVerdict(v Verdict) *Error {
+	c := *e
+	c.Verdict = v
+	return &c
+}
+
+// Error renders the verdict, the code, the message and the cause.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Message)
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// From returns err as an *Error; a foreign error becomes MayHaveRun, as nothing is known of it.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(MayHaveRun, Internal, "unexpected error").WithCause(err)
+}
--- /dev/null
+++ b/internal/model/host/doc.go
@@ -0,0 +1,2 @@
+// Package host is a machine of the platform as the host list shows it.
+package host
--- /dev/null
+++ b/internal/model/host/host.go
@@ -0,0 +1,26 @@
+package host
+
+// State says whether new work may go to a host.
+type State string
+
+// The states that a host list shows.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Host is one machine with its upstream, or one entry host.
+type Host struct {
+	Name    string `json:"name"`
+	Address string `json:"address"` // IP:port of the side's or entry's gRPC server
+	Zone    string `json:"zone"`    // availability zone
+	Region  string `json:"region"`
+	Pool    string `json:"pool"` // empty for an entry
+	State   State  `json:"state"`
+}
+
+// WithState returns a copy in state s.
+func (h Host) WithState(s State) Host {
+	h.State = s
+	return h
+}
--- /dev/null
+++ b/internal/model/ident/doc.go
@@ -0,0 +1,2 @@
+// Package ident names attempts, fingerprints requests and digests answers.
+package ident
--- /dev/null
+++ b/internal/model/pipe/doc.go
@@ -0,0 +1,2 @@
+// Package pipe declares a pipeline of stages under one deadline.
+package pipe
--- /dev/null
+++ b/internal/model/preset/doc.go
@@ -0,0 +1,2 @@
+// Package preset declares how the system runs on a kind of day.
+package preset
--- /dev/null
+++ b/internal/model/stage/doc.go
@@ -0,0 +1,2 @@
+// Package stage declares one step of a pipeline.
+package stage
--- /dev/null
+++ b/internal/model/team/doc.go
@@ -0,0 +1,2 @@
+// Package team declares a caller.
+package team
--- /dev/null
+++ b/internal/model/timing/doc.go
@@ -0,0 +1,2 @@
+// Package timing groups the intervals and bounds that several processes must agree on.
+package timing
--- /dev/null
+++ b/internal/plat/hosts/doc.go
@@ -0,0 +1,2 @@
+// Package hosts is the platform's host list as the system sees it.
+package hosts
--- /dev/null
+++ b/internal/plat/runner/runner.go
@@ -0,0 +1,38 @@
+package runner
+
+import "context"
+
+// Engine takes orders and tells its state.
+type Engine interface {
+	State(ctx context.Context) (State, error)
+	// Order sets an absolute target; an engine that checks fencing numbers refuses an old one.
+	Order(ctx context.Context, o Order) error
+	// CacheEvents returns the cache events after an offset; they come late and with gaps.
+	CacheEvents(ctx context.Context, after int64) ([]CacheEvent, error)
+}
+
+// State is what an engine has loaded.
+type State struct {
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters,omitempty"`
+	Version  string   `json:"version"`
+	Role     string   `json:"role"`
+	Fence    int64    `json:"fence"` // highest fencing number seen, 0 where not checked
+	Loading  bool     `json:"loading,omitempty"`
+}
+
+// Order is an absolute target state.
+type Order struct {
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters,omitempty"`
+	Version  string   `json:"version"`
+	Role     string   `json:"role"`
+	Fence    int64    `json:"fence"`
+}
+
+// CacheEvent says that a prompt prefix entered or left the engine's cache.
+type CacheEvent struct {
+	Offset  int64  `json:"offset"`
+	Prefix  string `json:"prefix"`
+	Evicted bool   `json:"evicted,omitempty"`
+}
--- /dev/null
+++ b/internal/plat/upstr/doc.go
@@ -0,0 +1,2 @@
+// Package upstr is an upstream as its side process sees it.
+package upstr
--- /dev/null
+++ b/internal/plat/upstr/upstr.go
@@ -0,0 +1,71 @@
+package upstr
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Upstream runs stage calls: a model engine, a stage pool's member or a plain service.
+type Upstream interface {
+	// Call sends one call. An *Error with NotSent true means that nothing reached the upstream.
+	Call(ctx context.Context, c Call) (Stream, error)
+	// Load returns the upstream's own report, which lags.
+	Load(ctx context.Context) (Load, error)
+	// Ping opens a new connection and asks for a sign of life.
+	Ping(ctx context.Context) error
+}
+
+// Call is one call of an upstream.
+type Call struct {
+	ID        string   `json:"id"` // attempt, echoed in the answer
+	Kind      string   `json:"kind"`
+	Model     string   `json:"model,omitempty"`
+	Body      []byte   `json:"body"`
+	MaxTokens uint32   `json:"maxTokens,omitempty"`
+	Held      []string `json:"held,omitempty"` // tokens to continue from
+	Priority  uint32   `json:"priority"`       // 0 is the most urgent
+	Key       string   `json:"key,omitempty"`  // key of an action
+}
+
+// Stream is the answer to a call; Close stops the upstream's work on it.
+type Stream interface {
+	// Next returns the next event; after a Last event it returns io.EOF.
+	Next(ctx context.Context) (Event, error)
+	Close() error
+}
+
+// Event is a token of a generation, or the whole result of another kind.
+type Event struct {
+	ID            string `json:"id"`
+	Index         uint64 `json:"index"`
+	Data          []byte `json:"data,omitempty"`
+	Last          bool   `json:"last,omitempty"`
+	Count         uint64 `json:"count,omitempty"` // with Last: chunks of the answer, held ones included
+	PrefillTokens uint64 `json:"prefillTokens,omitempty"`
+	CachedTokens  uint64 `json:"cachedTokens,omitempty"`
+}
+
+// Load is an upstream's own report.
+type Load struct {
+	Running int       `json:"running"`
+	Queued  int       `json:"queued"`
+	At      time.Time `json:"at"`
+}
+
+// Error is a failed call of an upstream.
+type Error struct {
+	Op       string
+	NotSent  bool // nothing reached the upstream
+	Refused  bool // the upstream answered that it did not run the call
+	Rejected bool // the upstream answered that the call itself is bad
+	Crashed  bool // the connection broke while the call ran
+	Silent   bool // no progress within the bound
+	Cause    error
+}
+
+// Error names the call and its cause.
+func (e *Error) Error() string { return fmt.Sprintf("upstream %s: %v", e.Op, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/plat/weight/doc.go
@@ -0,0 +1,2 @@
+// Package weight is the platform's weight store as the system sees it.
+package weight
--- /dev/null
+++ b/internal/wire/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated code of peer.proto.
+package peerpb
--- /dev/null
+++ b/internal/wire/sidepb/doc.go
@@ -0,0 +1,2 @@
+// Package sidepb holds the generated code of side.proto.
+package sidepb
