--- /dev/null
+++ b/internal/entry/assem/doc.go
@@ -0,0 +1,3 @@
+// Package assem assembles the answer of one attempt from the frames of its side,
+// and refuses what is foreign, doubled, missing or altered.
+package assem
--- a/internal/model/timing/timing.go
+++ b/internal/model/timing/timing.go
@@ -34,6 +34,10 @@
 
 // Connections.
 const (
+	// CallHeartbeat is how often a side sends a frame for a call that has nothing else to send.
+	CallHeartbeat = 500 * time.Millisecond
+	// CallSilent is the silence after which an entry suspects a call's connection.
+	CallSilent = 2 * time.Second
 	// KeepaliveInterval is how often an idle connection is probed.
 	KeepaliveInterval = 10 * time.Second
 	// KeepaliveTimeout is how long a probe waits before the connection is closed.
