--- /dev/null
+++ b/internal/entry/exec/doc.go
@@ -0,0 +1,3 @@
+// Package exec runs the stages of one request: attempts, retries, hedges,
+// resumed streams, and the verdict when it fails.
+package exec
--- /dev/null
+++ b/internal/entry/exec/exec.go
@@ -0,0 +1,108 @@
+package exec
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/target"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+)
+
+// Sink takes the tokens of a streamed answer as they come.
+type Sink interface {
+	// Token blocks while the caller is slow; an error means that the caller has gone.
+	Token(index uint64, data []byte) error
+}
+
+// Policy decides about time and repetition.
+type Policy interface {
+	// Estimate is how long a stage is expected to take.
+	Estimate(stage string, class pipe.SizeClass) time.Duration
+	// Observe takes how long a whole stage took.
+	Observe(stage string, class pipe.SizeClass, took time.Duration)
+	// Began counts a stage's first attempt, which earns budget for retries and hedges.
+	Began()
+	// Retry says whether another attempt may follow f, and after which pause.
+	Retry(t Try) (time.Duration, bool)
+	// HedgeAfter says whether a second attempt may start, and after which delay.
+	HedgeAfter(stage string, class pipe.SizeClass, budget float64) (time.Duration, bool)
+	// Hedge takes a hedge from the budget.
+	Hedge(budget float64) bool
+}
+
+// Try is a failed attempt that might be followed by another.
+type Try struct {
+	Fault      *fault.Error
+	Repeatable bool
+	Attempt    uint32 // of this stage, 1 is the first
+	Retries    uint32 // of the whole request
+	Remaining  time.Duration
+	Budget     float64 // the preset's retry budget
+}
+
+// Crash is an upstream that died with a call of this request in flight.
+type Crash struct {
+	ID          string // names the crash
+	Fingerprint string
+	InFlight    uint32 // calls that were in flight with it, this one included
+}
+
+// Watcher sees what the executor learns.
+type Watcher interface {
+	Attempt(r job.Request, c Cost)
+	Crashed(c Crash)
+}
+
+// Cost is what one attempt cost.
+type Cost struct {
+	Stage        string
+	Kind         stage.Kind
+	RunnerMs     int64
+	Tokens       uint64
+	PrefillToken uint64
+	CachedTokens uint64
+	Retry        bool
+	Hedge        bool
+	Wasted       bool // its result was not used
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Chunks   [][]byte
+	Digest   string
+	Streamed bool // the chunks are the tokens of a generation
+	Replayed bool // the recorded outcome of an earlier run of the action
+	Costs    []Cost
+}
+
+// Executor runs requests; it is safe for concurrent use.
+type Executor struct {
+	router  target.Router
+	policy  Policy
+	watcher Watcher
+	log     *zap.Logger
+}
+
+// New returns an executor over its dependencies.
+func New(r target.Router, p Policy, w Watcher, log *zap.Logger) *Executor {
+	return &Executor{router: r, policy: p, watcher: w, log: log}
+}
+
+// Run runs the stages of r in order. With a nil sink the tokens are only collected.
+// The error's verdict covers the whole request: NotRun only if no stage may have run.
+func (e *Executor) Run(ctx context.Context, r job.Request, sink Sink) (Answer, *Failure) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	run := newRun(e, r, sink)
+	for i := range r.Stages {
+		if f := run.stage(ctx, i); f != nil {
+			return Answer{}, run.failure(f)
+		}
+	}
+	return run.answer(), nil
+}
--- /dev/null
+++ b/internal/entry/exec/stage.go
@@ -0,0 +1,174 @@
+package exec
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/target"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+)
+
+// step is the state of one stage over its attempts.
+type step struct {
+	run      *run
+	index    int
+	spec     stage.Spec
+	body     []byte
+	held     [][]byte // tokens to resume from
+	attempts uint32
+	avoid    []string
+}
+
+// stage runs stage i to a whole result.
+func (r *run) stage(ctx context.Context, i int) *fault.Error {
+	body, f := r.body()
+	if f != nil {
+		return f
+	}
+	s := &step{run: r, index: i, spec: r.req.Stages[i], body: body}
+	r.e.policy.Began()
+	start := time.Now()
+	res, f := s.loop(ctx)
+	if f != nil {
+		return f
+	}
+	r.e.policy.Observe(s.spec.Name, r.req.Class(), time.Since(start))
+	r.keep(s.spec, res.chunks, res.replayed)
+	return nil
+}
+
+// loop tries until a whole result, a final error, or a policy that says no.
+func (s *step) loop(ctx context.Context) (result, *fault.Error) {
+	for {
+		res, f := s.round(ctx)
+		if f == nil {
+			return res, nil
+		}
+		if s.spec.IsAction() && f.Verdict != fault.NotRun {
+			return s.settle(ctx, f)
+		}
+		pause, again := s.again(ctx, f)
+		if !again {
+			return result{}, f
+		}
+		s.run.retries++
+		if !sleep(ctx, pause) {
+			return result{}, ended(ctx, f.Verdict)
+		}
+	}
+}
+
+// again asks the policy whether another attempt may follow f.
+func (s *step) again(ctx context.Context, f *fault.Error) (time.Duration, bool) {
+	if ctx.Err() != nil || !s.resumable(f) {
+		return 0, false
+	}
+	req := s.run.req
+	return s.run.e.policy.Retry(Try{
+		Fault:      f,
+		Repeatable: !s.spec.IsAction(),
+		Attempt:    s.attempts,
+		Retries:    s.run.retries,
+		Remaining:  time.Until(req.Deadline) - s.run.after(s.index),
+		Budget:     req.Preset.RetryBudget,
+	})
+}
+
+// resumable says whether another attempt could still make the answer whole.
+func (s *step) resumable(f *fault.Error) bool {
+	if f.Verdict == fault.NotRun || s.spec.Kind != stage.Generate {
+		return true
+	}
+	if s.run.req.Pools[s.spec.Pool].Resumes {
+		return true
+	}
+	if s.streams() && len(s.held) > 0 {
+		return false
+	}
+	s.held = nil
+	return true
+}
+
+// streams says whether the caller sees the stage's tokens as they come.
+func (s *step) streams() bool {
+	last := s.index == len(s.run.req.Stages)-1
+	return last && s.run.sink != nil && s.spec.Kind == stage.Generate
+}
+
+// route picks the upstream of the next attempt.
+func (s *step) route(ctx context.Context, hedge bool) (target.Target, *fault.Error) {
+	req := s.run.req
+	q := target.Query{
+		Request:   req.ID,
+		Stage:     s.spec.Name,
+		Pool:      s.spec.Pool,
+		Model:     s.spec.Model,
+		Class:     req.Class(),
+		Prefix:    s.prefix(),
+		Avoid:     s.avoid,
+		Closed:    req.Preset.MaintenanceZones,
+		SpillCap:  req.Preset.SpillCap,
+		Revision:  req.Revision,
+		Hedge:     hedge,
+		Repeat:    !s.spec.IsAction(),
+		Remaining: remaining(ctx),
+	}
+	t, err := s.run.e.router.Route(q)
+	if err != nil {
+		return target.Target{}, fault.From(err)
+	}
+	s.avoid = append(s.avoid, t.Name)
+	return t, nil
+}
+
+// prefixBytes of a body decide which upstream may have its prefix cached.
+const prefixBytes = 256
+
+func (s *step) prefix() string {
+	if s.spec.Kind != stage.Generate {
+		return ""
+	}
+	return ident.BodyDigest(s.body[:min(len(s.body), prefixBytes)])
+}
+
+// ended is the error of a request whose context is done.
+func ended(ctx context.Context, v fault.Verdict) *fault.Error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return fault.New(v, fault.Deadline, "the deadline passed")
+	}
+	return fault.New(v, fault.Canceled, "the caller went away")
+}
+
+func remaining(ctx context.Context) time.Duration {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return time.Until(at)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (s *step) log(msg string, fields ...zap.Field) {
+	fields = append(fields,
+		zap.String("request", s.run.req.Label),
+		zap.String("id", s.run.req.ID),
+		zap.String("stage", s.spec.Name))
+	s.run.e.log.Info(msg, fields...)
+}
--- /dev/null
+++ b/internal/entry/target/target.go
@@ -0,0 +1,53 @@
+package target
+
+import (
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// Router picks an upstream for each attempt.
+type Router interface {
+	// Route picks an upstream; the error is a *fault.Error with NotRun.
+	Route(q Query) (Target, error)
+	// Side returns the current connection to an upstream's side.
+	Side(name string) (sidepb.SideClient, bool)
+	// Suspect reports a connection that went silent.
+	Suspect(name string)
+}
+
+// Query says what an attempt needs.
+type Query struct {
+	Request   string
+	Stage     string
+	Pool      string
+	Model     string
+	Class     pipe.SizeClass
+	Prefix    string   // digest of the prompt's prefix
+	Avoid     []string // upstreams tried before
+	Closed    []string // availability zones in maintenance
+	SpillCap  float64  // fraction of calls that may leave the zone
+	Revision  int64
+	Hedge     bool
+	Repeat    bool // any number of attempts may run
+	Remaining time.Duration
+}
+
+// Target is the upstream picked for an attempt.
+type Target struct {
+	Name        string
+	Zone        string
+	Incarnation string
+	Side        sidepb.SideClient
+	// Done takes the end of the attempt; call it once.
+	Done func(Report)
+}
+
+// Report is what an attempt showed of its upstream.
+type Report struct {
+	Took  time.Duration
+	Load  *sidepb.Load
+	Fault *fault.Error // nil when the answer came whole
+}
