--- /dev/null
+++ b/internal/fake/memlog/log.go
@@ -0,0 +1,288 @@
+package memlog
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+)
+
+// The causes of failed calls.
+var (
+	ErrDown   = errors.New("log service is down")
+	ErrAnswer = errors.New("answer of the log service was lost")
+)
+
+// Log is an in-memory logs.Service; its methods are safe for concurrent use.
+type Log struct {
+	mu          sync.Mutex
+	streams     map[string]*stream
+	down        bool
+	loseAnswers int
+	holdAppends int
+	failReads   int
+	appendDelay time.Duration
+	readDelay   time.Duration
+	retain      int
+	retainFor   time.Duration
+	held        []held
+	appends     int
+	reads       int
+}
+
+type stream struct {
+	oldest  int64
+	records [][]byte
+	times   []time.Time
+}
+
+type held struct {
+	stream  string
+	records [][]byte
+}
+
+// New returns an empty log service that is up and keeps everything.
+func New() *Log {
+	return &Log{streams: map[string]*stream{}}
+}
+
+// SetDown refuses all calls until it is called with false; a refused append has not taken effect.
+func (l *Log) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// LoseAnswers lets the next n appends take effect and loses their answers.
+func (l *Log) LoseAnswers(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseAnswers = n
+}
+
+// HoldAppends loses the answers of the next n appends, which take effect only at Release.
+func (l *Log) HoldAppends(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holdAppends = n
+}
+
+// Release lets the held appends take effect, oldest first, and returns how many there were.
+func (l *Log) Release() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.held)
+	for _, h := range l.held {
+		l.put(h.stream, h.records)
+	}
+	l.held = nil
+	return n
+}
+
+// FailReads refuses the next n reads.
+func (l *Log) FailReads(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failReads = n
+}
+
+// DelayAppend makes each append take d before it takes effect, also when its caller gives up.
+func (l *Log) DelayAppend(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appendDelay = d
+}
+
+// DelayRead makes each read take d.
+func (l *Log) DelayRead(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readDelay = d
+}
+
+// Retain keeps only the last n records of each stream; 0 keeps all.
+func (l *Log) Retain(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retain = n
+	l.trimAll()
+}
+
+// RetainFor keeps only records younger than d; 0 keeps all.
+func (l *Log) RetainFor(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retainFor = d
+	l.trimAll()
+}
+
+// Trim drops the records of a stream below an offset.
+func (l *Log) Trim(name string, oldest int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	s.drop(int(min(oldest-s.oldest, int64(len(s.records)))))
+}
+
+// Appends is the number of append calls that took effect or may yet.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Reads is the number of read calls, refused ones included.
+func (l *Log) Reads() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
+// Append implements logs.Service.
+func (l *Log) Append(ctx context.Context, name string, records [][]byte) (int64, error) {
+	records = cloneAll(records)
+	l.mu.Lock()
+	delay := l.appendDelay
+	if l.down {
+		l.mu.Unlock()
+		return 0, &logs.Error{Op: "append", Stream: name, Cause: ErrDown}
+	}
+	l.appends++
+	if delay == 0 {
+		defer l.mu.Unlock()
+		return l.take(name, records)
+	}
+	l.mu.Unlock()
+	return l.takeLater(ctx, delay, name, records)
+}
+
+type appended struct {
+	first int64
+	err   error
+}
+
+func (l *Log) takeLater(ctx context.Context, delay time.Duration, name string, records [][]byte) (int64, error) {
+	done := make(chan appended, 1)
+	time.AfterFunc(delay, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		first, err := l.take(name, records)
+		done <- appended{first: first, err: err}
+	})
+	select {
+	case a := <-done:
+		return a.first, a.err
+	case <-ctx.Done():
+		return 0, &logs.Error{Op: "append", Stream: name, MayHaveTaken: true, Cause: ctx.Err()}
+	}
+}
+
+func (l *Log) take(name string, records [][]byte) (int64, error) {
+	lost := &logs.Error{Op: "append", Stream: name, MayHaveTaken: true, Cause: ErrAnswer}
+	if l.holdAppends > 0 {
+		l.holdAppends--
+		l.held = append(l.held, held{stream: name, records: records})
+		return 0, lost
+	}
+	first := l.put(name, records)
+	if l.loseAnswers > 0 {
+		l.loseAnswers--
+		return 0, lost
+	}
+	return first, nil
+}
+
+// Read implements logs.Service.
+func (l *Log) Read(ctx context.Context, name string, from int64, limit int) (logs.Batch, error) {
+	l.mu.Lock()
+	delay := l.readDelay
+	l.reads++
+	l.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return logs.Batch{}, &logs.Error{Op: "read", Stream: name, Cause: ctx.Err()}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failReads > 0 {
+		l.failReads--
+		return logs.Batch{}, &logs.Error{Op: "read", Stream: name, Cause: ErrDown}
+	}
+	if l.down {
+		return logs.Batch{}, &logs.Error{Op: "read", Stream: name, Cause: ErrDown}
+	}
+	l.trimAll()
+	return l.stream(name).read(from, limit), nil
+}
+
+func (s *stream) read(from int64, limit int) logs.Batch {
+	next := s.oldest + int64(len(s.records))
+	first := min(max(from, s.oldest), next)
+	end := min(first+int64(limit), next)
+	return logs.Batch{
+		First:   first,
+		Records: cloneAll(s.records[first-s.oldest : end-s.oldest]),
+		Oldest:  s.oldest,
+		Next:    next,
+	}
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) put(name string, records [][]byte) int64 {
+	s := l.stream(name)
+	first := s.oldest + int64(len(s.records))
+	now := time.Now()
+	for _, r := range records {
+		s.records = append(s.records, r)
+		s.times = append(s.times, now)
+	}
+	l.trimAll()
+	return first
+}
+
+func (l *Log) trimAll() {
+	now := time.Now()
+	for _, s := range l.streams {
+		if l.retain > 0 {
+			s.drop(len(s.records) - l.retain)
+		}
+		if l.retainFor > 0 {
+			old := 0
+			for old < len(s.times) && now.Sub(s.times[old]) > l.retainFor {
+				old++
+			}
+			s.drop(old)
+		}
+	}
+}
+
+func (s *stream) drop(n int) {
+	if n <= 0 {
+		return
+	}
+	s.oldest += int64(n)
+	s.records = slices.Clone(s.records[n:])
+	s.times = slices.Clone(s.times[n:])
+}
+
+func cloneAll(records [][]byte) [][]byte {
+	out := make([][]byte, len(records))
+	for i, r := range records {
+		out[i] = slices.Clone(r)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fake/memlog/log_test.go
@@ -0,0 +1,107 @@
+package memlog
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+)
+
+const name = "s"
+
+func rec(s string) [][]byte { return [][]byte{[]byte(s)} }
+
+func texts(c *qt.C, l *Log, from int64) []string {
+	b, err := l.Read(context.Background(), name, from, 100)
+	c.Assert(err, qt.IsNil)
+	out := []string{}
+	for _, r := range b.Records {
+		out = append(out, string(r))
+	}
+	return out
+}
+
+func TestAppendRead(t *testing.T) {
+	c := qt.New(t)
+	l := New()
+	first, err := l.Append(context.Background(), name, [][]byte{[]byte("a"), []byte("b")})
+	c.Assert(err, qt.IsNil)
+	c.Assert(first, qt.Equals, int64(0))
+	first, err = l.Append(context.Background(), name, rec("c"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(first, qt.Equals, int64(2))
+	c.Assert(texts(c, l, 1), qt.DeepEquals, []string{"b", "c"})
+	l.Trim(name, 2)
+	b, err := l.Read(context.Background(), name, 0, 10)
+	c.Assert(err, qt.IsNil)
+	c.Assert(b, qt.DeepEquals, logs.Batch{First: 2, Records: rec("c"), Oldest: 2, Next: 3})
+}
+
+func TestFaults(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	l := New()
+	var e *logs.Error
+
+	l.SetDown(true)
+	_, err := l.Append(ctx, name, rec("refused"))
+	c.Assert(errors.As(err, &e), qt.IsTrue)
+	c.Assert(e.MayHaveTaken, qt.IsFalse)
+	_, err = l.Read(ctx, name, 0, 1)
+	c.Assert(err, qt.ErrorIs, ErrDown)
+	l.SetDown(false)
+
+	l.LoseAnswers(1)
+	_, err = l.Append(ctx, name, rec("lost"))
+	c.Assert(errors.As(err, &e), qt.IsTrue)
+	c.Assert(e.MayHaveTaken, qt.IsTrue)
+
+	l.HoldAppends(1)
+	_, err = l.Append(ctx, name, rec("held"))
+	c.Assert(err, qt.ErrorIs, ErrAnswer)
+	_, err = l.Append(ctx, name, rec("next"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Release(), qt.Equals, 1)
+	c.Assert(texts(c, l, 0), qt.DeepEquals, []string{"lost", "next", "held"})
+	c.Assert(l.Appends(), qt.Equals, 3)
+}
+
+func TestDelayedAppendTakesEffectAfterItsCallerGaveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := New()
+		l.DelayAppend(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := l.Append(ctx, name, rec("late"))
+		c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+		c.Assert(texts(c, l, 0), qt.HasLen, 0)
+		time.Sleep(2 * time.Second)
+		c.Assert(texts(c, l, 0), qt.DeepEquals, []string{"late"})
+	})
+}
+
+func TestRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := New()
+		l.Retain(2)
+		for _, s := range []string{"a", "b", "c"} {
+			_, err := l.Append(t.Context(), name, rec(s))
+			c.Assert(err, qt.IsNil)
+		}
+		c.Assert(texts(c, l, 0), qt.DeepEquals, []string{"b", "c"})
+		l.RetainFor(time.Minute)
+		time.Sleep(time.Hour)
+		b, err := l.Read(t.Context(), name, 0, 10)
+		c.Assert(err, qt.IsNil)
+		c.Assert(b.Records, qt.HasLen, 0)
+		c.Assert(b.Oldest, qt.Equals, int64(3))
+		c.Assert(b.Next, qt.Equals, int64(3))
+	})
+}
--- /dev/null
+++ b/internal/state/event/doc.go
@@ -0,0 +1,2 @@
+// Package event tells many goroutines that something has changed.
+package event
