Add the membership table

Entries need one view of upstreams from three sources that disagree: the lagging host list, sides and connections.

--- /dev/null
+++ b/internal/fleet/member/state.go
@@ -0,0 +1,64 @@
+package member
+
+import (
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// State says what may be sent to a host.
+type State string
+
+// The states of a host.
+const (
+	// Live hosts get new work.
+	Live State = "live"
+	// Suspect hosts get new work only when too few live ones are left.
+	Suspect State = "suspect"
+	// Leaving hosts get no new work.
+	Leaving State = "leaving"
+	// Gone hosts are forgotten after a while.
+	Gone State = "gone"
+)
+
+// Reason says which rule gave a host its state.
+type Reason string
+
+// The reasons, by the source that decided.
+const (
+	ReasonListed       Reason = "listed"
+	ReasonSideLive     Reason = "sideLive"
+	ReasonHeld         Reason = "absenceHeld"
+	ReasonAbsentLinked Reason = "absentButConnected"
+	ReasonSideLeaving  Reason = "sideLeaving"
+	ReasonListLeaving  Reason = "listLeaving"
+	ReasonAbsent       Reason = "absent"
+	ReasonReused       Reason = "addressReused"
+	ReasonLinkDown     Reason = "linkDown"
+	ReasonSilent       Reason = "silent"
+	ReasonStarting     Reason = "starting"
+	ReasonUnhealthy    Reason = "upstreamUnhealthy"
+	ReasonWrongName    Reason = "answersAsAnother"
+)
+
+// The states that a side says of itself in sidepb.Status.
+const (
+	sideStarting = "starting"
+	sideLeaving  = "leaving"
+)
+
+// Upstream is one host as a view shows it; an entry host has an empty Pool.
+type Upstream struct {
+	Name        string       `json:"name"`
+	Address     string       `json:"address"`
+	Zone        string       `json:"zone"`
+	Region      string       `json:"region"`
+	Pool        string       `json:"pool"`
+	State       State        `json:"state"`
+	Reason      Reason       `json:"reason"`
+	Incarnation string       `json:"incarnation,omitempty"`
+	Load        *sidepb.Load `json:"load,omitempty"` // last status's load, nil before the first
+	LoadAt      time.Time    `json:"loadAt"`
+	Models      []string     `json:"models,omitempty"`
+	Linked      bool         `json:"linked,omitempty"` // a connection to it is up
+}
--- /dev/null
+++ b/internal/fleet/member/table.go
@@ -0,0 +1,169 @@
+package member
+
+import (
+	"maps"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/host"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// Options are the bounds of the rules; a zero field takes its default.
+type Options struct {
+	// SuspectAfter is the silence of a connected side after which it is suspect.
+	SuspectAfter time.Duration
+	// GoneAfter is how long a host must be missing from the list before it is gone.
+	GoneAfter time.Duration
+	// HoldFor is how long the absence of hosts that vanished together is not believed.
+	HoldFor time.Duration
+	// VanishCap is the fraction of a pool, or of a pool's part in one zone, that a list may drop and be believed.
+	VanishCap float64
+	// StatusFor is how long the word of a side counts that no connection watches.
+	StatusFor time.Duration
+	// ForgetAfter is how long a gone host is kept for the operators.
+	ForgetAfter time.Duration
+}
+
+const (
+	defaultGoneAfter   = 10 * time.Second
+	defaultHoldFor     = 10 * time.Minute
+	defaultVanishCap   = 0.25
+	defaultStatusFor   = time.Minute
+	defaultForgetAfter = 10 * time.Minute
+)
+
+func (o Options) withDefaults() Options {
+	o.SuspectAfter = orElse(o.SuspectAfter, timing.SuspectAfter)
+	o.GoneAfter = orElse(o.GoneAfter, defaultGoneAfter)
+	o.HoldFor = orElse(o.HoldFor, defaultHoldFor)
+	o.VanishCap = orElse(o.VanishCap, defaultVanishCap)
+	o.StatusFor = orElse(o.StatusFor, defaultStatusFor)
+	o.ForgetAfter = orElse(o.ForgetAfter, defaultForgetAfter)
+	return o
+}
+
+func orElse[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+// Table is an immutable record of what each source last said of each host.
+type Table struct {
+	options Options
+	rows    map[string]row
+	listAt  time.Time
+	missing int // hosts whose absence is held
+}
+
+// New returns an empty table.
+func New(o Options) *Table {
+	return &Table{options: o.withDefaults(), rows: map[string]row{}}
+}
+
+func (t *Table) clone() *Table {
+	c := *t
+	c.rows = maps.Clone(t.rows)
+	return &c
+}
+
+// WithList returns a copy after an answer of the host list; an empty list tells nothing and is ignored.
+func (t *Table) WithList(now time.Time, list []host.Host) *Table {
+	if len(list) == 0 {
+		return t
+	}
+	c := t.clone()
+	c.listAt = now
+	listed := make(map[string]bool, len(list))
+	owner := make(map[string]string, len(list))
+	for _, h := range list {
+		listed[h.Name] = true
+		owner[h.Address] = h.Name
+		if r, ok := c.rows[h.Name]; ok {
+			c.rows[h.Name] = r.relisted(h)
+		} else {
+			c.rows[h.Name] = row{host: h}
+		}
+	}
+	for name, r := range c.rows {
+		if listed[name] {
+			continue
+		}
+		if r.absentFrom.IsZero() {
+			r.absentFrom = now
+		}
+		r.reused = owner[r.host.Address] != ""
+		c.rows[name] = r
+	}
+	c.holdVanished(now)
+	return c
+}
+
+// WithStatus returns a copy after a status that came over a connection to the named host.
+func (t *Table) WithStatus(now time.Time, name string, st *sidepb.Status) *Table {
+	r, ok := t.rows[name]
+	if !ok || st == nil {
+		return t
+	}
+	c := t.clone()
+	c.rows[name] = r.withStatus(now, st)
+	return c
+}
+
+// WithLeaving returns a copy after the named host refused a call because it is leaving; an empty incarnation means the
+// one last heard of.
+func (t *Table) WithLeaving(now time.Time, name, incarnation string) *Table {
+	r, ok := t.rows[name]
+	if !ok {
+		return t
+	}
+	c := t.clone()
+	c.rows[name] = r.withLeaving(now, incarnation)
+	return c
+}
+
+// WithLink returns a copy after a connection to the named host came up, or could not be made or kept.
+func (t *Table) WithLink(now time.Time, name string, up bool) *Table {
+	r, ok := t.rows[name]
+	if !ok {
+		return t
+	}
+	c := t.clone()
+	c.rows[name] = r.withLink(now, up)
+	return c
+}
+
+// WithoutLink returns a copy in which the named host is no longer watched, so that its silence tells nothing.
+func (t *Table) WithoutLink(name string) *Table {
+	r, ok := t.rows[name]
+	if !ok {
+		return t
+	}
+	c := t.clone()
+	r.link = linkUnknown
+	r.linkFrom = time.Time{}
+	c.rows[name] = r
+	return c
+}
+
+// Tick returns a copy without the hosts that have been gone for long.
+func (t *Table) Tick(now time.Time) *Table {
+	c := t.clone()
+	for name, r := range c.rows {
+		state, _ := r.judge(now, t.options)
+		switch {
+		case state != Gone:
+			r.goneFrom = time.Time{}
+			c.rows[name] = r
+		case r.goneFrom.IsZero():
+			r.goneFrom = now
+			c.rows[name] = r
+		case now.Sub(r.goneFrom) >= t.options.ForgetAfter:
+			delete(c.rows, name)
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/fleet/member/view.go
@@ -0,0 +1,95 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// usableFraction is the fraction of a pool that must be live for suspects to be left out.
+const usableFraction = 0.5
+
+// View is the table at one moment, immutable.
+type View struct {
+	At      time.Time             `json:"at"`
+	ListAt  time.Time             `json:"listAt"` // last answer of the host list
+	Held    int                   `json:"held"`   // hosts missing from the list whose absence is not believed
+	Pools   map[string][]Upstream `json:"pools"`  // by name of the pool; each sorted by name
+	Entries []Upstream            `json:"entries"`
+	byName  map[string]Upstream
+}
+
+// View returns the state of every known host at the time now.
+func (t *Table) View(now time.Time) View {
+	v := View{
+		At: now, ListAt: t.listAt, Held: t.missing,
+		Pools:  map[string][]Upstream{},
+		byName: make(map[string]Upstream, len(t.rows)),
+	}
+	for name, r := range t.rows {
+		u := r.upstream(now, t.options)
+		v.byName[name] = u
+		if u.Pool == "" {
+			v.Entries = append(v.Entries, u)
+		} else {
+			v.Pools[u.Pool] = append(v.Pools[u.Pool], u)
+		}
+	}
+	slices.SortFunc(v.Entries, byName)
+	for _, list := range v.Pools {
+		slices.SortFunc(list, byName)
+	}
+	return v
+}
+
+func byName(a, b Upstream) int { return cmp.Compare(a.Name, b.Name) }
+
+// Upstream returns one host by name.
+func (v View) Upstream(name string) (Upstream, bool) {
+	u, ok := v.byName[name]
+	return u, ok
+}
+
+// Usable returns the upstreams of a pool that may get new work: the live ones, and the suspects too when fewer than half
+// of the pool is live, as then the fault is more likely this process's own.
+func (v View) Usable(pool string) []Upstream {
+	var live, both []Upstream
+	for _, u := range v.Pools[pool] {
+		switch u.State {
+		case Live:
+			live = append(live, u)
+			both = append(both, u)
+		case Suspect:
+			both = append(both, u)
+		}
+	}
+	if float64(len(live)) < usableFraction*float64(len(both)) {
+		return both
+	}
+	return live
+}
+
+// Change is a host whose state differs between two views.
+type Change struct {
+	Upstream Upstream
+	Before   State // empty for a new host
+}
+
+// Changes returns the hosts whose state differs from an older view's, sorted by name.
+func (v View) Changes(old View) []Change {
+	var out []Change
+	for name, u := range v.byName {
+		if before := old.byName[name].State; before != u.State {
+			out = append(out, Change{Upstream: u, Before: before})
+		}
+	}
+	for name, u := range old.byName {
+		if _, ok := v.byName[name]; !ok && u.State != Gone {
+			before := u.State
+			u.State = Gone
+			out = append(out, Change{Upstream: u, Before: before})
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return byName(a.Upstream, b.Upstream) })
+	return out
+}
