--- /dev/null
+++ b/internal/entry/front/front.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/index"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+// Runner runs an admitted request.
+type Runner interface {
+	Run(ctx context.Context, r job.Request, sink exec.Sink) (exec.Answer, *exec.Failure)
+}
+
+// Admitter decides whether a checked request may start.
+type Admitter interface {
+	// Admit returns the request to run, perhaps altered, or why not; its verdict is NotRun.
+	Admit(r job.Request) (job.Request, *fault.Error)
+	// Ready returns why no request can start now; nil when they can.
+	Ready() *fault.Error
+	// Begin and End count requests in flight, so that a drain can wait for them.
+	// Begin is false once the drain has started.
+	Begin() bool
+	End()
+}
+
+// Outcomes finds what is recorded of an action.
+type Outcomes interface {
+	// Outcome asks about a team's key on one service, or on all with an empty service.
+	Outcome(ctx context.Context, team, service, key string) (Outcome, *fault.Error)
+}
+
+// Watcher counts finished requests.
+type Watcher interface {
+	Finished(r Record)
+}
+
+// Record is a finished request.
+type Record struct {
+	Team       string
+	Pipeline   string
+	Preset     string
+	Code       fault.Code // empty when whole
+	Verdict    fault.Verdict
+	Took       time.Duration
+	FirstToken time.Duration // zero without tokens
+	Late       bool          // whole, but after the deadline
+}
+
+// Options are the dependencies of a Front.
+type Options struct {
+	Index    func() *index.Index
+	Runner   Runner
+	Admitter Admitter
+	Outcomes Outcomes
+	Watcher  Watcher
+	Log      *zap.Logger
+	Now      func() time.Time
+}
+
+// Front serves callers.
+type Front struct {
+	o Options
+}
+
+// New returns a Front over its dependencies.
+func New(o Options) *Front { return &Front{o: o} }
+
+// Routes are the callers' calls and the health checks of the platform's balancer.
+func (f *Front) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/pipelines/:pipeline", Handler: f.run},
+		{Method: http.MethodGet, Path: "/v1/outcomes/:key", Handler: f.outcome},
+		{Method: http.MethodGet, Path: "/healthz", Handler: f.healthy},
+		{Method: http.MethodGet, Path: "/readyz", Handler: f.ready},
+	}
+}
+
+func (f *Front) healthy(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := f.o.Admitter.Ready(); err != nil {
+		writeFailure(w, "", &exec.Failure{Error: err})
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/front/outcome.go
@@ -0,0 +1,46 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+// Outcome is what the log records of an action.
+type Outcome struct {
+	Key     string          `json:"key"`
+	Service string          `json:"service"`
+	State   string          `json:"state"`
+	Verdict fault.Verdict   `json:"verdict"`
+	Answer  json.RawMessage `json:"answer,omitempty"`
+	Author  string          `json:"author,omitempty"` // of an operator's decision
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// outcome answers GET /v1/outcomes/{key}, for the team that owns the key.
+func (f *Front) outcome(w http.ResponseWriter, r *http.Request) {
+	if err := f.o.Admitter.Ready(); err != nil {
+		writeFailure(w, "", &exec.Failure{Error: err})
+		return
+	}
+	t, err := authenticate(f.o.Index(), r)
+	if err != nil {
+		writeFailure(w, "", &exec.Failure{Error: err})
+		return
+	}
+	key := pathvar.Vars(r)["key"]
+	if _, err := mintTime(key); err != nil {
+		writeFailure(w, "", &exec.Failure{Error: err})
+		return
+	}
+	out, err := f.o.Outcomes.Outcome(r.Context(), t.Name, r.URL.Query().Get("service"), key)
+	if err != nil {
+		writeFailure(w, "", &exec.Failure{Error: err})
+		return
+	}
+	writeJSON(w, http.StatusOK, out)
+}
--- /dev/null
+++ b/internal/entry/front/parse.go
@@ -0,0 +1,181 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/index"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/model/team"
+)
+
+const (
+	maxBodyBytes    = 1 << 20
+	maxLabelBytes   = 128
+	bodyTimeout     = 5 * time.Second // to receive the whole body
+	bearer          = "Bearer "
+	eventStreamType = "text/event-stream"
+)
+
+// envelope is the body of a request.
+type envelope struct {
+	RequestID  string          `json:"requestId"`
+	DeadlineMs *int64          `json:"deadlineMs"`
+	Key        string          `json:"key"`
+	Stream     bool            `json:"stream"`
+	MaxTokens  uint32          `json:"maxTokens"`
+	Input      json.RawMessage `json:"input"`
+}
+
+// parse checks a request as far as one revision of the configuration can tell.
+func (f *Front) parse(w http.ResponseWriter, r *http.Request, now time.Time) (job.Request, bool, *fault.Error) {
+	if err := f.o.Admitter.Ready(); err != nil {
+		return job.Request{}, false, err
+	}
+	ix := f.o.Index()
+	t, err := authenticate(ix, r)
+	if err != nil {
+		return job.Request{}, false, err
+	}
+	req, err := permitted(ix, t, pathvar.Vars(r)["pipeline"])
+	if err != nil {
+		return req, false, err
+	}
+	env, err := readEnvelope(w, r, req.Pipeline)
+	if err != nil {
+		return req, false, err
+	}
+	req, err = fill(req, env, now)
+	stream := env.Stream || r.Header.Get("Accept") == eventStreamType
+	return req, stream, err
+}
+
+func authenticate(ix *index.Index, r *http.Request) (team.Spec, *fault.Error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok || token == "" {
+		return team.Spec{}, fault.New(fault.NotRun, fault.Unauthorized, "the Authorization header must carry a bearer token")
+	}
+	t, ok := ix.Team(token)
+	if !ok {
+		return team.Spec{}, fault.New(fault.NotRun, fault.Unauthorized, "the bearer token belongs to no team")
+	}
+	return t, nil
+}
+
+// permitted starts a request of t for a pipeline that it may call and that is open.
+func permitted(ix *index.Index, t team.Spec, name string) (job.Request, *fault.Error) {
+	req := job.Request{Team: t, Pools: ix.Set.Pools, Revision: ix.Revision}
+	p, ok := ix.Set.Pipelines[name]
+	if !ok {
+		return req, fault.New(fault.NotRun, fault.NotFound, "there is no pipeline %q", name)
+	}
+	if len(t.Pipelines) > 0 && !slices.Contains(t.Pipelines, name) {
+		return req, fault.New(fault.NotRun, fault.Forbidden, "team %q may not call pipeline %q", t.Name, name)
+	}
+	preset, ok := ix.Set.Preset()
+	if !ok {
+		return req, fault.New(fault.NotRun, fault.NotReady, "no preset is in force").WithRetryAfter(time.Second)
+	}
+	if preset.Pipelines[name].Closed {
+		return req, fault.New(fault.NotRun, fault.NotReady, "preset %q closes pipeline %q", preset.Name, name).
+			WithRetryAfter(time.Minute)
+	}
+	req.Pipeline = p
+	req.Preset = preset
+	req.Stages = ix.Set.StagesOf(name)
+	return req, nil
+}
+
+func readEnvelope(w http.ResponseWriter, r *http.Request, p pipe.Spec) (envelope, *fault.Error) {
+	limit := int64(maxBodyBytes)
+	if p.MaxBodyBytes > 0 {
+		limit = min(limit, p.MaxBodyBytes)
+	}
+	ctl := http.NewResponseController(w)
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout)) // not every writer of a test can
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = ctl.SetReadDeadline(time.Time{})
+	if err != nil {
+		return envelope{}, bodyError(err, limit)
+	}
+	return decode(body)
+}
+
+func bodyError(err error, limit int64) *fault.Error {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return fault.New(fault.NotRun, fault.TooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.New(fault.NotRun, fault.SlowBody, "the body took over %s", bodyTimeout)
+	}
+	return fault.New(fault.NotRun, fault.BadRequest, "the body was cut").WithCause(err)
+}
+
+// decode reads an envelope strictly.
+func decode(body []byte) (envelope, *fault.Error) {
+	var env envelope
+	dec := json.NewDecoder(strings.NewReader(string(body)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&env); err != nil {
+		return env, fault.New(fault.NotRun, fault.BadRequest, "the body is not a request").WithCause(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return env, fault.New(fault.NotRun, fault.BadRequest, "the body goes on after the request")
+	}
+	if len(env.Input) == 0 {
+		return env, fault.New(fault.NotRun, fault.BadRequest, "field \"input\" is missing")
+	}
+	if len(env.RequestID) > maxLabelBytes {
+		return env, fault.New(fault.NotRun, fault.BadRequest, "field \"requestId\" is over %d bytes", maxLabelBytes)
+	}
+	return env, nil
+}
+
+// fill completes the request from its envelope.
+func fill(req job.Request, env envelope, now time.Time) (job.Request, *fault.Error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return req, fault.New(fault.NotRun, fault.Internal, "no random numbers").WithCause(err)
+	}
+	req.ID = id.String()
+	req.Label = env.RequestID
+	if req.Label == "" {
+		req.Label = req.ID
+	}
+	req.Input = env.Input
+	req.MaxTokens = env.MaxTokens
+	req.Key = env.Key
+	req.Fingerprint = ident.Fingerprint(req.Pipeline.Name, env.Input)
+	limit, bad := deadline(env, req.Pipeline)
+	if bad != nil {
+		return req, bad
+	}
+	req.Deadline = now.Add(limit)
+	return req, checkKey(req, now)
+}
+
+// deadline is the time the caller gives, at most the pipeline's.
+func deadline(env envelope, p pipe.Spec) (time.Duration, *fault.Error) {
+	if env.DeadlineMs == nil {
+		return time.Duration(p.DeadlineMs) * time.Millisecond, nil
+	}
+	ms := *env.DeadlineMs
+	if ms < 1 || ms > p.DeadlineMs {
+		return 0, fault.New(fault.NotRun, fault.BadRequest,
+			"field \"deadlineMs\" is %d; pipeline %q takes 1 to %d", ms, p.Name, p.DeadlineMs)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
--- /dev/null
+++ b/internal/entry/front/status.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"net/http"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+// statusClientClosed is the customary status for a caller that went away.
+const statusClientClosed = 499
+
+var statusOf = map[fault.Code]int{
+	fault.BadRequest:   http.StatusBadRequest,
+	fault.Unauthorized: http.StatusUnauthorized,
+	fault.Forbidden:    http.StatusForbidden,
+	fault.NotFound:     http.StatusNotFound,
+	fault.SlowBody:     http.StatusRequestTimeout,
+	fault.Conflict:     http.StatusConflict,
+	fault.InProgress:   http.StatusConflict,
+	fault.TooLarge:     http.StatusRequestEntityTooLarge,
+	fault.KeyReused:    http.StatusUnprocessableEntity,
+	fault.KeyExpired:   http.StatusUnprocessableEntity,
+	fault.Quarantined:  http.StatusUnprocessableEntity,
+	fault.OverLimit:    http.StatusTooManyRequests,
+	fault.Overloaded:   http.StatusServiceUnavailable,
+	fault.Draining:     http.StatusServiceUnavailable,
+	fault.NotReady:     http.StatusServiceUnavailable,
+	fault.NoUpstream:   http.StatusServiceUnavailable,
+	fault.LogDown:      http.StatusServiceUnavailable,
+	fault.TooLate:      http.StatusServiceUnavailable,
+	fault.Tombstoned:   http.StatusServiceUnavailable,
+	fault.WrongTarget:  http.StatusServiceUnavailable,
+	fault.Deadline:     http.StatusGatewayTimeout,
+	fault.Canceled:     statusClientClosed,
+	fault.Crashed:      http.StatusBadGateway,
+	fault.Silent:       http.StatusBadGateway,
+	fault.Transport:    http.StatusBadGateway,
+	fault.Malformed:    http.StatusBadGateway,
+	fault.Incomplete:   http.StatusBadGateway,
+	fault.Upstream:     http.StatusBadGateway,
+}
+
+// status is the HTTP status of a code; 500 for one without.
+func status(c fault.Code) int {
+	if s, ok := statusOf[c]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/entry/front/stream.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+	"unicode/utf8"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+)
+
+// eventStream writes an answer as server-sent events; its headers go out with the first event.
+type eventStream struct {
+	w       http.ResponseWriter
+	ctl     *http.ResponseController
+	req     job.Request
+	now     func() time.Time
+	firstAt time.Time
+	started bool
+}
+
+func newEventStream(w http.ResponseWriter, req job.Request, now func() time.Time) *eventStream {
+	return &eventStream{w: w, ctl: http.NewResponseController(w), req: req, now: now}
+}
+
+// open says whether events have been sent, so that the status can no longer change.
+func (s *eventStream) open() bool { return s != nil && s.started }
+
+// tokenEvent is one token; one that is not UTF-8 by itself comes as base64.
+type tokenEvent struct {
+	Index  uint64 `json:"index"`
+	Text   string `json:"text,omitempty"`
+	Base64 []byte `json:"base64,omitempty"`
+}
+
+// Token sends one token.
+func (s *eventStream) Token(index uint64, data []byte) error {
+	e := tokenEvent{Index: index, Text: string(data)}
+	if !utf8.Valid(data) {
+		e = tokenEvent{Index: index, Base64: data}
+	}
+	return s.send("token", e)
+}
+
+// whole sends the last event of a whole answer.
+func (s *eventStream) whole(a exec.Answer) {
+	b := newWhole(s.req, a)
+	if !a.Streamed {
+		b = withContent(b, a)
+	}
+	_ = s.send("whole", b) // a caller that went away asks again
+}
+
+// fail sends the last event of an answer that is not whole.
+func (s *eventStream) fail(f *exec.Failure) {
+	_ = s.send("error", newError(s.req.Label, f))
+}
+
+func (s *eventStream) send(event string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	s.start()
+	_ = s.ctl.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", event, data); err != nil {
+		return err
+	}
+	return s.ctl.Flush()
+}
+
+func (s *eventStream) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.firstAt = s.now()
+	h := s.w.Header()
+	h.Set("Content-Type", eventStreamType)
+	h.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/index/doc.go
@@ -0,0 +1,2 @@
+// Package index prepares one configuration state for look-ups on the path of a request.
+package index
--- a/internal/model/fault/fault.go
+++ b/internal/model/fault/fault.go
@@ -30,6 +30,7 @@
 	NotFound     Code = "notFound"
 	Conflict     Code = "conflict"
 	TooLarge     Code = "tooLarge"
+	SlowBody     Code = "slowBody"
 	KeyReused    Code = "keyReused"
 	KeyExpired   Code = "keyExpired"
 	Quarantined  Code = "quarantined"
