Add the upstream's scheduler and its blocking gate

A side has to order, limit and refuse the calls of its upstream. sched holds the decisions without a clock or goroutine, so that scenarios run them in virtual time; gate blocks callers on it. Refusals are NotRun and come at once.

--- /dev/null
+++ b/internal/limit/adapt/limit.go
@@ -0,0 +1,97 @@
+package adapt
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	minWindow    = 8 // samples
+	smallestCut  = 0.7
+	failureShare = 0.5
+)
+
+// Options bound a limit.
+type Options struct {
+	// Floor is the least limit, in calls; 0 means 1.
+	Floor int
+	// Ceiling is the greatest limit, in calls; 0 means 64.
+	Ceiling int
+	// Initial is the first limit; 0 means halfway between Floor and Ceiling.
+	Initial int
+	// Target is the mean latency to hold; 0 keeps the limit at Ceiling.
+	Target time.Duration
+}
+
+// WithDefaults returns a copy with each unset bound filled in.
+func (o Options) WithDefaults() Options {
+	if o.Floor <= 0 {
+		o.Floor = 1
+	}
+	if o.Ceiling <= 0 {
+		o.Ceiling = max(64, o.Floor)
+	}
+	o.Ceiling = max(o.Ceiling, o.Floor)
+	if o.Initial <= 0 {
+		o.Initial = (o.Floor + o.Ceiling + 1) / 2
+	}
+	if o.Target <= 0 {
+		o.Initial = o.Ceiling
+	}
+	o.Initial = min(max(o.Initial, o.Floor), o.Ceiling)
+	return o
+}
+
+// Limit is the number of calls that may run at once; it is not safe for concurrent use.
+type Limit struct {
+	opts      Options
+	value     int
+	samples   int
+	failures  int
+	total     time.Duration
+	saturated bool
+}
+
+// New returns a limit at its initial value.
+func New(o Options) *Limit {
+	o = o.WithDefaults()
+	return &Limit{opts: o, value: o.Initial}
+}
+
+// Value is the limit in force, in calls.
+func (l *Limit) Value() int { return l.value }
+
+// Observe takes the latency of a finished call; running counts it and those still in flight.
+func (l *Limit) Observe(latency time.Duration, failed bool, running int) {
+	if l.opts.Target <= 0 {
+		return
+	}
+	l.samples++
+	if failed {
+		l.failures++
+	} else {
+		l.total += latency
+	}
+	if running >= l.value {
+		l.saturated = true
+	}
+	if l.samples >= max(minWindow, l.value) {
+		l.adjust()
+	}
+}
+
+func (l *Limit) adjust() {
+	good := l.samples - l.failures
+	switch {
+	case float64(l.failures) > failureShare*float64(l.samples):
+		l.value = int(float64(l.value) * smallestCut)
+	case good > 0 && l.total/time.Duration(good) > l.opts.Target:
+		mean := l.total / time.Duration(good)
+		cut := max(smallestCut, float64(l.opts.Target)/float64(mean))
+		l.value = min(l.value-1, int(float64(l.value)*cut))
+	case l.saturated:
+		l.value += max(1, int(math.Sqrt(float64(l.value))/2))
+	}
+	l.value = min(max(l.value, l.opts.Floor), l.opts.Ceiling)
+	l.samples, l.failures, l.total, l.saturated = 0, 0, 0, false
+}
--- /dev/null
+++ b/internal/limit/gate/gate.go
@@ -0,0 +1,146 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/limit/adapt"
+	"github.com/ragworthatch/ragworthatch/internal/limit/sched"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+// Ticket describes a call that asks to enter.
+type Ticket = sched.Ticket
+
+// Result is how an admitted call ended.
+type Result = sched.Result
+
+// Load is what a gate says of itself.
+type Load = sched.Load
+
+// Options configure a gate; a zero field takes its default.
+type Options struct {
+	Floor   int // least concurrency limit, in calls
+	Ceiling int // greatest concurrency limit, in calls
+	Initial int // first concurrency limit, in calls
+	// Target is the mean latency that the limit adapts to; 0 keeps the limit at Ceiling.
+	Target time.Duration
+	// MaxWait is the longest expected wait that is accepted.
+	MaxWait time.Duration
+	// AgeAfter orders a call as if due this long after its arrival at the latest.
+	AgeAfter time.Duration
+	// Hold is the first guess of a call's running time.
+	Hold time.Duration
+}
+
+func (o Options) sched() sched.Options {
+	return sched.Options{
+		Limit:    adapt.Options{Floor: o.Floor, Ceiling: o.Ceiling, Initial: o.Initial, Target: o.Target},
+		MaxWait:  o.MaxWait,
+		AgeAfter: o.AgeAfter,
+		Hold:     o.Hold,
+	}
+}
+
+// Gate admits calls to one upstream; it is safe for concurrent use.
+type Gate struct {
+	mu    sync.Mutex
+	sched *sched.Scheduler[chan error]
+	timer *time.Timer
+}
+
+// New returns an open gate.
+func New(o Options) *Gate {
+	return &Gate{sched: sched.New[chan error](o.sched())}
+}
+
+// Load returns the present load.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sched.Load()
+}
+
+// Enter blocks until the call may start; its error is a NotRun *fault.Error.
+func (g *Gate) Enter(ctx context.Context, t Ticket) (Pass, error) {
+	ready := make(chan error, 1)
+	g.mu.Lock()
+	job, err := g.sched.Offer(t, ready, time.Now())
+	if err != nil {
+		g.mu.Unlock()
+		return Pass{}, err
+	}
+	g.pump()
+	g.mu.Unlock()
+	select {
+	case err := <-ready:
+		if err != nil {
+			return Pass{}, err
+		}
+		return Pass{gate: g, job: job}, nil
+	case <-ctx.Done():
+		g.leave(job)
+		return Pass{}, canceled(ctx.Err())
+	}
+}
+
+// Pass is the right to run one call; Done must be called on it.
+type Pass struct {
+	gate *Gate
+	job  *sched.Job[chan error]
+}
+
+// Waited is the time that the call spent in the queue.
+func (p Pass) Waited() time.Duration { return p.job.Waited }
+
+// Done ends the call; further calls of Done do nothing.
+func (p Pass) Done(r Result) {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.gate.sched.Finish(p.job, time.Now(), r)
+	p.gate.pump()
+}
+
+func (g *Gate) leave(job *sched.Job[chan error]) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.sched.Remove(job) {
+		g.sched.Abandon(job)
+	}
+	g.pump()
+}
+
+// pump tells each waiting call that may start or is refused, and arms the timer for the next refusal.
+func (g *Gate) pump() {
+	for {
+		job, err := g.sched.Next(time.Now())
+		if job == nil {
+			break
+		}
+		job.Value <- err
+	}
+	at, ok := g.sched.Wakeup()
+	if !ok {
+		return
+	}
+	if g.timer == nil {
+		g.timer = time.AfterFunc(time.Until(at), g.wake)
+		return
+	}
+	g.timer.Reset(time.Until(at))
+}
+
+func (g *Gate) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pump()
+}
+
+func canceled(err error) *fault.Error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fault.New(fault.NotRun, fault.TooLate, "deadline passed in the queue").WithCause(err)
+	}
+	return fault.New(fault.NotRun, fault.Canceled, "caller left the queue").WithCause(err)
+}
--- /dev/null
+++ b/internal/limit/gate/gate_test.go
@@ -0,0 +1,106 @@
+package gate_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+func ticket(remaining time.Duration) gate.Ticket {
+	return gate.Ticket{Team: "a", Remaining: remaining, Estimate: 100 * time.Millisecond}
+}
+
+func TestEnterRefusesAtOnceWhatCannotFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := gate.New(gate.Options{Floor: 1, Ceiling: 1})
+		pass, err := g.Enter(t.Context(), ticket(time.Second))
+		c.Assert(err, qt.IsNil)
+		begin := time.Now()
+		_, err = g.Enter(t.Context(), ticket(50*time.Millisecond))
+		c.Check(fault.From(err).Code, qt.Equals, fault.TooLate)
+		_, err = g.Enter(t.Context(), ticket(120*time.Millisecond))
+		c.Check(fault.From(err).Code, qt.Equals, fault.Overloaded)
+		c.Check(fault.From(err).Verdict, qt.Equals, fault.NotRun)
+		c.Check(fault.From(err).RetryAfter > 0, qt.IsTrue)
+		c.Check(time.Since(begin), qt.Equals, time.Duration(0))
+		pass.Done(gate.Result{})
+		pass.Done(gate.Result{})
+		c.Check(g.Load().Running, qt.Equals, 0)
+	})
+}
+
+func TestEnterRefusesAWaitingCallOnceItCannotFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := gate.New(gate.Options{Floor: 1, Ceiling: 1})
+		_, err := g.Enter(t.Context(), ticket(time.Second))
+		c.Assert(err, qt.IsNil)
+		begin := time.Now()
+		_, err = g.Enter(t.Context(), ticket(400*time.Millisecond))
+		c.Check(fault.From(err).Code, qt.Equals, fault.TooLate)
+		c.Check(fault.From(err).Verdict, qt.Equals, fault.NotRun)
+		c.Check(time.Since(begin).Round(time.Millisecond), qt.Equals, 300*time.Millisecond)
+		c.Check(g.Load().Queued, qt.Equals, 0)
+	})
+}
+
+func TestCanceledCallLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := gate.New(gate.Options{Floor: 1, Ceiling: 1})
+		pass, err := g.Enter(t.Context(), ticket(time.Second))
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() {
+			_, err := g.Enter(ctx, ticket(time.Second))
+			done <- err
+		}()
+		synctest.Wait()
+		c.Check(g.Load().Queued, qt.Equals, 1)
+		cancel()
+		err = <-done
+		c.Check(fault.From(err).Code, qt.Equals, fault.Canceled)
+		c.Check(g.Load().Queued, qt.Equals, 0)
+		pass.Done(gate.Result{})
+		_, err = g.Enter(t.Context(), ticket(time.Second))
+		c.Check(err, qt.IsNil)
+	})
+}
+
+func TestAloneWaitsForAnEmptyUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := gate.New(gate.Options{Floor: 4, Ceiling: 4})
+		first, err := g.Enter(t.Context(), ticket(time.Second))
+		c.Assert(err, qt.IsNil)
+		entered := make(chan gate.Pass, 2)
+		enter := func(alone bool) {
+			k := ticket(time.Second)
+			k.Alone = alone
+			p, err := g.Enter(t.Context(), k)
+			c.Check(err, qt.IsNil)
+			entered <- p
+		}
+		go enter(true)
+		synctest.Wait()
+		go enter(false)
+		synctest.Wait()
+		c.Check(g.Load(), qt.Equals, gate.Load{Running: 1, Queued: 2, Limit: 4})
+		first.Done(gate.Result{})
+		synctest.Wait()
+		c.Check(g.Load().Running, qt.Equals, 1)
+		alone := <-entered
+		alone.Done(gate.Result{})
+		synctest.Wait()
+		c.Check(g.Load().Running, qt.Equals, 1)
+		(<-entered).Done(gate.Result{})
+	})
+}
--- /dev/null
+++ b/internal/limit/prio/doc.go
@@ -0,0 +1,2 @@
+// Package prio is a binary heap whose elements can be removed from the middle.
+package prio
