--- /dev/null
+++ b/internal/route/spill/doc.go
@@ -0,0 +1,2 @@
+// Package spill caps the fraction of calls that leave their availability zone by choice.
+package spill
