--- a/internal/entry/exec/round.go
+++ b/internal/entry/exec/round.go
@@ -13,7 +13,7 @@
 	if ctx.Err() != nil {
 		return result{}, ended(ctx, fault.NotRun)
 	}
-	t, f := s.route(ctx, false)
+	t, f := s.route(false)
 	if f != nil {
 		return result{}, f
 	}
@@ -87,7 +87,7 @@
 	if !s.run.e.policy.Hedge(s.run.req.Preset.HedgeBudget) {
 		return nil
 	}
-	t, f := s.route(ctx, true)
+	t, f := s.route(true)
 	if f != nil {
 		return nil
 	}
--- a/internal/entry/exec/settle.go
+++ b/internal/entry/exec/settle.go
@@ -48,7 +48,7 @@
 }
 
 func (s *step) outcome(ctx context.Context) (*sidepb.OutcomeReply, bool) {
-	t, f := s.route(ctx, false)
+	t, f := s.route(false)
 	if f != nil {
 		return nil, false
 	}
--- a/internal/entry/exec/stage.go
+++ b/internal/entry/exec/stage.go
@@ -100,22 +100,19 @@
 }
 
 // route picks the upstream of the next attempt.
-func (s *step) route(ctx context.Context, hedge bool) (target.Target, *fault.Error) {
+func (s *step) route(hedge bool) (target.Target, *fault.Error) {
 	req := s.run.req
 	q := target.Query{
-		Request:   req.ID,
-		Stage:     s.spec.Name,
-		Pool:      s.spec.Pool,
-		Model:     s.spec.Model,
-		Class:     req.Class(),
-		Prefix:    s.prefix(),
-		Avoid:     s.avoid,
-		Closed:    req.Preset.MaintenanceZones,
-		SpillCap:  req.Preset.SpillCap,
-		Revision:  req.Revision,
-		Hedge:     hedge,
-		Repeat:    !s.spec.IsAction(),
-		Remaining: remaining(ctx),
+		Request:  req.ID,
+		Stage:    s.spec.Name,
+		Pool:     s.spec.Pool,
+		Model:    s.spec.Model,
+		Class:    req.Class(),
+		Prefix:   s.prefix(),
+		Avoid:    s.avoid,
+		Revision: req.Revision,
+		Hedge:    hedge,
+		Expected: s.run.e.policy.Estimate(s.spec.Name, req.Class()),
 	}
 	t, err := s.run.e.router.Route(q)
 	if err != nil {
--- a/internal/entry/target/target.go
+++ b/internal/entry/target/target.go
@@ -20,19 +20,16 @@
 
 // Query says what an attempt needs.
 type Query struct {
-	Request   string
-	Stage     string
-	Pool      string
-	Model     string
-	Class     pipe.SizeClass
-	Prefix    string   // digest of the prompt's prefix
-	Avoid     []string // upstreams tried before
-	Closed    []string // availability zones in maintenance
-	SpillCap  float64  // fraction of calls that may leave the zone
-	Revision  int64
-	Hedge     bool
-	Repeat    bool // any number of attempts may run
-	Remaining time.Duration
+	Request  string
+	Stage    string
+	Pool     string
+	Model    string
+	Class    pipe.SizeClass
+	Prefix   string   // digest of the prompt's prefix
+	Avoid    []string // upstreams tried before
+	Revision int64
+	Hedge    bool
+	Expected time.Duration // usual time of the stage; 0 when unknown
 }
 
 // Target is the upstream picked for an attempt.
