--- /dev/null
+++ b/internal/entry/exec/exec_test.go
@@ -0,0 +1,464 @@
+package exec_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/target"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// line is one step of a scripted side.
+type line struct {
+	after time.Duration
+	frame *sidepb.CallFrame
+	eof   bool
+	hang  bool // nothing comes any more
+}
+
+// fakeSide answers each call with the next script.
+type fakeSide struct {
+	sidepb.SideClient
+	mu       sync.Mutex
+	scripts  [][]line
+	calls    []*sidepb.CallRequest
+	cancels  int
+	cancelAs string
+	outcome  *sidepb.OutcomeReply
+}
+
+func (s *fakeSide) Call(ctx context.Context, in *sidepb.CallRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[sidepb.CallFrame], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, in)
+	script := s.scripts[0]
+	s.scripts = s.scripts[1:]
+	return &fakeStream{ctx: ctx, id: in.GetId(), script: script}, nil
+}
+
+func (s *fakeSide) Cancel(context.Context, *sidepb.CancelRequest, ...grpc.CallOption) (*sidepb.CancelReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancels++
+	return &sidepb.CancelReply{Verdict: s.cancelAs}, nil
+}
+
+func (s *fakeSide) Outcome(context.Context, *sidepb.OutcomeRequest, ...grpc.CallOption) (*sidepb.OutcomeReply, error) {
+	return s.outcome, nil
+}
+
+type fakeStream struct {
+	grpc.ClientStream
+	ctx    context.Context
+	id     *sidepb.Identity
+	script []line
+	seq    uint64
+}
+
+func (s *fakeStream) Recv() (*sidepb.CallFrame, error) {
+	if len(s.script) == 0 || s.script[0].eof {
+		return nil, io.EOF
+	}
+	next := s.script[0]
+	s.script = s.script[1:]
+	if next.hang {
+		<-s.ctx.Done()
+		return nil, s.ctx.Err()
+	}
+	select {
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	case <-time.After(next.after):
+	}
+	frame := proto.Clone(next.frame).(*sidepb.CallFrame)
+	if frame.Id == nil {
+		frame.Id = s.id
+		frame.Seq = s.seq
+		s.seq++
+	}
+	return frame, nil
+}
+
+func chunk(index uint64, data string) line {
+	return line{frame: &sidepb.CallFrame{Body: &sidepb.CallFrame_Chunk{Chunk: &sidepb.Chunk{Index: index, Data: []byte(data)}}}}
+}
+
+func whole(chunks ...string) line {
+	d := ident.NewDigest()
+	for _, c := range chunks {
+		d.Add([]byte(c))
+	}
+	w := &sidepb.Whole{Count: d.Count(), Digest: d.Sum(), Cost: &sidepb.Cost{RunnerMs: 5}}
+	return line{frame: &sidepb.CallFrame{Body: &sidepb.CallFrame_Whole{Whole: w}}}
+}
+
+func failed(v fault.Verdict, c fault.Code) line {
+	f := &sidepb.Failure{Verdict: string(v), Code: string(c), Message: "scripted"}
+	return line{frame: &sidepb.CallFrame{Body: &sidepb.CallFrame_Failure{Failure: f}}}
+}
+
+func foreign() line {
+	f := chunk(0, `"other"`)
+	f.frame.Id = &sidepb.Identity{RequestId: "other", Stage: "embed", Attempt: 1}
+	return f
+}
+
+// fakeRouter hands out its sides in order and counts what is reported.
+type fakeRouter struct {
+	sides     []*fakeSide
+	next      int
+	avoided   [][]string
+	suspected []string
+	reports   []target.Report
+	mu        sync.Mutex
+}
+
+func (r *fakeRouter) Route(q target.Query) (target.Target, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.next % len(r.sides)
+	r.next++
+	r.avoided = append(r.avoided, slices.Clone(q.Avoid))
+	done := func(rep target.Report) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.reports = append(r.reports, rep)
+	}
+	return target.Target{Name: string(rune('a' + i)), Side: r.sides[i], Done: done}, nil
+}
+
+func (r *fakeRouter) Side(name string) (sidepb.SideClient, bool) {
+	return r.sides[int(name[0]-'a')], true
+}
+
+func (r *fakeRouter) Suspect(name string) { r.suspected = append(r.suspected, name) }
+
+// fakePolicy allows attempts retries of what the verdict allows, and hedges after hedge.
+type fakePolicy struct {
+	attempts uint32
+	hedge    time.Duration
+}
+
+func (p fakePolicy) Estimate(string, pipe.SizeClass) time.Duration { return 0 }
+func (p fakePolicy) Observe(string, pipe.SizeClass, time.Duration) {}
+func (p fakePolicy) Began()                                        {}
+func (p fakePolicy) Hedge(float64) bool                            { return true }
+func (p fakePolicy) Retry(t exec.Try) (time.Duration, bool)        { return 0, t.Attempt < p.attempts }
+func (p fakePolicy) HedgeAfter(string, pipe.SizeClass, float64) (time.Duration, bool) {
+	return p.hedge, p.hedge > 0
+}
+
+type fakeWatcher struct {
+	mu      sync.Mutex
+	costs   []exec.Cost
+	crashes []exec.Crash
+}
+
+func (w *fakeWatcher) Attempt(_ job.Request, c exec.Cost) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.costs = append(w.costs, c)
+}
+
+func (w *fakeWatcher) Crashed(c exec.Crash) { w.crashes = append(w.crashes, c) }
+
+type sink struct{ tokens []string }
+
+func (s *sink) Token(index uint64, data []byte) error {
+	if index != uint64(len(s.tokens)) {
+		panic("token out of order")
+	}
+	s.tokens = append(s.tokens, string(data))
+	return nil
+}
+
+func request(kinds ...stage.Kind) job.Request {
+	r := job.Request{
+		ID: "id", Label: "label", Key: "key", Input: []byte(`{}`),
+		Pools:    map[string]pool.Spec{"resuming": {Resumes: true}, "plain": {}},
+		Preset:   preset.Spec{HedgeBudget: 0.02},
+		Deadline: time.Now().Add(10 * time.Second),
+	}
+	for _, k := range kinds {
+		repeatable := k != stage.Service
+		spec := stage.Spec{Name: string(k), Kind: k, Pool: "plain", Repeatable: &repeatable}
+		if k == stage.Generate {
+			spec.Pool = "resuming"
+		}
+		r.Stages = append(r.Stages, spec)
+	}
+	return r
+}
+
+type fixture struct {
+	router  *fakeRouter
+	watcher *fakeWatcher
+	policy  fakePolicy
+}
+
+func newFixture(scripts ...[]line) *fixture {
+	r := &fakeRouter{}
+	for _, s := range scripts {
+		r.sides = append(r.sides, &fakeSide{scripts: [][]line{s, s}, cancelAs: string(fault.MayHaveRun)})
+	}
+	return &fixture{router: r, watcher: &fakeWatcher{}, policy: fakePolicy{attempts: 3}}
+}
+
+func (f *fixture) run(ctx context.Context, r job.Request, s exec.Sink) (exec.Answer, *exec.Failure) {
+	return exec.New(f.router, f.policy, f.watcher, zap.NewNop()).Run(ctx, r, s)
+}
+
+var okay = []line{chunk(0, `"x"`), whole(`"x"`)}
+
+func TestVerdicts(t *testing.T) {
+	cases := []struct {
+		name    string
+		stages  []stage.Kind
+		scripts [][]line
+		want    fault.Verdict // Ran with an empty code is a whole answer
+		code    fault.Code
+		action  fault.Verdict
+		calls   int
+	}{
+		{"first attempt whole", []stage.Kind{stage.Encode}, [][]line{okay}, fault.Ran, "", "", 1},
+		{"repeatable tried again", []stage.Kind{stage.Encode},
+			[][]line{{failed(fault.MayHaveRun, fault.Crashed)}, okay}, fault.Ran, "", "", 2},
+		{"refusals only are not run", []stage.Kind{stage.Encode},
+			[][]line{{failed(fault.NotRun, fault.Overloaded)}, {failed(fault.NotRun, fault.Overloaded)}, {failed(fault.NotRun, fault.Overloaded)}},
+			fault.NotRun, fault.Overloaded, "", 3},
+		{"a refusal behind a stage that ran", []stage.Kind{stage.Encode, stage.Rerank},
+			[][]line{okay, {failed(fault.NotRun, fault.TooLate)}, {failed(fault.NotRun, fault.TooLate)}, {failed(fault.NotRun, fault.TooLate)}},
+			fault.MayHaveRun, fault.TooLate, "", 4},
+		{"an unknown verdict may have run", []stage.Kind{stage.Service},
+			[][]line{{failed("perhaps", fault.Upstream)}, okay}, fault.MayHaveRun, fault.Upstream, fault.MayHaveRun, 1},
+		{"refused action goes elsewhere", []stage.Kind{stage.Service},
+			[][]line{{failed(fault.NotRun, fault.Draining)}, okay}, fault.Ran, "", "", 2},
+		{"dispatched action is never sent again", []stage.Kind{stage.Service},
+			[][]line{{failed(fault.MayHaveRun, fault.Crashed)}, okay}, fault.MayHaveRun, fault.Crashed, fault.MayHaveRun, 1},
+		{"action refused behind a stage that ran", []stage.Kind{stage.Encode, stage.Service},
+			[][]line{okay, {failed(fault.NotRun, fault.KeyReused)}, {failed(fault.NotRun, fault.KeyReused)}, {failed(fault.NotRun, fault.KeyReused)}},
+			fault.MayHaveRun, fault.KeyReused, fault.NotRun, 4},
+		{"cut stream", []stage.Kind{stage.Encode},
+			[][]line{{chunk(0, `"x"`)}, okay}, fault.Ran, "", "", 2},
+		{"altered answer", []stage.Kind{stage.Encode},
+			[][]line{{chunk(0, `"y"`), whole(`"x"`)}, okay}, fault.Ran, "", "", 2},
+		{"foreign frame dropped", []stage.Kind{stage.Encode},
+			[][]line{{foreign(), chunk(0, `"x"`), whole(`"x"`)}}, fault.Ran, "", "", 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFixture(tc.scripts...)
+				ans, fail := f.run(t.Context(), request(tc.stages...), nil)
+				synctest.Wait()
+				c.Check(f.router.next, qt.Equals, tc.calls)
+				c.Check(f.router.reports, qt.HasLen, tc.calls)
+				if tc.code == "" {
+					c.Assert(fail, qt.IsNil)
+					c.Check(string(ans.Chunks[0]), qt.Equals, `"x"`)
+					return
+				}
+				c.Assert(fail, qt.IsNotNil)
+				c.Check(fail.Verdict, qt.Equals, tc.want)
+				c.Check(fail.Code, qt.Equals, tc.code)
+				c.Check(fail.Action, qt.Equals, tc.action)
+			})
+		})
+	}
+}
+
+// TestResume checks that a stream goes on elsewhere without a token twice or missing.
+func TestResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture(
+			[]line{chunk(0, "a"), chunk(1, "b"), failed(fault.MayHaveRun, fault.Crashed)},
+			[]line{chunk(2, "c"), whole("a", "b", "c")})
+		s := &sink{}
+		ans, fail := f.run(t.Context(), request(stage.Generate), s)
+		c.Assert(fail, qt.IsNil)
+		c.Check(s.tokens, qt.DeepEquals, []string{"a", "b", "c"})
+		c.Check(f.router.sides[1].calls[0].GetHeld(), qt.DeepEquals, []string{"a", "b"})
+		c.Check(ans.Chunks, qt.HasLen, 3)
+	})
+}
+
+// TestNoResume checks that an engine which can't resume gives an error and no second start of the stream.
+func TestNoResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture([]line{chunk(0, "a"), failed(fault.MayHaveRun, fault.Crashed)}, []line{chunk(0, "a"), whole("a")})
+		r := request(stage.Generate)
+		r.Stages[0].Pool = "plain"
+		s := &sink{}
+		_, fail := f.run(t.Context(), r, s)
+		c.Assert(fail, qt.IsNotNil)
+		c.Check(fail.Verdict, qt.Equals, fault.MayHaveRun)
+		c.Check(s.tokens, qt.DeepEquals, []string{"a"})
+		c.Check(f.router.next, qt.Equals, 1)
+	})
+}
+
+// TestNoResumeCollected checks that the same engine starts afresh when the caller has seen nothing.
+func TestNoResumeCollected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture([]line{chunk(0, "a"), failed(fault.MayHaveRun, fault.Crashed)}, []line{chunk(0, "a"), whole("a")})
+		r := request(stage.Generate)
+		r.Stages[0].Pool = "plain"
+		ans, fail := f.run(t.Context(), r, nil)
+		c.Assert(fail, qt.IsNil)
+		c.Check(ans.Chunks, qt.HasLen, 1)
+		c.Check(f.router.sides[1].calls[0].GetHeld(), qt.HasLen, 0)
+	})
+}
+
+// TestSilent checks that a silent connection is reported and the work goes on within the deadline.
+func TestSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture([]line{{hang: true}}, okay)
+		start := time.Now()
+		_, fail := f.run(t.Context(), request(stage.Encode), nil)
+		synctest.Wait()
+		c.Assert(fail, qt.IsNil)
+		c.Check(f.router.suspected, qt.DeepEquals, []string{"a"})
+		c.Check(time.Since(start) < 3*time.Second, qt.IsTrue)
+		c.Check(f.router.sides[0].cancels, qt.Equals, 1)
+	})
+}
+
+// TestHeartbeats checks that frames without a body keep a slow call alive.
+func TestHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		beat := line{after: 1500 * time.Millisecond, frame: &sidepb.CallFrame{}}
+		beat2 := line{after: 1500 * time.Millisecond, frame: &sidepb.CallFrame{}}
+		f := newFixture([]line{beat, beat2, chunk(0, `"x"`), whole(`"x"`)})
+		_, fail := f.run(t.Context(), request(stage.Encode), nil)
+		c.Check(fail, qt.IsNil)
+		c.Check(f.router.suspected, qt.HasLen, 0)
+	})
+}
+
+// TestTombstone checks that only a confirmed tombstone turns a lost action into one that did not run.
+func TestTombstone(t *testing.T) {
+	for cancel, want := range map[string]fault.Verdict{"notRun": fault.NotRun, "mayHaveRun": fault.MayHaveRun, "": fault.MayHaveRun} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture([]line{{eof: true}})
+			f.policy.attempts = 1
+			f.router.sides[0].cancelAs = cancel
+			f.router.sides[0].outcome = &sidepb.OutcomeReply{State: "mayHaveRun"}
+			_, fail := f.run(t.Context(), request(stage.Service), nil)
+			c.Assert(fail, qt.IsNotNil)
+			c.Check(fail.Verdict, qt.Equals, want)
+			c.Check(fail.Action, qt.Equals, want)
+			c.Check(f.router.sides[0].calls, qt.HasLen, 1)
+		})
+	}
+}
+
+// TestOutcomeFound checks that the recorded answer of an action reaches its caller after a lost one.
+func TestOutcomeFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture([]line{{eof: true}}, okay)
+		f.router.sides[1].outcome = &sidepb.OutcomeReply{State: "done", Answer: []byte(`"paid"`)}
+		ans, fail := f.run(t.Context(), request(stage.Service), nil)
+		c.Assert(fail, qt.IsNil)
+		c.Check(string(ans.Chunks[0]), qt.Equals, `"paid"`)
+		c.Check(ans.Replayed, qt.IsTrue)
+		c.Check(f.router.sides[1].calls, qt.HasLen, 0)
+	})
+}
+
+// TestDeadline checks that the answer comes at the deadline and the attempt is canceled.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		beats := make([]line, 40)
+		for i := range beats {
+			beats[i] = line{after: time.Second, frame: &sidepb.CallFrame{}}
+		}
+		f := newFixture(beats)
+		start := time.Now()
+		_, fail := f.run(t.Context(), request(stage.Encode), nil)
+		took := time.Since(start)
+		synctest.Wait()
+		c.Assert(fail, qt.IsNotNil)
+		c.Check(fail.Code, qt.Equals, fault.Deadline)
+		c.Check(fail.Verdict, qt.Equals, fault.MayHaveRun)
+		c.Check(took, qt.Equals, 10*time.Second)
+		c.Check(f.router.sides[0].cancels, qt.Equals, 1)
+	})
+}
+
+// TestCallerGone checks that the work stops within a second of the caller leaving.
+func TestCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture([]line{{hang: true}})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		start := time.Now()
+		_, fail := f.run(ctx, request(stage.Encode), nil)
+		synctest.Wait()
+		c.Assert(fail, qt.IsNotNil)
+		c.Check(fail.Code, qt.Equals, fault.Canceled)
+		c.Check(f.router.sides[0].cancels, qt.Equals, 1)
+		c.Check(time.Since(start) < time.Second, qt.IsTrue)
+	})
+}
+
+// TestHedge checks that the faster of two attempts wins and the other is canceled and counted as waste.
+func TestHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		slow := []line{{after: time.Second, frame: &sidepb.CallFrame{}}, {after: time.Second, frame: &sidepb.CallFrame{}}, chunk(0, `"x"`), whole(`"x"`)}
+		f := newFixture(slow, okay)
+		f.policy.hedge = 50 * time.Millisecond
+		start := time.Now()
+		_, fail := f.run(t.Context(), request(stage.Encode), nil)
+		took := time.Since(start)
+		synctest.Wait()
+		c.Assert(fail, qt.IsNil)
+		c.Check(took, qt.Equals, 50*time.Millisecond)
+		c.Check(f.router.sides[0].cancels, qt.Equals, 1)
+		c.Assert(f.watcher.costs, qt.HasLen, 2)
+		c.Check(f.watcher.costs[0].Hedge, qt.IsTrue)
+		c.Check(f.watcher.costs[1].Wasted, qt.IsTrue)
+	})
+}
+
+// TestNoHedgeOfActions checks that an action is never in flight twice.
+func TestNoHedgeOfActions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		slow := []line{{after: time.Second, frame: &sidepb.CallFrame{}}, chunk(0, `"x"`), whole(`"x"`)}
+		f := newFixture(slow, okay)
+		f.policy.hedge = 50 * time.Millisecond
+		_, fail := f.run(t.Context(), request(stage.Service), nil)
+		c.Check(fail, qt.IsNil)
+		c.Check(f.router.next, qt.Equals, 1)
+	})
+}
