Add the stand-ins of the platform and their HTTP adapters

The stand-ins keep their own books, so that a test can count from outside what ran, how often and for whom. A failed call counts as not sent only when no connection was made.

--- /dev/null
+++ b/internal/fake/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is a stand-in for a model engine.
+package engine
--- /dev/null
+++ b/internal/fake/engine/engine.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/echo"
+	"github.com/ragworthatch/ragworthatch/internal/fake/unit"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+const bytesPerToken = 4
+
+// Config describes an engine.
+type Config struct {
+	Concurrency int
+	// Prefill is the time for one prompt token that is not cached.
+	Prefill time.Duration
+	// Decode is the time for one token of an answer with nothing else running;
+	// a full batch takes twice as long.
+	Decode time.Duration
+	// CachedPrefixes is how many prefix blocks fit into the cache.
+	CachedPrefixes int
+	// ChecksFence refuses orders with an old fencing number.
+	ChecksFence bool
+	// LoadTime is how long an order to change the model takes.
+	LoadTime time.Duration
+	State    runner.State
+}
+
+// Engine generates tokens that are a function of the prompt.
+type Engine struct {
+	*unit.Unit
+	config Config
+	cache  *cache
+
+	mu     sync.Mutex
+	state  runner.State
+	orders []runner.Order
+}
+
+// New returns an engine in its configured state.
+func New(c Config) *Engine {
+	e := &Engine{Unit: unit.New(c.Concurrency), config: c, cache: &cache{capacity: c.CachedPrefixes}, state: c.State}
+	e.Proc.OnChange(func(up bool) {
+		if up {
+			e.cache.clear()
+		}
+	})
+	return e
+}
+
+// Call streams a generation; the last event has no token.
+func (e *Engine) Call(ctx context.Context, c upstr.Call) (upstr.Stream, error) {
+	if err := e.check(c); err != nil {
+		return nil, err
+	}
+	return e.Serve(ctx, c, e.work)
+}
+
+func (e *Engine) check(c upstr.Call) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.Model != "" && c.Model != e.state.Model {
+		return &upstr.Error{Op: "call", Refused: true, Cause: fmt.Errorf("model %q is not loaded", c.Model)}
+	}
+	for i, token := range c.Held {
+		if token != echo.Token(c.Body, uint64(i)) {
+			return &upstr.Error{Op: "call", Rejected: true, Cause: fmt.Errorf("held token %d is not of this prompt", i)}
+		}
+	}
+	return nil
+}
+
+func (e *Engine) work(ctx context.Context, c upstr.Call, emit func(upstr.Event)) (upstr.Event, error) {
+	chain := ident.PrefixChain(c.Model, c.Body)
+	prompt := uint64(len(c.Body) / bytesPerToken)
+	cached := min(prompt, uint64(e.cache.use(chain)*ident.PrefixBlockBytes/bytesPerToken))
+	if err := e.Sleep(ctx, time.Duration(prompt-cached)*e.config.Prefill); err != nil {
+		return upstr.Event{}, err
+	}
+	length := echo.Length(c.Body, c.MaxTokens)
+	for i := uint64(len(c.Held)); i < length; i++ {
+		step := time.Duration((1 + e.Busy()) * float64(e.config.Decode))
+		if err := e.Sleep(ctx, step); err != nil {
+			return upstr.Event{}, err
+		}
+		emit(upstr.Event{Index: i, Data: []byte(echo.Token(c.Body, i))})
+	}
+	return upstr.Event{Index: length, Count: length, PrefillTokens: prompt - cached, CachedTokens: cached}, nil
+}
+
+// State returns what the engine has loaded.
+func (e *Engine) State(context.Context) (runner.State, error) {
+	if _, up := e.Proc.Life(); !up {
+		return runner.State{}, &upstr.Error{Op: "state", NotSent: true, Cause: fmt.Errorf("connection refused")}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+// Order takes an order and carries it out after the load time.
+func (e *Engine) Order(_ context.Context, o runner.Order) error {
+	if _, up := e.Proc.Life(); !up {
+		return &upstr.Error{Op: "order", NotSent: true, Cause: fmt.Errorf("connection refused")}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.config.ChecksFence && o.Fence < e.state.Fence {
+		return &upstr.Error{Op: "order", Refused: true,
+			Cause: fmt.Errorf("fencing number %d is older than %d", o.Fence, e.state.Fence)}
+	}
+	e.orders = append(e.orders, o)
+	if e.config.ChecksFence {
+		e.state.Fence = o.Fence
+	}
+	e.state.Loading = true
+	number := len(e.orders)
+	time.AfterFunc(e.config.LoadTime, func() { e.loaded(number, o) })
+	return nil
+}
+
+// Orders returns the orders taken.
+func (e *Engine) Orders() []runner.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// CacheEvents returns the cache events after an offset, late and with gaps as the fault says.
+func (e *Engine) CacheEvents(_ context.Context, after int64) ([]runner.CacheEvent, error) {
+	if _, up := e.Proc.Life(); !up {
+		return nil, &upstr.Error{Op: "cacheEvents", NotSent: true, Cause: fmt.Errorf("connection refused")}
+	}
+	return e.cache.after(after, e.Faults.Get()), nil
+}
+
+func (e *Engine) loaded(number int, o runner.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if number != len(e.orders) {
+		return
+	}
+	fence := e.state.Fence
+	e.state = runner.State{Model: o.Model, Adapters: o.Adapters, Version: o.Version, Role: o.Role, Fence: fence}
+}
--- /dev/null
+++ b/internal/fake/faults/doc.go
@@ -0,0 +1,2 @@
+// Package faults holds the faults that a stand-in plays.
+package faults
--- /dev/null
+++ b/internal/fake/httpd/httpd_test.go
@@ -0,0 +1,229 @@
+package httpd_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/echo"
+	"github.com/ragworthatch/ragworthatch/internal/fake/engine"
+	"github.com/ragworthatch/ragworthatch/internal/fake/faults"
+	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fake/plain"
+	"github.com/ragworthatch/ragworthatch/internal/fake/roster"
+	"github.com/ragworthatch/ragworthatch/internal/fake/store"
+	"github.com/ragworthatch/ragworthatch/internal/model/host"
+	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+	"github.com/ragworthatch/ragworthatch/internal/plat/wtcl"
+)
+
+var ctx = context.Background()
+
+func serve(c *qt.C, h http.Handler) *httpd.Server {
+	s, err := httpd.New("127.0.0.1:0", h)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(s.Down)
+	return s
+}
+
+func newEngine(checks bool) *engine.Engine {
+	return engine.New(engine.Config{
+		Concurrency: 4, CachedPrefixes: 8, ChecksFence: checks, Prefill: time.Microsecond,
+		State: runner.State{Model: "m"},
+	})
+}
+
+func generate(id string, body []byte, held ...string) upstr.Call {
+	return upstr.Call{ID: id, Kind: "generate", Model: "m", Body: body, Held: held}
+}
+
+func collect(u upstr.Upstream, call upstr.Call) ([]string, upstr.Event, error) {
+	s, err := u.Call(ctx, call)
+	if err != nil {
+		return nil, upstr.Event{}, err
+	}
+	defer s.Close()
+	var tokens []string
+	for {
+		e, err := s.Next(ctx)
+		if err != nil {
+			return tokens, e, err
+		}
+		if e.Last {
+			_, err = s.Next(ctx)
+			if err != io.EOF {
+				return tokens, e, fmt.Errorf("after the last event: %v", err)
+			}
+			return tokens, e, nil
+		}
+		tokens = append(tokens, string(e.Data))
+	}
+}
+
+func failure(c *qt.C, err error) *upstr.Error {
+	var e *upstr.Error
+	c.Assert(errors.As(err, &e), qt.IsTrue, qt.Commentf("%v", err))
+	return e
+}
+
+func TestGenerationResumesWithTheSameTokens(t *testing.T) {
+	c := qt.New(t)
+	first, second := newEngine(true), newEngine(true)
+	a := upcl.New(serve(c, httpd.Engine(first, first)).Address(), 0)
+	b := upcl.New(serve(c, httpd.Engine(second, second)).Address(), 0)
+	body := []byte(`{"marker":"m1","q":"` + strings.Repeat("long ", 210) + `"}`)
+
+	whole, last, err := collect(a, generate("r/s/1", body))
+	c.Assert(err, qt.IsNil)
+	c.Assert(last.Count, qt.Equals, uint64(len(whole)))
+	c.Assert(whole[0], qt.Equals, echo.Token(body, 0))
+	rest, last, err := collect(b, generate("r/s/2", body, whole[:5]...))
+	c.Assert(err, qt.IsNil)
+	c.Assert(last.Count, qt.Equals, uint64(len(whole)))
+	c.Assert(append(whole[:5:5], rest...), qt.DeepEquals, whole)
+	_, _, err = collect(b, generate("r/s/3", body, "not a token of this prompt"))
+	c.Assert(failure(c, err).Rejected, qt.IsTrue)
+
+	_, last, err = collect(a, generate("r/s/4", body))
+	c.Assert(err, qt.IsNil)
+	c.Assert(last.CachedTokens, qt.Equals, uint64(4*256/4))
+	events, err := runcl.New(serve(c, httpd.Engine(first, first)).Address()).CacheEvents(ctx, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(events, qt.HasLen, 3)
+}
+
+func TestFence(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		c := qt.New(t)
+		e := newEngine(checks)
+		control := runcl.New(serve(c, httpd.Engine(e, e)).Address())
+		c.Assert(control.Order(ctx, runner.Order{Model: "new", Fence: 7}), qt.IsNil)
+		err := control.Order(ctx, runner.Order{Model: "old", Fence: 3})
+		if checks {
+			c.Assert(failure(c, err).Refused, qt.IsTrue)
+			c.Assert(e.Orders(), qt.HasLen, 1)
+		} else {
+			c.Assert(err, qt.IsNil)
+			c.Assert(e.Orders(), qt.HasLen, 2)
+		}
+	}
+}
+
+func TestPoisonCrashesAndComesBack(t *testing.T) {
+	c := qt.New(t)
+	e := newEngine(true)
+	e.Faults.Set(faults.Fault{Poison: "poison", RestartAfter: 10 * time.Millisecond})
+	server := serve(c, httpd.Engine(e, e))
+	server.Follow(e.Proc)
+	back := make(chan struct{})
+	e.Proc.OnChange(func(up bool) {
+		if up {
+			close(back)
+		}
+	})
+	u := upcl.New(server.Address(), 0)
+	_, _, err := collect(u, generate("r/s/1", []byte("poison")))
+	c.Assert(failure(c, err).Crashed, qt.IsTrue)
+	<-back
+	_, _, err = collect(u, generate("r/s/2", []byte("good")))
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Proc.Lives(), qt.Equals, 2)
+
+	server.Down()
+	_, _, err = collect(u, generate("r/s/3", []byte("good")))
+	c.Assert(failure(c, err).NotSent, qt.IsTrue)
+}
+
+func TestSilentConnectionsWhileNewOnesWork(t *testing.T) {
+	c := qt.New(t)
+	s := plain.New(4, 0)
+	server := serve(c, httpd.Upstream(s))
+	u := upcl.New(server.Address(), 100*time.Millisecond)
+	call := upstr.Call{ID: "r/s/1", Kind: "service", Key: "k"}
+	_, _, err := collect(u, call)
+	c.Assert(err, qt.IsNil)
+	server.Silence()
+	_, _, err = collect(u, call)
+	c.Assert(failure(c, err).Silent, qt.IsTrue)
+	c.Assert(u.Ping(ctx), qt.IsNil)
+	u.Fresh()
+	_, _, err = collect(u, call)
+	c.Assert(err, qt.IsNil)
+}
+
+func TestLostAnswerOfAnAction(t *testing.T) {
+	c := qt.New(t)
+	s := plain.New(4, 0)
+	s.Faults.Set(faults.Fault{LoseAnswer: 1})
+	u := upcl.New(serve(c, httpd.Upstream(s)).Address(), 0)
+	call := upstr.Call{ID: "r/s/1", Kind: "service", Key: "k"}
+	_, _, err := collect(u, call)
+	c.Assert(failure(c, err).Crashed, qt.IsTrue)
+	c.Assert(s.Book.Effects("k"), qt.Equals, 1)
+	_, _, err = collect(u, call)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Book.Effects("k"), qt.Equals, 2)
+}
+
+func TestLog(t *testing.T) {
+	c := qt.New(t)
+	inner := memlog.New()
+	server := serve(c, httpd.Log(inner))
+	l := logcl.New(server.Address())
+	first, err := l.Append(ctx, "actions.x", [][]byte{[]byte("a"), []byte("b")})
+	c.Assert(err, qt.IsNil)
+	c.Assert(first, qt.Equals, int64(0))
+	batch, err := l.Read(ctx, "actions.x", 1, 10)
+	c.Assert(err, qt.IsNil)
+	c.Assert(batch, qt.DeepEquals, logs.Batch{First: 1, Records: [][]byte{[]byte("b")}, Next: 2})
+
+	mayHaveTaken := func() bool {
+		_, err := l.Append(ctx, "s", [][]byte{[]byte("c")})
+		var e *logs.Error
+		c.Assert(errors.As(err, &e), qt.IsTrue, qt.Commentf("%v", err))
+		return e.MayHaveTaken
+	}
+	inner.SetDown(true)
+	c.Assert(mayHaveTaken(), qt.IsFalse)
+	inner.SetDown(false)
+	inner.LoseAnswers(1)
+	c.Assert(mayHaveTaken(), qt.IsTrue)
+	server.Down()
+	c.Assert(mayHaveTaken(), qt.IsFalse)
+}
+
+func TestHostsAndWeights(t *testing.T) {
+	c := qt.New(t)
+	list := roster.New(0)
+	want := host.Host{Name: "h1", Address: "127.0.0.1:1", Zone: "a", State: host.Live}
+	list.Put(want)
+	l := hostcl.New(serve(c, httpd.Hosts(list)).Address())
+	got, err := l.Hosts(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, []host.Host{want})
+	list.SetDown(true)
+	_, err = l.Hosts(ctx)
+	c.Assert(err, qt.ErrorMatches, ".*host list is down")
+
+	w := wtcl.New(serve(c, httpd.Weights(store.New(map[string]int64{"m": 10}, 5))).Address(), 1)
+	size, err := w.Size(ctx, "m")
+	c.Assert(err, qt.IsNil)
+	c.Assert(size, qt.Equals, int64(10))
+	c.Assert(w.BytesPerSecond(), qt.Equals, int64(5))
+	_, err = w.Size(ctx, "unknown")
+	c.Assert(err, qt.ErrorMatches, ".*status 404.*")
+}
--- /dev/null
+++ b/internal/fake/httpd/platform.go
@@ -0,0 +1,75 @@
+package httpd
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/client"
+	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/plat/weight"
+	"github.com/ragworthatch/ragworthatch/internal/plat/wtcl"
+)
+
+// Log is the handler of a log service.
+func Log(s logs.Service) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		var in logcl.AppendRequest
+		if !read(w, r, &in) {
+			return
+		}
+		first, err := s.Append(r.Context(), r.PathValue("stream"), in.Records)
+		replyLog(w, logcl.AppendReply{First: &first}, err)
+	})
+	mux.HandleFunc("GET /v1/streams/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		from, errFrom := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+		limit, errLimit := strconv.Atoi(r.URL.Query().Get("limit"))
+		if err := errors.Join(errFrom, errLimit); err != nil {
+			problem(w, http.StatusBadRequest, client.Rejected, err)
+			return
+		}
+		batch, err := s.Read(r.Context(), r.PathValue("stream"), from, limit)
+		replyLog(w, batch, err)
+	})
+	return mux
+}
+
+// Hosts is the handler of a host list.
+func Hosts(l hosts.List) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, r *http.Request) {
+		shown, err := l.Hosts(r.Context())
+		reply(w, hostcl.Reply{Hosts: shown}, err)
+	})
+	return mux
+}
+
+// Weights is the handler of a weight store.
+func Weights(s weight.Store) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/models/{model}", func(w http.ResponseWriter, r *http.Request) {
+		size, err := s.Size(r.Context(), r.PathValue("model"))
+		if err != nil {
+			problem(w, http.StatusNotFound, client.Rejected, err)
+			return
+		}
+		reply(w, wtcl.Reply{SizeBytes: size, BytesPerSecond: s.BytesPerSecond()}, nil)
+	})
+	return mux
+}
+
+func replyLog(w http.ResponseWriter, value any, err error) {
+	var failed *logs.Error
+	switch {
+	case err == nil:
+		reply(w, value, nil)
+	case errors.As(err, &failed) && failed.MayHaveTaken:
+		panic(http.ErrAbortHandler)
+	default:
+		problem(w, http.StatusServiceUnavailable, client.NotTaken, err)
+	}
+}
--- /dev/null
+++ b/internal/fake/httpd/upstream.go
@@ -0,0 +1,131 @@
+package httpd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+	"github.com/ragworthatch/ragworthatch/internal/plat/client"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+const maxRequest = 16 << 20
+
+// Upstream is the handler of a stage pool's member or a plain service.
+func Upstream(u upstr.Upstream) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/call", func(w http.ResponseWriter, r *http.Request) { call(u, w, r) })
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, r *http.Request) {
+		load, err := u.Load(r.Context())
+		reply(w, load, err)
+	})
+	mux.HandleFunc("GET /v1/ping", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, struct{}{}, u.Ping(r.Context()))
+	})
+	return mux
+}
+
+// Engine is the handler of a model engine.
+func Engine(u upstr.Upstream, e runner.Engine) *http.ServeMux {
+	mux := Upstream(u)
+	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, r *http.Request) {
+		state, err := e.State(r.Context())
+		reply(w, state, err)
+	})
+	mux.HandleFunc("POST /v1/order", func(w http.ResponseWriter, r *http.Request) {
+		var o runner.Order
+		if read(w, r, &o) {
+			reply(w, struct{}{}, e.Order(r.Context(), o))
+		}
+	})
+	mux.HandleFunc("GET /v1/cacheEvents", func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			problem(w, http.StatusBadRequest, client.Rejected, err)
+			return
+		}
+		events, err := e.CacheEvents(r.Context(), after)
+		reply(w, runcl.EventsReply{Events: events}, err)
+	})
+	return mux
+}
+
+func call(u upstr.Upstream, w http.ResponseWriter, r *http.Request) {
+	var c upstr.Call
+	if !read(w, r, &c) {
+		return
+	}
+	s, err := u.Call(r.Context(), c)
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	defer s.Close()
+	if c.Kind == string(stage.Generate) {
+		stream(r.Context(), w, s)
+		return
+	}
+	e, err := s.Next(r.Context())
+	if err != nil {
+		// Without a status the caller cannot tell whether the call ran.
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, e, nil)
+}
+
+func stream(ctx context.Context, w http.ResponseWriter, s upstr.Stream) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	for {
+		e, err := s.Next(ctx)
+		var failed *upstr.Error
+		if errors.As(err, &failed) && failed.Crashed {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			return
+		}
+		data, err := json.Marshal(e)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "data: %s\n\n", data)
+		_ = flush.Flush()
+	}
+}
+
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest)).Decode(into)
+	if err != nil {
+		problem(w, http.StatusBadRequest, client.Rejected, err)
+	}
+	return err == nil
+}
+
+func reply(w http.ResponseWriter, value any, err error) {
+	var failed *upstr.Error
+	switch {
+	case err == nil:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(value)
+	case errors.As(err, &failed) && failed.Refused:
+		problem(w, http.StatusConflict, client.Refused, failed.Cause)
+	case errors.As(err, &failed) && failed.Rejected:
+		problem(w, http.StatusUnprocessableEntity, client.Rejected, failed.Cause)
+	default:
+		problem(w, http.StatusInternalServerError, "", err)
+	}
+}
+
+func problem(w http.ResponseWriter, status int, code string, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(client.Problem{Message: err.Error(), Code: code})
+}
--- /dev/null
+++ b/internal/fake/member/member.go
@@ -0,0 +1,68 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/echo"
+	"github.com/ragworthatch/ragworthatch/internal/fake/unit"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+// Member is one upstream of a stage pool.
+type Member struct {
+	*unit.Unit
+	service time.Duration
+}
+
+// New returns a member that takes a service time for each call.
+func New(concurrency int, service time.Duration) *Member {
+	return &Member{Unit: unit.New(concurrency), service: service}
+}
+
+// Call returns the stage's result in one event.
+func (m *Member) Call(ctx context.Context, c upstr.Call) (upstr.Stream, error) {
+	return m.Serve(ctx, c, m.work)
+}
+
+func (m *Member) work(ctx context.Context, c upstr.Call, _ func(upstr.Event)) (upstr.Event, error) {
+	if err := m.Sleep(ctx, m.service); err != nil {
+		return upstr.Event{}, err
+	}
+	data, err := json.Marshal(Answer(c.Kind, c.Body))
+	return upstr.Event{Data: data, Count: 1}, err
+}
+
+// Result is what a stage hands on; which fields are set depends on its kind.
+type Result struct {
+	Marker    string    `json:"marker"`
+	Vector    []float64 `json:"vector,omitempty"`
+	Documents []string  `json:"documents,omitempty"`
+	Scores    []float64 `json:"scores,omitempty"`
+}
+
+// Answer computes the result of a stage from its input.
+func Answer(kind string, body []byte) Result {
+	const size = 4
+	marker, _ := echo.Marker(body)
+	r := Result{Marker: marker}
+	for i := range size {
+		h := xxhash.Sum64String(fmt.Sprintf("%s/%s/%d", kind, body, i))
+		score := float64(h%1000) / 1000
+		switch stage.Kind(kind) {
+		case stage.Encode:
+			r.Vector = append(r.Vector, score)
+		case stage.Rerank:
+			r.Scores = append(r.Scores, score)
+			r.Documents = append(r.Documents, fmt.Sprintf("document-%d", h%97))
+		default:
+			r.Documents = append(r.Documents, fmt.Sprintf("document-%d", h%97))
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/fake/record/book.go
@@ -0,0 +1,71 @@
+package record
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+// Entry is one call as the stand-in saw it.
+type Entry struct {
+	ID       string // attempt: request/stage/number
+	Key      string
+	Kind     string
+	Marker   string
+	Mixed    bool // the body held the markers of several requests
+	Body     []byte
+	At       time.Time
+	Ran      bool // left the queue of the stand-in
+	Effect   bool // the work was done
+	Finished bool // the last event was handed over
+	Answer   []byte
+}
+
+// Request returns the request's part of the ID.
+func (e Entry) Request() string {
+	request, _, _ := strings.Cut(e.ID, "/")
+	return request
+}
+
+// Book is a list of entries.
+type Book struct {
+	mu      sync.Mutex
+	entries []*Entry
+}
+
+// Open adds an entry for a call and returns a function that changes it.
+func (b *Book) Open(c upstr.Call, marker string, mixed bool) func(func(*Entry)) {
+	e := &Entry{ID: c.ID, Key: c.Key, Kind: c.Kind, Marker: marker, Mixed: mixed, Body: c.Body, At: time.Now()}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = append(b.entries, e)
+	return func(change func(*Entry)) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		change(e)
+	}
+}
+
+// Entries returns copies of all entries in order of arrival.
+func (b *Book) Entries() []Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Entry, 0, len(b.entries))
+	for _, e := range b.entries {
+		out = append(out, *e)
+	}
+	return out
+}
+
+// Effects counts how often the work for an action key was done.
+func (b *Book) Effects(key string) int {
+	n := 0
+	for _, e := range b.Entries() {
+		if e.Key == key && e.Effect {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/fake/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster is a stand-in for the platform's host list.
+package roster
--- /dev/null
+++ b/internal/plat/hostcl/doc.go
@@ -0,0 +1,2 @@
+// Package hostcl is the HTTP client of the platform's host list.
+package hostcl
--- /dev/null
+++ b/internal/plat/runcl/doc.go
@@ -0,0 +1,2 @@
+// Package runcl is the HTTP client of a model engine's control side.
+package runcl
--- /dev/null
+++ b/internal/plat/runcl/engine.go
@@ -0,0 +1,62 @@
+package runcl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/client"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+// Engine is the control side of the engine at one address.
+type Engine struct {
+	client *client.Client
+}
+
+// EventsReply is the answer to a read of the cache events.
+type EventsReply struct {
+	Events []runner.CacheEvent `json:"events"`
+}
+
+var _ runner.Engine = (*Engine)(nil)
+
+// New returns the engine at an IP:port address.
+func New(address string) *Engine { return &Engine{client: client.New(address)} }
+
+// State returns what the engine has loaded.
+func (e *Engine) State(ctx context.Context) (runner.State, error) {
+	var s runner.State
+	if err := e.client.Get(ctx, "/v1/state", &s); err != nil {
+		return runner.State{}, wrap("state", err)
+	}
+	return s, nil
+}
+
+// Order sets an absolute target; an *upstr.Error with Refused says that the engine did not take it.
+func (e *Engine) Order(ctx context.Context, o runner.Order) error {
+	var taken struct{}
+	return wrap("order", e.client.Post(ctx, "/v1/order", o, &taken))
+}
+
+// CacheEvents returns the cache events after an offset.
+func (e *Engine) CacheEvents(ctx context.Context, after int64) ([]runner.CacheEvent, error) {
+	var reply EventsReply
+	if err := e.client.Get(ctx, fmt.Sprintf("/v1/cacheEvents?after=%d", after), &reply); err != nil {
+		return nil, wrap("cacheEvents", err)
+	}
+	return reply.Events, nil
+}
+
+func wrap(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	out := &upstr.Error{Op: op, NotSent: !client.IsSent(err), Cause: err}
+	var e *client.Error
+	if errors.As(err, &e) {
+		out.Refused = e.Problem.Code == client.Refused
+	}
+	return out
+}
--- /dev/null
+++ b/internal/plat/upcl/doc.go
@@ -0,0 +1,2 @@
+// Package upcl is the HTTP client of an upstream: whole answers as JSON, generations as server-sent events.
+package upcl
--- /dev/null
+++ b/internal/plat/upcl/upcl_test.go
@@ -0,0 +1,205 @@
+package upcl_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/tools/txtar"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/upcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+type answer struct {
+	contentType string
+	status      int
+	cut         bool
+	held        int
+	want        string
+	body        string
+}
+
+func parse(c *qt.C, data string) answer {
+	a := answer{status: http.StatusOK}
+	for line := range strings.Lines(data) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		var err error
+		switch name {
+		case "type":
+			a.contentType = value
+		case "status":
+			a.status, err = strconv.Atoi(value)
+		case "held":
+			a.held, err = strconv.Atoi(value)
+		case "cut":
+			a.cut = value == "true"
+		case "want":
+			a.want = value
+		case "body":
+			a.body += value + "\n"
+		default:
+			c.Fatalf("unknown line %q", line)
+		}
+		c.Assert(err, qt.IsNil)
+	}
+	return a
+}
+
+func (a answer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", a.contentType)
+	w.WriteHeader(a.status)
+	_, _ = io.WriteString(w, a.body)
+	if a.cut {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/answers.txtar")
+	qt.Assert(t, err, qt.IsNil)
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			c := qt.New(t)
+			a := parse(c, string(file.Data))
+			call := upstr.Call{ID: "r/s/1", Held: make([]string, a.held)}
+			got := run(c, a, call, 0)
+			c.Assert(strings.HasPrefix(got, a.want), qt.IsTrue, qt.Commentf("got %q, want %q", got, a.want))
+		})
+	}
+}
+
+func run(c *qt.C, h http.Handler, call upstr.Call, silent time.Duration) string {
+	server := httptest.NewServer(h)
+	defer server.Close()
+	u := upcl.New(server.Listener.Addr().String(), silent)
+	s, err := u.Call(context.Background(), call)
+	if err != nil {
+		return describe(c, err)
+	}
+	defer s.Close()
+	var seen []string
+	for {
+		e, err := s.Next(context.Background())
+		if err == io.EOF {
+			return strings.Join(append(seen, "whole"), " ")
+		}
+		if err != nil {
+			return strings.Join(append(seen, describe(c, err)), " ")
+		}
+		if len(e.Data) > 0 {
+			seen = append(seen, "data="+string(e.Data))
+		}
+	}
+}
+
+func describe(c *qt.C, err error) string {
+	var e *upstr.Error
+	c.Assert(errors.As(err, &e), qt.IsTrue, qt.Commentf("%v", err))
+	switch {
+	case e.NotSent:
+		return "notSent"
+	case e.Refused:
+		return "refused"
+	case e.Rejected:
+		return "rejected"
+	case e.Silent:
+		return "silent"
+	case e.Crashed:
+		return "crashed"
+	}
+	return "error " + e.Cause.Error()
+}
+
+func TestTooLong(t *testing.T) {
+	c := qt.New(t)
+	long := strings.Repeat("a", 9<<20)
+	whole := answer{status: http.StatusOK, contentType: "application/json", body: long}
+	c.Assert(run(c, whole, upstr.Call{}, 0), qt.Contains, "malformed answer: longer than")
+	event := answer{status: http.StatusOK, contentType: "text/event-stream", body: "data: " + long}
+	c.Assert(run(c, event, upstr.Call{}, 0), qt.Contains, "malformed answer: event longer than")
+}
+
+func TestNotSentOnlyWithoutConnection(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := l.Addr().String()
+	c.Assert(l.Close(), qt.IsNil)
+	_, err = upcl.New(address, 0).Call(context.Background(), upstr.Call{})
+	c.Assert(describe(c, err), qt.Equals, "notSent")
+
+	died := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	c.Assert(run(c, died, upstr.Call{}, 0), qt.Equals, "crashed")
+}
+
+func TestSilent(t *testing.T) {
+	c := qt.New(t)
+	const bound = 50 * time.Millisecond
+	before := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	c.Assert(run(c, before, upstr.Call{}, bound), qt.Equals, "silent")
+	midway := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprintln(w, `data: {"id":"r/s/1","data":"YQ=="}`)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	c.Assert(run(c, midway, upstr.Call{ID: "r/s/1"}, bound), qt.Equals, "data=a silent")
+}
+
+func TestCallerGivesUp(t *testing.T) {
+	c := qt.New(t)
+	arrived, left := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+		close(left)
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := upcl.New(server.Listener.Addr().String(), 0).Call(ctx, upstr.Call{})
+	c.Assert(describe(c, err), qt.Contains, "context canceled")
+	<-left
+}
+
+func TestManyFailuresTripNoBreaker(t *testing.T) {
+	c := qt.New(t)
+	healthy := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !healthy {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	defer server.Close()
+	u := upcl.New(server.Listener.Addr().String(), 0)
+	for range 200 {
+		_, err := u.Load(context.Background())
+		c.Assert(err, qt.ErrorMatches, ".*status 500.*")
+	}
+	healthy = true
+	for range 50 {
+		_, err := u.Load(context.Background())
+		c.Assert(err, qt.IsNil)
+	}
+}
