Add quarantine marks of requests that crash upstreams

A request that crashes each upstream it runs on is sent again by its caller, perhaps through another entry. Marks hold the crashes each fingerprint was in flight at and merge in any order; two crashes, one of them alone, quarantine.

--- /dev/null
+++ b/internal/fleet/mark/state.go
@@ -0,0 +1,33 @@
+package mark
+
+import "time"
+
+// State says how a request with a fingerprint may run.
+type State string
+
+// The states of a fingerprint.
+const (
+	// Clear requests run as any other.
+	Clear State = "clear"
+	// Suspect requests run with no other call in flight on their upstream.
+	Suspect State = "suspect"
+	// Quarantined requests are refused.
+	Quarantined State = "quarantined"
+	// Lifted fingerprints were released by an operator.
+	Lifted State = "lifted"
+)
+
+// Crash is one crash of an upstream, as the process saw it that had a call in flight there.
+type Crash struct {
+	ID       string // the same for all calls in flight on the upstream; another for each crash
+	InFlight int    // calls in flight on the upstream; 0 means unknown
+}
+
+// Entry is one fingerprint for the operators.
+type Entry struct {
+	Fingerprint string    `json:"fingerprint"`
+	State       State     `json:"state"`
+	Crashes     []string  `json:"crashes"` // identities, oldest first
+	Expires     time.Time `json:"expires"`
+	LiftedBy    string    `json:"liftedBy,omitempty"`
+}
--- /dev/null
+++ b/internal/fleet/mark/wire.go
@@ -0,0 +1,77 @@
+package mark
+
+import (
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/wire/peerpb"
+)
+
+const (
+	// maxSkewMs is how far in the future a peer's time may lie.
+	maxSkewMs = 2 * 60 * 1000
+	// maxNameBytes bounds a fingerprint, an identity of a crash and an author from a peer.
+	maxNameBytes = 256
+)
+
+// Wire returns the marks of the given fingerprints for a peer.
+func (s *Set) Wire(now time.Time, fingerprints []string) []*peerpb.Mark {
+	var out []*peerpb.Mark
+	for _, fp := range fingerprints {
+		r, ok := s.records[fp]
+		if !ok {
+			continue
+		}
+		m := &peerpb.Mark{
+			Fingerprint:   fp,
+			State:         string(r.state(now.UnixMilli(), s.ttlMs)),
+			ExpiresUnixMs: r.latestMs() + s.ttlMs,
+			LiftedUnixMs:  r.lift.atMs,
+			LiftedBy:      r.lift.by,
+		}
+		for _, e := range r.sorted() {
+			m.Crashes = append(m.Crashes, &peerpb.Crash{Id: e.id, AtUnixMs: e.atMs, Alone: e.alone, Cleared: e.cleared})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// WithWire returns the join with a peer's marks, and the fingerprints that told something new; marks with oversized names
+// or times far in the future are dropped.
+func (s *Set) WithWire(now time.Time, marks []*peerpb.Mark) (*Set, []string) {
+	latest := now.UnixMilli() + maxSkewMs
+	var fresh []string
+	next := s
+	for _, m := range marks {
+		r, ok := fromWire(m, latest)
+		if !ok {
+			continue
+		}
+		merged := next.merge(now, map[string]record{m.GetFingerprint(): r})
+		if _, held := merged.records[m.GetFingerprint()]; held && merged != next {
+			fresh = append(fresh, m.GetFingerprint())
+		}
+		next = merged
+	}
+	return next, fresh
+}
+
+func fromWire(m *peerpb.Mark, latestMs int64) (record, bool) {
+	if m.GetFingerprint() == "" || len(m.GetFingerprint()) > maxNameBytes || len(m.GetLiftedBy()) > maxNameBytes {
+		return record{}, false
+	}
+	if m.GetLiftedUnixMs() > latestMs || m.GetLiftedUnixMs() < 0 {
+		return record{}, false
+	}
+	r := record{
+		crashes: make(map[string]evidence, len(m.GetCrashes())),
+		lift:    lift{atMs: m.GetLiftedUnixMs(), by: m.GetLiftedBy()},
+	}
+	for _, c := range m.GetCrashes() {
+		if c.GetId() == "" || len(c.GetId()) > maxNameBytes || c.GetAtUnixMs() > latestMs {
+			return record{}, false
+		}
+		r.crashes[c.GetId()] = evidence{id: c.GetId(), atMs: c.GetAtUnixMs(), alone: c.GetAlone(), cleared: c.GetCleared()}
+	}
+	return r, true
+}
