Serve stage calls beside the upstream

Entries need one process per upstream that owns its calls. Add the side server with attempt memory, tombstones, ordered relay, verdicts, drain and watch, and an in-memory link and worker to test it in virtual time.

--- /dev/null
+++ b/internal/fake/inmem/link.go
@@ -0,0 +1,148 @@
+package inmem
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// Link is a connection to the side at a node.
+type Link struct {
+	node *Node
+	plan Planner
+}
+
+// New returns a link to a node whose calls meet the fates that plan chooses.
+func New(n *Node, plan Planner) *Link {
+	if plan == nil {
+		plan = func(Method) Plan { return Plan{} }
+	}
+	return &Link{node: n, plan: plan}
+}
+
+// Call runs one attempt over the link.
+func (l *Link) Call(ctx context.Context, in *sidepb.CallRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[sidepb.CallFrame], error) {
+	p := l.plan(CallMethod)
+	c := newCallStream(ctx, p)
+	if p.CopyAfter > 0 {
+		l.deliverCopy(proto.CloneOf(in), p)
+	}
+	if p.Drop {
+		return c, nil
+	}
+	req := proto.CloneOf(in)
+	go func() {
+		if !sleep(ctx, p.Delay) {
+			c.end(ctx.Err())
+			return
+		}
+		server, life, err := l.node.seat()
+		if err != nil {
+			c.end(err)
+			return
+		}
+		c.serve(life, func(s *serverStream[sidepb.CallFrame]) error { return server.Call(req, s) })
+	}()
+	return c, nil
+}
+
+// deliverCopy hands a second copy of a request to whoever lives at the node by then.
+func (l *Link) deliverCopy(req *sidepb.CallRequest, p Plan) {
+	go func() {
+		time.Sleep(p.Delay + p.CopyAfter)
+		server, life, err := l.node.seat()
+		if err != nil {
+			return
+		}
+		nowhere := &serverStream[sidepb.CallFrame]{ctx: life, send: func(*sidepb.CallFrame) error { return nil }}
+		_ = server.Call(req, nowhere)
+	}()
+}
+
+// Watch streams the side's status over the link.
+func (l *Link) Watch(ctx context.Context, in *sidepb.WatchRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[sidepb.Status], error) {
+	server, life, err := l.node.seat()
+	if err != nil {
+		return nil, err
+	}
+	c := newStatusStream(ctx)
+	go c.serve(life, func(s *serverStream[sidepb.Status]) error { return server.Watch(proto.CloneOf(in), s) })
+	return c, nil
+}
+
+// Cancel stops an attempt over the link.
+func (l *Link) Cancel(ctx context.Context, in *sidepb.CancelRequest, _ ...grpc.CallOption) (*sidepb.CancelReply, error) {
+	return unary(ctx, l, CancelMethod, in, sidepb.SideServer.Cancel)
+}
+
+// Drain starts a graceful shutdown over the link.
+func (l *Link) Drain(ctx context.Context, in *sidepb.DrainRequest, _ ...grpc.CallOption) (*sidepb.DrainReply, error) {
+	return unary(ctx, l, OtherMethod, in, sidepb.SideServer.Drain)
+}
+
+// Outcome asks for the state of an action over the link.
+func (l *Link) Outcome(ctx context.Context, in *sidepb.OutcomeRequest, _ ...grpc.CallOption) (*sidepb.OutcomeReply, error) {
+	return unary(ctx, l, OtherMethod, in, sidepb.SideServer.Outcome)
+}
+
+// Settle records an operator's decision over the link.
+func (l *Link) Settle(ctx context.Context, in *sidepb.SettleRequest, _ ...grpc.CallOption) (*sidepb.OutcomeReply, error) {
+	return unary(ctx, l, OtherMethod, in, sidepb.SideServer.Settle)
+}
+
+type method[Q, A any] func(sidepb.SideServer, context.Context, Q) (A, error)
+
+// unary delivers a request and its reply, either of which the plan may lose.
+func unary[Q, A any](ctx context.Context, l *Link, m Method, in Q, f method[Q, A]) (A, error) {
+	var none A
+	p := l.plan(m)
+	if !sleep(ctx, p.Delay) {
+		return none, status.FromContextError(ctx.Err()).Err()
+	}
+	server, life, err := l.node.seat()
+	if err != nil {
+		return none, err
+	}
+	if p.Drop {
+		return none, wait(ctx, life)
+	}
+	out, err := f(server, life, in)
+	switch {
+	case p.SilentFrom > 0:
+		return none, wait(ctx, life)
+	case p.CutAfter > 0 || life.Err() != nil:
+		return none, status.Error(codes.Unavailable, "connection reset")
+	}
+	return out, err
+}
+
+// wait returns when the caller gives up or the server dies.
+func wait(ctx, life context.Context) error {
+	select {
+	case <-ctx.Done():
+		return status.FromContextError(ctx.Err()).Err()
+	case <-life.Done():
+		return status.Error(codes.Unavailable, "connection reset")
+	}
+}
+
+// sleep waits; false means that ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fake/worker/doc.go
@@ -0,0 +1,2 @@
+// Package worker is an upstream in memory that keeps its own record of what it ran.
+package worker
--- /dev/null
+++ b/internal/side/flight/flight.go
@@ -0,0 +1,102 @@
+package flight
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+)
+
+// state is how far an attempt came.
+type state string
+
+const (
+	queued     state = "queued"
+	dispatched state = "dispatched"
+	finished   state = "finished"  // ended after dispatch
+	forbidden  state = "forbidden" // never dispatched, never will be
+)
+
+// Flight is one attempt at a side.
+type Flight struct {
+	table    *Table
+	id       ident.Attempt
+	state    state
+	until    time.Time
+	stop     context.CancelFunc
+	canceled bool
+	epoch    uint64 // crashes seen when it was dispatched
+}
+
+// Dispatch marks the attempt as sent; false means that it must not be sent any more.
+func (f *Flight) Dispatch() bool {
+	t := f.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.state != queued {
+		return false
+	}
+	f.state = dispatched
+	f.epoch = t.epoch
+	t.queued--
+	t.running++
+	return true
+}
+
+// Forbid makes sure that the attempt will not be dispatched; false means that it was.
+func (f *Flight) Forbid() bool {
+	t := f.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.state == queued {
+		t.queued--
+		f.state = forbidden
+	}
+	return f.state == forbidden
+}
+
+// Finish ends the attempt, however far it came.
+func (f *Flight) Finish() {
+	if f.Forbid() {
+		return
+	}
+	t := f.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.state == dispatched {
+		t.running--
+		f.state = finished
+	}
+}
+
+// Canceled says whether a cancel reached the attempt.
+func (f *Flight) Canceled() bool {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	return f.canceled
+}
+
+// Crashed records that the upstream broke under the attempt and returns how many were in flight then.
+func (f *Flight) Crashed() int {
+	t := f.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.epoch < t.epoch {
+		// The crash was already counted by another attempt that was in flight with this one.
+		return max(t.crowd, t.running)
+	}
+	t.epoch++
+	t.crowd = t.running
+	return t.crowd
+}
+
+func (f *Flight) active() bool { return f.state == queued || f.state == dispatched }
+
+// duplicate is the answer to another copy of the call.
+func (f *Flight) duplicate() *fault.Error {
+	if f.state == forbidden {
+		return fault.New(fault.NotRun, fault.Tombstoned, "attempt %s was canceled or refused before dispatch", f.id)
+	}
+	return fault.New(fault.MayHaveRun, fault.InProgress, "attempt %s was received before", f.id)
+}
--- /dev/null
+++ b/internal/side/flight/table.go
@@ -0,0 +1,138 @@
+package flight
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+)
+
+// Table holds the attempts of one side incarnation, each until its memory is no longer needed.
+type Table struct {
+	mu      sync.Mutex
+	max     int
+	flights map[ident.Attempt]*Flight
+	horizon time.Time // mint time of the youngest request that was forgotten
+	queued  int
+	running int
+	epoch   uint64 // number of upstream crashes seen
+	crowd   int    // attempts in flight at the latest crash
+}
+
+// New returns an empty table of at most max attempts.
+func New(max int) *Table {
+	return &Table{max: max, flights: map[ident.Attempt]*Flight{}}
+}
+
+// Begin enters an attempt that is remembered until a time; stop is called when it is canceled.
+// It returns a *fault.Error when the attempt is known, was canceled, or may have been forgotten.
+func (t *Table) Begin(id ident.Attempt, until time.Time, stop context.CancelFunc) (*Flight, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f := t.flights[id]; f != nil {
+		return nil, f.duplicate()
+	}
+	if t.forgotten(id) {
+		return nil, fault.New(fault.NotRun, fault.Tombstoned, "request %s is older than what this side remembers", id.Request)
+	}
+	if len(t.flights) >= t.max {
+		// Nothing would stop a late copy of this call, so its verdict can't be notRun.
+		return nil, fault.New(fault.MayHaveRun, fault.Overloaded, "side remembers %d attempts, its maximum", t.max)
+	}
+	f := &Flight{table: t, id: id, state: queued, until: until, stop: stop}
+	t.flights[id] = f
+	t.queued++
+	return f, nil
+}
+
+// Cancel stops an attempt, or leaves a tombstone for one that has not come yet, until a time.
+// It returns NotRun only when the attempt was never dispatched here and never will be.
+func (t *Table) Cancel(id ident.Attempt, until time.Time) fault.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flights[id]
+	if f == nil {
+		return t.bury(id, until)
+	}
+	if until.After(f.until) {
+		f.until = until
+	}
+	f.canceled = true
+	f.stop()
+	if f.state == queued {
+		t.queued--
+		f.state = forbidden
+	}
+	if f.state == forbidden {
+		return fault.NotRun
+	}
+	return fault.MayHaveRun
+}
+
+// Sweep forgets the attempts whose time is over.
+func (t *Table) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, f := range t.flights {
+		if f.active() || now.Before(f.until) {
+			continue
+		}
+		delete(t.flights, id)
+		if minted, ok := mintTime(id.Request); ok && minted.After(t.horizon) {
+			t.horizon = minted
+		}
+	}
+}
+
+// Len returns how many attempts are remembered.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.flights)
+}
+
+// Queued returns how many attempts wait for dispatch.
+func (t *Table) Queued() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.queued
+}
+
+// Running returns how many attempts are dispatched and not finished.
+func (t *Table) Running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
+
+// bury keeps a tombstone; with no room for one nobody can promise that the call won't run.
+func (t *Table) bury(id ident.Attempt, until time.Time) fault.Verdict {
+	if t.forgotten(id) {
+		return fault.MayHaveRun
+	}
+	if len(t.flights) >= t.max {
+		return fault.MayHaveRun
+	}
+	t.flights[id] = &Flight{table: t, id: id, state: forbidden, until: until, canceled: true}
+	return fault.NotRun
+}
+
+// forgotten says whether an unknown attempt may be one that Sweep dropped.
+func (t *Table) forgotten(id ident.Attempt) bool {
+	minted, ok := mintTime(id.Request)
+	return ok && !minted.After(t.horizon)
+}
+
+// mintTime reads the time in a UUIDv7; requests with other identities are covered by time alone.
+func mintTime(request string) (time.Time, bool) {
+	id, err := uuid.Parse(request)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	ms := int64(id[0])<<40 | int64(id[1])<<32 | int64(id[2])<<24 | int64(id[3])<<16 | int64(id[4])<<8 | int64(id[5])
+	return time.UnixMilli(ms), true
+}
--- /dev/null
+++ b/internal/side/judge/judge.go
@@ -0,0 +1,49 @@
+package judge
+
+import (
+	"context"
+	"errors"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+// Error returns the *fault.Error for a call of the upstream that failed after dispatch;
+// only an upstream that says so itself, or a call that never left, gives NotRun.
+func Error(err error) *fault.Error {
+	var f *fault.Error
+	if errors.As(err, &f) {
+		return f
+	}
+	var u *upstr.Error
+	if errors.As(err, &u) {
+		return ofUpstream(u).WithCause(err)
+	}
+	return ofContext(err).WithCause(err)
+}
+
+func ofUpstream(u *upstr.Error) *fault.Error {
+	switch {
+	case u.NotSent:
+		return fault.New(fault.NotRun, fault.Transport, "upstream could not be reached")
+	case u.Refused:
+		return fault.New(fault.NotRun, fault.Overloaded, "upstream refused the call")
+	case u.Rejected:
+		return fault.New(fault.NotRun, fault.BadRequest, "upstream found the call malformed")
+	case u.Crashed:
+		return fault.New(fault.MayHaveRun, fault.Crashed, "connection to the upstream broke while the call ran")
+	case u.Silent:
+		return fault.New(fault.MayHaveRun, fault.Silent, "upstream made no progress within the bound")
+	}
+	return ofContext(u.Cause)
+}
+
+func ofContext(err error) *fault.Error {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return fault.New(fault.MayHaveRun, fault.Deadline, "deadline passed while the call ran")
+	case errors.Is(err, context.Canceled):
+		return fault.New(fault.MayHaveRun, fault.Canceled, "call was canceled while it ran")
+	}
+	return fault.New(fault.MayHaveRun, fault.Upstream, "upstream call failed")
+}
--- /dev/null
+++ b/internal/side/serve/attempt_test.go
@@ -0,0 +1,187 @@
+package serve
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/inmem"
+	"github.com/ragworthatch/ragworthatch/internal/fake/worker"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+func slow(d time.Duration) func(upstr.Call) worker.Plan {
+	return func(upstr.Call) worker.Plan { return worker.Plan{Delay: d} }
+}
+
+func (b *bench) cancel(id *sidepb.Identity) string {
+	out, err := b.server.Cancel(b.t.Context(), &sidepb.CancelRequest{Id: id, KeepMs: 11000})
+	qt.Assert(b.t, err, qt.IsNil)
+	return out.Verdict
+}
+
+func identity(id string) *sidepb.Identity {
+	return &sidepb.Identity{RequestId: id, Stage: "s", Attempt: 1, Incarnation: "i1"}
+}
+
+func TestTombstoneRefusesLateCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{}, nil)
+		c.Assert(b.cancel(identity("r1")), qt.Equals, "notRun")
+		got := b.call(request("r1", ""))
+		c.Assert(got.failure.GetVerdict(), qt.Equals, "notRun")
+		c.Assert(got.failure.GetCode(), qt.Equals, "tombstoned")
+		c.Assert(b.worker.Runs(), qt.HasLen, 0)
+	})
+}
+
+func TestCancelWithoutIncarnationPromisesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, Options{}, nil)
+		id := identity("r1")
+		id.Incarnation = ""
+		qt.Assert(t, b.cancel(id), qt.Equals, "mayHaveRun")
+	})
+}
+
+func TestCopyOfRunningCallDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{}, slow(time.Second))
+		first := make(chan got)
+		go func() { first <- b.call(request("r1", "")) }()
+		synctest.Wait()
+		again := b.call(request("r1", ""))
+		c.Assert(again.failure.GetVerdict(), qt.Equals, "mayHaveRun")
+		c.Assert(again.failure.GetCode(), qt.Equals, "inProgress")
+		c.Assert((<-first).whole, qt.IsNotNil)
+		late := b.call(request("r1", ""))
+		c.Assert(late.failure.GetVerdict(), qt.Equals, "mayHaveRun")
+		c.Assert(b.worker.Runs(), qt.HasLen, 1)
+	})
+}
+
+func TestCancelStopsWorkWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{Pool: pool.Spec{SilentMs: 60000}}, slow(10*time.Second))
+		first := make(chan got)
+		go func() { first <- b.call(request("r1", "")) }()
+		synctest.Wait()
+		c.Assert(b.worker.Open(), qt.Equals, 1)
+		c.Assert(b.cancel(identity("r1")), qt.Equals, "mayHaveRun")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		c.Assert(b.worker.Open(), qt.Equals, 0)
+		c.Assert((<-first).failure.GetCode(), qt.Equals, "canceled")
+	})
+}
+
+func TestCallerGoneStopsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{}, slow(4*time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		stream, err := inmem.New(b.node, nil).Call(ctx, request("r1", ""))
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		c.Assert(b.worker.Open(), qt.Equals, 1)
+		cancel()
+		synctest.Wait()
+		c.Assert(b.worker.Open(), qt.Equals, 0)
+		c.Assert(collect(stream).whole, qt.IsNil)
+	})
+}
+
+func TestQueuedCallIsCanceledAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{Gate: newSemaphore(1)}, slow(time.Second))
+		first, second := make(chan got), make(chan got)
+		go func() { first <- b.call(request("r1", "")) }()
+		synctest.Wait()
+		go func() { second <- b.call(request("r2", "")) }()
+		synctest.Wait()
+		c.Assert(b.cancel(identity("r2")), qt.Equals, "notRun")
+		c.Assert((<-second).failure.GetVerdict(), qt.Equals, "notRun")
+		c.Assert((<-first).whole, qt.IsNotNil)
+		c.Assert(b.worker.Runs(), qt.HasLen, 1)
+	})
+}
+
+func TestCrashCountsAllInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{}, slow(time.Second))
+		all := make(chan got)
+		for _, id := range []string{"r1", "r2", "r3"} {
+			go func() { all <- b.call(request(id, "")) }()
+		}
+		synctest.Wait()
+		b.worker.Crash()
+		for range 3 {
+			f := (<-all).failure
+			c.Assert(f.GetCrashed(), qt.IsTrue)
+			c.Assert(f.GetInFlight(), qt.Equals, uint32(3))
+		}
+		c.Assert(b.server.status().UpstreamHealthy, qt.IsFalse)
+		b.worker.Revive()
+		time.Sleep(2 * probeInterval)
+		synctest.Wait()
+		c.Assert(b.server.status().UpstreamHealthy, qt.IsTrue)
+	})
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{}, slow(3*time.Second))
+		first := make(chan got)
+		go func() { first <- b.call(request("r1", "generate")) }()
+		synctest.Wait()
+		watch, err := inmem.New(b.node, nil).Watch(t.Context(), &sidepb.WatchRequest{})
+		c.Assert(err, qt.IsNil)
+		st, err := watch.Recv()
+		c.Assert(err, qt.IsNil)
+		c.Assert(st.State, qt.Equals, "live")
+		reply, err := b.server.Drain(t.Context(), &sidepb.DrainRequest{Author: "ana", Reason: "noon"})
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.InFlight, qt.Equals, uint32(1))
+		st, err = watch.Recv()
+		c.Assert(err, qt.IsNil)
+		c.Assert(st.State, qt.Equals, "leaving")
+		c.Assert(b.call(request("r2", "")).failure.GetCode(), qt.Equals, "draining")
+		select {
+		case <-b.server.Drained():
+			t.Fatal("drained with a call in flight")
+		default:
+		}
+		c.Assert((<-first).whole, qt.IsNotNil)
+		<-b.server.Drained()
+	})
+}
+
+func TestFramesEchoIdentityInSequence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{}, nil)
+		stream, err := inmem.New(b.node, nil).Call(t.Context(), request("r1", "generate"))
+		c.Assert(err, qt.IsNil)
+		for seq := uint64(0); ; seq++ {
+			f, err := stream.Recv()
+			if err != nil {
+				c.Assert(seq, qt.Equals, uint64(6))
+				return
+			}
+			c.Assert(f.Seq, qt.Equals, seq)
+			c.Assert(proto.Equal(f.Id, identity("r1")), qt.IsTrue)
+		}
+	})
+}
--- /dev/null
+++ b/internal/side/serve/call.go
@@ -0,0 +1,313 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+	"github.com/ragworthatch/ragworthatch/internal/side/flight"
+	"github.com/ragworthatch/ragworthatch/internal/side/judge"
+	"github.com/ragworthatch/ragworthatch/internal/side/relay"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+const maxReruns = 1 // of a repeatable call whose connection went silent
+
+var (
+	errNoAnswer = errors.New("no sign of the answer within the progress bound")
+	errNoCaller = errors.New("caller went away before the call was sent")
+)
+
+// call is one attempt on its way through the side.
+type call struct {
+	s        *Server
+	req      *sidepb.CallRequest
+	id       ident.Attempt
+	ctx      context.Context
+	stop     context.CancelFunc
+	arrived  time.Time
+	deadline time.Time
+	flight   *flight.Flight
+	reply    *reply
+	sent     time.Time // when it was dispatched
+	reruns   int
+	cost     *sidepb.Cost
+}
+
+// newCall checks a call that may be refused without a trace.
+func (s *Server) newCall(ctx context.Context, req *sidepb.CallRequest, r *reply) (*call, error) {
+	if err := s.check(req); err != nil {
+		return nil, err
+	}
+	now := s.opts.Now()
+	remaining := clamp(time.Duration(req.GetRemainingMs()) * time.Millisecond)
+	c := &call{
+		s:        s,
+		req:      req,
+		id:       attemptOf(req.GetId()),
+		arrived:  now,
+		deadline: now.Add(remaining),
+		reply:    r,
+		cost:     &sidepb.Cost{},
+	}
+	c.ctx, c.stop = context.WithTimeout(ctx, remaining)
+	f, err := s.flights.Begin(c.id, c.deadline.Add(timing.ClockSkew), c.stop)
+	if err != nil {
+		c.stop()
+		return nil, err
+	}
+	c.flight = f
+	return c, nil
+}
+
+// check refuses what another copy of the call would be refused for too.
+func (s *Server) check(req *sidepb.CallRequest) error {
+	id := req.GetId()
+	if id.GetRequestId() == "" || id.GetStage() == "" {
+		return fault.New(fault.NotRun, fault.BadRequest, "call has no identity")
+	}
+	if in := id.GetIncarnation(); in != "" && in != s.opts.Incarnation {
+		return fault.New(fault.NotRun, fault.WrongTarget, "call is meant for incarnation %q", in)
+	}
+	if req.GetRemainingMs() <= max(req.GetEstimateMs(), 0) {
+		return fault.New(fault.NotRun, fault.TooLate, "%d ms remain and the stages after this one need %d ms",
+			req.GetRemainingMs(), req.GetEstimateMs())
+	}
+	if !req.GetRepeatable() && req.GetAction().GetKey() == "" {
+		return fault.New(fault.NotRun, fault.BadRequest, "call that must not be repeated has no key")
+	}
+	return nil
+}
+
+// end releases what the call holds.
+func (c *call) end() {
+	c.flight.Finish()
+	c.stop()
+}
+
+// run takes the call through admission to its last frame.
+func (c *call) run() error {
+	pass, err := c.admit()
+	if err != nil {
+		return c.giveUp(err)
+	}
+	err = c.dispatch()
+	pass.Done(Result{Latency: c.latency(), Failed: isUpstreamFault(err)})
+	if err == nil {
+		c.s.counters.whole.Add(1)
+		return c.reply.whole(c.cost, false)
+	}
+	if c.sent.IsZero() {
+		return c.giveUp(err)
+	}
+	return c.fail(err)
+}
+
+// admit waits for the gate.
+func (c *call) admit() (Pass, error) {
+	s := c.s
+	pass, err := s.opts.Gate.Enter(c.ctx, Ticket{
+		Team:      c.req.GetTeam(),
+		Weight:    c.req.GetWeight(),
+		SizeClass: c.req.GetSizeClass(),
+		Remaining: c.remaining(),
+		After:     time.Duration(c.req.GetEstimateMs()) * time.Millisecond,
+		Priority:  c.req.GetPriority(),
+		Alone:     c.req.GetAlone(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.counters.admitted.Add(1)
+	s.opts.Zap.Info("admit",
+		zap.Stringer("attempt", c.id),
+		zap.String("team", c.req.GetTeam()),
+		zap.Duration("queued", s.opts.Now().Sub(c.arrived)),
+		zap.Int("running", s.flights.Running()),
+		zap.Int("limit", s.opts.Gate.Limit()),
+		zap.Bool("alone", c.req.GetAlone()))
+	return pass, nil
+}
+
+// dispatch sends the call and relays its answer.
+func (c *call) dispatch() error {
+	if c.remaining() <= 0 {
+		return fault.New(fault.NotRun, fault.TooLate, "deadline passed before dispatch")
+	}
+	if !c.flight.Dispatch() {
+		return fault.New(fault.NotRun, fault.Canceled, "attempt was canceled before dispatch")
+	}
+	c.sent = c.s.opts.Now()
+	c.s.counters.dispatched.Add(1)
+	if err := c.reply.started(c.sent.Sub(c.arrived)); err != nil {
+		return &upstr.Error{Op: "call", NotSent: true, Cause: errNoCaller}
+	}
+	return c.relay()
+}
+
+// relay runs the call, once more on a new connection if the first went silent before any chunk.
+func (c *call) relay() error {
+	for {
+		err := c.relayOnce(c.reruns)
+		if !isSilent(err) {
+			return err
+		}
+		c.s.counters.silences.Add(1)
+		alive := c.s.ping(c.ctx)
+		again := alive && c.req.GetRepeatable() && c.reply.chunks == 0 && c.reruns < maxReruns
+		c.s.opts.Zap.Info("silent",
+			zap.Stringer("attempt", c.id),
+			zap.Bool("upstreamAlive", alive),
+			zap.Bool("rerun", again))
+		if !again {
+			return err
+		}
+		c.reruns++
+		c.s.counters.rerun.Add(1)
+	}
+}
+
+func (c *call) relayOnce(run int) error {
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	id := c.upstreamID(run)
+	stream, err := c.open(ctx, cancel, id)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	first := c.reply.digest.Count()
+	r := relay.New(stream, id, first, c.s.opts.silent(), func() { c.s.counters.strays.Add(1) })
+	for {
+		e, err := r.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		c.account(e)
+		if err := c.reply.chunk(e.Data); err != nil {
+			return err
+		}
+	}
+}
+
+// open sends the call; an upstream that does not even accept it within the progress bound is silent.
+func (c *call) open(ctx context.Context, cancel context.CancelCauseFunc, id string) (upstr.Stream, error) {
+	bound := time.AfterFunc(c.s.opts.silent(), func() { cancel(errNoAnswer) })
+	defer bound.Stop()
+	stream, err := c.s.opts.Upstream.Call(ctx, upstr.Call{
+		ID:        id,
+		Kind:      c.req.GetKind(),
+		Model:     c.req.GetModel(),
+		Body:      c.req.GetBody(),
+		MaxTokens: c.req.GetMaxTokens(),
+		Held:      c.req.GetHeld(),
+		Priority:  c.req.GetPriority(),
+		Key:       c.req.GetAction().GetKey(),
+	})
+	if err != nil && context.Cause(ctx) == errNoAnswer {
+		return nil, &upstr.Error{Op: "call", Silent: true, Cause: errNoAnswer}
+	}
+	return stream, err
+}
+
+func (c *call) account(e upstr.Event) {
+	if c.cost.Tokens == 0 {
+		c.s.setHealthy(true)
+	}
+	c.cost.Tokens++
+	c.cost.PrefillTokens += e.PrefillTokens
+	c.cost.CachedTokens += e.CachedTokens
+	c.cost.RunnerMs = c.latency().Milliseconds()
+}
+
+// giveUp ends a call before dispatch.
+func (c *call) giveUp(err error) error {
+	f := beforeDispatch(err)
+	if !c.flight.Forbid() {
+		f = f.WithVerdict(fault.MayHaveRun)
+	}
+	return c.s.refuse(c.reply, f)
+}
+
+// fail ends a call after dispatch.
+func (c *call) fail(err error) error {
+	f := judge.Error(err)
+	if c.reruns > 0 {
+		// The run on the silent connection may have happened, whatever became of this one.
+		f = f.WithVerdict(fault.MayHaveRun)
+	}
+	crowd := 0
+	if f.Code == fault.Crashed {
+		crowd = c.flight.Crashed()
+		c.s.counters.crashes.Add(1)
+		c.s.setHealthy(false)
+	}
+	c.s.counters.failed.Add(1)
+	c.cost.RunnerMs = c.latency().Milliseconds()
+	c.s.opts.Zap.Info("fail",
+		zap.Stringer("attempt", c.id),
+		zap.String("verdict", string(f.Verdict)),
+		zap.String("code", string(f.Code)),
+		zap.Int("inFlight", crowd),
+		zap.Error(err))
+	return c.reply.failure(f, crowd, c.cost)
+}
+
+func (c *call) remaining() time.Duration { return c.deadline.Sub(c.s.opts.Now()) }
+
+func (c *call) latency() time.Duration {
+	if c.sent.IsZero() {
+		return 0
+	}
+	return c.s.opts.Now().Sub(c.sent)
+}
+
+// upstreamID differs for each run, so that a late answer to an earlier one is dropped.
+func (c *call) upstreamID(run int) string {
+	if run == 0 {
+		return c.id.String()
+	}
+	return fmt.Sprintf("%s/rerun%d", c.id, run)
+}
+
+// beforeDispatch gives a typed error to a call that was never sent.
+func beforeDispatch(err error) *fault.Error {
+	var f *fault.Error
+	switch {
+	case errors.As(err, &f):
+		return f
+	case errors.Is(err, context.DeadlineExceeded):
+		return fault.New(fault.NotRun, fault.TooLate, "deadline passed before dispatch")
+	case errors.Is(err, context.Canceled):
+		return fault.New(fault.NotRun, fault.Canceled, "attempt was canceled before dispatch")
+	}
+	return fault.New(fault.NotRun, fault.Internal, "call failed before dispatch").WithCause(err)
+}
+
+func isSilent(err error) bool {
+	var u *upstr.Error
+	return errors.As(err, &u) && u.Silent
+}
+
+// isUpstreamFault says whether the upstream itself is to blame.
+func isUpstreamFault(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch judge.Error(err).Code {
+	case fault.Crashed, fault.Upstream, fault.Transport, fault.Incomplete:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/side/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve is the side process: the only way to its upstream.
+package serve
--- /dev/null
+++ b/internal/side/serve/server.go
@@ -0,0 +1,156 @@
+package serve
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/side/flight"
+	"github.com/ragworthatch/ragworthatch/internal/side/watch"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+const (
+	maxRemembered = 32768            // attempts and tombstones
+	maxRemaining  = 10 * time.Minute // bounds what a call may ask for
+	sweepInterval = 5 * time.Second
+)
+
+// Server is one incarnation of a side.
+type Server struct {
+	sidepb.UnimplementedSideServer
+	opts     Options
+	flights  *flight.Table
+	hub      *watch.Hub
+	counters counters
+	drain    drain
+	health   health
+	engine   atomic.Pointer[[]string]
+	revision atomic.Int64
+	offset   atomic.Int64
+}
+
+// New returns a side that serves once Run is called.
+func New(opts Options) (*Server, error) {
+	opts, err := opts.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		opts:    opts,
+		flights: flight.New(maxRemembered),
+		hub:     watch.New(),
+	}
+	s.drain.init()
+	s.health.init()
+	return s, nil
+}
+
+// Run does the side's background work until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { s.sweep(ctx) })
+	wg.Go(func() { s.probe(ctx) })
+	wg.Go(func() { s.poll(ctx) })
+}
+
+// Call runs one attempt of one stage.
+func (s *Server) Call(req *sidepb.CallRequest, out sidepb.Side_CallServer) error {
+	s.counters.received.Add(1)
+	s.learn(req.GetRevision(), 0)
+	ctx := out.Context()
+	if !s.drain.enter() {
+		return s.refuse(s.newReply(req, out), fault.New(fault.NotRun, fault.Draining, "side is draining"))
+	}
+	defer s.leave()
+	c, err := s.newCall(ctx, req, s.newReply(req, out))
+	if err != nil {
+		return s.refuse(s.newReply(req, out), fault.From(err))
+	}
+	defer c.end()
+	return c.run()
+}
+
+// Cancel stops an attempt and leaves a tombstone.
+func (s *Server) Cancel(_ context.Context, req *sidepb.CancelRequest) (*sidepb.CancelReply, error) {
+	s.counters.canceled.Add(1)
+	keep := clamp(time.Duration(req.GetKeepMs()) * time.Millisecond)
+	until := s.opts.Now().Add(keep + timing.ClockSkew)
+	verdict := s.flights.Cancel(attemptOf(req.GetId()), until)
+	if req.GetId().GetIncarnation() != s.opts.Incarnation {
+		// Another incarnation may have dispatched the call, or may get a late copy of it.
+		verdict = fault.MayHaveRun
+	}
+	s.opts.Zap.Info("cancel",
+		zap.Stringer("attempt", attemptOf(req.GetId())),
+		zap.String("verdict", string(verdict)))
+	return &sidepb.CancelReply{Verdict: string(verdict)}, nil
+}
+
+// refuse answers a call that was not dispatched.
+func (s *Server) refuse(r *reply, err *fault.Error) error {
+	switch err.Code {
+	case fault.InProgress:
+		s.counters.duplicates.Add(1)
+	case fault.Tombstoned:
+		s.counters.tombstoned.Add(1)
+	}
+	if err.Verdict == fault.NotRun {
+		s.counters.refused.Add(1)
+	}
+	s.opts.Zap.Info("refuse",
+		zap.String("request", r.id.GetRequestId()),
+		zap.String("stage", r.id.GetStage()),
+		zap.Uint32("attempt", r.id.GetAttempt()),
+		zap.String("verdict", string(err.Verdict)),
+		zap.String("code", string(err.Code)),
+		zap.Duration("retryAfter", err.RetryAfter),
+		zap.String("message", err.Message))
+	return r.failure(err, 0, nil)
+}
+
+func (s *Server) sweep(ctx context.Context) {
+	every(ctx, sweepInterval, func() { s.flights.Sweep(s.opts.Now()) })
+}
+
+// learn raises the newest revision and configuration offset heard of.
+func (s *Server) learn(revision, offset int64) {
+	raise(&s.revision, revision)
+	raise(&s.offset, offset)
+}
+
+func raise(v *atomic.Int64, to int64) {
+	for {
+		old := v.Load()
+		if to <= old || v.CompareAndSwap(old, to) {
+			return
+		}
+	}
+}
+
+func attemptOf(id *sidepb.Identity) ident.Attempt {
+	return ident.Attempt{Request: id.GetRequestId(), Stage: id.GetStage(), Number: id.GetAttempt()}
+}
+
+func clamp(d time.Duration) time.Duration { return min(max(d, 0), maxRemaining) }
+
+// every calls f at each tick until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/internal/side/serve/status.go
@@ -0,0 +1,98 @@
+package serve
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// States of a side as its watchers see them.
+const (
+	liveState    = "live"
+	leavingState = "leaving"
+)
+
+// Watch streams the status: at once, on each change, and as a heartbeat.
+func (s *Server) Watch(req *sidepb.WatchRequest, out sidepb.Side_WatchServer) error {
+	s.learn(0, req.GetOffset())
+	beat := time.NewTicker(timing.HeartbeatInterval)
+	defer beat.Stop()
+	for {
+		changed := s.hub.Changed()
+		if err := out.Send(s.status()); err != nil {
+			return err
+		}
+		select {
+		case <-out.Context().Done():
+			return out.Context().Err()
+		case <-changed:
+		case <-beat.C:
+		}
+	}
+}
+
+func (s *Server) status() *sidepb.Status {
+	state := liveState
+	if s.drain.on() {
+		state = leavingState
+	}
+	st := &sidepb.Status{
+		Upstream:        s.opts.Name,
+		Pool:            s.opts.Pool.Name,
+		Zone:            s.opts.Zone,
+		State:           state,
+		Incarnation:     s.opts.Incarnation,
+		Load:            s.load(),
+		Offset:          s.offset.Load(),
+		UpstreamHealthy: s.health.healthy(),
+	}
+	if m := s.engine.Load(); m != nil {
+		st.Models = *m
+	}
+	return st
+}
+
+func (s *Server) load() *sidepb.Load {
+	latency, reported := s.health.look()
+	l := &sidepb.Load{
+		Running:     uint32(s.flights.Running()),
+		Queued:      uint32(s.flights.Queued()),
+		Limit:       uint32(s.opts.Gate.Limit()),
+		LatencyMs:   float64(latency) / float64(time.Millisecond),
+		Draining:    s.drain.on(),
+		Revision:    s.revision.Load(),
+		Incarnation: s.opts.Incarnation,
+	}
+	if !reported.At.IsZero() {
+		l.AgeMs = max(s.opts.Now().Sub(reported.At).Milliseconds(), 0)
+	}
+	return l
+}
+
+// setModels publishes what the engine has loaded.
+func (s *Server) setModels(st runner.State) {
+	models := loaded(st)
+	if old := s.engine.Load(); old != nil && slices.Equal(*old, models) {
+		return
+	}
+	s.engine.Store(&models)
+	s.hub.Notify()
+}
+
+// loaded lists the model, its version and its adapters as model, model@version and model+adapter.
+func loaded(st runner.State) []string {
+	if st.Model == "" || st.Loading {
+		return nil
+	}
+	out := []string{st.Model}
+	if st.Version != "" {
+		out = append(out, st.Model+"@"+st.Version)
+	}
+	for _, a := range st.Adapters {
+		out = append(out, st.Model+"+"+a)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/side/watch/doc.go
@@ -0,0 +1,2 @@
+// Package watch tells any number of watchers that something changed.
+package watch
