--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -103,6 +103,7 @@
 	pass.Done(Result{Latency: c.latency(), Failed: isUpstreamFault(err)})
 	if err == nil {
 		c.s.counters.whole.Add(1)
+		c.s.health.observe(c.latency())
 		return c.reply.whole(c.cost, false)
 	}
 	if c.sent.IsZero() {
