--- /dev/null
+++ b/internal/oper/setup/load.go
@@ -0,0 +1,117 @@
+package setup
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// maxFile bounds a settings file, in bytes.
+const maxFile = 1 << 20
+
+// LoadEntry reads the settings of an entry; an error about the file is an *Error.
+func LoadEntry(file string) (Entry, error) {
+	return load(file, Entry.fields)
+}
+
+// LoadSide reads the settings of a side; an error about the file is an *Error.
+func LoadSide(file string) (Side, error) {
+	return load(file, Side.fields)
+}
+
+func load[T any](file string, fields func(T) []field) (T, error) {
+	var settings, none T
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return none, &Error{File: file, Expected: "a readable file", Found: err.Error()}
+	}
+	if len(data) > maxFile {
+		return none, &Error{File: file, Expected: fmt.Sprintf("at most %d bytes", maxFile), Found: fmt.Sprint(len(data))}
+	}
+	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&settings); err != nil {
+		return none, decodeError(file, data, err)
+	}
+	for _, f := range fields(settings) {
+		if !f.passes(f.value) {
+			return none, fieldError(file, data, f)
+		}
+	}
+	return settings, nil
+}
+
+var (
+	quoted   = regexp.MustCompile(`"([^"]+)"`)
+	keyStart = regexp.MustCompile(`^[\s-]*(\w+):`)
+)
+
+// decodeError turns an error of the YAML library into one with a field.
+func decodeError(file string, data []byte, err error) error {
+	var y yaml.Error
+	if !errors.As(err, &y) {
+		return &Error{File: file, Expected: "valid YAML", Found: err.Error()}
+	}
+	line := y.GetToken().Position.Line
+	out := &Error{File: file, Line: line, Field: keyOn(data, line), Expected: "valid YAML", Found: y.GetMessage()}
+	if m := quoted.FindStringSubmatch(y.GetMessage()); m != nil {
+		out.Field = m[1]
+	}
+	var unknown *yaml.UnknownFieldError
+	var wrongType *yaml.TypeError
+	var wrongNode *yaml.UnexpectedNodeTypeError
+	switch {
+	case errors.As(err, &unknown):
+		out.Expected, out.Found = "a field of docs/SETTINGS.md", "an unknown one"
+	case strings.Contains(y.GetMessage(), "already defined"):
+		out.Expected, out.Found = "each field once", "a second one"
+	case errors.As(err, &wrongType):
+		out.Expected, out.Found = "a value of type "+wrongType.DstType.String(), "a value of type "+wrongType.SrcType.String()
+	case errors.As(err, &wrongNode):
+		out.Expected, out.Found = "a "+wrongNode.Expected.YAMLName(), "a "+wrongNode.Actual.YAMLName()
+	}
+	return out
+}
+
+// keyOn is the key on a line of the file, empty when there is none.
+func keyOn(data []byte, line int) string {
+	lines := bytes.Split(data, []byte("\n"))
+	if line < 1 || line > len(lines) {
+		return ""
+	}
+	if m := keyStart.FindSubmatch(lines[line-1]); m != nil {
+		return string(m[1])
+	}
+	return ""
+}
+
+func fieldError(file string, data []byte, f field) error {
+	out := &Error{File: file, Field: f.path, Expected: f.expected, Found: fmt.Sprintf("%q", f.value)}
+	if f.value == "" {
+		out.Found = "nothing"
+	}
+	out.Line = lineOf(data, f.path)
+	return out
+}
+
+// lineOf is the line of a field's value, 0 when the file does not have it.
+func lineOf(data []byte, path string) int {
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return 0
+	}
+	p, err := yaml.PathString("$." + strings.TrimPrefix(path, "."))
+	if err != nil {
+		return 0
+	}
+	var node ast.Node
+	if node, err = p.FilterFile(tree); err != nil {
+		return 0
+	}
+	return node.GetToken().Position.Line
+}
