Fold the configuration stream, feed it from the log and peers, and publish

The log promises no conditional append, so a publish appends, reads back and lets the fold decide; a lost answer is settled by a void record with the nonce.

--- /dev/null
+++ b/internal/model/config/problem.go
@@ -0,0 +1,50 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Problem is one fault of a configuration.
+type Problem struct {
+	Object   string `json:"object"` // as in Ref.String
+	Field    string `json:"field"`
+	Expected string `json:"expected"`
+}
+
+// String renders the problem on one line.
+func (p Problem) String() string { return fmt.Sprintf("%s: %s: %s", p.Object, p.Field, p.Expected) }
+
+// problems collects the faults of one object.
+type problems struct {
+	ref  Ref
+	list []Problem
+}
+
+func (p *problems) add(field, format string, args ...any) {
+	p.list = append(p.list, Problem{Object: p.ref.String(), Field: field, Expected: fmt.Sprintf(format, args...)})
+}
+
+// need adds a problem unless ok.
+func (p *problems) need(ok bool, field, format string, args ...any) {
+	if !ok {
+		p.add(field, format, args...)
+	}
+}
+
+// unique needs that no text stands twice in a list.
+func (p *problems) unique(field string, list []string) {
+	seen := make(map[string]bool, len(list))
+	for _, text := range list {
+		p.need(!seen[text], field, "%q only once", text)
+		seen[text] = true
+	}
+}
+
+func sortProblems(list []Problem) []Problem {
+	slices.SortFunc(list, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Object, b.Object), cmp.Compare(a.Field, b.Field), cmp.Compare(a.Expected, b.Expected))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/state/accept/doc.go
@@ -0,0 +1,2 @@
+// Package accept publishes changes of the configuration and says what became of them.
+package accept
--- /dev/null
+++ b/internal/state/accept/publish.go
@@ -0,0 +1,379 @@
+package accept
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/state/fold"
+	"github.com/ragworthatch/ragworthatch/internal/state/record"
+)
+
+// The waits of a publish.
+const (
+	refreshTimeout = 2 * time.Second
+	lookInterval   = 200 * time.Millisecond
+	lookFor        = 2 * time.Second
+)
+
+// Publisher appends changes to the log and reads back what the fold decided.
+type Publisher struct {
+	log   logs.Service
+	feed  *feed.Feed
+	newID func() uuid.UUID
+	lg    *zap.Logger
+}
+
+// New returns a publisher; newID makes the random part of nonces.
+func New(log logs.Service, f *feed.Feed, newID func() uuid.UUID, lg *zap.Logger) *Publisher {
+	return &Publisher{log: log, feed: f, newID: newID, lg: lg}
+}
+
+// Option changes one publish.
+type Option func(*call)
+
+// WithNonce sets a nonce that the caller made by NewNonce, so that it can settle the publish if the answer is lost.
+func WithNonce(nonce string) Option { return func(c *call) { c.nonce = nonce } }
+
+// WithBase sets the revision that the author of a preset switch saw.
+func WithBase(revision int64) Option { return func(c *call) { c.base = &revision } }
+
+type call struct {
+	nonce string
+	base  *int64
+}
+
+// proposal is a record to be, and what it would set.
+type proposal struct {
+	kind  record.Kind
+	base  map[config.Ref]int64
+	body  any
+	specs map[config.Ref]any
+}
+
+// NewNonce returns a nonce for the next publish.
+func (p *Publisher) NewNonce() string {
+	return record.NewNonce(p.feed.Current().Offset()+1, p.newID())
+}
+
+// Publish appends a change and returns once the fold has decided; the error is nil only if it was accepted, else an
+// *Error with the same result.
+func (p *Publisher) Publish(ctx context.Context, author string, change config.Change, opts ...Option) (Result, error) {
+	state, err := p.refresh(ctx)
+	if err != nil {
+		return notAccepted("", err)
+	}
+	return p.submit(ctx, author, proposal{
+		kind:  record.Change,
+		base:  fillBase(state, change),
+		body:  record.ChangeBody{Set: change.Set, Remove: change.Remove},
+		specs: specsOf(change),
+	}, opts)
+}
+
+// UsePreset appends a switch of the preset in force and returns once the fold has decided, like Publish.
+func (p *Publisher) UsePreset(ctx context.Context, author, name string, opts ...Option) (Result, error) {
+	state, err := p.refresh(ctx)
+	if err != nil {
+		return notAccepted("", err)
+	}
+	before := state.PresetSince()
+	base := before.Revision
+	if c := options(opts); c.base != nil {
+		base = *c.base
+	}
+	ref := config.InForceRef()
+	result, err := p.submit(ctx, author, proposal{
+		kind:  record.Preset,
+		base:  map[config.Ref]int64{ref: base},
+		body:  record.PresetBody{Name: name},
+		specs: map[config.Ref]any{ref: name},
+	}, opts)
+	if result.State == Accepted && before.Name != "" {
+		result.Replaced = &Replaced{
+			Name:    before.Name,
+			Author:  before.Author,
+			Since:   time.UnixMilli(before.TimeMs).UTC(),
+			ChoseAt: before.Revision,
+		}
+	}
+	return result, err
+}
+
+// refresh reads the log if it can; the state may be old, but the feed must be ready.
+func (p *Publisher) refresh(ctx context.Context) (*fold.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := p.feed.Poll(ctx); err != nil {
+		p.lg.Info("publishing on a state that may be old", zap.Error(err))
+	}
+	return p.feed.Current(), p.feed.Ready()
+}
+
+func options(opts []Option) call {
+	var c call
+	for _, o := range opts {
+		o(&c)
+	}
+	return c
+}
+
+func (p *Publisher) submit(ctx context.Context, author string, prop proposal, opts []Option) (Result, error) {
+	nonce := options(opts).nonce
+	if nonce == "" {
+		nonce = p.NewNonce()
+	}
+	if author == "" {
+		return notAccepted(nonce, errors.New("no author"))
+	}
+	r, err := record.New(prop.kind, nonce, author, time.Now().UnixMilli(), prop.base, prop.body)
+	if err != nil {
+		return notAccepted(nonce, err)
+	}
+	data, err := record.Encode(r)
+	if err != nil {
+		return notAccepted(nonce, err)
+	}
+	state := p.feed.Current()
+	if err := lagging(state, nonce, prop.base); err != nil {
+		return notAccepted(nonce, err)
+	}
+	if _, rejection := state.Apply(state.Offset()+1, data); rejection != nil {
+		return p.rejected(state, prop, nonce, rejection)
+	}
+	d, ok, err := p.append(ctx, nonce, data)
+	if err != nil || !ok {
+		return p.undecided(ctx, prop, nonce, err)
+	}
+	return p.decided(prop, d)
+}
+
+// lagging returns an error if the author has seen more than this process, which then cannot judge.
+func lagging(state *fold.State, nonce string, base map[config.Ref]int64) error {
+	next, err := record.NextOf(nonce)
+	if err != nil {
+		return err
+	}
+	seen := next - 1
+	for _, revision := range base {
+		seen = max(seen, revision)
+	}
+	if seen <= state.Offset() {
+		return nil
+	}
+	return fmt.Errorf("the change is based on offset %d, and this process has read up to %d only", seen, state.Offset())
+}
+
+// append adds the record, reads back, and returns the decision.
+func (p *Publisher) append(ctx context.Context, nonce string, data []byte) (fold.Decision, bool, error) {
+	first, err := p.log.Append(ctx, logs.ConfigStream, [][]byte{data})
+	if err != nil {
+		return fold.Decision{}, false, err
+	}
+	p.feed.Offer([]int64{first}, [][]byte{data})
+	if err := p.feed.ReadTo(ctx, first); err != nil {
+		return fold.Decision{}, false, fmt.Errorf("record is at offset %d but cannot be read back: %w", first, err)
+	}
+	d, ok := p.feed.Current().Nonce(nonce)
+	return d, ok, nil
+}
+
+// undecided looks for the record when the append's answer is lost, and forbids it if it is not there.
+func (p *Publisher) undecided(ctx context.Context, prop proposal, nonce string, cause error) (Result, error) {
+	var e *logs.Error
+	if errors.As(cause, &e) && e.Op == "append" && !e.MayHaveTaken {
+		return notAccepted(nonce, cause)
+	}
+	p.lg.Warn("answer to a publish is lost", zap.String("nonce", nonce), zap.Error(cause))
+	if d, ok := p.look(ctx, nonce); ok {
+		return p.decided(prop, d)
+	}
+	d, err := p.forbid(ctx, nonce)
+	if err != nil {
+		return unknown(nonce, errors.Join(cause, err))
+	}
+	return p.decided(prop, d)
+}
+
+// look reads the log for a while until the fold has decided on a nonce.
+func (p *Publisher) look(ctx context.Context, nonce string) (fold.Decision, bool) {
+	ctx, cancel := context.WithTimeout(ctx, lookFor)
+	defer cancel()
+	for {
+		_ = p.feed.Poll(ctx) // the fold says whether it helped
+		if d, ok := p.feed.Current().Nonce(nonce); ok {
+			return d, true
+		}
+		select {
+		case <-ctx.Done():
+			return fold.Decision{}, false
+		case <-time.After(lookInterval):
+		}
+	}
+}
+
+// forbid appends a void of a nonce and returns the decision, which is then final either way.
+func (p *Publisher) forbid(ctx context.Context, nonce string) (fold.Decision, error) {
+	if !p.feed.Current().Remembers(nonce) {
+		return fold.Decision{}, fmt.Errorf("decisions as old as %s are forgotten: compare the objects themselves", nonce)
+	}
+	r, err := record.New(record.Void, p.NewNonce(), "settle", time.Now().UnixMilli(), nil, record.VoidBody{Nonce: nonce})
+	if err != nil {
+		return fold.Decision{}, err
+	}
+	data, err := record.Encode(r)
+	if err != nil {
+		return fold.Decision{}, err
+	}
+	if _, _, err := p.append(ctx, r.Nonce, data); err != nil {
+		return fold.Decision{}, err
+	}
+	d, ok := p.feed.Current().Nonce(nonce)
+	if !ok {
+		return d, fmt.Errorf("the void of %s was not taken", nonce)
+	}
+	return d, nil
+}
+
+// Settle finds out what became of a publish whose answer was lost; one that has not come by now is forbidden for good.
+func (p *Publisher) Settle(ctx context.Context, nonce string) (Result, error) {
+	if _, err := record.NextOf(nonce); err != nil {
+		return notAccepted(nonce, err)
+	}
+	if _, err := p.refresh(ctx); err != nil {
+		return unknown(nonce, err)
+	}
+	if d, ok := p.feed.Current().Nonce(nonce); ok {
+		return p.decided(proposal{}, d)
+	}
+	d, err := p.forbid(ctx, nonce)
+	if err != nil {
+		return unknown(nonce, err)
+	}
+	return p.decided(proposal{}, d)
+}
+
+func (p *Publisher) decided(prop proposal, d fold.Decision) (Result, error) {
+	state := p.feed.Current()
+	result := resultAt(state, d.Nonce)
+	p.lg.Info("publish decided", zap.String("nonce", d.Nonce), zap.Bool("accepted", d.Accepted),
+		zap.Int64("offset", d.Offset), zap.String("code", string(d.Code)))
+	switch {
+	case d.Accepted:
+		result.State = Accepted
+		result.Revision = d.Offset
+		return result, nil
+	case d.Code == fold.Voided:
+		result.State = NotAccepted
+		result.Message = fmt.Sprintf("it had not come by offset %d and is forbidden since", d.Offset)
+	default:
+		result.State = Rejected
+		result.Message = d.Message
+		result.Lost = lost(state, prop, d.Offset)
+	}
+	return result, &Error{Result: result}
+}
+
+// rejected answers for a record that the own fold already rejects, so that it is not appended.
+func (p *Publisher) rejected(state *fold.State, prop proposal, nonce string, r *fold.Rejection) (Result, error) {
+	if d, ok := state.Nonce(nonce); ok {
+		return p.decided(prop, d)
+	}
+	result := resultAt(state, nonce)
+	result.State = Rejected
+	result.Message = r.Message
+	result.Problems = r.Problems
+	if r.Code == fold.Conflict {
+		result.Lost = lost(state, prop, state.Offset()+1)
+	}
+	return result, &Error{Result: result}
+}
+
+func resultAt(state *fold.State, nonce string) Result {
+	return Result{Nonce: nonce, Revision: -1, Offset: state.Offset(), Digest: state.Digest()}
+}
+
+func notAccepted(nonce string, cause error) (Result, error) {
+	result := Result{
+		State:    NotAccepted,
+		Nonce:    nonce,
+		Revision: -1,
+		Offset:   -1,
+		Message:  "nothing was taken: " + cause.Error(),
+	}
+	return result, &Error{Result: result, Cause: cause}
+}
+
+func unknown(nonce string, cause error) (Result, error) {
+	result := Result{
+		State:    Unknown,
+		Nonce:    nonce,
+		Revision: -1,
+		Offset:   -1,
+		Message:  "it may be in force now or later: " + cause.Error(),
+		Settle:   "ragworthatch publish --settle " + nonce,
+	}
+	return result, &Error{Result: result, Cause: cause}
+}
+
+func fillBase(state *fold.State, change config.Change) map[config.Ref]int64 {
+	base := maps.Clone(change.Base)
+	if base == nil {
+		base = map[config.Ref]int64{}
+	}
+	for _, ref := range change.Refs() {
+		if _, ok := base[ref]; !ok {
+			base[ref] = state.Meta(ref).Revision
+		}
+	}
+	return base
+}
+
+func specsOf(change config.Change) map[config.Ref]any {
+	specs := map[config.Ref]any{}
+	for _, p := range change.Set.Pools {
+		specs[config.Ref{Kind: config.Pools, Name: p.Name}] = p
+	}
+	for _, s := range change.Set.Stages {
+		specs[config.Ref{Kind: config.Stages, Name: s.Name}] = s
+	}
+	for _, l := range change.Set.Pipelines {
+		specs[config.Ref{Kind: config.Pipelines, Name: l.Name}] = l
+	}
+	for _, s := range change.Set.Presets {
+		specs[config.Ref{Kind: config.Presets, Name: s.Name}] = s
+	}
+	for _, t := range change.Set.Teams {
+		specs[config.Ref{Kind: config.Teams, Name: t.Name}] = t
+	}
+	return specs
+}
+
+// lost lists the objects that others changed before an offset, nil if there are none.
+func lost(state *fold.State, prop proposal, offset int64) *Lost {
+	var l Lost
+	for ref, base := range prop.base {
+		now := state.Meta(ref)
+		if now.Revision == base || now.Revision > offset {
+			continue
+		}
+		c := Contested{Ref: ref, Base: base, Current: now}
+		if theirs, ok := state.Spec(ref); ok {
+			c.Differences = config.Differences(prop.specs[ref], theirs)
+		}
+		l.Objects = append(l.Objects, c)
+	}
+	if len(l.Objects) == 0 {
+		return nil
+	}
+	sortContested(l.Objects)
+	return &l
+}
--- /dev/null
+++ b/internal/state/accept/publish_test.go
@@ -0,0 +1,192 @@
+package accept
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
+	"github.com/ragworthatch/ragworthatch/internal/model/team"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+)
+
+const someDigest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+// entry is one process that publishes.
+type entry struct {
+	feed *feed.Feed
+	*Publisher
+}
+
+func newEntry(log *memlog.Log) entry {
+	f := feed.New(log, feed.Options{}, zap.NewNop())
+	return entry{feed: f, Publisher: New(log, f, uuid.New, zap.NewNop())}
+}
+
+func presets(names ...string) config.Change {
+	var c config.Change
+	for _, name := range names {
+		c.Set.Presets = append(c.Set.Presets, preset.Spec{Name: name})
+	}
+	return c
+}
+
+func oneTeam(share float64) config.Change {
+	t := team.Spec{Name: "acme", TokenDigest: someDigest, Share: share}
+	return config.Change{Set: config.Objects{Teams: []team.Spec{t}}}
+}
+
+func TestTwoOperatorsAtNoon(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	log := memlog.New()
+	one, two := newEntry(log), newEntry(log)
+	_, err := one.Publish(ctx, "ann", presets("ordinary", "peak", "maintenance"))
+	c.Assert(err, qt.IsNil)
+	first, err := one.UsePreset(ctx, "ann", "ordinary")
+	c.Assert(err, qt.IsNil)
+	c.Assert(two.feed.Poll(ctx), qt.IsNil)
+	saw := WithBase(first.Revision)
+
+	won, err := one.UsePreset(ctx, "ann", "peak", saw)
+	c.Assert(err, qt.IsNil)
+	c.Assert(won.State, qt.Equals, Accepted)
+	c.Assert(won.Replaced.Name, qt.Equals, "ordinary")
+
+	second, err := two.UsePreset(ctx, "bob", "maintenance", saw)
+	var e *Error
+	c.Assert(errors.As(err, &e), qt.IsTrue)
+	c.Assert(second.State, qt.Equals, Rejected)
+	c.Assert(second.Lost.String(), qt.Contains, `ann came first at revision`)
+	c.Assert(second.Lost.String(), qt.Contains, `yours "maintenance", theirs "peak"`)
+	for _, e := range []entry{one, two} {
+		c.Assert(e.feed.Current().Config().InForce, qt.Equals, "peak")
+	}
+}
+
+func TestRaceThatTheDryRunCannotSee(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	log := memlog.New()
+	one, two := newEntry(log), newEntry(log)
+	_, err := one.Publish(ctx, "ann", oneTeam(0.1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(two.feed.Poll(ctx), qt.IsNil)
+	_, err = one.Publish(ctx, "ann", oneTeam(0.2))
+	c.Assert(err, qt.IsNil)
+
+	log.FailReads(1) // two publishes without having read ann's change
+	got, err := two.Publish(ctx, "bob", oneTeam(0.3))
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(got.State, qt.Equals, Rejected)
+	c.Assert(got.Lost.Objects, qt.HasLen, 1)
+	c.Assert(got.Lost.Objects[0].Differences, qt.DeepEquals,
+		[]config.Difference{{Field: "share", Yours: "0.3", Theirs: "0.2"}})
+}
+
+func TestInvalidIsNotAppended(t *testing.T) {
+	c := qt.New(t)
+	log := memlog.New()
+	e := newEntry(log)
+	got, err := e.Publish(context.Background(), "ann", oneTeam(1.5))
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(got.State, qt.Equals, Rejected)
+	c.Assert(got.Problems, qt.HasLen, 1)
+	c.Assert(got.Problems[0].String(), qt.Equals, "teams/acme: share: between 0 and 1")
+	c.Assert(log.Appends(), qt.Equals, 0)
+}
+
+func TestLogDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := memlog.New()
+		e := newEntry(log)
+		c.Assert(e.feed.Poll(t.Context()), qt.IsNil)
+		log.SetDown(true)
+		got, err := e.Publish(t.Context(), "ann", oneTeam(0.1))
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(got.State, qt.Equals, NotAccepted)
+		c.Assert(got.Settle, qt.Equals, "")
+	})
+}
+
+func TestLostAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func(*memlog.Log)
+		state State
+	}{
+		{"the append took effect", func(l *memlog.Log) { l.LoseAnswers(1) }, Accepted},
+		{"the append has not taken effect yet", func(l *memlog.Log) { l.HoldAppends(1) }, NotAccepted},
+		{"the answer of the void is lost too", func(l *memlog.Log) { l.HoldAppends(2) }, Unknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				log := memlog.New()
+				e := newEntry(log)
+				test.fault(log)
+				got, _ := e.Publish(t.Context(), "ann", oneTeam(0.1))
+				c.Assert(got.State, qt.Equals, test.state)
+
+				log.Release() // what comes late must not change the answer
+				settled, _ := e.Settle(t.Context(), got.Nonce)
+				if test.state != Unknown {
+					c.Assert(settled.State, qt.Equals, test.state)
+				}
+				c.Assert(settled.State, qt.Not(qt.Equals), Unknown)
+				_, inForce := e.feed.Current().Config().Teams["acme"]
+				c.Assert(inForce, qt.Equals, settled.State == Accepted)
+			})
+		})
+	}
+}
+
+func TestUnknownNamesTheCommandThatSettlesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := memlog.New()
+		e := newEntry(log)
+		c.Assert(e.feed.Poll(t.Context()), qt.IsNil)
+		log.LoseAnswers(1)
+		log.FailReads(1000)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		got, err := e.Publish(ctx, "ann", oneTeam(0.1))
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(got.State, qt.Equals, Unknown)
+		c.Assert(got.Settle, qt.Equals, "ragworthatch publish --settle "+got.Nonce)
+		log.FailReads(0)
+		settled, err := e.Settle(t.Context(), got.Nonce)
+		c.Assert(err, qt.IsNil)
+		c.Assert(settled.State, qt.Equals, Accepted)
+		again, err := e.Publish(t.Context(), "ann", oneTeam(0.1), WithNonce(got.Nonce))
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Revision, qt.Equals, settled.Revision)
+	})
+}
+
+func TestLaggingEntryDoesNotJudge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := memlog.New()
+		one, two := newEntry(log), newEntry(log)
+		c.Assert(two.feed.Poll(t.Context()), qt.IsNil)
+		first, err := one.Publish(t.Context(), "ann", oneTeam(0.1))
+		c.Assert(err, qt.IsNil)
+		log.SetDown(true)
+		change := oneTeam(0.2)
+		change.Base = map[config.Ref]int64{{Kind: config.Teams, Name: "acme"}: first.Revision}
+		got, _ := two.Publish(t.Context(), "ann", change)
+		c.Assert(got.State, qt.Equals, NotAccepted)
+		c.Assert(got.Message, qt.Contains, "has read up to -1 only")
+	})
+}
--- /dev/null
+++ b/internal/state/accept/result.go
@@ -0,0 +1,116 @@
+package accept
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/state/fold"
+)
+
+// State says what became of a publish.
+type State string
+
+// The states.
+const (
+	// Accepted means that the change is in the fold of every reader.
+	Accepted State = "accepted"
+	// Rejected means that the change is not in force and never will be, as it is.
+	Rejected State = "rejected"
+	// NotAccepted means that the change is not in force and never will be, as the log took nothing or it is forbidden.
+	NotAccepted State = "notAccepted"
+	// Unknown means that the change may be in force now or later; Settle finds out.
+	Unknown State = "unknown"
+)
+
+// Result is the answer to an operator.
+type Result struct {
+	State    State            `json:"state"`
+	Nonce    string           `json:"nonce"`
+	Revision int64            `json:"revision"` // offset of the record, -1 if there is none
+	Offset   int64            `json:"offset"`   // that the digest belongs to
+	Digest   string           `json:"digest"`   // of the configuration at Offset
+	Message  string           `json:"message,omitempty"`
+	Problems []config.Problem `json:"problems,omitempty"`
+	Lost     *Lost            `json:"lost,omitempty"`
+	Replaced *Replaced        `json:"replaced,omitempty"`
+	Settle   string           `json:"settle,omitempty"` // command that settles an unknown publish
+}
+
+// Replaced is the preset that was in force before a switch.
+type Replaced struct {
+	Name    string    `json:"name"`
+	Author  string    `json:"author"`
+	Since   time.Time `json:"since"`
+	ChoseAt int64     `json:"revision"`
+}
+
+// Lost says who came first.
+type Lost struct {
+	Objects []Contested `json:"objects"`
+}
+
+// Contested is an object that somebody else changed first.
+type Contested struct {
+	Ref         config.Ref          `json:"ref"`
+	Base        int64               `json:"base"`
+	Current     fold.Meta           `json:"current"` // revision config.Absent if it was removed
+	Differences []config.Difference `json:"differences,omitempty"`
+}
+
+// String names the objects, their authors and what differs.
+func (l *Lost) String() string {
+	lines := make([]string, 0, len(l.Objects))
+	for _, o := range l.Objects {
+		lines = append(lines, o.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// String renders the object with one line for each field that differs.
+func (c Contested) String() string {
+	var b strings.Builder
+	switch {
+	case c.Current.Revision == config.Absent:
+		fmt.Fprintf(&b, "%s was removed after revision %d", c.Ref, c.Base)
+	default:
+		at := time.UnixMilli(c.Current.TimeMs).UTC().Format(time.RFC3339)
+		fmt.Fprintf(&b, "%s: %s came first at revision %d (%s), yours is based on %d",
+			c.Ref, c.Current.Author, c.Current.Revision, at, c.Base)
+	}
+	for _, d := range c.Differences {
+		fmt.Fprintf(&b, "\n  %s: yours %s, theirs %s", d.Field, orNone(d.Yours), orNone(d.Theirs))
+	}
+	return b.String()
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "(none)"
+	}
+	return text
+}
+
+// Error is a publish that was not accepted, or of which nothing is known.
+type Error struct {
+	Result Result
+	Cause  error
+}
+
+// Error names the state, the reason and the cause.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("publish %s: %s", e.Result.State, e.Result.Message)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+func sortContested(list []Contested) {
+	slices.SortFunc(list, func(a, b Contested) int { return a.Ref.Compare(b.Ref) })
+}
--- /dev/null
+++ b/internal/state/feed/options.go
@@ -0,0 +1,71 @@
+package feed
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+)
+
+// The defaults of Options.
+const (
+	defaultSilentAfter     = 4 * time.Second
+	defaultMaxBackoff      = 8 * time.Second
+	defaultCallTimeout     = 5 * time.Second
+	defaultSnapshotEvery   = time.Hour
+	defaultSnapshotRecords = 500
+	defaultSnapshotJitter  = 30 * time.Second
+	defaultRingBytes       = 2 << 20
+)
+
+// readLimit bounds one read of the log, in records.
+const readLimit = 256
+
+// Options sets how a feed reads and writes; zero values mean the defaults.
+type Options struct {
+	// Author is the name of the process, written into its snapshots.
+	Author string
+	// Interval between two reads of an active reader.
+	Interval time.Duration
+	// SilentAfter is how old the newest known read of the log may get before a process that is no active reader reads
+	// the log itself.
+	SilentAfter time.Duration
+	// MaxBackoff bounds the wait after failed reads.
+	MaxBackoff time.Duration
+	// CallTimeout bounds one call of the log.
+	CallTimeout time.Duration
+	// SnapshotEvery is the age of the last snapshot at which the next is due; the log must keep records for at least
+	// twice as long.
+	SnapshotEvery time.Duration
+	// SnapshotRecords is how many records may follow the last snapshot before the next is due.
+	SnapshotRecords int64
+	// SnapshotJitter is the longest random wait before a snapshot that is due, so that one reader writes it.
+	SnapshotJitter time.Duration
+	// RingBytes bounds the records kept for peers.
+	RingBytes int
+	// Rand is the source of all jitter; nil means a random seed.
+	Rand *rand.Rand
+}
+
+func (o Options) withDefaults() Options {
+	o.Interval = orDefault(o.Interval, timing.FeedInterval)
+	o.SilentAfter = orDefault(o.SilentAfter, defaultSilentAfter)
+	o.MaxBackoff = orDefault(o.MaxBackoff, defaultMaxBackoff)
+	o.CallTimeout = orDefault(o.CallTimeout, defaultCallTimeout)
+	o.SnapshotEvery = orDefault(o.SnapshotEvery, defaultSnapshotEvery)
+	o.SnapshotRecords = orDefault(o.SnapshotRecords, int64(defaultSnapshotRecords))
+	o.SnapshotJitter = orDefault(o.SnapshotJitter, defaultSnapshotJitter)
+	o.RingBytes = orDefault(o.RingBytes, defaultRingBytes)
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return o
+}
+
+func orDefault[T comparable](v, d T) T {
+	var zero T
+	if v == zero {
+		return d
+	}
+	return v
+}
--- /dev/null
+++ b/internal/state/feed/read.go
@@ -0,0 +1,193 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/state/record"
+	"github.com/ragworthatch/ragworthatch/internal/state/snap"
+)
+
+// maxGaps is how often one poll looks for a snapshot because the log was trimmed meanwhile.
+const maxGaps = 3
+
+// Poll reads the log up to its end, once; callers may poll at the same time.
+func (f *Feed) Poll(ctx context.Context) error {
+	err := f.poll(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil {
+		f.notReady = nil
+		return nil
+	}
+	f.stats.FailedReads++
+	if f.notReady != nil {
+		f.notReady = err
+	}
+	return err
+}
+
+func (f *Feed) poll(ctx context.Context) error {
+	gaps := 0
+	skipped := false
+	for {
+		start := time.Now()
+		from := f.Current().Offset() + 1
+		b, err := f.read(ctx, from, readLimit)
+		if err != nil {
+			return err
+		}
+		if b.Next < from {
+			return fmt.Errorf("the log ends at offset %d, but offset %d has been folded: the log lost records", b.Next-1, from-1)
+		}
+		if b.Oldest > from {
+			gaps++
+			if err := f.restoreFromLog(ctx, b); err != nil || gaps > maxGaps {
+				return errors.Join(gapError(b, from), err)
+			}
+			continue
+		}
+		if !skipped && f.farBehind(b, from) {
+			skipped = true
+			if f.restoreFromLog(ctx, b) == nil {
+				continue
+			}
+		}
+		if f.took(b, start) {
+			return nil
+		}
+	}
+}
+
+func gapError(b logs.Batch, from int64) error {
+	return fmt.Errorf("the log keeps records from offset %d only, and offset %d is needed", b.Oldest, from)
+}
+
+// farBehind says whether a starting feed should look for a snapshot although the log still has all records.
+func (f *Feed) farBehind(b logs.Batch, from int64) bool {
+	return f.Ready() != nil && b.Next-from > 2*f.opt.SnapshotRecords
+}
+
+func (f *Feed) read(ctx context.Context, from int64, limit int) (logs.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.opt.CallTimeout)
+	defer cancel()
+	b, err := f.log.Read(ctx, logs.ConfigStream, from, limit)
+	if err != nil {
+		return logs.Batch{}, err
+	}
+	if b.First != max(from, b.Oldest) && len(b.Records) > 0 {
+		return logs.Batch{}, fmt.Errorf("log answered from offset %d when asked for %d", b.First, from)
+	}
+	return b, nil
+}
+
+// took folds a batch and returns whether the end of the log has been reached.
+func (f *Feed) took(b logs.Batch, start time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.oldest = max(f.oldest, b.Oldest)
+	run := batch{next: f.Current().Offset() + 1}
+	for i, data := range b.Records {
+		if b.First+int64(i) == run.next {
+			run.add(data)
+		}
+	}
+	f.apply(run)
+	if f.Current().Offset()+1 < b.Next {
+		return false
+	}
+	f.lastRead = start
+	if start.After(f.fresh) {
+		f.fresh = start
+	}
+	return true
+}
+
+// restoreFromLog takes over the latest usable snapshot in the log, searching back from its end.
+func (f *Feed) restoreFromLog(ctx context.Context, b logs.Batch) error {
+	unusable := 0
+	for end := b.Next; end > b.Oldest; {
+		first := max(b.Oldest, end-readLimit)
+		records, oldest, err := f.window(ctx, first, end)
+		if err != nil {
+			return err
+		}
+		for i := len(records) - 1; i >= 0; i-- {
+			body, ok := snapshotBody(records[i])
+			if !ok {
+				continue
+			}
+			if body.Offset+1 < oldest {
+				unusable++
+				continue
+			}
+			if f.restoreBody(body) {
+				return nil
+			}
+		}
+		end = first
+	}
+	return fmt.Errorf("no usable snapshot between offsets %d and %d; %d end before the oldest record", b.Oldest, b.Next-1, unusable)
+}
+
+func (f *Feed) restoreBody(body record.SnapshotBody) bool {
+	s, err := snap.Restore(body)
+	if err != nil {
+		f.lg.Warn("snapshot in the log is damaged", zap.Error(err))
+		return false
+	}
+	return f.restore(s, "log")
+}
+
+// window reads the records from first up to end, less those that are trimmed meanwhile.
+func (f *Feed) window(ctx context.Context, first, end int64) ([][]byte, int64, error) {
+	var records [][]byte
+	var oldest int64
+	for at := first; at < end; {
+		b, err := f.read(ctx, at, int(end-at))
+		if err != nil {
+			return nil, 0, err
+		}
+		oldest = b.Oldest
+		if len(b.Records) == 0 {
+			break
+		}
+		records = append(records, b.Records...)
+		at = b.First + int64(len(b.Records))
+	}
+	return records, oldest, nil
+}
+
+func snapshotBody(data []byte) (record.SnapshotBody, bool) {
+	var body record.SnapshotBody
+	r, err := record.Decode(data)
+	if err != nil || r.Kind != record.Snapshot {
+		return body, false
+	}
+	return body, record.Strict(r.Payload, &body) == nil
+}
+
+// ReadTo reads the log until the state covers an offset, or until ctx ends.
+func (f *Feed) ReadTo(ctx context.Context, offset int64) error {
+	for {
+		changed := f.Changed()
+		if f.Current().Offset() >= offset {
+			return nil
+		}
+		err := f.Poll(ctx)
+		if f.Current().Offset() >= offset {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-changed:
+		case <-time.After(f.opt.Interval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/feed/ring.go
@@ -0,0 +1,42 @@
+package feed
+
+// ring keeps the last records, contiguous, up to a number of bytes.
+type ring struct {
+	first    int64 // offset of records[0]
+	records  [][]byte
+	bytes    int
+	maxBytes int
+}
+
+func (r *ring) reset(first int64) {
+	r.first = first
+	r.records = nil
+	r.bytes = 0
+}
+
+func (r *ring) add(record []byte) {
+	r.records = append(r.records, record)
+	r.bytes += len(record)
+	for r.bytes > r.maxBytes && len(r.records) > 0 {
+		r.bytes -= len(r.records[0])
+		r.records[0] = nil
+		r.records = r.records[1:]
+		r.first++
+	}
+}
+
+// since returns up to limit records after an offset; false means that some of them are gone.
+func (r *ring) since(offset int64, limit int) ([]int64, [][]byte, bool) {
+	from := offset + 1
+	end := r.first + int64(len(r.records))
+	if from < r.first {
+		return nil, nil, false
+	}
+	var offsets []int64
+	var records [][]byte
+	for at := from; at < end && len(records) < limit; at++ {
+		offsets = append(offsets, at)
+		records = append(records, r.records[at-r.first])
+	}
+	return offsets, records, true
+}
--- /dev/null
+++ b/internal/state/fold/reject.go
@@ -0,0 +1,77 @@
+package fold
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+)
+
+// Code says why a record was rejected.
+type Code string
+
+// The codes.
+const (
+	Corrupt     Code = "corrupt"     // checksum does not match
+	Cut         Code = "cut"         // the end is missing
+	NewerFormat Code = "newerFormat" // written by a newer program
+	Malformed   Code = "malformed"   // cannot be understood
+	Conflict    Code = "conflict"    // based on a revision that is not current
+	Invalid     Code = "invalid"     // would make the configuration invalid
+	Duplicate   Code = "duplicate"   // its nonce has been decided before
+	Stale       Code = "stale"       // its author's view is older than the decisions kept
+	Voided      Code = "voided"      // forbidden before it came
+	Settled     Code = "settled"     // a void that came after the record it was to forbid
+	OutOfOrder  Code = "outOfOrder"  // not the next offset; the state has not advanced
+)
+
+// Rejection is a record that did not change the configuration.
+type Rejection struct {
+	Offset    int64            `json:"offset"`
+	Code      Code             `json:"code"`
+	Nonce     string           `json:"nonce,omitempty"`
+	Author    string           `json:"author,omitempty"`
+	Message   string           `json:"message"`
+	Problems  []config.Problem `json:"problems,omitempty"`
+	Conflicts []Mismatch       `json:"conflicts,omitempty"`
+}
+
+// Mismatch is an object whose base revision is not current.
+type Mismatch struct {
+	Ref     config.Ref `json:"ref"`
+	Base    int64      `json:"base"`
+	Current Meta       `json:"current"` // revision Absent if the object does not exist
+}
+
+// Error renders the rejection on one line.
+func (r *Rejection) Error() string {
+	return fmt.Sprintf("record at offset %d rejected (%s): %s", r.Offset, r.Code, r.Message)
+}
+
+func invalid(problems []config.Problem) *Rejection {
+	return &Rejection{Code: Invalid, Message: problems[0].String(), Problems: problems}
+}
+
+func malformed(format string, args ...any) *Rejection {
+	return &Rejection{Code: Malformed, Message: fmt.Sprintf(format, args...)}
+}
+
+func conflict(list []Mismatch) *Rejection {
+	parts := make([]string, 0, len(list))
+	for _, m := range list {
+		parts = append(parts, m.String())
+	}
+	return &Rejection{Code: Conflict, Message: strings.Join(parts, "; "), Conflicts: list}
+}
+
+// String says which revision was expected and which is current.
+func (m Mismatch) String() string {
+	switch {
+	case m.Current.Revision == config.Absent:
+		return fmt.Sprintf("%s does not exist, but the change is based on revision %d", m.Ref, m.Base)
+	case m.Base == config.Absent:
+		return fmt.Sprintf("%s exists already, set by %s at revision %d", m.Ref, m.Current.Author, m.Current.Revision)
+	}
+	return fmt.Sprintf("%s is at revision %d, set by %s, but the change is based on revision %d",
+		m.Ref, m.Current.Revision, m.Current.Author, m.Base)
+}
--- /dev/null
+++ b/internal/state/record/doc.go
@@ -0,0 +1,2 @@
+// Package record encodes and decodes the records of the configuration stream.
+package record
--- /dev/null
+++ b/internal/state/snap/doc.go
@@ -0,0 +1,2 @@
+// Package snap encodes a whole state as one compressed body and restores it.
+package snap
--- /dev/null
+++ b/internal/state/snap/snap.go
@@ -0,0 +1,87 @@
+package snap
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/ragworthatch/ragworthatch/internal/state/fold"
+	"github.com/ragworthatch/ragworthatch/internal/state/record"
+)
+
+// maxStateBytes bounds a state before compression.
+const maxStateBytes = 64 << 20
+
+// Body returns the payload of a snapshot record.
+func Body(s *fold.State) (record.SnapshotBody, error) {
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	if err := json.NewEncoder(z).Encode(s.Image()); err != nil {
+		return record.SnapshotBody{}, fmt.Errorf("encode the state at offset %d: %w", s.Offset(), err)
+	}
+	if err := z.Close(); err != nil {
+		return record.SnapshotBody{}, fmt.Errorf("compress the state at offset %d: %w", s.Offset(), err)
+	}
+	return record.SnapshotBody{
+		Offset:   s.Offset(),
+		Revision: s.Revision(),
+		Digest:   s.Digest(),
+		State:    packed.Bytes(),
+	}, nil
+}
+
+// Encode returns the body as JSON, for peers.
+func Encode(s *fold.State) ([]byte, error) {
+	body, err := Body(s)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(body)
+}
+
+// Decode restores what Encode wrote, and refuses it unless offset, revision and digest fit.
+func Decode(data []byte) (*fold.State, error) {
+	var body record.SnapshotBody
+	if err := record.Strict(data, &body); err != nil {
+		return nil, fmt.Errorf("decode a snapshot: %w", err)
+	}
+	return Restore(body)
+}
+
+// Restore rebuilds the state in a payload, and refuses it unless offset, revision and digest fit.
+func Restore(body record.SnapshotBody) (*fold.State, error) {
+	im, err := unpack(body.State)
+	if err != nil {
+		return nil, fmt.Errorf("unpack the snapshot at offset %d: %w", body.Offset, err)
+	}
+	s, err := fold.FromImage(im)
+	if err != nil {
+		return nil, err
+	}
+	if s.Offset() != body.Offset || s.Revision() != body.Revision || s.Digest() != body.Digest {
+		return nil, fmt.Errorf("snapshot says offset %d, revision %d, digest %.12s; it holds %d, %d, %.12s",
+			body.Offset, body.Revision, body.Digest, s.Offset(), s.Revision(), s.Digest())
+	}
+	return s, nil
+}
+
+func unpack(packed []byte) (fold.Image, error) {
+	z, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return fold.Image{}, err
+	}
+	data, err := io.ReadAll(io.LimitReader(z, maxStateBytes+1))
+	if err != nil {
+		return fold.Image{}, err
+	}
+	if len(data) > maxStateBytes {
+		return fold.Image{}, fmt.Errorf("state is over %d bytes", maxStateBytes)
+	}
+	var im fold.Image
+	if err := record.Strict(data, &im); err != nil {
+		return fold.Image{}, err
+	}
+	return im, nil
+}
