Start a side from its settings, and fix the operators' HTTP messages

A side learns its pool from an entry before it asks the log; internal/oper/admin holds the paths and messages that an entry serves and the commands call.

--- /dev/null
+++ b/internal/oper/admin/client.go
@@ -0,0 +1,102 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+// maxAnswer bounds an answer, in bytes.
+const maxAnswer = 64 << 20
+
+// Client calls the operators' interface of one entry.
+type Client struct {
+	entry string
+	token string
+}
+
+// New returns a client of the entry at an IP:port address.
+func New(entry, token string) *Client { return &Client{entry: entry, token: token} }
+
+// Get decodes the answer to a GET into out; a refusal by the entry is a *fault.Error.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	return c.do(ctx, http.MethodGet, path, nil, out)
+}
+
+// Post sends in as JSON and decodes the answer into out; a refusal by the entry is a *fault.Error.
+func (c *Client) Post(ctx context.Context, path string, in, out any) error {
+	data, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return c.do(ctx, http.MethodPost, path, data, out)
+}
+
+// OutcomePath is the path of one action; empty team and service ask about all.
+func OutcomePath(key, team, service string) string {
+	query := url.Values{}
+	if team != "" {
+		query.Set("team", team)
+	}
+	if service != "" {
+		query.Set("service", service)
+	}
+	path := strings.Replace(PathOutcome, ":key", url.PathEscape(key), 1)
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return path
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.entry+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := httpc.DoRequest(req)
+	if err != nil {
+		return fmt.Errorf("entry %s: %w", c.entry, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("entry %s: %w", c.entry, err)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return refusal(resp.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("entry %s: malformed answer: %w", c.entry, err)
+	}
+	return nil
+}
+
+// problem is the body of a refused call.
+type problem struct {
+	Error struct {
+		Verdict fault.Verdict `json:"verdict"`
+		Code    fault.Code    `json:"code"`
+		Message string        `json:"message"`
+	} `json:"error"`
+}
+
+func refusal(status int, data []byte) error {
+	var p problem
+	if json.Unmarshal(data, &p) != nil || p.Error.Message == "" {
+		return fmt.Errorf("entry answered with status %d", status)
+	}
+	return fault.New(p.Error.Verdict, p.Error.Code, "%s", p.Error.Message)
+}
--- /dev/null
+++ b/internal/side/boot/doc.go
@@ -0,0 +1,2 @@
+// Package boot starts and stops a side process from its settings.
+package boot
--- /dev/null
+++ b/internal/side/boot/side.go
@@ -0,0 +1,138 @@
+package boot
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/oper/setup"
+	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upcl"
+	"github.com/ragworthatch/ragworthatch/internal/side/serve"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+const (
+	// maxMessage bounds a call, in bytes.
+	maxMessage = 16 << 20
+	// lingerAfterDrain lets the watching entries learn of the drain.
+	lingerAfterDrain = timing.LeavingBound
+)
+
+// Side is one side process.
+type Side struct {
+	settings setup.Side
+	log      logs.Service
+	hosts    hosts.List
+	zap      *zap.Logger
+	listener net.Listener
+	server   *serve.Server
+	grpc     *grpc.Server
+}
+
+// New listens on the side's address; nothing is served before Run.
+func New(settings setup.Side, log *zap.Logger) (*Side, error) {
+	l, err := net.Listen("tcp", settings.GRPC)
+	if err != nil {
+		return nil, fmt.Errorf("grpc address %s: %w", settings.GRPC, err)
+	}
+	return &Side{
+		settings: settings,
+		log:      logcl.New(settings.Log),
+		hosts:    hostcl.New(settings.HostList),
+		zap:      log.With(zap.String("side", settings.Name), zap.String("pool", settings.Pool)),
+		listener: l,
+	}, nil
+}
+
+// Address is the address that the side listens on.
+func (s *Side) Address() string { return s.listener.Addr().String() }
+
+// Run serves until stop ends and the calls in flight are done, or until kill ends, which cuts them.
+func (s *Side) Run(stop, kill context.Context) error {
+	defer s.listener.Close()
+	if err := s.start(stop); err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(kill)
+	defer cancel()
+	go s.server.Run(background)
+	go s.drainOn(stop, background)
+	go s.stopWhenDrained(background)
+	s.zap.Info("side serves", zap.String("address", s.Address()))
+	if err := s.grpc.Serve(s.listener); err != nil {
+		return fmt.Errorf("grpc server: %w", err)
+	}
+	return nil
+}
+
+func (s *Side) start(ctx context.Context) error {
+	spec, err := s.learnPool(ctx)
+	if err != nil {
+		return err
+	}
+	if s.server, err = serve.New(s.options(spec)); err != nil {
+		return err
+	}
+	s.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: timing.KeepaliveInterval, Timeout: timing.KeepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             timing.KeepaliveInterval / 2,
+			PermitWithoutStream: true,
+		}),
+	)
+	sidepb.RegisterSideServer(s.grpc, s.server)
+	return nil
+}
+
+func (s *Side) options(spec pool.Spec) serve.Options {
+	silent := time.Duration(spec.SilentMs) * time.Millisecond
+	out := serve.Options{
+		Upstream:    upcl.New(s.settings.Upstream, silent),
+		Log:         s.log,
+		Pool:        spec,
+		Name:        s.settings.Name,
+		Zone:        s.settings.Zone,
+		Incarnation: uuid.NewString(),
+		Zap:         s.zap,
+	}
+	if spec.Kind == pool.Engine {
+		out.Engine = runcl.New(s.settings.Upstream)
+	}
+	return out
+}
+
+// drainOn starts a drain when the process is told to stop.
+func (s *Side) drainOn(stop, ended context.Context) {
+	select {
+	case <-stop.Done():
+		_, _ = s.server.Drain(ended, &sidepb.DrainRequest{Author: s.settings.Name, Reason: "the process is told to stop"})
+	case <-ended.Done():
+	}
+}
+
+// stopWhenDrained closes the server once a drain is over, by signal or by an operator.
+func (s *Side) stopWhenDrained(ended context.Context) {
+	select {
+	case <-s.server.Drained():
+		select {
+		case <-time.After(lingerAfterDrain):
+		case <-ended.Done():
+		}
+	case <-ended.Done():
+	}
+	s.grpc.Stop()
+}
