--- /dev/null
+++ b/internal/entry/node/control.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/front"
+	"github.com/ragworthatch/ragworthatch/internal/entry/index"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+// control is the goroutine that publishes what traffic reads.
+func (n *Node) control(ctx context.Context) {
+	for {
+		changed := n.feed.Changed()
+		n.publish()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-n.views:
+		}
+	}
+}
+
+// publish indexes a new configuration and gives the router a new snapshot.
+func (n *Node) publish() {
+	state := n.feed.Current()
+	if ix := n.index.Load(); ix.Revision != state.Revision() {
+		next := index.New(state.Config(), state.Revision())
+		n.index.Update(func(*index.Index) *index.Index { return next })
+	}
+	preset, _ := n.index.Load().Set.Preset()
+	n.router.Update(n.links.View(), preset.MaintenanceZones)
+}
+
+// poke tells the control goroutine of a new view; one that it has not seen yet is enough.
+func (n *Node) poke() {
+	select {
+	case n.views <- struct{}{}:
+	default:
+	}
+}
+
+// ready returns why the entry can't take requests.
+func (n *Node) ready() *fault.Error {
+	if err := n.feed.Ready(); err != nil {
+		return fault.New(fault.NotRun, fault.NotReady, "no configuration").WithCause(err).WithRetryAfter(time.Second)
+	}
+	if _, ok := n.index.Load().Set.Preset(); !ok {
+		return fault.New(fault.NotRun, fault.NotReady, "no preset is in force").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// Attempt counts the cost of an attempt.
+func (n *Node) Attempt(job.Request, exec.Cost) {}
+
+// Crashed records what was in flight when an upstream died.
+func (n *Node) Crashed(c exec.Crash) {
+	crash := mark.Crash{ID: c.ID, InFlight: int(c.InFlight)}
+	n.marks.Update(func(s *mark.Set) *mark.Set { return s.WithCrash(time.Now(), crash, c.Fingerprint) })
+}
+
+// Finished counts a finished request.
+func (n *Node) Finished(front.Record) {}
--- /dev/null
+++ b/internal/entry/node/doc.go
@@ -0,0 +1,3 @@
+// Package node puts an entry together: configuration, connections, routing,
+// admission and the HTTP interface.
+package node
--- /dev/null
+++ b/internal/entry/policy/doc.go
@@ -0,0 +1,2 @@
+// Package policy decides about estimates, retries and hedges for the executor.
+package policy
--- /dev/null
+++ b/internal/entry/query/doc.go
@@ -0,0 +1,2 @@
+// Package query asks sides what the log records of an action.
+package query
--- /dev/null
+++ b/internal/entry/query/query.go
@@ -0,0 +1,114 @@
+package query
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/front"
+	"github.com/ragworthatch/ragworthatch/internal/entry/index"
+	"github.com/ragworthatch/ragworthatch/internal/entry/target"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+const (
+	askTimeout = 2 * time.Second
+	maxAsked   = 3         // sides asked about one service
+	unknown    = "unknown" // state of a key that no record names
+)
+
+// Query implements front.Outcomes.
+type Query struct {
+	index  func() *index.Index
+	router target.Router
+}
+
+// New returns a query over the configuration in force.
+func New(ix func() *index.Index, r target.Router) *Query { return &Query{index: ix, router: r} }
+
+// Outcome asks about a team's key on one service, or on all with an empty service.
+func (q *Query) Outcome(ctx context.Context, team, service, key string) (front.Outcome, *fault.Error) {
+	services := q.services()
+	if service != "" {
+		if !slices.Contains(services, service) {
+			return front.Outcome{}, fault.New(fault.NotRun, fault.NotFound, "there is no service %q", service)
+		}
+		services = []string{service}
+	}
+	out := front.Outcome{Key: key, State: unknown, Verdict: fault.NotRun}
+	for _, name := range services {
+		found, err := q.one(ctx, name, func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error) {
+			return side.Outcome(ctx, &sidepb.OutcomeRequest{Team: team, Service: name, Key: key})
+		})
+		if err != nil {
+			return front.Outcome{}, err
+		}
+		if found.GetState() != unknown {
+			return outcome(key, name, found), nil
+		}
+		out.Service = name
+		out.Verdict = fault.Verdict(found.GetVerdict())
+	}
+	return out, nil
+}
+
+// Settle records an operator's decision about an action.
+func (q *Query) Settle(ctx context.Context, req *sidepb.SettleRequest) (front.Outcome, *fault.Error) {
+	found, err := q.one(ctx, req.GetService(), func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error) {
+		return side.Settle(ctx, req)
+	})
+	if err != nil {
+		return front.Outcome{}, err
+	}
+	return outcome(req.GetKey(), req.GetService(), found), nil
+}
+
+// ask is one question to a side.
+type ask func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error)
+
+// one asks the sides of a service until one answers.
+func (q *Query) one(ctx context.Context, service string, f ask) (*sidepb.OutcomeReply, *fault.Error) {
+	var avoid []string
+	var last error
+	for range maxAsked {
+		t, err := q.router.Route(target.Query{Request: "outcome", Stage: "outcome", Pool: service, Avoid: avoid})
+		if err != nil {
+			return nil, fault.From(err)
+		}
+		avoid = append(avoid, t.Name)
+		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		reply, err := f(askCtx, t.Side)
+		cancel()
+		t.Done(target.Report{})
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+	}
+	return nil, fault.New(fault.MayHaveRun, fault.Transport, "no side of service %q tells the outcome", service).WithCause(last)
+}
+
+func (q *Query) services() []string {
+	var out []string
+	for name, p := range q.index().Set.Pools {
+		if p.Kind == pool.Service {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func outcome(key, service string, r *sidepb.OutcomeReply) front.Outcome {
+	return front.Outcome{
+		Key:     key,
+		Service: service,
+		State:   r.GetState(),
+		Verdict: fault.Verdict(r.GetVerdict()),
+		Answer:  r.GetAnswer(),
+		Author:  r.GetAuthor(),
+		Reason:  r.GetReason(),
+	}
+}
