Claim actions on the service's stream before they run

An action must run at most once whatever fails. A side appends a claim, reads to its own offset and runs only if its claim holds; outcome, release and settlement follow on the same stream. Records are committed in groups. Calls that have nothing to send get heartbeat frames, and crashes carry a name.

--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -103,6 +103,14 @@
 	p.gate.pump()
 }
 
+// Abandon ends the call without a result, as one that was not sent.
+func (p Pass) Abandon() {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.gate.sched.Abandon(p.job)
+	p.gate.pump()
+}
+
 func (g *Gate) leave(job *sched.Job[chan error]) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/side/flight/flight.go
+++ b/internal/side/flight/flight.go
@@ -14,7 +14,7 @@
 const (
 	queued     state = "queued"
 	dispatched state = "dispatched"
-	finished   state = "finished"  // ended after dispatch
+	finished   state = "finished"  // ended, and may have run here or elsewhere
 	forbidden  state = "forbidden" // never dispatched, never will be
 )
 
@@ -38,7 +38,7 @@
 		return false
 	}
 	f.state = dispatched
-	f.epoch = t.epoch
+	f.epoch = t.crash.Number
 	t.queued--
 	t.running++
 	return true
@@ -56,6 +56,17 @@
 	return f.state == forbidden
 }
 
+// Doubt ends an attempt that was not dispatched here, but whose action may have run elsewhere.
+func (f *Flight) Doubt() {
+	t := f.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.state == queued {
+		t.queued--
+		f.state = finished
+	}
+}
+
 // Finish ends the attempt, however far it came.
 func (f *Flight) Finish() {
 	if f.Forbid() {
@@ -77,18 +88,21 @@
 	return f.canceled
 }
 
-// Crashed records that the upstream broke under the attempt and returns how many were in flight then.
-func (f *Flight) Crashed() int {
+// Crash is one crash of the upstream.
+type Crash struct {
+	Number   uint64 // counts the crashes of this incarnation from 1
+	InFlight int    // attempts that were in flight
+}
+
+// Crashed records that the upstream broke under the attempt; all attempts in flight share one crash.
+func (f *Flight) Crashed() Crash {
 	t := f.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if f.epoch < t.epoch {
-		// The crash was already counted by another attempt that was in flight with this one.
-		return max(t.crowd, t.running)
+	if f.epoch == t.crash.Number {
+		t.crash = Crash{Number: t.crash.Number + 1, InFlight: t.running}
 	}
-	t.epoch++
-	t.crowd = t.running
-	return t.crowd
+	return t.crash
 }
 
 func (f *Flight) active() bool { return f.state == queued || f.state == dispatched }
--- a/internal/side/flight/table.go
+++ b/internal/side/flight/table.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 )
@@ -19,8 +17,7 @@
 	horizon time.Time // mint time of the youngest request that was forgotten
 	queued  int
 	running int
-	epoch   uint64 // number of upstream crashes seen
-	crowd   int    // attempts in flight at the latest crash
+	crash   Crash // the latest
 }
 
 // New returns an empty table of at most max attempts.
@@ -82,7 +79,7 @@
 			continue
 		}
 		delete(t.flights, id)
-		if minted, ok := mintTime(id.Request); ok && minted.After(t.horizon) {
+		if minted, ok := ident.MintTime(id.Request); ok && minted.After(t.horizon) {
 			t.horizon = minted
 		}
 	}
@@ -123,16 +120,6 @@
 
 // forgotten says whether an unknown attempt may be one that Sweep dropped.
 func (t *Table) forgotten(id ident.Attempt) bool {
-	minted, ok := mintTime(id.Request)
+	minted, ok := ident.MintTime(id.Request)
 	return ok && !minted.After(t.horizon)
 }
-
-// mintTime reads the time in a UUIDv7; requests with other identities are covered by time alone.
-func mintTime(request string) (time.Time, bool) {
-	id, err := uuid.Parse(request)
-	if err != nil || id.Version() != 7 {
-		return time.Time{}, false
-	}
-	ms := int64(id[0])<<40 | int64(id[1])<<32 | int64(id[2])<<24 | int64(id[3])<<16 | int64(id[4])<<8 | int64(id[5])
-	return time.UnixMilli(ms), true
-}
--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/fake/inmem"
 	"github.com/ragworthatch/ragworthatch/internal/fake/worker"
+	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
@@ -103,7 +104,7 @@
 func TestQueuedCallIsCanceledAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		b := newBench(t, Options{Gate: newSemaphore(1)}, slow(time.Second))
+		b := newBench(t, Options{Gate: gate.New(gate.Options{Ceiling: 1})}, slow(time.Second))
 		first, second := make(chan got), make(chan got)
 		go func() { first <- b.call(request("r1", "")) }()
 		synctest.Wait()
--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -9,8 +9,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
@@ -33,6 +35,8 @@
 	id       ident.Attempt
 	ctx      context.Context
 	stop     context.CancelFunc
+	work     context.Context // bounds the upstream's work
+	release  context.CancelFunc
 	arrived  time.Time
 	deadline time.Time
 	flight   *flight.Flight
@@ -59,12 +63,14 @@
 		cost:     &sidepb.Cost{},
 	}
 	c.ctx, c.stop = context.WithTimeout(ctx, remaining)
+	c.work, c.release = c.ctx, func() {}
 	f, err := s.flights.Begin(c.id, c.deadline.Add(timing.ClockSkew), c.stop)
 	if err != nil {
 		c.stop()
 		return nil, err
 	}
 	c.flight = f
+	r.beat(c.ctx)
 	return c, nil
 }
 
@@ -90,50 +96,60 @@
 // end releases what the call holds.
 func (c *call) end() {
 	c.flight.Finish()
+	c.reply.close()
+	c.release()
 	c.stop()
 }
 
 // run takes the call through admission to its last frame.
 func (c *call) run() error {
+	if c.req.GetAction() != nil && !c.req.GetRepeatable() {
+		return c.act()
+	}
 	pass, err := c.admit()
 	if err != nil {
 		return c.giveUp(err)
 	}
 	err = c.dispatch()
-	pass.Done(Result{Latency: c.latency(), Failed: isUpstreamFault(err)})
-	if err == nil {
+	pass.Done(gate.Result{Latency: c.latency(), Failed: isUpstreamFault(err)})
+	return c.finish(err)
+}
+
+// finish sends the last frame.
+func (c *call) finish(err error) error {
+	switch {
+	case err == nil:
 		c.s.counters.whole.Add(1)
 		c.s.health.observe(c.latency())
 		return c.reply.whole(c.cost, false)
-	}
-	if c.sent.IsZero() {
+	case c.sent.IsZero():
 		return c.giveUp(err)
 	}
 	return c.fail(err)
 }
 
 // admit waits for the gate.
-func (c *call) admit() (Pass, error) {
+func (c *call) admit() (gate.Pass, error) {
 	s := c.s
-	pass, err := s.opts.Gate.Enter(c.ctx, Ticket{
+	pass, err := s.opts.Gate.Enter(c.ctx, gate.Ticket{
 		Team:      c.req.GetTeam(),
 		Weight:    c.req.GetWeight(),
-		SizeClass: c.req.GetSizeClass(),
+		SizeClass: pipe.SizeClass(c.req.GetSizeClass()),
 		Remaining: c.remaining(),
 		After:     time.Duration(c.req.GetEstimateMs()) * time.Millisecond,
 		Priority:  c.req.GetPriority(),
 		Alone:     c.req.GetAlone(),
 	})
 	if err != nil {
-		return nil, err
+		return pass, err
 	}
 	s.counters.admitted.Add(1)
 	s.opts.Zap.Info("admit",
 		zap.Stringer("attempt", c.id),
 		zap.String("team", c.req.GetTeam()),
-		zap.Duration("queued", s.opts.Now().Sub(c.arrived)),
+		zap.Duration("queued", pass.Waited()),
 		zap.Int("running", s.flights.Running()),
-		zap.Int("limit", s.opts.Gate.Limit()),
+		zap.Int("limit", s.opts.Gate.Load().Limit),
 		zap.Bool("alone", c.req.GetAlone()))
 	return pass, nil
 }
@@ -148,6 +164,7 @@
 	}
 	c.sent = c.s.opts.Now()
 	c.s.counters.dispatched.Add(1)
+	c.detach()
 	if err := c.reply.started(c.sent.Sub(c.arrived)); err != nil {
 		return &upstr.Error{Op: "call", NotSent: true, Cause: errNoCaller}
 	}
@@ -162,7 +179,7 @@
 			return err
 		}
 		c.s.counters.silences.Add(1)
-		alive := c.s.ping(c.ctx)
+		alive := c.s.ping(c.work)
 		again := alive && c.req.GetRepeatable() && c.reply.chunks == 0 && c.reruns < maxReruns
 		c.s.opts.Zap.Info("silent",
 			zap.Stringer("attempt", c.id),
@@ -177,7 +194,7 @@
 }
 
 func (c *call) relayOnce(run int) error {
-	ctx, cancel := context.WithCancelCause(c.ctx)
+	ctx, cancel := context.WithCancelCause(c.work)
 	defer cancel(nil)
 	id := c.upstreamID(run)
 	stream, err := c.open(ctx, cancel, id)
@@ -196,7 +213,7 @@
 			return err
 		}
 		c.account(e)
-		if err := c.reply.chunk(e.Data); err != nil {
+		if err := c.pass(e.Data); err != nil {
 			return err
 		}
 	}
@@ -232,12 +249,15 @@
 	c.cost.RunnerMs = c.latency().Milliseconds()
 }
 
-// giveUp ends a call before dispatch.
+// giveUp ends a call that this side did not dispatch; what it remembers of it agrees with the verdict.
 func (c *call) giveUp(err error) error {
 	f := beforeDispatch(err)
-	if !c.flight.Forbid() {
+	if f.Verdict == fault.NotRun && !c.flight.Forbid() {
 		f = f.WithVerdict(fault.MayHaveRun)
 	}
+	if f.Verdict != fault.NotRun {
+		c.flight.Doubt()
+	}
 	return c.s.refuse(c.reply, f)
 }
 
@@ -248,9 +268,9 @@
 		// The run on the silent connection may have happened, whatever became of this one.
 		f = f.WithVerdict(fault.MayHaveRun)
 	}
-	crowd := 0
+	var crash flight.Crash
 	if f.Code == fault.Crashed {
-		crowd = c.flight.Crashed()
+		crash = c.flight.Crashed()
 		c.s.counters.crashes.Add(1)
 		c.s.setHealthy(false)
 	}
@@ -260,9 +280,9 @@
 		zap.Stringer("attempt", c.id),
 		zap.String("verdict", string(f.Verdict)),
 		zap.String("code", string(f.Code)),
-		zap.Int("inFlight", crowd),
+		zap.Int("inFlight", crash.InFlight),
 		zap.Error(err))
-	return c.reply.failure(f, crowd, c.cost)
+	return c.reply.failure(f, c.s.crashID(crash), uint32(crash.InFlight), c.cost)
 }
 
 func (c *call) remaining() time.Duration { return c.deadline.Sub(c.s.opts.Now()) }
--- a/internal/side/serve/call_test.go
+++ b/internal/side/serve/call_test.go
@@ -103,12 +103,15 @@
 	node   *inmem.Node
 	server *Server
 	worker *worker.Worker
+	stop   func()
 }
 
 func newBench(t *testing.T, o Options, plan func(upstr.Call) worker.Plan) *bench {
 	w := worker.New(plan)
 	o.Upstream = w
-	o.Incarnation = "i1"
+	if o.Incarnation == "" {
+		o.Incarnation = "i1"
+	}
 	s, err := New(o)
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -119,12 +122,13 @@
 	}()
 	n := inmem.NewNode()
 	n.Start(s)
-	t.Cleanup(func() {
+	stop := func() {
 		cancel()
 		n.Kill()
 		<-done
-	})
-	return &bench{t: t, node: n, server: s, worker: w}
+	}
+	t.Cleanup(stop)
+	return &bench{t: t, node: n, server: s, worker: w, stop: stop}
 }
 
 // got is what a caller saw of a call.
--- a/internal/side/serve/drain.go
+++ b/internal/side/serve/drain.go
@@ -3,22 +3,29 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
+const flushBound = 30 * time.Second // for the records that wait for the log at the end of a drain
+
 // drain counts the calls inside and closes the door on new ones.
 type drain struct {
 	mu       sync.Mutex
 	inside   int
 	draining bool
-	empty    chan struct{}
+	empty    chan struct{} // closed when the last call has left
+	done     chan struct{} // closed when the drain is over
 	once     sync.Once
 }
 
-func (d *drain) init() { d.empty = make(chan struct{}) }
+func (d *drain) init() {
+	d.empty = make(chan struct{})
+	d.done = make(chan struct{})
+}
 
 func (d *drain) enter() bool {
 	d.mu.Lock()
@@ -69,7 +76,23 @@
 	return &sidepb.DrainReply{InFlight: uint32(n)}, nil
 }
 
-// Drained is closed when a drain has been asked for and no call is in flight any more.
-func (s *Server) Drained() <-chan struct{} { return s.drain.empty }
+// Drained is closed when a drain has been asked for, no call is in flight any more
+// and what became of the actions is in the log.
+func (s *Server) Drained() <-chan struct{} { return s.drain.done }
 
-func (s *Server) leave() { s.drain.leave() }
+// drained waits for the end of a drain; a log that stays down holds it up for flushBound only.
+func (s *Server) drained(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.drain.empty:
+	}
+	if s.window != nil {
+		flush, cancel := context.WithTimeout(ctx, flushBound)
+		defer cancel()
+		if err := s.window.Flush(flush); err != nil {
+			s.opts.Zap.Warn("flush", zap.Int64("pending", s.window.Counts().Pending), zap.Error(err))
+		}
+	}
+	close(s.drain.done)
+}
--- a/internal/side/serve/options.go
+++ b/internal/side/serve/options.go
@@ -1,24 +1,24 @@
 package serve
 
 import (
-	"context"
 	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
 	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
 )
 
-// Options are what a side needs; Engine and Gate may be nil.
+// Options are what a side needs; Engine may be nil, and a nil Gate limits calls by the pool's bounds.
 type Options struct {
 	Upstream    upstr.Upstream
 	Log         logs.Service // needed by pools that run actions
 	Engine      runner.Engine
-	Gate        Gate
+	Gate        *gate.Gate
 	Pool        pool.Spec
 	Name        string // of the upstream
 	Zone        string
@@ -27,40 +27,7 @@
 	Zap         *zap.Logger
 }
 
-// Ticket is what admission is decided by.
-type Ticket struct {
-	Team      string
-	Weight    float64
-	SizeClass string
-	Remaining time.Duration // until the request's deadline
-	After     time.Duration // expected of the stages after this one
-	Priority  uint32
-	Alone     bool
-}
-
-// Result is what a finished call tells the gate.
-type Result struct {
-	Latency time.Duration
-	Failed  bool
-}
-
-// Pass is held by an admitted call.
-type Pass interface {
-	Done(Result)
-}
-
-// Gate admits calls to the upstream.
-type Gate interface {
-	// Enter waits for admission; an error is a *fault.Error with the verdict NotRun.
-	Enter(ctx context.Context, t Ticket) (Pass, error)
-	// Limit is how many calls may run at the same time.
-	Limit() int
-}
-
-const (
-	defaultConcurrency = 16
-	defaultSilent      = 5 * time.Second
-)
+const defaultSilent = 5 * time.Second
 
 func (o Options) withDefaults() (Options, error) {
 	if o.Upstream == nil {
@@ -79,7 +46,7 @@
 		o.Zap = zap.NewNop()
 	}
 	if o.Gate == nil {
-		o.Gate = newSemaphore(max(o.Pool.MaxConcurrency, defaultConcurrency))
+		o.Gate = gate.New(gate.Options{Floor: o.Pool.MinConcurrency, Ceiling: o.Pool.MaxConcurrency})
 	}
 	return o, nil
 }
--- /dev/null
+++ b/internal/side/serve/outcome.go
@@ -0,0 +1,122 @@
+package serve
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/state/claim"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// States of an action that are not those of its claim.
+const (
+	unknownState = "unknown"
+	lostState    = "mayHaveRun"
+)
+
+// Outcome tells what the action stream records about a key.
+func (s *Server) Outcome(ctx context.Context, req *sidepb.OutcomeRequest) (*sidepb.OutcomeReply, error) {
+	k, err := s.keyOf(req.GetTeam(), req.GetService(), req.GetKey())
+	if err != nil {
+		return nil, err
+	}
+	e, known, err := s.window.Look(ctx, k)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return s.outcomeReply(ctx, e, known)
+}
+
+// Settle records an operator's decision about an action whose outcome is unknown.
+func (s *Server) Settle(ctx context.Context, req *sidepb.SettleRequest) (*sidepb.OutcomeReply, error) {
+	k, err := s.keyOf(req.GetTeam(), req.GetService(), req.GetKey())
+	if err != nil {
+		return nil, err
+	}
+	v := fault.Verdict(req.GetVerdict())
+	if v != fault.Ran && v != fault.NotRun {
+		return nil, status.Errorf(codes.InvalidArgument, "verdict %q is not %s or %s", v, fault.Ran, fault.NotRun)
+	}
+	if req.GetAuthor() == "" || req.GetReason() == "" {
+		return nil, status.Error(codes.InvalidArgument, "settlement needs an author and a reason")
+	}
+	e, known, err := s.window.Look(ctx, k)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	if !known || !s.settleable(e) {
+		return nil, status.Errorf(codes.FailedPrecondition, "action is not in doubt: %s", s.stateName(e, known))
+	}
+	e, err = s.window.Settle(ctx, k, e, v, req.GetAuthor(), req.GetReason())
+	if err != nil {
+		return nil, status.Errorf(codes.Unavailable, "settlement may or may not take effect: %v", err)
+	}
+	s.opts.Zap.Info("settle",
+		zap.String("key", k.Key),
+		zap.String("verdict", string(e.Verdict)),
+		zap.String("author", e.Author),
+		zap.String("reason", e.Reason))
+	return s.outcomeReply(ctx, e, true)
+}
+
+// settleable says whether an action is in doubt and its claim's holder can't dispatch it any more.
+func (s *Server) settleable(e claim.Entry) bool {
+	return e.State == claim.Lost || e.State == claim.Claimed && !s.running(e)
+}
+
+func (s *Server) outcomeReply(ctx context.Context, e claim.Entry, known bool) (*sidepb.OutcomeReply, error) {
+	out := &sidepb.OutcomeReply{
+		State:  s.stateName(e, known),
+		Owner:  e.Owner,
+		Offset: e.Offset,
+		Digest: e.AnswerDigest,
+		Author: e.Author,
+		Reason: e.Reason,
+	}
+	out.Verdict = string(verdict(e, known))
+	if e.State != claim.Done {
+		return out, nil
+	}
+	answer, _, err := s.window.Answer(ctx, e)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	out.Answer = answer
+	return out, nil
+}
+
+func (s *Server) stateName(e claim.Entry, known bool) string {
+	switch {
+	case !known:
+		return unknownState
+	case e.State == claim.Lost, e.State == claim.Claimed && !s.running(e):
+		return lostState
+	}
+	return string(e.State)
+}
+
+// verdict says whether the action ran; empty while nothing holds the key, as a call may still claim it.
+func verdict(e claim.Entry, known bool) fault.Verdict {
+	switch {
+	case !known, e.State == claim.Free:
+		return ""
+	case e.State == claim.Done, e.State == claim.Settled:
+		return e.Verdict
+	}
+	return fault.MayHaveRun
+}
+
+func (s *Server) keyOf(team, service, key string) (claim.Key, error) {
+	if s.window == nil || service != s.opts.Pool.Name {
+		return claim.Key{}, status.Errorf(codes.InvalidArgument, "pool %q does not run the actions of %q", s.opts.Pool.Name, service)
+	}
+	if _, ok := ident.MintTime(key); !ok {
+		return claim.Key{}, status.Errorf(codes.InvalidArgument, "key %.40q is not a UUIDv7", key)
+	}
+	return claim.Key{Team: team, Key: key}, nil
+}
--- a/internal/side/serve/reply.go
+++ b/internal/side/serve/reply.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -8,6 +10,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -16,9 +19,16 @@
 	out    grpc.ServerStreamingServer[sidepb.CallFrame]
 	id     *sidepb.Identity
 	load   func() *sidepb.Load
-	seq    uint64
 	digest *ident.Digest
-	chunks uint64 // sent by this call, without the held ones
+	chunks uint64   // sent by this call, without the held ones
+	data   [][]byte // chunks of an action's answer
+	stop   context.CancelFunc
+	beats  sync.WaitGroup
+
+	mu    sync.Mutex // of the stream and what follows
+	seq   uint64
+	last  bool // the last frame was sent
+	quiet bool // nothing was sent since the last heartbeat
 }
 
 func (s *Server) newReply(req *sidepb.CallRequest, out grpc.ServerStreamingServer[sidepb.CallFrame]) *reply {
@@ -64,7 +74,7 @@
 	})
 }
 
-func (r *reply) failure(err *fault.Error, crowd int, cost *sidepb.Cost) error {
+func (r *reply) failure(err *fault.Error, crash string, inFlight uint32, cost *sidepb.Cost) error {
 	return r.send(&sidepb.CallFrame{
 		Body: &sidepb.CallFrame_Failure{Failure: &sidepb.Failure{
 			Verdict:      string(err.Verdict),
@@ -72,16 +82,47 @@
 			Message:      err.Message,
 			RetryAfterMs: err.RetryAfter.Milliseconds(),
 			Crashed:      err.Code == fault.Crashed,
-			InFlight:     uint32(crowd),
+			InFlight:     inFlight,
+			Crash:        crash,
 			Cost:         cost,
 		}},
 		Load: r.load(),
 	})
 }
 
+// send writes one frame.
 func (r *reply) send(f *sidepb.CallFrame) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.write(f)
+}
+
+func (r *reply) write(f *sidepb.CallFrame) error {
 	f.Id = r.id
 	f.Seq = r.seq
 	r.seq++
+	r.last = r.last || f.GetWhole() != nil || f.GetFailure() != nil
+	r.quiet = false
 	return r.out.Send(f)
 }
+
+// beat sends an empty frame whenever nothing was sent for a while, until close.
+func (r *reply) beat(ctx context.Context) {
+	ctx, r.stop = context.WithCancel(ctx)
+	r.beats.Go(func() { every(ctx, timing.CallHeartbeat, r.beatOnce) })
+}
+
+func (r *reply) beatOnce() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.quiet && !r.last {
+		_ = r.write(&sidepb.CallFrame{}) // a caller that went away ends the call through its context
+	}
+	r.quiet = true
+}
+
+// close ends the heartbeat; nothing is sent after it.
+func (r *reply) close() {
+	r.stop()
+	r.beats.Wait()
+}
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,9 +11,11 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
 	"github.com/ragworthatch/ragworthatch/internal/side/watch"
+	"github.com/ragworthatch/ragworthatch/internal/side/window"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -28,6 +31,7 @@
 	opts     Options
 	flights  *flight.Table
 	hub      *watch.Hub
+	window   *window.Window // nil unless the pool runs actions
 	counters counters
 	drain    drain
 	health   health
@@ -49,6 +53,15 @@
 	}
 	s.drain.init()
 	s.health.init()
+	if opts.Pool.Kind == pool.Service {
+		s.window = window.New(window.Options{
+			Log:     opts.Log,
+			Service: opts.Pool.Name,
+			Owner:   opts.Incarnation,
+			Now:     opts.Now,
+			Zap:     opts.Zap,
+		})
+	}
 	return s, nil
 }
 
@@ -59,6 +72,10 @@
 	wg.Go(func() { s.sweep(ctx) })
 	wg.Go(func() { s.probe(ctx) })
 	wg.Go(func() { s.poll(ctx) })
+	wg.Go(func() { s.drained(ctx) })
+	if s.window != nil {
+		wg.Go(func() { s.window.Run(ctx) })
+	}
 }
 
 // Call runs one attempt of one stage.
@@ -69,10 +86,11 @@
 	if !s.drain.enter() {
 		return s.refuse(s.newReply(req, out), fault.New(fault.NotRun, fault.Draining, "side is draining"))
 	}
-	defer s.leave()
-	c, err := s.newCall(ctx, req, s.newReply(req, out))
+	defer s.drain.leave()
+	r := s.newReply(req, out)
+	c, err := s.newCall(ctx, req, r)
 	if err != nil {
-		return s.refuse(s.newReply(req, out), fault.From(err))
+		return s.refuse(r, fault.From(err))
 	}
 	defer c.end()
 	return c.run()
@@ -113,7 +131,7 @@
 		zap.String("code", string(err.Code)),
 		zap.Duration("retryAfter", err.RetryAfter),
 		zap.String("message", err.Message))
-	return r.failure(err, 0, nil)
+	return r.failure(err, "", 0, nil)
 }
 
 func (s *Server) sweep(ctx context.Context) {
@@ -135,6 +153,14 @@
 	}
 }
 
+// crashID names a crash of the upstream across the deployment; empty without one.
+func (s *Server) crashID(c flight.Crash) string {
+	if c.Number == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s/%s/%d", s.opts.Name, s.opts.Incarnation, c.Number)
+}
+
 func attemptOf(id *sidepb.Identity) ident.Attempt {
 	return ident.Attempt{Request: id.GetRequestId(), Stage: id.GetStage(), Number: id.GetAttempt()}
 }
--- a/internal/side/serve/status.go
+++ b/internal/side/serve/status.go
@@ -57,10 +57,11 @@
 
 func (s *Server) load() *sidepb.Load {
 	latency, reported := s.health.look()
+	entered := s.opts.Gate.Load()
 	l := &sidepb.Load{
 		Running:     uint32(s.flights.Running()),
-		Queued:      uint32(s.flights.Queued()),
-		Limit:       uint32(s.opts.Gate.Limit()),
+		Queued:      uint32(entered.Queued),
+		Limit:       uint32(entered.Limit),
 		LatencyMs:   float64(latency) / float64(time.Millisecond),
 		Draining:    s.drain.on(),
 		Revision:    s.revision.Load(),
--- /dev/null
+++ b/internal/side/window/window.go
@@ -0,0 +1,208 @@
+package window
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/side/watch"
+	"github.com/ragworthatch/ragworthatch/internal/state/claim"
+)
+
+const (
+	commitInterval = 100 * time.Millisecond // least time between two appends of a side
+	pollInterval   = 2 * time.Second        // between reads when nothing waits
+	retryInterval  = 250 * time.Millisecond // between tries of a log that fails
+	trimInterval   = time.Minute
+	callTimeout    = 2 * time.Second // of one call of the log
+	readLimit      = 512             // records
+	maxBatch       = 128             // records of one append
+	maxPending     = 4096            // records that wait for the log
+	maxAnswer      = 16 << 10        // bytes of an answer that is recorded
+)
+
+// ErrDown says that the log can't be reached or was not read yet.
+var ErrDown = errors.New("action stream is not available")
+
+// Options are the dependencies of a window.
+type Options struct {
+	Log     logs.Service
+	Service string // pool whose actions it follows
+	Owner   string // incarnation of the side
+	Now     func() time.Time
+	Zap     *zap.Logger
+}
+
+// Counts is a snapshot of what the window counted.
+type Counts struct {
+	Appends int64 // calls
+	Records int64 // appended, copies included
+	Reads   int64 // calls
+	Actions int64 // remembered
+	Pending int64 // records that wait for the log
+	Skipped int64 // records that could not be read
+}
+
+// Window follows one action stream; Run must be running for its other methods to return.
+type Window struct {
+	opts   Options
+	stream string
+	wake   chan struct{}
+	hub    *watch.Hub
+
+	mu      sync.Mutex
+	fold    *claim.Fold
+	pending []*item
+	up      bool
+	started int64 // full reads
+	read    int64 // the latest full read that ended well
+	trimmed time.Time
+	counts  Counts
+}
+
+// New returns a window that has not read anything yet.
+func New(o Options) *Window {
+	return &Window{
+		opts:   o,
+		stream: logs.ActionStream(o.Service),
+		wake:   make(chan struct{}, 1),
+		hub:    watch.New(),
+		fold:   claim.New(),
+	}
+}
+
+// Forgotten says whether an action with a key minted at a time may have run unknown to this window.
+func (w *Window) Forgotten(minted time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fold.Forgotten(minted)
+}
+
+// Up says whether the stream was read whole and the log's last call went well.
+func (w *Window) Up() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up
+}
+
+// WaitUp returns when Up is true, or the error of ctx.
+func (w *Window) WaitUp(ctx context.Context) error {
+	return w.until(ctx, func() bool { return w.up })
+}
+
+// Flush returns when no record waits for the log, or the error of ctx.
+func (w *Window) Flush(ctx context.Context) error {
+	return w.until(ctx, func() bool { return len(w.pending) == 0 })
+}
+
+// Peek returns what the last read said about an action.
+func (w *Window) Peek(k claim.Key) (claim.Entry, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fold.Get(k)
+}
+
+// Look reads the stream to its end and returns what it says about an action.
+// Its error is ErrDown or that of ctx.
+func (w *Window) Look(ctx context.Context, k claim.Key) (claim.Entry, bool, error) {
+	w.mu.Lock()
+	want := w.started + 1
+	w.mu.Unlock()
+	w.nudge()
+	down := false
+	err := w.until(ctx, func() bool {
+		down = !w.up
+		return w.read >= want || down
+	})
+	if err == nil && down {
+		err = ErrDown
+	}
+	if err != nil {
+		return claim.Entry{}, false, err
+	}
+	e, ok := w.Peek(k)
+	return e, ok, nil
+}
+
+// Answer reads the recorded answer of an action that is done; false when none was recorded or kept.
+func (w *Window) Answer(ctx context.Context, e claim.Entry) ([]byte, bool, error) {
+	if !e.Answer {
+		return nil, false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	b, err := w.opts.Log.Read(ctx, w.stream, e.Offset, 1)
+	if err != nil {
+		return nil, false, err
+	}
+	if b.First != e.Offset || len(b.Records) == 0 {
+		return nil, false, nil
+	}
+	r, err := claim.Decode(b.Records[0])
+	if err != nil || r.Kind != claim.Outcome || r.Nonce != e.Nonce {
+		return nil, false, err
+	}
+	return r.Answer, true, nil
+}
+
+// Settle records an operator's decision about the claim that holds an action, and returns what the stream says then.
+func (w *Window) Settle(ctx context.Context, k claim.Key, e claim.Entry, v fault.Verdict, author, reason string) (claim.Entry, error) {
+	r := w.record(claim.Settle, e.Nonce, k)
+	r.Verdict = v
+	r.Author = author
+	r.Reason = reason
+	it, err := w.enqueue(r)
+	if err != nil {
+		return claim.Entry{}, err
+	}
+	if err := w.until(ctx, func() bool { return it.seen }); err != nil {
+		return claim.Entry{}, err
+	}
+	got, _ := w.Peek(k)
+	return got, nil
+}
+
+// Counts returns the counters now.
+func (w *Window) Counts() Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.counts
+	c.Actions = int64(w.fold.Len())
+	c.Skipped = w.fold.Skipped()
+	c.Pending = int64(len(w.pending))
+	return c
+}
+
+// until waits for a condition, which is called under the lock.
+func (w *Window) until(ctx context.Context, ok func() bool) error {
+	for {
+		changed := w.hub.Changed()
+		w.mu.Lock()
+		done := ok()
+		w.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (w *Window) nudge() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Window) record(kind claim.Kind, nonce string, k claim.Key) claim.Record {
+	return claim.Record{Kind: kind, Nonce: nonce, Key: k}
+}
--- /dev/null
+++ b/internal/state/claim/record.go
@@ -0,0 +1,94 @@
+package claim
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+)
+
+// Kind says what a record does.
+type Kind string
+
+// The kinds.
+const (
+	Claim   Kind = "claim"   // an owner asks to run the action
+	Outcome Kind = "outcome" // what became of the run
+	Release Kind = "release" // the owner did not run it and never will
+	Settle  Kind = "settle"  // an operator's decision
+)
+
+const maxRecordBytes = 64 << 10
+
+// Key names an action: the caller's key within its team and the service.
+type Key struct {
+	Team string `json:"team"`
+	Key  string `json:"key"`
+}
+
+// Record is one entry of an action stream.
+type Record struct {
+	Kind         Kind          `json:"kind"`
+	Nonce        string        `json:"nonce"` // of the claim that it belongs to
+	Key          Key           `json:"key"`
+	Owner        string        `json:"owner,omitempty"`        // incarnation of the claim's side
+	BodyDigest   string        `json:"bodyDigest,omitempty"`   // of a claim
+	UntilMs      int64         `json:"untilMs,omitempty"`      // deadline of a claim's request, Unix time
+	AtMs         int64         `json:"atMs"`                   // writer's clock, Unix time
+	Verdict      fault.Verdict `json:"verdict,omitempty"`      // of an outcome or settlement
+	Answer       []byte        `json:"answer,omitempty"`       // of an outcome, unless too large
+	AnswerDigest string        `json:"answerDigest,omitempty"` // of an outcome, see ident.Digest
+	Author       string        `json:"author,omitempty"`       // of a settlement
+	Reason       string        `json:"reason,omitempty"`       // of a settlement
+}
+
+// At is the writer's time.
+func (r Record) At() time.Time { return time.UnixMilli(r.AtMs) }
+
+// Encode returns the record's bytes in the log.
+func (r Record) Encode() ([]byte, error) {
+	if err := r.check(); err != nil {
+		return nil, err
+	}
+	b, err := json.Marshal(r)
+	if err == nil && len(b) > maxRecordBytes {
+		err = fmt.Errorf("record of %d bytes is over %d", len(b), maxRecordBytes)
+	}
+	return b, err
+}
+
+// Decode reads a record; an error means that the bytes are none of ours.
+func Decode(b []byte) (Record, error) {
+	var r Record
+	if len(b) > maxRecordBytes {
+		return r, fmt.Errorf("record of %d bytes is over %d", len(b), maxRecordBytes)
+	}
+	if err := json.Unmarshal(b, &r); err != nil {
+		return r, fmt.Errorf("decode a claim record: %w", err)
+	}
+	return r, r.check()
+}
+
+func (r Record) check() error {
+	switch r.Kind {
+	case Claim, Outcome, Release, Settle:
+	default:
+		return fmt.Errorf("record kind %q is unknown", r.Kind)
+	}
+	if r.Nonce == "" {
+		return errors.New("record has no nonce")
+	}
+	if _, ok := ident.MintTime(r.Key.Key); !ok {
+		return fmt.Errorf("record key %q is not a UUIDv7", r.Key.Key)
+	}
+	if r.Kind == Outcome && r.Verdict != fault.Ran && r.Verdict != fault.MayHaveRun {
+		return fmt.Errorf("outcome has the verdict %q", r.Verdict)
+	}
+	if r.Kind == Settle && r.Verdict != fault.Ran && r.Verdict != fault.NotRun {
+		return fmt.Errorf("settlement has the verdict %q", r.Verdict)
+	}
+	return nil
+}
