--- /dev/null
+++ b/internal/entry/boot/doc.go
@@ -0,0 +1,2 @@
+// Package boot builds an entry process from its settings.
+package boot
--- a/internal/entry/front/answer.go
+++ b/internal/entry/front/answer.go
@@ -44,7 +44,7 @@
 }
 
 func writeAnswer(w http.ResponseWriter, req job.Request, a exec.Answer) {
-	writeJSON(w, http.StatusOK, withContent(newWhole(req, a), a))
+	WriteJSON(w, http.StatusOK, withContent(newWhole(req, a), a))
 }
 
 func withContent(b wholeBody, a exec.Answer) wholeBody {
@@ -82,18 +82,24 @@
 	}}
 }
 
+// WriteError answers with an error outside of a request.
+func WriteError(w http.ResponseWriter, err *fault.Error) {
+	writeFailure(w, "", &exec.Failure{Error: err})
+}
+
 func writeFailure(w http.ResponseWriter, label string, f *exec.Failure) {
 	if f.RetryAfter > 0 {
 		seconds := math.Ceil(f.RetryAfter.Seconds())
 		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
-	writeJSON(w, status(f.Code), newError(label, f))
+	WriteJSON(w, status(f.Code), newError(label, f))
 }
 
 // writeTimeout bounds one write to a caller that does not read.
 const writeTimeout = 10 * time.Second
 
-func writeJSON(w http.ResponseWriter, code int, v any) {
+// WriteJSON answers with v as JSON.
+func WriteJSON(w http.ResponseWriter, code int, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
 		http.Error(w, "encode the answer", http.StatusInternalServerError)
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -89,7 +89,7 @@
 
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
 	if err := f.o.Admitter.Ready(); err != nil {
-		writeFailure(w, "", &exec.Failure{Error: err})
+		WriteError(w, err)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
--- a/internal/entry/front/outcome.go
+++ b/internal/entry/front/outcome.go
@@ -6,7 +6,6 @@
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
-	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -24,23 +23,23 @@
 // outcome answers GET /v1/outcomes/{key}, for the team that owns the key.
 func (f *Front) outcome(w http.ResponseWriter, r *http.Request) {
 	if err := f.o.Admitter.Ready(); err != nil {
-		writeFailure(w, "", &exec.Failure{Error: err})
+		WriteError(w, err)
 		return
 	}
 	t, err := authenticate(f.o.Index(), r)
 	if err != nil {
-		writeFailure(w, "", &exec.Failure{Error: err})
+		WriteError(w, err)
 		return
 	}
 	key := pathvar.Vars(r)["key"]
 	if _, err := mintTime(key); err != nil {
-		writeFailure(w, "", &exec.Failure{Error: err})
+		WriteError(w, err)
 		return
 	}
 	out, err := f.o.Outcomes.Outcome(r.Context(), t.Name, r.URL.Query().Get("service"), key)
 	if err != nil {
-		writeFailure(w, "", &exec.Failure{Error: err})
+		WriteError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, out)
+	WriteJSON(w, http.StatusOK, out)
 }
--- a/internal/entry/front/run.go
+++ b/internal/entry/front/run.go
@@ -15,7 +15,7 @@
 func (f *Front) run(w http.ResponseWriter, r *http.Request) {
 	start := f.o.Now()
 	if !f.o.Admitter.Begin() {
-		writeFailure(w, "", &exec.Failure{Error: draining()})
+		WriteError(w, draining())
 		return
 	}
 	defer f.o.Admitter.End()
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -1,18 +1,19 @@
 package node
 
 import (
-	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
 	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/opsapi"
 	"github.com/ragworthatch/ragworthatch/internal/entry/policy"
 	"github.com/ragworthatch/ragworthatch/internal/entry/query"
 	"github.com/ragworthatch/ragworthatch/internal/entry/router"
@@ -24,19 +25,21 @@
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
 	"github.com/ragworthatch/ragworthatch/internal/state/cell"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
 )
 
 // Options are what an entry is built from.
 type Options struct {
-	Name string
-	Zone string
-	HTTP string // IP:port for callers and operators
-	Log  logs.Service
-	List hosts.List
-	Dial link.Dialer
-	Zap  *zap.Logger
+	Name          string
+	Zone          string
+	HTTP          string // IP:port for callers and operators
+	OperatorToken string // hex SHA-256; empty leaves only the teams of operators
+	Log           logs.Service
+	List          hosts.List
+	Dial          link.Dialer
+	Zap           *zap.Logger
 }
 
 // Node is one entry.
@@ -50,6 +53,8 @@
 	index  *cell.Cell[*index.Index]
 	marks  *cell.Cell[*mark.Set]
 	views  chan struct{} // a new view of the fleet
+	leave  chan struct{} // closed by an operator's drain
+	once   sync.Once
 	http   *listen.Server
 }
 
@@ -61,6 +66,7 @@
 		index: cell.New(&index.Index{}),
 		marks: cell.New(mark.New(mark.Options{})),
 		views: make(chan struct{}, 1),
+		leave: make(chan struct{}),
 	}
 	links, err := link.New(link.Options{
 		Entry:  o.Name,
@@ -95,16 +101,29 @@
 }
 
 func (n *Node) listen() error {
-	f := front.New(front.Options{
+	actions := query.New(n.index.Load, n.router)
+	callers := front.New(front.Options{
 		Index:    n.index.Load,
 		Runner:   &runner{n},
 		Admitter: n.guard,
-		Outcomes: query.New(n.index.Load, n.router),
+		Outcomes: actions,
 		Watcher:  n,
 		Log:      n.o.Zap,
 		Now:      time.Now,
 	})
-	server, err := listen.New(n.o.HTTP, f.Routes())
+	operators := opsapi.New(opsapi.Options{
+		Name:        n.o.Name,
+		TokenDigest: n.o.OperatorToken,
+		Index:       n.index.Load,
+		Feed:        n.feed,
+		Publisher:   accept.New(n.o.Log, n.feed, uuid.New, n.o.Zap),
+		Actions:     actions,
+		Links:       n.links,
+		Marks:       n.marks,
+		Drain:       n.startDrain,
+		Log:         n.o.Zap,
+	})
+	server, err := listen.New(n.o.HTTP, append(callers.Routes(), operators.Routes()...))
 	n.http = server
 	return err
 }
@@ -114,35 +133,3 @@
 
 // Guard is the entry's admission.
 func (n *Node) Guard() *guard.Guard { return n.guard }
-
-// Run serves until ctx ends.
-func (n *Node) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { n.feed.Run(ctx); return nil })
-	g.Go(func() error { return n.links.Run(ctx) })
-	g.Go(func() error { n.control(ctx); return nil })
-	g.Go(n.http.Serve)
-	g.Go(func() error { <-ctx.Done(); return n.http.Close() })
-	return g.Wait()
-}
-
-// Drain refuses new requests and waits for those in flight, or for ctx.
-func (n *Node) Drain(ctx context.Context) error {
-	select {
-	case <-n.guard.Drain():
-		return n.http.Shutdown(ctx)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// Run implements front.Runner; a request that ran alone to its end is no longer suspect.
-func (r *runner) Run(ctx context.Context, req job.Request, sink exec.Sink) (exec.Answer, *exec.Failure) {
-	ans, fail := r.n.exec.Run(ctx, req, sink)
-	if req.Alone && fail == nil {
-		r.n.marks.Update(func(s *mark.Set) *mark.Set { return s.WithCompletion(time.Now(), req.Fingerprint) })
-	}
-	return ans, fail
-}
-
-type runner struct{ n *Node }
--- /dev/null
+++ b/internal/entry/opsapi/config.go
@@ -0,0 +1,72 @@
+package opsapi
+
+import (
+	"errors"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+)
+
+func (a *API) publish(r *http.Request, in admin.PublishRequest) (accept.Result, *fault.Error) {
+	if in.Author == "" {
+		return accept.Result{}, missing("author")
+	}
+	var opts []accept.Option
+	if in.Nonce != "" {
+		opts = append(opts, accept.WithNonce(in.Nonce))
+	}
+	res, err := a.o.Publisher.Publish(r.Context(), in.Author, in.Change, opts...)
+	return a.published("publish", in.Author, res, err)
+}
+
+func (a *API) preset(r *http.Request, in admin.PresetRequest) (accept.Result, *fault.Error) {
+	if in.Author == "" {
+		return accept.Result{}, missing("author")
+	}
+	var opts []accept.Option
+	if in.Base != nil {
+		opts = append(opts, accept.WithBase(*in.Base))
+	}
+	res, err := a.o.Publisher.UsePreset(r.Context(), in.Author, in.Name, opts...)
+	return a.published("preset", in.Author, res, err)
+}
+
+func (a *API) settle(r *http.Request, in admin.SettleRequest) (accept.Result, *fault.Error) {
+	res, err := a.o.Publisher.Settle(r.Context(), in.Nonce)
+	return a.published("settle", "", res, err)
+}
+
+// published answers with the result whatever it is; only an error without one is a refusal.
+func (a *API) published(op, author string, res accept.Result, err error) (accept.Result, *fault.Error) {
+	a.o.Log.Info("configuration call", zap.String("call", op), zap.String("author", author),
+		zap.String("state", string(res.State)), zap.String("nonce", res.Nonce),
+		zap.Int64("revision", res.Revision), zap.Error(err))
+	var known *accept.Error
+	if err != nil && !errors.As(err, &known) {
+		return res, fault.From(err)
+	}
+	return res, nil
+}
+
+func (a *API) config(*http.Request, nothing) (admin.Config, *fault.Error) {
+	if err := a.o.Feed.Ready(); err != nil {
+		return admin.Config{}, fault.New(fault.NotRun, fault.NotReady, "no configuration").WithCause(err)
+	}
+	s := a.o.Feed.Current()
+	set := s.Config()
+	return admin.Config{
+		Revision: s.Revision(),
+		Offset:   s.Offset(),
+		Digest:   s.Digest(),
+		InForce:  set.InForce,
+		Objects:  set.Objects(),
+	}, nil
+}
+
+func missing(field string) *fault.Error {
+	return fault.New(fault.NotRun, fault.BadRequest, "field %q is missing", field)
+}
--- /dev/null
+++ b/internal/entry/opsapi/doc.go
@@ -0,0 +1,2 @@
+// Package opsapi is the operators' HTTP interface of an entry.
+package opsapi
--- /dev/null
+++ b/internal/entry/opsapi/fleet.go
@@ -0,0 +1,113 @@
+package opsapi
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/front"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// drain starts the graceful shutdown of this entry, or of the side beside an upstream.
+func (a *API) drain(r *http.Request, in admin.DrainRequest) (admin.DrainReply, *fault.Error) {
+	if in.Author == "" {
+		return admin.DrainReply{}, missing("author")
+	}
+	a.o.Log.Info("drain asked for", zap.String("host", in.Host), zap.String("author", in.Author), zap.String("reason", in.Reason))
+	if in.Host == a.o.Name {
+		return admin.DrainReply{Host: in.Host, InFlight: uint32(a.o.Drain())}, nil
+	}
+	if _, known := a.o.Links.View().Upstream(in.Host); !known {
+		return admin.DrainReply{}, fault.New(fault.NotRun, fault.NotFound, "there is no host %q", in.Host)
+	}
+	side, ok := a.o.Links.Client(in.Host)
+	if !ok {
+		return admin.DrainReply{}, fault.New(fault.NotRun, fault.NoUpstream,
+			"this entry has no connection to %q; ask another entry", in.Host)
+	}
+	reply, err := side.Drain(r.Context(), &sidepb.DrainRequest{Author: in.Author, Reason: in.Reason})
+	if err != nil {
+		return admin.DrainReply{}, fault.New(fault.MayHaveRun, fault.Transport, "host %q did not answer", in.Host).WithCause(err)
+	}
+	return admin.DrainReply{Host: in.Host, InFlight: reply.GetInFlight()}, nil
+}
+
+func (a *API) outcome(r *http.Request, _ nothing) (admin.Outcome, *fault.Error) {
+	q := r.URL.Query()
+	team := q.Get("team")
+	if team == "" {
+		return admin.Outcome{}, missing("team")
+	}
+	out, err := a.o.Actions.Outcome(r.Context(), team, q.Get("service"), pathvar.Vars(r)["key"])
+	return outcome(team, out), err
+}
+
+func (a *API) settleAction(r *http.Request, in admin.SettleAction) (admin.Outcome, *fault.Error) {
+	switch {
+	case in.Author == "":
+		return admin.Outcome{}, missing("author")
+	case in.Reason == "":
+		return admin.Outcome{}, missing("reason")
+	case in.Team == "":
+		return admin.Outcome{}, missing("team")
+	case in.Service == "":
+		return admin.Outcome{}, missing("service")
+	case in.Verdict != fault.Ran && in.Verdict != fault.NotRun:
+		return admin.Outcome{}, fault.New(fault.NotRun, fault.BadRequest, "field \"verdict\" is %q, not ran or notRun", in.Verdict)
+	}
+	out, err := a.o.Actions.Settle(r.Context(), &sidepb.SettleRequest{
+		Team:    in.Team,
+		Service: in.Service,
+		Key:     pathvar.Vars(r)["key"],
+		Verdict: string(in.Verdict),
+		Author:  in.Author,
+		Reason:  in.Reason,
+	})
+	return outcome(in.Team, out), err
+}
+
+func outcome(team string, o front.Outcome) admin.Outcome {
+	return admin.Outcome{
+		Key:     o.Key,
+		Team:    team,
+		Service: o.Service,
+		State:   o.State,
+		Verdict: o.Verdict,
+		Answer:  o.Answer,
+		Author:  o.Author,
+		Reason:  o.Reason,
+	}
+}
+
+func (a *API) quarantine(*http.Request, nothing) (admin.Quarantine, *fault.Error) {
+	out := admin.Quarantine{Marks: []admin.Mark{}}
+	for _, e := range a.o.Marks.Load().List(time.Now()) {
+		out.Marks = append(out.Marks, admin.Mark{
+			Fingerprint: e.Fingerprint,
+			State:       string(e.State),
+			Crashes:     e.Crashes,
+			Expires:     e.Expires,
+		})
+	}
+	return out, nil
+}
+
+func (a *API) lift(r *http.Request, in admin.LiftRequest) (admin.Quarantine, *fault.Error) {
+	if in.Author == "" {
+		return admin.Quarantine{}, missing("author")
+	}
+	now := time.Now()
+	if s := a.o.Marks.Load().State(in.Fingerprint, now); s == mark.Clear {
+		return admin.Quarantine{}, fault.New(fault.NotRun, fault.NotFound, "fingerprint %q is not marked", in.Fingerprint)
+	}
+	a.o.Marks.Update(func(s *mark.Set) *mark.Set { return s.WithLift(now, in.Fingerprint, in.Author) })
+	a.o.Log.Info("quarantine lifted", zap.String("fingerprint", in.Fingerprint),
+		zap.String("author", in.Author), zap.String("reason", in.Reason))
+	return a.quarantine(r, nothing{})
+}
--- /dev/null
+++ b/internal/entry/opsapi/opsapi.go
@@ -0,0 +1,140 @@
+package opsapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/zeromicro/go-zero/rest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/front"
+	"github.com/ragworthatch/ragworthatch/internal/entry/index"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+	"github.com/ragworthatch/ragworthatch/internal/state/cell"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// maxBodyBytes bounds a published change.
+const maxBodyBytes = 8 << 20
+
+// Links are the connections to the sides.
+type Links interface {
+	View() member.View
+	Client(name string) (sidepb.SideClient, bool)
+}
+
+// Actions asks for and settles the outcome of actions.
+type Actions interface {
+	Outcome(ctx context.Context, team, service, key string) (front.Outcome, *fault.Error)
+	Settle(ctx context.Context, req *sidepb.SettleRequest) (front.Outcome, *fault.Error)
+}
+
+// Options are the dependencies of an API.
+type Options struct {
+	Name        string
+	TokenDigest string // of a token that no configuration can take away; may be empty
+	Index       func() *index.Index
+	Feed        *feed.Feed
+	Publisher   *accept.Publisher
+	Actions     Actions
+	Links       Links
+	Marks       *cell.Cell[*mark.Set]
+	Drain       func() (inFlight int) // of this entry
+	Log         *zap.Logger
+}
+
+// API serves operators.
+type API struct {
+	o Options
+}
+
+// New returns an API over its dependencies.
+func New(o Options) *API { return &API{o: o} }
+
+// Routes are the operators' calls.
+func (a *API) Routes() []rest.Route {
+	return []rest.Route{
+		route(a, http.MethodPost, admin.PathPublish, a.publish),
+		route(a, http.MethodPost, admin.PathPreset, a.preset),
+		route(a, http.MethodPost, admin.PathSettle, a.settle),
+		route(a, http.MethodGet, admin.PathConfig, a.config),
+		route(a, http.MethodPost, admin.PathDrain, a.drain),
+		route(a, http.MethodGet, admin.PathOutcome, a.outcome),
+		route(a, http.MethodPost, admin.PathOutcome, a.settleAction),
+		route(a, http.MethodGet, admin.PathQuarantine, a.quarantine),
+		route(a, http.MethodPost, admin.PathLift, a.lift),
+	}
+}
+
+// nothing is the body of a call without one.
+type nothing struct{}
+
+// route wraps a typed handler with authentication, decoding and encoding.
+func route[In, Out any](a *API, method, path string, h func(*http.Request, In) (Out, *fault.Error)) rest.Route {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if err := a.authenticate(r); err != nil {
+			front.WriteError(w, err)
+			return
+		}
+		var in In
+		if err := decode(w, r, &in); err != nil {
+			front.WriteError(w, err)
+			return
+		}
+		out, err := h(r, in)
+		if err != nil {
+			front.WriteError(w, err)
+			return
+		}
+		front.WriteJSON(w, http.StatusOK, out)
+	}
+	return rest.Route{Method: method, Path: path, Handler: handler}
+}
+
+// authenticate wants the settings' token or that of a team of operators.
+func (a *API) authenticate(r *http.Request) *fault.Error {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return fault.New(fault.NotRun, fault.Unauthorized, "the Authorization header must carry an operator's bearer token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	digest := hex.EncodeToString(sum[:])
+	if a.o.TokenDigest != "" && subtle.ConstantTimeCompare([]byte(digest), []byte(a.o.TokenDigest)) == 1 {
+		return nil
+	}
+	t, ok := a.o.Index().Team(token)
+	if !ok {
+		return fault.New(fault.NotRun, fault.Unauthorized, "the bearer token belongs to no team")
+	}
+	if !t.Operator {
+		return fault.New(fault.NotRun, fault.Forbidden, "team %q may not make operators' calls", t.Name)
+	}
+	return nil
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) *fault.Error {
+	if r.Method == http.MethodGet {
+		return nil
+	}
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return fault.New(fault.NotRun, fault.BadRequest, "the body goes on after its end")
+	}
+	return nil
+}
