Add the connections to sides

Connections can go silent for good while new ones work. A silent connection is retired, its upstream probed on a new one, and blamed only when that fails.

--- /dev/null
+++ b/internal/fleet/link/conn.go
@@ -0,0 +1,83 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// Conn is one connection to a side.
+type Conn interface {
+	sidepb.SideClient
+	io.Closer
+}
+
+// Dialer opens a connection to an address without waiting for it.
+type Dialer func(address string) (Conn, error)
+
+type grpcConn struct {
+	sidepb.SideClient
+	*grpc.ClientConn
+}
+
+// Close closes the connection and breaks its calls.
+func (c grpcConn) Close() error { return c.ClientConn.Close() }
+
+// Dial is the Dialer over TCP, with keepalive.
+func Dial(address string) (Conn, error) {
+	cc, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time:                timing.KeepaliveInterval,
+			Timeout:             timing.KeepaliveTimeout,
+			PermitWithoutStream: true,
+		}),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("dial side at %s: %w", address, err)
+	}
+	return grpcConn{sidepb.NewSideClient(cc), cc}, nil
+}
+
+// ServerOptions lets a server accept the keepalive of Dial and probe its clients in the same way.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             timing.KeepaliveInterval / 2,
+			PermitWithoutStream: true,
+		}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			Time:    timing.KeepaliveInterval,
+			Timeout: timing.KeepaliveTimeout,
+		}),
+	}
+}
+
+// watched is one connection with its watch; the control goroutine owns it.
+type watched struct {
+	id        uint64
+	conn      *counted
+	address   string
+	cancel    context.CancelFunc
+	openAt    time.Time
+	heardAt   time.Time // last status
+	retiredAt time.Time
+}
+
+// done says whether a retired connection may be closed without cutting a call.
+func (w *watched) done(now time.Time) bool {
+	return w.conn.inFlight.Load() == 0 && now.Sub(w.retiredAt) >= retireGrace || now.Sub(w.retiredAt) >= retireAfter
+}
+
+func (w *watched) close() {
+	w.cancel()
+	_ = w.conn.Close()
+}
