--- /dev/null
+++ b/cmd/ragworthatch/outcome.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+)
+
+// outcomeOptions are the options of outcome.
+type outcomeOptions struct {
+	operatorOptions
+	team    string
+	service string
+}
+
+func (o *outcomeOptions) defineAll(f *flag.FlagSet) {
+	o.operatorOptions.define(f)
+	f.StringVar(&o.team, "team", "", "`team` that sent the action; all teams when empty")
+	f.StringVar(&o.service, "service", "", "`pool` of the plain service; all services when empty")
+}
+
+func outcomeCommand(s *streams) *command {
+	var o outcomeOptions
+	return &command{
+		name:     "outcome",
+		group:    groupOperate,
+		synopsis: "tell what became of an action",
+		usage: `outcome KEY
+
+Prints what the log records of the action with a key: "done" with its answer,
+"claimed" while it runs, "released" if it did not run, "mayHaveRun" if nobody can tell,
+"settled" after an operator's decision, "unknown" if there is no record.`,
+		flags: o.defineAll,
+		run: func(ctx context.Context, args []string) error {
+			key, err := oneArgument(args, "the action's key")
+			if err != nil {
+				return err
+			}
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := withTimeout(ctx)
+			defer cancel()
+			var r admin.Outcome
+			if err := client.Get(ctx, admin.OutcomePath(key, o.team, o.service), &r); err != nil {
+				return err
+			}
+			return s.print(o.json, r, outcomeText(r))
+		},
+	}
+}
+
+func outcomeText(r admin.Outcome) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n  state    %s\n  verdict  %s\n", r.Key, r.State, r.Verdict)
+	if r.Team != "" {
+		fmt.Fprintf(&b, "  team     %s\n", r.Team)
+	}
+	if r.Service != "" {
+		fmt.Fprintf(&b, "  service  %s\n", r.Service)
+	}
+	if r.Author != "" {
+		fmt.Fprintf(&b, "  settled  by %s: %s\n", r.Author, r.Reason)
+	}
+	if len(r.Answer) > 0 {
+		fmt.Fprintf(&b, "  answer   %s\n", r.Answer)
+	}
+	return b.String()
+}
+
+// settleOptions are the options of settle.
+type settleOptions struct {
+	changeOptions
+	team    string
+	service string
+	verdict string
+}
+
+func (o *settleOptions) defineAll(f *flag.FlagSet) {
+	o.changeOptions.defineAll(f)
+	f.StringVar(&o.team, "team", "", "`team` that sent the action")
+	f.StringVar(&o.service, "service", "", "`pool` of the plain service")
+	f.StringVar(&o.verdict, "verdict", "", "ran or notRun, as you found out at the service")
+}
+
+func (o *settleOptions) checkAll() error {
+	switch {
+	case o.team == "":
+		return usagef("a team is needed: --team")
+	case o.service == "":
+		return usagef("a service is needed: --service")
+	case o.verdict != string(fault.Ran) && o.verdict != string(fault.NotRun):
+		return usagef("--verdict must be ran or notRun, not %q", o.verdict)
+	}
+	return nil
+}
+
+func settleCommand(s *streams) *command {
+	var o settleOptions
+	return &command{
+		name:     "settle",
+		group:    groupOperate,
+		synopsis: "decide about an action that nobody can tell of",
+		usage: `settle KEY --team TEAM --service POOL --verdict ran|notRun --reason SENTENCE
+
+Records your decision about an action in state "mayHaveRun", after you have looked at
+the service itself. The record holds author and reason and is final.`,
+		flags: o.defineAll,
+		run: func(ctx context.Context, args []string) error {
+			key, err := oneArgument(args, "the action's key")
+			if err != nil {
+				return err
+			}
+			if err := o.checkAll(); err != nil {
+				return err
+			}
+			client, err := o.checked()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := withTimeout(ctx)
+			defer cancel()
+			req := admin.SettleAction{Team: o.team, Service: o.service, Author: o.author, Reason: o.reason, Verdict: fault.Verdict(o.verdict)}
+			var r admin.Outcome
+			if err := client.Post(ctx, admin.OutcomePath(key, "", ""), req, &r); err != nil {
+				return unlessRefused(err, "see what is recorded with: "+programName+" outcome "+key)
+			}
+			return s.print(o.json, r, outcomeText(r))
+		},
+	}
+}
--- /dev/null
+++ b/cmd/ragworthatch/preset.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+)
+
+// presetOptions are the options of preset.
+type presetOptions struct {
+	operatorOptions
+	authorOptions
+	base int64
+}
+
+func (o *presetOptions) defineAll(f *flag.FlagSet) {
+	o.operatorOptions.define(f)
+	o.authorOptions.define(f, false)
+	f.Int64Var(&o.base, "base", noBase, "`revision` of the switch that you saw; refused if there was a later one")
+}
+
+func presetCommand(s *streams) *command {
+	var o presetOptions
+	return &command{
+		name:     "preset",
+		group:    groupOperate,
+		synopsis: "list the presets, or put one in force",
+		usage: `preset list | preset use NAME
+
+"list" prints the declared presets and marks the one in force. "use" puts a preset in
+force and prints "accepted" only once the entry has read its record back from the log.
+Of two operators at one moment exactly one wins, and the other is told who came first.`,
+		flags: o.defineAll,
+		run: func(ctx context.Context, args []string) error {
+			ctx, cancel := withTimeout(ctx)
+			defer cancel()
+			switch {
+			case len(args) == 1 && args[0] == "list":
+				return listPresets(ctx, s, &o)
+			case len(args) == 2 && args[0] == "use":
+				return usePreset(ctx, s, &o, args[1])
+			default:
+				return usagef("wants \"list\" or \"use NAME\"")
+			}
+		},
+	}
+}
+
+func listPresets(ctx context.Context, s *streams, o *presetOptions) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	var c admin.Config
+	if err := client.Get(ctx, admin.PathConfig, &c); err != nil {
+		return err
+	}
+	names := presetNames{InForce: c.InForce, Revision: c.Revision}
+	var text strings.Builder
+	for _, p := range c.Objects.Presets {
+		names.Presets = append(names.Presets, p.Name)
+		mark := " "
+		if p.Name == c.InForce {
+			mark = "*"
+		}
+		fmt.Fprintf(&text, "%s %s\n", mark, p.Name)
+	}
+	return s.print(o.json, names, text.String())
+}
+
+// presetNames is what "preset list" prints.
+type presetNames struct {
+	InForce  string   `json:"inForce"`
+	Presets  []string `json:"presets"`
+	Revision int64    `json:"revision"`
+}
+
+func usePreset(ctx context.Context, s *streams, o *presetOptions, name string) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	if err := o.authorOptions.check(false); err != nil {
+		return err
+	}
+	req := admin.PresetRequest{Author: o.author, Name: name}
+	if o.base != noBase {
+		req.Base = &o.base
+	}
+	var r accept.Result
+	if err := client.Post(ctx, admin.PathPreset, req, &r); err != nil {
+		return unlessRefused(err, "see which preset is in force with: "+programName+" preset list")
+	}
+	return s.decided(o.json, r)
+}
--- /dev/null
+++ b/cmd/ragworthatch/publish.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/uuid"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+	"github.com/ragworthatch/ragworthatch/internal/state/record"
+)
+
+// publishOptions are the options of publish.
+type publishOptions struct {
+	operatorOptions
+	authorOptions
+	remove refList
+	base   int64
+	settle string
+}
+
+func (o *publishOptions) defineAll(f *flag.FlagSet) {
+	o.operatorOptions.define(f)
+	o.authorOptions.define(f, false)
+	f.Var(&o.remove, "remove", "`reference` of an object to remove, as in pools/engines; may be repeated")
+	f.Int64Var(&o.base, "base", noBase, "newest `revision` that you saw; refused if an object was changed after it")
+	f.StringVar(&o.settle, "settle", "", "`nonce` of a publish to find out about; takes no files")
+}
+
+func publishCommand(s *streams) *command {
+	var o publishOptions
+	return &command{
+		name:     "publish",
+		group:    groupOperate,
+		synopsis: "publish declarations, all or nothing",
+		usage: `publish FILE... | publish --remove REFERENCE | publish --settle NONCE
+
+Publishes the declared objects that differ from those in force, all of them or none,
+and prints "accepted" only once the entry has read its record back from the log.
+Prints "rejected" with who came first and what differs, or with the faults found.
+If the answer is lost, prints the nonce with which --settle finds out; a publish that
+has not come by then is forbidden for good.`,
+		flags: o.defineAll,
+		run: func(ctx context.Context, args []string) error {
+			ctx, cancel := withTimeout(ctx)
+			defer cancel()
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			if o.settle != "" {
+				return settlePublish(ctx, s, &o, client, args)
+			}
+			return publish(ctx, s, &o, client, args)
+		},
+	}
+}
+
+func settlePublish(ctx context.Context, s *streams, o *publishOptions, client *admin.Client, args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	var r accept.Result
+	if err := client.Post(ctx, admin.PathSettle, admin.SettleRequest{Nonce: o.settle}, &r); err != nil {
+		return unlessRefused(err, "settle it again")
+	}
+	return s.decided(o.json, r)
+}
+
+func publish(ctx context.Context, s *streams, o *publishOptions, client *admin.Client, files []string) error {
+	if len(files) == 0 && len(o.remove) == 0 {
+		return usagef("wants files, --remove or --settle")
+	}
+	if err := o.authorOptions.check(false); err != nil {
+		return err
+	}
+	declared, err := loadObjects(files)
+	if err != nil {
+		return err
+	}
+	var c admin.Config
+	if err := client.Get(ctx, admin.PathConfig, &c); err != nil {
+		return err
+	}
+	change := config.Change{Set: only(declared, differences(declared, c.Objects)), Remove: o.remove}
+	if change.Empty() {
+		return s.print(o.json, unchanged{Unchanged: true, Revision: c.Revision}, "nothing differs from what is in force\n")
+	}
+	change.Base = bases(change.Refs(), c, o.base)
+	return submit(ctx, s, o, client, admin.PublishRequest{
+		Author: o.author,
+		Nonce:  record.NewNonce(c.Offset+1, uuid.New()),
+		Change: change,
+	})
+}
+
+func submit(ctx context.Context, s *streams, o *publishOptions, client *admin.Client, req admin.PublishRequest) error {
+	var r accept.Result
+	if err := client.Post(ctx, admin.PathPublish, req, &r); err != nil {
+		return unlessRefused(err, "settle it with: "+programName+" publish --settle "+req.Nonce)
+	}
+	return s.decided(o.json, r)
+}
+
+// unchanged is what publish prints when there is nothing to do.
+type unchanged struct {
+	Unchanged bool  `json:"unchanged"`
+	Revision  int64 `json:"revision"`
+}
+
+// refList is a flag that may be repeated.
+type refList []config.Ref
+
+// String is the default, none.
+func (l *refList) String() string { return "" }
+
+// Set adds a reference.
+func (l *refList) Set(text string) error {
+	ref, err := config.ParseRef(text)
+	if err != nil {
+		return err
+	}
+	*l = append(*l, ref)
+	return nil
+}
--- /dev/null
+++ b/internal/demo/tally/doc.go
@@ -0,0 +1,3 @@
+// Package tally counts from outside what became of requests: it compares the callers' answers
+// with the books of the stand-ins.
+package tally
--- a/internal/oper/admin/message.go
+++ b/internal/oper/admin/message.go
@@ -49,6 +49,8 @@
 	Digest   string         `json:"digest"`
 	InForce  string         `json:"inForce"`
 	Objects  config.Objects `json:"objects"`
+	// Revisions of the objects, by reference as in "pools/engines".
+	Revisions map[config.Ref]int64 `json:"revisions"`
 }
 
 // DrainRequest starts a graceful shutdown of one host, by name.
--- /dev/null
+++ b/internal/oper/caller/caller.go
@@ -0,0 +1,146 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	// maxAnswer bounds an answer, in bytes.
+	maxAnswer       = 64 << 20
+	idleConnections = 512
+)
+
+// Caller calls the entries at some addresses in turn.
+type Caller struct {
+	service httpc.Service
+}
+
+// New returns a caller; name tells its calls apart in the library's logs.
+func New(name string) *Caller {
+	breaker.NoBreakerFor(name)
+	transport := &http.Transport{MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnections}
+	return &Caller{service: httpc.NewServiceWithClient(name, &http.Client{Transport: transport})}
+}
+
+// Call sends a request to the entry at an IP:port address and reads the answer to its end.
+func (c *Caller) Call(ctx context.Context, entry string, r Request) Answer {
+	start := time.Now()
+	a := c.exchange(ctx, entry, r, start)
+	a.Took = time.Since(start)
+	return a
+}
+
+func (c *Caller) exchange(ctx context.Context, entry string, r Request, start time.Time) Answer {
+	body, err := json.Marshal(envelope{
+		RequestID: r.ID, DeadlineMs: r.Deadline.Milliseconds(), Key: r.Key, Stream: r.Stream, Input: r.Input,
+	})
+	if err != nil {
+		return Answer{Err: err}
+	}
+	address := "http://" + entry + "/v1/pipelines/" + url.PathEscape(r.Pipeline)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+r.Token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.service.DoRequest(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer resp.Body.Close()
+	a := Answer{Status: resp.StatusCode}
+	limited := io.LimitReader(resp.Body, maxAnswer)
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		readStream(&a, limited, r, start)
+		return a
+	}
+	readBody(&a, limited, r)
+	return a
+}
+
+func readBody(a *Answer, from io.Reader, r Request) {
+	data, err := io.ReadAll(from)
+	if err != nil {
+		a.Err = err
+		return
+	}
+	if a.Status != http.StatusOK {
+		a.fail(data, r)
+		return
+	}
+	a.finish(data, r, nil)
+}
+
+// fail takes the body of an error.
+func (a *Answer) fail(data []byte, r Request) {
+	var e errorBody
+	if err := json.Unmarshal(data, &e); err != nil {
+		a.Err = err
+		return
+	}
+	if e.Error.Verdict == "" {
+		a.Err = errors.New("error without a verdict")
+		return
+	}
+	a.Ended = true
+	a.Verdict, a.Code, a.Message = e.Error.Verdict, e.Error.Code, e.Error.Message
+	if e.RequestID != "" && e.RequestID != r.ID {
+		a.Err = fmt.Errorf("error for request %q", e.RequestID)
+	}
+}
+
+// finish takes the body of a whole answer; tokens are those of a stream.
+func (a *Answer) finish(data []byte, r Request, tokens []string) {
+	var w wholeBody
+	if err := json.Unmarshal(data, &w); err != nil {
+		a.Err = err
+		return
+	}
+	if a.Ended {
+		a.Repeated++
+	}
+	a.Ended = true
+	a.Preset, a.Revision, a.Replayed = w.Preset, w.Revision, w.Replayed
+	a.Result, a.Tokens = w.Result, w.Count
+	content := []byte(w.Result)
+	switch {
+	case w.Text != nil:
+		a.Text = *w.Text
+		content = []byte(a.Text)
+	case len(w.Result) == 0:
+		a.Text = strings.Join(tokens, "")
+		content = []byte(a.Text)
+	}
+	a.Err = w.check(r, content, tokens)
+	a.Whole = a.Err == nil
+}
+
+func (w wholeBody) check(r Request, content []byte, tokens []string) error {
+	sum := sha256.Sum256(content)
+	switch {
+	case r.ID != "" && w.RequestID != r.ID:
+		return fmt.Errorf("answer to request %q", w.RequestID)
+	case !w.Whole:
+		return errors.New("answer does not say that it is whole")
+	case hex.EncodeToString(sum[:]) != w.Digest:
+		return errors.New("digest does not match the content")
+	case len(w.Result) == 0 && w.Text == nil && w.Count != len(tokens):
+		return fmt.Errorf("answer counts %d tokens, and %d came", w.Count, len(tokens))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/oper/caller/stream.go
@@ -0,0 +1,66 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 16 << 20
+
+// readStream reads server-sent events to the end of the body.
+func readStream(a *Answer, from io.Reader, r Request, start time.Time) {
+	lines := bufio.NewScanner(from)
+	lines.Buffer(nil, maxEvent)
+	var event string
+	var tokens []string
+	for lines.Scan() {
+		line := lines.Text()
+		if name, ok := strings.CutPrefix(line, "event: "); ok {
+			event = name
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if event == "token" && a.FirstToken == 0 {
+			a.FirstToken = time.Since(start)
+		}
+		tokens = a.take(event, []byte(data), r, tokens)
+	}
+	if !a.Ended && a.Err == nil {
+		a.Err = errors.Join(io.ErrUnexpectedEOF, lines.Err())
+	}
+}
+
+// take handles one event and returns the tokens so far.
+func (a *Answer) take(event string, data []byte, r Request, tokens []string) []string {
+	switch event {
+	case "whole":
+		a.finish(data, r, tokens)
+	case "error":
+		a.fail(data, r)
+	case "token":
+		var t tokenEvent
+		if err := json.Unmarshal(data, &t); err != nil {
+			a.Err = err
+			return tokens
+		}
+		if t.Index != uint64(len(tokens)) {
+			a.Repeated++
+			a.Err = fmt.Errorf("token %d where %d is due", t.Index, len(tokens))
+			return tokens
+		}
+		if len(t.Base64) > 0 {
+			t.Text = string(t.Base64)
+		}
+		return append(tokens, t.Text)
+	}
+	return tokens
+}
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -63,7 +63,7 @@
 // Run serves until stop ends and the calls in flight are done, or until kill ends, which cuts them.
 func (s *Side) Run(stop, kill context.Context) error {
 	defer s.listener.Close()
-	if err := s.start(stop); err != nil {
+	if err := s.start(either(stop, kill)); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(kill)
@@ -136,3 +136,10 @@
 	}
 	s.grpc.Stop()
 }
+
+// either ends when one of two contexts does.
+func either(a, b context.Context) context.Context {
+	out, cancel := context.WithCancel(a)
+	context.AfterFunc(b, cancel)
+	return out
+}
