--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -26,8 +26,8 @@
 	// Ready returns why no request can start now; nil when they can.
 	Ready() *fault.Error
 	// Begin and End count requests in flight, so that a drain can wait for them.
-	// Begin is false once the drain has started.
-	Begin() bool
+	// Begin returns why there can't be one more.
+	Begin() *fault.Error
 	End()
 }
 
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -59,10 +59,16 @@
 
 func (d *desk) Admit(r job.Request) (job.Request, *fault.Error) { return r, nil }
 func (d *desk) Ready() *fault.Error                             { return nil }
-func (d *desk) Begin() bool                                     { return !d.closed }
 func (d *desk) End()                                            {}
 func (d *desk) Finished(r front.Record)                         { d.records = append(d.records, r) }
 
+func (d *desk) Begin() *fault.Error {
+	if d.closed {
+		return fault.New(fault.NotRun, fault.Draining, "shutting down")
+	}
+	return nil
+}
+
 func (d *desk) Outcome(_ context.Context, team, service, key string) (front.Outcome, *fault.Error) {
 	if team != "treasury" {
 		return front.Outcome{}, fault.New(fault.NotRun, fault.NotFound, "no action with this key")
--- a/internal/entry/front/run.go
+++ b/internal/entry/front/run.go
@@ -14,8 +14,8 @@
 // run answers POST /v1/pipelines/{pipeline}.
 func (f *Front) run(w http.ResponseWriter, r *http.Request) {
 	start := f.o.Now()
-	if !f.o.Admitter.Begin() {
-		WriteError(w, draining())
+	if err := f.o.Admitter.Begin(); err != nil {
+		WriteError(w, err)
 		return
 	}
 	defer f.o.Admitter.End()
@@ -86,7 +86,3 @@
 		zap.Int64("revision", req.Revision), zap.String("verdict", string(rec.Verdict)),
 		zap.String("code", string(rec.Code)), zap.Duration("took", rec.Took))
 }
-
-func draining() *fault.Error {
-	return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(time.Second)
-}
--- a/internal/entry/guard/guard.go
+++ b/internal/entry/guard/guard.go
@@ -11,6 +11,9 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
+// maxInFlight bounds the requests of one entry, and with them its memory.
+const maxInFlight = 4096
+
 // Options are the dependencies of a Guard.
 type Options struct {
 	// Ready returns why the process can't serve yet.
@@ -40,7 +43,7 @@
 // Ready returns why no request can start now; nil when they can.
 func (g *Guard) Ready() *fault.Error {
 	if g.Draining() {
-		return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(time.Second)
+		return draining()
 	}
 	return g.o.Ready()
 }
@@ -76,15 +79,19 @@
 	return r, nil
 }
 
-// Begin counts a request in flight; it is false once the drain has started.
-func (g *Guard) Begin() bool {
+// Begin counts a request in flight, or returns why there can't be one more.
+func (g *Guard) Begin() *fault.Error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
-		return false
+		return draining()
+	}
+	if g.inFlight >= maxInFlight {
+		return fault.New(fault.NotRun, fault.Overloaded, "this entry has %d requests in flight", maxInFlight).
+			WithRetryAfter(time.Second)
 	}
 	g.inFlight++
-	return true
+	return nil
 }
 
 // End counts a request out.
@@ -123,3 +130,7 @@
 	}
 	return g.empty
 }
+
+func draining() *fault.Error {
+	return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(time.Second)
+}
--- /dev/null
+++ b/internal/entry/guard/guard_test.go
@@ -0,0 +1,95 @@
+package guard_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+var now = time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+
+func newGuard(marks *mark.Set) *guard.Guard {
+	pass := func(job.Request, time.Time) *fault.Error { return nil }
+	return guard.New(guard.Options{
+		Ready: func() *fault.Error { return nil },
+		Marks: func() *mark.Set { return marks },
+		Limit: pass,
+		Fits:  pass,
+		Now:   func() time.Time { return now },
+		Log:   zap.NewNop(),
+	})
+}
+
+// TestDrainWaits checks that a drain refuses new requests at once and ends with the last one in flight.
+func TestDrainWaits(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(mark.New(mark.Options{}))
+	c.Assert(g.Begin(), qt.IsNil)
+	c.Assert(g.Begin(), qt.IsNil)
+	empty := g.Drain()
+	refused := g.Begin()
+	c.Assert(refused, qt.IsNotNil)
+	c.Check(refused.Verdict, qt.Equals, fault.NotRun)
+	c.Check(refused.Code, qt.Equals, fault.Draining)
+	c.Check(g.Ready(), qt.IsNotNil)
+	g.End()
+	c.Check(closed(empty), qt.IsFalse)
+	g.End()
+	c.Check(closed(empty), qt.IsTrue)
+	c.Check(closed(g.Drain()), qt.IsTrue)
+}
+
+func TestDrainOfIdle(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(mark.New(mark.Options{}))
+	c.Check(closed(g.Drain()), qt.IsTrue)
+}
+
+// TestBounded checks that requests in flight are bounded, with a verdict and a time to come back.
+func TestBounded(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(mark.New(mark.Options{}))
+	n := 0
+	var refused *fault.Error
+	for ; refused == nil; n++ {
+		refused = g.Begin()
+	}
+	c.Check(n, qt.Equals, 4097)
+	c.Check(refused.Code, qt.Equals, fault.Overloaded)
+	c.Check(refused.RetryAfter > 0, qt.IsTrue)
+}
+
+// TestQuarantine checks that a suspect runs alone and a culprit is refused.
+func TestQuarantine(t *testing.T) {
+	c := qt.New(t)
+	marks := mark.New(mark.Options{}).WithCrash(now, mark.Crash{ID: "a/1", InFlight: 2}, "fp")
+	r, err := newGuard(marks).Admit(job.Request{Fingerprint: "fp"})
+	c.Assert(err, qt.IsNil)
+	c.Check(r.Alone, qt.IsTrue)
+
+	marks = marks.WithCrash(now, mark.Crash{ID: "b/1", InFlight: 1}, "fp")
+	_, err = newGuard(marks).Admit(job.Request{Fingerprint: "fp"})
+	c.Assert(err, qt.IsNotNil)
+	c.Check(err.Code, qt.Equals, fault.Quarantined)
+	c.Check(err.Verdict, qt.Equals, fault.NotRun)
+
+	r, err = newGuard(marks).Admit(job.Request{Fingerprint: "other"})
+	c.Assert(err, qt.IsNil)
+	c.Check(r.Alone, qt.IsFalse)
+}
+
+func closed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
