--- /dev/null
+++ b/internal/proof/procs/fleet_test.go
@@ -0,0 +1,240 @@
+package procs_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/engine"
+	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
+	"github.com/ragworthatch/ragworthatch/internal/fake/member"
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fake/plain"
+	"github.com/ragworthatch/ragworthatch/internal/fake/record"
+	"github.com/ragworthatch/ragworthatch/internal/fake/roster"
+	"github.com/ragworthatch/ragworthatch/internal/fake/unit"
+	"github.com/ragworthatch/ragworthatch/internal/model/host"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+)
+
+const (
+	operatorsToken  = "demo-operators"
+	operatorsDigest = "66da63681d0c05a8af0d0abaec587ce0127af1a469ecd1a46379d7f91d837677"
+	hostListLag     = 500 * time.Millisecond
+)
+
+// build makes the program once for all tests.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "ragworthatch")
+	if err != nil {
+		return "", err
+	}
+	program := filepath.Join(dir, "ragworthatch")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/ragworthatch/ragworthatch/cmd/ragworthatch").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return program, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if program, err := build(); err == nil {
+		os.RemoveAll(filepath.Dir(program))
+	}
+	os.Exit(code)
+}
+
+// process is one entry or side as a process of its own.
+type process struct {
+	t       *testing.T
+	name    string
+	args    []string
+	address string // of its gRPC server
+	http    string // of an entry
+	log     *os.File
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	code    int
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	program, err := build()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.cmd = exec.Command(program, p.args...)
+	p.cmd.Stderr = p.log
+	p.cmd.Stdout = p.log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait()
+		p.code = cmd.ProcessState.ExitCode()
+		close(ended)
+	}(p.cmd, p.ended)
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// stop asks for a graceful shutdown and returns the exit code.
+func (p *process) stop() int {
+	p.signal(syscall.SIGTERM)
+	<-p.ended
+	return p.code
+}
+
+// fleet is a deployment of processes beside stand-ins.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	log     *memlog.Log
+	list    *roster.List
+	logHTTP *httpd.Server
+	hosts   *httpd.Server
+	units   map[string]*unit.Unit
+	sides   map[string]*process
+	entries []*process
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), log: memlog.New(), list: roster.New(hostListLag), units: map[string]*unit.Unit{}, sides: map[string]*process{}}
+	f.logHTTP = f.serve(httpd.Log(f.log))
+	f.hosts = f.serve(httpd.Hosts(f.list))
+	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		f.addEntry(fmt.Sprintf("entry-%d", i+1), zone)
+	}
+	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		f.addUpstreams(i, zone)
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *fleet) serve(h http.Handler) *httpd.Server {
+	s, err := httpd.New("127.0.0.1:0", h)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(s.Down)
+	return s
+}
+
+func (f *fleet) addUpstreams(i int, zone string) {
+	for _, pool := range []string{"encoders", "retrievers", "rerankers"} {
+		m := member.New(16, 4*time.Millisecond)
+		f.addSide(pool, fmt.Sprintf("%s-%d", pool, i), zone, m.Unit, httpd.Upstream(m))
+	}
+	e := engine.New(engine.Config{
+		Concurrency: 12, Prefill: 10 * time.Microsecond, Decode: 4 * time.Millisecond,
+		CachedPrefixes: 64, ChecksFence: true, State: runner.State{Model: "atlas", Version: "1", Role: "generate"},
+	})
+	f.addSide("engines", fmt.Sprintf("engine-%d", i), zone, e.Unit, httpd.Engine(e, e))
+	s := plain.New(16, 10*time.Millisecond)
+	f.addSide("treasury", fmt.Sprintf("treasury-%d", i), zone, s.Unit, httpd.Upstream(s))
+}
+
+func (f *fleet) addSide(pool, name, zone string, u *unit.Unit, h http.Handler) {
+	server := f.serve(h)
+	server.Follow(u.Proc)
+	f.units[name] = u
+	p := f.process("side", name, zone, fmt.Sprintf("pool: %s\nupstream: %s\n", pool, server.Address()))
+	f.sides[name] = p
+	f.list.Put(host.Host{Name: name, Address: p.address, Zone: zone, Region: "north", Pool: pool, State: host.Live})
+	p.start()
+}
+
+func (f *fleet) addEntry(name, zone string) {
+	http := freeAddress(f.t)
+	p := f.process("entry", name, zone, fmt.Sprintf("http: %s\noperatorTokenDigest: %s\n", http, operatorsDigest))
+	p.http = http
+	f.entries = append(f.entries, p)
+	f.list.Put(host.Host{Name: name, Address: p.address, Zone: zone, Region: "north", State: host.Live})
+	p.start()
+}
+
+func (f *fleet) process(role, name, zone, more string) *process {
+	p := &process{t: f.t, name: name, address: freeAddress(f.t)}
+	settings := fmt.Sprintf("role: %s\nname: %s\nregion: north\nzone: %s\nzones: [zone-a, zone-b, zone-c]\ngrpc: %s\nlog: %s\nhostList: %s\nlogLevel: info\n%s",
+		role, name, zone, p.address, f.logHTTP.Address(), f.hosts.Address(), more)
+	file := filepath.Join(f.dir, name+".yaml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p.log = log
+	p.args = []string{role, "--settings", file}
+	return p
+}
+
+func (f *fleet) processes() []*process {
+	out := append([]*process{}, f.entries...)
+	for _, p := range f.sides {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (f *fleet) books() []*record.Book {
+	var out []*record.Book
+	for _, u := range f.units {
+		out = append(out, u.Book)
+	}
+	return out
+}
+
+// close ends every process and keeps the logs of a failed test.
+func (f *fleet) close() {
+	for _, p := range f.processes() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+		p.log.Close()
+	}
+	if f.t.Failed() {
+		f.showLogs()
+	}
+}
+
+// showLogs prints the warnings and errors of all processes.
+func (f *fleet) showLogs() {
+	files, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	for _, file := range files {
+		data, _ := os.ReadFile(file)
+		for line := range bytes.Lines(data) {
+			if strings.Contains(string(line), `"level":"info"`) {
+				continue
+			}
+			f.t.Logf("%s: %s", filepath.Base(file), bytes.TrimSpace(line))
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
--- /dev/null
+++ b/internal/proof/procs/procs_test.go
@@ -0,0 +1,96 @@
+package procs_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/faults"
+	"github.com/ragworthatch/ragworthatch/internal/fake/unit"
+)
+
+// settle is how long a fault lasts; nothing is asserted about time.
+const settle = 1500 * time.Millisecond
+
+// TestRollingReplacement stops and starts every process under load: no request may be cut.
+func TestRollingReplacement(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t)
+	f.publish()
+	tr := f.startTraffic()
+	time.Sleep(settle)
+	for name, p := range f.sides {
+		c.Check(p.stop(), qt.Equals, 0, qt.Commentf("exit code of %s", name))
+		p.start()
+		time.Sleep(settle / 3)
+	}
+	for _, p := range f.entries {
+		c.Check(p.stop(), qt.Equals, 0, qt.Commentf("exit code of %s", p.name))
+		p.start()
+		time.Sleep(settle)
+	}
+	counts := tr.finish(t)
+	c.Check(counts.Broken(), qt.IsFalse)
+	c.Check(counts.Whole, qt.Equals, counts.Requests)
+	c.Check(tr.unended.Load(), qt.Equals, int64(0), qt.Commentf("answers cut by a planned stop"))
+	c.Check(tr.unsure.Load(), qt.Equals, int64(0), qt.Commentf("requests cut by a planned stop"))
+}
+
+// TestUnplanned kills, freezes and breaks processes and the platform under load: no promise may be broken.
+func TestUnplanned(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t)
+	f.publish()
+	tr := f.startTraffic()
+	faultsOf := []struct {
+		name  string
+		begin func()
+		end   func()
+	}{
+		{"a side beside an engine is killed", f.sides["engine-0"].kill, f.sides["engine-0"].start},
+		{"a side beside a service is killed", f.sides["treasury-0"].kill, f.sides["treasury-0"].start},
+		{"a side beside a service freezes", f.freeze("treasury-1"), f.thaw("treasury-1")},
+		{"an entry is killed", f.entries[0].kill, f.entries[0].start},
+		{"an engine dies", f.units["engine-1"].Proc.Stop, f.units["engine-1"].Proc.Start},
+		{"the log is down", func() { f.log.SetDown(true) }, func() { f.log.SetDown(false) }},
+		{"the log loses answers", func() { f.log.LoseAnswers(20) }, func() { f.log.LoseAnswers(0) }},
+		{"the host list is down", func() { f.list.SetDown(true) }, func() { f.list.SetDown(false) }},
+		{"a service loses answers", loseAnswers(f.units["treasury-2"]), heal(f.units["treasury-2"])},
+		{"an encoder is slow", slow(f.units["encoders-0"]), heal(f.units["encoders-0"])},
+		{"an entry freezes", func() { f.entries[1].signal(syscall.SIGSTOP) }, func() { f.entries[1].signal(syscall.SIGCONT) }},
+	}
+	for _, fault := range faultsOf {
+		t.Log(fault.name)
+		fault.begin()
+		time.Sleep(settle)
+		fault.end()
+		time.Sleep(settle / 3)
+	}
+	f.usePreset("peak")
+	time.Sleep(settle)
+	counts := tr.finish(t)
+	c.Check(counts.Broken(), qt.IsFalse)
+	c.Check(counts.Whole > counts.Requests*9/10, qt.IsTrue, qt.Commentf("%d of %d whole", counts.Whole, counts.Requests))
+}
+
+func (f *fleet) freeze(side string) func() {
+	return func() { f.sides[side].signal(syscall.SIGSTOP) }
+}
+
+func (f *fleet) thaw(side string) func() {
+	return func() { f.sides[side].signal(syscall.SIGCONT) }
+}
+
+func loseAnswers(u *unit.Unit) func() {
+	return func() { u.Faults.Set(faults.Fault{LoseAnswer: 5}) }
+}
+
+func slow(u *unit.Unit) func() {
+	return func() { u.Faults.Set(faults.Fault{Slow: 50}) }
+}
+
+func heal(u *unit.Unit) func() {
+	return func() { u.Faults.Set(faults.Fault{}) }
+}
--- /dev/null
+++ b/internal/proof/procs/traffic_test.go
@@ -0,0 +1,196 @@
+package procs_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
+
+	"github.com/ragworthatch/ragworthatch/internal/demo/tally"
+	"github.com/ragworthatch/ragworthatch/internal/demo/world"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+)
+
+const (
+	callers    = 12
+	startLimit = 60 * time.Second // for the processes to be ready
+	maxSends   = 40               // of one request
+	resendWait = 100 * time.Millisecond
+)
+
+// traffic is callers that send until they are told to stop, each request again until it has an answer.
+type traffic struct {
+	f       *fleet
+	caller  *caller.Caller
+	tally   tally.Tally
+	sent    atomic.Int64
+	unended atomic.Int64 // sends without an end of the answer
+	unsure  atomic.Int64 // sends told mayHaveRun
+	stop    chan struct{}
+	wg      sync.WaitGroup
+}
+
+// publish sends the declarations and waits until every entry answers every pipeline.
+func (f *fleet) publish() {
+	f.t.Helper()
+	var objects config.Objects
+	if err := yaml.Unmarshal(world.Declarations, &objects); err != nil {
+		f.t.Fatal(err)
+	}
+	client := admin.New(f.entries[0].http, operatorsToken)
+	f.eventually("publish", func(ctx context.Context) error {
+		var res accept.Result
+		err := client.Post(ctx, admin.PathPublish, admin.PublishRequest{Author: "ana", Change: config.Change{Set: objects}}, &res)
+		if err == nil && res.State != accept.Accepted {
+			return fmt.Errorf("%s: %s", res.State, res.Message)
+		}
+		return err
+	})
+	f.usePreset("ordinary")
+	f.warm()
+}
+
+// warm waits until every entry answers every pipeline.
+func (f *fleet) warm() {
+	f.t.Helper()
+	c := caller.New("warm")
+	for _, e := range f.entries {
+		for i, pipeline := range pipelines {
+			f.eventually("first answer of "+e.name, func(ctx context.Context) error {
+				a := c.Call(ctx, e.http, newRequest(pipeline, fmt.Sprintf("warm-%s-%d", e.name, i)))
+				if !a.Whole {
+					return fmt.Errorf("%s %s %v", a.Code, a.Message, a.Err)
+				}
+				return nil
+			})
+		}
+	}
+}
+
+func (f *fleet) usePreset(name string) {
+	f.t.Helper()
+	f.eventually("preset "+name, func(ctx context.Context) error {
+		var last error
+		for _, e := range f.entries {
+			var res accept.Result
+			last = admin.New(e.http, operatorsToken).Post(ctx, admin.PathPreset, admin.PresetRequest{Author: "ana", Name: name}, &res)
+			if last == nil && res.State == accept.Accepted {
+				return nil
+			}
+		}
+		return last
+	})
+}
+
+// eventually tries until it works; it fails the test only after a limit that no working system meets.
+func (f *fleet) eventually(what string, try func(ctx context.Context) error) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	for {
+		err := try(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			f.t.Fatalf("%s: %v", what, err)
+		case <-time.After(resendWait):
+		}
+	}
+}
+
+var pipelines = []string{"summary", "lookup", "transfer", "summary"}
+
+func newRequest(pipeline, marker string) caller.Request {
+	input, _ := json.Marshal(map[string]string{"marker": marker, "question": "how much is left"})
+	r := caller.Request{ID: marker, Pipeline: pipeline, Token: "demo-collectors", Input: input}
+	if pipeline == "transfer" {
+		r.Key = uuid.Must(uuid.NewV7()).String()
+	}
+	return r
+}
+
+func (f *fleet) startTraffic() *traffic {
+	tr := &traffic{f: f, caller: caller.New("traffic"), stop: make(chan struct{})}
+	for i := range callers {
+		tr.wg.Go(func() { tr.loop(i) })
+	}
+	return tr
+}
+
+func (tr *traffic) loop(who int) {
+	for n := 0; ; n++ {
+		select {
+		case <-tr.stop:
+			return
+		default:
+		}
+		marker := fmt.Sprintf("c%d-%d", who, n)
+		r := newRequest(pipelines[(who+n)%len(pipelines)], marker)
+		r.Stream = n%2 == 0
+		tr.request(r, marker, who+n)
+	}
+}
+
+// request sends r, as a caller behind the balancer would, until it has a final answer.
+func (tr *traffic) request(r caller.Request, marker string, start int) {
+	var a caller.Answer
+	for n := range maxSends {
+		tr.sent.Add(1)
+		a = tr.caller.Call(context.Background(), tr.f.ready(start+n).http, r)
+		final := a.Ended && (a.Whole || a.Verdict == fault.MayHaveRun && r.Key != "" && n > maxSends/2)
+		if final {
+			break
+		}
+		if !a.Ended {
+			tr.unended.Add(1)
+		}
+		if a.Ended && a.Verdict != fault.NotRun {
+			tr.unsure.Add(1)
+		}
+		time.Sleep(resendWait)
+	}
+	tr.tally.Add(tally.Call{Marker: marker, Request: r, Answer: a, Limit: time.Minute})
+}
+
+// finish stops the callers and compares their answers with the books of the stand-ins.
+func (tr *traffic) finish(t *testing.T) tally.Counts {
+	close(tr.stop)
+	tr.wg.Wait()
+	counts, problems := tr.tally.Count(tr.f.books())
+	for _, p := range problems {
+		t.Log(p)
+	}
+	t.Logf("sent %d, without end %d, told mayHaveRun %d: %+v", tr.sent.Load(), tr.unended.Load(), tr.unsure.Load(), counts)
+	return counts
+}
+
+var health = &http.Client{Timeout: time.Second}
+
+// ready is an entry that says it is ready, as the platform's balancer would choose it.
+func (f *fleet) ready(n int) *process {
+	for i := range f.entries {
+		e := f.entries[(n+i)%len(f.entries)]
+		resp, err := health.Get("http://" + e.http + "/readyz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return e
+		}
+	}
+	return f.entries[n%len(f.entries)]
+}
