--- a/internal/side/serve/action_test.go
+++ b/internal/side/serve/action_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,12 +169,12 @@
 		time.Sleep(5 * time.Second)
 		action := make(chan got)
 		key := newKey()
-		go func() { action <- side.call(crew.action(key, `"x"`)) }()
-		for i := range 200 {
-			// More calls than the gate's limit, so that waiting actions in it would show.
-			if i%100 == 0 {
-				go side.call(crew.action(newKey(), `"x"`))
-			}
+		first := crew.action(key, `"x"`)
+		go func() { action <- side.call(first) }()
+		limit := int(side.server.load().Limit)
+		for range limit {
+			req := crew.action(newKey(), `"x"`)
+			go side.call(req)
 		}
 		synctest.Wait()
 		c.Assert(side.server.load().Running, qt.Equals, uint32(0))
@@ -292,9 +293,9 @@
 
 func TestPausedSideDoesNotDispatchAfterItsDeadline(t *testing.T) {
 	testCrew(t, 1, nil, func(c *qt.C, crew *crew) {
-		paused := false
+		var paused atomic.Bool
 		now := func() time.Time {
-			if paused {
+			if paused.Load() {
 				return time.Now().Add(time.Minute)
 			}
 			return time.Now()
@@ -305,7 +306,7 @@
 		}, nil)
 		time.Sleep(time.Second)
 		crew.log.DelayRead(300 * time.Millisecond)
-		time.AfterFunc(200*time.Millisecond, func() { paused = true })
+		time.AfterFunc(200*time.Millisecond, func() { paused.Store(true) })
 		key := newKey()
 		got := b.call(crew.action(key, `"x"`))
 		c.Assert(got.failure.GetVerdict(), qt.Equals, "notRun")
