--- /dev/null
+++ b/internal/proof/naive_test.go
@@ -0,0 +1,108 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+const naiveTimeout = 2 * time.Second
+
+// naiveSide passes calls on: it remembers the answers of actions in memory, checks nothing
+// and takes every error for one before the run.
+type naiveSide struct {
+	sidepb.UnimplementedSideServer
+	up upstr.Upstream
+
+	mu      sync.Mutex
+	answers map[string][][]byte
+}
+
+func newNaiveSide(up upstr.Upstream) *naiveSide {
+	return &naiveSide{up: up, answers: map[string][][]byte{}}
+}
+
+func (s *naiveSide) Call(req *sidepb.CallRequest, out sidepb.Side_CallServer) error {
+	key := req.GetAction().GetKey()
+	s.mu.Lock()
+	chunks, known := s.answers[key]
+	s.mu.Unlock()
+	if !known || key == "" {
+		var err error
+		if chunks, err = s.run(out.Context(), req); err != nil {
+			return s.fail(req, out)
+		}
+		s.mu.Lock()
+		s.answers[key] = chunks
+		s.mu.Unlock()
+	}
+	for _, c := range chunks {
+		if err := s.send(req, out, &sidepb.CallFrame{Body: &sidepb.CallFrame_Chunk{Chunk: &sidepb.Chunk{Data: c}}}); err != nil {
+			return err
+		}
+	}
+	return s.send(req, out, &sidepb.CallFrame{Body: &sidepb.CallFrame_Whole{Whole: &sidepb.Whole{}}})
+}
+
+func (s *naiveSide) run(ctx context.Context, req *sidepb.CallRequest) ([][]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, naiveTimeout)
+	defer cancel()
+	stream, err := s.up.Call(ctx, upstr.Call{
+		ID:   attemptName(req.GetId()),
+		Kind: req.GetKind(),
+		Body: req.GetBody(),
+		Key:  req.GetAction().GetKey(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	var chunks [][]byte
+	for {
+		e, err := stream.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return chunks, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(e.Data) > 0 {
+			chunks = append(chunks, e.Data)
+		}
+	}
+}
+
+func (s *naiveSide) fail(req *sidepb.CallRequest, out sidepb.Side_CallServer) error {
+	return s.send(req, out, &sidepb.CallFrame{Body: &sidepb.CallFrame_Failure{Failure: &sidepb.Failure{Verdict: "notRun"}}})
+}
+
+func (s *naiveSide) send(req *sidepb.CallRequest, out sidepb.Side_CallServer, f *sidepb.CallFrame) error {
+	f.Id = req.GetId()
+	return out.Send(f)
+}
+
+// naiveAnswer is what a naive caller makes of a stream: it takes the frames as they come.
+func naiveAnswer(stream grpc.ServerStreamingClient[sidepb.CallFrame]) (chunks [][]byte, verdict string) {
+	for {
+		f, err := stream.Recv()
+		switch {
+		case errors.Is(err, io.EOF):
+			return chunks, ""
+		case err != nil:
+			return nil, "notRun"
+		case f.GetFailure() != nil:
+			return nil, f.GetFailure().GetVerdict()
+		case f.GetWhole() != nil:
+			return chunks, ""
+		case f.GetChunk() != nil:
+			chunks = append(chunks, f.GetChunk().GetData())
+		}
+	}
+}
--- /dev/null
+++ b/internal/side/flight/table_test.go
@@ -0,0 +1,130 @@
+package flight
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func attempt(request string) ident.Attempt {
+	return ident.Attempt{Request: request, Stage: "s", Number: 1}
+}
+
+func begin(c *qt.C, t *Table, request string) *Flight {
+	f, err := t.Begin(attempt(request), start.Add(time.Minute), func() {})
+	c.Assert(err, qt.IsNil)
+	return f
+}
+
+// verdictOfCopy is what another copy of the call is told.
+func verdictOfCopy(t *Table, request string) fault.Verdict {
+	_, err := t.Begin(attempt(request), start, func() {})
+	return fault.From(err).Verdict
+}
+
+func TestVerdictsOfCancelAndCopies(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		steps    func(f *Flight)
+		want     fault.Verdict
+		dispatch bool // whether it may be dispatched after the cancel
+	}{
+		{"queued", func(*Flight) {}, fault.NotRun, false},
+		{"dispatched", func(f *Flight) { f.Dispatch() }, fault.MayHaveRun, false},
+		{"finished", func(f *Flight) { f.Dispatch(); f.Finish() }, fault.MayHaveRun, false},
+		{"refused", func(f *Flight) { f.Forbid() }, fault.NotRun, false},
+		{"ended in the queue", func(f *Flight) { f.Finish() }, fault.NotRun, false},
+		{"in doubt", func(f *Flight) { f.Doubt() }, fault.MayHaveRun, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			table := New(10)
+			f := begin(c, table, "r")
+			tc.steps(f)
+			c.Check(table.Cancel(attempt("r"), start.Add(time.Minute)), qt.Equals, tc.want)
+			c.Check(verdictOfCopy(table, "r"), qt.Equals, tc.want)
+			c.Check(f.Dispatch(), qt.Equals, tc.dispatch)
+			f.Finish()
+			c.Check(table.Running(), qt.Equals, 0)
+		})
+	}
+}
+
+func TestCancelRacesWithDispatch(t *testing.T) {
+	c := qt.New(t)
+	for i := range 200 {
+		table := New(10)
+		f := begin(c, table, "r")
+		sent := make(chan bool)
+		go func() { sent <- f.Dispatch() }()
+		v := table.Cancel(attempt("r"), start)
+		c.Assert(<-sent, qt.Equals, v == fault.MayHaveRun, qt.Commentf("round %d", i))
+	}
+}
+
+func TestFullTablePromisesNothing(t *testing.T) {
+	c := qt.New(t)
+	table := New(2)
+	begin(c, table, "a")
+	c.Assert(table.Cancel(attempt("b"), start), qt.Equals, fault.NotRun)
+	c.Assert(verdictOfCopy(table, "c"), qt.Equals, fault.MayHaveRun)
+	c.Assert(table.Cancel(attempt("d"), start), qt.Equals, fault.MayHaveRun)
+	c.Assert(table.Len(), qt.Equals, 2)
+}
+
+func TestSweepForgetsButNeverRunsWhatItForgot(t *testing.T) {
+	c := qt.New(t)
+	table := New(1000)
+	var ids []string
+	for range 100 {
+		id := uuid.Must(uuid.NewV7()).String()
+		ids = append(ids, id)
+		c.Assert(table.Cancel(attempt(id), start.Add(time.Minute)), qt.Equals, fault.NotRun)
+	}
+	table.Sweep(start.Add(time.Minute - 1))
+	c.Assert(table.Len(), qt.Equals, 100)
+	table.Sweep(start.Add(time.Minute))
+	c.Assert(table.Len(), qt.Equals, 0)
+	for _, id := range ids {
+		c.Assert(verdictOfCopy(table, id), qt.Equals, fault.NotRun)
+		c.Assert(table.Cancel(attempt(id), start), qt.Equals, fault.MayHaveRun)
+	}
+}
+
+func TestSweepKeepsWhatIsInFlight(t *testing.T) {
+	c := qt.New(t)
+	table := New(10)
+	f := begin(c, table, "r")
+	f.Dispatch()
+	table.Sweep(start.Add(time.Hour))
+	c.Assert(table.Len(), qt.Equals, 1)
+	f.Finish()
+	table.Sweep(start.Add(time.Hour))
+	c.Assert(table.Len(), qt.Equals, 0)
+}
+
+func TestCrashesAreCountedOnceForAllInFlight(t *testing.T) {
+	c := qt.New(t)
+	table := New(10)
+	var all []*Flight
+	for i := range 3 {
+		f := begin(c, table, fmt.Sprint(i))
+		f.Dispatch()
+		all = append(all, f)
+	}
+	for _, f := range all {
+		c.Assert(f.Crashed(), qt.Equals, Crash{Number: 1, InFlight: 3})
+		f.Finish()
+	}
+	f := begin(c, table, "later")
+	f.Dispatch()
+	c.Assert(f.Crashed(), qt.Equals, Crash{Number: 2, InFlight: 1})
+}
--- a/internal/side/window/loop.go
+++ b/internal/side/window/loop.go
@@ -86,16 +86,16 @@
 			break
 		}
 	}
+	now := w.opts.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.read = round
-	w.trim()
+	w.trim(now)
 	w.retry()
 	return nil
 }
 
-func (w *Window) trim() {
-	now := w.opts.Now()
+func (w *Window) trim(now time.Time) {
 	if now.Sub(w.trimmed) < trimInterval {
 		return
 	}
@@ -115,6 +115,7 @@
 
 // apply folds a batch and returns the offset to read next.
 func (w *Window) apply(b logs.Batch) int64 {
+	now := w.opts.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, data := range b.Records {
@@ -123,7 +124,7 @@
 		}
 	}
 	if len(b.Records) == 0 {
-		w.fold.Skip(b.Next, w.opts.Now())
+		w.fold.Skip(b.Next, now)
 	}
 	return w.fold.Next()
 }
