--- /dev/null
+++ b/internal/entry/node/node.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/front"
+	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
+	"github.com/ragworthatch/ragworthatch/internal/entry/index"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/opsapi"
+	"github.com/ragworthatch/ragworthatch/internal/entry/policy"
+	"github.com/ragworthatch/ragworthatch/internal/entry/query"
+	"github.com/ragworthatch/ragworthatch/internal/entry/router"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
+	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/route/pick"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+	"github.com/ragworthatch/ragworthatch/internal/state/cell"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+)
+
+// Options are what an entry is built from.
+type Options struct {
+	Name          string
+	Zone          string
+	HTTP          string // IP:port for callers and operators
+	OperatorToken string // hex SHA-256; empty leaves only the teams of operators
+	Log           logs.Service
+	List          hosts.List
+	Dial          link.Dialer
+	Zap           *zap.Logger
+}
+
+// Node is one entry.
+type Node struct {
+	o      Options
+	feed   *feed.Feed
+	links  *link.Pool
+	router *router.Router
+	guard  *guard.Guard
+	exec   *exec.Executor
+	index  *cell.Cell[*index.Index]
+	marks  *cell.Cell[*mark.Set]
+	views  chan struct{} // a new view of the fleet
+	leave  chan struct{} // closed by an operator's drain
+	once   sync.Once
+	http   *listen.Server
+}
+
+// New builds an entry and listens; Run starts it.
+func New(o Options) (*Node, error) {
+	n := &Node{
+		o:     o,
+		feed:  feed.New(o.Log, feed.Options{Author: o.Name}, o.Zap),
+		index: cell.New(&index.Index{}),
+		marks: cell.New(mark.New(mark.Options{})),
+		views: make(chan struct{}, 1),
+		leave: make(chan struct{}),
+	}
+	links, err := link.New(link.Options{
+		Entry:  o.Name,
+		Hosts:  o.List,
+		Dial:   o.Dial,
+		Offset: func() int64 { return n.feed.Current().Offset() },
+		OnView: func(member.View) { n.poke() },
+		Log:    o.Zap,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.links = links
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.router = router.New(router.Options{
+		Zone:   o.Zone,
+		Links:  links,
+		Picker: pick.New(rng, pick.Options{}),
+		Log:    o.Zap,
+		Now:    time.Now,
+	})
+	n.exec = exec.New(n.router, policy.New(), n, o.Zap)
+	n.guard = guard.New(guard.Options{
+		Ready: n.ready,
+		Marks: n.marks.Load,
+		Limit: func(job.Request, time.Time) *fault.Error { return nil },
+		Fits:  func(job.Request, time.Time) *fault.Error { return nil },
+		Now:   time.Now,
+		Log:   o.Zap,
+	})
+	return n, n.listen()
+}
+
+func (n *Node) listen() error {
+	actions := query.New(n.index.Load, n.router)
+	callers := front.New(front.Options{
+		Index:    n.index.Load,
+		Runner:   &runner{n},
+		Admitter: n.guard,
+		Outcomes: actions,
+		Watcher:  n,
+		Log:      n.o.Zap,
+		Now:      time.Now,
+	})
+	operators := opsapi.New(opsapi.Options{
+		Name:        n.o.Name,
+		TokenDigest: n.o.OperatorToken,
+		Index:       n.index.Load,
+		Feed:        n.feed,
+		Publisher:   accept.New(n.o.Log, n.feed, uuid.New, n.o.Zap),
+		Actions:     actions,
+		Links:       n.links,
+		Marks:       n.marks,
+		Drain:       n.startDrain,
+		Log:         n.o.Zap,
+	})
+	server, err := listen.New(n.o.HTTP, append(callers.Routes(), operators.Routes()...))
+	n.http = server
+	return err
+}
+
+// Address is the IP:port of the HTTP interface.
+func (n *Node) Address() string { return n.http.Addr() }
+
+// Guard is the entry's admission.
+func (n *Node) Guard() *guard.Guard { return n.guard }
