--- a/internal/side/serve/action_test.go
+++ b/internal/side/serve/action_test.go
@@ -354,5 +354,6 @@
 		c.Assert(crew.sides[1].call(again).failure.GetVerdict(), qt.Equals, "mayHaveRun")
 		again.Id.Incarnation = "i1"
 		c.Assert(crew.sides[1].cancel(again.Id), qt.Equals, "mayHaveRun")
+		time.Sleep(2 * time.Second) // the first ends
 	})
 }
