--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -102,6 +102,7 @@
 // commands are all commands in the order of the help.
 func commands(s *streams) []*command {
 	all := []*command{
+		entryCommand(s),
 		sideCommand(s),
 		checkCommand(s),
 		publishCommand(s),
@@ -110,6 +111,7 @@
 		outcomeCommand(s),
 		settleCommand(s),
 		quarantineCommand(s),
+		demoCommand(s),
 		versionCommand(s),
 	}
 	for _, c := range all {
--- /dev/null
+++ b/cmd/ragworthatch/demo.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
+)
+
+// demoOptions are the options of demo.
+type demoOptions struct {
+	jsonOption
+	serve    bool
+	seed     uint64
+	logLevel string
+}
+
+func (o *demoOptions) defineAll(f *flag.FlagSet) {
+	o.jsonOption.define(f)
+	f.BoolVar(&o.serve, "serve", false, "play no script; keep everything running until a signal, and print addresses and tokens")
+	f.Uint64Var(&o.seed, "seed", 1, "`number` that the traffic is drawn from")
+	f.StringVar(&o.logLevel, "logLevel", "", "`level` of the processes' own logs on stderr: debug, info, warn or error; none when empty")
+}
+
+func demoCommand(s *streams) *command {
+	var o demoOptions
+	return &command{
+		name:     "demo",
+		group:    groupTool,
+		synopsis: "run a small deployment and a scripted day in one process",
+		usage: `demo [--json] [--serve]
+
+Starts two entries, the sides, and stand-ins for the platform on loopback, publishes a
+configuration, sends requests, and plays a day in under 30 s: a preset change, a runner
+that dies, one that slows, a draining side, a log outage and actions that are sent
+again. Then prints what became of the requests, counted by the callers and the
+stand-ins. Fails if a promise was broken.`,
+		flags: o.defineAll,
+		run: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			return demo(s, &o)
+		},
+	}
+}
+
+func demo(s *streams, o *demoOptions) error {
+	log := zap.NewNop()
+	if o.logLevel != "" {
+		log = logger.New(s.err, o.logLevel)
+	}
+	logger.RouteLibraries(log)
+	ctx, _ := stopSignals()
+	d, err := day.New(ctx, day.Options{Progress: s.err, Log: log, Seed: o.seed})
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	if o.serve {
+		return serveDemo(ctx, s, o, d)
+	}
+	r, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	for _, line := range r.Broken {
+		fmt.Fprintln(s.err, line)
+	}
+	if err := s.print(o.json, r, reportText(r)); err != nil {
+		return err
+	}
+	if r.Counts.Broken() {
+		return fmt.Errorf("%d promises were broken", len(r.Broken))
+	}
+	return nil
+}
+
+func reportText(r day.Report) string {
+	var b strings.Builder
+	for _, row := range []struct {
+		name  string
+		count int
+	}{
+		{"requests", r.Requests}, {"whole", r.Whole}, {"late", r.Late},
+		{"refused, not run", r.RefusedNotRun}, {"may have run", r.MayHaveRun},
+		{"lost", r.Lost}, {"doubled", r.Doubled}, {"misdelivered", r.Misdelivered},
+		{"told not run, but ran", r.NotRunButRan}, {"actions run twice", r.ActionsRunTwice},
+	} {
+		fmt.Fprintf(&b, "%-22s %6d\n", row.name, row.count)
+	}
+	return b.String()
+}
+
+// served is what "demo --serve" prints.
+type served struct {
+	Entries       []string `json:"entries"`
+	OperatorToken string   `json:"operatorToken"`
+	CallerToken   string   `json:"callerToken"`
+}
+
+func serveDemo(ctx context.Context, s *streams, o *demoOptions, d *day.Day) error {
+	v := served{Entries: d.Entries(), OperatorToken: day.OperatorsToken, CallerToken: day.CollectorsToken}
+	text := fmt.Sprintf(`entries         %s
+operator token  %s
+caller token    %s
+
+  curl -N -H 'Authorization: Bearer %s' http://%s/v1/pipelines/summary \
+    -d '{"stream": true, "input": {"question": "What became of the coins?"}}'
+  go run ./cmd/ragworthatch preset list --entry %s --token %s
+`, strings.Join(v.Entries, " "), v.OperatorToken, v.CallerToken, v.CallerToken, v.Entries[0], v.Entries[1], v.OperatorToken)
+	if err := s.print(o.json, v, text); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/demo/day/publish.go
@@ -0,0 +1,91 @@
+package day
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/ragworthatch/ragworthatch/internal/demo/world"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+)
+
+const author = "demo"
+
+// publish sends the declarations to the first entry and puts the ordinary preset in force.
+func (d *Day) publish(ctx context.Context) error {
+	var objects config.Objects
+	if err := yaml.NewDecoder(bytes.NewReader(world.Declarations), yaml.Strict()).Decode(&objects); err != nil {
+		return err
+	}
+	var r accept.Result
+	req := admin.PublishRequest{Author: author, Change: config.Change{Set: objects}}
+	if err := d.retry(ctx, func() error { return d.operator(0).Post(ctx, admin.PathPublish, req, &r) }); err != nil {
+		return err
+	}
+	if r.State != accept.Accepted {
+		return &accept.Error{Result: r}
+	}
+	d.say("published %d objects: accepted as revision %d", len(objects.Refs()), r.Revision)
+	return d.usePreset(ctx, "ordinary")
+}
+
+// usePreset puts a preset in force through the second entry.
+func (d *Day) usePreset(ctx context.Context, name string) error {
+	var r accept.Result
+	req := admin.PresetRequest{Author: author, Name: name}
+	if err := d.operator(1).Post(ctx, admin.PathPreset, req, &r); err != nil {
+		return err
+	}
+	if r.State != accept.Accepted {
+		return &accept.Error{Result: r}
+	}
+	d.say("preset %q is in force: accepted as revision %d", name, r.Revision)
+	return nil
+}
+
+// untilReady waits until both entries answer requests of each pipeline.
+func (d *Day) untilReady(ctx context.Context) error {
+	for i, address := range d.Entries() {
+		for _, pipeline := range []string{"lookup", "summary"} {
+			err := d.retry(ctx, func() error {
+				a := d.caller.Call(ctx, address, caller.Request{
+					ID: "ready", Pipeline: pipeline, Token: CollectorsToken, Input: json.RawMessage(`{"marker":"ready"}`),
+				})
+				if a.Whole {
+					return nil
+				}
+				return fmt.Errorf("%s at entry %d: %s %s %v", pipeline, i+1, a.Code, a.Message, a.Err)
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	d.say("both entries answer")
+	return nil
+}
+
+// retry calls f until it works or the time is up.
+func (d *Day) retry(ctx context.Context, f func() error) error {
+	const pause = 100 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not ready after %s: %w", readyTimeout, err)
+		case <-time.After(pause):
+		}
+	}
+}
