--- a/internal/side/serve/action_test.go
+++ b/internal/side/serve/action_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,12 +169,12 @@
 		time.Sleep(5 * time.Second)
 		action := make(chan got)
 		key := newKey()
-		go func() { action <- side.call(crew.action(key, `"x"`)) }()
-		for i := range 200 {
-			// More calls than the gate's limit, so that waiting actions in it would show.
-			if i%100 == 0 {
-				go side.call(crew.action(newKey(), `"x"`))
-			}
+		first := crew.action(key, `"x"`)
+		go func() { action <- side.call(first) }()
+		limit := int(side.server.load().Limit)
+		for range limit {
+			req := crew.action(newKey(), `"x"`)
+			go side.call(req)
 		}
 		synctest.Wait()
 		c.Assert(side.server.load().Running, qt.Equals, uint32(0))
@@ -292,10 +293,11 @@
 
 func TestPausedSideDoesNotDispatchAfterItsDeadline(t *testing.T) {
 	testCrew(t, 1, nil, func(c *qt.C, crew *crew) {
-		paused := false
+		var paused atomic.Bool
 		now := func() time.Time {
-			if paused {
-				return time.Now().Add(time.Minute)
+			if paused.Load() {
+				// Past the deadline, but within the time that a dispatched action may take.
+				return time.Now().Add(20 * time.Second)
 			}
 			return time.Now()
 		}
@@ -305,7 +307,7 @@
 		}, nil)
 		time.Sleep(time.Second)
 		crew.log.DelayRead(300 * time.Millisecond)
-		time.AfterFunc(200*time.Millisecond, func() { paused = true })
+		time.AfterFunc(200*time.Millisecond, func() { paused.Store(true) })
 		key := newKey()
 		got := b.call(crew.action(key, `"x"`))
 		c.Assert(got.failure.GetVerdict(), qt.Equals, "notRun")
@@ -341,3 +343,17 @@
 		c.Assert(crew.log.Appends()-before <= 10*(seconds+1), qt.IsTrue, qt.Commentf("%d appends", crew.log.Appends()-before))
 	})
 }
+
+func TestCancelOfARefusedResendPromisesNothing(t *testing.T) {
+	testCrew(t, 2, slow(time.Second), func(c *qt.C, crew *crew) {
+		key := newKey()
+		first := crew.action(key, `"x"`)
+		go crew.sides[0].call(first)
+		time.Sleep(500 * time.Millisecond)
+		again := crew.action(key, `"x"`)
+		c.Assert(crew.sides[1].call(again).failure.GetVerdict(), qt.Equals, "mayHaveRun")
+		again.Id.Incarnation = "i1"
+		c.Assert(crew.sides[1].cancel(again.Id), qt.Equals, "mayHaveRun")
+		time.Sleep(2 * time.Second) // the first ends
+	})
+}
