--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -112,6 +112,7 @@
 		settleCommand(s),
 		quarantineCommand(s),
 		demoCommand(s),
+		loadCommand(s),
 		versionCommand(s),
 	}
 	for _, c := range all {
--- a/cmd/ragworthatch/constants.go
+++ b/cmd/ragworthatch/constants.go
@@ -6,6 +6,7 @@
 	programName     = "ragworthatch"
 	libraryShutdown = 365 * 24 * time.Hour
 	callTimeout     = 15 * time.Second
+	demoPause       = 2 * time.Second
 	noBase          = -2 // below every revision and config.Absent
 )
 
--- a/cmd/ragworthatch/demo.go
+++ b/cmd/ragworthatch/demo.go
@@ -57,7 +57,7 @@
 	}
 	logger.RouteLibraries(log)
 	ctx, _ := stopSignals()
-	d, err := day.New(ctx, day.Options{Progress: s.err, Log: log, Seed: o.seed})
+	d, err := day.New(ctx, day.Options{Progress: s.err, Log: log, Seed: o.seed, Pause: demoPause})
 	if err != nil {
 		return err
 	}
--- a/internal/demo/day/day.go
+++ b/internal/demo/day/day.go
@@ -34,6 +34,8 @@
 	Progress io.Writer
 	Log      *zap.Logger
 	Seed     uint64
+	// Pause between two events of the day.
+	Pause time.Duration
 }
 
 // Day is one run of the demo.
--- /dev/null
+++ b/internal/demo/day/day_test.go
@@ -0,0 +1,28 @@
+package day_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
+)
+
+func TestNoPromiseIsBroken(t *testing.T) {
+	c := qt.New(t)
+	logger.RouteLibraries(zap.NewNop())
+	d, err := day.New(context.Background(), day.Options{Log: zap.NewNop(), Seed: 3, Pause: 100 * time.Millisecond})
+	c.Assert(err, qt.IsNil)
+	defer d.Close()
+	r, err := d.Run(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Broken, qt.HasLen, 0)
+	c.Assert(r.Counts.Broken(), qt.IsFalse)
+	c.Assert(r.Requests > 0, qt.IsTrue)
+	c.Assert(r.Whole+r.RefusedNotRun+r.MayHaveRun, qt.Equals, r.Requests)
+	c.Assert(r.Whole > r.Requests/2, qt.IsTrue, qt.Commentf("%+v", r.Counts))
+}
--- a/internal/demo/day/script.go
+++ b/internal/demo/day/script.go
@@ -11,7 +11,6 @@
 )
 
 const (
-	quiet       = 2 * time.Second // between two events of the day
 	runnerDown  = 3 * time.Second
 	outage      = 2500 * time.Millisecond
 	slowness    = 8
@@ -58,7 +57,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(quiet):
+		case <-time.After(d.o.Pause):
 		}
 	}
 	return nil
