--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/zeromicro/go-zero/core/logx"
+
 	"github.com/ragworthatch/ragworthatch/internal/fake/engine"
 	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
@@ -32,6 +34,8 @@
 	hostListLag     = 500 * time.Millisecond
 )
 
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
 // build makes the program once for all tests.
 var build = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "ragworthatch")
@@ -47,6 +51,7 @@
 })
 
 func TestMain(m *testing.M) {
+	logx.Disable()
 	code := m.Run()
 	if program, err := build(); err == nil {
 		os.RemoveAll(filepath.Dir(program))
@@ -118,10 +123,10 @@
 	f := &fleet{t: t, dir: t.TempDir(), log: memlog.New(), list: roster.New(hostListLag), units: map[string]*unit.Unit{}, sides: map[string]*process{}}
 	f.logHTTP = f.serve(httpd.Log(f.log))
 	f.hosts = f.serve(httpd.Hosts(f.list))
-	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+	for i, zone := range zones {
 		f.addEntry(fmt.Sprintf("entry-%d", i+1), zone)
 	}
-	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+	for i, zone := range zones {
 		f.addUpstreams(i, zone)
 	}
 	t.Cleanup(f.close)
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -1,6 +1,9 @@
 package procs_test
 
 import (
+	"fmt"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,10 +24,9 @@
 	f.publish()
 	tr := f.startTraffic()
 	time.Sleep(settle)
-	for name, p := range f.sides {
-		c.Check(p.stop(), qt.Equals, 0, qt.Commentf("exit code of %s", name))
-		p.start()
-		time.Sleep(settle / 3)
+	for i := range zones {
+		f.replaceZone(c, i)
+		time.Sleep(settle)
 	}
 	for _, p := range f.entries {
 		c.Check(p.stop(), qt.Equals, 0, qt.Commentf("exit code of %s", p.name))
@@ -38,6 +40,21 @@
 	c.Check(tr.unsure.Load(), qt.Equals, int64(0), qt.Commentf("requests cut by a planned stop"))
 }
 
+// replaceZone stops all sides of a zone at once and starts new ones.
+func (f *fleet) replaceZone(c *qt.C, i int) {
+	var wg sync.WaitGroup
+	for name, p := range f.sides {
+		if !strings.HasSuffix(name, fmt.Sprint("-", i)) {
+			continue
+		}
+		wg.Go(func() {
+			c.Check(p.stop(), qt.Equals, 0, qt.Commentf("exit code of %s", name))
+			p.start()
+		})
+	}
+	wg.Wait()
+}
+
 // TestUnplanned kills, freezes and breaks processes and the platform under load: no promise may be broken.
 func TestUnplanned(t *testing.T) {
 	c := qt.New(t)
