--- a/internal/proof/chaos_test.go
+++ b/internal/proof/chaos_test.go
@@ -1,7 +1,9 @@
 package proof
 
 import (
+	"bytes"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/fake/inmem"
@@ -50,7 +52,7 @@
 }
 
 // upstream returns the fates of an upstream's calls.
-func (c chaos) upstream(w *world, kind string) func(upstr.Call) worker.Plan {
+func (c chaos) upstream(w *world, crash func()) func(upstr.Call) worker.Plan {
 	return func(call upstr.Call) worker.Plan {
 		p := worker.Plan{
 			Delay:  time.Millisecond + w.rnd.duration(40*time.Millisecond),
@@ -60,6 +62,9 @@
 		if c[upstreamSlow] && w.rnd.chance(200) {
 			p.Delay = w.rnd.duration(4 * time.Second)
 		}
+		if c[poison] && bytes.Contains(call.Body, []byte(`"poison":true`)) {
+			time.AfterFunc(p.Delay/2, crash)
+		}
 		if c[upstreamFails] && w.rnd.chance(150) {
 			p.Fault = pickOne(w.rnd, worker.Unsent, worker.Refuse, worker.Fail, worker.Crash, worker.Silent, worker.Short)
 			p.After = w.rnd.intN(3)
@@ -97,23 +102,41 @@
 	}
 }
 
-// run makes trouble until ctx ends, then puts everything right.
+// run makes trouble until ctx ends, then puts everything right; troubles may overlap.
 func (c chaos) run(ctx context.Context, w *world) {
-	for sleep(ctx, 50*time.Millisecond+w.rnd.duration(700*time.Millisecond)) {
-		c.strike(ctx, w)
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			for sleep(ctx, 50*time.Millisecond+w.rnd.duration(700*time.Millisecond)) {
+				c.strike(ctx, w)
+			}
+		})
 	}
+	wg.Wait()
 	w.log.SetDown(false)
 	w.log.DelayAppend(0)
 	w.log.Release()
 }
 
 func (c chaos) strike(ctx context.Context, w *world) {
-	f := c.pick(w)
 	h := w.hosts[w.rnd.intN(len(w.hosts))]
+	switch f := c.pick(w); f {
+	case logDown, logLost, logLate, logSlow:
+		c.strikeLog(ctx, w, f)
+	case "":
+	default:
+		if h.busy.TryLock() {
+			defer h.busy.Unlock()
+			c.strikeHost(ctx, w, h, f)
+		}
+	}
+}
+
+func (c chaos) strikeLog(ctx context.Context, w *world, f fault) {
 	switch f {
 	case logDown:
 		w.log.SetDown(true)
-		sleep(ctx, w.rnd.duration(4*time.Second))
+		sleep(ctx, w.rnd.duration(8*time.Second))
 		w.log.SetDown(false)
 	case logLost:
 		w.log.LoseAnswers(1 + w.rnd.intN(3))
@@ -125,6 +148,11 @@
 		w.log.DelayAppend(w.rnd.duration(3 * time.Second))
 		sleep(ctx, w.rnd.duration(3*time.Second))
 		w.log.DelayAppend(0)
+	}
+}
+
+func (c chaos) strikeHost(ctx context.Context, w *world, h *host, f fault) {
+	switch f {
 	case sideDies:
 		h.die()
 		sleep(ctx, w.rnd.duration(2*time.Second))
--- a/internal/proof/claims_test.go
+++ b/internal/proof/claims_test.go
@@ -122,7 +122,7 @@
 	r := &claimRun{w: newWorld(t, seed, naive), chaos: c}
 	spec := pool.Spec{Name: claimService, Kind: pool.Service, SilentMs: 2000}
 	for range claimSides {
-		r.w.addHost(spec, c.upstream(r.w, "service"))
+		r.w.addHost(spec, c)
 	}
 	return r
 }
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
+const upstreamRestart = 300 * time.Millisecond
+
 var errDead = errors.New("process is dead")
 
 // source is a random source that several goroutines may use.
@@ -173,6 +176,7 @@
 	pool   pool.Spec
 	node   *inmem.Node
 	worker *worker.Worker
+	busy   sync.Mutex // held by a fault of the host's own
 
 	mu     sync.Mutex
 	starts int
@@ -189,20 +193,24 @@
 	log   *memlog.Log
 	hosts []*host
 	naive bool
+	cuts  atomic.Int64 // calls in flight at the end of planned stops
 }
 
+// cut is how many calls planned stops have cut.
+func (w *world) cut() int { return int(w.cuts.Load()) }
+
 func newWorld(t *testing.T, seed uint64, naive bool) *world {
 	return &world{t: t, rnd: newSource(seed), log: memlog.New(), naive: naive}
 }
 
-func (w *world) addHost(p pool.Spec, plan func(upstr.Call) worker.Plan) *host {
+func (w *world) addHost(p pool.Spec, c chaos) *host {
 	h := &host{
-		w:      w,
-		name:   fmt.Sprintf("%s-%d", p.Name, len(w.hosts)),
-		pool:   p,
-		node:   inmem.NewNode(),
-		worker: worker.New(plan),
+		w:    w,
+		name: fmt.Sprintf("%s-%d", p.Name, len(w.hosts)),
+		pool: p,
+		node: inmem.NewNode(),
 	}
+	h.worker = worker.New(c.upstream(w, h.crash))
 	w.hosts = append(w.hosts, h)
 	h.start()
 	return h
@@ -241,6 +249,12 @@
 	h.node.Start(s)
 }
 
+// crash breaks the upstream for a while.
+func (h *host) crash() {
+	h.worker.Crash()
+	time.AfterFunc(upstreamRestart, h.worker.Revive)
+}
+
 // die ends the side's process at once.
 func (h *host) die() {
 	h.mu.Lock()
@@ -251,22 +265,20 @@
 	<-h.ended
 }
 
-// leave drains the side and ends its process; it returns whether the drain ended in time.
-func (h *host) leave(bound time.Duration) bool {
+// leave is a planned stop: it drains the side, ends its process and counts the calls that it cut.
+func (h *host) leave(bound time.Duration) {
 	h.mu.Lock()
-	s, naive := h.server, h.w.naive
+	s := h.server
 	h.mu.Unlock()
-	ok := true
-	if !naive {
+	if s != nil {
 		_, _ = s.Drain(h.w.t.Context(), &sidepb.DrainRequest{Author: "ana", Reason: "noon"})
 		select {
 		case <-s.Drained():
 		case <-time.After(bound):
-			ok = false
 		}
 	}
+	h.w.cuts.Add(int64(h.worker.Open()))
 	h.die()
-	return ok
 }
 
 func (h *host) process() *process {
