Add scenarios in virtual time with a naive partner

Each scenario is a data file with a load, faults and the stated targets as bounds. The real scheduler and picker run against engines that share their speed over a batch.

--- /dev/null
+++ b/internal/bench/trial/entry.go
@@ -0,0 +1,154 @@
+package trial
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
+	"github.com/ragworthatch/ragworthatch/internal/route/pick"
+)
+
+const (
+	naiveTimeoutMs = 5000
+	naiveRetries   = 3
+	estimateWeight = 0.05
+	uncachedPart   = 0.1 // of a prompt's prefill, when its prefix is cached
+)
+
+type stageKey struct {
+	line  int
+	stage int
+}
+
+// view is what an entry knows of a pool.
+type view struct {
+	set    *pick.Set
+	sides  []*side
+	picker *pick.Picker
+	turn   int
+}
+
+// entry plans the stages of its requests.
+type entry struct {
+	w         *world
+	zone      int
+	down      bool
+	views     map[string]*view
+	estimates map[stageKey]time.Duration
+}
+
+func newEntry(w *world, zone int) *entry {
+	e := &entry{w: w, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
+	for _, p := range w.scenario.Pools {
+		e.views[p.Name] = e.newView(p)
+	}
+	return e
+}
+
+func (e *entry) newView(p Pool) *view {
+	v := &view{sides: e.w.sides[p.Name]}
+	var all []pick.Upstream
+	for _, s := range v.sides {
+		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
+	}
+	v.set = pick.NewSet(all)
+	v.turn = e.w.rng.IntN(len(all))
+	v.picker = pick.New(rand.New(rand.NewPCG(e.w.rng.Uint64(), 0)), pick.Options{})
+	return v
+}
+
+func (e *entry) begin(r *request) { e.send(r, false) }
+
+// send starts an attempt of the request's present stage.
+func (e *entry) send(r *request, hedge bool) {
+	st := r.now()
+	v := e.views[st.Pool]
+	i, ok := e.choose(v, r)
+	if !ok {
+		r.end(fault.New(fault.NotRun, fault.NoUpstream, "no upstream"))
+		return
+	}
+	u := v.set.At(i)
+	a := &attempt{req: r, stage: st, side: v.sides[i], gauge: u.Gauge, hedge: hedge, sent: e.w.loop.now}
+	a.work, a.prefill = e.w.drawWork(st)
+	r.tried = append(r.tried, u.Name)
+	r.attempts = append(r.attempts, a)
+	u.Gauge.Begin()
+	e.w.loop.after(e.w.delay(a), func() {
+		if !a.over {
+			a.side.arrive(a)
+		}
+	})
+	if !e.w.policy.Sched {
+		a.timer = e.w.loop.after(millis(naiveTimeoutMs), func() { e.timedOut(a) })
+	}
+}
+
+func (e *entry) timedOut(a *attempt) {
+	if a.over {
+		return
+	}
+	a.abandon()
+	e.failed(a, fault.New(fault.MayHaveRun, fault.Deadline, "call timed out"))
+}
+
+func (e *entry) choose(v *view, r *request) (int, bool) {
+	if !e.w.policy.Pick {
+		v.turn = (v.turn + 1) % v.set.Len()
+		return v.turn, true
+	}
+	choice, ok := v.picker.Choose(pick.Query{Avoid: r.tried, SizeClass: r.class()}, v.set, e.w.loop.now)
+	return choice.Index, ok
+}
+
+func (e *entry) failed(a *attempt, err *fault.Error) {
+	r := a.req
+	if r.over {
+		return
+	}
+	if a.stage.Action && err.Verdict != fault.NotRun {
+		r.end(err)
+		return
+	}
+	if r.retries >= naiveRetries {
+		r.end(err)
+		return
+	}
+	r.retries++
+	e.send(r, false)
+}
+
+func (e *entry) succeeded(a *attempt) {
+	key := stageKey{a.req.lineNo, a.req.stage}
+	took := e.w.loop.now.Sub(a.sent)
+	old, ok := e.estimates[key]
+	if !ok {
+		e.estimates[key] = took
+		return
+	}
+	e.estimates[key] = old + time.Duration(estimateWeight*float64(took-old))
+}
+
+// observe takes the load report that rides on an answer.
+func (e *entry) observe(a *attempt, report gauge.Report) {
+	reports := e.w.scenario.Reports
+	if e.w.rng.Float64() < reports.Missing {
+		return
+	}
+	e.w.loop.after(millis(reports.AgeMs), func() { a.gauge.Observe(report) })
+}
+
+// expected is the usual time of the request's present stage, 0 when unknown.
+func (e *entry) expected(r *request) time.Duration {
+	return e.estimates[stageKey{r.lineNo, r.stage}]
+}
+
+// after is the usual time of the stages after the present one.
+func (e *entry) after(r *request) time.Duration {
+	var sum time.Duration
+	for i := r.stage + 1; i < len(r.line.Stages); i++ {
+		sum += e.estimates[stageKey{r.lineNo, i}]
+	}
+	return sum
+}
