--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
@@ -23,10 +24,11 @@
 
 // view is what an entry knows of a pool.
 type view struct {
-	set    *pick.Set
-	sides  []*side
-	picker *pick.Picker
-	turn   int
+	set     *pick.Set
+	sides   []*side
+	picker  *pick.Picker
+	turn    int
+	retries *retry.Budget
 }
 
 // entry plans the stages of its requests.
@@ -47,7 +49,7 @@
 }
 
 func (e *entry) newView(p Pool) *view {
-	v := &view{sides: e.w.sides[p.Name]}
+	v := &view{sides: e.w.sides[p.Name], retries: retry.New(0)}
 	var all []pick.Upstream
 	for _, s := range v.sides {
 		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
@@ -70,7 +72,7 @@
 		return
 	}
 	u := v.set.At(i)
-	a := &attempt{req: r, stage: st, side: v.sides[i], gauge: u.Gauge, hedge: hedge, sent: e.w.loop.now}
+	a := &attempt{req: r, stage: st, side: v.sides[i], gauge: u.Gauge, hedge: hedge, first: len(r.tried) == 0, sent: e.w.loop.now}
 	a.work, a.prefill = e.w.drawWork(st)
 	r.tried = append(r.tried, u.Name)
 	r.attempts = append(r.attempts, a)
@@ -111,7 +113,7 @@
 		r.end(err)
 		return
 	}
-	if r.retries >= naiveRetries {
+	if !e.again(a, err) {
 		r.end(err)
 		return
 	}
@@ -119,7 +121,27 @@
 	e.send(r, false)
 }
 
+func (e *entry) again(a *attempt, err *fault.Error) bool {
+	r := a.req
+	if !e.w.policy.Retry {
+		return r.retries < naiveRetries
+	}
+	d := e.views[a.stage.Pool].retries.Decide(retry.Failure{
+		Err:        err,
+		Repeatable: !a.stage.Action,
+		Retries:    uint32(r.retries),
+		Overloads:  uint32(r.overloads),
+		Remaining:  r.remaining(),
+		Need:       e.expected(r) + e.after(r),
+	})
+	if d.Reason == retry.Overloaded {
+		r.overloads++
+	}
+	return d.Again
+}
+
 func (e *entry) succeeded(a *attempt) {
+	e.views[a.stage.Pool].retries.Succeeded()
 	key := stageKey{a.req.lineNo, a.req.stage}
 	took := e.w.loop.now.Sub(a.sent)
 	old, ok := e.estimates[key]
--- a/internal/bench/trial/request.go
+++ b/internal/bench/trial/request.go
@@ -11,22 +11,23 @@
 
 // request is one caller's request on its way through the stages.
 type request struct {
-	w        *world
-	entry    *entry
-	line     *Pipeline
-	lineNo   int
-	team     string
-	prefix   int
-	arrived  time.Time
-	deadline time.Time
-	stage    int
-	retries  int
-	tried    []string
-	attempts []*attempt
-	timer    *event
-	first    time.Time
-	over     bool
-	work     map[string]float64
+	w         *world
+	entry     *entry
+	line      *Pipeline
+	lineNo    int
+	team      string
+	prefix    int
+	arrived   time.Time
+	deadline  time.Time
+	stage     int
+	retries   int
+	overloads int // retries after a refusal for overload
+	tried     []string
+	attempts  []*attempt
+	timer     *event
+	first     time.Time
+	over      bool
+	work      map[string]float64
 }
 
 func (r *request) start() {
@@ -75,6 +76,7 @@
 	side    *side
 	gauge   *gauge.Gauge
 	hedge   bool
+	first   bool // of its stage
 	sent    time.Time
 	work    float64 // seconds
 	prefill float64
--- a/internal/bench/trial/result.go
+++ b/internal/bench/trial/result.go
@@ -22,13 +22,20 @@
 	work     map[string]float64 // seconds by pool, of the attempts that the answer is made of
 }
 
+// call is one call that reached an upstream.
+type call struct {
+	at    float64
+	pool  string
+	first bool // of its request in that stage
+}
+
 // Result is what a run counted.
 type Result struct {
 	scenario  Scenario
 	policy    Policy
 	outcomes  []outcome
 	intervals []float64 // mean seconds between the tokens of an answer
-	calls     map[string]int
+	calls     []call
 	work      float64 // seconds of all engines
 	wasted    float64
 	hedged    float64
@@ -37,10 +44,12 @@
 }
 
 func newResult(s Scenario, p Policy) *Result {
-	return &Result{scenario: s, policy: p, calls: map[string]int{}}
+	return &Result{scenario: s, policy: p}
 }
 
-func (r *Result) called(pool string) { r.calls[pool]++ }
+func (r *Result) called(a *attempt, at float64) {
+	r.calls = append(r.calls, call{at: at, pool: a.side.pool.Name, first: a.first})
+}
 
 func (r *Result) interval(d time.Duration) { r.intervals = append(r.intervals, d.Seconds()) }
 
@@ -87,7 +96,7 @@
 	case "refusalSeconds":
 		return longest(picked)
 	case "callsPerRequest":
-		return float64(r.calls[e.Pool]) / float64(max(1, len(picked)))
+		return r.callsPerRequest(e)
 	case "admittedOfShare":
 		return r.admittedOfShare(e, picked)
 	case "firstToken95":
@@ -159,6 +168,21 @@
 	return work / (e.To - e.From) / float64(p.Runners*p.Slots)
 }
 
+// callsPerRequest is the number of calls that reached a pool for each request that did.
+func (r *Result) callsPerRequest(e Expect) float64 {
+	all, first := 0, 0
+	for _, c := range r.calls {
+		if c.pool != e.Pool || c.at < e.From || c.at >= e.To {
+			continue
+		}
+		all++
+		if c.first {
+			first++
+		}
+	}
+	return float64(all) / float64(max(1, first))
+}
+
 func (r *Result) admittedOfShare(e Expect, picked []outcome) float64 {
 	n := 0
 	for _, o := range picked {
--- a/internal/bench/trial/side.go
+++ b/internal/bench/trial/side.go
@@ -58,7 +58,7 @@
 		})
 		return
 	}
-	s.w.result.called(s.pool.Name)
+	s.w.result.called(a, s.w.loop.since().Seconds())
 	if s.failing {
 		s.w.loop.after(millis(failMs), func() {
 			a.fail(fault.New(fault.MayHaveRun, fault.Upstream, "upstream failed"))
