--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/route/eject"
 	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
 )
@@ -29,6 +30,7 @@
 	picker  *pick.Picker
 	turn    int
 	retries *retry.Budget
+	ejected *eject.Table
 }
 
 // entry plans the stages of its requests.
@@ -49,7 +51,7 @@
 }
 
 func (e *entry) newView(p Pool) *view {
-	v := &view{sides: e.w.sides[p.Name], retries: retry.New(0)}
+	v := &view{sides: e.w.sides[p.Name], retries: retry.New(0), ejected: eject.New(eject.Options{})}
 	var all []pick.Upstream
 	for _, s := range v.sides {
 		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
@@ -109,6 +111,7 @@
 	if r.over {
 		return
 	}
+	e.blame(a, err)
 	if a.stage.Action && err.Verdict != fault.NotRun {
 		r.end(err)
 		return
@@ -121,6 +124,17 @@
 	e.send(r, false)
 }
 
+// blame tells the ejection table of a failure.
+func (e *entry) blame(a *attempt, err *fault.Error) {
+	if !e.w.policy.Eject || !eject.Blames(err) {
+		return
+	}
+	v := e.views[a.stage.Pool]
+	if until, ok := v.ejected.Failed(a.side.name, v.set.Len(), e.w.loop.now); ok {
+		a.gauge.Eject(until)
+	}
+}
+
 func (e *entry) again(a *attempt, err *fault.Error) bool {
 	r := a.req
 	if !e.w.policy.Retry {
@@ -141,6 +155,7 @@
 }
 
 func (e *entry) succeeded(a *attempt) {
+	e.views[a.stage.Pool].ejected.Succeeded(a.side.name)
 	e.views[a.stage.Pool].retries.Succeeded()
 	key := stageKey{a.req.lineNo, a.req.stage}
 	took := e.w.loop.now.Sub(a.sent)
--- a/internal/bench/trial/policy.go
+++ b/internal/bench/trial/policy.go
@@ -7,10 +7,11 @@
 	Pick  bool // pick in place of round robin
 	Sched bool // sched in place of first come, first served, and deadlines in place of fixed timeouts
 	Retry bool // a retry budget in place of three retries
+	Eject bool // ejection of failing upstreams
 }
 
 // Naive is the differential partner.
 func Naive() Policy { return Policy{Name: "naive"} }
 
 // Ours is the system's policy.
-func Ours() Policy { return Policy{Name: "ours", Pick: true, Sched: true, Retry: true} }
+func Ours() Policy { return Policy{Name: "ours", Pick: true, Sched: true, Retry: true, Eject: true} }
--- a/internal/bench/trial/result.go
+++ b/internal/bench/trial/result.go
@@ -61,15 +61,15 @@
 		class:    string(q.class()),
 		team:     q.team,
 		pipeline: q.line.Name,
-		whole:    err == nil,
 		work:     q.work,
 	}
 	if q.entry.down {
-		o.whole = false
+		err = fault.New(fault.MayHaveRun, fault.Transport, "entry lost")
 	}
 	if !q.first.IsZero() {
 		o.first = q.first.Sub(q.arrived).Seconds()
 	}
+	o.whole = err == nil
 	if err != nil {
 		o.code = err.Code
 		o.notRun = err.Verdict == fault.NotRun
--- a/internal/route/gauge/gauge.go
+++ b/internal/route/gauge/gauge.go
@@ -41,6 +41,7 @@
 	inFlight atomic.Int64
 	last     atomic.Pointer[report]
 	slow     atomic.Pointer[slowness]
+	outUntil atomic.Int64 // Unix nanoseconds
 }
 
 // Begin counts a call that is being sent.
@@ -76,6 +77,15 @@
 	}
 }
 
+// Eject keeps calls away until a time.
+func (g *Gauge) Eject(until time.Time) { g.outUntil.Store(until.UnixNano()) }
+
+// OutUntil is the end of the last ejection; false if there was none.
+func (g *Gauge) OutUntil() (time.Time, bool) {
+	ns := g.outUntil.Load()
+	return time.Unix(0, ns), ns != 0
+}
+
 // Slowness is how much longer than usual calls have taken of late; at least 1.
 func (g *Gauge) Slowness(now time.Time) float64 {
 	s := g.slow.Load()
--- a/internal/route/pick/picker.go
+++ b/internal/route/pick/picker.go
@@ -162,7 +162,7 @@
 		if best.seen > 0 && i == best.index && len(members) > 1 {
 			continue
 		}
-		if slices.Contains(q.Avoid, set.all[i].Name) {
+		if slices.Contains(q.Avoid, set.all[i].Name) || set.all[i].ejected(now) {
 			continue
 		}
 		c := p.rate(set, i, now)
@@ -232,19 +232,19 @@
 		return candidate{}, false
 	}
 	u := &set.all[i]
-	if u.Out || !u.serves(q.Model) || (q.Zone != "" && u.Zone != q.Zone) || slices.Contains(q.Avoid, name) {
+	if u.Out || u.ejected(now) || !u.serves(q.Model) || (q.Zone != "" && u.Zone != q.Zone) || slices.Contains(q.Avoid, name) {
 		return candidate{}, false
 	}
 	return p.rate(set, i, now), true
 }
 
-// search looks at every upstream that is not out, avoided ones last.
+// search looks at every upstream that is not out, avoided and ejected ones last.
 func (p *Picker) search(q Query, set *Set, now time.Time) (candidate, bool) {
 	var best candidate
 	avoided := true
 	for _, i := range set.groups[group{"", q.Model}] {
 		c := p.rate(set, i, now)
-		avoid := slices.Contains(q.Avoid, set.all[i].Name)
+		avoid := slices.Contains(q.Avoid, set.all[i].Name) || set.all[i].ejected(now)
 		seen := best.seen + 1
 		if best.seen == 0 || (avoided && !avoid) || (avoided == avoid && c.score < best.score) {
 			best, avoided = c, avoid
@@ -264,12 +264,16 @@
 	return candidate{index: i, score: score / p.warmth(u, now), load: load, age: age}
 }
 
-// warmth grows from a tenth to 1 over an upstream's slow start.
+// warmth grows from a tenth to 1 over an upstream's slow start, when new or back from an ejection.
 func (p *Picker) warmth(u *Upstream, now time.Time) float64 {
-	if u.Since.IsZero() {
+	since := u.Since
+	if back, ok := u.Gauge.OutUntil(); ok && back.After(since) {
+		since = back
+	}
+	if since.IsZero() {
 		return 1
 	}
-	up := now.Sub(u.Since)
+	up := now.Sub(since)
 	if up >= p.opts.SlowStart {
 		return 1
 	}
--- a/internal/route/pick/set.go
+++ b/internal/route/pick/set.go
@@ -112,6 +112,11 @@
 	return s.ring[i%len(s.ring)].index, true
 }
 
+func (u *Upstream) ejected(now time.Time) bool {
+	until, ok := u.Gauge.OutUntil()
+	return ok && now.Before(until)
+}
+
 func (u *Upstream) serves(model string) bool {
 	return model == "" || len(u.Models) == 0 || slices.Contains(u.Models, model)
 }
