--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -4,8 +4,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
 	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/route/eject"
 	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
@@ -40,10 +42,12 @@
 	down      bool
 	views     map[string]*view
 	estimates map[stageKey]time.Duration
+	admit     *admit.Control
 }
 
 func newEntry(w *world, zone int) *entry {
 	e := &entry{w: w, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
+	e.admit = admit.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), admit.Options{})
 	for _, p := range w.scenario.Pools {
 		e.views[p.Name] = e.newView(p)
 	}
@@ -62,7 +66,25 @@
 	return v
 }
 
-func (e *entry) begin(r *request) { e.send(r, false) }
+// begin admits the request or refuses it at once.
+func (e *entry) begin(r *request) {
+	if e.w.policy.Admit {
+		if err := e.admit.Admit(e.need(r), e.w.loop.now); err != nil {
+			e.w.result.entryRefused++
+			r.end(fault.From(err))
+			return
+		}
+	}
+	e.send(r, false)
+}
+
+func (e *entry) need(r *request) admit.Query {
+	q := admit.Query{Team: r.team, SizeClass: r.class(), Remaining: r.remaining()}
+	for i, st := range r.line.Stages {
+		q.Needs = append(q.Needs, admit.Need{Pool: st.Pool, Time: e.estimates[stageKey{r.lineNo, i}]})
+	}
+	return q
+}
 
 // send starts an attempt of the request's present stage.
 func (e *entry) send(r *request, hedge bool) {
@@ -112,6 +134,9 @@
 		return
 	}
 	e.blame(a, err)
+	if err.Code == fault.Overloaded {
+		e.admit.Refused(a.stage.Pool, r.class(), e.w.loop.now)
+	}
 	if a.stage.Action && err.Verdict != fault.NotRun {
 		r.end(err)
 		return
@@ -169,6 +194,10 @@
 
 // observe takes the load report that rides on an answer.
 func (e *entry) observe(a *attempt, report gauge.Report) {
+	if a.job != nil {
+		e.admit.Observe(a.stage.Pool, pipe.Short, report.Short, e.w.loop.now)
+		e.admit.Observe(a.stage.Pool, pipe.Long, report.Long, e.w.loop.now)
+	}
 	reports := e.w.scenario.Reports
 	if e.w.rng.Float64() < reports.Missing {
 		return
--- /dev/null
+++ b/internal/limit/admit/control.go
@@ -0,0 +1,134 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+)
+
+const (
+	defaultLow   = 800 * time.Millisecond
+	defaultHigh  = 1800 * time.Millisecond
+	waitWeight   = 0.1
+	waitHalfLife = time.Second
+	retryFloor   = 500 * time.Millisecond
+)
+
+// Options configure a control; a zero field takes its default.
+type Options struct {
+	// Low is the expected wait from which requests are refused at random, 800 ms by default.
+	Low time.Duration
+	// High is the expected wait at which every request is refused, 1.8 s by default.
+	High time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Low <= 0 {
+		o.Low = defaultLow
+	}
+	if o.High <= o.Low {
+		o.High = max(defaultHigh, 2*o.Low)
+	}
+	return o
+}
+
+// Need is what a request asks of one pool.
+type Need struct {
+	Pool string
+	Time time.Duration // that the stage is expected to take
+}
+
+// Query describes a request that asks to be admitted.
+type Query struct {
+	Team      string
+	Weight    float64 // of the team under overload; 0 means 1
+	SizeClass pipe.SizeClass
+	Remaining time.Duration
+	Needs     []Need // one for each stage
+}
+
+type key struct {
+	pool  string
+	class pipe.SizeClass
+}
+
+// wait is the smoothed wait of a pool's calls of one size class.
+type wait struct {
+	mean time.Duration
+	at   time.Time
+}
+
+// Control decides for one entry; it is safe for concurrent use.
+type Control struct {
+	opts  Options
+	mu    sync.Mutex
+	rng   *rand.Rand
+	waits map[key]*wait
+	fair  map[pipe.SizeClass]*level
+}
+
+// New returns a control that draws from rng.
+func New(rng *rand.Rand, o Options) *Control {
+	return &Control{
+		opts:  o.withDefaults(),
+		rng:   rng,
+		waits: map[key]*wait{},
+		fair:  map[pipe.SizeClass]*level{},
+	}
+}
+
+// Observe takes the expected wait of a new call that a side reported.
+func (c *Control) Observe(pool string, class pipe.SizeClass, expected time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.wait(pool, class)
+	mean := w.aged(now)
+	w.mean = mean + time.Duration(waitWeight*float64(expected-mean))
+	w.at = now
+}
+
+// Refused takes a side's refusal for overload.
+func (c *Control) Refused(pool string, class pipe.SizeClass, now time.Time) {
+	c.Observe(pool, class, c.opts.High, now)
+}
+
+// Admit returns nil, or a NotRun *fault.Error when the request should not be started.
+func (c *Control) Admit(q Query, now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var need, longest time.Duration
+	for _, n := range q.Needs {
+		need += n.Time
+		longest = max(longest, c.wait(n.Pool, q.SizeClass).aged(now))
+	}
+	if need > q.Remaining {
+		return fault.New(fault.NotRun, fault.TooLate, "needs %v of the remaining %v", need, q.Remaining)
+	}
+	l := c.fair[q.SizeClass]
+	if l == nil {
+		l = newLevel()
+		c.fair[q.SizeClass] = l
+	}
+	l.count(q.Team, q.Weight, now)
+	refuse := float64(longest-c.opts.Low) / float64(c.opts.High-c.opts.Low)
+	if refuse <= 0 {
+		return nil
+	}
+	if c.rng.Float64() < l.admitted(q.Team, 1-min(1, refuse), now) {
+		return nil
+	}
+	return fault.New(fault.NotRun, fault.Overloaded, "calls wait %v", longest).WithRetryAfter(max(retryFloor, longest))
+}
+
+func (c *Control) wait(pool string, class pipe.SizeClass) *wait {
+	k := key{pool, class}
+	w := c.waits[k]
+	if w == nil {
+		w = &wait{}
+		c.waits[k] = w
+	}
+	return w
+}
--- a/internal/limit/sched/scheduler.go
+++ b/internal/limit/sched/scheduler.go
@@ -10,21 +10,21 @@
 )
 
 const (
-	defaultMaxWait  = time.Second
+	defaultMaxWait  = 2 * time.Second
 	defaultAgeAfter = 2 * time.Second
 	defaultHold     = 100 * time.Millisecond
 	minRetryAfter   = 100 * time.Millisecond
 	priorityStep    = 100 * time.Millisecond
 	classMemory     = 10 * time.Second
 	reserveFraction = 8 // one slot in so many is kept for the other size class
-	fairFraction    = 4 // overload begins at this part of the longest wait
+	fairFraction    = 8 // overload begins at this part of the longest wait
 )
 
 // Options configure a scheduler.
 type Options struct {
 	// Limit bounds the calls running at once.
 	Limit adapt.Options
-	// MaxWait is the longest expected wait that is accepted; 0 means 1 s.
+	// MaxWait is the longest expected wait that is accepted; 0 means 2 s.
 	MaxWait time.Duration
 	// AgeAfter orders a call as if due this long after its arrival at the latest; 0 means 2 s.
 	AgeAfter time.Duration
@@ -53,6 +53,8 @@
 	Queued  int
 	Limit   int
 	Latency time.Duration // smoothed running time
+	Short   time.Duration // expected wait of a new short call
+	Long    time.Duration // expected wait of a new long call
 }
 
 // Scheduler orders the calls of one upstream; it is not safe for concurrent use.
@@ -85,7 +87,14 @@
 
 // Load returns the present load.
 func (s *Scheduler[V]) Load() Load {
-	return Load{Running: s.running, Queued: s.expiry.Len(), Limit: s.limit.Value(), Latency: s.latency}
+	return Load{
+		Running: s.running,
+		Queued:  s.expiry.Len(),
+		Limit:   s.limit.Value(),
+		Latency: s.latency,
+		Short:   s.wait(s.short, s.long, s.short.work),
+		Long:    s.wait(s.long, s.short, s.long.work),
+	}
 }
 
 // Offer queues a call, or refuses it with a NotRun *fault.Error when it is not expected to finish; call Next after it.
@@ -277,17 +286,24 @@
 	if l == s.long {
 		other = s.short
 	}
-	slots := s.slots(other, now)
-	if s.running < s.limit.Value() && l.running < slots && l.jobs.Len() == 0 && !s.exclusive {
+	if s.running < s.limit.Value() && l.running < s.slots(other, now) && l.jobs.Len() == 0 && !s.exclusive {
 		return 0
 	}
 	ahead := l.work
 	if s.overloaded(l) {
 		ahead = min(ahead, fairWork(l, f, t))
 	}
-	rate := slots
+	return s.wait(l, other, ahead)
+}
+
+// wait is the time until work ahead of a call in lane l has started.
+func (s *Scheduler[V]) wait(l, other *lane[V], ahead time.Duration) time.Duration {
+	if s.running < s.limit.Value() && l.jobs.Len() == 0 {
+		return 0
+	}
+	rate := s.limit.Value()
 	if other.jobs.Len() > 0 {
-		rate = max(1, slots/2)
+		rate = max(1, rate/2)
 	}
 	return (ahead + l.hold) / time.Duration(rate)
 }
--- a/internal/route/gauge/gauge.go
+++ b/internal/route/gauge/gauge.go
@@ -23,6 +23,8 @@
 	Queued  int
 	Limit   int           // concurrency limit; 0 when unknown
 	Latency time.Duration // smoothed running time; 0 when unknown
+	Short   time.Duration // expected wait of a new short call
+	Long    time.Duration // expected wait of a new long call
 	At      time.Time     // when it was true, by the entry's clock
 }
 
