--- /dev/null
+++ b/internal/side/serve/options.go
@@ -0,0 +1,59 @@
+package serve
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
+)
+
+// Options are what a side needs; Engine may be nil, and a nil Gate limits calls by the pool's bounds.
+type Options struct {
+	Upstream    upstr.Upstream
+	Log         logs.Service // needed by pools that run actions
+	Engine      runner.Engine
+	Gate        *gate.Gate
+	Pool        pool.Spec
+	Name        string // of the upstream
+	Zone        string
+	Incarnation string // differs at each start
+	Now         func() time.Time
+	Zap         *zap.Logger
+}
+
+const defaultSilent = 5 * time.Second
+
+func (o Options) withDefaults() (Options, error) {
+	if o.Upstream == nil {
+		return o, errors.New("side needs an upstream")
+	}
+	if o.Incarnation == "" {
+		return o, errors.New("side needs an incarnation")
+	}
+	if o.Pool.Kind == pool.Service && o.Log == nil {
+		return o, errors.New("side of a service pool needs the log")
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Zap == nil {
+		o.Zap = zap.NewNop()
+	}
+	if o.Gate == nil {
+		o.Gate = gate.New(gate.Options{Floor: o.Pool.MinConcurrency, Ceiling: o.Pool.MaxConcurrency})
+	}
+	return o, nil
+}
+
+func (o Options) silent() time.Duration {
+	if o.Pool.SilentMs > 0 {
+		return time.Duration(o.Pool.SilentMs) * time.Millisecond
+	}
+	return defaultSilent
+}
