Limit teams over all entries by shares that move with demand

Gossip averages each team's demand; an entry grants itself its part of it, so no request waits for another process.

--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
 	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
+	"github.com/ragworthatch/ragworthatch/internal/limit/share"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/route/eject"
@@ -43,11 +44,13 @@
 	views     map[string]*view
 	estimates map[stageKey]time.Duration
 	admit     *admit.Control
+	share     *share.Bucket
 }
 
 func newEntry(w *world, zone int) *entry {
 	e := &entry{w: w, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
 	e.admit = admit.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), admit.Options{})
+	e.share = share.New()
 	for _, p := range w.scenario.Pools {
 		e.views[p.Name] = e.newView(p)
 	}
@@ -68,6 +71,12 @@
 
 // begin admits the request or refuses it at once.
 func (e *entry) begin(r *request) {
+	if e.w.policy.Share {
+		if ok, wait := e.share.Allow(r.team, e.w.loop.now); !ok {
+			r.end(fault.New(fault.NotRun, fault.OverLimit, "team is over its limit").WithRetryAfter(wait))
+			return
+		}
+	}
 	if e.w.policy.Admit {
 		if err := e.admit.Admit(e.need(r), e.w.loop.now); err != nil {
 			e.w.result.entryRefused++
--- a/internal/bench/trial/policy.go
+++ b/internal/bench/trial/policy.go
@@ -9,6 +9,7 @@
 	Retry bool // a retry budget in place of three retries
 	Eject bool // ejection of failing upstreams
 	Admit bool // refusal at the entry
+	Share bool // team limits over all entries
 }
 
 // Naive is the differential partner.
@@ -16,5 +17,5 @@
 
 // Ours is the system's policy.
 func Ours() Policy {
-	return Policy{Name: "ours", Pick: true, Sched: true, Retry: true, Eject: true, Admit: true}
+	return Policy{Name: "ours", Pick: true, Sched: true, Retry: true, Eject: true, Admit: true, Share: true}
 }
--- a/internal/bench/trial/world.go
+++ b/internal/bench/trial/world.go
@@ -9,6 +9,8 @@
 const (
 	nearDelay = 500 * time.Microsecond
 	farDelay  = 1500 * time.Microsecond
+
+	gossipInterval = time.Second
 )
 
 // world is one run of a scenario under a policy.
@@ -54,6 +56,10 @@
 			w.loop.after(seconds(f.Until), func() { w.fault(f, false) })
 		}
 	}
+	if s.Share {
+		w.limitTeams()
+		w.loop.after(gossipInterval, w.gossip)
+	}
 	w.arriveNext()
 	longest := 0.0
 	for _, l := range s.Pipelines {
@@ -63,6 +69,31 @@
 	return w.result
 }
 
+// limitTeams sets each team's limit to its share of the capacity.
+func (w *world) limitTeams() {
+	limits := map[string]float64{}
+	for _, t := range w.scenario.Teams {
+		limits[t.Name] = t.Share * w.capacity
+	}
+	for _, e := range w.entries {
+		e.share.Set(limits, len(w.entries), w.loop.now)
+	}
+}
+
+// gossip lets each entry exchange its teams' demand with one peer.
+func (w *world) gossip() {
+	for i, e := range w.entries {
+		peer := w.rng.IntN(len(w.entries))
+		if peer == i {
+			continue
+		}
+		if rows := e.share.Offer(w.loop.now); len(rows) > 0 {
+			e.share.Settle(w.entries[peer].share.Answer(rows, w.loop.now), w.loop.now)
+		}
+	}
+	w.loop.after(gossipInterval, w.gossip)
+}
+
 func (w *world) arriveNext() {
 	at := w.loop.since().Seconds()
 	if at >= w.scenario.Seconds {
--- /dev/null
+++ b/internal/limit/share/compare_test.go
@@ -0,0 +1,201 @@
+package share_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/limit/share"
+)
+
+const (
+	limit  = 100.0 // requests a second
+	warmUp = 30    // seconds
+	length = 120   // seconds
+)
+
+var start = time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+
+// method is one way to hold a team's limit over all entries.
+type method interface {
+	allow(entry int, now time.Time) bool
+	// gossip runs once a second and returns the messages it took.
+	gossip(now time.Time, rng *rand.Rand) int
+}
+
+// even gives each entry the same part for good.
+type even struct{ tokens []float64 }
+
+func newEven(n int) *even { return &even{tokens: make([]float64, n)} }
+
+func (m *even) allow(i int, _ time.Time) bool { return spend(&m.tokens[i]) }
+
+func (m *even) gossip(time.Time, *rand.Rand) int {
+	for i := range m.tokens {
+		m.tokens[i] = min(1+limit/float64(len(m.tokens)), m.tokens[i]+limit/float64(len(m.tokens)))
+	}
+	return 0
+}
+
+// central hands out each second's requests from one place, by the demand that the entries reported a second ago.
+type central struct {
+	tokens []float64
+	demand []float64
+}
+
+func newCentral(n int) *central {
+	return &central{tokens: make([]float64, n), demand: make([]float64, n)}
+}
+
+func (m *central) allow(i int, _ time.Time) bool {
+	m.demand[i]++
+	return spend(&m.tokens[i])
+}
+
+func (m *central) gossip(time.Time, *rand.Rand) int {
+	total := 0.0
+	for _, d := range m.demand {
+		total += d
+	}
+	for i, d := range m.demand {
+		if total > 0 {
+			part := limit * d / total
+			m.tokens[i] = min(1+part, m.tokens[i]+part)
+		}
+		m.demand[i] = 0
+	}
+	return 2 * len(m.tokens)
+}
+
+// pools moves half of what a random peer has left to an entry that runs short, as servers that share an address pool do.
+type pools struct {
+	tokens []float64
+	short  []bool
+}
+
+func newPools(n int) *pools { return &pools{tokens: make([]float64, n), short: make([]bool, n)} }
+
+func (m *pools) allow(i int, _ time.Time) bool {
+	ok := spend(&m.tokens[i])
+	m.short[i] = m.short[i] || !ok
+	return ok
+}
+
+func (m *pools) gossip(_ time.Time, rng *rand.Rand) (messages int) {
+	n := float64(len(m.tokens))
+	for i := range m.tokens {
+		m.tokens[i] = min(10*limit/n, m.tokens[i]+limit/n)
+	}
+	for i := range m.tokens {
+		if !m.short[i] {
+			continue
+		}
+		m.short[i] = false
+		peer := rng.IntN(len(m.tokens))
+		messages += 2
+		if peer != i && !m.short[peer] {
+			m.tokens[i] += m.tokens[peer] / 2
+			m.tokens[peer] /= 2
+		}
+	}
+	return messages
+}
+
+// moving is the package's own way; a part of the answers is lost.
+type moving struct {
+	buckets []*share.Bucket
+	lost    float64
+}
+
+func newMoving(n int, lost float64) *moving {
+	m := &moving{lost: lost}
+	for range n {
+		b := share.New()
+		b.Set(map[string]float64{"a": limit}, n, start)
+		m.buckets = append(m.buckets, b)
+	}
+	return m
+}
+
+func (m *moving) allow(i int, now time.Time) bool {
+	ok, _ := m.buckets[i].Allow("a", now)
+	return ok
+}
+
+func (m *moving) gossip(now time.Time, rng *rand.Rand) (messages int) {
+	for i, b := range m.buckets {
+		rows := b.Offer(now)
+		peer := rng.IntN(len(m.buckets))
+		if len(rows) == 0 || peer == i {
+			continue
+		}
+		messages += 2
+		answer := m.buckets[peer].Answer(rows, now)
+		if rng.Float64() >= m.lost {
+			b.Settle(answer, now)
+		}
+	}
+	return messages
+}
+
+func spend(tokens *float64) bool {
+	if *tokens < 1 {
+		return false
+	}
+	*tokens--
+	return true
+}
+
+// place says which entry gets the request that arrives at a second.
+type place func(n int, second float64, rng *rand.Rand) int
+
+func spreadOver(n int, _ float64, rng *rand.Rand) int { return rng.IntN(n) }
+
+func onOneInFour(n int, _ float64, rng *rand.Rand) int { return rng.IntN(max(1, n/4)) }
+
+// wandering stays on a twentieth of the entries, or on one, and moves to others every 40 s.
+func wandering(n int, second float64, rng *rand.Rand) int {
+	width := max(1, n/20)
+	return (int(second/40)*width + rng.IntN(width)) % n
+}
+
+// play offers 10 times the limit and returns the error of what was admitted and the messages a second and entry.
+func play(m method, n int, where place) (off, messages float64) {
+	rng := rand.New(rand.NewPCG(7, uint64(n)))
+	admitted := 0
+	sent := 0
+	second := 0.0
+	next := 1.0
+	for second < length {
+		second += rng.ExpFloat64() / (10 * limit)
+		for ; next <= second; next++ {
+			sent += m.gossip(start.Add(time.Duration(next)*time.Second), rng)
+		}
+		now := start.Add(time.Duration(second * float64(time.Second)))
+		if m.allow(where(n, second, rng), now) && second >= warmUp {
+			admitted++
+		}
+	}
+	off = float64(admitted)/(limit*(length-warmUp)) - 1
+	return off, float64(sent) / length / float64(n)
+}
+
+func TestLimitOverAllEntries(t *testing.T) {
+	for name, where := range map[string]place{"spread": spreadOver, "oneInFour": onOneInFour, "wandering": wandering} {
+		for _, n := range []int{4, 360} {
+			for way, m := range map[string]method{
+				"even": newEven(n), "central": newCentral(n), "pools": newPools(n),
+				"moving": newMoving(n, 0), "movingLossy": newMoving(n, 0.1),
+			} {
+				off, messages := play(m, n, where)
+				t.Logf("%-9s %3d entries %-11s error %+.3f, messages per entry and second %.2f", name, n, way, off, messages)
+				if way == "moving" && name != "wandering" {
+					qt.Check(t, math.Abs(off) <= 0.1, qt.IsTrue, qt.Commentf("%s at %d entries: error %.3f", name, n, off))
+				}
+			}
+		}
+	}
+}
