--- a/internal/fake/memlog/log.go
+++ b/internal/fake/memlog/log.go
@@ -31,6 +31,7 @@
 	held        []held
 	appends     int
 	reads       int
+	history     map[string][][]byte // by stream, nil unless kept
 }
 
 type stream struct {
@@ -127,6 +128,20 @@
 	s.drop(int(min(oldest-s.oldest, int64(len(s.records)))))
 }
 
+// KeepHistory remembers all records from now on, also those that are trimmed.
+func (l *Log) KeepHistory() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history = map[string][][]byte{}
+}
+
+// History returns all records of a stream since KeepHistory, in order.
+func (l *Log) History(name string) [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.history[name])
+}
+
 // Appends is the number of append calls that took effect or may yet.
 func (l *Log) Appends() int {
 	l.mu.Lock()
@@ -250,6 +265,9 @@
 		s.records = append(s.records, r)
 		s.times = append(s.times, now)
 	}
+	if l.history != nil {
+		l.history[name] = append(l.history[name], records...)
+	}
 	l.trimAll()
 	return first
 }
--- a/internal/fake/memlog/log_test.go
+++ b/internal/fake/memlog/log_test.go
@@ -90,12 +90,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		l := New()
+		l.KeepHistory()
 		l.Retain(2)
 		for _, s := range []string{"a", "b", "c"} {
 			_, err := l.Append(t.Context(), name, rec(s))
 			c.Assert(err, qt.IsNil)
 		}
 		c.Assert(texts(c, l, 0), qt.DeepEquals, []string{"b", "c"})
+		c.Assert(l.History(name), qt.HasLen, 3)
 		l.RetainFor(time.Minute)
 		time.Sleep(time.Hour)
 		b, err := l.Read(t.Context(), name, 0, 10)
--- /dev/null
+++ b/internal/state/accept/main_test.go
@@ -0,0 +1,22 @@
+package accept
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	settings := map[string]string{
+		"rapid.seed":       "4",
+		"rapid.checks":     "2000",
+		"rapid.nofailfile": "true",
+		"rapid.shrinktime": "20s", // of virtual time
+	}
+	for name, value := range settings {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/state/accept/naive_test.go
@@ -0,0 +1,134 @@
+package accept
+
+import (
+	"maps"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/state/record"
+)
+
+// naive is the fold written the plain way: it copies everything, checks everything and forgets nothing.
+type naive struct {
+	set       config.Set
+	revisions map[config.Ref]int64
+	decisions map[string]bool // accepted, by nonce
+	last      int64           // revision of the whole
+}
+
+func newNaive() naive {
+	return naive{set: config.Objects{}.Set(), revisions: map[config.Ref]int64{}, decisions: map[string]bool{}, last: -1}
+}
+
+func (n naive) clone() naive {
+	n.set.Pools = maps.Clone(n.set.Pools)
+	n.set.Stages = maps.Clone(n.set.Stages)
+	n.set.Pipelines = maps.Clone(n.set.Pipelines)
+	n.set.Presets = maps.Clone(n.set.Presets)
+	n.set.Teams = maps.Clone(n.set.Teams)
+	n.revisions = maps.Clone(n.revisions)
+	n.decisions = maps.Clone(n.decisions)
+	return n
+}
+
+func (n naive) revision(ref config.Ref) int64 {
+	if r, ok := n.revisions[ref]; ok {
+		return r
+	}
+	return config.Absent
+}
+
+func (n naive) apply(offset int64, data []byte) naive {
+	r, err := record.Decode(data)
+	if err != nil || r.Kind == record.Snapshot {
+		return n
+	}
+	next, err := record.NextOf(r.Nonce)
+	if _, decided := n.decisions[r.Nonce]; decided || err != nil || next > offset {
+		return n
+	}
+	after, ok := n.clone().take(offset, r)
+	if !ok {
+		after = n.clone()
+	}
+	after.decisions[r.Nonce] = ok
+	return after
+}
+
+func (n naive) take(offset int64, r record.Record) (naive, bool) {
+	for ref, base := range r.Base {
+		if n.revision(ref) != base {
+			return n, false
+		}
+	}
+	switch r.Kind {
+	case record.Void:
+		var body record.VoidBody
+		err := record.Strict(r.Payload, &body)
+		_, decided := n.decisions[body.Nonce]
+		if err != nil || decided {
+			return n, false
+		}
+		n.decisions[body.Nonce] = false
+		return n, true
+	case record.Preset:
+		var body record.PresetBody
+		if record.Strict(r.Payload, &body) != nil {
+			return n, false
+		}
+		if _, ok := n.set.Presets[body.Name]; !ok {
+			return n, false
+		}
+		n.set.InForce = body.Name
+		n.revisions[config.InForceRef()] = offset
+		n.last = offset
+		return n, true
+	case record.Change:
+		return n.change(offset, r)
+	}
+	return n, false
+}
+
+func (n naive) change(offset int64, r record.Record) (naive, bool) {
+	var body record.ChangeBody
+	if record.Strict(r.Payload, &body) != nil {
+		return n, false
+	}
+	for _, ref := range body.Remove {
+		if n.revision(ref) == config.Absent {
+			return n, false
+		}
+		delete(n.revisions, ref)
+		delete(n.set.Pools, nameIf(ref, config.Pools))
+		delete(n.set.Stages, nameIf(ref, config.Stages))
+		delete(n.set.Pipelines, nameIf(ref, config.Pipelines))
+		delete(n.set.Presets, nameIf(ref, config.Presets))
+		delete(n.set.Teams, nameIf(ref, config.Teams))
+	}
+	for _, p := range body.Set.Pools {
+		n.set = n.set.WithPool(p)
+	}
+	for _, s := range body.Set.Stages {
+		n.set = n.set.WithStage(s)
+	}
+	for _, p := range body.Set.Pipelines {
+		n.set = n.set.WithPipeline(p)
+	}
+	for _, p := range body.Set.Presets {
+		n.set = n.set.WithPreset(p)
+	}
+	for _, t := range body.Set.Teams {
+		n.set = n.set.WithTeam(t)
+	}
+	for _, ref := range body.Set.Refs() {
+		n.revisions[ref] = offset
+	}
+	n.last = offset
+	return n, len(n.set.Validate()) == 0
+}
+
+func nameIf(ref config.Ref, kind config.Kind) string {
+	if ref.Kind != kind {
+		return ""
+	}
+	return ref.Name
+}
--- a/internal/state/feed/read.go
+++ b/internal/state/feed/read.go
@@ -165,6 +165,9 @@
 
 func snapshotBody(data []byte) (record.SnapshotBody, bool) {
 	var body record.SnapshotBody
+	if !record.IsSnapshot(data) {
+		return body, false
+	}
 	r, err := record.Decode(data)
 	if err != nil || r.Kind != record.Snapshot {
 		return body, false
--- a/internal/state/feed/run.go
+++ b/internal/state/feed/run.go
@@ -112,7 +112,9 @@
 		return
 	}
 	r.writeAt = now.Add(f.opt.SnapshotJitter)
-	f.writeSnapshot(ctx, s, now)
+	if err := f.WriteSnapshot(ctx); err != nil {
+		f.lg.Warn("snapshot cannot be written", zap.Error(err))
+	}
 }
 
 // snapshotDue says whether the last snapshot is too old, followed by too many records, or no longer of use.
@@ -133,23 +135,24 @@
 	return now.Sub(time.UnixMilli(m.TimeMs)) >= f.opt.SnapshotEvery
 }
 
-func (f *Feed) writeSnapshot(ctx context.Context, s *fold.State, now time.Time) {
-	data, err := f.snapshotRecord(s, now)
+// WriteSnapshot appends the current state to the log, for processes that start after older records are trimmed.
+func (f *Feed) WriteSnapshot(ctx context.Context) error {
+	s := f.Current()
+	data, err := f.snapshotRecord(s, time.Now())
 	if err != nil {
-		f.lg.Error("snapshot cannot be encoded", zap.Error(err))
-		return
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.opt.CallTimeout)
 	defer cancel()
 	offset, err := f.log.Append(ctx, logs.ConfigStream, [][]byte{data})
 	if err != nil {
-		f.lg.Warn("snapshot cannot be written", zap.Error(err))
-		return
+		return err
 	}
 	f.mu.Lock()
 	f.stats.Snapshots++
 	f.mu.Unlock()
 	f.lg.Info("snapshot written", zap.Int64("covers", s.Offset()), zap.Int64("offset", offset), zap.Int("bytes", len(data)))
+	return nil
 }
 
 func (f *Feed) snapshotRecord(s *fold.State, now time.Time) ([]byte, error) {
--- a/internal/state/record/record.go
+++ b/internal/state/record/record.go
@@ -98,22 +98,23 @@
 	return seal(data[:len(data)-1]), nil
 }
 
+// IsSnapshot says whether Encode made these bytes from a snapshot, without decoding them.
+func IsSnapshot(data []byte) bool { return bytes.HasPrefix(data, snapshotHead) }
+
+// snapshotHead is how the fields of Record start, in their order.
+var snapshotHead = fmt.Appendf(nil, `{"format":%d,"kind":%q,`, Format, Snapshot)
+
 // Decode reads what Encode wrote; it returns an *Error that says what is wrong.
 func Decode(data []byte) (Record, error) {
 	if err := checkSeal(data); err != nil {
 		return Record{}, err
 	}
-	var head struct {
-		Format int `json:"format"`
-	}
-	if err := json.Unmarshal(data, &head); err != nil {
-		return Record{}, &Error{Reason: Malformed, Cause: err}
-	}
-	if head.Format > Format {
-		return Record{}, &Error{Reason: NewerFormat, Cause: fmt.Errorf("format %d is newer than %d", head.Format, Format)}
-	}
 	var s sealed
-	if err := Strict(data, &s); err != nil {
+	err := Strict(data, &s)
+	if format := formatOf(s, data, err); format > Format {
+		return Record{}, &Error{Reason: NewerFormat, Cause: fmt.Errorf("format %d is newer than %d", format, Format)}
+	}
+	if err != nil {
 		return Record{}, &Error{Reason: Malformed, Cause: err}
 	}
 	if err := s.check(); err != nil {
@@ -122,6 +123,20 @@
 	return s.Record, nil
 }
 
+// formatOf returns the format of a record, also of one whose other fields cannot be read.
+func formatOf(s sealed, data []byte, err error) int {
+	if err == nil {
+		return s.Format
+	}
+	var head struct {
+		Format int `json:"format"`
+	}
+	if json.Unmarshal(data, &head) != nil {
+		return 0
+	}
+	return head.Format
+}
+
 // Strict decodes one JSON value and refuses unknown fields and trailing data.
 func Strict(data []byte, into any) error {
 	d := json.NewDecoder(bytes.NewReader(data))
@@ -151,14 +166,15 @@
 
 // The form of the last field: a comma, the name, and 16 hex digits.
 const (
-	sealHead = `,"checksum":"`
-	sealTail = `"}`
-	sumSize  = 16
-	sealSize = len(sealHead) + sumSize + len(sealTail)
+	sealHead  = `,"checksum":"`
+	sealTail  = `"}`
+	sumFormat = "%016x"
+	sumSize   = 16
+	sealSize  = len(sealHead) + sumSize + len(sealTail)
 )
 
 func seal(body []byte) []byte {
-	return fmt.Appendf(body, "%s%016x%s", sealHead, xxhash.Sum64(body), sealTail)
+	return fmt.Appendf(body, sealHead+sumFormat+sealTail, xxhash.Sum64(body))
 }
 
 func checkSeal(data []byte) error {
@@ -170,7 +186,7 @@
 	if !bytes.HasPrefix(end, []byte(sealHead)) || !bytes.HasSuffix(end, []byte(sealTail)) {
 		return &Error{Reason: Cut, Cause: errors.New("no checksum at the end")}
 	}
-	if !bytes.Equal(seal(bytes.Clone(body)), data) {
+	if string(end[len(sealHead):len(sealHead)+sumSize]) != fmt.Sprintf(sumFormat, xxhash.Sum64(body)) {
 		return &Error{Reason: Corrupt, Cause: errors.New("checksum does not match")}
 	}
 	return nil
