--- /dev/null
+++ b/internal/bench/trial/entry.go
@@ -0,0 +1,229 @@
+package trial
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
+	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
+	"github.com/ragworthatch/ragworthatch/internal/limit/share"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/route/eject"
+	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
+	"github.com/ragworthatch/ragworthatch/internal/route/pick"
+)
+
+const (
+	naiveTimeoutMs = 5000
+	naiveRetries   = 3
+	estimateWeight = 0.05
+	uncachedPart   = 0.1 // of a prompt's prefill, when its prefix is cached
+)
+
+type stageKey struct {
+	line  int
+	stage int
+}
+
+// view is what an entry knows of a pool.
+type view struct {
+	set     *pick.Set
+	sides   []*side
+	picker  *pick.Picker
+	turn    int
+	retries *retry.Budget
+	ejected *eject.Table
+}
+
+// entry plans the stages of its requests.
+type entry struct {
+	w         *world
+	zone      int
+	down      bool
+	views     map[string]*view
+	estimates map[stageKey]time.Duration
+	admit     *admit.Control
+	share     *share.Bucket
+}
+
+func newEntry(w *world, zone int) *entry {
+	e := &entry{w: w, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
+	e.admit = admit.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), admit.Options{})
+	e.share = share.New()
+	for _, p := range w.scenario.Pools {
+		e.views[p.Name] = e.newView(p)
+	}
+	return e
+}
+
+func (e *entry) newView(p Pool) *view {
+	v := &view{sides: e.w.sides[p.Name], retries: retry.New(0), ejected: eject.New(eject.Options{})}
+	var all []pick.Upstream
+	for _, s := range v.sides {
+		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
+	}
+	v.set = pick.NewSet(all)
+	v.turn = e.w.rng.IntN(len(all))
+	v.picker = pick.New(rand.New(rand.NewPCG(e.w.rng.Uint64(), 0)), pick.Options{})
+	return v
+}
+
+// begin admits the request or refuses it at once.
+func (e *entry) begin(r *request) {
+	if e.w.policy.Share {
+		if ok, wait := e.share.Allow(r.team, e.w.loop.now); !ok {
+			r.end(fault.New(fault.NotRun, fault.OverLimit, "team is over its limit").WithRetryAfter(wait))
+			return
+		}
+	}
+	if e.w.policy.Admit {
+		if err := e.admit.Admit(e.need(r), e.w.loop.now); err != nil {
+			e.w.result.entryRefused++
+			r.end(fault.From(err))
+			return
+		}
+	}
+	e.send(r, false)
+}
+
+func (e *entry) need(r *request) admit.Query {
+	q := admit.Query{Team: r.team, SizeClass: r.class(), Remaining: r.remaining()}
+	for i, st := range r.line.Stages {
+		q.Needs = append(q.Needs, admit.Need{Pool: st.Pool, Time: e.estimates[stageKey{r.lineNo, i}]})
+	}
+	return q
+}
+
+// send starts an attempt of the request's present stage.
+func (e *entry) send(r *request, hedge bool) {
+	st := r.now()
+	v := e.views[st.Pool]
+	i, ok := e.choose(v, r)
+	if !ok {
+		r.end(fault.New(fault.NotRun, fault.NoUpstream, "no upstream"))
+		return
+	}
+	u := v.set.At(i)
+	a := &attempt{req: r, stage: st, side: v.sides[i], gauge: u.Gauge, hedge: hedge, first: len(r.tried) == 0, sent: e.w.loop.now}
+	a.work, a.prefill = e.w.drawWork(st)
+	r.tried = append(r.tried, u.Name)
+	r.attempts = append(r.attempts, a)
+	u.Gauge.Begin()
+	e.w.loop.after(e.w.delay(a), func() {
+		if !a.over {
+			a.side.arrive(a)
+		}
+	})
+	if !e.w.policy.Sched {
+		a.timer = e.w.loop.after(millis(naiveTimeoutMs), func() { e.timedOut(a) })
+	}
+}
+
+func (e *entry) timedOut(a *attempt) {
+	if a.over {
+		return
+	}
+	a.abandon()
+	e.failed(a, fault.New(fault.MayHaveRun, fault.Deadline, "call timed out"))
+}
+
+func (e *entry) choose(v *view, r *request) (int, bool) {
+	if !e.w.policy.Pick {
+		v.turn = (v.turn + 1) % v.set.Len()
+		return v.turn, true
+	}
+	choice, ok := v.picker.Choose(pick.Query{Avoid: r.tried, SizeClass: r.class()}, v.set, e.w.loop.now)
+	return choice.Index, ok
+}
+
+func (e *entry) failed(a *attempt, err *fault.Error) {
+	r := a.req
+	if r.over {
+		return
+	}
+	e.blame(a, err)
+	if err.Code == fault.Overloaded {
+		e.admit.Refused(a.stage.Pool, r.class(), e.w.loop.now)
+	}
+	if a.stage.Action && err.Verdict != fault.NotRun {
+		r.end(err)
+		return
+	}
+	if !e.again(a, err) {
+		r.end(err)
+		return
+	}
+	r.retries++
+	e.send(r, false)
+}
+
+// blame tells the ejection table of a failure.
+func (e *entry) blame(a *attempt, err *fault.Error) {
+	if !e.w.policy.Eject || !eject.Blames(err) {
+		return
+	}
+	v := e.views[a.stage.Pool]
+	if until, ok := v.ejected.Failed(a.side.name, v.set.Len(), e.w.loop.now); ok {
+		a.gauge.Eject(until)
+	}
+}
+
+func (e *entry) again(a *attempt, err *fault.Error) bool {
+	r := a.req
+	if !e.w.policy.Retry {
+		return r.retries < naiveRetries
+	}
+	d := e.views[a.stage.Pool].retries.Decide(retry.Failure{
+		Err:        err,
+		Repeatable: !a.stage.Action,
+		Retries:    uint32(r.retries),
+		Overloads:  uint32(r.overloads),
+		Remaining:  r.remaining(),
+		Need:       e.expected(r) + e.after(r),
+	})
+	if d.Reason == retry.Overloaded {
+		r.overloads++
+	}
+	return d.Again
+}
+
+func (e *entry) succeeded(a *attempt) {
+	e.views[a.stage.Pool].ejected.Succeeded(a.side.name)
+	e.views[a.stage.Pool].retries.Succeeded()
+	key := stageKey{a.req.lineNo, a.req.stage}
+	took := e.w.loop.now.Sub(a.sent)
+	old, ok := e.estimates[key]
+	if !ok {
+		e.estimates[key] = took
+		return
+	}
+	e.estimates[key] = old + time.Duration(estimateWeight*float64(took-old))
+}
+
+// observe takes the load report that rides on an answer.
+func (e *entry) observe(a *attempt, report gauge.Report) {
+	if a.job != nil {
+		e.admit.Observe(a.stage.Pool, pipe.Short, report.Short, e.w.loop.now)
+		e.admit.Observe(a.stage.Pool, pipe.Long, report.Long, e.w.loop.now)
+	}
+	reports := e.w.scenario.Reports
+	if e.w.rng.Float64() < reports.Missing {
+		return
+	}
+	e.w.loop.after(millis(reports.AgeMs), func() { a.gauge.Observe(report) })
+}
+
+// expected is the usual time of the request's present stage, 0 when unknown.
+func (e *entry) expected(r *request) time.Duration {
+	return e.estimates[stageKey{r.lineNo, r.stage}]
+}
+
+// after is the usual time of the stages after the present one.
+func (e *entry) after(r *request) time.Duration {
+	var sum time.Duration
+	for i := r.stage + 1; i < len(r.line.Stages); i++ {
+		sum += e.estimates[stageKey{r.lineNo, i}]
+	}
+	return sum
+}
