--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -9,6 +9,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/limit/share"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/route/affin"
 	"github.com/ragworthatch/ragworthatch/internal/route/eject"
 	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
@@ -33,6 +34,7 @@
 	picker  *pick.Picker
 	turn    int
 	retries *retry.Budget
+	affin   *affin.Map
 	ejected *eject.Table
 }
 
@@ -58,17 +60,33 @@
 }
 
 func (e *entry) newView(p Pool) *view {
-	v := &view{sides: e.w.sides[p.Name], retries: retry.New(0), ejected: eject.New(eject.Options{})}
+	v := &view{sides: e.w.sides[p.Name], affin: affin.New(affin.Options{}), retries: retry.New(0), ejected: eject.New(eject.Options{})}
 	var all []pick.Upstream
 	for _, s := range v.sides {
 		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
 	}
 	v.set = pick.NewSet(all)
 	v.turn = e.w.rng.IntN(len(all))
-	v.picker = pick.New(rand.New(rand.NewPCG(e.w.rng.Uint64(), 0)), pick.Options{})
+	v.picker = pick.New(rand.New(rand.NewPCG(e.w.rng.Uint64(), 0)), e.pickOptions(v))
 	return v
 }
 
+func (e *entry) pickOptions(v *view) pick.Options {
+	var o pick.Options
+	if e.w.policy.Affin {
+		o.Affinity = v.affin
+	}
+	return o
+}
+
+func (e *entry) query(r *request) pick.Query {
+	q := pick.Query{Avoid: r.tried, SizeClass: r.class()}
+	if r.prefix >= 0 && r.now().PrefillMs > 0 {
+		q.Prefix = prefixName(r.prefix)
+	}
+	return q
+}
+
 // begin admits the request or refuses it at once.
 func (e *entry) begin(r *request) {
 	if e.w.policy.Share {
@@ -133,7 +151,7 @@
 		v.turn = (v.turn + 1) % v.set.Len()
 		return v.turn, true
 	}
-	choice, ok := v.picker.Choose(pick.Query{Avoid: r.tried, SizeClass: r.class()}, v.set, e.w.loop.now)
+	choice, ok := v.picker.Choose(e.query(r), v.set, e.w.loop.now)
 	return choice.Index, ok
 }
 
--- a/internal/bench/trial/policy.go
+++ b/internal/bench/trial/policy.go
@@ -10,6 +10,7 @@
 	Eject bool // ejection of failing upstreams
 	Admit bool // refusal at the entry
 	Share bool // team limits over all entries
+	Affin bool // prefix affinity
 }
 
 // Naive is the differential partner.
@@ -17,5 +18,5 @@
 
 // Ours is the system's policy.
 func Ours() Policy {
-	return Policy{Name: "ours", Pick: true, Sched: true, Retry: true, Eject: true, Admit: true, Share: true}
+	return Policy{Name: "ours", Pick: true, Sched: true, Retry: true, Eject: true, Admit: true, Share: true, Affin: true}
 }
--- a/internal/bench/trial/scenario.go
+++ b/internal/bench/trial/scenario.go
@@ -94,6 +94,7 @@
 // Prefix says how prompts share their beginnings.
 type Prefix struct {
 	Count     int     `yaml:"count"`
+	Hot       float64 `yaml:"hot"`       // part of the requests that share one prefix
 	Cached    int     `yaml:"cached"`    // prefixes that one engine's cache holds
 	EventMs   float64 `yaml:"eventMs"`   // lag of cache events
 	EventLoss float64 `yaml:"eventLoss"` // part of the events that are lost
--- a/internal/bench/trial/side.go
+++ b/internal/bench/trial/side.go
@@ -165,9 +165,11 @@
 
 func (s *side) run(a *attempt) {
 	work, prefill := a.work, a.prefill
-	if s.engine.cache != nil && a.req.prefix >= 0 {
+	if s.engine.cache != nil && a.stage.PrefillMs > 0 {
 		hit, evicted := s.engine.cache.use(a.req.prefix)
-		s.w.cacheEvent(s, a.req.prefix, evicted)
+		if !hit {
+			s.w.cacheEvent(s, a.req.prefix, evicted)
+		}
 		if hit {
 			saved := prefill * (1 - uncachedPart)
 			work -= saved
--- a/internal/bench/trial/world.go
+++ b/internal/bench/trial/world.go
@@ -121,6 +121,9 @@
 	}
 	if n := w.scenario.Prefix.Count; n > 0 {
 		r.prefix = w.arrivals.IntN(n)
+		if w.arrivals.Float64() < w.scenario.Prefix.Hot {
+			r.prefix = 0
+		}
 	}
 	r.entry = w.drawEntry()
 	r.start()
@@ -234,6 +237,20 @@
 	})
 }
 
-func (w *world) cacheEvent(_ *side, _, _ int) {}
+// cacheEvent tells each entry late that a prefix entered an engine's cache and another left it; some events are lost.
+func (w *world) cacheEvent(s *side, cached, evicted int) {
+	lag := w.scenario.Prefix
+	for _, e := range w.entries {
+		m := e.views[s.pool.Name].affin
+		if w.rng.Float64() >= lag.EventLoss {
+			w.loop.after(millis(lag.EventMs), func() { m.Cached(prefixName(cached), s.name, w.loop.now) })
+		}
+		if evicted >= 0 && w.rng.Float64() >= lag.EventLoss {
+			w.loop.after(millis(lag.EventMs), func() { m.Evicted(prefixName(evicted), s.name) })
+		}
+	}
+}
+
+func prefixName(prefix int) string { return fmt.Sprintf("prefix-%d", prefix) }
 
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
--- a/internal/route/pick/picker.go
+++ b/internal/route/pick/picker.go
@@ -18,6 +18,7 @@
 	affinitySlack        = 2.0
 	slowStartFloor       = 0.1
 	attemptsPerChoice    = 4
+	maxRingSteps         = 16
 	spillGain            = 0.7 // a remote upstream's score must be below this part of the local one's
 )
 
@@ -193,7 +194,11 @@
 	seen := best.seen
 	var hit candidate
 	for _, name := range p.opts.Affinity.Holders(q.Prefix) {
-		c, ok := p.eligible(q, set, name, now)
+		i, ok := set.byName[name]
+		if !ok {
+			continue
+		}
+		c, ok := p.eligible(q, set, i, now)
 		if !ok {
 			continue
 		}
@@ -210,29 +215,32 @@
 		}
 		return best, reason, true
 	}
-	i, ok := set.home(q.Prefix)
-	if !ok {
-		return best, reason, true
-	}
-	c, ok := p.eligible(q, set, set.all[i].Name, now)
-	c.seen = seen + 1
-	if ok && p.bounded(c, best) {
+	if c, ok := p.home(q, set, now); ok && p.bounded(c, best) {
+		c.seen = seen + 1
 		return c, CacheHome, true
 	}
 	return best, reason, true
 }
 
+// home walks the ring to the first upstream that may take the call, which other entries find as well.
+func (p *Picker) home(q Query, set *Set, now time.Time) (candidate, bool) {
+	at := set.home(q.Prefix)
+	for step := range min(maxRingSteps, len(set.ring)) {
+		i := set.ring[(at+step)%len(set.ring)].index
+		if c, ok := p.eligible(q, set, i, now); ok {
+			return c, true
+		}
+	}
+	return candidate{}, false
+}
+
 func (p *Picker) bounded(c, best candidate) bool {
 	return c.load <= p.opts.AffinityBound && c.score <= affinitySlack*best.score+affinitySlack
 }
 
-func (p *Picker) eligible(q Query, set *Set, name string, now time.Time) (candidate, bool) {
-	i, ok := set.byName[name]
-	if !ok {
-		return candidate{}, false
-	}
+func (p *Picker) eligible(q Query, set *Set, i int32, now time.Time) (candidate, bool) {
 	u := &set.all[i]
-	if u.Out || u.ejected(now) || !u.serves(q.Model) || (q.Zone != "" && u.Zone != q.Zone) || slices.Contains(q.Avoid, name) {
+	if u.Out || u.ejected(now) || !u.serves(q.Model) || (q.Zone != "" && u.Zone != q.Zone) || slices.Contains(q.Avoid, u.Name) {
 		return candidate{}, false
 	}
 	return p.rate(set, i, now), true
--- a/internal/route/pick/set.go
+++ b/internal/route/pick/set.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -51,12 +52,7 @@
 	for i := range upstreams {
 		s.add(int32(i))
 	}
-	slices.SortFunc(s.ring, func(a, b point) int {
-		if a.hash < b.hash {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(s.ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
 	return s
 }
 
@@ -94,22 +90,11 @@
 	}
 }
 
-// home returns the upstream that a prefix belongs to while none is known to hold it.
-func (s *Set) home(prefix string) (int32, bool) {
-	if len(s.ring) == 0 {
-		return 0, false
-	}
+// home returns the position on the ring from which a prefix looks for its upstream.
+func (s *Set) home(prefix string) int {
 	h := xxhash.Sum64String(prefix)
-	i, _ := slices.BinarySearchFunc(s.ring, h, func(p point, h uint64) int {
-		switch {
-		case p.hash < h:
-			return -1
-		case p.hash > h:
-			return 1
-		}
-		return 0
-	})
-	return s.ring[i%len(s.ring)].index, true
+	i, _ := slices.BinarySearchFunc(s.ring, h, func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
+	return i
 }
 
 func (u *Upstream) ejected(now time.Time) bool {
