--- a/internal/entry/exec/attempt.go
+++ b/internal/entry/exec/attempt.go
@@ -27,11 +27,13 @@
 	step   *step
 	number uint32
 	hedge  bool
-	target target.Target
-	call   *sidepb.CallRequest
-	answer *assem.Answer
-	load   *sidepb.Load
-	start  time.Time
+	// reserved is what a hedge took from the budget.
+	reserved time.Duration
+	target   target.Target
+	call     *sidepb.CallRequest
+	answer   *assem.Answer
+	load     *sidepb.Load
+	start    time.Time
 }
 
 func (s *step) newAttempt(ctx context.Context, t target.Target, hedge bool) *attempt {
@@ -132,7 +134,12 @@
 			zap.String("verdict", string(v)), zap.String("code", string(f.Code)), zap.String("message", f.Error()))
 	}
 	s.run.mark(s.spec, v)
-	a.target.Done(target.Report{Took: time.Since(a.start), Load: a.load, Fault: f})
+	took := time.Since(a.start)
+	a.target.Done(target.Report{Took: took, Load: a.load, Fault: f, Cached: a.answer.Cost().GetCachedTokens() > 0})
+	s.run.e.policy.Ended(s.work(), End{Fault: f, Hedge: a.hedge, Took: took, Runner: a.runner(), Load: a.load})
+	if a.hedge {
+		s.run.e.policy.SettleHedge(a.reserved, a.runner())
+	}
 	if a.answer.Failure().GetCrashed() {
 		s.run.e.watcher.Crashed(Crash{
 			ID:          a.answer.Failure().GetCrash(),
@@ -145,6 +152,11 @@
 	}
 }
 
+// runner is the time that the upstream spent, as far as the side told.
+func (a *attempt) runner() time.Duration {
+	return time.Duration(a.answer.Cost().GetRunnerMs()) * time.Millisecond
+}
+
 func (a *attempt) cost(wasted bool) Cost {
 	c := a.answer.Cost()
 	return Cost{
--- a/internal/entry/exec/exec.go
+++ b/internal/entry/exec/exec.go
@@ -11,6 +11,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
 // Sink takes the tokens of a streamed answer as they come.
@@ -21,28 +22,45 @@
 
 // Policy decides about time and repetition.
 type Policy interface {
-	// Estimate is how long a stage is expected to take.
-	Estimate(stage string, class pipe.SizeClass) time.Duration
-	// Observe takes how long a whole stage took.
-	Observe(stage string, class pipe.SizeClass, took time.Duration)
-	// Began counts a stage's first attempt, which earns budget for retries and hedges.
-	Began()
-	// Retry says whether another attempt may follow f, and after which pause.
-	Retry(t Try) (time.Duration, bool)
-	// HedgeAfter says whether a second attempt may start, and after which delay.
-	HedgeAfter(stage string, class pipe.SizeClass, budget float64) (time.Duration, bool)
-	// Hedge takes a hedge from the budget.
-	Hedge(budget float64) bool
+	// Estimate is how long a stage is expected to take; 0 when unknown.
+	Estimate(w Work) time.Duration
+	// Ended takes the end of an attempt.
+	Ended(w Work, e End)
+	// Retry says whether another attempt may follow a failed one, and after which pause.
+	Retry(w Work, t Try) (time.Duration, bool)
+	// HedgeAfter says whether a second attempt may start beside the first, and after which delay.
+	HedgeAfter(w Work) (time.Duration, bool)
+	// TakeHedge takes what a hedge may cost from the budget, and SettleHedge replaces it by what it did cost.
+	TakeHedge(w Work) (time.Duration, bool)
+	SettleHedge(reserved, cost time.Duration)
+}
+
+// Work is a stage of a request, as decisions about it see it.
+type Work struct {
+	Pipeline   string
+	Stage      string
+	Pool       string
+	Class      pipe.SizeClass
+	Repeatable bool
+	Remaining  time.Duration // until the request's deadline
+	After      time.Duration // that the stages after this one are expected to take
+}
+
+// End is how an attempt ended.
+type End struct {
+	Fault  *fault.Error // nil when whole
+	Hedge  bool
+	Took   time.Duration
+	Runner time.Duration // that the upstream spent
+	Load   *sidepb.Load  // the side's last report; may be nil
 }
 
 // Try is a failed attempt that might be followed by another.
 type Try struct {
-	Fault      *fault.Error
-	Repeatable bool
-	Attempt    uint32 // of this stage, 1 is the first
-	Retries    uint32 // of the whole request
-	Remaining  time.Duration
-	Budget     float64 // the preset's retry budget
+	Fault     *fault.Error
+	Attempt   uint32 // of this stage, 1 is the first
+	Retries   uint32 // of the whole request
+	Overloads uint32 // of these, those after a refusal for overload
 }
 
 // Crash is an upstream that died with a call of this request in flight.
--- a/internal/entry/exec/exec_test.go
+++ b/internal/entry/exec/exec_test.go
@@ -19,7 +19,6 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/target"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
-	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/model/preset"
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
@@ -151,19 +150,19 @@
 
 func (r *fakeRouter) Suspect(name string) { r.suspected = append(r.suspected, name) }
 
-// fakePolicy allows attempts retries of what the verdict allows, and hedges after hedge.
+// fakePolicy allows attempts of a stage as long as the fault allows it, and hedges after hedge.
 type fakePolicy struct {
 	attempts uint32
 	hedge    time.Duration
 }
 
-func (p fakePolicy) Estimate(string, pipe.SizeClass) time.Duration { return 0 }
-func (p fakePolicy) Observe(string, pipe.SizeClass, time.Duration) {}
-func (p fakePolicy) Began()                                        {}
-func (p fakePolicy) Hedge(float64) bool                            { return true }
-func (p fakePolicy) Retry(t exec.Try) (time.Duration, bool)        { return 0, t.Attempt < p.attempts }
-func (p fakePolicy) HedgeAfter(string, pipe.SizeClass, float64) (time.Duration, bool) {
-	return p.hedge, p.hedge > 0
+func (p fakePolicy) Estimate(exec.Work) time.Duration           { return 0 }
+func (p fakePolicy) Ended(exec.Work, exec.End)                  {}
+func (p fakePolicy) TakeHedge(exec.Work) (time.Duration, bool)  { return 0, true }
+func (p fakePolicy) SettleHedge(time.Duration, time.Duration)   {}
+func (p fakePolicy) HedgeAfter(exec.Work) (time.Duration, bool) { return p.hedge, p.hedge > 0 }
+func (p fakePolicy) Retry(_ exec.Work, t exec.Try) (time.Duration, bool) {
+	return 0, t.Retries+1 < p.attempts
 }
 
 type fakeWatcher struct {
--- a/internal/entry/exec/round.go
+++ b/internal/entry/exec/round.go
@@ -39,10 +39,7 @@
 	if s.spec.IsAction() || s.spec.Kind == stage.Generate || s.attempts > 1 || req.Alone {
 		return 0, false
 	}
-	if req.Preset.HedgeBudget <= 0 {
-		return 0, false
-	}
-	return s.run.e.policy.HedgeAfter(s.spec.Name, req.Class(), req.Preset.HedgeBudget)
+	return s.run.e.policy.HedgeAfter(s.work())
 }
 
 // finished is the end of one of two racing attempts.
@@ -84,12 +81,17 @@
 
 // second builds the hedging attempt, nil if the budget or the upstreams do not allow it.
 func (s *step) second(ctx context.Context) *attempt {
-	if !s.run.e.policy.Hedge(s.run.req.Preset.HedgeBudget) {
+	policy := s.run.e.policy
+	reserved, ok := policy.TakeHedge(s.work())
+	if !ok {
 		return nil
 	}
 	t, f := s.route(true)
 	if f != nil {
+		policy.SettleHedge(reserved, 0)
 		return nil
 	}
-	return s.newAttempt(ctx, t, true)
+	a := s.newAttempt(ctx, t, true)
+	a.reserved = reserved
+	return a
 }
--- a/internal/entry/exec/run.go
+++ b/internal/entry/exec/run.go
@@ -29,6 +29,7 @@
 	streamed bool
 	replayed bool
 	retries  uint32
+	overload uint32 // retries after a refusal for overload
 
 	mu     sync.Mutex
 	mayRun bool // some attempt may have run
@@ -115,11 +116,25 @@
 	return body, nil
 }
 
+// work describes stage i to the policy.
+func (r *run) work(i int) Work {
+	st := r.req.Stages[i]
+	return Work{
+		Pipeline:   r.req.Pipeline.Name,
+		Stage:      st.Name,
+		Pool:       st.Pool,
+		Class:      r.req.Class(),
+		Repeatable: !st.IsAction(),
+		Remaining:  time.Until(r.req.Deadline),
+		After:      r.after(i),
+	}
+}
+
 // after is how long the stages behind index i are expected to take.
 func (r *run) after(i int) time.Duration {
 	var sum time.Duration
 	for _, st := range r.req.Stages[i+1:] {
-		sum += r.e.policy.Estimate(st.Name, r.req.Class())
+		sum += r.e.policy.Estimate(Work{Pipeline: r.req.Pipeline.Name, Stage: st.Name, Class: r.req.Class()})
 	}
 	return sum
 }
--- a/internal/entry/exec/stage.go
+++ b/internal/entry/exec/stage.go
@@ -30,13 +30,10 @@
 		return f
 	}
 	s := &step{run: r, index: i, spec: r.req.Stages[i], body: body}
-	r.e.policy.Began()
-	start := time.Now()
 	res, f := s.loop(ctx)
 	if f != nil {
 		return f
 	}
-	r.e.policy.Observe(s.spec.Name, r.req.Class(), time.Since(start))
 	r.keep(s.spec, res.chunks, res.replayed)
 	return nil
 }
@@ -56,6 +53,9 @@
 			return result{}, f
 		}
 		s.run.retries++
+		if f.Code == fault.Overloaded {
+			s.run.overload++
+		}
 		if !sleep(ctx, pause) {
 			return result{}, ended(ctx, f.Verdict)
 		}
@@ -67,17 +67,16 @@
 	if ctx.Err() != nil || !s.resumable(f) {
 		return 0, false
 	}
-	req := s.run.req
-	return s.run.e.policy.Retry(Try{
-		Fault:      f,
-		Repeatable: !s.spec.IsAction(),
-		Attempt:    s.attempts,
-		Retries:    s.run.retries,
-		Remaining:  time.Until(req.Deadline) - s.run.after(s.index),
-		Budget:     req.Preset.RetryBudget,
+	return s.run.e.policy.Retry(s.work(), Try{
+		Fault:     f,
+		Attempt:   s.attempts,
+		Retries:   s.run.retries,
+		Overloads: s.run.overload,
 	})
 }
 
+func (s *step) work() Work { return s.run.work(s.index) }
+
 // resumable says whether another attempt could still make the answer whole.
 func (s *step) resumable(f *fault.Error) bool {
 	if f.Verdict == fault.NotRun || s.spec.Kind != stage.Generate {
@@ -112,7 +111,7 @@
 		Avoid:    s.avoid,
 		Revision: req.Revision,
 		Hedge:    hedge,
-		Expected: s.run.e.policy.Estimate(s.spec.Name, req.Class()),
+		Expected: s.run.e.policy.Estimate(s.work()),
 	}
 	t, err := s.run.e.router.Route(q)
 	if err != nil {
@@ -122,14 +121,16 @@
 	return t, nil
 }
 
-// prefixBytes of a body decide which upstream may have its prefix cached.
-const prefixBytes = 256
-
+// prefix names the beginning of a prompt, which some upstream may have cached.
 func (s *step) prefix() string {
 	if s.spec.Kind != stage.Generate {
 		return ""
 	}
-	return ident.BodyDigest(s.body[:min(len(s.body), prefixBytes)])
+	chain := ident.PrefixChain(s.spec.Model, s.body)
+	if len(chain) == 0 {
+		return ""
+	}
+	return chain[0]
 }
 
 // ended is the error of a request whose context is done.
--- a/internal/entry/node/control.go
+++ b/internal/entry/node/control.go
@@ -26,15 +26,28 @@
 	}
 }
 
-// publish indexes a new configuration and gives the router a new snapshot.
+// publish indexes a new configuration and gives the decisions of traffic their new snapshots.
 func (n *Node) publish() {
+	view := n.links.View()
+	n.reindex(len(view.Entries))
+	p, _ := n.index.Load().Set.Preset()
+	n.policy.Use(p)
+	n.router.Update(view, p)
+}
+
+// reindex takes over a new revision, or another number of entries to share the limits with.
+func (n *Node) reindex(entries int) {
 	state := n.feed.Current()
-	if ix := n.index.Load(); ix.Revision != state.Revision() {
+	ix := n.index.Load()
+	if ix.Revision == state.Revision() && n.entries == entries {
+		return
+	}
+	if ix.Revision != state.Revision() {
 		next := index.New(state.Config(), state.Revision())
 		n.index.Update(func(*index.Index) *index.Index { return next })
 	}
-	preset, _ := n.index.Load().Set.Preset()
-	n.router.Update(n.links.View(), preset.MaintenanceZones)
+	n.entries = entries
+	n.quota.Use(n.index.Load().Set, max(1, entries), time.Now())
 }
 
 // poke tells the control goroutine of a new view; one that it has not seen yet is enough.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -12,22 +12,21 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
 	"github.com/ragworthatch/ragworthatch/internal/entry/opsapi"
 	"github.com/ragworthatch/ragworthatch/internal/entry/policy"
 	"github.com/ragworthatch/ragworthatch/internal/entry/query"
+	"github.com/ragworthatch/ragworthatch/internal/entry/quota"
 	"github.com/ragworthatch/ragworthatch/internal/entry/router"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
-	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
-	"github.com/ragworthatch/ragworthatch/internal/route/pick"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
 	"github.com/ragworthatch/ragworthatch/internal/state/cell"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
 // Options are what an entry is built from.
@@ -48,6 +47,8 @@
 	feed   *feed.Feed
 	links  *link.Pool
 	router *router.Router
+	policy *policy.Policy
+	quota  *quota.Quota
 	guard  *guard.Guard
 	exec   *exec.Executor
 	index  *cell.Cell[*index.Index]
@@ -55,7 +56,9 @@
 	views  chan struct{} // a new view of the fleet
 	leave  chan struct{} // closed by an operator's drain
 	once   sync.Once
-	http   *listen.Server
+	// entries, of the control goroutine, is how many entries share the teams' limits.
+	entries int
+	http    *listen.Server
 }
 
 // New builds an entry and listens; Run starts it.
@@ -63,6 +66,7 @@
 	n := &Node{
 		o:     o,
 		feed:  feed.New(o.Log, feed.Options{Author: o.Name}, o.Zap),
+		quota: quota.New(),
 		index: cell.New(&index.Index{}),
 		marks: cell.New(mark.New(mark.Options{})),
 		views: make(chan struct{}, 1),
@@ -74,26 +78,23 @@
 		Dial:   o.Dial,
 		Offset: func() int64 { return n.feed.Current().Offset() },
 		OnView: func(member.View) { n.poke() },
-		Log:    o.Zap,
+		OnStatus: func(name string, st *sidepb.Status) {
+			n.router.Cached(name, st.GetCached(), st.GetEvicted())
+		},
+		Log: o.Zap,
 	})
 	if err != nil {
 		return nil, err
 	}
 	n.links = links
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.router = router.New(router.Options{
-		Zone:   o.Zone,
-		Links:  links,
-		Picker: pick.New(rng, pick.Options{}),
-		Log:    o.Zap,
-		Now:    time.Now,
-	})
-	n.exec = exec.New(n.router, policy.New(), n, o.Zap)
+	n.router = router.New(router.Options{Zone: o.Zone, Links: links, Rand: newRand(), Log: o.Zap, Now: time.Now})
+	n.policy = policy.New(newRand(), time.Now, o.Zap)
+	n.exec = exec.New(n.router, n.policy, n, o.Zap)
 	n.guard = guard.New(guard.Options{
 		Ready: n.ready,
 		Marks: n.marks.Load,
-		Limit: func(job.Request, time.Time) *fault.Error { return nil },
-		Fits:  func(job.Request, time.Time) *fault.Error { return nil },
+		Limit: n.quota.Limit,
+		Fits:  n.policy.Fits,
 		Now:   time.Now,
 		Log:   o.Zap,
 	})
@@ -133,3 +134,5 @@
 
 // Guard is the entry's admission.
 func (n *Node) Guard() *guard.Guard { return n.guard }
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/entry/policy/policy.go
+++ b/internal/entry/policy/policy.go
@@ -1,56 +1,167 @@
 package policy
 
 import (
+	"math/rand/v2"
+	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
+	"github.com/ragworthatch/ragworthatch/internal/limit/hedge"
+	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
+	"github.com/ragworthatch/ragworthatch/internal/limit/sketch"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
 )
 
 const (
-	maxAttempts = 3
-	retryPause  = 20 * time.Millisecond
+	retryPause    = 10 * time.Millisecond
+	overloadPause = 50 * time.Millisecond
 )
 
-// Policy implements exec.Policy.
-type Policy struct{}
+// Policy implements exec.Policy; it is safe for concurrent use.
+type Policy struct {
+	now      func() time.Time
+	log      *zap.Logger
+	sketches *sketch.Set
+	admit    *admit.Control
+	hedges   *hedge.Budget
 
-// New returns a policy.
-func New() *Policy { return &Policy{} }
+	mu      sync.Mutex
+	ratio   float64
+	budgets map[string]*retry.Budget // by pool
+}
 
-// Estimate is how long a stage is expected to take; 0 when unknown.
-func (p *Policy) Estimate(string, pipe.SizeClass) time.Duration { return 0 }
+// New returns a policy that has seen nothing and hedges nothing.
+func New(rng *rand.Rand, now func() time.Time, log *zap.Logger) *Policy {
+	return &Policy{
+		now:      now,
+		log:      log,
+		sketches: sketch.New(0),
+		admit:    admit.New(rng, admit.Options{}),
+		hedges:   hedge.New(0),
+		budgets:  map[string]*retry.Budget{},
+	}
+}
+
+// Use sets the budgets of the preset in force.
+func (p *Policy) Use(s preset.Spec) {
+	p.hedges.Set(s.HedgeBudget)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ratio == s.RetryBudget {
+		return
+	}
+	p.ratio = s.RetryBudget
+	for _, b := range p.budgets {
+		b.Set(p.ratio)
+	}
+}
 
-// Observe takes how long a whole stage took.
-func (p *Policy) Observe(string, pipe.SizeClass, time.Duration) {}
+// Fits returns why a request could not finish in its deadline; its verdict is NotRun.
+func (p *Policy) Fits(r job.Request, now time.Time) *fault.Error {
+	q := admit.Query{
+		Team:      r.Team.Name,
+		Weight:    r.Weight(),
+		SizeClass: r.Class(),
+		Remaining: r.Deadline.Sub(now),
+	}
+	for _, st := range r.Stages {
+		need := p.Estimate(exec.Work{Pipeline: r.Pipeline.Name, Stage: st.Name, Class: r.Class()})
+		q.Needs = append(q.Needs, admit.Need{Pool: st.Pool, Time: need})
+	}
+	if err := p.admit.Admit(q, now); err != nil {
+		return fault.From(err)
+	}
+	return nil
+}
 
-// Began counts a stage's first attempt.
-func (p *Policy) Began() {}
+// Estimate is the usual time of a stage; 0 when unknown.
+func (p *Policy) Estimate(w exec.Work) time.Duration {
+	return p.look(w).Median
+}
 
-// Retry says whether another attempt may follow, and after which pause.
-func (p *Policy) Retry(t exec.Try) (time.Duration, bool) {
-	if final(t.Fault.Code) || t.Attempt >= maxAttempts || t.Remaining <= retryPause {
-		return 0, false
+func (p *Policy) look(w exec.Work) sketch.Estimate {
+	est, _ := p.sketches.Estimate(keyOf(w), p.now())
+	return est
+}
+
+func keyOf(w exec.Work) sketch.Key {
+	return sketch.Key{Pipeline: w.Pipeline, Stage: w.Stage, SizeClass: w.Class}
+}
+
+// Ended takes the end of an attempt.
+func (p *Policy) Ended(w exec.Work, e exec.End) {
+	now := p.now()
+	if l := e.Load; l != nil {
+		p.admit.Observe(w.Pool, pipe.Short, millis(l.GetShortWaitMs()), now)
+		p.admit.Observe(w.Pool, pipe.Long, millis(l.GetLongWaitMs()), now)
 	}
-	if !t.Repeatable && t.Fault.Verdict != fault.NotRun {
-		return 0, false
+	if e.Fault != nil {
+		if e.Fault.Code == fault.Overloaded {
+			p.admit.Refused(w.Pool, w.Class, now)
+		}
+		return
+	}
+	p.sketches.Add(keyOf(w), e.Took, now)
+	p.budget(w.Pool).Succeeded()
+	if !e.Hedge {
+		p.hedges.Spent(e.Runner)
 	}
-	return retryPause, true
+}
+
+// Retry says whether another attempt may follow, and after which pause.
+func (p *Policy) Retry(w exec.Work, t exec.Try) (time.Duration, bool) {
+	d := p.budget(w.Pool).Decide(retry.Failure{
+		Err:        t.Fault,
+		Repeatable: w.Repeatable,
+		Retries:    t.Retries,
+		Overloads:  t.Overloads,
+		Remaining:  w.Remaining,
+		Need:       p.Estimate(w) + w.After,
+	})
+	p.log.Info("retry", zap.String("pipeline", w.Pipeline), zap.String("stage", w.Stage), zap.String("pool", w.Pool),
+		zap.Bool("again", d.Again), zap.String("reason", string(d.Reason)), zap.Uint32("retries", t.Retries))
+	if d.Reason == retry.Overloaded {
+		return overloadPause, d.Again
+	}
+	return retryPause, d.Again
 }
 
 // HedgeAfter says whether a second attempt may start, and after which delay.
-func (p *Policy) HedgeAfter(string, pipe.SizeClass, float64) (time.Duration, bool) { return 0, false }
+func (p *Policy) HedgeAfter(w exec.Work) (time.Duration, bool) {
+	est := p.look(w)
+	return p.hedges.Delay(hedge.Call{
+		Repeatable: w.Repeatable,
+		Quantile:   est.P95,
+		Samples:    est.Samples,
+		Remaining:  w.Remaining,
+		Need:       est.Median + w.After,
+	})
+}
 
-// Hedge takes a hedge from the budget.
-func (p *Policy) Hedge(float64) bool { return false }
+// TakeHedge takes what a hedge may cost from the budget.
+func (p *Policy) TakeHedge(w exec.Work) (time.Duration, bool) {
+	reserved := p.Estimate(w)
+	return reserved, p.hedges.Take(reserved)
+}
+
+// SettleHedge replaces what a hedge reserved by what it cost.
+func (p *Policy) SettleHedge(reserved, cost time.Duration) { p.hedges.Settle(reserved, cost) }
 
-// final says whether the same call would fail again anywhere.
-func final(c fault.Code) bool {
-	switch c {
-	case fault.BadRequest, fault.TooLarge, fault.KeyReused, fault.KeyExpired, fault.Quarantined,
-		fault.TooLate, fault.Deadline, fault.Canceled, fault.InProgress, fault.Tombstoned:
-		return true
+func (p *Policy) budget(pool string) *retry.Budget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.budgets[pool]
+	if b == nil {
+		b = retry.New(p.ratio)
+		p.budgets[pool] = b
 	}
-	return false
+	return b
 }
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -10,8 +11,12 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/target"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
+	"github.com/ragworthatch/ragworthatch/internal/route/affin"
+	"github.com/ragworthatch/ragworthatch/internal/route/eject"
 	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
+	"github.com/ragworthatch/ragworthatch/internal/route/spill"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -29,24 +34,31 @@
 
 // Options are the dependencies of a Router.
 type Options struct {
-	Zone   string
-	Links  Links
-	Picker *pick.Picker
-	Log    *zap.Logger
-	Now    func() time.Time
+	Zone  string
+	Links Links
+	Rand  *rand.Rand
+	Log   *zap.Logger
+	Now   func() time.Time
 }
 
 // Router implements target.Router; Update belongs to the control goroutine.
 type Router struct {
 	o      Options
+	picker *pick.Picker
+	spill  *spill.Cap
+	affin  *affin.Map
 	pools  atomic.Pointer[map[string]*pool]
-	gauges map[string]*seen // by upstream, of the control goroutine
+
+	// The fields below belong to the control goroutine.
+	gauges map[string]*seen // by upstream
+	tables map[string]*eject.Table
 }
 
 // pool is the snapshot of one pool's upstreams.
 type pool struct {
 	set          *pick.Set
 	incarnations []string // by index of set
+	ejected      *eject.Table
 }
 
 // seen is what outlives the snapshots of an upstream.
@@ -58,22 +70,44 @@
 
 // New returns a router that knows no upstream yet.
 func New(o Options) *Router {
-	r := &Router{o: o, gauges: map[string]*seen{}}
+	r := &Router{
+		o:      o,
+		spill:  spill.New(0),
+		affin:  affin.New(affin.Options{}),
+		gauges: map[string]*seen{},
+		tables: map[string]*eject.Table{},
+	}
+	r.picker = pick.New(o.Rand, pick.Options{Spill: r.spill, Affinity: r.affin})
 	r.pools.Store(&map[string]*pool{})
 	return r
 }
 
-// Update publishes a snapshot of view in which the closed zones get no new work.
-func (r *Router) Update(view member.View, closed []string) {
+// Update publishes a snapshot of view under a preset, whose maintenance zones get no new work.
+func (r *Router) Update(view member.View, p preset.Spec) {
 	now := r.o.Now()
+	r.spill.Set(p.SpillCap)
+	r.forget(view)
 	pools := make(map[string]*pool, len(view.Pools))
 	for name := range view.Pools {
-		pools[name] = r.snapshot(view.Usable(name), closed, now)
+		pools[name] = r.snapshot(name, view.Usable(name), p.MaintenanceZones, now)
 	}
 	r.pools.Store(&pools)
 }
 
-func (r *Router) snapshot(ups []member.Upstream, closed []string, now time.Time) *pool {
+// forget drops what is kept of upstreams that are gone.
+func (r *Router) forget(view member.View) {
+	for name := range r.gauges {
+		if _, known := view.Upstream(name); known {
+			continue
+		}
+		delete(r.gauges, name)
+		for _, t := range r.tables {
+			t.Forget(name)
+		}
+	}
+}
+
+func (r *Router) snapshot(name string, ups []member.Upstream, closed []string, now time.Time) *pool {
 	set := make([]pick.Upstream, len(ups))
 	incarnations := make([]string, len(ups))
 	for i, u := range ups {
@@ -88,7 +122,16 @@
 			Out:    slices.Contains(closed, u.Zone),
 		}
 	}
-	return &pool{set: pick.NewSet(set), incarnations: incarnations}
+	return &pool{set: pick.NewSet(set), incarnations: incarnations, ejected: r.table(name)}
+}
+
+func (r *Router) table(pool string) *eject.Table {
+	t, ok := r.tables[pool]
+	if !ok {
+		t = eject.New(eject.Options{})
+		r.tables[pool] = t
+	}
+	return t
 }
 
 // track keeps the gauge of an upstream; a new incarnation starts slowly and afresh.
@@ -121,7 +164,7 @@
 	query := pick.Query{Zone: r.o.Zone, Model: q.Model, Prefix: q.Prefix, Avoid: q.Avoid, SizeClass: q.Class}
 	now := r.o.Now()
 	for range p.set.Len() {
-		choice, ok := r.o.Picker.Choose(query, p.set, now)
+		choice, ok := r.picker.Choose(query, p.set, now)
 		if !ok {
 			break
 		}
@@ -138,31 +181,84 @@
 
 func (r *Router) target(q target.Query, p *pool, c pick.Choice, side sidepb.SideClient) target.Target {
 	u := p.set.At(c.Index)
-	incarnation := p.incarnations[c.Index]
 	u.Gauge.Begin()
 	return target.Target{
 		Name:        u.Name,
 		Zone:        u.Zone,
-		Incarnation: incarnation,
+		Incarnation: p.incarnations[c.Index],
 		Side:        side,
-		Done:        func(rep target.Report) { r.done(q, u, incarnation, rep) },
+		Done:        func(rep target.Report) { r.done(q, p, c.Index, rep) },
 	}
 }
 
 // done feeds the end of an attempt back into the picture of its upstream.
-func (r *Router) done(q target.Query, u pick.Upstream, incarnation string, rep target.Report) {
+func (r *Router) done(q target.Query, p *pool, index int, rep target.Report) {
 	now := r.o.Now()
-	expected := q.Expected
-	if rep.Fault != nil && rep.Fault.Verdict == fault.NotRun {
-		expected = 0
-	}
-	u.Gauge.End(rep.Took, expected, now)
+	u := p.set.At(index)
+	u.Gauge.End(rep.Took, expected(q, rep), now)
 	if rep.Load != nil {
 		u.Gauge.Observe(report(rep.Load, now))
 	}
 	if rep.Load.GetDraining() || (rep.Fault != nil && rep.Fault.Code == fault.Draining) {
-		r.o.Links.Leaving(u.Name, incarnation)
+		r.o.Links.Leaving(u.Name, p.incarnations[index])
+	}
+	r.judge(q, p, u, rep, now)
+}
+
+// expected is the usual time that the attempt is compared with; 0 when it says nothing of the upstream's speed.
+func expected(q target.Query, rep target.Report) time.Duration {
+	if rep.Fault != nil && rep.Fault.Verdict == fault.NotRun {
+		return 0
+	}
+	return q.Expected
+}
+
+// judge ejects an upstream that fails too often, and learns where prompts are cached.
+func (r *Router) judge(q target.Query, p *pool, u pick.Upstream, rep target.Report, now time.Time) {
+	if rep.Fault == nil {
+		p.ejected.Succeeded(u.Name)
+		if q.Prefix != "" {
+			r.affin.Cached(q.Prefix, u.Name, now)
+		}
+		return
+	}
+	if !eject.Blames(rep.Fault) {
+		return
+	}
+	until, ejected := p.ejected.Failed(u.Name, p.set.Len(), now)
+	if !ejected {
+		return
+	}
+	u.Gauge.Eject(until)
+	r.o.Log.Warn("upstream ejected", zap.String("upstream", u.Name), zap.String("pool", q.Pool),
+		zap.String("code", string(rep.Fault.Code)), zap.Time("until", until))
+}
+
+// Cached takes the cache events of an upstream.
+func (r *Router) Cached(name string, added, evicted []string) {
+	now := r.o.Now()
+	for _, prefix := range added {
+		r.affin.Cached(prefix, name, now)
+	}
+	for _, prefix := range evicted {
+		r.affin.Evicted(prefix, name)
+	}
+}
+
+// Ejected lists the upstreams that get no calls because they failed, by name.
+func (r *Router) Ejected() []string {
+	now := r.o.Now()
+	var out []string
+	for _, p := range *r.pools.Load() {
+		for i := range p.set.Len() {
+			u := p.set.At(i)
+			if until, ok := u.Gauge.OutUntil(); ok && now.Before(until) {
+				out = append(out, u.Name)
+			}
+		}
 	}
+	slices.Sort(out)
+	return out
 }
 
 // Side returns the current connection to an upstream's side.
--- a/internal/entry/target/target.go
+++ b/internal/entry/target/target.go
@@ -44,7 +44,8 @@
 
 // Report is what an attempt showed of its upstream.
 type Report struct {
-	Took  time.Duration
-	Load  *sidepb.Load
-	Fault *fault.Error // nil when the answer came whole
+	Took   time.Duration
+	Load   *sidepb.Load
+	Fault  *fault.Error // nil when the answer came whole
+	Cached bool         // part of the prompt was in the upstream's cache
 }
--- a/internal/proof/entry_test.go
+++ b/internal/proof/entry_test.go
@@ -16,7 +16,6 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/inmem"
 	"github.com/ragworthatch/ragworthatch/internal/fake/worker"
 	verdict "github.com/ragworthatch/ragworthatch/internal/model/fault"
-	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
@@ -176,27 +175,25 @@
 }
 
 // Estimate implements exec.Policy.
-func (e *entry) Estimate(string, pipe.SizeClass) time.Duration { return 20 * time.Millisecond }
+func (e *entry) Estimate(exec.Work) time.Duration { return 20 * time.Millisecond }
 
-// Observe implements exec.Policy.
-func (e *entry) Observe(string, pipe.SizeClass, time.Duration) {}
-
-// Began implements exec.Policy.
-func (e *entry) Began() {}
+// Ended implements exec.Policy.
+func (e *entry) Ended(exec.Work, exec.End) {}
 
 // Retry allows a few more attempts to what did not run or may run again.
-func (e *entry) Retry(t exec.Try) (time.Duration, bool) {
-	again := t.Fault.Verdict == verdict.NotRun || t.Repeatable
-	return 50 * time.Millisecond, again && t.Attempt < 4 && t.Remaining > 0
+func (e *entry) Retry(w exec.Work, t exec.Try) (time.Duration, bool) {
+	again := t.Fault.Verdict == verdict.NotRun || w.Repeatable
+	return 50 * time.Millisecond, again && t.Attempt < 4 && w.Remaining > w.After
 }
 
 // HedgeAfter implements exec.Policy.
-func (e *entry) HedgeAfter(string, pipe.SizeClass, float64) (time.Duration, bool) {
-	return 300 * time.Millisecond, true
-}
+func (e *entry) HedgeAfter(exec.Work) (time.Duration, bool) { return 300 * time.Millisecond, true }
+
+// TakeHedge implements exec.Policy.
+func (e *entry) TakeHedge(exec.Work) (time.Duration, bool) { return 0, true }
 
-// Hedge implements exec.Policy.
-func (e *entry) Hedge(float64) bool { return true }
+// SettleHedge implements exec.Policy.
+func (e *entry) SettleHedge(time.Duration, time.Duration) {}
 
 // Attempt implements exec.Watcher.
 func (e *entry) Attempt(job.Request, exec.Cost) {}
