--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -2,11 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
+	"github.com/ragworthatch/ragworthatch/internal/limit/hedge"
 	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
 	"github.com/ragworthatch/ragworthatch/internal/limit/share"
+	"github.com/ragworthatch/ragworthatch/internal/limit/sketch"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/route/affin"
@@ -47,12 +50,16 @@
 	estimates map[stageKey]time.Duration
 	admit     *admit.Control
 	share     *share.Bucket
+	sketches  *sketch.Set
+	hedges    *hedge.Budget
 }
 
 func newEntry(w *world, zone int) *entry {
 	e := &entry{w: w, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
 	e.admit = admit.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), admit.Options{})
 	e.share = share.New()
+	e.sketches = sketch.New(0)
+	e.hedges = hedge.New(w.scenario.Hedge)
 	for _, p := range w.scenario.Pools {
 		e.views[p.Name] = e.newView(p)
 	}
@@ -108,22 +115,25 @@
 func (e *entry) need(r *request) admit.Query {
 	q := admit.Query{Team: r.team, SizeClass: r.class(), Remaining: r.remaining()}
 	for i, st := range r.line.Stages {
-		q.Needs = append(q.Needs, admit.Need{Pool: st.Pool, Time: e.estimates[stageKey{r.lineNo, i}]})
+		q.Needs = append(q.Needs, admit.Need{Pool: st.Pool, Time: e.estimate(stageKey{r.lineNo, i})})
 	}
 	return q
 }
 
 // send starts an attempt of the request's present stage.
-func (e *entry) send(r *request, hedge bool) {
+func (e *entry) send(r *request, second bool) {
 	st := r.now()
 	v := e.views[st.Pool]
 	i, ok := e.choose(v, r)
+	if !ok && second {
+		return
+	}
 	if !ok {
 		r.end(fault.New(fault.NotRun, fault.NoUpstream, "no upstream"))
 		return
 	}
 	u := v.set.At(i)
-	a := &attempt{req: r, stage: st, side: v.sides[i], gauge: u.Gauge, hedge: hedge, first: len(r.tried) == 0, sent: e.w.loop.now}
+	a := &attempt{req: r, stage: st, side: v.sides[i], gauge: u.Gauge, hedge: second, first: len(r.tried) == 0, sent: e.w.loop.now}
 	a.work, a.prefill = e.w.drawWork(st)
 	r.tried = append(r.tried, u.Name)
 	r.attempts = append(r.attempts, a)
@@ -133,11 +143,41 @@
 			a.side.arrive(a)
 		}
 	})
+	if e.w.policy.Hedge && !second {
+		e.planHedge(a)
+	}
 	if !e.w.policy.Sched {
 		a.timer = e.w.loop.after(millis(naiveTimeoutMs), func() { e.timedOut(a) })
 	}
 }
 
+// planHedge sends a second call once the first has taken longer than most.
+func (e *entry) planHedge(a *attempt) {
+	r := a.req
+	key := stageKey{r.lineNo, r.stage}
+	est, _ := e.sketches.Estimate(sketchKey(key), e.w.loop.now)
+	delay, ok := e.hedges.Delay(hedge.Call{
+		Repeatable: !a.stage.Action,
+		Quantile:   est.P99,
+		Samples:    est.Samples,
+		Remaining:  r.remaining(),
+		Need:       est.Median + e.after(r),
+	})
+	if !ok {
+		return
+	}
+	a.timer = e.w.loop.after(delay, func() {
+		if a.over || !e.hedges.Take(est.Median) {
+			return
+		}
+		e.w.result.hedges++
+		e.send(r, true)
+		if last := r.attempts[len(r.attempts)-1]; last.hedge {
+			last.reserved = est.Median
+		}
+	})
+}
+
 func (e *entry) timedOut(a *attempt) {
 	if a.over {
 		return
@@ -164,6 +204,9 @@
 	if err.Code == fault.Overloaded {
 		e.admit.Refused(a.stage.Pool, r.class(), e.w.loop.now)
 	}
+	if r.open() {
+		return
+	}
 	if a.stage.Action && err.Verdict != fault.NotRun {
 		r.end(err)
 		return
@@ -211,6 +254,10 @@
 	e.views[a.stage.Pool].retries.Succeeded()
 	key := stageKey{a.req.lineNo, a.req.stage}
 	took := e.w.loop.now.Sub(a.sent)
+	if !a.hedge {
+		e.hedges.Spent(seconds(a.done))
+	}
+	e.sketches.Add(sketchKey(key), took, e.w.loop.now)
 	old, ok := e.estimates[key]
 	if !ok {
 		e.estimates[key] = took
@@ -234,14 +281,26 @@
 
 // expected is the usual time of the request's present stage, 0 when unknown.
 func (e *entry) expected(r *request) time.Duration {
-	return e.estimates[stageKey{r.lineNo, r.stage}]
+	return e.estimate(stageKey{r.lineNo, r.stage})
+}
+
+func (e *entry) estimate(k stageKey) time.Duration {
+	if !e.w.policy.Sketch {
+		return e.estimates[k]
+	}
+	est, _ := e.sketches.Estimate(sketchKey(k), e.w.loop.now)
+	return est.Median
+}
+
+func sketchKey(k stageKey) sketch.Key {
+	return sketch.Key{Pipeline: strconv.Itoa(k.line), Stage: strconv.Itoa(k.stage)}
 }
 
 // after is the usual time of the stages after the present one.
 func (e *entry) after(r *request) time.Duration {
 	var sum time.Duration
 	for i := r.stage + 1; i < len(r.line.Stages); i++ {
-		sum += e.estimates[stageKey{r.lineNo, i}]
+		sum += e.estimate(stageKey{r.lineNo, i})
 	}
 	return sum
 }
--- a/internal/bench/trial/request.go
+++ b/internal/bench/trial/request.go
@@ -69,26 +69,37 @@
 	r.attempts = r.attempts[:0]
 }
 
+// open says whether an attempt is still under way.
+func (r *request) open() bool {
+	for _, a := range r.attempts {
+		if !a.over {
+			return true
+		}
+	}
+	return false
+}
+
 // attempt is one call of one stage.
 type attempt struct {
-	req     *request
-	stage   *Stage
-	side    *side
-	gauge   *gauge.Gauge
-	hedge   bool
-	first   bool // of its stage
-	sent    time.Time
-	work    float64 // seconds
-	prefill float64
-	done    float64 // seconds of work that an engine spent on it
-	task    *task
-	job     *sched.Job[*attempt]
-	resume  func()
-	working bool // holds a worker of the naive version
-	timer   *event
-	over    bool
-	began   time.Time     // first token
-	pace    time.Duration // between tokens, known when the call ends
+	req      *request
+	stage    *Stage
+	side     *side
+	gauge    *gauge.Gauge
+	hedge    bool
+	reserved time.Duration // of the hedge budget
+	first    bool          // of its stage
+	sent     time.Time
+	work     float64 // seconds
+	prefill  float64
+	done     float64 // seconds of work that an engine spent on it
+	task     *task
+	job      *sched.Job[*attempt]
+	resume   func()
+	working  bool // holds a worker of the naive version
+	timer    *event
+	over     bool
+	began    time.Time     // first token
+	pace     time.Duration // between tokens, known when the call ends
 }
 
 func (a *attempt) ticket() sched.Ticket {
@@ -166,7 +177,11 @@
 
 // abandon gives the attempt up and tells the side.
 func (a *attempt) abandon() {
-	a.close(0)
+	expected := a.req.entry.expected(a.req)
+	if a.req.w.loop.now.Sub(a.sent) < expected {
+		expected = 0
+	}
+	a.close(expected)
 	w := a.req.w
 	w.loop.after(w.delay(a), func() {
 		a.side.cancel(a)
--- a/internal/bench/trial/side.go
+++ b/internal/bench/trial/side.go
@@ -185,8 +185,8 @@
 }
 
 func (s *side) finish(a *attempt) {
-	s.w.result.work += a.task.work
 	a.done = a.task.work
+	s.spent(a)
 	a.pace = a.paced()
 	s.forget(a)
 	if s.sched != nil {
@@ -198,12 +198,21 @@
 	s.w.loop.after(s.w.delay(a), func() { a.succeed(report) })
 }
 
+// spent counts the work that the engine has done on a call.
+func (s *side) spent(a *attempt) {
+	s.w.result.work += a.done
+	if a.hedge {
+		s.w.result.hedged += a.done
+		a.req.entry.hedges.Settle(a.reserved, seconds(a.done))
+	}
+}
+
 // cancel stops a call wherever it is.
 func (s *side) cancel(a *attempt) {
 	s.forget(a)
 	if a.task != nil && !a.task.gone {
 		a.done = s.engine.stop(a.task)
-		s.w.result.work += a.done
+		s.spent(a)
 	}
 	if s.sched != nil && a.job != nil {
 		if !s.sched.Remove(a.job) {
--- /dev/null
+++ b/internal/limit/sketch/doc.go
@@ -0,0 +1,2 @@
+// Package sketch keeps compact distributions of stage latencies by size class, for estimates and quantiles.
+package sketch
--- a/internal/route/gauge/gauge.go
+++ b/internal/route/gauge/gauge.go
@@ -10,7 +10,7 @@
 	// reportHalfLife is the age at which the part of others in a report counts half.
 	reportHalfLife = 5 * time.Second
 	// slownessHalfLife is the time in which an observed slowness is half forgotten.
-	slownessHalfLife = 5 * time.Second
+	slownessHalfLife = 15 * time.Second
 	slownessWeight   = 0.3
 	defaultLimit     = 16
 	// maxSlowness bounds what one answer can say of an upstream.
