--- /dev/null
+++ b/internal/oper/decl/doc.go
@@ -0,0 +1,2 @@
+// Package decl loads declarations from YAML files and compares them with the configuration in force.
+package decl
--- a/internal/state/fold/object.go
+++ b/internal/state/fold/object.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/ragworthatch/ragworthatch/internal/model/config"
@@ -84,6 +85,15 @@
 	return out
 }
 
+func (k *kind[T]) refs(of config.Kind) []config.Ref {
+	refs := make([]config.Ref, 0, k.objects.Len())
+	for name := range k.objects.All() {
+		refs = append(refs, config.Ref{Kind: of, Name: name})
+	}
+	slices.SortFunc(refs, config.Ref.Compare)
+	return refs
+}
+
 func restore[T any](of config.Kind, list []Object[T], name func(T) string) *kind[T] {
 	objects := &trie.Map[*Object[T]]{}
 	for _, o := range list {
--- a/internal/state/fold/reject.go
+++ b/internal/state/fold/reject.go
@@ -43,8 +43,8 @@
 	Current Meta       `json:"current"` // revision Absent if the object does not exist
 }
 
-// Error renders the rejection on one line.
-func (r *Rejection) Error() string {
+// String renders the rejection on one line.
+func (r *Rejection) String() string {
 	return fmt.Sprintf("record at offset %d rejected (%s): %s", r.Offset, r.Code, r.Message)
 }
 
--- a/internal/state/fold/state.go
+++ b/internal/state/fold/state.go
@@ -172,6 +172,16 @@
 	return nil, false
 }
 
+// Refs names all objects, by kind and name.
+func (s *State) Refs() []config.Ref {
+	var refs []config.Ref
+	refs = append(refs, s.pools.refs(config.Pools)...)
+	refs = append(refs, s.stages.refs(config.Stages)...)
+	refs = append(refs, s.pipelines.refs(config.Pipelines)...)
+	refs = append(refs, s.presets.refs(config.Presets)...)
+	return append(refs, s.teams.refs(config.Teams)...)
+}
+
 // Size is the number of objects of a kind.
 func (s *State) Size(k config.Kind) int {
 	switch k {
