--- a/internal/model/config/valid.go
+++ b/internal/model/config/valid.go
@@ -92,8 +92,7 @@
 	kinds := []stage.Kind{stage.Encode, stage.Retrieve, stage.Rerank, stage.Generate, stage.Service}
 	p.need(slices.Contains(kinds, st.Kind), "kind", "one of %v, not %q", kinds, st.Kind)
 	p.need(st.Repeatable != nil, "repeatable", "true or false: whether the stage may run twice")
-	action := st.Repeatable != nil && !*st.Repeatable
-	p.need(!action || st.Kind == stage.Service, "repeatable", "true, as only a stage of kind service may be an action")
+	p.need(!declaredAction(st) || st.Kind == stage.Service, "repeatable", "true, as only a stage of kind service may be an action")
 	p.need(st.Kind == stage.Generate || st.MaxTokens == 0, "maxTokens", "only on a stage of kind generate")
 	on, ok := s.Pools[st.Pool]
 	if !ok {
@@ -110,6 +109,9 @@
 	return p.list
 }
 
+// declaredAction is like stage.Spec.IsAction, but false where repeatability is not said, which is a problem by itself.
+func declaredAction(st stage.Spec) bool { return st.Repeatable != nil && !*st.Repeatable }
+
 func poolKind(k stage.Kind) pool.Kind {
 	switch k {
 	case stage.Generate:
@@ -130,7 +132,7 @@
 	for _, name := range line.Stages {
 		st, ok := s.Stages[name]
 		p.need(ok, "stages", "a stage that exists, not %q", name)
-		if ok && st.IsAction() {
+		if ok && declaredAction(st) {
 			actions++
 		}
 	}
@@ -142,8 +144,7 @@
 	p.unique("optional", line.Optional)
 	for _, name := range line.Optional {
 		p.need(slices.Contains(line.Stages, name), "optional", "a stage of the pipeline, not %q", name)
-		st, ok := s.Stages[name]
-		p.need(!ok || !st.IsAction(), "optional", "only repeatable stages, not the action %q", name)
+		p.need(!declaredAction(s.Stages[name]), "optional", "only repeatable stages, not the action %q", name)
 	}
 	return p.list
 }
