--- a/cmd/ragworthatch/demo.go
+++ b/cmd/ragworthatch/demo.go
@@ -54,8 +54,8 @@
 	log := zap.NewNop()
 	if o.logLevel != "" {
 		log = logger.New(s.err, o.logLevel)
+		logger.RouteLibraries(log)
 	}
-	logger.RouteLibraries(log)
 	ctx, _ := stopSignals()
 	d, err := day.New(ctx, day.Options{Progress: s.err, Log: log, Seed: o.seed, Pause: demoPause})
 	if err != nil {
--- a/cmd/ragworthatch/load.go
+++ b/cmd/ragworthatch/load.go
@@ -6,11 +6,8 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
 	"github.com/ragworthatch/ragworthatch/internal/oper/load"
-	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
 )
 
 // loadOptions are the options of load.
@@ -75,7 +72,6 @@
 			if err != nil {
 				return err
 			}
-			logger.RouteLibraries(zap.NewNop())
 			l, err := load.New(options, caller.New("load"))
 			if err != nil {
 				return usagef("%w", err)
--- a/cmd/ragworthatch/main.go
+++ b/cmd/ragworthatch/main.go
@@ -35,11 +35,16 @@
 
 	"github.com/google/subcommands"
 	"github.com/zeromicro/go-zero/core/proc"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
 )
 
 func main() {
 	// The library would end the process a few seconds after a signal, in the middle of a drain.
 	proc.Setup(proc.ShutdownConf{WrapUpTime: libraryShutdown, WaitTime: 2 * libraryShutdown})
+	// Commands that serve route the libraries' logs to their own.
+	logger.RouteLibraries(zap.NewNop())
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
--- a/cmd/ragworthatch/result.go
+++ b/cmd/ragworthatch/result.go
@@ -18,7 +18,7 @@
 	if r.Nonce != "" {
 		fmt.Fprintf(&b, "  nonce     %s\n", r.Nonce)
 	}
-	if r.Message != "" {
+	if r.Message != "" && len(r.Problems) == 0 {
 		fmt.Fprintf(&b, "  %s\n", r.Message)
 	}
 	for _, p := range r.Problems {
--- a/internal/entry/opsapi/config.go
+++ b/internal/entry/opsapi/config.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
@@ -58,12 +59,18 @@
 	}
 	s := a.o.Feed.Current()
 	set := s.Config()
+	objects := set.Objects()
+	revisions := map[config.Ref]int64{}
+	for _, ref := range objects.Refs() {
+		revisions[ref] = s.Meta(ref).Revision
+	}
 	return admin.Config{
-		Revision: s.Revision(),
-		Offset:   s.Offset(),
-		Digest:   s.Digest(),
-		InForce:  set.InForce,
-		Objects:  set.Objects(),
+		Revision:  s.Revision(),
+		Offset:    s.Offset(),
+		Digest:    s.Digest(),
+		InForce:   set.InForce,
+		Objects:   objects,
+		Revisions: revisions,
 	}, nil
 }
 
