--- /dev/null
+++ b/cmd/ragworthatch/script_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/zeromicro/go-zero/core/logx"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){programName: main})
+}
+
+func TestScripts(t *testing.T) {
+	logx.Disable()
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			root, err := os.Getwd()
+			if err != nil {
+				return err
+			}
+			e.Setenv("ROOT", strings.TrimSuffix(root, "/cmd/ragworthatch"))
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"deploy":  deploy,
+			"replace": replace,
+			"capture": capture,
+		},
+	})
+}
+
+// deploy starts the demo's deployment for the rest of a script, and sets the
+// environment that operators use and ENTRY2.
+func deploy(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) > 0 {
+		ts.Fatalf("usage: deploy")
+	}
+	d, err := day.New(context.Background(), day.Options{Log: zap.NewNop()})
+	ts.Check(err)
+	ts.Defer(d.Close)
+	ts.Setenv(envEntry, d.Entries()[0])
+	ts.Setenv("ENTRY2", d.Entries()[1])
+	ts.Setenv(envToken, day.OperatorsToken)
+	ts.Setenv(envAuthor, "ana")
+}
+
+// replace changes a text in a file, which must be there.
+func replace(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: replace OLD NEW FILE")
+	}
+	text := ts.ReadFile(args[2])
+	if !strings.Contains(text, args[0]) {
+		ts.Fatalf("%s does not contain %q", args[2], args[0])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[2]), []byte(strings.ReplaceAll(text, args[0], args[1])), 0o600))
+}
+
+// capture sets a variable to the first group of a pattern in a file or in stdout.
+func capture(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: capture VARIABLE PATTERN FILE")
+	}
+	m := regexp.MustCompile(args[1]).FindStringSubmatch(ts.ReadFile(args[2]))
+	if m == nil {
+		ts.Fatalf("%s does not match %q", args[2], args[1])
+	}
+	ts.Setenv(args[0], m[1])
+}
+
+func TestEveryCommandIsScripted(t *testing.T) {
+	files, err := os.ReadDir("testdata/script")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all strings.Builder
+	for _, f := range files {
+		data, err := os.ReadFile("testdata/script/" + f.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		all.Write(data)
+	}
+	for _, c := range commands(&streams{}) {
+		runs := regexp.MustCompile(`(?m)^!? ?exec ragworthatch ` + c.name + `\b`)
+		if len(runs.FindAllString(all.String(), -1)) < 2 {
+			t.Errorf("command %q is scripted less than twice", c.name)
+		}
+		if !strings.Contains(all.String(), "exec ragworthatch "+c.name+" --help") {
+			t.Errorf("command %q --help is not scripted", c.name)
+		}
+		f := flag.NewFlagSet(c.name, flag.ContinueOnError)
+		c.SetFlags(f)
+		f.VisitAll(func(f *flag.Flag) {
+			if !regexp.MustCompile(`^[a-z][A-Za-z]*$`).MatchString(f.Name) {
+				t.Errorf("flag %q of %q is not camelCase", f.Name, c.name)
+			}
+		})
+	}
+}
