--- a/internal/entry/query/query.go
+++ b/internal/entry/query/query.go
@@ -85,6 +85,9 @@
 		if err == nil {
 			return reply, nil
 		}
+		if f := refused(err); f != nil {
+			return nil, f
+		}
 		last = err
 	}
 	return nil, fault.New(fault.MayHaveRun, fault.Transport, "no side of service %q tells the outcome", service).WithCause(last)
