--- a/cmd/ragworthatch/demo.go
+++ b/cmd/ragworthatch/demo.go
@@ -100,20 +100,22 @@
 // served is what "demo --serve" prints.
 type served struct {
 	Entries       []string `json:"entries"`
+	Metrics       []string `json:"metrics"`
 	OperatorToken string   `json:"operatorToken"`
 	CallerToken   string   `json:"callerToken"`
 }
 
 func serveDemo(ctx context.Context, s *streams, o *demoOptions, d *day.Day) error {
-	v := served{Entries: d.Entries(), OperatorToken: day.OperatorsToken, CallerToken: day.CollectorsToken}
+	v := served{Entries: d.Entries(), Metrics: d.Metrics(), OperatorToken: day.OperatorsToken, CallerToken: day.CollectorsToken}
 	text := fmt.Sprintf(`entries         %s
+metrics         %s
 operator token  %s
 caller token    %s
 
   curl -N -H 'Authorization: Bearer %s' http://%s/v1/pipelines/summary \
     -d '{"stream": true, "input": {"question": "What became of the coins?"}}'
   go run ./cmd/ragworthatch preset list --entry %s --token %s
-`, strings.Join(v.Entries, " "), v.OperatorToken, v.CallerToken, v.CallerToken, v.Entries[0], v.Entries[1], v.OperatorToken)
+`, strings.Join(v.Entries, " "), strings.Join(v.Metrics, " "), v.OperatorToken, v.CallerToken, v.CallerToken, v.Entries[0], v.Entries[1], v.OperatorToken)
 	if err := s.print(o.json, v, text); err != nil {
 		return err
 	}
--- a/internal/demo/day/day.go
+++ b/internal/demo/day/day.go
@@ -13,7 +13,6 @@
 	"github.com/ragworthatch/ragworthatch/internal/demo/tally"
 	"github.com/ragworthatch/ragworthatch/internal/demo/world"
 	"github.com/ragworthatch/ragworthatch/internal/entry/boot"
-	"github.com/ragworthatch/ragworthatch/internal/entry/node"
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
 	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
 	"github.com/ragworthatch/ragworthatch/internal/oper/setup"
@@ -51,7 +50,7 @@
 // entry is one entry process.
 type entry struct {
 	name string
-	node *node.Node
+	node *boot.Entry
 	stop context.CancelFunc
 	kill context.CancelFunc
 	done chan struct{}
@@ -101,7 +100,7 @@
 	n, err := boot.New(setup.Entry{
 		Place: setup.Place{
 			Role: setup.EntryRole, Name: name, Region: world.Region, Zone: zone, Zones: world.Zones(),
-			GRPC: world.Any, Log: d.world.LogHTTP.Address(), HostList: d.world.ListHTTP.Address(),
+			GRPC: world.Any, Metrics: world.Any, Log: d.world.LogHTTP.Address(), HostList: d.world.ListHTTP.Address(),
 		},
 		HTTP:                world.Any,
 		OperatorTokenDigest: hex.EncodeToString(sum[:]),
@@ -132,6 +131,15 @@
 	return out
 }
 
+// Metrics are the addresses of the entries' Prometheus endpoints.
+func (d *Day) Metrics() []string {
+	var out []string
+	for _, e := range d.entries {
+		out = append(out, e.node.Metrics())
+	}
+	return out
+}
+
 // operator is a client of an entry's operators' interface.
 func (d *Day) operator(i int) *admin.Client {
 	return admin.New(d.entries[i].node.Address(), OperatorsToken)
--- a/internal/entry/boot/boot.go
+++ b/internal/entry/boot/boot.go
@@ -1,18 +1,34 @@
 package boot
 
 import (
+	"context"
+
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/entry/count"
 	"github.com/ragworthatch/ragworthatch/internal/entry/node"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
+	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
 	"github.com/ragworthatch/ragworthatch/internal/oper/setup"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logcl"
 )
 
+// Entry is one entry process.
+type Entry struct {
+	*node.Node
+	metrics *listen.Server // nil when the settings name no address
+}
+
 // New listens on the entry's addresses; nothing is served before Run.
-func New(s setup.Entry, log *zap.Logger) (*node.Node, error) {
-	return node.New(node.Options{
+func New(s setup.Entry, log *zap.Logger) (*Entry, error) {
+	log = log.With(zap.String("entry", s.Name))
+	m, err := meter.New(meter.Process{Role: string(setup.EntryRole), Name: s.Name, Zone: s.Zone})
+	if err != nil {
+		return nil, err
+	}
+	n, err := node.New(node.Options{
 		Name:          s.Name,
 		Zone:          s.Zone,
 		HTTP:          s.HTTP,
@@ -20,6 +36,33 @@
 		Log:           logcl.New(s.Log),
 		List:          hostcl.New(s.HostList),
 		Dial:          link.Dial,
-		Zap:           log.With(zap.String("entry", s.Name)),
+		Count:         count.New(m),
+		Zap:           log,
 	})
+	if err != nil {
+		return nil, err
+	}
+	n.Gauges(m)
+	out := &Entry{Node: n}
+	if s.Metrics != "" {
+		out.metrics, err = listen.New(s.Metrics, m.Routes())
+	}
+	return out, err
+}
+
+// Run serves like node.Node.Run, and the metrics with it.
+func (e *Entry) Run(stop, kill context.Context) error {
+	if e.metrics != nil {
+		go func() { _ = e.metrics.Serve() }()
+		defer e.metrics.Close()
+	}
+	return e.Node.Run(stop, kill)
+}
+
+// Metrics is the address of the Prometheus endpoint, empty without one.
+func (e *Entry) Metrics() string {
+	if e.metrics == nil {
+		return ""
+	}
+	return e.metrics.Addr()
 }
--- /dev/null
+++ b/internal/entry/count/count.go
@@ -0,0 +1,120 @@
+package count
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/front"
+	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
+)
+
+// outcome is what became of a request, as a label.
+type outcome string
+
+const (
+	attained outcome = "attained" // whole within the deadline
+	late     outcome = "late"     // whole after it
+)
+
+// The reasons of an attempt.
+const (
+	reasonFirst = "first"
+	reasonRetry = "retry"
+	reasonHedge = "hedge"
+)
+
+// Count counts for one entry.
+type Count struct {
+	requests   meter.Counter
+	teams      meter.Counter
+	duration   meter.Histogram
+	firstToken meter.Histogram
+	attempts   meter.Counter
+	runnerMs   meter.Counter
+	tokens     meter.Counter
+	prefill    meter.Counter
+	cached     meter.Counter
+}
+
+// New makes the instruments.
+func New(m *meter.Meter) *Count {
+	latency := []float64{5, 10, 25, 50, 100, 250, 500, 1000, 1700, 2500, 5000, 8000, 11000, 20000}
+	return &Count{
+		requests: m.Counter(meter.Spec{Name: "requests", Unit: "{request}",
+			Help: "Finished requests by outcome: attained, late, or the verdict of a failure."}),
+		teams: m.Counter(meter.Spec{Name: "teamRequests", Unit: "{request}",
+			Help: "Finished requests by team, and whether they were answered whole within their deadline."}),
+		duration: m.Histogram(meter.Spec{Name: "requestDuration", Unit: "ms",
+			Help: "Time from a request's arrival to the end of its answer."}, latency...),
+		firstToken: m.Histogram(meter.Spec{Name: "firstToken", Unit: "ms",
+			Help: "Time from a request's arrival to its first token."}, latency...),
+		attempts: m.Counter(meter.Spec{Name: "stageAttempts", Unit: "{attempt}",
+			Help: "Attempts that may have run, by stage and reason, and whether the result was wasted."}),
+		runnerMs: m.Counter(meter.Spec{Name: "stageRunnerTime", Unit: "ms",
+			Help: "Time on upstreams."}),
+		tokens: m.Counter(meter.Spec{Name: "stageTokens", Unit: "{token}",
+			Help: "Tokens generated."}),
+		prefill: m.Counter(meter.Spec{Name: "stagePrefillTokens", Unit: "{token}",
+			Help: "Prompt tokens computed."}),
+		cached: m.Counter(meter.Spec{Name: "stageCachedTokens", Unit: "{token}",
+			Help: "Prompt tokens found in a prefix cache."}),
+	}
+}
+
+// Finished counts a finished request.
+func (c *Count) Finished(r front.Record) {
+	result := outcomeOf(r)
+	pipeline := meter.Label{Name: "pipeline", Value: r.Pipeline}
+	c.requests.Add(1, pipeline, meter.Label{Name: "preset", Value: r.Preset},
+		meter.Label{Name: "outcome", Value: string(result)}, meter.Label{Name: "code", Value: string(r.Code)})
+	c.teams.Add(1, meter.Label{Name: "team", Value: r.Team},
+		meter.Label{Name: "attained", Value: strconv.FormatBool(result == attained)})
+	c.duration.Record(millis(r.Took), pipeline)
+	if r.FirstToken > 0 {
+		c.firstToken.Record(millis(r.FirstToken), pipeline)
+	}
+}
+
+// Attempt counts the cost of one attempt.
+func (c *Count) Attempt(_ job.Request, cost exec.Cost) {
+	labels := []meter.Label{
+		{Name: "stage", Value: cost.Stage},
+		{Name: "reason", Value: reasonOf(cost)},
+		{Name: "wasted", Value: strconv.FormatBool(cost.Wasted)},
+	}
+	c.attempts.Add(1, labels...)
+	c.runnerMs.Add(cost.RunnerMs, labels...)
+	if cost.Kind != stage.Generate {
+		return
+	}
+	c.tokens.Add(int64(cost.Tokens), labels...)
+	c.prefill.Add(int64(cost.PrefillToken), labels...)
+	c.cached.Add(int64(cost.CachedTokens), labels...)
+}
+
+func outcomeOf(r front.Record) outcome {
+	switch {
+	case r.Code != "":
+		return outcome(r.Verdict)
+	case r.Late:
+		return late
+	default:
+		return attained
+	}
+}
+
+func reasonOf(c exec.Cost) string {
+	switch {
+	case c.Hedge:
+		return reasonHedge
+	case c.Retry:
+		return reasonRetry
+	default:
+		return reasonFirst
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/entry/node/control.go
+++ b/internal/entry/node/control.go
@@ -57,7 +57,11 @@
 }
 
 // Attempt counts the cost of an attempt.
-func (n *Node) Attempt(job.Request, exec.Cost) {}
+func (n *Node) Attempt(r job.Request, c exec.Cost) {
+	if n.o.Count != nil {
+		n.o.Count.Attempt(r, c)
+	}
+}
 
 // Crashed records what was in flight when an upstream died.
 func (n *Node) Crashed(c exec.Crash) {
@@ -66,4 +70,8 @@
 }
 
 // Finished counts a finished request.
-func (n *Node) Finished(front.Record) {}
+func (n *Node) Finished(r front.Record) {
+	if n.o.Count != nil {
+		n.o.Count.Finished(r)
+	}
+}
--- /dev/null
+++ b/internal/entry/node/gauges.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
+)
+
+// Gauges adds the entry's state to its metrics.
+func (n *Node) Gauges(m *meter.Meter) {
+	m.Gauge(meter.Spec{Name: "inFlight", Unit: "{request}", Help: "Requests in flight."},
+		func(o meter.Observe) { o(int64(n.guard.InFlight())) })
+	m.Gauge(meter.Spec{Name: "configRevision", Unit: "{revision}", Help: "Configuration revision in force here."},
+		func(o meter.Observe) { o(n.feed.Current().Revision()) })
+	m.Gauge(meter.Spec{Name: "configOffset", Unit: "{offset}", Help: "Offset of the configuration stream folded up to."},
+		func(o meter.Observe) { o(n.feed.Current().Offset()) })
+	m.Gauge(meter.Spec{Name: "configAge", Unit: "ms", Help: "Age of the newest read of the log that the configuration covers."},
+		func(o meter.Observe) {
+			if fresh := n.feed.Fresh(); !fresh.IsZero() {
+				o(time.Since(fresh).Milliseconds())
+			}
+		})
+	m.Gauge(meter.Spec{Name: "fingerprints", Unit: "{fingerprint}", Help: "Request fingerprints under suspicion or in quarantine."},
+		func(o meter.Observe) { n.countMarks(o) })
+	m.Gauge(meter.Spec{Name: "upstreams", Unit: "{upstream}", Help: "Known upstreams by pool and state."},
+		func(o meter.Observe) { countStates(n.links.View(), o) })
+}
+
+func (n *Node) countMarks(o meter.Observe) {
+	counts := map[string]int64{}
+	for _, e := range n.marks.Load().List(time.Now()) {
+		counts[string(e.State)]++
+	}
+	for state, count := range counts {
+		o(count, meter.Label{Name: "state", Value: state})
+	}
+}
+
+func countStates(v member.View, o meter.Observe) {
+	for pool, ups := range v.Pools {
+		counts := map[member.State]int64{member.Live: 0, member.Suspect: 0, member.Leaving: 0, member.Gone: 0}
+		for _, u := range ups {
+			counts[u.State]++
+		}
+		for state, count := range counts {
+			o(count, meter.Label{Name: "pool", Value: pool}, meter.Label{Name: "state", Value: string(state)})
+		}
+	}
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/entry/count"
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
@@ -39,6 +40,7 @@
 	Log           logs.Service
 	List          hosts.List
 	Dial          link.Dialer
+	Count         *count.Count // nil counts nothing
 	Zap           *zap.Logger
 }
 
--- /dev/null
+++ b/internal/side/boot/gauges.go
@@ -0,0 +1,44 @@
+package boot
+
+import (
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
+	"github.com/ragworthatch/ragworthatch/internal/side/serve"
+)
+
+// gauges adds the side's state to its metrics.
+func (s *Side) gauges() {
+	s.meter.Total(meter.Spec{Name: "sideCalls", Unit: "{call}", Help: "Calls of entries by what became of them."},
+		func(o meter.Observe) { observeCalls(s.server.Counts(), o) })
+	s.meter.Total(meter.Spec{Name: "sideFaults", Unit: "{fault}", Help: "Faults of the upstream by kind."},
+		func(o meter.Observe) { observeFaults(s.server.Counts(), o) })
+	s.meter.Gauge(meter.Spec{Name: "sideRunning", Unit: "{call}", Help: "Calls running on the upstream."},
+		func(o meter.Observe) { o(s.server.Counts().Running) })
+	s.meter.Gauge(meter.Spec{Name: "sideQueued", Unit: "{call}", Help: "Calls waiting for the upstream."},
+		func(o meter.Observe) { o(s.server.Counts().Queued) })
+	s.meter.Gauge(meter.Spec{Name: "sideRemembered", Unit: "{attempt}", Help: "Attempts and tombstones held in memory."},
+		func(o meter.Observe) { o(s.server.Counts().Remembered) })
+}
+
+func observeCalls(c serve.Counts, o meter.Observe) {
+	for _, v := range []struct {
+		result string
+		count  int64
+	}{
+		{"received", c.Received}, {"admitted", c.Admitted}, {"refused", c.Refused}, {"dispatched", c.Dispatched},
+		{"whole", c.Whole}, {"failed", c.Failed}, {"replayed", c.Replayed}, {"duplicate", c.Duplicates},
+		{"tombstoned", c.Tombstoned}, {"canceled", c.Canceled},
+	} {
+		o(v.count, meter.Label{Name: "result", Value: v.result})
+	}
+}
+
+func observeFaults(c serve.Counts, o meter.Observe) {
+	for _, v := range []struct {
+		kind  string
+		count int64
+	}{
+		{"stray", c.Strays}, {"crash", c.Crashes}, {"silence", c.Silences}, {"rerun", c.Rerun},
+	} {
+		o(v.count, meter.Label{Name: "kind", Value: v.kind})
+	}
+}
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -13,6 +13,8 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
 	"github.com/ragworthatch/ragworthatch/internal/oper/setup"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
@@ -38,6 +40,8 @@
 	hosts    hosts.List
 	zap      *zap.Logger
 	listener net.Listener
+	meter    *meter.Meter
+	metrics  *listen.Server // nil when the settings name no address
 	server   *serve.Server
 	grpc     *grpc.Server
 }
@@ -48,13 +52,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("grpc address %s: %w", settings.GRPC, err)
 	}
-	return &Side{
+	s := &Side{
 		settings: settings,
 		log:      logcl.New(settings.Log),
 		hosts:    hostcl.New(settings.HostList),
 		zap:      log.With(zap.String("side", settings.Name), zap.String("pool", settings.Pool)),
 		listener: l,
-	}, nil
+	}
+	s.meter, err = meter.New(meter.Process{Role: string(setup.SideRole), Name: settings.Name, Zone: settings.Zone})
+	if err != nil {
+		return nil, err
+	}
+	if settings.Metrics != "" {
+		s.metrics, err = listen.New(settings.Metrics, s.meter.Routes())
+	}
+	return s, err
 }
 
 // Address is the address that the side listens on.
@@ -63,6 +75,10 @@
 // Run serves until stop ends and the calls in flight are done, or until kill ends, which cuts them.
 func (s *Side) Run(stop, kill context.Context) error {
 	defer s.listener.Close()
+	if s.metrics != nil {
+		go func() { _ = s.metrics.Serve() }()
+		defer s.metrics.Close()
+	}
 	if err := s.start(either(stop, kill)); err != nil {
 		return err
 	}
@@ -95,6 +111,7 @@
 		}),
 	)
 	sidepb.RegisterSideServer(s.grpc, s.server)
+	s.gauges()
 	return nil
 }
 
