--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -38,7 +39,6 @@
 	stages  []stage.Spec
 	input   []byte
 	tokens  [][]byte // as streamed
-	indexes []uint64
 	outcome outcome
 	late    time.Duration // after the deadline; negative before it
 }
@@ -247,11 +247,13 @@
 		Deadline:    start.Add(deadline),
 	}
 	e := s.entry()
+	k := &sink{}
 	if s.w.naive {
-		r.outcome = e.naiveServe(req, r)
+		r.outcome = e.naiveServe(req, k)
 	} else {
-		r.outcome = e.serve(req, r)
+		r.outcome = e.serve(req, k)
 	}
+	r.tokens = k.all()
 	r.late = time.Since(start) - deadline
 	s.mu.Lock()
 	s.results = append(s.results, *r)
@@ -259,13 +261,26 @@
 	return *r
 }
 
+// sink is the caller's end of a streamed answer.
+type sink struct {
+	mu     sync.Mutex
+	tokens [][]byte
+}
+
 // Token takes one streamed token.
-func (r *result) Token(index uint64, data []byte) error {
-	r.indexes = append(r.indexes, index)
-	r.tokens = append(r.tokens, data)
+func (k *sink) Token(_ uint64, data []byte) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tokens = append(k.tokens, data)
 	return nil
 }
 
+func (k *sink) all() [][]byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.tokens)
+}
+
 func poolSpecs() map[string]pool.Spec {
 	out := map[string]pool.Spec{}
 	for _, p := range pools {
