--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -35,6 +35,7 @@
 			"deploy":  deploy,
 			"replace": replace,
 			"capture": capture,
+			"readme":  readme,
 		},
 	})
 }
@@ -78,6 +79,19 @@
 	ts.Setenv(args[0], m[1])
 }
 
+// readme copies the first YAML block of a page into a file.
+func readme(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: readme PAGE FILE")
+	}
+	_, block, found := strings.Cut(ts.ReadFile(args[0]), "```yaml\n")
+	block, _, ended := strings.Cut(block, "```")
+	if !found || !ended {
+		ts.Fatalf("%s has no YAML block", args[0])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(block), 0o600))
+}
+
 func TestEveryCommandIsScripted(t *testing.T) {
 	files, err := os.ReadDir("testdata/script")
 	if err != nil {
--- a/internal/demo/tally/tally.go
+++ b/internal/demo/tally/tally.go
@@ -129,6 +129,7 @@
 		c.refused(call)
 	case a.Verdict != "":
 		c.MayHaveRun++
+		c.unsure(call)
 	case !a.Whole:
 		c.Lost++
 		c.say("%s: not whole: %v", call.Marker, a.Err)
@@ -144,6 +145,15 @@
 	}
 }
 
+// unsure checks what a failed request says of its action alone.
+func (c *count) unsure(call Call) {
+	a := call.Answer
+	if a.Action == fault.NotRun && c.effects[call.Request.Key] > 0 {
+		c.NotRunButRan++
+		c.say("%s: told that action %s did not run (%s: %s), and it did", call.Marker, call.Request.Key, a.Code, a.Message)
+	}
+}
+
 func (c *count) whole(call Call) {
 	c.Whole++
 	a := call.Answer
--- a/internal/demo/tally/tally_test.go
+++ b/internal/demo/tally/tally_test.go
@@ -42,6 +42,9 @@
 		if f[0] == "unsure" {
 			call.Answer.Verdict = fault.MayHaveRun
 		}
+	case "safe":
+		call.Request.Key = f[2]
+		call.Answer = caller.Answer{Ended: true, Verdict: fault.MayHaveRun, Action: fault.NotRun}
 	case "silence":
 		call.Answer = caller.Answer{Err: errors.New("connection reset")}
 	case "cut":
--- a/internal/oper/caller/answer.go
+++ b/internal/oper/caller/answer.go
@@ -22,6 +22,8 @@
 type Answer struct {
 	Status  int // of HTTP, 0 without an answer
 	Verdict fault.Verdict
+	// Action is the verdict on the request's action; empty without one.
+	Action  fault.Verdict
 	Code    fault.Code
 	Message string
 	// Whole means that the answer says so, and that its count and digest agree.
@@ -58,6 +60,7 @@
 	RequestID string `json:"requestId"`
 	Error     struct {
 		Verdict fault.Verdict `json:"verdict"`
+		Action  fault.Verdict `json:"actionVerdict"`
 		Code    fault.Code    `json:"code"`
 		Message string        `json:"message"`
 	} `json:"error"`
--- a/internal/oper/caller/caller.go
+++ b/internal/oper/caller/caller.go
@@ -98,7 +98,8 @@
 		return
 	}
 	a.Ended = true
-	a.Verdict, a.Code, a.Message = e.Error.Verdict, e.Error.Code, e.Error.Message
+	a.Verdict, a.Action = e.Error.Verdict, e.Error.Action
+	a.Code, a.Message = e.Error.Code, e.Error.Message
 	if e.RequestID != "" && e.RequestID != r.ID {
 		a.Err = fmt.Errorf("error for request %q", e.RequestID)
 	}
