Gossip the configuration, marks and versions

Processes keep a few neighbours and swap digests with one a second; what is new goes to three at once. A process without a configuration asks 16 entries and takes the newest, never from one that has none itself.

--- /dev/null
+++ b/internal/fleet/gossip/marks_test.go
@@ -0,0 +1,132 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+)
+
+func (p *proc) crash(id string, inFlight int, fingerprint string) {
+	p.marks.Update(func(s *mark.Set) *mark.Set {
+		return s.WithCrash(time.Now(), mark.Crash{ID: id, InFlight: inFlight}, fingerprint)
+	})
+}
+
+// allHold waits until all the processes hold the fingerprint in a state, and returns how long that took.
+func (m *mesh) allHold(procs []*proc, fingerprint string, want mark.State, limit time.Duration) time.Duration {
+	start := time.Now()
+	for {
+		left := 0
+		for _, p := range procs {
+			if p.marks.Load().State(fingerprint, time.Now()) != want {
+				left++
+			}
+		}
+		took := time.Since(start)
+		if left == 0 {
+			return took
+		}
+		if took >= limit {
+			m.Fatalf("after %v %d processes don't hold %s as %s", took, left, fingerprint, want)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestMarksReachEveryEntry(t *testing.T) {
+	run(t, func(m *mesh) {
+		entries := m.add(Entry, 48, 3)
+		time.Sleep(settle)
+		entries[0].crash("r1/i1/1", 4, "bad")
+		took := m.allHold(entries, "bad", mark.Suspect, timing.InForceBound)
+		m.Logf("48 entries: suspect everywhere after %v", took)
+		entries[17].crash("r2/i1/1", 1, "bad")
+		took = m.allHold(entries, "bad", mark.Quarantined, timing.InForceBound)
+		m.Logf("48 entries: quarantined everywhere after %v", took)
+		entries[5].marks.Update(func(s *mark.Set) *mark.Set { return s.WithLift(time.Now(), "bad", "maite") })
+		took = m.allHold(entries, "bad", mark.Lifted, timing.InForceBound)
+		m.Logf("48 entries: lifted everywhere after %v", took)
+	})
+}
+
+func TestMarksOfTwoIslandsMeet(t *testing.T) {
+	run(t, func(m *mesh) {
+		entries := m.add(Entry, 12, 3)
+		time.Sleep(settle)
+		for i, p := range entries {
+			m.split(p, i%2)
+		}
+		// The same request crashes one upstream on each island, beside others the first time.
+		entries[0].crash("r1/i1/1", 4, "bad")
+		entries[1].crash("r2/i1/1", 1, "bad")
+		time.Sleep(time.Minute)
+		m.Assert(entries[0].marks.Load().State("bad", time.Now()), qt.Equals, mark.Suspect)
+		for _, p := range entries {
+			m.split(p, 0)
+		}
+		m.allHold(entries, "bad", mark.Quarantined, time.Minute)
+	})
+}
+
+func TestLateEntryLearnsOldMarks(t *testing.T) {
+	run(t, func(m *mesh) {
+		entries := m.add(Entry, 6, 3)
+		time.Sleep(settle)
+		for i := range 20 {
+			entries[0].crash(fmt.Sprint("r1/i1/", i), 4, fmt.Sprint("fp", i))
+		}
+		time.Sleep(2 * time.Minute)
+		late := m.start("late", Entry, "z1")
+		for i := range 20 {
+			m.allHold([]*proc{late}, fmt.Sprint("fp", i), mark.Suspect, 2*time.Minute)
+		}
+	})
+}
+
+func TestCensusNamesLaggardsAndTheSilent(t *testing.T) {
+	run(t, func(m *mesh) {
+		entries, sides := today(m)
+		lag := sides[3]
+		m.split(lag, 1)
+		lag.log.setCut(true)
+		old := lag.offset()
+		offset := m.publish(entries[0], "new")
+		dead := entries[4]
+		m.kill(dead)
+		time.Sleep(settle)
+		versions, silent := entries[0].Census(context.Background())
+		m.Assert(silent, qt.DeepEquals, []string{dead.Name})
+		byName := map[string]Version{}
+		for _, v := range versions {
+			byName[v.Process] = v
+		}
+		for _, p := range m.procs {
+			v, ok := byName[p.Name]
+			m.Assert(ok, qt.IsTrue, qt.Commentf("%s", p.Name))
+			if p == lag {
+				m.Assert(v.Offset, qt.Equals, old)
+			} else if p != dead {
+				m.Assert(v.Offset, qt.Equals, offset, qt.Commentf("%s", p.Name))
+			}
+		}
+	})
+}
+
+func TestSideHearsOfANewerOffsetAtOnce(t *testing.T) {
+	run(t, func(m *mesh) {
+		entries, sides := today(m)
+		offset := m.publish(entries[0], "new")
+		start := time.Now()
+		for sides[0].offset() < offset {
+			sides[0].Ahead(offset)
+			time.Sleep(5 * time.Millisecond)
+			m.Assert(time.Since(start) < time.Second/2, qt.IsTrue)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/gossip/mesh_test.go
@@ -0,0 +1,264 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+	"github.com/ragworthatch/ragworthatch/internal/state/cell"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/wire/peerpb"
+)
+
+// linkDelay is the time one way between two processes.
+const linkDelay = time.Millisecond
+
+// proc is one process: its feed on the log, its marks and its gossip.
+type proc struct {
+	Peer
+	*Node
+	role  Role
+	feed  *feed.Feed
+	marks *cell.Cell[*mark.Set]
+	log   *gate
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+	low   int64 // highest offset seen so far
+}
+
+func (p *proc) offset() int64 { return p.feed.Current().Offset() }
+
+// gate is the log as one process sees it.
+type gate struct {
+	logs.Service
+	mu    sync.Mutex
+	cut   bool
+	reads int
+}
+
+func (g *gate) Read(ctx context.Context, stream string, from int64, limit int) (logs.Batch, error) {
+	g.mu.Lock()
+	g.reads++
+	cut := g.cut
+	g.mu.Unlock()
+	if cut {
+		return logs.Batch{}, &logs.Error{Op: "read", Stream: stream, Cause: errors.New("unreachable")}
+	}
+	return g.Service.Read(ctx, stream, from, limit)
+}
+
+func (g *gate) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reads
+}
+
+func (g *gate) setCut(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+}
+
+// mesh is processes with in-memory links between them.
+type mesh struct {
+	*qt.C
+	log   *memlog.Log
+	procs []*proc
+
+	mu     sync.Mutex
+	byAddr map[string]*proc
+	groups map[string]int // partition of each process
+}
+
+func run(t *testing.T, test func(m *mesh)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &mesh{C: qt.New(t), log: memlog.New(), byAddr: map[string]*proc{}, groups: map[string]int{}}
+		defer func() {
+			for _, p := range m.procs {
+				m.kill(p)
+			}
+		}()
+		test(m)
+	})
+}
+
+// add starts entries and sides spread over zones; a zone with an even number is in region r0.
+func (m *mesh) add(role Role, count, zones int) []*proc {
+	var out []*proc
+	for range count {
+		i := len(m.procs)
+		out = append(out, m.start(fmt.Sprintf("%s%d", role, i), role, fmt.Sprintf("z%d", i%zones)))
+	}
+	return out
+}
+
+func (m *mesh) start(name string, role Role, zone string) *proc {
+	p := &proc{
+		Peer:  Peer{Name: name, Address: name + ":1", Zone: zone},
+		role:  role,
+		log:   &gate{Service: m.log},
+		marks: cell.New(mark.New(mark.Options{})),
+		low:   -1,
+	}
+	seed := uint64(len(m.procs))
+	p.feed = feed.New(p.log, feed.Options{Author: name, Rand: rand.New(rand.NewPCG(seed, 1))}, zap.NewNop())
+	node, err := New(Options{
+		Name: name, Role: role, Zone: zone, Feed: p.feed, Marks: p.marks,
+		Peers: m.entries,
+		Dial:  func(address string) (Conn, error) { return &wireTo{m: m, from: name, to: address}, nil },
+		Rand:  rand.New(rand.NewPCG(seed, 2)),
+		Log:   zap.NewNop(),
+	})
+	m.Assert(err, qt.IsNil)
+	p.Node = node
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	p.done.Go(func() { _ = p.feed.Run(ctx) })
+	p.done.Go(func() { _ = node.Run(ctx) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.procs = append(m.procs, p)
+	m.byAddr[p.Address] = p
+	return p
+}
+
+// kill ends a process; its name stays in the host list.
+func (m *mesh) kill(p *proc) {
+	m.mu.Lock()
+	if m.byAddr[p.Address] == p {
+		delete(m.byAddr, p.Address)
+	}
+	m.mu.Unlock()
+	p.stop()
+	p.done.Wait()
+}
+
+func (m *mesh) entries() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := map[string]bool{}
+	var out []Peer
+	for _, p := range m.procs {
+		if p.role == Entry && !seen[p.Name] {
+			seen[p.Name] = true
+			out = append(out, p.Peer)
+		}
+	}
+	return out
+}
+
+// split puts a process on an island with the others of the same number.
+func (m *mesh) split(p *proc, island int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.groups[p.Name] = island
+}
+
+func (m *mesh) reach(from, to string) (*proc, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.byAddr[to]
+	if p == nil || m.groups[from] != m.groups[p.Name] {
+		return nil, status.Error(codes.Unavailable, "unreachable")
+	}
+	return p, nil
+}
+
+// wireTo carries the calls of one process to another.
+type wireTo struct {
+	m        *mesh
+	from, to string
+}
+
+func (w *wireTo) Close() error { return nil }
+
+func (w *wireTo) Gossip(ctx context.Context, in *peerpb.GossipRequest, _ ...grpc.CallOption) (*peerpb.GossipReply, error) {
+	return carry(w, in, func(p *proc, r *peerpb.GossipRequest) (*peerpb.GossipReply, error) { return p.Node.Gossip(ctx, r) })
+}
+
+func (w *wireTo) Fetch(ctx context.Context, in *peerpb.FetchRequest, _ ...grpc.CallOption) (*peerpb.FetchReply, error) {
+	return carry(w, in, func(p *proc, r *peerpb.FetchRequest) (*peerpb.FetchReply, error) { return p.Node.Fetch(ctx, r) })
+}
+
+func carry[Q, A proto.Message](w *wireTo, in Q, call func(*proc, Q) (A, error)) (A, error) {
+	var none A
+	time.Sleep(linkDelay)
+	p, err := w.m.reach(w.from, w.to)
+	if err != nil {
+		return none, err
+	}
+	out, err := call(p, proto.CloneOf(in))
+	if err != nil {
+		return none, err
+	}
+	time.Sleep(linkDelay)
+	return proto.CloneOf(out), nil
+}
+
+// publish has an operator publish a preset at an entry, and returns the offset that accepted it.
+func (m *mesh) publish(p *proc, name string) int64 {
+	pub := accept.New(p.log, p.feed, uuid.New, zap.NewNop())
+	change := config.Change{Set: config.Objects{Presets: []preset.Spec{{Name: name}}}}
+	result, err := pub.Publish(context.Background(), "maite", change)
+	m.Assert(err, qt.IsNil)
+	m.Assert(result.State, qt.Equals, accept.Accepted)
+	return p.offset()
+}
+
+// publishElsewhere has an operator publish at an entry that dies right after, so that only the log knows.
+func (m *mesh) publishElsewhere(name string) int64 {
+	f := feed.New(m.log, feed.Options{Author: "elsewhere"}, zap.NewNop())
+	m.Assert(f.Poll(context.Background()), qt.IsNil)
+	return m.publish(&proc{feed: f, log: &gate{Service: m.log}}, name)
+}
+
+// spread waits until all the processes have an offset, and returns how long that took.
+func (m *mesh) spread(procs []*proc, offset int64, limit time.Duration) time.Duration {
+	start := time.Now()
+	for {
+		behind := 0
+		for _, p := range procs {
+			m.Assert(p.offset() >= p.low, qt.IsTrue, qt.Commentf("%s reverted to %d", p.Name, p.offset()))
+			p.low = p.offset()
+			if p.low < offset {
+				behind++
+			}
+		}
+		took := time.Since(start)
+		if behind == 0 {
+			return took
+		}
+		if took >= limit {
+			m.Fatalf("after %v %d processes are behind offset %d", took, behind, offset)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// sameDigest checks that all the processes hold one state.
+func (m *mesh) sameDigest(procs []*proc) {
+	want := procs[0].feed.Current().Digest()
+	for _, p := range procs {
+		m.Assert(p.feed.Current().Digest(), qt.Equals, want, qt.Commentf("%s", p.Name))
+		m.Assert(p.Stats().Diverged, qt.Equals, int64(0))
+	}
+}
--- /dev/null
+++ b/internal/fleet/gossip/options.go
@@ -0,0 +1,117 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/state/fold"
+	"github.com/ragworthatch/ragworthatch/internal/wire/peerpb"
+)
+
+// Role says what a process is.
+type Role string
+
+// The roles; entries are asked, sides only ask.
+const (
+	Entry Role = "entry"
+	Side  Role = "side"
+)
+
+// Peer is an entry that can be asked.
+type Peer struct {
+	Name    string
+	Address string
+	Zone    string
+	Region  string
+}
+
+// Feed is the configuration state of the process; *feed.Feed implements it.
+type Feed interface {
+	Current() *fold.State
+	Changed() <-chan struct{}
+	Ready() error
+	Fresh() time.Time
+	Heard(offset int64, age time.Duration)
+	Since(offset int64, limit int) ([]int64, [][]byte, bool)
+	Offer(offsets []int64, records [][]byte) int
+	Snapshot() ([]byte, int64, error)
+	OfferSnapshot(data []byte) (bool, error)
+	SetReader(active bool)
+}
+
+// Marks is where the process keeps its marks; *cell.Cell[*mark.Set] implements it.
+type Marks interface {
+	Load() *mark.Set
+	Update(f func(*mark.Set) *mark.Set)
+}
+
+// Conn is a connection to a peer.
+type Conn interface {
+	peerpb.PeerClient
+	io.Closer
+}
+
+// Dialer opens a connection to an address without waiting for it.
+type Dialer func(address string) (Conn, error)
+
+// Options are what a node is built from; Marks, Demands and OnDemands may be nil.
+type Options struct {
+	Name  string
+	Role  Role
+	Zone  string
+	Feed  Feed
+	Marks Marks
+	// Peers returns the entries known now; it may contain the process itself.
+	Peers func() []Peer
+	Dial  Dialer
+	// Demands returns the demands to send along, at most the given number.
+	Demands   func(limit int) []*peerpb.Demand
+	OnDemands func(demands []*peerpb.Demand)
+	Interval  time.Duration // between two rounds; 0 means timing.GossipInterval
+	Rand      *rand.Rand
+	Log       *zap.Logger
+}
+
+func (o Options) checked() (Options, error) {
+	if o.Name == "" || o.Feed == nil || o.Peers == nil || o.Dial == nil || o.Rand == nil || o.Log == nil {
+		return o, errors.New("gossip: name, feed, peers, dialer, random source and log must be set")
+	}
+	if o.Role != Entry && o.Role != Side {
+		return o, errors.New("gossip: role must be entry or side")
+	}
+	if o.Interval == 0 {
+		o.Interval = timing.GossipInterval
+	}
+	if o.Demands == nil {
+		o.Demands = func(int) []*peerpb.Demand { return nil }
+	}
+	if o.OnDemands == nil {
+		o.OnDemands = func([]*peerpb.Demand) {}
+	}
+	if o.Marks == nil {
+		o.Marks = noMarks{}
+	}
+	return o, nil
+}
+
+// noMarks is for processes that need none.
+type noMarks struct{}
+
+var emptySet = mark.New(mark.Options{})
+
+func (noMarks) Load() *mark.Set                  { return emptySet }
+func (noMarks) Update(func(*mark.Set) *mark.Set) {}
+
+// callTimeout bounds one call of a peer.
+const callTimeout = 2 * time.Second
+
+func withCallTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, callTimeout)
+}
--- /dev/null
+++ b/internal/fleet/gossip/reader.go
@@ -0,0 +1,29 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// readersPerZone is how many entries of a zone poll the log.
+const readersPerZone = 3
+
+// Reader says whether the named entry is one of the log readers of its zone, by rendezvous hash over the zone's members.
+func Reader(name, zone string, members []Peer) bool {
+	names := []string{name}
+	for _, m := range members {
+		if m.Zone == zone && m.Name != name {
+			names = append(names, m.Name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(zone, b), weight(zone, a)), cmp.Compare(a, b))
+	})
+	return slices.Index(names, name) < readersPerZone
+}
+
+func weight(zone, name string) uint64 {
+	return xxhash.Sum64String(zone + "\x00" + name)
+}
--- /dev/null
+++ b/internal/fleet/gossip/stats.go
@@ -0,0 +1,43 @@
+package gossip
+
+import (
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Stats counts the messages of a process and their marshalled sizes, without the transport's framing.
+type Stats struct {
+	SentMessages     int64 `json:"sentMessages"`
+	SentBytes        int64 `json:"sentBytes"`
+	ReceivedMessages int64 `json:"receivedMessages"`
+	ReceivedBytes    int64 `json:"receivedBytes"`
+	Fetches          int64 `json:"fetches"`  // whole states taken from peers
+	Failed           int64 `json:"failed"`   // calls of peers that failed
+	Diverged         int64 `json:"diverged"` // peers that held another state at the same offset
+}
+
+type counters struct {
+	sentMessages, sentBytes, receivedMessages, receivedBytes atomic.Int64
+	fetches, failed, diverged                                atomic.Int64
+}
+
+func (c *counters) sent(m proto.Message) {
+	c.sentMessages.Add(1)
+	c.sentBytes.Add(int64(proto.Size(m)))
+}
+
+func (c *counters) received(m proto.Message) {
+	c.receivedMessages.Add(1)
+	c.receivedBytes.Add(int64(proto.Size(m)))
+}
+
+// Stats returns a copy of the counts.
+func (n *Node) Stats() Stats {
+	c := &n.counters
+	return Stats{
+		SentMessages: c.sentMessages.Load(), SentBytes: c.sentBytes.Load(),
+		ReceivedMessages: c.receivedMessages.Load(), ReceivedBytes: c.receivedBytes.Load(),
+		Fetches: c.fetches.Load(), Failed: c.failed.Load(), Diverged: c.diverged.Load(),
+	}
+}
--- a/internal/fleet/mark/set.go
+++ b/internal/fleet/mark/set.go
@@ -178,3 +178,18 @@
 	}
 	return out
 }
+
+// Changed returns the fingerprints of which s knows something that old does not, sorted.
+func (s *Set) Changed(old *Set) []string {
+	if s == old {
+		return nil
+	}
+	var out []string
+	for fp, r := range s.records {
+		if before, known := old.records[fp]; !known || !r.equal(before) {
+			out = append(out, fp)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
