--- a/internal/fleet/gossip/spread_test.go
+++ b/internal/fleet/gossip/spread_test.go
@@ -96,6 +96,7 @@
 		// An entry of the same zone still answers, but no longer learns anything.
 		stale := entries[0]
 		stale.stop()
+		stale.done.Wait()
 		offset := m.publish(entries[1], "new")
 		m.spread(m.procs[1:], offset, inForceToday)
 		m.log.SetDown(true)
