--- a/internal/demo/day/day.go
+++ b/internal/demo/day/day.go
@@ -109,6 +109,7 @@
 	if err != nil {
 		return err
 	}
+	d.world.AddEntry(name, zone, n.PeerAddress())
 	stop, stopNow := context.WithCancel(context.Background())
 	kill, killNow := context.WithCancel(context.Background())
 	e := &entry{name: name, node: n, stop: stopNow, kill: killNow, done: make(chan struct{})}
--- a/internal/entry/boot/boot.go
+++ b/internal/entry/boot/boot.go
@@ -32,6 +32,8 @@
 		Name:          s.Name,
 		Zone:          s.Zone,
 		HTTP:          s.HTTP,
+		GRPC:          s.GRPC,
+		Peers:         s.Peers,
 		OperatorToken: s.OperatorTokenDigest,
 		Log:           logcl.New(s.Log),
 		List:          hostcl.New(s.HostList),
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/count"
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
@@ -18,6 +20,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/query"
 	"github.com/ragworthatch/ragworthatch/internal/entry/quota"
 	"github.com/ragworthatch/ragworthatch/internal/entry/router"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/gossip"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
@@ -27,6 +30,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
 	"github.com/ragworthatch/ragworthatch/internal/state/cell"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/wire/peerpb"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -34,8 +38,10 @@
 type Options struct {
 	Name          string
 	Zone          string
-	HTTP          string // IP:port for callers and operators
-	OperatorToken string // hex SHA-256; empty leaves only the teams of operators
+	HTTP          string   // IP:port for callers and operators
+	GRPC          string   // IP:port for other processes
+	Peers         []string // IP:port addresses of entries, for a start while the host list is down
+	OperatorToken string   // hex SHA-256; empty leaves only the teams of operators
 	Log           logs.Service
 	List          hosts.List
 	Dial          link.Dialer
@@ -47,6 +53,7 @@
 type Node struct {
 	o      Options
 	feed   *feed.Feed
+	gossip *gossip.Node
 	links  *link.Pool
 	router *router.Router
 	policy *policy.Policy
@@ -61,6 +68,8 @@
 	// entries, of the control goroutine, is how many entries share the teams' limits.
 	entries int
 	http    *listen.Server
+	peers   *grpc.Server
+	peersLn net.Listener
 }
 
 // New builds an entry and listens; Run starts it.
@@ -82,6 +91,7 @@
 		OnView: func(member.View) { n.poke() },
 		OnStatus: func(name string, st *sidepb.Status) {
 			n.router.Cached(name, st.GetCached(), st.GetEvicted())
+			n.heard(name, st)
 		},
 		Log: o.Zap,
 	})
@@ -89,6 +99,9 @@
 		return nil, err
 	}
 	n.links = links
+	if n.gossip, err = gossip.New(n.gossipOptions()); err != nil {
+		return nil, err
+	}
 	n.router = router.New(router.Options{Zone: o.Zone, Links: links, Rand: newRand(), Log: o.Zap, Now: time.Now})
 	n.policy = policy.New(newRand(), time.Now, o.Zap)
 	n.exec = exec.New(n.router, n.policy, n, o.Zap)
@@ -127,13 +140,22 @@
 		Log:         n.o.Zap,
 	})
 	server, err := listen.New(n.o.HTTP, append(callers.Routes(), operators.Routes()...))
+	if err != nil {
+		return err
+	}
 	n.http = server
+	n.peers = grpc.NewServer(link.ServerOptions()...)
+	peerpb.RegisterPeerServer(n.peers, n.gossip)
+	n.peersLn, err = net.Listen("tcp", n.o.GRPC)
 	return err
 }
 
 // Address is the IP:port of the HTTP interface.
 func (n *Node) Address() string { return n.http.Addr() }
 
+// PeerAddress is the IP:port for other processes.
+func (n *Node) PeerAddress() string { return n.peersLn.Addr().String() }
+
 // Guard is the entry's admission.
 func (n *Node) Guard() *guard.Guard { return n.guard }
 
--- a/internal/entry/node/run.go
+++ b/internal/entry/node/run.go
@@ -22,10 +22,13 @@
 	g.Go(func() error { n.feed.Run(background); return nil })
 	g.Go(func() error { return n.links.Run(background) })
 	g.Go(func() error { n.control(background); return nil })
+	g.Go(func() error { return n.gossip.Run(background) })
+	g.Go(func() error { return n.peers.Serve(n.peersLn) })
 	g.Go(n.http.Serve)
 	g.Go(func() error {
 		defer cancel()
 		n.awaitDrain(stop, background)
+		n.peers.Stop()
 		return n.http.Close()
 	})
 	n.o.Zap.Info("entry serves", zap.String("address", n.Address()))
--- a/internal/fleet/gossip/client.go
+++ b/internal/fleet/gossip/client.go
@@ -19,8 +19,6 @@
 	bootstrapPeers = 16
 	// maxPages is how many replies with records one exchange takes.
 	maxPages = 16
-	// demandsPerMessage bounds the demands of one message.
-	demandsPerMessage = 32
 )
 
 var errNoProgress = errors.New("peer holds a newer state but sent nothing usable of it")
@@ -29,17 +27,18 @@
 	s := n.o.Feed.Current()
 	r := &peerpb.GossipRequest{
 		From: n.o.Name, Role: string(n.o.Role), Zone: n.o.Zone,
-		Offset: s.Offset(), Digest: shorten(s.Digest()), ReadAgeMs: n.readAgeMs(now),
+		Offset: s.Offset(), Digest: Shorten(s.Digest()), ReadAgeMs: n.readAgeMs(now),
 	}
 	if n.o.Role == Entry {
 		r.Marks = n.rumors.next(now, n.o.Marks.Load())
-		r.Demands = n.o.Demands(demandsPerMessage)
+		r.Demands = n.o.Shares.Offer(now)
 		r.Versions = n.census.some(now)
 	}
 	return r
 }
 
-func shorten(digest string) string { return digest[:min(len(digest), digestBytes)] }
+// Shorten cuts a digest to the length that travels with each message.
+func Shorten(digest string) string { return digest[:min(len(digest), digestBytes)] }
 
 // readAgeMs is the age of the newest read of the log that the own state covers, 0 if unknown.
 func (n *Node) readAgeMs(now time.Time) int64 {
@@ -98,7 +97,7 @@
 func (n *Node) take(ctx context.Context, p Peer, reply *peerpb.GossipReply) (bool, error) {
 	now := time.Now()
 	n.takeMarks(now, reply.GetMarks())
-	n.o.OnDemands(reply.GetDemands())
+	n.o.Shares.Settle(reply.GetDemands(), now)
 	n.census.told(now, reply.GetVersions())
 	n.census.heard(Version{Process: p.Name, Role: Entry, Zone: p.Zone, Offset: reply.GetOffset(), Digest: reply.GetDigest(), Seen: now})
 	before := n.o.Feed.Current().Offset()
@@ -113,7 +112,7 @@
 		after = n.o.Feed.Current()
 	}
 	n.noteAge(reply.GetOffset(), reply.GetReadAgeMs())
-	n.compare(p.Name, after.Offset(), shorten(after.Digest()), reply.GetOffset(), reply.GetDigest())
+	n.compare(p.Name, after.Offset(), Shorten(after.Digest()), reply.GetOffset(), reply.GetDigest())
 	if after.Offset() < reply.GetOffset() && after.Offset() == before {
 		return false, errNoProgress
 	}
--- a/internal/fleet/gossip/options.go
+++ b/internal/fleet/gossip/options.go
@@ -52,6 +52,16 @@
 	Update(f func(*mark.Set) *mark.Set)
 }
 
+// Shares moves the teams' shares to the entries where the demand is; *quota.Quota implements it.
+type Shares interface {
+	// Offer returns what to send with a request.
+	Offer(now time.Time) []*peerpb.Demand
+	// Answer takes a peer's offer and returns what the peer must add to its own.
+	Answer(in []*peerpb.Demand, now time.Time) []*peerpb.Demand
+	// Settle takes a peer's answer.
+	Settle(in []*peerpb.Demand, now time.Time)
+}
+
 // Conn is a connection to a peer.
 type Conn interface {
 	peerpb.PeerClient
@@ -61,7 +71,7 @@
 // Dialer opens a connection to an address without waiting for it.
 type Dialer func(address string) (Conn, error)
 
-// Options are what a node is built from; Marks, Demands and OnDemands may be nil.
+// Options are what a node is built from; Marks and Shares may be nil.
 type Options struct {
 	Name  string
 	Role  Role
@@ -69,14 +79,12 @@
 	Feed  Feed
 	Marks Marks
 	// Peers returns the entries known now; it may contain the process itself.
-	Peers func() []Peer
-	Dial  Dialer
-	// Demands returns the demands to send along, at most the given number.
-	Demands   func(limit int) []*peerpb.Demand
-	OnDemands func(demands []*peerpb.Demand)
-	Interval  time.Duration // between two rounds; 0 means timing.GossipInterval
-	Rand      *rand.Rand
-	Log       *zap.Logger
+	Peers    func() []Peer
+	Dial     Dialer
+	Shares   Shares
+	Interval time.Duration // between two rounds; 0 means timing.GossipInterval
+	Rand     *rand.Rand
+	Log      *zap.Logger
 }
 
 func (o Options) checked() (Options, error) {
@@ -89,11 +97,8 @@
 	if o.Interval == 0 {
 		o.Interval = timing.GossipInterval
 	}
-	if o.Demands == nil {
-		o.Demands = func(int) []*peerpb.Demand { return nil }
-	}
-	if o.OnDemands == nil {
-		o.OnDemands = func([]*peerpb.Demand) {}
+	if o.Shares == nil {
+		o.Shares = noShares{}
 	}
 	if o.Marks == nil {
 		o.Marks = noMarks{}
@@ -101,6 +106,13 @@
 	return o, nil
 }
 
+// noShares is for processes that admit no requests.
+type noShares struct{}
+
+func (noShares) Offer(time.Time) []*peerpb.Demand                    { return nil }
+func (noShares) Answer([]*peerpb.Demand, time.Time) []*peerpb.Demand { return nil }
+func (noShares) Settle([]*peerpb.Demand, time.Time)                  {}
+
 // noMarks is for processes that need none.
 type noMarks struct{}
 
--- a/internal/fleet/gossip/server.go
+++ b/internal/fleet/gossip/server.go
@@ -23,7 +23,6 @@
 	now := time.Now()
 	n.counters.received(req)
 	n.takeMarks(now, req.GetMarks())
-	n.o.OnDemands(req.GetDemands())
 	n.census.told(now, req.GetVersions())
 	if err := n.o.Feed.Ready(); err != nil {
 		return nil, status.Errorf(codes.Unavailable, "%s has no configuration: %v", n.o.Name, err)
@@ -40,7 +39,7 @@
 
 func (n *Node) reply(now time.Time, req *peerpb.GossipRequest) *peerpb.GossipReply {
 	s := n.o.Feed.Current()
-	reply := &peerpb.GossipReply{Offset: s.Offset(), Digest: shorten(s.Digest()), ReadAgeMs: n.readAgeMs(now)}
+	reply := &peerpb.GossipReply{Offset: s.Offset(), Digest: Shorten(s.Digest()), ReadAgeMs: n.readAgeMs(now)}
 	n.compare(req.GetFrom(), s.Offset(), reply.Digest, req.GetOffset(), req.GetDigest())
 	if req.GetOffset() < s.Offset() {
 		n.addRecords(reply, req.GetOffset())
@@ -52,7 +51,7 @@
 		n.wantPull(req.GetFrom())
 	}
 	reply.Marks = n.rumors.next(now, n.o.Marks.Load())
-	reply.Demands = n.o.Demands(demandsPerMessage)
+	reply.Demands = n.o.Shares.Answer(req.GetDemands(), now)
 	if req.GetCensus() {
 		reply.Versions = append(n.census.firstHand(now), wire(n.version(now)))
 	} else {
@@ -115,6 +114,6 @@
 	if err != nil {
 		return nil, err
 	}
-	c.last = &peerpb.FetchReply{Offset: offset, Snapshot: data, Digest: shorten(s.Digest())}
+	c.last = &peerpb.FetchReply{Offset: offset, Snapshot: data, Digest: Shorten(s.Digest())}
 	return c.last, nil
 }
--- a/internal/limit/adapt/limit.go
+++ b/internal/limit/adapt/limit.go
@@ -58,6 +58,15 @@
 	return &Limit{opts: o, value: o.Initial}
 }
 
+// Set replaces the bounds and the target; the limit in force moves only as far as the bounds ask.
+func (l *Limit) Set(o Options) {
+	l.opts = o.WithDefaults()
+	if l.opts.Target <= 0 {
+		l.value = l.opts.Ceiling
+	}
+	l.value = min(max(l.value, l.opts.Floor), l.opts.Ceiling)
+}
+
 // Value is the limit in force, in calls.
 func (l *Limit) Value() int { return l.value }
 
--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -56,6 +56,14 @@
 	return &Gate{sched: sched.New[chan error](o.sched())}
 }
 
+// Set replaces the bounds and the target of the concurrency limit.
+func (g *Gate) Set(o Options) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sched.SetLimit(o.sched().Limit)
+	g.pump()
+}
+
 // Load returns the present load.
 func (g *Gate) Load() Load {
 	g.mu.Lock()
--- a/internal/limit/sched/scheduler.go
+++ b/internal/limit/sched/scheduler.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// SetLimit replaces the bounds and the target of the concurrency limit.
+func (s *Scheduler[T]) SetLimit(o adapt.Options) { s.limit.Set(o) }
+
 // Load returns the present load.
 func (s *Scheduler[V]) Load() Load {
 	return Load{
--- a/internal/side/boot/pool.go
+++ b/internal/side/boot/pool.go
@@ -3,34 +3,90 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/ragworthatch/ragworthatch/internal/fleet/gossip"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
-	"github.com/ragworthatch/ragworthatch/internal/state/feed"
-	"github.com/ragworthatch/ragworthatch/internal/wire/peerpb"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/side/serve"
+	"github.com/ragworthatch/ragworthatch/internal/state/fold"
 )
 
-const (
-	learnInterval = 500 * time.Millisecond
-	learnTimeout  = 2 * time.Second
-	// maxSnapshot bounds the configuration that an entry sends, in bytes.
-	maxSnapshot = 64 << 20
-)
+// listInterval is how often a side reads the host list, which it needs only to find entries.
+const listInterval = 10 * timing.HostListInterval
 
-// learnPool waits until the configuration declares the side's pool. It asks the entries
-// first, as at hundreds of sides the log must not serve them all.
-func (s *Side) learnPool(ctx context.Context) (pool.Spec, error) {
-	f := feed.New(s.log, feed.Options{Author: s.settings.Name}, s.zap)
-	said := false
+// entries are the entries that a side may ask.
+type entries struct {
+	mu    sync.Mutex
+	table *member.Table
+}
+
+// follow starts what keeps the configuration current: the entries are asked, and the log only when none answers.
+func (s *Side) follow(ctx context.Context) {
+	go s.listEntries(ctx)
+	go s.feed.Run(ctx)
+	go func() { _ = s.gossip.Run(ctx) }()
+}
+
+func (s *Side) gossipOptions() gossip.Options {
+	s.entries.table = member.New(member.Options{})
+	return gossip.Options{
+		Name:  s.settings.Name,
+		Role:  gossip.Side,
+		Zone:  s.settings.Zone,
+		Feed:  s.feed,
+		Peers: s.known,
+		Dial:  gossip.Dial,
+		Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:   s.zap,
+	}
+}
+
+func (s *Side) known() []gossip.Peer {
+	s.entries.mu.Lock()
+	defer s.entries.mu.Unlock()
+	return gossip.Known(s.entries.table.View(time.Now()), s.settings.Peers)
+}
+
+// listEntries reads the host list; an error tells nothing and changes nothing.
+func (s *Side) listEntries(ctx context.Context) {
+	tick := time.NewTicker(listInterval)
+	defer tick.Stop()
 	for {
-		if !s.askPeers(ctx, f) {
-			_ = f.Poll(ctx) // the next round tries again
+		s.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
 		}
-		if spec, ok := f.Current().Config().Pools[s.settings.Pool]; ok {
+	}
+}
+
+func (s *Side) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, timing.HostListInterval)
+	defer cancel()
+	list, err := s.hosts.Hosts(ctx)
+	if err != nil {
+		s.zap.Debug("host list does not answer", zap.Error(err))
+		return
+	}
+	s.entries.mu.Lock()
+	defer s.entries.mu.Unlock()
+	s.entries.table = s.entries.table.WithList(time.Now(), list)
+}
+
+// awaitPool waits until the configuration declares the side's pool.
+func (s *Side) awaitPool(ctx context.Context) (pool.Spec, error) {
+	said := false
+	for {
+		changed := s.feed.Changed()
+		if spec, ok := s.declared(s.feed.Current()); ok {
 			return spec, nil
 		}
 		if !said {
@@ -40,56 +96,35 @@
 		select {
 		case <-ctx.Done():
 			return pool.Spec{}, fmt.Errorf("pool %q is not declared: %w", s.settings.Pool, ctx.Err())
-		case <-time.After(learnInterval):
+		case <-changed:
 		}
 	}
 }
 
-// askPeers takes over the first configuration that an entry sends.
-func (s *Side) askPeers(ctx context.Context, f *feed.Feed) bool {
-	for _, address := range s.entries(ctx) {
-		snapshot, err := fetch(ctx, address)
-		if err != nil {
-			s.zap.Debug("entry sent no configuration", zap.String("entry", address), zap.Error(err))
-			continue
-		}
-		if taken, err := f.OfferSnapshot(snapshot); err == nil && taken {
-			return true
-		}
+// declared is the side's pool in a configuration.
+func (s *Side) declared(state *fold.State) (pool.Spec, bool) {
+	object, ok := state.Spec(config.Ref{Kind: config.Pools, Name: s.settings.Pool})
+	if !ok {
+		return pool.Spec{}, false
 	}
-	return false
+	spec, ok := object.(pool.Spec)
+	return spec, ok
 }
 
-// entries are the entries that the settings or the host list name.
-func (s *Side) entries(ctx context.Context) []string {
-	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
-	defer cancel()
-	out := s.settings.Peers
-	listed, err := s.hosts.Hosts(ctx)
-	if err != nil {
-		return out
-	}
-	for _, h := range listed {
-		if h.Pool == "" {
-			out = append(out[:len(out):len(out)], h.Address)
+// adopt hands each new configuration to the server; a pool that is no longer declared keeps its last settings.
+func (s *Side) adopt(ctx context.Context) {
+	spec := pool.Spec{}
+	for {
+		changed := s.feed.Changed()
+		state := s.feed.Current()
+		if declared, ok := s.declared(state); ok {
+			spec = declared
+		}
+		s.server.Use(serve.Config{Offset: state.Offset(), Revision: state.Revision(), Digest: state.Digest(), Pool: spec})
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
 		}
 	}
-	return out
-}
-
-func fetch(ctx context.Context, address string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
-	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxSnapshot)))
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	reply, err := peerpb.NewPeerClient(conn).Fetch(ctx, &peerpb.FetchRequest{})
-	if err != nil {
-		return nil, err
-	}
-	return reply.GetSnapshot(), nil
 }
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/ragworthatch/ragworthatch/internal/fleet/gossip"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
@@ -23,6 +24,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/plat/runcl"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upcl"
 	"github.com/ragworthatch/ragworthatch/internal/side/serve"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -42,6 +44,9 @@
 	listener net.Listener
 	meter    *meter.Meter
 	metrics  *listen.Server // nil when the settings name no address
+	feed     *feed.Feed
+	gossip   *gossip.Node
+	entries  entries
 	server   *serve.Server
 	grpc     *grpc.Server
 }
@@ -59,6 +64,10 @@
 		zap:      log.With(zap.String("side", settings.Name), zap.String("pool", settings.Pool)),
 		listener: l,
 	}
+	s.feed = feed.New(s.log, feed.Options{Author: settings.Name}, s.zap)
+	if s.gossip, err = gossip.New(s.gossipOptions()); err != nil {
+		return nil, err
+	}
 	s.meter, err = meter.New(meter.Process{Role: string(setup.SideRole), Name: settings.Name, Zone: settings.Zone})
 	if err != nil {
 		return nil, err
@@ -79,12 +88,14 @@
 		go func() { _ = s.metrics.Serve() }()
 		defer s.metrics.Close()
 	}
+	background, cancel := context.WithCancel(kill)
+	defer cancel()
+	s.follow(background)
 	if err := s.start(either(stop, kill)); err != nil {
 		return err
 	}
-	background, cancel := context.WithCancel(kill)
-	defer cancel()
 	go s.server.Run(background)
+	go s.adopt(background)
 	go s.drainOn(stop, background)
 	go s.stopWhenDrained(background)
 	s.zap.Info("side serves", zap.String("address", s.Address()))
@@ -95,7 +106,7 @@
 }
 
 func (s *Side) start(ctx context.Context) error {
-	spec, err := s.learnPool(ctx)
+	spec, err := s.awaitPool(ctx)
 	if err != nil {
 		return err
 	}
@@ -116,14 +127,14 @@
 }
 
 func (s *Side) options(spec pool.Spec) serve.Options {
-	silent := time.Duration(spec.SilentMs) * time.Millisecond
 	out := serve.Options{
-		Upstream:    upcl.New(s.settings.Upstream, silent),
+		Upstream:    upcl.New(s.settings.Upstream, 0),
 		Log:         s.log,
 		Pool:        spec,
 		Name:        s.settings.Name,
 		Zone:        s.settings.Zone,
 		Incarnation: uuid.NewString(),
+		Ahead:       s.gossip.Ahead,
 		Zap:         s.zap,
 	}
 	if spec.Kind == pool.Engine {
--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -203,7 +203,7 @@
 	}
 	defer stream.Close()
 	first := c.reply.digest.Count()
-	r := relay.New(stream, id, first, c.s.opts.silent(), func() { c.s.counters.strays.Add(1) })
+	r := relay.New(stream, id, first, c.s.silent(), func() { c.s.counters.strays.Add(1) })
 	for {
 		e, err := r.Next(ctx)
 		if errors.Is(err, io.EOF) {
@@ -221,7 +221,7 @@
 
 // open sends the call; an upstream that does not even accept it within the progress bound is silent.
 func (c *call) open(ctx context.Context, cancel context.CancelCauseFunc, id string) (upstr.Stream, error) {
-	bound := time.AfterFunc(c.s.opts.silent(), func() { cancel(errNoAnswer) })
+	bound := time.AfterFunc(c.s.silent(), func() { cancel(errNoAnswer) })
 	defer bound.Stop()
 	stream, err := c.s.opts.Upstream.Call(ctx, upstr.Call{
 		ID:        id,
--- a/internal/side/serve/options.go
+++ b/internal/side/serve/options.go
@@ -22,7 +22,8 @@
 	Pool        pool.Spec
 	Name        string // of the upstream
 	Zone        string
-	Incarnation string // differs at each start
+	Incarnation string             // differs at each start
+	Ahead       func(offset int64) // told of the offset that a watching entry knows; may be nil
 	Now         func() time.Time
 	Zap         *zap.Logger
 }
@@ -42,18 +43,31 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Ahead == nil {
+		o.Ahead = func(int64) {}
+	}
 	if o.Zap == nil {
 		o.Zap = zap.NewNop()
 	}
 	if o.Gate == nil {
-		o.Gate = gate.New(gate.Options{Floor: o.Pool.MinConcurrency, Ceiling: o.Pool.MaxConcurrency})
+		o.Gate = gate.New(limits(o.Pool))
 	}
 	return o, nil
 }
 
-func (o Options) silent() time.Duration {
-	if o.Pool.SilentMs > 0 {
-		return time.Duration(o.Pool.SilentMs) * time.Millisecond
+// limits are the bounds of the concurrency limit.
+func limits(spec pool.Spec) gate.Options {
+	return gate.Options{
+		Floor:   spec.MinConcurrency,
+		Ceiling: spec.MaxConcurrency,
+		Target:  time.Duration(spec.TargetMs) * time.Millisecond,
+	}
+}
+
+// silent is how long an upstream may make no progress.
+func silent(spec pool.Spec) time.Duration {
+	if spec.SilentMs > 0 {
+		return time.Duration(spec.SilentMs) * time.Millisecond
 	}
 	return defaultSilent
 }
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -36,6 +36,8 @@
 	drain    drain
 	health   health
 	engine   atomic.Pointer[[]string]
+	pool     atomic.Pointer[pool.Spec]
+	digest   atomic.Pointer[string] // of the configuration
 	revision atomic.Int64
 	offset   atomic.Int64
 }
@@ -53,6 +55,8 @@
 	}
 	s.drain.init()
 	s.health.init()
+	s.pool.Store(&opts.Pool)
+	s.digest.Store(new(string))
 	if opts.Pool.Kind == pool.Service {
 		s.window = window.New(window.Options{
 			Log:     opts.Log,
--- a/internal/side/serve/status.go
+++ b/internal/side/serve/status.go
@@ -17,7 +17,7 @@
 
 // Watch streams the status: at once, on each change, and as a heartbeat.
 func (s *Server) Watch(req *sidepb.WatchRequest, out sidepb.Side_WatchServer) error {
-	s.learn(0, req.GetOffset())
+	s.opts.Ahead(req.GetOffset())
 	beat := time.NewTicker(timing.HeartbeatInterval)
 	defer beat.Stop()
 	for {
@@ -47,6 +47,7 @@
 		Incarnation:     s.opts.Incarnation,
 		Load:            s.load(),
 		Offset:          s.offset.Load(),
+		Digest:          *s.digest.Load(),
 		UpstreamHealthy: s.health.healthy(),
 	}
 	if m := s.engine.Load(); m != nil {
