--- a/internal/state/accept/publish.go
+++ b/internal/state/accept/publish.go
@@ -1,10 +1,13 @@
 package accept
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -24,17 +27,30 @@
 	lookFor        = 2 * time.Second
 )
 
+// maxUnsettled bounds the publishes that Unsettled returns.
+const maxUnsettled = 256
+
 // Publisher appends changes to the log and reads back what the fold decided.
 type Publisher struct {
 	log   logs.Service
 	feed  *feed.Feed
 	newID func() uuid.UUID
 	lg    *zap.Logger
+
+	mu        sync.Mutex
+	unsettled map[string]Pending
+}
+
+// Pending is a publish of which it is not known whether it took effect.
+type Pending struct {
+	Nonce  string
+	Author string
+	Since  time.Time
 }
 
 // New returns a publisher; newID makes the random part of nonces.
 func New(log logs.Service, f *feed.Feed, newID func() uuid.UUID, lg *zap.Logger) *Publisher {
-	return &Publisher{log: log, feed: f, newID: newID, lg: lg}
+	return &Publisher{log: log, feed: f, newID: newID, lg: lg, unsettled: map[string]Pending{}}
 }
 
 // Option changes one publish.
@@ -59,6 +75,23 @@
 	specs map[config.Ref]any
 }
 
+// Unsettled returns the publishes of this process whose answers were lost and that the fold has not decided yet.
+func (p *Publisher) Unsettled() []Pending {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.feed.Current()
+	var list []Pending
+	for nonce, pending := range p.unsettled {
+		if _, decided := state.Nonce(nonce); decided {
+			delete(p.unsettled, nonce)
+			continue
+		}
+		list = append(list, pending)
+	}
+	slices.SortFunc(list, func(a, b Pending) int { return cmp.Compare(a.Nonce, b.Nonce) })
+	return list
+}
+
 // NewNonce returns a nonce for the next publish.
 func (p *Publisher) NewNonce() string {
 	return record.NewNonce(p.feed.Current().Offset()+1, p.newID())
@@ -151,11 +184,24 @@
 	}
 	d, ok, err := p.append(ctx, nonce, data)
 	if err != nil || !ok {
-		return p.undecided(ctx, prop, nonce, err)
+		result, err := p.undecided(ctx, prop, nonce, err)
+		p.remember(result, author)
+		return result, err
 	}
 	return p.decided(prop, d)
 }
 
+func (p *Publisher) remember(r Result, author string) {
+	if r.State != Unknown {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.unsettled) < maxUnsettled {
+		p.unsettled[r.Nonce] = Pending{Nonce: r.Nonce, Author: author, Since: time.Now()}
+	}
+}
+
 // lagging returns an error if the author has seen more than this process, which then cannot judge.
 func lagging(state *fold.State, nonce string, base map[config.Ref]int64) error {
 	next, err := record.NextOf(nonce)
