Be ready only once connected, and drain any host from any entry

A starting entry said it was ready before its first connection and refused requests for about a second; a drain failed for hosts outside the entry's subset.

--- a/internal/entry/node/control.go
+++ b/internal/entry/node/control.go
@@ -4,14 +4,20 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
 	"github.com/ragworthatch/ragworthatch/internal/entry/job"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
+// warmUpTime is how long a starting entry waits for the pools that have no connection.
+const warmUpTime = 5 * time.Second
+
 // control is the goroutine that publishes what traffic reads.
 func (n *Node) control(ctx context.Context) {
 	for {
@@ -33,6 +39,39 @@
 	p, _ := n.index.Load().Set.Preset()
 	n.policy.Use(p)
 	n.router.Update(view, p)
+	n.warmUp(view)
+}
+
+// warmUp makes the entry ready once every pool has a connection, or some have after a while.
+func (n *Node) warmUp(view member.View) {
+	if n.warm.Load() || view.ListAt.IsZero() {
+		return
+	}
+	if n.began.IsZero() {
+		n.began = time.Now()
+	}
+	pools := n.index.Load().Set.Pools
+	connected := 0
+	for name := range pools {
+		if n.connected(view.Usable(name)) {
+			connected++
+		}
+	}
+	patient := time.Since(n.began) < warmUpTime
+	if connected == 0 || (connected < len(pools) && patient) {
+		return
+	}
+	n.warm.Store(true)
+	n.o.Zap.Info("connected", zap.Int("pools", len(pools)), zap.Int("connected", connected))
+}
+
+func (n *Node) connected(ups []member.Upstream) bool {
+	for _, u := range ups {
+		if _, ok := n.links.Client(u.Name); ok {
+			return true
+		}
+	}
+	return false
 }
 
 // reindex takes over a new revision, or another number of entries to share the limits with.
@@ -66,6 +105,9 @@
 	if _, ok := n.index.Load().Set.Preset(); !ok {
 		return fault.New(fault.NotRun, fault.NotReady, "no preset is in force").WithRetryAfter(time.Second)
 	}
+	if !n.warm.Load() {
+		return fault.New(fault.NotRun, fault.NotReady, "no connection to the upstreams yet").WithRetryAfter(time.Second)
+	}
 	return nil
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -65,6 +66,9 @@
 	views  chan struct{} // a new view of the fleet
 	leave  chan struct{} // closed by an operator's drain
 	once   sync.Once
+	warm   atomic.Bool // connections to the pools are up
+	// began, of the control goroutine, is when the first view of the fleet came.
+	began time.Time
 	// entries, of the control goroutine, is how many entries share the teams' limits.
 	entries int
 	http    *listen.Server
@@ -135,6 +139,7 @@
 		Publisher:   accept.New(n.o.Log, n.feed, uuid.New, n.o.Zap),
 		Actions:     actions,
 		Links:       n.links,
+		Dial:        n.o.Dial,
 		Marks:       n.marks,
 		Drain:       n.startDrain,
 		Log:         n.o.Zap,
--- a/internal/entry/opsapi/fleet.go
+++ b/internal/entry/opsapi/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
@@ -23,14 +24,18 @@
 	if in.Host == a.o.Name {
 		return admin.DrainReply{Host: in.Host, InFlight: uint32(a.o.Drain())}, nil
 	}
-	if _, known := a.o.Links.View().Upstream(in.Host); !known {
+	u, known := a.o.Links.View().Upstream(in.Host)
+	if !known {
 		return admin.DrainReply{}, fault.New(fault.NotRun, fault.NotFound, "there is no host %q", in.Host)
 	}
-	side, ok := a.o.Links.Client(in.Host)
-	if !ok {
-		return admin.DrainReply{}, fault.New(fault.NotRun, fault.NoUpstream,
-			"this entry has no connection to %q; ask another entry", in.Host)
+	if u.Pool == "" {
+		return admin.DrainReply{}, fault.New(fault.NotRun, fault.BadRequest, "host %q is an entry; ask it itself to drain", in.Host)
 	}
+	side, done, err := a.reach(u)
+	if err != nil {
+		return admin.DrainReply{}, fault.New(fault.NotRun, fault.NoUpstream, "no connection to host %q", in.Host).WithCause(err)
+	}
+	defer done()
 	reply, err := side.Drain(r.Context(), &sidepb.DrainRequest{Author: in.Author, Reason: in.Reason})
 	if err != nil {
 		return admin.DrainReply{}, fault.New(fault.MayHaveRun, fault.Transport, "host %q did not answer", in.Host).WithCause(err)
@@ -38,6 +43,18 @@
 	return admin.DrainReply{Host: in.Host, InFlight: reply.GetInFlight()}, nil
 }
 
+// reach returns a connection to a side, if need be one for this call alone.
+func (a *API) reach(u member.Upstream) (side sidepb.SideClient, done func(), err error) {
+	if side, ok := a.o.Links.Client(u.Name); ok {
+		return side, func() {}, nil
+	}
+	conn, err := a.o.Dial(u.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return conn, func() { _ = conn.Close() }, nil
+}
+
 func (a *API) outcome(r *http.Request, _ nothing) (admin.Outcome, *fault.Error) {
 	q := r.URL.Query()
 	team := q.Get("team")
--- a/internal/entry/opsapi/opsapi.go
+++ b/internal/entry/opsapi/opsapi.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -50,6 +51,7 @@
 	Publisher   *accept.Publisher
 	Actions     Actions
 	Links       Links
+	Dial        link.Dialer // reaches the sides that this entry keeps no connection to
 	Marks       *cell.Cell[*mark.Set]
 	Drain       func() (inFlight int) // of this entry
 	Log         *zap.Logger
