Let go of a finished call's context and make room in a full attempt memory

A remembered attempt kept its call's context, and with it the stream, for over two minutes. It is dropped when the call ends. A full memory forgets what is past its deadline before it refuses calls; the horizon keeps late copies out.

--- a/internal/side/flight/flight.go
+++ b/internal/side/flight/flight.go
@@ -69,16 +69,18 @@
 
 // Finish ends the attempt, however far it came.
 func (f *Flight) Finish() {
-	if f.Forbid() {
-		return
-	}
 	t := f.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if f.state == dispatched {
+	switch f.state {
+	case queued:
+		t.queued--
+		f.state = forbidden
+	case dispatched:
 		t.running--
 		f.state = finished
 	}
+	f.stop = nil // what it holds on to is the call's
 }
 
 // Canceled says whether a cancel reached the attempt.
--- /dev/null
+++ b/internal/side/flight/memory_test.go
@@ -0,0 +1,35 @@
+package flight
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// BenchmarkRemembered reports the memory of one remembered attempt.
+func BenchmarkRemembered(b *testing.B) {
+	const attempts = 32768
+	for b.Loop() {
+		before := heap()
+		table := New(attempts)
+		for range attempts {
+			f, err := table.Begin(attempt(uuid.Must(uuid.NewV7()).String()), start, start.Add(time.Minute), func() {})
+			if err != nil {
+				b.Fatal(err)
+			}
+			f.Dispatch()
+			f.Finish()
+		}
+		b.ReportMetric(float64(heap()-before)/attempts, "B/attempt")
+		runtime.KeepAlive(table)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/side/flight/table_test.go
+++ b/internal/side/flight/table_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -19,14 +20,14 @@
 }
 
 func begin(c *qt.C, t *Table, request string) *Flight {
-	f, err := t.Begin(attempt(request), start.Add(time.Minute), func() {})
+	f, err := t.Begin(attempt(request), start, start.Add(time.Minute), func() {})
 	c.Assert(err, qt.IsNil)
 	return f
 }
 
 // verdictOfCopy is what another copy of the call is told.
 func verdictOfCopy(t *Table, request string) fault.Verdict {
-	_, err := t.Begin(attempt(request), start, func() {})
+	_, err := t.Begin(attempt(request), start, start, func() {})
 	return fault.From(err).Verdict
 }
 
@@ -49,7 +50,7 @@
 			table := New(10)
 			f := begin(c, table, "r")
 			tc.steps(f)
-			c.Check(table.Cancel(attempt("r"), start.Add(time.Minute)), qt.Equals, tc.want)
+			c.Check(table.Cancel(attempt("r"), start, start.Add(time.Minute)), qt.Equals, tc.want)
 			c.Check(verdictOfCopy(table, "r"), qt.Equals, tc.want)
 			c.Check(f.Dispatch(), qt.Equals, tc.dispatch)
 			f.Finish()
@@ -65,7 +66,7 @@
 		f := begin(c, table, "r")
 		sent := make(chan bool)
 		go func() { sent <- f.Dispatch() }()
-		v := table.Cancel(attempt("r"), start)
+		v := table.Cancel(attempt("r"), start, start)
 		c.Assert(<-sent, qt.Equals, v == fault.MayHaveRun, qt.Commentf("round %d", i))
 	}
 }
@@ -74,9 +75,9 @@
 	c := qt.New(t)
 	table := New(2)
 	begin(c, table, "a")
-	c.Assert(table.Cancel(attempt("b"), start), qt.Equals, fault.NotRun)
+	c.Assert(table.Cancel(attempt("b"), start, start), qt.Equals, fault.NotRun)
 	c.Assert(verdictOfCopy(table, "c"), qt.Equals, fault.MayHaveRun)
-	c.Assert(table.Cancel(attempt("d"), start), qt.Equals, fault.MayHaveRun)
+	c.Assert(table.Cancel(attempt("d"), start, start), qt.Equals, fault.MayHaveRun)
 	c.Assert(table.Len(), qt.Equals, 2)
 }
 
@@ -87,15 +88,15 @@
 	for range 100 {
 		id := uuid.Must(uuid.NewV7()).String()
 		ids = append(ids, id)
-		c.Assert(table.Cancel(attempt(id), start.Add(time.Minute)), qt.Equals, fault.NotRun)
+		c.Assert(table.Cancel(attempt(id), start, start.Add(time.Minute)), qt.Equals, fault.NotRun)
 	}
-	table.Sweep(start.Add(time.Minute - 1))
+	table.Sweep(start.Add(time.Minute + timing.ClockSkew - 1))
 	c.Assert(table.Len(), qt.Equals, 100)
-	table.Sweep(start.Add(time.Minute))
+	table.Sweep(start.Add(time.Minute + timing.ClockSkew))
 	c.Assert(table.Len(), qt.Equals, 0)
 	for _, id := range ids {
 		c.Assert(verdictOfCopy(table, id), qt.Equals, fault.NotRun)
-		c.Assert(table.Cancel(attempt(id), start), qt.Equals, fault.MayHaveRun)
+		c.Assert(table.Cancel(attempt(id), start, start), qt.Equals, fault.MayHaveRun)
 	}
 }
 
@@ -128,3 +129,21 @@
 	f.Dispatch()
 	c.Assert(f.Crashed(), qt.Equals, Crash{Number: 2, InFlight: 1})
 }
+
+func TestFullTableMakesRoomButNeverRunsWhatItForgot(t *testing.T) {
+	c := qt.New(t)
+	table := New(2)
+	first, second, third := uuid.Must(uuid.NewV7()).String(), uuid.Must(uuid.NewV7()).String(), uuid.Must(uuid.NewV7()).String()
+	begin(c, table, first).Forbid()
+	begin(c, table, second)
+	begins := func(at time.Time) error {
+		_, err := table.Begin(attempt(third), at, at.Add(time.Minute), func() {})
+		return err
+	}
+	c.Assert(begins(start.Add(time.Minute-1)), qt.IsNotNil)
+	c.Assert(begins(start.Add(time.Minute)), qt.IsNotNil) // it has just looked for room
+	c.Assert(begins(start.Add(time.Minute+pressInterval)), qt.IsNil)
+	c.Assert(table.Len(), qt.Equals, 2)
+	c.Assert(verdictOfCopy(table, first), qt.Equals, fault.NotRun)
+	c.Assert(table.Cancel(attempt(first), start, start), qt.Equals, fault.MayHaveRun)
+}
--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/worker"
 	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
@@ -186,3 +187,44 @@
 		}
 	})
 }
+
+// deaf is an upstream that takes connections and never answers.
+type deaf struct{ *worker.Worker }
+
+// Call waits until its caller gives up.
+func (deaf) Call(ctx context.Context, _ upstr.Call) (upstr.Stream, error) {
+	<-ctx.Done()
+	return nil, &upstr.Error{Op: "call", Cause: ctx.Err()}
+}
+
+func TestUpstreamThatNeverAnswersIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{Pool: pool.Spec{SilentMs: 2000}}, nil)
+		b.server.opts.Upstream = deaf{b.worker}
+		began := time.Now()
+		f := b.call(request("r1", "")).failure
+		c.Assert(f.GetVerdict(), qt.Equals, "mayHaveRun")
+		c.Assert(f.GetCode(), qt.Equals, "silent")
+		c.Assert(time.Since(began), qt.Equals, 4*time.Second) // one rerun
+		c.Assert(b.server.status().UpstreamHealthy, qt.IsTrue)
+	})
+}
+
+func TestHeartbeatsWhileNothingElseIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{Pool: pool.Spec{SilentMs: 60000}}, slow(10*time.Second))
+		stream, err := inmem.New(b.node, nil).Call(t.Context(), request("r1", ""))
+		c.Assert(err, qt.IsNil)
+		last := time.Now()
+		for {
+			_, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			c.Assert(time.Since(last) < timing.CallSilent, qt.IsTrue)
+			last = time.Now()
+		}
+	})
+}
--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -13,7 +13,6 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
-	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
 	"github.com/ragworthatch/ragworthatch/internal/side/judge"
@@ -64,7 +63,7 @@
 	}
 	c.ctx, c.stop = context.WithTimeout(ctx, remaining)
 	c.work, c.release = c.ctx, func() {}
-	f, err := s.flights.Begin(c.id, c.deadline.Add(timing.ClockSkew), c.stop)
+	f, err := s.flights.Begin(c.id, now, c.deadline, c.stop)
 	if err != nil {
 		c.stop()
 		return nil, err
--- a/internal/side/serve/counts.go
+++ b/internal/side/serve/counts.go
@@ -1,6 +1,10 @@
 package serve
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/ragworthatch/ragworthatch/internal/side/window"
+)
 
 // Counts is a snapshot of what the side counted since its start.
 type Counts struct {
@@ -20,7 +24,8 @@
 	Rerun      int64 // repeatable calls sent again on a new connection
 	Running    int64
 	Queued     int64
-	Remembered int64 // attempts and tombstones held in memory
+	Remembered int64         // attempts and tombstones held in memory
+	Stream     window.Counts // of the action stream; zero without one
 }
 
 type counters struct {
@@ -32,6 +37,10 @@
 // Counts returns the counters now.
 func (s *Server) Counts() Counts {
 	c := &s.counters
+	var stream window.Counts
+	if s.window != nil {
+		stream = s.window.Counts()
+	}
 	return Counts{
 		Received:   c.received.Load(),
 		Admitted:   c.admitted.Load(),
@@ -50,5 +59,6 @@
 		Running:    int64(s.flights.Running()),
 		Queued:     int64(s.flights.Queued()),
 		Remembered: int64(s.flights.Len()),
+		Stream:     stream,
 	}
 }
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -12,7 +12,6 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
-	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
 	"github.com/ragworthatch/ragworthatch/internal/side/watch"
 	"github.com/ragworthatch/ragworthatch/internal/side/window"
@@ -100,8 +99,8 @@
 func (s *Server) Cancel(_ context.Context, req *sidepb.CancelRequest) (*sidepb.CancelReply, error) {
 	s.counters.canceled.Add(1)
 	keep := clamp(time.Duration(req.GetKeepMs()) * time.Millisecond)
-	until := s.opts.Now().Add(keep + timing.ClockSkew)
-	verdict := s.flights.Cancel(attemptOf(req.GetId()), until)
+	now := s.opts.Now()
+	verdict := s.flights.Cancel(attemptOf(req.GetId()), now, now.Add(keep))
 	if req.GetId().GetIncarnation() != s.opts.Incarnation {
 		// Another incarnation may have dispatched the call, or may get a late copy of it.
 		verdict = fault.MayHaveRun
