--- a/internal/entry/exec/exec_test.go
+++ b/internal/entry/exec/exec_test.go
@@ -391,6 +391,19 @@
 	})
 }
 
+// TestOutcomeWithoutAnswer checks that an action whose answer was not kept is not answered by an empty one.
+func TestOutcomeWithoutAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture([]line{{eof: true}}, okay)
+		f.router.sides[1].outcome = &sidepb.OutcomeReply{State: "done", Verdict: "ran"}
+		_, fail := f.run(t.Context(), request(stage.Service), nil)
+		c.Assert(fail, qt.IsNotNil)
+		c.Check(fail.Verdict, qt.Equals, fault.Ran)
+		c.Check(fail.Code, qt.Equals, fault.Incomplete)
+	})
+}
+
 // TestDeadline checks that the answer comes at the deadline and the attempt is canceled.
 func TestDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/exec/settle.go
+++ b/internal/entry/exec/settle.go
@@ -67,8 +67,9 @@
 func (s *step) recorded(reply *sidepb.OutcomeReply) (result, *fault.Error) {
 	d := ident.NewDigest()
 	d.Add(reply.GetAnswer())
-	if reply.GetDigest() != "" && reply.GetDigest() != d.Sum() {
-		return result{}, fault.New(fault.Ran, fault.Incomplete, "the action ran; its answer was too large to record")
+	isOther := reply.GetDigest() != "" && reply.GetDigest() != d.Sum()
+	if isOther || len(reply.GetAnswer()) == 0 {
+		return result{}, fault.New(fault.Ran, fault.Incomplete, "the action ran; its answer is not in the record")
 	}
 	return result{chunks: [][]byte{reply.GetAnswer()}, replayed: true}, nil
 }
--- a/internal/side/serve/action.go
+++ b/internal/side/serve/action.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return c.giveUp(err), false
 	}
-	if known && (e.State != claim.Free || e.BodyDigest != "" && e.BodyDigest != c.bodyDigest()) {
+	if known && (e.State != claim.Free || e.Body != claim.Body{} && e.Body != c.body()) {
 		return c.existing(e), false
 	}
 	run := c.s.window.Begin(window.Request{Key: c.key(), BodyDigest: c.bodyDigest(), Until: c.deadline})
@@ -70,7 +70,7 @@
 	if !granted {
 		pass.Abandon()
 		run.GiveUp()
-		if e.State == claim.Free && e.BodyDigest == c.bodyDigest() {
+		if e.State == claim.Free && e.Body == c.body() {
 			return nil, true
 		}
 		return c.existing(e), false
@@ -154,22 +154,22 @@
 	if e.State == "" {
 		return c.giveUp(fault.New(fault.MayHaveRun, fault.KeyExpired, "action is not remembered any more"))
 	}
-	if e.BodyDigest != c.bodyDigest() {
+	if e.Body != c.body() {
 		return c.giveUp(fault.New(fault.NotRun, fault.KeyReused, "key was used with another body"))
 	}
 	if e.State != claim.Done {
 		return c.giveUp(c.s.unfinished(e))
 	}
 	c.flight.Doubt()
-	answer, ok, err := c.s.window.Answer(c.ctx, e)
+	outcome, ok, err := c.s.window.Outcome(c.ctx, c.key(), e)
 	switch {
 	case err != nil:
 		return c.giveUp(fault.New(fault.Ran, fault.LogDown, "action ran; its answer can't be read now").
 			WithCause(err).WithRetryAfter(logRetryAfter))
-	case !ok:
+	case !ok || outcome.Answer == nil:
 		return c.giveUp(fault.New(fault.Ran, fault.Incomplete, "action ran; its answer was not recorded"))
 	}
-	return c.replay(answer)
+	return c.replay(outcome.Answer)
 }
 
 func (c *call) replay(answer []byte) error {
@@ -235,4 +235,6 @@
 	return claim.Key{Team: c.req.GetTeam(), Key: c.req.GetAction().GetKey()}
 }
 
+func (c *call) body() claim.Body { return claim.BodyOf(c.bodyDigest()) }
+
 func (c *call) bodyDigest() string { return c.req.GetAction().GetBodyDigest() }
--- a/internal/side/serve/outcome.go
+++ b/internal/side/serve/outcome.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return s.outcomeReply(ctx, e, known)
+	return s.outcomeReply(ctx, k, e, known)
 }
 
 // Settle records an operator's decision about an action whose outcome is unknown.
@@ -61,7 +61,7 @@
 		zap.String("verdict", string(e.Verdict)),
 		zap.String("author", e.Author),
 		zap.String("reason", e.Reason))
-	return s.outcomeReply(ctx, e, true)
+	return s.outcomeReply(ctx, k, e, true)
 }
 
 // settleable says whether an action is in doubt and its claim's holder can't dispatch it any more.
@@ -69,12 +69,11 @@
 	return e.State == claim.Lost || e.State == claim.Claimed && !s.running(e)
 }
 
-func (s *Server) outcomeReply(ctx context.Context, e claim.Entry, known bool) (*sidepb.OutcomeReply, error) {
+func (s *Server) outcomeReply(ctx context.Context, k claim.Key, e claim.Entry, known bool) (*sidepb.OutcomeReply, error) {
 	out := &sidepb.OutcomeReply{
 		State:  s.stateName(e, known),
 		Owner:  e.Owner,
 		Offset: e.Offset,
-		Digest: e.AnswerDigest,
 		Author: e.Author,
 		Reason: e.Reason,
 	}
@@ -82,11 +81,15 @@
 	if e.State != claim.Done {
 		return out, nil
 	}
-	answer, _, err := s.window.Answer(ctx, e)
+	r, ok, err := s.window.Outcome(ctx, k, e)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	out.Answer = answer
+	if ok {
+		out.Answer = r.Answer
+		out.Digest = r.AnswerDigest
+		out.Owner = r.Owner
+	}
 	return out, nil
 }
 
--- a/internal/side/window/run.go
+++ b/internal/side/window/run.go
@@ -74,6 +74,7 @@
 	}
 	rec := r.w.record(claim.Outcome, r.nonce, r.req.Key)
 	rec.Verdict = v
+	rec.Owner = r.w.opts.Owner
 	if v == fault.Ran {
 		rec.AnswerDigest = digest(chunks)
 		rec.Answer = recordable(chunks)
--- a/internal/side/window/window.go
+++ b/internal/side/window/window.go
@@ -129,25 +129,22 @@
 	return e, ok, nil
 }
 
-// Answer reads the recorded answer of an action that is done; false when none was recorded or kept.
-func (w *Window) Answer(ctx context.Context, e claim.Entry) ([]byte, bool, error) {
-	if !e.Answer {
-		return nil, false, nil
-	}
+// Outcome reads the outcome record of an action that is done; false when the log has dropped it.
+func (w *Window) Outcome(ctx context.Context, k claim.Key, e claim.Entry) (claim.Record, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	b, err := w.opts.Log.Read(ctx, w.stream, e.Offset, 1)
 	if err != nil {
-		return nil, false, err
+		return claim.Record{}, false, err
 	}
 	if b.First != e.Offset || len(b.Records) == 0 {
-		return nil, false, nil
+		return claim.Record{}, false, nil
 	}
 	r, err := claim.Decode(b.Records[0])
-	if err != nil || r.Kind != claim.Outcome || r.Nonce != e.Nonce {
-		return nil, false, err
+	if err != nil {
+		return r, false, err
 	}
-	return r.Answer, true, nil
+	return r, r.Kind == claim.Outcome && r.Key == k, nil
 }
 
 // Settle records an operator's decision about the claim that holds an action, and returns what the stream says then.
--- a/internal/state/claim/entry.go
+++ b/internal/state/claim/entry.go
@@ -20,24 +20,22 @@
 
 // Entry is what is known about one action.
 type Entry struct {
-	State        State
-	Nonce        string // claim that holds or held the key
-	Owner        string
-	BodyDigest   string
-	Until        time.Time // deadline of the holder's request
-	Verdict      fault.Verdict
-	Answer       bool // whether the outcome record holds the answer
-	AnswerDigest string
-	Author       string
-	Reason       string
-	Offset       int64 // of the record that led to the state
+	State  State
+	Nonce  string // claim that holds or held the key; empty when done
+	Owner  string // empty when done
+	Body   Body
+	Until  time.Time // deadline of the holder's request
+	Offset int64     // of the record that led to the state
+	// Verdict, Author and Reason are those of a settlement; an action that is done ran.
+	Verdict fault.Verdict
+	Author  string
+	Reason  string
 }
 
 // entry is an Entry with the claims that can't hold the key any more.
 type entry struct {
 	Entry
-	minted time.Time
-	dead   map[string]bool
+	dead map[string]bool
 }
 
 func (e *entry) apply(offset int64, r Record) {
@@ -58,25 +56,26 @@
 	if e.dead[r.Nonce] || r.Nonce == e.Nonce {
 		return
 	}
-	otherBody := e.BodyDigest != "" && e.BodyDigest != r.BodyDigest
+	body := BodyOf(r.BodyDigest)
+	otherBody := e.Body != Body{} && e.Body != body
 	if e.State != Free || otherBody {
 		e.kill(r.Nonce)
 		return
 	}
 	e.Entry = Entry{
-		State:      Claimed,
-		Nonce:      r.Nonce,
-		Owner:      r.Owner,
-		BodyDigest: r.BodyDigest,
-		Until:      time.UnixMilli(r.UntilMs),
-		Offset:     offset,
+		State:  Claimed,
+		Nonce:  r.Nonce,
+		Owner:  r.Owner,
+		Body:   body,
+		Until:  time.UnixMilli(r.UntilMs),
+		Offset: offset,
 	}
 }
 
 // release frees the key from its holder, or kills a claim that has not come yet.
 func (e *entry) release(offset int64, r Record) {
 	if e.State == Claimed && e.Nonce == r.Nonce {
-		e.Entry = Entry{State: Free, BodyDigest: e.BodyDigest, Offset: offset}
+		e.Entry = Entry{State: Free, Body: e.Body, Offset: offset}
 	}
 	if e.Nonce != r.Nonce {
 		e.kill(r.Nonce)
@@ -88,15 +87,10 @@
 		return
 	}
 	e.Offset = offset
-	e.Verdict = r.Verdict
+	e.State = Done
 	if r.Verdict != fault.Ran {
 		e.State = Lost
-		return
 	}
-	e.State = Done
-	e.dead = nil
-	e.Answer = r.Answer != nil
-	e.AnswerDigest = r.AnswerDigest
 }
 
 // settle ends a key whose outcome is unknown; it is never free again.
@@ -114,7 +108,7 @@
 
 // kill makes a claim dead; a key that can't become free again needs no list of them.
 func (e *entry) kill(nonce string) {
-	if e.State == Done || e.State == Settled {
+	if e.State == Settled {
 		return
 	}
 	if e.dead == nil {
--- a/internal/state/claim/fold.go
+++ b/internal/state/claim/fold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 )
@@ -12,7 +13,9 @@
 
 // Fold is the state of one action stream; it is not safe for concurrent use.
 type Fold struct {
-	entries map[Key]*entry
+	entries map[Key]*entry // all but those that are done
+	done    map[doneKey]done
+	teams   map[string]string // one copy of each name
 	next    int64
 	horizon time.Time // keys minted up to it may have been forgotten
 	gapped  bool      // records were dropped and none readable came since
@@ -20,7 +23,9 @@
 }
 
 // New returns the fold of an empty stream.
-func New() *Fold { return &Fold{entries: map[Key]*entry{}} }
+func New() *Fold {
+	return &Fold{entries: map[Key]*entry{}, done: map[doneKey]done{}, teams: map[string]string{}}
+}
 
 // Next is the offset of the record that is to be applied next.
 func (f *Fold) Next() int64 { return f.next }
@@ -29,7 +34,7 @@
 func (f *Fold) Skipped() int64 { return f.skipped }
 
 // Len is the number of actions remembered.
-func (f *Fold) Len() int { return len(f.entries) }
+func (f *Fold) Len() int { return len(f.entries) + len(f.done) }
 
 // Apply takes the record at an offset in order; an offset seen before is ignored.
 // The record is returned with whether it could be read.
@@ -45,7 +50,7 @@
 		return Record{}, false
 	}
 	f.closeGap(r)
-	f.entry(r.Key).apply(offset, r)
+	f.fold(offset, r)
 	return r, true
 }
 
@@ -70,6 +75,9 @@
 
 // Get returns what is known about an action; false when no record names it.
 func (f *Fold) Get(k Key) (Entry, bool) {
+	if d, ok := f.done[f.doneKey(k)]; ok {
+		return Entry{State: Done, Body: d.body, Offset: d.offset, Verdict: fault.Ran}, true
+	}
 	e := f.entries[k]
 	if e == nil {
 		return Entry{}, false
@@ -80,12 +88,36 @@
 // Trim forgets the actions whose keys are out of the window for longer than Margin.
 func (f *Fold) Trim(now time.Time) {
 	oldest := now.Add(-timing.ActionWindow - Margin)
-	for k, e := range f.entries {
-		if e.minted.Before(oldest) {
-			f.Forget(e.minted)
+	for k := range f.entries {
+		if minted, _ := ident.MintTime(k.Key); minted.Before(oldest) {
+			f.Forget(minted)
 			delete(f.entries, k)
 		}
 	}
+	for k := range f.done {
+		if minted := k.minted(); minted.Before(oldest) {
+			f.Forget(minted)
+			delete(f.done, k)
+		}
+	}
+}
+
+// fold applies a record; one for an action that is done changes nothing.
+func (f *Fold) fold(offset int64, r Record) {
+	k := f.doneKey(r.Key)
+	if _, ok := f.done[k]; ok {
+		return
+	}
+	e := f.entries[r.Key]
+	if e == nil {
+		e = &entry{Entry: Entry{State: Free}}
+		f.entries[r.Key] = e
+	}
+	e.apply(offset, r)
+	if e.State == Done {
+		delete(f.entries, r.Key)
+		f.done[k] = done{body: e.Body, offset: offset}
+	}
 }
 
 // closeGap covers records that the log dropped before they were read: they were appended before r,
@@ -97,13 +129,3 @@
 	f.Forget(r.At().Add(2 * timing.ClockSkew))
 	f.gapped = false
 }
-
-func (f *Fold) entry(k Key) *entry {
-	e := f.entries[k]
-	if e == nil {
-		minted, _ := ident.MintTime(k.Key)
-		e = &entry{Entry: Entry{State: Free}, minted: minted}
-		f.entries[k] = e
-	}
-	return e
-}
