--- a/cmd/ragworthatch/check.go
+++ b/cmd/ragworthatch/check.go
@@ -4,20 +4,28 @@
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/ragworthatch/ragworthatch/internal/model/config"
-	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+	"github.com/ragworthatch/ragworthatch/internal/model/team"
+	"github.com/ragworthatch/ragworthatch/internal/oper/decl"
 )
 
 // checkOptions are the options of check.
 type checkOptions struct {
 	operatorOptions
 	against bool
+	prune   bool
 }
 
 func (o *checkOptions) defineAll(f *flag.FlagSet) {
 	o.operatorOptions.define(f)
+	f.BoolVar(&o.prune, "prune", false, "with --against, count objects that no file declares as removed")
 	f.BoolVar(&o.against, "against", false, "compare with what is in force at --entry, and check the two together")
 }
 
@@ -42,44 +50,59 @@
 
 // checkReport is what check prints.
 type checkReport struct {
-	Valid       bool             `json:"valid"`
-	Problems    []config.Problem `json:"problems"`
-	Differences []difference     `json:"differences"`
+	Valid    bool       `json:"valid"`
+	Problems []string   `json:"problems"`
+	Plan     *decl.Plan `json:"plan,omitempty"`
 }
 
 func check(ctx context.Context, s *streams, o *checkOptions, files []string) error {
 	if len(files) == 0 {
 		return usagef("wants at least one file")
 	}
-	declared, err := loadObjects(files)
+	declared, err := declarations(files)
 	if err != nil {
 		return err
 	}
-	var c admin.Config
-	if o.against {
-		client, err := o.client()
-		if err != nil {
-			return err
-		}
-		if err := client.Get(ctx, admin.PathConfig, &c); err != nil {
-			return err
-		}
-	}
-	r := checkReport{Problems: merged(c, config.Change{Set: declared}).Validate()}
-	r.Valid = len(r.Problems) == 0
-	if o.against {
-		r.Differences = differences(declared, c.Objects)
+	r, err := o.report(ctx, declared)
+	if err != nil {
+		return err
 	}
-	if err := s.print(o.json, r, r.text(o.against)); err != nil {
+	if err := s.print(o.json, r, r.text()); err != nil {
 		return err
 	}
 	if !r.Valid {
-		return fileError(fmt.Errorf("%d problems, the first: %s", len(r.Problems), r.Problems[0]))
+		return fileError(fmt.Errorf("problems: %d, the first: %s", len(r.Problems), r.Problems[0]))
 	}
 	return nil
 }
 
-func (r checkReport) text(against bool) string {
+func (o *checkOptions) report(ctx context.Context, declared *decl.Declared) (checkReport, error) {
+	if !o.against {
+		return newCheckReport(declared.Check()), nil
+	}
+	client, err := o.client()
+	if err != nil {
+		return checkReport{}, err
+	}
+	state, err := inForce(ctx, client)
+	if err != nil {
+		return checkReport{}, err
+	}
+	plan := decl.Diff(declared.Objects, state, o.prune)
+	r := newCheckReport(declared.Explain(merged(state.Config(), plan.Change).Validate()))
+	r.Plan = &plan
+	return r, nil
+}
+
+func newCheckReport(problems []error) checkReport {
+	r := checkReport{Valid: len(problems) == 0, Problems: []string{}}
+	for _, p := range problems {
+		r.Problems = append(r.Problems, p.Error())
+	}
+	return r
+}
+
+func (r checkReport) text() string {
 	var b strings.Builder
 	for _, p := range r.Problems {
 		fmt.Fprintln(&b, p)
@@ -87,11 +110,27 @@
 	if r.Valid {
 		fmt.Fprintln(&b, "valid")
 	}
-	if against && len(r.Differences) == 0 {
-		fmt.Fprintln(&b, "nothing differs from what is in force")
-	}
-	for _, d := range r.Differences {
-		fmt.Fprintln(&b, d)
+	if r.Plan != nil {
+		b.WriteString(r.Plan.Text())
 	}
 	return b.String()
 }
+
+// merged is what would be in force after a change.
+func merged(inForce config.Set, change config.Change) config.Set {
+	objects := inForce.Objects()
+	gone := map[config.Ref]bool{}
+	for _, ref := range change.Refs() {
+		gone[ref] = true
+	}
+	objects.Pools = append(without(objects.Pools, gone, config.Pools, func(s pool.Spec) string { return s.Name }), change.Set.Pools...)
+	objects.Stages = append(without(objects.Stages, gone, config.Stages, func(s stage.Spec) string { return s.Name }), change.Set.Stages...)
+	objects.Pipelines = append(without(objects.Pipelines, gone, config.Pipelines, func(s pipe.Spec) string { return s.Name }), change.Set.Pipelines...)
+	objects.Presets = append(without(objects.Presets, gone, config.Presets, func(s preset.Spec) string { return s.Name }), change.Set.Presets...)
+	objects.Teams = append(without(objects.Teams, gone, config.Teams, func(s team.Spec) string { return s.Name }), change.Set.Teams...)
+	return objects.Set().WithInForce(inForce.InForce)
+}
+
+func without[T any](list []T, gone map[config.Ref]bool, kind config.Kind, name func(T) string) []T {
+	return slices.DeleteFunc(list, func(v T) bool { return gone[config.Ref{Kind: kind, Name: name(v)}] })
+}
--- a/cmd/ragworthatch/preset.go
+++ b/cmd/ragworthatch/preset.go
@@ -4,7 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
@@ -55,19 +58,21 @@
 	if err != nil {
 		return err
 	}
-	var c admin.Config
-	if err := client.Get(ctx, admin.PathConfig, &c); err != nil {
+	state, err := inForce(ctx, client)
+	if err != nil {
 		return err
 	}
-	names := presetNames{InForce: c.InForce, Revision: c.Revision}
+	since := state.PresetSince()
+	names := presetNames{InForce: since.Name, Author: since.Author, Revision: since.Revision}
 	var text strings.Builder
-	for _, p := range c.Objects.Presets {
-		names.Presets = append(names.Presets, p.Name)
-		mark := " "
-		if p.Name == c.InForce {
-			mark = "*"
+	for _, name := range slices.Sorted(maps.Keys(state.Config().Presets)) {
+		names.Presets = append(names.Presets, name)
+		if name == since.Name {
+			at := time.UnixMilli(since.TimeMs).UTC().Format(time.RFC3339)
+			fmt.Fprintf(&text, "* %s  in force since %s, by %s\n", name, at, since.Author)
+			continue
 		}
-		fmt.Fprintf(&text, "%s %s\n", mark, p.Name)
+		fmt.Fprintf(&text, "  %s\n", name)
 	}
 	return s.print(o.json, names, text.String())
 }
@@ -76,7 +81,8 @@
 type presetNames struct {
 	InForce  string   `json:"inForce"`
 	Presets  []string `json:"presets"`
-	Revision int64    `json:"revision"`
+	Author   string   `json:"author"`
+	Revision int64    `json:"revision"` // of the switch
 }
 
 func usePreset(ctx context.Context, s *streams, o *presetOptions, name string) error {
--- a/cmd/ragworthatch/publish.go
+++ b/cmd/ragworthatch/publish.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"flag"
+	"slices"
 
 	"github.com/google/uuid"
 
 	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/oper/decl"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+	"github.com/ragworthatch/ragworthatch/internal/state/fold"
 	"github.com/ragworthatch/ragworthatch/internal/state/record"
 )
 
@@ -17,6 +20,7 @@
 	operatorOptions
 	authorOptions
 	remove refList
+	prune  bool
 	base   int64
 	settle string
 }
@@ -25,6 +29,7 @@
 	o.operatorOptions.define(f)
 	o.authorOptions.define(f, false)
 	f.Var(&o.remove, "remove", "`reference` of an object to remove, as in pools/engines; may be repeated")
+	f.BoolVar(&o.prune, "prune", false, "also remove all objects that no file declares")
 	f.Int64Var(&o.base, "base", noBase, "newest `revision` that you saw; refused if an object was changed after it")
 	f.StringVar(&o.settle, "settle", "", "`nonce` of a publish to find out about; takes no files")
 }
@@ -76,26 +81,40 @@
 	if err := o.authorOptions.check(false); err != nil {
 		return err
 	}
-	declared, err := loadObjects(files)
+	declared, err := declarations(files)
 	if err != nil {
 		return err
 	}
-	var c admin.Config
-	if err := client.Get(ctx, admin.PathConfig, &c); err != nil {
+	state, err := inForce(ctx, client)
+	if err != nil {
 		return err
 	}
-	change := config.Change{Set: only(declared, differences(declared, c.Objects)), Remove: o.remove}
+	change := o.change(declared, state)
 	if change.Empty() {
-		return s.print(o.json, unchanged{Unchanged: true, Revision: c.Revision}, "nothing differs from what is in force\n")
+		return s.print(o.json, unchanged{Unchanged: true, Revision: state.Revision()}, "nothing differs from what is in force\n")
 	}
-	change.Base = bases(change.Refs(), c, o.base)
 	return submit(ctx, s, o, client, admin.PublishRequest{
 		Author: o.author,
-		Nonce:  record.NewNonce(c.Offset+1, uuid.New()),
+		Nonce:  record.NewNonce(state.Offset()+1, uuid.New()),
 		Change: change,
 	})
 }
 
+// change is what the files and the flags would change.
+func (o *publishOptions) change(declared *decl.Declared, state *fold.State) config.Change {
+	change := decl.Diff(declared.Objects, state, o.prune).Change
+	for _, ref := range o.remove {
+		if !slices.Contains(change.Remove, ref) {
+			change.Remove = append(change.Remove, ref)
+			change.Base[ref] = state.Meta(ref).Revision
+		}
+	}
+	if o.base != noBase {
+		limitBases(change.Base, o.base)
+	}
+	return change
+}
+
 func submit(ctx context.Context, s *streams, o *publishOptions, client *admin.Client, req admin.PublishRequest) error {
 	var r accept.Result
 	if err := client.Post(ctx, admin.PathPublish, req, &r); err != nil {
--- a/internal/entry/opsapi/config.go
+++ b/internal/entry/opsapi/config.go
@@ -6,10 +6,10 @@
 
 	"go.uber.org/zap"
 
-	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+	"github.com/ragworthatch/ragworthatch/internal/state/snap"
 )
 
 func (a *API) publish(r *http.Request, in admin.PublishRequest) (accept.Result, *fault.Error) {
@@ -58,19 +58,16 @@
 		return admin.Config{}, fault.New(fault.NotRun, fault.NotReady, "no configuration").WithCause(err)
 	}
 	s := a.o.Feed.Current()
-	set := s.Config()
-	objects := set.Objects()
-	revisions := map[config.Ref]int64{}
-	for _, ref := range objects.Refs() {
-		revisions[ref] = s.Meta(ref).Revision
+	data, err := snap.Encode(s)
+	if err != nil {
+		return admin.Config{}, fault.New(fault.NotRun, fault.Internal, "the configuration can't be encoded").WithCause(err)
 	}
 	return admin.Config{
-		Revision:  s.Revision(),
-		Offset:    s.Offset(),
-		Digest:    s.Digest(),
-		InForce:   set.InForce,
-		Objects:   objects,
-		Revisions: revisions,
+		Revision: s.Revision(),
+		Offset:   s.Offset(),
+		Digest:   s.Digest(),
+		InForce:  s.PresetSince().Name,
+		Snapshot: data,
 	}, nil
 }
 
--- a/internal/oper/admin/message.go
+++ b/internal/oper/admin/message.go
@@ -44,13 +44,11 @@
 
 // Config is the configuration in force.
 type Config struct {
-	Revision int64          `json:"revision"`
-	Offset   int64          `json:"offset"`
-	Digest   string         `json:"digest"`
-	InForce  string         `json:"inForce"`
-	Objects  config.Objects `json:"objects"`
-	// Revisions of the objects, by reference as in "pools/engines".
-	Revisions map[config.Ref]int64 `json:"revisions"`
+	Revision int64  `json:"revision"`
+	Offset   int64  `json:"offset"`
+	Digest   string `json:"digest"`
+	InForce  string `json:"inForce"`
+	Snapshot []byte `json:"snapshot"` // for snap.Decode
 }
 
 // DrainRequest starts a graceful shutdown of one host, by name.
