--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -107,6 +107,7 @@
 		checkCommand(s),
 		publishCommand(s),
 		presetCommand(s),
+		statusCommand(s),
 		drainCommand(s),
 		outcomeCommand(s),
 		settleCommand(s),
--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/zeromicro/go-zero/core/logx"
@@ -36,6 +37,8 @@
 			"replace": replace,
 			"capture": capture,
 			"readme":  readme,
+
+			"eventually": eventually,
 		},
 	})
 }
@@ -79,6 +82,23 @@
 	ts.Setenv(args[0], m[1])
 }
 
+// eventually runs a command until its output matches, at most patience times.
+func eventually(ts *testscript.TestScript, neg bool, args []string) {
+	const patience, pause = 100, 50 * time.Millisecond
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: eventually PATTERN COMMAND...")
+	}
+	pattern := regexp.MustCompile("(?m)" + args[0])
+	for range patience {
+		ts.Check(ts.Exec(args[1], args[2:]...))
+		if pattern.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+		time.Sleep(pause)
+	}
+	ts.Fatalf("no output of %v matches %q", args[1:], args[0])
+}
+
 // readme copies the first YAML block of a page into a file.
 func readme(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -115,6 +115,8 @@
 	})
 	operators := opsapi.New(opsapi.Options{
 		Name:        n.o.Name,
+		Zone:        n.o.Zone,
+		Guard:       n.guard,
 		TokenDigest: n.o.OperatorToken,
 		Index:       n.index.Load,
 		Feed:        n.feed,
--- a/internal/entry/opsapi/opsapi.go
+++ b/internal/entry/opsapi/opsapi.go
@@ -41,9 +41,17 @@
 	Settle(ctx context.Context, req *sidepb.SettleRequest) (front.Outcome, *fault.Error)
 }
 
+// Guard knows whether this entry takes requests.
+type Guard interface {
+	Ready() *fault.Error
+	Draining() bool
+	InFlight() int
+}
+
 // Options are the dependencies of an API.
 type Options struct {
 	Name        string
+	Zone        string
 	TokenDigest string // of a token that no configuration can take away; may be empty
 	Index       func() *index.Index
 	Feed        *feed.Feed
@@ -52,6 +60,7 @@
 	Links       Links
 	Marks       *cell.Cell[*mark.Set]
 	Drain       func() (inFlight int) // of this entry
+	Guard       Guard
 	Log         *zap.Logger
 }
 
@@ -70,6 +79,7 @@
 		route(a, http.MethodPost, admin.PathPreset, a.preset),
 		route(a, http.MethodPost, admin.PathSettle, a.settle),
 		route(a, http.MethodGet, admin.PathConfig, a.config),
+		route(a, http.MethodGet, admin.PathStatus, a.status),
 		route(a, http.MethodPost, admin.PathDrain, a.drain),
 		route(a, http.MethodGet, admin.PathOutcome, a.outcome),
 		route(a, http.MethodPost, admin.PathOutcome, a.settleAction),
--- a/internal/oper/admin/message.go
+++ b/internal/oper/admin/message.go
@@ -51,6 +51,41 @@
 	Snapshot []byte `json:"snapshot"` // for snap.Decode
 }
 
+// Status is one entry's view of the system now.
+type Status struct {
+	Entry    string       `json:"entry"`
+	Zone     string       `json:"zone"`
+	Ready    bool         `json:"ready"`
+	NotReady string       `json:"notReady,omitempty"` // why
+	Draining bool         `json:"draining"`
+	InFlight int          `json:"inFlight"`
+	Preset   string       `json:"preset"`
+	Revision int64        `json:"revision"`
+	Offset   int64        `json:"offset"`
+	Digest   string       `json:"digest"`
+	LogAgeMs int64        `json:"logAgeMs"` // of the newest read of the log that the state covers, -1 if unknown
+	Pools    []PoolStatus `json:"pools"`
+	Marks    int          `json:"marks"` // fingerprints under suspicion or in quarantine
+}
+
+// PoolStatus is one pool with its upstreams.
+type PoolStatus struct {
+	Pool      string           `json:"pool"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus is one upstream as the entry knows it.
+type UpstreamStatus struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"` // live, suspect, leaving or gone
+	Reason  string `json:"reason"`
+	Linked  bool   `json:"linked"` // a connection to its side is up
+	Running uint32 `json:"running"`
+	Queued  uint32 `json:"queued"`
+	Limit   uint32 `json:"limit"`
+}
+
 // DrainRequest starts a graceful shutdown of one host, by name.
 type DrainRequest struct {
 	Host   string `json:"host"`
