Tell the expected waits and end watches of a drained side

Entries refuse early by the wait that a side expects for the next call, but no side filled it in. A watch that outlived the drain would hold up a graceful stop.

--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -167,6 +168,23 @@
 		}
 		c.Assert((<-first).whole, qt.IsNotNil)
 		<-b.server.Drained()
+		for err == nil {
+			_, err = watch.Recv()
+		}
+		c.Assert(err, qt.Equals, io.EOF)
+	})
+}
+
+func TestLoadTellsTheExpectedWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{Gate: gate.New(gate.Options{Ceiling: 1})}, slow(2*time.Second))
+		c.Assert(b.server.load().ShortWaitMs, qt.Equals, int64(0))
+		done := make(chan got)
+		go func() { done <- b.call(request("r1", "")) }()
+		synctest.Wait()
+		c.Assert(b.server.load().ShortWaitMs > 0, qt.IsTrue)
+		c.Assert((<-done).whole, qt.IsNotNil)
 	})
 }
 
--- a/internal/side/serve/status.go
+++ b/internal/side/serve/status.go
@@ -15,7 +15,7 @@
 	leavingState = "leaving"
 )
 
-// Watch streams the status: at once, on each change, and as a heartbeat.
+// Watch streams the status: at once, on each change, and as a heartbeat, until the side has drained.
 func (s *Server) Watch(req *sidepb.WatchRequest, out sidepb.Side_WatchServer) error {
 	s.learn(0, req.GetOffset())
 	beat := time.NewTicker(timing.HeartbeatInterval)
@@ -28,6 +28,8 @@
 		select {
 		case <-out.Context().Done():
 			return out.Context().Err()
+		case <-s.drain.done:
+			return nil
 		case <-changed:
 		case <-beat.C:
 		}
@@ -66,6 +68,8 @@
 		Draining:    s.drain.on(),
 		Revision:    s.revision.Load(),
 		Incarnation: s.opts.Incarnation,
+		ShortWaitMs: entered.Short.Milliseconds(),
+		LongWaitMs:  entered.Long.Milliseconds(),
 	}
 	if !reported.At.IsZero() {
 		l.AgeMs = max(s.opts.Now().Sub(reported.At).Milliseconds(), 0)
