Print a handover, with the actions that may have run

A side lists the actions in doubt on its service's stream; an entry asks one side of each service. A script loses an answer, finds the action on the handover, settles it, and finds it gone.

--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -108,6 +108,7 @@
 		publishCommand(s),
 		presetCommand(s),
 		statusCommand(s),
+		handoverCommand(s),
 		drainCommand(s),
 		outcomeCommand(s),
 		settleCommand(s),
--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"os"
 	"regexp"
@@ -9,11 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/zeromicro/go-zero/core/logx"
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
 )
 
 func TestMain(m *testing.M) {
@@ -29,6 +32,7 @@
 			if err != nil {
 				return err
 			}
+			e.Values[dayKey{}] = new(*day.Day)
 			e.Setenv("ROOT", strings.TrimSuffix(root, "/cmd/ragworthatch"))
 			return nil
 		},
@@ -38,11 +42,31 @@
 			"capture": capture,
 			"readme":  readme,
 
-			"eventually": eventually,
+			"eventually":  eventually,
+			"loseAnswers": loseAnswers,
+			"transfer":    transfer,
 		},
 	})
 }
 
+// dayKey finds the deployment among a script's values.
+type dayKey struct{}
+
+func deployed(ts *testscript.TestScript) **day.Day { return ts.Value(dayKey{}).(**day.Day) }
+
+// loseAnswers makes each plain service break one connection after it has done the work.
+func loseAnswers(ts *testscript.TestScript, _ bool, _ []string) { (*deployed(ts)).LoseAnswers() }
+
+// transfer sends an action as a caller, and sets KEY to its key.
+func transfer(ts *testscript.TestScript, _ bool, _ []string) {
+	key := uuid.Must(uuid.NewV7()).String()
+	ts.Setenv("KEY", key)
+	a := caller.New("script").Call(context.Background(), ts.Getenv(envEntry), caller.Request{
+		Pipeline: "transfer", Token: day.CollectorsToken, Key: key, Input: json.RawMessage(`{"marker":"script"}`),
+	})
+	ts.Logf("status %d, verdict %s, code %s", a.Status, a.Verdict, a.Code)
+}
+
 // deploy starts the demo's deployment for the rest of a script, and sets the
 // environment that operators use and ENTRY2.
 func deploy(ts *testscript.TestScript, neg bool, args []string) {
@@ -52,6 +76,7 @@
 	d, err := day.New(context.Background(), day.Options{Log: zap.NewNop()})
 	ts.Check(err)
 	ts.Defer(d.Close)
+	*deployed(ts) = d
 	ts.Setenv(envEntry, d.Entries()[0])
 	ts.Setenv("ENTRY2", d.Entries()[1])
 	ts.Setenv(envToken, day.OperatorsToken)
--- a/internal/demo/day/script.go
+++ b/internal/demo/day/script.go
@@ -103,13 +103,7 @@
 
 // resendActions sends transfers whose first answer breaks off after the work is done, each again under its key.
 func (d *Day) resendActions(ctx context.Context) error {
-	for _, h := range d.world.Hosts {
-		if h.Pool == "treasury" {
-			f := world.Healthy()
-			f.LoseAnswer = 1
-			h.Unit.Faults.Set(f)
-		}
-	}
+	d.LoseAnswers()
 	var resends sync.WaitGroup
 	for i := range resendCount {
 		r := request("resent-"+string(rune('a'+i)), "transfer", StockistsToken)
@@ -122,3 +116,14 @@
 	d.say("%d transfers were sent twice, some after a lost answer", resendCount)
 	return nil
 }
+
+// LoseAnswers makes each plain service break the connection once after it has done the work.
+func (d *Day) LoseAnswers() {
+	for _, h := range d.world.Hosts {
+		if h.Pool == "treasury" {
+			f := world.Healthy()
+			f.LoseAnswer = 1
+			h.Unit.Faults.Set(f)
+		}
+	}
+}
--- a/internal/entry/opsapi/opsapi.go
+++ b/internal/entry/opsapi/opsapi.go
@@ -20,6 +20,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
+	"github.com/ragworthatch/ragworthatch/internal/oper/report"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
 	"github.com/ragworthatch/ragworthatch/internal/state/cell"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
@@ -39,6 +40,8 @@
 type Actions interface {
 	Outcome(ctx context.Context, team, service, key string) (front.Outcome, *fault.Error)
 	Settle(ctx context.Context, req *sidepb.SettleRequest) (front.Outcome, *fault.Error)
+	Services() []string
+	Doubts(ctx context.Context, service string, limit uint32) (*sidepb.DoubtsReply, *fault.Error)
 }
 
 // Guard knows whether this entry takes requests.
@@ -61,6 +64,7 @@
 	Marks       *cell.Cell[*mark.Set]
 	Drain       func() (inFlight int) // of this entry
 	Guard       Guard
+	Versions    func(context.Context) []report.Version // what processes last said of their configuration; may be nil
 	Log         *zap.Logger
 }
 
@@ -80,6 +84,7 @@
 		route(a, http.MethodPost, admin.PathSettle, a.settle),
 		route(a, http.MethodGet, admin.PathConfig, a.config),
 		route(a, http.MethodGet, admin.PathStatus, a.status),
+		route(a, http.MethodGet, admin.PathHandover, a.handover),
 		route(a, http.MethodPost, admin.PathDrain, a.drain),
 		route(a, http.MethodGet, admin.PathOutcome, a.outcome),
 		route(a, http.MethodPost, admin.PathOutcome, a.settleAction),
--- a/internal/entry/query/query.go
+++ b/internal/entry/query/query.go
@@ -30,7 +30,7 @@
 
 // Outcome asks about a team's key on one service, or on all with an empty service.
 func (q *Query) Outcome(ctx context.Context, team, service, key string) (front.Outcome, *fault.Error) {
-	services := q.services()
+	services := q.Services()
 	if service != "" {
 		if !slices.Contains(services, service) {
 			return front.Outcome{}, fault.New(fault.NotRun, fault.NotFound, "there is no service %q", service)
@@ -39,7 +39,7 @@
 	}
 	out := front.Outcome{Key: key, State: unknown, Verdict: fault.NotRun}
 	for _, name := range services {
-		found, err := q.one(ctx, name, func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error) {
+		found, err := first(ctx, q, name, func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error) {
 			return side.Outcome(ctx, &sidepb.OutcomeRequest{Team: team, Service: name, Key: key})
 		})
 		if err != nil {
@@ -56,7 +56,7 @@
 
 // Settle records an operator's decision about an action.
 func (q *Query) Settle(ctx context.Context, req *sidepb.SettleRequest) (front.Outcome, *fault.Error) {
-	found, err := q.one(ctx, req.GetService(), func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error) {
+	found, err := first(ctx, q, req.GetService(), func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error) {
 		return side.Settle(ctx, req)
 	})
 	if err != nil {
@@ -65,11 +65,15 @@
 	return outcome(req.GetKey(), req.GetService(), found), nil
 }
 
-// ask is one question to a side.
-type ask func(ctx context.Context, side sidepb.SideClient) (*sidepb.OutcomeReply, error)
+// Doubts lists the actions of one service that nobody can tell of, at most limit of them.
+func (q *Query) Doubts(ctx context.Context, service string, limit uint32) (*sidepb.DoubtsReply, *fault.Error) {
+	return first(ctx, q, service, func(ctx context.Context, side sidepb.SideClient) (*sidepb.DoubtsReply, error) {
+		return side.Doubts(ctx, &sidepb.DoubtsRequest{Limit: limit})
+	})
+}
 
-// one asks the sides of a service until one answers.
-func (q *Query) one(ctx context.Context, service string, f ask) (*sidepb.OutcomeReply, *fault.Error) {
+// first asks the sides of a service until one answers.
+func first[T any](ctx context.Context, q *Query, service string, ask func(context.Context, sidepb.SideClient) (*T, error)) (*T, *fault.Error) {
 	var avoid []string
 	var last error
 	for range maxAsked {
@@ -79,7 +83,7 @@
 		}
 		avoid = append(avoid, t.Name)
 		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
-		reply, err := f(askCtx, t.Side)
+		reply, err := ask(askCtx, t.Side)
 		cancel()
 		t.Done(target.Report{})
 		if err == nil {
@@ -93,7 +97,8 @@
 	return nil, fault.New(fault.MayHaveRun, fault.Transport, "no side of service %q tells the outcome", service).WithCause(last)
 }
 
-func (q *Query) services() []string {
+// Services are the pools of plain services, by name.
+func (q *Query) Services() []string {
 	var out []string
 	for name, p := range q.index().Set.Pools {
 		if p.Kind == pool.Service {
--- a/internal/fake/inmem/link.go
+++ b/internal/fake/inmem/link.go
@@ -95,6 +95,11 @@
 	return unary(ctx, l, OtherMethod, in, sidepb.SideServer.Settle)
 }
 
+// Doubts lists actions in doubt over the link.
+func (l *Link) Doubts(ctx context.Context, in *sidepb.DoubtsRequest, _ ...grpc.CallOption) (*sidepb.DoubtsReply, error) {
+	return unary(ctx, l, OtherMethod, in, sidepb.SideServer.Doubts)
+}
+
 type method[Q, A any] func(sidepb.SideServer, context.Context, Q) (A, error)
 
 // unary delivers a request and its reply, either of which the plan may lose.
--- a/internal/oper/admin/message.go
+++ b/internal/oper/admin/message.go
@@ -15,7 +15,7 @@
 	PathSettle     = "/v1/ops/settle"        // POST SettleRequest, answers accept.Result
 	PathConfig     = "/v1/ops/config"        // GET, answers Config
 	PathStatus     = "/v1/ops/status"        // GET, answers Status
-	PathHandover   = "/v1/ops/handover"      // GET, answers Handover
+	PathHandover   = "/v1/ops/handover"      // GET, answers report.Report
 	PathDrain      = "/v1/ops/drain"         // POST DrainRequest, answers DrainReply
 	PathOutcome    = "/v1/ops/outcomes/:key" // GET ?team=&service=, answers Outcome; POST SettleAction, answers Outcome
 	PathQuarantine = "/v1/ops/quarantine"    // GET, answers Quarantine
--- a/internal/side/serve/outcome.go
+++ b/internal/side/serve/outcome.go
@@ -64,6 +64,27 @@
 	return s.outcomeReply(ctx, e, true)
 }
 
+// Doubts lists the actions of the side's service that nobody can tell of.
+func (s *Server) Doubts(ctx context.Context, req *sidepb.DoubtsRequest) (*sidepb.DoubtsReply, error) {
+	if s.window == nil {
+		return nil, status.Errorf(codes.InvalidArgument, "pool %q runs no actions", s.opts.Pool.Name)
+	}
+	doubts, err := s.window.Doubts(ctx)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	out := &sidepb.DoubtsReply{Total: uint32(len(doubts))}
+	for _, d := range doubts[:min(len(doubts), int(req.GetLimit()))] {
+		out.Doubts = append(out.Doubts, &sidepb.Doubt{
+			Team:         d.Team,
+			Key:          d.Key.Key,
+			Owner:        d.Owner,
+			MintedUnixMs: d.Minted.UnixMilli(),
+		})
+	}
+	return out, nil
+}
+
 // settleable says whether an action is in doubt and its claim's holder can't dispatch it any more.
 func (s *Server) settleable(e claim.Entry) bool {
 	return e.State == claim.Lost || e.State == claim.Claimed && !s.running(e)
--- a/internal/side/window/window.go
+++ b/internal/side/window/window.go
@@ -107,9 +107,29 @@
 	return w.fold.Get(k)
 }
 
+// Doubts reads the stream to its end and returns the actions that nobody can tell of.
+// Its error is ErrDown or that of ctx.
+func (w *Window) Doubts(ctx context.Context) ([]claim.Doubt, error) {
+	if err := w.refresh(ctx); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fold.Doubts(w.opts.Now()), nil
+}
+
 // Look reads the stream to its end and returns what it says about an action.
 // Its error is ErrDown or that of ctx.
 func (w *Window) Look(ctx context.Context, k claim.Key) (claim.Entry, bool, error) {
+	if err := w.refresh(ctx); err != nil {
+		return claim.Entry{}, false, err
+	}
+	e, ok := w.Peek(k)
+	return e, ok, nil
+}
+
+// refresh waits for a read of the stream that starts from now on.
+func (w *Window) refresh(ctx context.Context) error {
 	w.mu.Lock()
 	want := w.started + 1
 	w.mu.Unlock()
@@ -120,13 +140,9 @@
 		return w.read >= want || down
 	})
 	if err == nil && down {
-		err = ErrDown
-	}
-	if err != nil {
-		return claim.Entry{}, false, err
+		return ErrDown
 	}
-	e, ok := w.Peek(k)
-	return e, ok, nil
+	return err
 }
 
 // Answer reads the recorded answer of an action that is done; false when none was recorded or kept.
--- a/internal/state/claim/fold.go
+++ b/internal/state/claim/fold.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
@@ -107,3 +109,25 @@
 	}
 	return e
 }
+
+// Doubt is an action that may have run.
+type Doubt struct {
+	Key
+	Owner  string
+	Minted time.Time
+}
+
+// Doubts returns the actions that nobody can tell of, oldest first: their holder said so, or its
+// request is over without an outcome.
+func (f *Fold) Doubts(now time.Time) []Doubt {
+	var out []Doubt
+	for k, e := range f.entries {
+		if e.State == Lost || e.State == Claimed && now.After(e.Until.Add(timing.ClockSkew)) {
+			out = append(out, Doubt{Key: k, Owner: e.Owner, Minted: e.minted})
+		}
+	}
+	slices.SortFunc(out, func(a, b Doubt) int {
+		return cmp.Or(a.Minted.Compare(b.Minted), cmp.Compare(a.Key.Key, b.Key.Key), cmp.Compare(a.Team, b.Team))
+	})
+	return out
+}
