Place models on runners through the plan stream

Claims and renewals form a chain in the log, so no clock decides who plans; a plan of a lapsed lease is ignored by every reader. A side takes the seat of its upstream in the log, reads before each order and, towards engines that ignore the fencing number, waits out its predecessor's permits. The number is the plan's offset: a lease's own cannot tell two plans of one lease apart.

--- /dev/null
+++ b/internal/place/agent/agent.go
@@ -0,0 +1,99 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/place/lease"
+	"github.com/ragworthatch/ragworthatch/internal/place/plan"
+)
+
+const (
+	// interval is how often the planner looks at the fleet.
+	interval = 5 * time.Second
+	// standbyInterval is how often an entry without the lease looks whether it lapsed.
+	standbyInterval = 15 * time.Second
+	// republish is how often an unchanged plan is appended again, for processes that read only the end of the stream.
+	republish = 20 * time.Minute
+)
+
+// Source returns what the next plan depends on, given the plan in force, with the configuration revision.
+type Source func(current lease.Current) (in plan.Input, revision int64)
+
+// Agent plans while it holds the lease; one goroutine uses it.
+type Agent struct {
+	holder    *lease.Holder
+	source    Source
+	now       func() time.Time
+	lg        *zap.Logger
+	pressed   map[string]time.Time
+	published time.Time
+	frozen    bool
+}
+
+// New returns an agent without a lease.
+func New(h *lease.Holder, source Source, now func() time.Time, lg *zap.Logger) *Agent {
+	return &Agent{holder: h, source: source, now: now, lg: lg}
+}
+
+// Run plans until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	for {
+		wait := a.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Step keeps the lease and plans once; it returns how long to wait. While the log is down the plan stays as it is.
+func (a *Agent) Step(ctx context.Context) time.Duration {
+	err := a.holder.Keep(ctx)
+	if err == nil {
+		err = a.plan(ctx)
+	}
+	switch {
+	case errors.Is(err, lease.ErrLost):
+		a.pressed = nil
+		return standbyInterval
+	case err != nil:
+		if !a.frozen {
+			a.lg.Warn("log does not answer, the placement plan stays as it is", zap.Error(err))
+		}
+		a.frozen = true
+		return interval
+	}
+	a.frozen = false
+	return interval
+}
+
+func (a *Agent) plan(ctx context.Context) error {
+	current := a.holder.State().Plan()
+	in, revision := a.source(current)
+	in.Now = a.now()
+	in.Pressed = a.pressed
+	out := plan.New(in)
+	a.pressed = out.Pressed
+	for model, n := range out.Missing {
+		a.lg.Warn("preset asks for runners that nobody can give", zap.String("model", model), zap.Int("missing", n), zap.Int64("revision", revision))
+	}
+	if len(out.Moves) == 0 && current.Offset >= 0 && a.now().Sub(a.published) < republish {
+		return nil
+	}
+	if err := a.holder.Publish(ctx, revision, out.Targets); err != nil {
+		return err
+	}
+	a.published = a.now()
+	for _, m := range out.Moves {
+		a.lg.Info("placed", zap.String("upstream", m.Runner), zap.String("from", m.From.Model),
+			zap.String("model", m.To.Model), zap.Strings("adapters", m.To.Adapters), zap.String("version", m.To.Version),
+			zap.String("role", m.To.Role), zap.String("reason", string(m.Reason)),
+			zap.Int64("fence", a.holder.State().Plan().Offset), zap.Int64("revision", revision))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/lease/lease_test.go
@@ -0,0 +1,225 @@
+package lease
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// clock is the clock of one host.
+type clock struct{ t time.Time }
+
+func (c *clock) now() time.Time          { return c.t }
+func (c *clock) advance(d time.Duration) { c.t = c.t.Add(d) }
+
+func newHolder(name string, log logs.Service, c *clock) *Holder {
+	return NewHolder(name, log, c.now, zap.NewNop())
+}
+
+var ctx = context.Background()
+
+func target(model string) map[string]Target { return map[string]Target{"r1": {Model: model}} }
+
+func TestOnlyOneOfTwoClaimsWins(t *testing.T) {
+	c := qt.New(t)
+	log := memlog.New()
+	clk := &clock{time.Unix(1_800_000_000, 0)}
+	a, b := newHolder("a", log, clk), newHolder("b", log, clk)
+	c.Assert(b.Read(ctx), qt.IsNil)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+	// b claims from what it saw before a's claim.
+	c.Assert(b.append(ctx, Record{Kind: Claim, Holder: "b", After: -1}), qt.Equals, ErrLost)
+	c.Assert(a.Publish(ctx, 1, target("m1")), qt.IsNil)
+	c.Assert(b.Publish(ctx, 1, target("m2")), qt.Equals, ErrLost)
+	c.Assert(b.Keep(ctx), qt.Equals, ErrLost)
+	c.Assert(b.State().Plan().Targets["r1"].Model, qt.Equals, "m1")
+}
+
+func TestPausedPlannerDoesNoHarm(t *testing.T) {
+	c := qt.New(t)
+	log := memlog.New()
+	clk := &clock{time.Unix(1_800_000_000, 0)}
+	old, next := newHolder("old", log, clk), newHolder("next", log, clk)
+	c.Assert(old.Keep(ctx), qt.IsNil)
+	c.Assert(old.Publish(ctx, 1, target("m1")), qt.IsNil)
+	c.Assert(next.Keep(ctx), qt.Equals, ErrLost)
+	clk.advance(Length)
+	c.Assert(next.Keep(ctx), qt.IsNil)
+	c.Assert(next.Publish(ctx, 1, target("m2")), qt.IsNil)
+	// The old planner was paused all the while and goes on where it was.
+	c.Assert(old.Publish(ctx, 1, target("m3")), qt.Equals, ErrLost)
+	c.Assert(next.Read(ctx), qt.IsNil)
+	c.Assert(next.State().Plan().Targets["r1"].Model, qt.Equals, "m2")
+	c.Assert(next.State().Plan().Offset > old.Lease(), qt.IsTrue)
+	c.Assert(old.Keep(ctx), qt.Equals, ErrLost)
+}
+
+func TestRenewalDefeatsAnEarlyClaim(t *testing.T) {
+	c := qt.New(t)
+	log := memlog.New()
+	slow := &clock{time.Unix(1_800_000_000, 0)}
+	// The other host's clock is an hour ahead and runs too fast.
+	fast := &clock{time.Unix(1_800_003_600, 0)}
+	a, b := newHolder("a", log, slow), newHolder("b", log, fast)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+	c.Assert(b.Keep(ctx), qt.Equals, ErrLost)
+	slow.advance(RenewEvery)
+	fast.advance(2 * Length)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+	c.Assert(b.append(ctx, Record{Kind: Claim, Holder: "b", After: 0}), qt.Equals, ErrLost)
+	c.Assert(a.Publish(ctx, 1, target("m1")), qt.IsNil)
+}
+
+func TestLostAnswerOfAClaimIsNoLease(t *testing.T) {
+	c := qt.New(t)
+	log := memlog.New()
+	clk := &clock{time.Unix(1_800_000_000, 0)}
+	a := newHolder("a", log, clk)
+	log.LoseAnswers(1)
+	c.Assert(a.Keep(ctx), qt.IsNotNil)
+	c.Assert(a.Keep(ctx), qt.Equals, ErrLost)
+	clk.advance(Length)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+}
+
+func TestLogDownFreezesThePlan(t *testing.T) {
+	c := qt.New(t)
+	log := memlog.New()
+	clk := &clock{time.Unix(1_800_000_000, 0)}
+	a := newHolder("a", log, clk)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+	c.Assert(a.Publish(ctx, 1, target("m1")), qt.IsNil)
+	log.SetDown(true)
+	clk.advance(10 * Length)
+	c.Assert(a.Keep(ctx), qt.IsNotNil)
+	c.Assert(a.State().Plan().Targets["r1"].Model, qt.Equals, "m1")
+	log.SetDown(false)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+	c.Assert(a.Lease(), qt.Equals, int64(0))
+}
+
+// Holders race, pause and lose answers at random. Each plan that a holder was told is in force is the next in the fold
+// under the lease then in force, and a reader that starts in mid-stream agrees with one that read everything as soon as
+// the lease's holder has renewed it and planned again.
+func TestHoldersAtRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := memlog.New()
+		clocks := make([]*clock, 3)
+		holders := make([]*Holder, 3)
+		for i := range holders {
+			clocks[i] = &clock{time.Unix(1_800_000_000+int64(i)*1000, 0)}
+			holders[i] = newHolder(fmt.Sprint("h", i), log, clocks[i])
+		}
+		all := NewReader(log, clocks[0].now)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			for _, c := range clocks {
+				c.advance(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+			}
+			h := holders[rapid.IntRange(0, 2).Draw(t, "holder")]
+			if rapid.IntRange(0, 9).Draw(t, "lose") == 0 {
+				log.LoseAnswers(1)
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "act") {
+			case 0:
+				_ = h.Keep(ctx)
+			case 1:
+				// A holder that was paused since it last read acts on what it knew.
+				if h.State() != nil {
+					_ = h.append(ctx, Record{Kind: Claim, Holder: h.name, After: h.State().Holding().Last})
+				}
+			case 2:
+				if h.Publish(ctx, int64(step), target(fmt.Sprint("m", step))) == nil {
+					if err := all.Read(ctx); err != nil {
+						t.Fatal(err)
+					}
+					if p := all.State().Plan(); p.Revision != int64(step) || all.State().Holding().Offset != h.Lease() {
+						t.Fatalf("plan of step %d was accepted and is not in force: %+v", step, p)
+					}
+				}
+			}
+			log.LoseAnswers(0)
+		}
+		middle(t, log, holders, clocks, all)
+	})
+}
+
+func middle(t *rapid.T, log *memlog.Log, holders []*Holder, clocks []*clock, all *Reader) {
+	if err := all.Read(ctx); err != nil {
+		t.Fatal(err)
+	}
+	late := NewReader(log, clocks[0].now)
+	late.state = New(rapid.Int64Range(0, all.State().Next()).Draw(t, "from"))
+	for i := 0; ; i = (i + 1) % len(holders) {
+		clocks[i].advance(RenewEvery)
+		if holders[i].Keep(ctx) == nil && holders[i].append(ctx, Record{Kind: Renew, Holder: holders[i].name, Lease: holders[i].lease, After: holders[i].state.Holding().Last}) == nil {
+			if err := holders[i].Publish(ctx, 1000, target("last")); err != nil {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	for _, r := range []*Reader{all, late} {
+		if err := r.Read(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a, b := all.State(), late.State(); a.Holding() != b.Holding() || a.Plan().Offset != b.Plan().Offset {
+		t.Fatalf("readers differ: %+v %d and %+v %d", a.Holding(), a.Plan().Offset, b.Holding(), b.Plan().Offset)
+	}
+}
+
+func TestReaderFromTheMiddleFindsThePlan(t *testing.T) {
+	c := qt.New(t)
+	log := memlog.New()
+	clk := &clock{time.Unix(1_800_000_000, 0)}
+	a := newHolder("a", log, clk)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+	c.Assert(a.Publish(ctx, 1, target("m1")), qt.IsNil)
+	clk.advance(RenewEvery)
+	c.Assert(a.Keep(ctx), qt.IsNil)
+	late := NewReader(log, clk.now)
+	late.state = New(1)
+	c.Assert(late.Read(ctx), qt.IsNil)
+	c.Assert(late.State().Holding(), qt.Equals, a.State().Holding())
+	c.Assert(late.State().Plan().Targets["r1"].Model, qt.Equals, "m1")
+}
+
+func TestDamagedRecordsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	s := New(0)
+	for _, data := range []string{"", "{", `{"kind":"other"}`, `{"kind":"claim","after":-1,"lease":0}`, `{"kind":"claim","holder":"a","color":1}`, `{"kind":"seat"}`, `{"kind":"plan","lease":7}`} {
+		next, took := s.Apply([]byte(data))
+		c.Assert(took, qt.IsFalse, qt.Commentf("%s", data))
+		s = next
+	}
+	c.Assert(s.Ignored(), qt.Equals, int64(7))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"kind":"claim","holder":"a","after":-1}`))
+	f.Add([]byte(`{"kind":"plan","lease":0,"targets":{"r1":{"model":"m"}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, _ := New(0).Apply(data)
+		if s.Next() != 1 {
+			t.Fatal("record not counted")
+		}
+	})
+}
--- /dev/null
+++ b/internal/place/lease/record.go
@@ -0,0 +1,56 @@
+package lease
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// Kind says what a record of the plan stream does.
+type Kind string
+
+// The kinds of records.
+const (
+	// Claim asks for the planner's lease.
+	Claim Kind = "claim"
+	// Renew keeps the lease.
+	Renew Kind = "renew"
+	// Plan sets the targets of all runners.
+	Plan Kind = "plan"
+	// Seat makes a side the one that gives orders to its engine.
+	Seat Kind = "seat"
+)
+
+// Target is the state that a runner should be in.
+type Target struct {
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters,omitempty"`
+	Version  string   `json:"version,omitempty"`
+	Role     string   `json:"role,omitempty"`
+}
+
+// Record is one record of the plan stream.
+type Record struct {
+	Kind        Kind              `json:"kind"`
+	Holder      string            `json:"holder,omitempty"`   // claim, renew: name of the process
+	After       int64             `json:"after"`              // claim, renew: the claim or renewal in force when it was written, -1 for none
+	Lease       int64             `json:"lease"`              // renew, plan: offset of the claim
+	Targets     map[string]Target `json:"targets,omitempty"`  // plan: by name of the upstream, whole
+	Revision    int64             `json:"revision,omitempty"` // plan: configuration revision that it was made for
+	Upstream    string            `json:"upstream,omitempty"` // seat
+	Incarnation string            `json:"incarnation,omitempty"`
+}
+
+// Encode renders a record as JSON.
+func Encode(r Record) ([]byte, error) { return json.Marshal(r) }
+
+// Decode reads a record strictly.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&r); err != nil {
+		return Record{}, fmt.Errorf("decode record of the plan stream: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/place/lease/state.go
@@ -0,0 +1,133 @@
+package lease
+
+import "maps"
+
+// Holding is the planner's lease in force.
+type Holding struct {
+	Holder string
+	Offset int64 // of the claim; names the lease
+	Last   int64 // offset of the claim or of its last renewal
+}
+
+// Current is the placement plan in force.
+type Current struct {
+	Offset   int64 // the fencing number of orders that carry it out
+	Revision int64
+	Targets  map[string]Target
+}
+
+// State is the fold of the plan stream, immutable; two readers of the same records hold the same state. Claims and renewals
+// form a chain, each naming the one before, so that no clock decides which of them count.
+type State struct {
+	first   int64 // first offset folded
+	next    int64
+	holding Holding
+	root    int64             // what the first link folded names as the one before
+	plan    Current           // of the lease in force
+	early   map[int64]Current // plans by lease, while no link has been folded
+	seats   map[string]string // incarnation by upstream
+	ignored int64
+}
+
+// New returns the state before the first record read, which has the given offset.
+func New(first int64) *State {
+	return &State{
+		first: first, next: first, root: -2,
+		holding: Holding{Offset: -1, Last: -1},
+		plan:    Current{Offset: -1},
+		early:   map[int64]Current{},
+	}
+}
+
+// Next is the offset of the next record to apply.
+func (s *State) Next() int64 { return s.next }
+
+// Holding is the lease in force; its Offset is -1 before the first.
+func (s *State) Holding() Holding { return s.holding }
+
+// Plan is the plan in force; its Offset is -1 before the first.
+func (s *State) Plan() Current { return s.plan }
+
+// Seat is the incarnation of the side that may give orders to an upstream's engine, empty for none.
+func (s *State) Seat(upstream string) string { return s.seats[upstream] }
+
+// Ignored counts the records that took no effect.
+func (s *State) Ignored() int64 { return s.ignored }
+
+// Apply returns the state after the record at the next offset, and whether the record took effect.
+func (s *State) Apply(data []byte) (*State, bool) {
+	c := *s
+	offset := s.next
+	c.next++
+	r, err := Decode(data)
+	if err != nil || !c.take(offset, r) {
+		c.ignored++
+		return &c, false
+	}
+	return &c, true
+}
+
+func (s *State) take(offset int64, r Record) bool {
+	switch r.Kind {
+	case Claim:
+		return r.Holder != "" && s.link(r, Holding{Holder: r.Holder, Offset: offset, Last: offset})
+	case Renew:
+		if r.After >= s.first && r.Lease != s.holding.Offset || r.Lease > r.After {
+			return false
+		}
+		return s.link(r, Holding{Holder: r.Holder, Offset: r.Lease, Last: offset})
+	case Plan:
+		return s.takePlan(Current{Offset: offset, Revision: r.Revision, Targets: r.Targets}, r.Lease)
+	case Seat:
+		return s.takeSeat(r)
+	default:
+		return false
+	}
+}
+
+// link appends a claim or a renewal to the chain. Of those whose predecessor lies before the first record read, the one
+// with the latest predecessor is right: the others lost to it there.
+func (s *State) link(r Record, h Holding) bool {
+	switch {
+	case r.After >= s.first:
+		if r.After != s.holding.Last {
+			return false
+		}
+	case r.After <= s.root || s.first == 0 && s.holding.Last >= 0:
+		return false
+	default:
+		s.root = r.After
+	}
+	if h.Offset != s.holding.Offset {
+		if p, ok := s.early[h.Offset]; ok {
+			s.plan = p
+		}
+	}
+	s.holding = h
+	return true
+}
+
+func (s *State) takePlan(p Current, lease int64) bool {
+	if lease == s.holding.Offset {
+		s.plan = p
+		return true
+	}
+	if s.first == 0 || lease >= s.first {
+		return false
+	}
+	s.early = maps.Clone(s.early)
+	s.early[lease] = p
+	return false
+}
+
+func (s *State) takeSeat(r Record) bool {
+	if r.Upstream == "" || r.Incarnation == "" {
+		return false
+	}
+	s.seats = maps.Clone(s.seats)
+	if s.seats == nil {
+		s.seats = map[string]string{}
+	}
+	s.seats[r.Upstream] = r.Incarnation
+	return true
+}
--- /dev/null
+++ b/internal/place/order/gate.go
@@ -0,0 +1,177 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/place/lease"
+	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+)
+
+const (
+	// Interval is how often a side looks at the plan.
+	Interval = 15 * time.Second
+	// Permit is how long after the start of a read of the log that shows its seat a side may send an order.
+	Permit = 10 * time.Second
+	// settle is how long a new side waits for the permits of its predecessor to lapse, with a margin for the clocks' rates.
+	settle = Permit + Permit/5
+	// orderTimeout bounds one order, within the permit.
+	orderTimeout = 5 * time.Second
+)
+
+// Result says what one look at the plan led to.
+type Result string
+
+// The results.
+const (
+	Nothing  Result = "nothing"  // no target, or the engine holds it
+	Waiting  Result = "waiting"  // the predecessor's permits have not lapsed
+	Loading  Result = "loading"  // the engine is carrying out an order
+	Ordered  Result = "ordered"  // an order was sent
+	Replaced Result = "replaced" // a newer side has the seat
+	Frozen   Result = "frozen"   // the log does not answer, so the plan stays as it is
+	Failed   Result = "failed"   // the engine failed or refused
+)
+
+// Options are what a gate is built from.
+type Options struct {
+	Upstream    string
+	Incarnation string
+	ChecksFence bool // the engine refuses orders with an old fencing number
+	Log         logs.Service
+	Engine      runner.Engine
+	Now         func() time.Time
+	Zap         *zap.Logger
+}
+
+// Gate gives the orders to one engine; one goroutine uses it.
+type Gate struct {
+	o        Options
+	reader   *lease.Reader
+	seated   bool
+	seatedAt time.Time
+}
+
+// New returns a gate without a seat.
+func New(o Options) *Gate {
+	return &Gate{o: o, reader: lease.NewReader(o.Log, o.Now)}
+}
+
+// Run looks at the plan until ctx ends or a newer side has the seat.
+func (g *Gate) Run(ctx context.Context) error {
+	tick := time.NewTicker(Interval)
+	defer tick.Stop()
+	for {
+		if g.Step(ctx) == Replaced {
+			return fmt.Errorf("side %s of %s has been replaced", g.o.Incarnation, g.o.Upstream)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// Step looks at the plan once and sends at most one order.
+func (g *Gate) Step(ctx context.Context) Result {
+	if err := g.read(ctx); err != nil {
+		g.o.Zap.Warn("plan stream not read, orders wait", zap.String("upstream", g.o.Upstream), zap.Error(err))
+		return Frozen
+	}
+	if g.reader.State().Seat(g.o.Upstream) != g.o.Incarnation {
+		g.o.Zap.Warn("a newer side has the seat", zap.String("upstream", g.o.Upstream), zap.String("seat", g.reader.State().Seat(g.o.Upstream)))
+		return Replaced
+	}
+	if !g.o.ChecksFence && g.o.Now().Sub(g.seatedAt) < settle {
+		return Waiting
+	}
+	plan := g.reader.State().Plan()
+	target, ok := plan.Targets[g.o.Upstream]
+	if !ok {
+		return Nothing
+	}
+	return g.bring(ctx, target, plan.Offset)
+}
+
+// read brings the state up to the end of the stream, taking the seat first.
+func (g *Gate) read(ctx context.Context) error {
+	if !g.seated {
+		if err := g.sit(ctx); err != nil {
+			return err
+		}
+	}
+	if err := g.reader.Read(ctx); err != nil {
+		return err
+	}
+	if g.reader.State().Seat(g.o.Upstream) == "" {
+		// The records were trimmed unread during an outage.
+		g.seated = false
+		return errors.New("the seat is no longer in the stream")
+	}
+	return nil
+}
+
+// sit appends the seat once; an answer that was lost is settled by reading.
+func (g *Gate) sit(ctx context.Context) error {
+	if err := g.reader.Read(ctx); err != nil {
+		return err
+	}
+	if g.reader.State().Seat(g.o.Upstream) != g.o.Incarnation {
+		data, err := lease.Encode(lease.Record{Kind: lease.Seat, Upstream: g.o.Upstream, Incarnation: g.o.Incarnation})
+		if err != nil {
+			return err
+		}
+		if _, err := g.o.Log.Append(ctx, logs.PlanStream, [][]byte{data}); err != nil {
+			return fmt.Errorf("append seat: %w", err)
+		}
+	}
+	g.seated = true
+	g.seatedAt = g.o.Now()
+	return nil
+}
+
+// bring compares the engine with its target and sends an order if they differ.
+func (g *Gate) bring(ctx context.Context, target lease.Target, fence int64) Result {
+	state, err := g.o.Engine.State(ctx)
+	if err != nil {
+		return g.failed("engine's state not read", err)
+	}
+	if state.Loading {
+		return Loading
+	}
+	if holds(state, target) {
+		return Nothing
+	}
+	left := Permit - g.o.Now().Sub(g.reader.ReadAt())
+	if left <= 0 {
+		return g.failed("order not sent", errors.New("the permit lapsed before the order"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(left, orderTimeout))
+	defer cancel()
+	g.o.Zap.Info("order", zap.String("upstream", g.o.Upstream), zap.String("model", target.Model),
+		zap.Strings("adapters", target.Adapters), zap.String("version", target.Version),
+		zap.String("role", target.Role), zap.Int64("fence", fence), zap.String("from", state.Model))
+	err = g.o.Engine.Order(ctx, runner.Order{
+		Model: target.Model, Adapters: target.Adapters, Version: target.Version, Role: target.Role, Fence: fence,
+	})
+	if err != nil {
+		return g.failed("order failed", err)
+	}
+	return Ordered
+}
+
+func (g *Gate) failed(what string, err error) Result {
+	g.o.Zap.Warn(what, zap.String("upstream", g.o.Upstream), zap.Error(err))
+	return Failed
+}
+
+func holds(s runner.State, t lease.Target) bool {
+	return s.Model == t.Model && s.Version == t.Version && s.Role == t.Role && slices.Equal(s.Adapters, t.Adapters)
+}
--- /dev/null
+++ b/internal/place/plan/plan_test.go
@@ -0,0 +1,191 @@
+package plan
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/ragworthatch/ragworthatch/internal/place/lease"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+var bothModels = []string{"a", "b"}
+
+// runners returns runners over three zones that hold the models given, one letter each; a dash holds none.
+func runners(models string) []Runner {
+	var out []Runner
+	for i, m := range models {
+		r := Runner{Name: fmt.Sprintf("r%02d", i), Zone: fmt.Sprint("z", i%3), Live: true, Models: bothModels, Loaded: true}
+		if m != '-' {
+			r.Target = lease.Target{Model: string(m)}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func wants(a, b int) []Want {
+	return []Want{{Model: "a", Runners: a}, {Model: "b", Runners: b}}
+}
+
+func held(out Output) map[string]int {
+	n := map[string]int{}
+	for _, t := range out.Targets {
+		n[t.Model]++
+	}
+	return n
+}
+
+func TestPresetIsFilledWithFewMoves(t *testing.T) {
+	c := qt.New(t)
+	out := New(Input{Now: epoch, Runners: runners("aaaaab"), Wants: wants(3, 3), MaxLoads: 10})
+	c.Assert(held(out), qt.DeepEquals, map[string]int{"a": 3, "b": 3})
+	c.Assert(out.Moves, qt.HasLen, 2)
+	c.Assert(out.Moves[0].Reason, qt.Equals, ReasonPreset)
+}
+
+func TestNothingMovesWhenAllFits(t *testing.T) {
+	c := qt.New(t)
+	out := New(Input{Now: epoch, Runners: runners("aaabbb"), Wants: wants(3, 3), MaxLoads: 10})
+	c.Assert(out.Moves, qt.HasLen, 0)
+}
+
+func TestModelIsSpreadOverZones(t *testing.T) {
+	c := qt.New(t)
+	list := runners("---------")
+	zoneOf := map[string]string{}
+	for i := range list {
+		list[i].Zone = fmt.Sprint("z", i/3)
+		zoneOf[list[i].Name] = list[i].Zone
+	}
+	out := New(Input{Now: epoch, Runners: list, Wants: wants(3, 3), MaxLoads: 10})
+	zones := map[string]map[string]int{"a": {}, "b": {}}
+	for _, m := range out.Moves {
+		if m.Reason == ReasonPreset {
+			zones[m.To.Model][zoneOf[m.Runner]]++
+		}
+	}
+	c.Assert(zones["a"], qt.DeepEquals, map[string]int{"z0": 1, "z1": 1, "z2": 1})
+	c.Assert(zones["b"], qt.DeepEquals, map[string]int{"z0": 1, "z1": 1, "z2": 1})
+}
+
+func TestLoadsAreLimited(t *testing.T) {
+	c := qt.New(t)
+	in := Input{Now: epoch, Runners: runners("aaaaaa"), Wants: wants(0, 6), MaxLoads: 2}
+	out := New(in)
+	c.Assert(out.Moves, qt.HasLen, 2)
+	// Loads that still run count.
+	in.Runners[0].Loaded = false
+	c.Assert(New(in).Moves, qt.HasLen, 1)
+	c.Assert(Loads(10_000, 40_000, 8*time.Second), qt.Equals, 2)
+	c.Assert(Loads(10, 40_000, time.Second), qt.Equals, 1)
+}
+
+func TestDemandMovesOnlyAfterAWhileAndNotBack(t *testing.T) {
+	c := qt.New(t)
+	in := Input{
+		Now: epoch, Runners: runners("aaaabb"), Wants: wants(1, 1), MaxLoads: 4, MoveAfter: time.Minute,
+		Demands: []Demand{{Pipeline: "p", Model: "b", PerSecond: 2, Seconds: 1}, {Pipeline: "q", Model: "a", PerSecond: 1, Seconds: 0.5}},
+	}
+	out := New(in)
+	c.Assert(out.Moves, qt.HasLen, 0)
+	in.Now = epoch.Add(time.Minute)
+	in.Pressed = out.Pressed
+	out = New(in)
+	c.Assert(out.Moves, qt.HasLen, 1)
+	c.Assert(out.Moves[0].Reason, qt.Equals, ReasonDemand)
+	c.Assert(out.Moves[0].To.Model, qt.Equals, "b")
+
+	// Demand shifts a little to the other model: nothing moves back.
+	in.Runners = runners("aaabbb")
+	in.Demands = []Demand{{Model: "b", PerSecond: 1.7, Seconds: 1}, {Model: "a", PerSecond: 2.2, Seconds: 1}}
+	for i := range 10 {
+		in.Now = epoch.Add(time.Duration(10+i) * time.Minute)
+		out = New(in)
+		in.Pressed = out.Pressed
+		c.Assert(out.Moves, qt.HasLen, 0)
+	}
+}
+
+func TestVersionsRollUnderTheLoadLimit(t *testing.T) {
+	c := qt.New(t)
+	in := Input{Now: epoch, Runners: runners("aaaa"), Wants: []Want{{Model: "a", Version: "2", Runners: 4}}, MaxLoads: 1}
+	out := New(in)
+	c.Assert(out.Moves, qt.HasLen, 1)
+	c.Assert(out.Moves[0].Reason, qt.Equals, ReasonVersion)
+	c.Assert(out.Moves[0].To.Version, qt.Equals, "2")
+}
+
+func TestMissingRunnersAreNamed(t *testing.T) {
+	c := qt.New(t)
+	out := New(Input{Now: epoch, Runners: runners("ab"), Wants: wants(3, 1), MaxLoads: 9})
+	c.Assert(out.Missing, qt.DeepEquals, map[string]int{"a": 2})
+	c.Assert(out.Moves, qt.HasLen, 0)
+}
+
+// Plans applied one after the other settle, never take a model below what the preset wants of it, and never start more
+// loads than are allowed.
+func TestPlansSettle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		letters := rapid.SliceOfN(rapid.SampledFrom([]rune("ab-")), 2, 24).Draw(t, "runners")
+		in := Input{
+			Now: epoch, Runners: runners(string(letters)), MaxLoads: rapid.IntRange(1, 4).Draw(t, "loads"), MoveAfter: time.Minute,
+			Wants: wants(rapid.IntRange(0, 12).Draw(t, "a"), rapid.IntRange(0, 12).Draw(t, "b")),
+			Demands: []Demand{
+				{Model: "a", PerSecond: rapid.Float64Range(0, 10).Draw(t, "demandA"), Seconds: 1},
+				{Model: "b", PerSecond: rapid.Float64Range(0, 10).Draw(t, "demandB"), Seconds: 1},
+			},
+		}
+		quiet := 0
+		for i := range 200 {
+			before := heldBy(in.Runners)
+			out := New(in)
+			if len(out.Moves) > in.MaxLoads {
+				t.Fatalf("%d loads at once, %d allowed", len(out.Moves), in.MaxLoads)
+			}
+			after := held(out)
+			for _, w := range in.Wants {
+				if after[w.Model] < min(before[w.Model], w.Runners) {
+					t.Fatalf("model %s went from %d to %d runners, %d wanted", w.Model, before[w.Model], after[w.Model], w.Runners)
+				}
+			}
+			for j, r := range in.Runners {
+				in.Runners[j].Target = out.Targets[r.Name]
+			}
+			in.Now = in.Now.Add(30 * time.Second)
+			in.Pressed = out.Pressed
+			quiet++
+			if len(out.Moves) > 0 {
+				quiet = 0
+			}
+			if quiet == 10 {
+				return
+			}
+			if i == 199 {
+				t.Fatalf("plans don't settle: %+v", out.Moves)
+			}
+		}
+	})
+}
+
+func heldBy(list []Runner) map[string]int {
+	n := map[string]int{}
+	for _, r := range list {
+		n[r.Target.Model]++
+	}
+	return n
+}
