--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -142,6 +142,8 @@
 		Actions:     actions,
 		Links:       n.links,
 		Dial:        n.o.Dial,
+		Versions:    n.versions,
+		Ejected:     n.router.Ejected,
 		Marks:       n.marks,
 		Drain:       n.startDrain,
 		Log:         n.o.Zap,
--- a/internal/entry/opsapi/handover.go
+++ b/internal/entry/opsapi/handover.go
@@ -23,7 +23,7 @@
 		Process:     a.o.Name,
 		State:       a.o.Feed.Current(),
 		Fresh:       a.o.Feed.Fresh(),
-		Upstreams:   troubled(a.o.Links.View()),
+		Upstreams:   a.troubled(now),
 		Quarantined: quarantined(a.o.Marks.Load(), now),
 		Actions:     a.doubts(r.Context(), now),
 	}
@@ -36,7 +36,9 @@
 	return report.New(in), nil
 }
 
-func troubled(v member.View) []report.Upstream {
+// troubled lists the upstreams that get no or less work, as this entry sees them.
+func (a *API) troubled(now time.Time) []report.Upstream {
+	v := a.o.Links.View()
 	states := map[member.State]report.UpstreamState{member.Leaving: report.Draining, member.Suspect: report.Suspect}
 	var out []report.Upstream
 	for _, ups := range v.Pools {
@@ -48,9 +50,22 @@
 			}
 		}
 	}
+	for _, name := range a.ejected() {
+		u, _ := v.Upstream(name)
+		out = append(out, report.Upstream{
+			Name: name, Pool: u.Pool, Zone: u.Zone, State: report.Ejected, Since: now, Reason: "failed calls of this entry",
+		})
+	}
 	return out
 }
 
+func (a *API) ejected() []string {
+	if a.o.Ejected == nil {
+		return nil
+	}
+	return a.o.Ejected()
+}
+
 func quarantined(s *mark.Set, now time.Time) []report.Mark {
 	var out []report.Mark
 	for _, e := range s.List(now) {
--- a/internal/entry/opsapi/opsapi.go
+++ b/internal/entry/opsapi/opsapi.go
@@ -66,8 +66,11 @@
 	Marks       *cell.Cell[*mark.Set]
 	Drain       func() (inFlight int) // of this entry
 	Guard       Guard
-	Versions    func(context.Context) []report.Version // what processes last said of their configuration; may be nil
-	Log         *zap.Logger
+	// Versions is what processes last said of their configuration; may be nil.
+	Versions func(context.Context) []report.Version
+	// Ejected lists the upstreams that get no calls from this entry because they failed; may be nil.
+	Ejected func() []string
+	Log     *zap.Logger
 }
 
 // API serves operators.
--- a/internal/oper/report/input.go
+++ b/internal/oper/report/input.go
@@ -28,7 +28,7 @@
 	Role    string    `json:"role"`
 	Zone    string    `json:"zone"`
 	Offset  int64     `json:"offset"`
-	Digest  string    `json:"digest"`
+	Digest  string    `json:"digest"` // or its start
 	Seen    time.Time `json:"seen"`
 }
 
--- a/internal/oper/report/report.go
+++ b/internal/oper/report/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/state/fold"
@@ -139,7 +140,7 @@
 	switch {
 	case in.Now.Sub(v.Seen) > silentAfter:
 		return Silent, true
-	case v.Digest == s.Digest():
+	case v.Digest != "" && strings.HasPrefix(s.Digest(), v.Digest):
 		return "", false
 	case v.Offset < s.Revision():
 		return Behind, true
--- a/internal/oper/report/text.go
+++ b/internal/oper/report/text.go
@@ -92,6 +92,9 @@
 }
 
 func (p *printer) ago(t time.Time) string {
+	if t.IsZero() {
+		return "for an unknown time"
+	}
 	return p.now.Sub(t).Round(time.Second).String() + " ago"
 }
 
