--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -271,6 +271,7 @@
 	if f.Code == fault.Crashed {
 		crash = c.flight.Crashed()
 		c.s.counters.crashes.Add(1)
+		c.s.warm.Reset()
 		c.s.setHealthy(false)
 	}
 	c.s.counters.failed.Add(1)
--- a/internal/side/serve/health.go
+++ b/internal/side/serve/health.go
@@ -92,7 +92,7 @@
 	})
 }
 
-// poll reads the upstream's own report and the engine's state.
+// poll reads the upstream's own report, and the engine's state and cache events.
 func (s *Server) poll(ctx context.Context) {
 	s.pollOnce(ctx)
 	every(ctx, pollInterval, func() { s.pollOnce(ctx) })
@@ -109,7 +109,12 @@
 	}
 	state, err := s.opts.Engine.State(ctx)
 	if err != nil {
+		s.warm.Reset() // an engine that comes back has an empty cache
 		return
 	}
 	s.setModels(state)
+	events, err := s.opts.Engine.CacheEvents(ctx, s.warm.Offset())
+	if err == nil {
+		s.warm.Add(events)
+	}
 }
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
+	"github.com/ragworthatch/ragworthatch/internal/side/warm"
 	"github.com/ragworthatch/ragworthatch/internal/side/watch"
 	"github.com/ragworthatch/ragworthatch/internal/side/window"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
@@ -34,6 +35,7 @@
 	counters counters
 	drain    drain
 	health   health
+	warm     *warm.Recent
 	engine   atomic.Pointer[[]string]
 	revision atomic.Int64
 	offset   atomic.Int64
@@ -49,6 +51,7 @@
 		opts:    opts,
 		flights: flight.New(maxRemembered),
 		hub:     watch.New(),
+		warm:    warm.New(),
 	}
 	s.drain.init()
 	s.health.init()
--- a/internal/side/serve/status.go
+++ b/internal/side/serve/status.go
@@ -20,9 +20,12 @@
 	s.learn(0, req.GetOffset())
 	beat := time.NewTicker(timing.HeartbeatInterval)
 	defer beat.Stop()
+	var position uint64 // in the cache events; they wait for the next heartbeat or change
 	for {
 		changed := s.hub.Changed()
-		if err := out.Send(s.status()); err != nil {
+		st := s.status()
+		st.Cached, st.Evicted, position = s.warm.Since(position)
+		if err := out.Send(st); err != nil {
 			return err
 		}
 		select {
--- /dev/null
+++ b/internal/side/warm/recent_test.go
@@ -0,0 +1,57 @@
+package warm
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+)
+
+func event(offset int64, prefix string, evicted bool) runner.CacheEvent {
+	return runner.CacheEvent{Offset: offset, Prefix: prefix, Evicted: evicted}
+}
+
+func TestSinceGivesTheLatestOfEachPrefix(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Add([]runner.CacheEvent{event(1, "a", false), event(2, "b", false), event(5, "a", true)})
+	r.Add([]runner.CacheEvent{event(5, "a", false), event(6, "c", false)}) // the first is a copy of what was seen
+	cached, evicted, next := r.Since(0)
+	c.Assert(cached, qt.DeepEquals, []string{"b", "c"})
+	c.Assert(evicted, qt.DeepEquals, []string{"a"})
+	cached, evicted, _ = r.Since(next)
+	c.Assert(len(cached)+len(evicted), qt.Equals, 0)
+}
+
+func TestWatcherThatFellBehindStartsAtTheOldestKept(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	for i := range int64(3 * maxKept) {
+		r.Add([]runner.CacheEvent{event(i, fmt.Sprint(i), false)})
+	}
+	seen := 0
+	position := uint64(0)
+	for {
+		cached, _, next := r.Since(position)
+		if len(cached) == 0 {
+			break
+		}
+		c.Assert(len(cached) <= maxTaken, qt.IsTrue)
+		seen += len(cached)
+		position = next
+	}
+	c.Assert(seen, qt.Equals, maxKept)
+}
+
+func TestResetTakesTheOffsetsOfANewEngine(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Add([]runner.CacheEvent{event(9, "old", false)})
+	_, _, next := r.Since(0)
+	r.Reset()
+	r.Add([]runner.CacheEvent{event(1, "new", false)})
+	cached, _, _ := r.Since(next)
+	c.Assert(cached, qt.DeepEquals, []string{"new"})
+}
