--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -218,8 +218,7 @@
 func TestUpstreamThatNeverAnswersIsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		b := newBench(t, Options{Pool: pool.Spec{SilentMs: 2000}}, nil)
-		b.server.opts.Upstream = deaf{b.worker}
+		b := newBench(t, Options{Pool: pool.Spec{SilentMs: 2000}, Upstream: deaf{worker.New(nil)}}, nil)
 		began := time.Now()
 		f := b.call(request("r1", "")).failure
 		c.Assert(f.GetVerdict(), qt.Equals, "mayHaveRun")
--- a/internal/side/serve/call_test.go
+++ b/internal/side/serve/call_test.go
@@ -108,7 +108,9 @@
 
 func newBench(t *testing.T, o Options, plan func(upstr.Call) worker.Plan) *bench {
 	w := worker.New(plan)
-	o.Upstream = w
+	if o.Upstream == nil {
+		o.Upstream = w
+	}
 	if o.Incarnation == "" {
 		o.Incarnation = "i1"
 	}
