--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
+	"github.com/ragworthatch/ragworthatch/internal/side/warm"
 	"github.com/ragworthatch/ragworthatch/internal/side/watch"
 	"github.com/ragworthatch/ragworthatch/internal/side/window"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
@@ -34,6 +35,7 @@
 	counters counters
 	drain    drain
 	health   health
+	warm     *warm.Recent
 	engine   atomic.Pointer[[]string]
 	pool     atomic.Pointer[pool.Spec]
 	digest   atomic.Pointer[string] // of the configuration
@@ -51,6 +53,7 @@
 		opts:    opts,
 		flights: flight.New(maxRemembered),
 		hub:     watch.New(),
+		warm:    warm.New(),
 	}
 	s.drain.init()
 	s.health.init()
