Tell a crashed upstream from a broken connection

A reset connection of an upstream that lives was taken for a crash, so that it counted against the request's fingerprint. The side now asks for a sign of life on a new connection first.

--- a/internal/fake/worker/plan.go
+++ b/internal/fake/worker/plan.go
@@ -13,6 +13,7 @@
 	Reject  Fault = "reject"  // found malformed
 	Fail    Fault = "fail"    // runs, then answers with an error
 	Crash   Fault = "crash"   // runs, then the connection breaks
+	Die     Fault = "die"     // runs, then the whole upstream dies
 	Silent  Fault = "silent"  // runs, then the connection says nothing more
 	Short   Fault = "short"   // the answer ends early
 	Stray   Fault = "stray"   // an answer to another call comes first
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -199,6 +199,9 @@
 		return &upstr.Error{Op: "next", Cause: errors.New("internal error")}
 	case Crash:
 		return crashed()
+	case Die:
+		a.worker.Crash()
+		return crashed()
 	case Short:
 		return io.EOF
 	case Silent:
--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -267,6 +267,9 @@
 		// The run on the silent connection may have happened, whatever became of this one.
 		f = f.WithVerdict(fault.MayHaveRun)
 	}
+	if f.Code == fault.Crashed && c.s.alive() {
+		f = fault.New(f.Verdict, fault.Transport, "connection to the upstream broke, and it answers on a new one").WithCause(err)
+	}
 	var crash flight.Crash
 	if f.Code == fault.Crashed {
 		crash = c.flight.Crashed()
--- a/internal/side/serve/health.go
+++ b/internal/side/serve/health.go
@@ -13,6 +13,7 @@
 const (
 	probeInterval = time.Second
 	probeTimeout  = 2 * time.Second
+	aliveTimeout  = 500 * time.Millisecond // of the ping that tells a crash from a broken connection
 	pollInterval  = 5 * time.Second
 	latencyWeight = 0.1 // of the newest call in the smoothed latency
 )
@@ -83,6 +84,13 @@
 	return ok
 }
 
+// alive says whether the upstream answers on a new connection right after one broke; if so it has not crashed.
+func (s *Server) alive() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
+	defer cancel()
+	return s.opts.Upstream.Ping(ctx) == nil
+}
+
 // probe pings an unhealthy upstream until it answers.
 func (s *Server) probe(ctx context.Context) {
 	every(ctx, probeInterval, func() {
