--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -16,6 +16,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/route/eject"
 	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
+	"github.com/ragworthatch/ragworthatch/internal/route/spill"
+	"github.com/ragworthatch/ragworthatch/internal/route/subset"
 )
 
 const (
@@ -44,6 +46,7 @@
 // entry plans the stages of its requests.
 type entry struct {
 	w         *world
+	name      string
 	zone      int
 	down      bool
 	views     map[string]*view
@@ -54,8 +57,8 @@
 	hedges    *hedge.Budget
 }
 
-func newEntry(w *world, zone int) *entry {
-	e := &entry{w: w, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
+func newEntry(w *world, name string, zone int) *entry {
+	e := &entry{w: w, name: name, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
 	e.admit = admit.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), admit.Options{})
 	e.share = share.New()
 	e.sketches = sketch.New(0)
@@ -67,7 +70,7 @@
 }
 
 func (e *entry) newView(p Pool) *view {
-	v := &view{sides: e.w.sides[p.Name], affin: affin.New(affin.Options{}), retries: retry.New(0), ejected: eject.New(eject.Options{})}
+	v := &view{sides: e.keep(p), affin: affin.New(affin.Options{}), retries: retry.New(0), ejected: eject.New(eject.Options{})}
 	var all []pick.Upstream
 	for _, s := range v.sides {
 		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
@@ -78,8 +81,28 @@
 	return v
 }
 
+// keep returns the sides that the entry keeps connections to.
+func (e *entry) keep(p Pool) []*side {
+	all := e.w.sides[p.Name]
+	if !e.w.policy.Zone {
+		return all
+	}
+	members := make([]subset.Member, len(all))
+	for i, s := range all {
+		members[i] = subset.Member{Name: s.name, Zone: zoneName(s.zone)}
+	}
+	var kept []*side
+	for _, i := range (subset.Spec{Entry: e.name, Zone: zoneName(e.zone)}).Of(members) {
+		kept = append(kept, all[i])
+	}
+	return kept
+}
+
 func (e *entry) pickOptions(v *view) pick.Options {
 	var o pick.Options
+	if e.w.policy.Zone {
+		o.Spill = spill.New(0)
+	}
 	if e.w.policy.Affin {
 		o.Affinity = v.affin
 	}
@@ -88,6 +111,9 @@
 
 func (e *entry) query(r *request) pick.Query {
 	q := pick.Query{Avoid: r.tried, SizeClass: r.class()}
+	if e.w.policy.Zone {
+		q.Zone = zoneName(e.zone)
+	}
 	if r.prefix >= 0 && r.now().PrefillMs > 0 {
 		q.Prefix = prefixName(r.prefix)
 	}
--- a/internal/bench/trial/policy.go
+++ b/internal/bench/trial/policy.go
@@ -11,6 +11,7 @@
 	Admit  bool // refusal at the entry
 	Share  bool // team limits over all entries
 	Affin  bool // prefix affinity
+	Zone   bool // subsets, own zone first, with a cap on spill
 	Sketch bool // medians of a sketch as estimates in place of smoothed means
 	Hedge  bool // second calls under a budget
 }
@@ -20,5 +21,5 @@
 
 // Ours is the system's policy.
 func Ours() Policy {
-	return Policy{Name: "ours", Pick: true, Sched: true, Retry: true, Eject: true, Admit: true, Share: true, Affin: true, Sketch: true, Hedge: true}
+	return Policy{Name: "ours", Pick: true, Sched: true, Retry: true, Eject: true, Admit: true, Share: true, Affin: true, Zone: true, Sketch: true, Hedge: true}
 }
--- a/internal/bench/trial/result.go
+++ b/internal/bench/trial/result.go
@@ -27,6 +27,7 @@
 	at    float64
 	pool  string
 	first bool // of its request in that stage
+	far   bool // to another zone
 }
 
 // Result is what a run counted.
@@ -49,7 +50,7 @@
 }
 
 func (r *Result) called(a *attempt, at float64) {
-	r.calls = append(r.calls, call{at: at, pool: a.side.pool.Name, first: a.first})
+	r.calls = append(r.calls, call{at: at, pool: a.side.pool.Name, first: a.first, far: a.side.zone != a.req.entry.zone})
 }
 
 func (r *Result) interval(d time.Duration) { r.intervals = append(r.intervals, d.Seconds()) }
@@ -108,6 +109,8 @@
 		return r.hedged / r.work
 	case "wasted":
 		return r.wasted / r.work
+	case "farCalls":
+		return r.farCalls(e)
 	case "hedges":
 		return float64(r.hedges)
 	case "prefill":
@@ -169,6 +172,21 @@
 	return work / (e.To - e.From) / float64(p.Runners*p.Slots)
 }
 
+// farCalls is the part of a pool's calls that left their zone.
+func (r *Result) farCalls(e Expect) float64 {
+	all, far := 0, 0
+	for _, c := range r.calls {
+		if e.Pool != "" && c.pool != e.Pool {
+			continue
+		}
+		all++
+		if c.far {
+			far++
+		}
+	}
+	return float64(far) / float64(max(1, all))
+}
+
 // callsPerRequest is the number of calls that reached a pool for each request that did.
 func (r *Result) callsPerRequest(e Expect) float64 {
 	all, first := 0, 0
--- a/internal/bench/trial/scenario.go
+++ b/internal/bench/trial/scenario.go
@@ -40,7 +40,6 @@
 	Batch    int     `yaml:"batch"`    // most calls an engine runs together; 0 means twice the slots
 	TargetMs float64 `yaml:"targetMs"` // mean latency that sides hold
 	SilentMs float64 `yaml:"silentMs"` // silence after which a connection is given up
-	Subset   int     `yaml:"subset"`   // runners that an entry keeps; 0 means all
 }
 
 // Pipeline is a kind of request.
@@ -58,9 +57,17 @@
 	WorkMs    float64 `yaml:"workMs"`    // mean work, prefill included
 	PrefillMs float64 `yaml:"prefillMs"` // work until the first token; saved when the prefix is cached
 	TokenMs   float64 `yaml:"tokenMs"`   // work for each token
+	Spread    float64 `yaml:"spread"`    // part of the work that varies; 0 means 0.5
 	Action    bool    `yaml:"action"`    // needs a claim in the log first
 }
 
+func (s Stage) spread() float64 {
+	if s.Spread == 0 {
+		return 0.5
+	}
+	return s.Spread
+}
+
 // Team sends a part of the requests.
 type Team struct {
 	Name  string  `yaml:"name"`
--- a/internal/bench/trial/world.go
+++ b/internal/bench/trial/world.go
@@ -48,7 +48,7 @@
 		}
 	}
 	for i := range max(1, s.Entries) {
-		w.entries = append(w.entries, newEntry(w, i%max(1, s.Zones)))
+		w.entries = append(w.entries, newEntry(w, fmt.Sprintf("entry-%d", i), i%max(1, s.Zones)))
 	}
 	for _, f := range s.Faults {
 		w.loop.after(seconds(f.At), func() { w.fault(f, true) })
@@ -167,7 +167,8 @@
 func (w *world) drawWork(st *Stage) (work, prefill float64) {
 	prefill = st.PrefillMs / 1000
 	rest := (st.WorkMs - st.PrefillMs) / 1000
-	rest *= min(4, 0.5+0.5*w.rng.ExpFloat64())
+	spread := st.spread()
+	rest *= min(4, 1-spread+spread*w.rng.ExpFloat64())
 	if t := w.scenario.Tail; t.Part > 0 && w.rng.Float64() < t.Part {
 		rest *= t.Factor
 	}
--- a/internal/limit/sched/lane.go
+++ b/internal/limit/sched/lane.go
@@ -34,7 +34,6 @@
 	served  float64 // seconds charged to the lane
 	floor   float64 // virtual time of the last start
 	hold    time.Duration
-	seen    time.Time
 }
 
 func newLane[V any](class pipe.SizeClass, hold time.Duration) *lane[V] {
--- a/internal/limit/sched/scheduler.go
+++ b/internal/limit/sched/scheduler.go
@@ -15,9 +15,9 @@
 	defaultHold     = 100 * time.Millisecond
 	minRetryAfter   = 100 * time.Millisecond
 	priorityStep    = 100 * time.Millisecond
-	classMemory     = 10 * time.Second
-	reserveFraction = 8 // one slot in so many is kept for the other size class
-	fairFraction    = 8 // overload begins at this part of the longest wait
+	sureFraction    = 4   // one slot in so many is sure for each size class, beyond the limit if need be
+	slackPart       = 0.6 // of a call's slack that its expected wait may take, as the estimate may be short
+	fairFraction    = 8   // overload begins at this part of the longest wait
 )
 
 // Options configure a scheduler.
@@ -100,7 +100,6 @@
 // Offer queues a call, or refuses it with a NotRun *fault.Error when it is not expected to finish; call Next after it.
 func (s *Scheduler[V]) Offer(t Ticket, value V, now time.Time) (*Job[V], error) {
 	l := s.laneOf(t)
-	l.seen = now
 	cost := t.Estimate
 	if cost <= 0 {
 		cost = l.hold
@@ -111,9 +110,10 @@
 			"needs %v of the remaining %v", cost+t.After, t.Remaining)
 	}
 	f := l.flowOf(t)
-	if wait := s.expectedWait(l, f, t, now); wait > min(slack, s.opts.MaxWait) {
+	longest := min(time.Duration(slackPart*float64(slack)), s.opts.MaxWait)
+	if wait := s.expectedWait(l, f, t); wait > longest {
 		return nil, fault.New(fault.NotRun, fault.Overloaded, "expected wait of %v is too long", wait).
-			WithRetryAfter(max(minRetryAfter, wait-min(slack, s.opts.MaxWait)))
+			WithRetryAfter(max(minRetryAfter, wait-longest))
 	}
 	s.seq++
 	j := &Job[V]{
@@ -137,7 +137,7 @@
 		return j, fault.New(fault.NotRun, fault.TooLate, "waited %v and can no longer finish", now.Sub(j.arrived)).
 			WithRetryAfter(max(minRetryAfter, s.opts.MaxWait/fairFraction))
 	}
-	j := s.choose(now)
+	j := s.choose()
 	if j != nil {
 		s.start(j, now)
 	}
@@ -219,8 +219,8 @@
 	s.yield = false
 }
 
-func (s *Scheduler[V]) choose(now time.Time) *Job[V] {
-	if s.exclusive || s.running >= s.limit.Value() {
+func (s *Scheduler[V]) choose() *Job[V] {
+	if s.exclusive {
 		return nil
 	}
 	if j, ok := s.alone.Min(); ok && !(s.yield && s.waiting() > 0) {
@@ -229,7 +229,7 @@
 		}
 		return j
 	}
-	l := s.chooseLane(now)
+	l := s.chooseLane()
 	if l == nil {
 		return nil
 	}
@@ -238,9 +238,9 @@
 
 func (s *Scheduler[V]) waiting() int { return s.short.jobs.Len() + s.long.jobs.Len() }
 
-func (s *Scheduler[V]) chooseLane(now time.Time) *lane[V] {
-	short := s.open(s.short, s.long, now)
-	long := s.open(s.long, s.short, now)
+func (s *Scheduler[V]) chooseLane() *lane[V] {
+	short := s.open(s.short)
+	long := s.open(s.long)
 	switch {
 	case short && long:
 		s.levelServed()
@@ -263,17 +263,10 @@
 	s.long.served = max(s.long.served, s.short.served-credit)
 }
 
-func (s *Scheduler[V]) open(l, other *lane[V], now time.Time) bool {
-	return l.jobs.Len() > 0 && l.running < s.slots(other, now)
-}
-
-// slots is how many calls may run of the size class that shares the upstream with other.
-func (s *Scheduler[V]) slots(other *lane[V], now time.Time) int {
+// open says whether a call of the lane may start: a few may even when the other size class has taken every slot.
+func (s *Scheduler[V]) open(l *lane[V]) bool {
 	limit := s.limit.Value()
-	if limit < 4 || now.Sub(other.seen) > classMemory {
-		return limit
-	}
-	return limit - max(1, limit/reserveFraction)
+	return l.jobs.Len() > 0 && (s.running < limit || l.running < limit/sureFraction)
 }
 
 func (s *Scheduler[V]) overloaded(l *lane[V]) bool {
@@ -281,12 +274,12 @@
 }
 
 // expectedWait is the time until a call of flow f would start.
-func (s *Scheduler[V]) expectedWait(l *lane[V], f *flow[V], t Ticket, now time.Time) time.Duration {
+func (s *Scheduler[V]) expectedWait(l *lane[V], f *flow[V], t Ticket) time.Duration {
 	other := s.long
 	if l == s.long {
 		other = s.short
 	}
-	if s.running < s.limit.Value() && l.running < s.slots(other, now) && l.jobs.Len() == 0 && !s.exclusive {
+	if s.running < s.limit.Value() && l.jobs.Len() == 0 && !s.exclusive {
 		return 0
 	}
 	ahead := l.work
--- /dev/null
+++ b/internal/route/subset/spec.go
@@ -0,0 +1,78 @@
+package subset
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	defaultNear = 16
+	defaultFar  = 4
+)
+
+// Member is an upstream that may be chosen.
+type Member struct {
+	Name   string
+	Zone   string
+	Region string
+}
+
+// Spec says for whom a subset is chosen and how large it is.
+type Spec struct {
+	Entry  string
+	Zone   string // of the entry
+	Region string
+	// Near is the number of upstreams in the entry's zone, 16 by default.
+	Near int
+	// Far is the number outside it, for spill, 4 by default; it also takes what the zone cannot give.
+	Far int
+}
+
+type ranked struct {
+	index int
+	tier  int
+	hash  uint64
+}
+
+// Of returns the indexes of the chosen members, own zone first, then own region, each in rendezvous order.
+// A member that comes or goes changes at most one other choice of each tier.
+func (s Spec) Of(members []Member) []int {
+	near, far := cmp.Or(s.Near, defaultNear), cmp.Or(s.Far, defaultFar)
+	all := make([]ranked, len(members))
+	for i, m := range members {
+		all[i] = ranked{index: i, tier: s.tier(m), hash: xxhash.Sum64String(s.Entry + "\x00" + m.Name)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if c := cmp.Compare(a.tier, b.tier); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.hash, b.hash)
+	})
+	own := 0
+	for own < len(all) && all[own].tier == 0 {
+		own++
+	}
+	chosen := all[:min(own, near)]
+	rest := all[own:]
+	far += near - len(chosen)
+	out := make([]int, 0, near+far)
+	for _, r := range chosen {
+		out = append(out, r.index)
+	}
+	for _, r := range rest[:min(len(rest), far)] {
+		out = append(out, r.index)
+	}
+	return out
+}
+
+func (s Spec) tier(m Member) int {
+	switch {
+	case m.Zone == s.Zone:
+		return 0
+	case m.Region == s.Region:
+		return 1
+	}
+	return 2
+}
