--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
@@ -21,7 +20,6 @@
 )
 
 const (
-	naiveTimeoutMs = 5000
 	naiveRetries   = 3
 	estimateWeight = 0.05
 	uncachedPart   = 0.1 // of a prompt's prefill, when its prefix is cached
@@ -173,7 +171,7 @@
 		e.planHedge(a)
 	}
 	if !e.w.policy.Sched {
-		a.timer = e.w.loop.after(millis(naiveTimeoutMs), func() { e.timedOut(a) })
+		a.timer = e.w.loop.after(millis(e.w.scenario.timeoutMs()), func() { e.timedOut(a) })
 	}
 }
 
@@ -181,7 +179,7 @@
 func (e *entry) planHedge(a *attempt) {
 	r := a.req
 	key := stageKey{r.lineNo, r.stage}
-	est, _ := e.sketches.Estimate(sketchKey(key), e.w.loop.now)
+	est, _ := e.sketches.Estimate(e.sketchKey(key), e.w.loop.now)
 	delay, ok := e.hedges.Delay(hedge.Call{
 		Repeatable: !a.stage.Action,
 		Quantile:   est.P99,
@@ -283,7 +281,7 @@
 	if !a.hedge {
 		e.hedges.Spent(seconds(a.done))
 	}
-	e.sketches.Add(sketchKey(key), took, e.w.loop.now)
+	e.sketches.Add(e.sketchKey(key), took, e.w.loop.now)
 	old, ok := e.estimates[key]
 	if !ok {
 		e.estimates[key] = took
@@ -314,12 +312,13 @@
 	if !e.w.policy.Sketch {
 		return e.estimates[k]
 	}
-	est, _ := e.sketches.Estimate(sketchKey(k), e.w.loop.now)
+	est, _ := e.sketches.Estimate(e.sketchKey(k), e.w.loop.now)
 	return est.Median
 }
 
-func sketchKey(k stageKey) sketch.Key {
-	return sketch.Key{Pipeline: strconv.Itoa(k.line), Stage: strconv.Itoa(k.stage)}
+func (e *entry) sketchKey(k stageKey) sketch.Key {
+	line := &e.w.scenario.Pipelines[k.line]
+	return sketch.Key{Stage: line.Stages[k.stage].Pool, SizeClass: line.class()}
 }
 
 // after is the usual time of the stages after the present one.
--- a/internal/bench/trial/request.go
+++ b/internal/bench/trial/request.go
@@ -39,12 +39,7 @@
 
 func (r *request) now() *Stage { return &r.line.Stages[r.stage] }
 
-func (r *request) class() pipe.SizeClass {
-	if r.line.SizeClass == "" {
-		return pipe.Short
-	}
-	return r.line.SizeClass
-}
+func (r *request) class() pipe.SizeClass { return r.line.class() }
 
 func (r *request) remaining() time.Duration { return r.deadline.Sub(r.w.loop.now) }
 
--- a/internal/bench/trial/scenario.go
+++ b/internal/bench/trial/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"os"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 )
 
+const defaultTimeoutMs = 5000
+
 // Scenario is a load and its faults, read from a data file.
 type Scenario struct {
 	Name      string     `yaml:"name"`
@@ -22,14 +25,18 @@
 	Pipelines []Pipeline `yaml:"pipelines"`
 	Teams     []Team     `yaml:"teams"`
 	// Load is the offered load as steps, in parts of the capacity of the busiest pool.
-	Load    []Step   `yaml:"load"`
-	Faults  []Fault  `yaml:"faults"`
-	Reports Reports  `yaml:"reports"`
-	Prefix  Prefix   `yaml:"prefix"`
-	Hedge   float64  `yaml:"hedge"`  // budget of extra calls, as a fraction
-	Share   bool     `yaml:"share"`  // team limits are in force
-	Tail    Tail     `yaml:"tail"`   // calls that take much longer by chance
-	Expect  []Expect `yaml:"expect"` // stated targets
+	Load []Step `yaml:"load"`
+	// Rate is what the load is parts of instead, in requests a second.
+	Rate float64 `yaml:"rate"`
+	// TimeoutMs is the fixed timeout of a call in the naive version, 5000 by default.
+	TimeoutMs float64  `yaml:"timeoutMs"`
+	Faults    []Fault  `yaml:"faults"`
+	Reports   Reports  `yaml:"reports"`
+	Prefix    Prefix   `yaml:"prefix"`
+	Hedge     float64  `yaml:"hedge"`  // budget of extra calls, as a fraction
+	Share     bool     `yaml:"share"`  // team limits are in force
+	Tail      Tail     `yaml:"tail"`   // calls that take much longer by chance
+	Expect    []Expect `yaml:"expect"` // stated targets
 }
 
 // Pool is a pool of equal runners.
@@ -51,6 +58,13 @@
 	Stages     []Stage        `yaml:"stages"`
 }
 
+func (p *Pipeline) class() pipe.SizeClass {
+	if p.SizeClass == "" {
+		return pipe.Short
+	}
+	return p.SizeClass
+}
+
 // Stage is one call of a pipeline.
 type Stage struct {
 	Pool      string  `yaml:"pool"`
@@ -175,8 +189,11 @@
 	return s, nil
 }
 
-// Capacity is the greatest rate of whole answers that the pools allow, in requests a second.
+// Capacity is the greatest rate of whole answers that the pools allow, or the stated rate, in requests a second.
 func (s Scenario) Capacity() float64 {
+	if s.Rate > 0 {
+		return s.Rate
+	}
 	best := 0.0
 	total := s.parts()
 	for i, p := range s.Pools {
@@ -230,6 +247,8 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+func (s Scenario) timeoutMs() float64 { return cmp.Or(s.TimeoutMs, defaultTimeoutMs) }
+
 // WithoutFaults returns a copy in which nothing goes wrong.
 func (s Scenario) WithoutFaults() Scenario {
 	s.Faults = nil
--- a/internal/bench/trial/trial_test.go
+++ b/internal/bench/trial/trial_test.go
@@ -24,6 +24,7 @@
 	qt.Assert(t, len(files) > 0, qt.IsTrue)
 	for _, file := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml"), func(t *testing.T) {
+			t.Parallel()
 			s, err := trial.Load(file)
 			qt.Assert(t, err, qt.IsNil)
 			check(t, s)
--- a/internal/limit/admit/control.go
+++ b/internal/limit/admit/control.go
@@ -15,6 +15,7 @@
 	waitWeight   = 0.1
 	waitHalfLife = time.Second
 	retryFloor   = 500 * time.Millisecond
+	longFactor   = 2 // by which long requests may wait longer than short ones
 )
 
 // Options configure a control; a zero field takes its default.
@@ -92,7 +93,11 @@
 
 // Refused takes a side's refusal for overload.
 func (c *Control) Refused(pool string, class pipe.SizeClass, now time.Time) {
-	c.Observe(pool, class, c.opts.High, now)
+	high := c.opts.High
+	if class == pipe.Long {
+		high *= longFactor
+	}
+	c.Observe(pool, class, high, now)
 }
 
 // Admit returns nil, or a NotRun *fault.Error when the request should not be started.
@@ -113,6 +118,9 @@
 		c.fair[q.SizeClass] = l
 	}
 	l.count(q.Team, q.Weight, now)
+	if q.SizeClass == pipe.Long {
+		longest /= longFactor
+	}
 	refuse := float64(longest-c.opts.Low) / float64(c.opts.High-c.opts.Low)
 	if refuse <= 0 {
 		return nil
--- a/internal/limit/sched/scheduler.go
+++ b/internal/limit/sched/scheduler.go
@@ -14,6 +14,7 @@
 	defaultAgeAfter = 2 * time.Second
 	defaultHold     = 100 * time.Millisecond
 	minRetryAfter   = 100 * time.Millisecond
+	longFactor      = 2
 	priorityStep    = 100 * time.Millisecond
 	sureFraction    = 4   // one slot in so many is sure for each size class, beyond the limit if need be
 	slackPart       = 0.6 // of a call's slack that its expected wait may take, as the estimate may be short
@@ -24,7 +25,7 @@
 type Options struct {
 	// Limit bounds the calls running at once.
 	Limit adapt.Options
-	// MaxWait is the longest expected wait that is accepted; 0 means 2 s.
+	// MaxWait is the longest expected wait that is accepted of a short call, half that of a long one; 0 means 2 s.
 	MaxWait time.Duration
 	// AgeAfter orders a call as if due this long after its arrival at the latest; 0 means 2 s.
 	AgeAfter time.Duration
@@ -110,7 +111,7 @@
 			"needs %v of the remaining %v", cost+t.After, t.Remaining)
 	}
 	f := l.flowOf(t)
-	longest := min(time.Duration(slackPart*float64(slack)), s.opts.MaxWait)
+	longest := min(time.Duration(slackPart*float64(slack)), s.maxWait(l))
 	if wait := s.expectedWait(l, f, t); wait > longest {
 		return nil, fault.New(fault.NotRun, fault.Overloaded, "expected wait of %v is too long", wait).
 			WithRetryAfter(max(minRetryAfter, wait-longest))
@@ -130,6 +131,14 @@
 	return j, nil
 }
 
+// maxWait is the longest expected wait that is accepted of a size class.
+func (s *Scheduler[V]) maxWait(l *lane[V]) time.Duration {
+	if l == s.long {
+		return longFactor * s.opts.MaxWait
+	}
+	return s.opts.MaxWait
+}
+
 // Next returns a job that may start now, or with an error one that can no longer finish; nil when there is none.
 func (s *Scheduler[V]) Next(now time.Time) (*Job[V], error) {
 	if j, ok := s.expiry.Min(); ok && j.latestStart.Before(now) {
@@ -294,11 +303,19 @@
 	if s.running < s.limit.Value() && l.jobs.Len() == 0 {
 		return 0
 	}
-	rate := s.limit.Value()
+	return time.Duration(float64(ahead+l.hold) / s.slots(other))
+}
+
+// slots is how many calls of the size class that shares the upstream with other run at once in the near future:
+// halfway between what the other leaves now and the fair part.
+func (s *Scheduler[V]) slots(other *lane[V]) float64 {
+	limit := s.limit.Value()
+	fair := float64(limit)
 	if other.jobs.Len() > 0 {
-		rate = max(1, rate/2)
+		fair /= 2
 	}
-	return (ahead + l.hold) / time.Duration(rate)
+	left := max(1, limit/sureFraction, limit-other.running)
+	return (float64(left) + fair) / 2
 }
 
 // fairWork is what is served before a new call of flow f when each team gets its weight.
--- a/internal/limit/sketch/set.go
+++ b/internal/limit/sketch/set.go
@@ -13,14 +13,15 @@
 	resolution    = 100 * time.Microsecond
 	longest       = 120 * time.Second
 	digits        = 1
-	defaultWindow = 30 * time.Second
+	defaultWindow = time.Minute
 	refreshEvery  = 500 * time.Millisecond
+	refreshPart   = 10 // an estimate is renewed once a tenth more samples came
 	minSamples    = 20
 )
 
 // Key names a distribution.
 type Key struct {
-	Pipeline  string
+	Pipeline  string // empty when pipelines share the stage's distribution
 	Stage     string
 	SizeClass pipe.SizeClass
 }
@@ -40,6 +41,7 @@
 	begun     time.Time
 	estimate  Estimate
 	refreshed time.Time
+	added     int64 // samples since then
 }
 
 // Set holds the distributions; it is safe for concurrent use.
@@ -47,14 +49,15 @@
 	window time.Duration
 	mu     sync.Mutex
 	byKey  map[Key]*sketch
+	merged *hdrhistogram.Histogram // scratch
 }
 
-// New returns an empty set that forgets latencies after one to two windows; 0 means 30 s.
+// New returns an empty set that forgets latencies after one to two windows; 0 means 1 min.
 func New(window time.Duration) *Set {
 	if window <= 0 {
 		window = defaultWindow
 	}
-	return &Set{window: window, byKey: map[Key]*sketch{}}
+	return &Set{window: window, byKey: map[Key]*sketch{}, merged: newHistogram()}
 }
 
 // Add notes the latency of a call that ended well.
@@ -69,6 +72,7 @@
 	h.rotate(now, s.window)
 	ticks := min(int64(latency/resolution), int64(longest/resolution))
 	_ = h.present.RecordValue(max(1, ticks))
+	h.added++
 }
 
 // Estimate returns what is known of a stage; false when nothing is, or too little.
@@ -79,8 +83,8 @@
 	if h == nil {
 		return Estimate{}, false
 	}
-	if h.refreshed.IsZero() || now.Sub(h.refreshed) >= refreshEvery || h.estimate.Samples < minSamples {
-		h.refresh(now)
+	if h.stale(now) {
+		h.refresh(s.merged, now)
 	}
 	return h.estimate, h.estimate.Samples >= minSamples
 }
@@ -116,8 +120,13 @@
 	h.begun = now
 }
 
-func (h *sketch) refresh(now time.Time) {
-	all := newHistogram()
+func (h *sketch) stale(now time.Time) bool {
+	few := h.estimate.Samples < minSamples
+	return h.added > h.estimate.Samples/refreshPart && (few || now.Sub(h.refreshed) >= refreshEvery)
+}
+
+func (h *sketch) refresh(all *hdrhistogram.Histogram, now time.Time) {
+	all.Reset()
 	all.Merge(h.before)
 	all.Merge(h.present)
 	h.estimate = Estimate{
@@ -127,6 +136,7 @@
 		Samples: all.TotalCount(),
 	}
 	h.refreshed = now
+	h.added = 0
 }
 
 func newHistogram() *hdrhistogram.Histogram {
--- a/internal/limit/sketch/set_test.go
+++ b/internal/limit/sketch/set_test.go
@@ -17,7 +17,7 @@
 func TestEstimate(t *testing.T) {
 	c := qt.New(t)
 	s := sketch.New(30 * time.Second)
-	k := sketch.Key{Pipeline: "p", Stage: "s", SizeClass: pipe.Short}
+	k := sketch.Key{Stage: "s", SizeClass: pipe.Short}
 	for i := range 19 {
 		s.Add(k, time.Duration(i+1)*time.Millisecond, start)
 	}
@@ -42,7 +42,7 @@
 
 func TestOldLatenciesAreForgotten(t *testing.T) {
 	s := sketch.New(30 * time.Second)
-	k := sketch.Key{Pipeline: "p", Stage: "s"}
+	k := sketch.Key{Stage: "s"}
 	now := start
 	for i := range 90 {
 		now = start.Add(time.Duration(i) * time.Second)
