--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -2,41 +2,47 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/count"
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
 	"github.com/ragworthatch/ragworthatch/internal/entry/opsapi"
 	"github.com/ragworthatch/ragworthatch/internal/entry/policy"
 	"github.com/ragworthatch/ragworthatch/internal/entry/query"
+	"github.com/ragworthatch/ragworthatch/internal/entry/quota"
 	"github.com/ragworthatch/ragworthatch/internal/entry/router"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/gossip"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
-	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
-	"github.com/ragworthatch/ragworthatch/internal/route/pick"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
 	"github.com/ragworthatch/ragworthatch/internal/state/cell"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/wire/peerpb"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
 // Options are what an entry is built from.
 type Options struct {
 	Name          string
 	Zone          string
-	HTTP          string // IP:port for callers and operators
-	OperatorToken string // hex SHA-256; empty leaves only the teams of operators
+	HTTP          string   // IP:port for callers and operators
+	GRPC          string   // IP:port for other processes
+	Peers         []string // IP:port addresses of entries, for a start while the host list is down
+	OperatorToken string   // hex SHA-256; empty leaves only the teams of operators
 	Log           logs.Service
 	List          hosts.List
 	Dial          link.Dialer
@@ -48,8 +54,11 @@
 type Node struct {
 	o      Options
 	feed   *feed.Feed
+	gossip *gossip.Node
 	links  *link.Pool
 	router *router.Router
+	policy *policy.Policy
+	quota  *quota.Quota
 	guard  *guard.Guard
 	exec   *exec.Executor
 	index  *cell.Cell[*index.Index]
@@ -57,7 +66,14 @@
 	views  chan struct{} // a new view of the fleet
 	leave  chan struct{} // closed by an operator's drain
 	once   sync.Once
-	http   *listen.Server
+	warm   atomic.Bool // connections to the pools are up
+	// began, of the control goroutine, is when the first view of the fleet came.
+	began time.Time
+	// entries, of the control goroutine, is how many entries share the teams' limits.
+	entries int
+	http    *listen.Server
+	peers   *grpc.Server
+	peersLn net.Listener
 }
 
 // New builds an entry and listens; Run starts it.
@@ -65,6 +81,7 @@
 	n := &Node{
 		o:     o,
 		feed:  feed.New(o.Log, feed.Options{Author: o.Name}, o.Zap),
+		quota: quota.New(),
 		index: cell.New(&index.Index{}),
 		marks: cell.New(mark.New(mark.Options{})),
 		views: make(chan struct{}, 1),
@@ -76,26 +93,27 @@
 		Dial:   o.Dial,
 		Offset: func() int64 { return n.feed.Current().Offset() },
 		OnView: func(member.View) { n.poke() },
-		Log:    o.Zap,
+		OnStatus: func(name string, st *sidepb.Status) {
+			n.router.Cached(name, st.GetCached(), st.GetEvicted())
+			n.heard(name, st)
+		},
+		Log: o.Zap,
 	})
 	if err != nil {
 		return nil, err
 	}
 	n.links = links
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.router = router.New(router.Options{
-		Zone:   o.Zone,
-		Links:  links,
-		Picker: pick.New(rng, pick.Options{}),
-		Log:    o.Zap,
-		Now:    time.Now,
-	})
-	n.exec = exec.New(n.router, policy.New(), n, o.Zap)
+	if n.gossip, err = gossip.New(n.gossipOptions()); err != nil {
+		return nil, err
+	}
+	n.router = router.New(router.Options{Zone: o.Zone, Links: links, Rand: newRand(), Log: o.Zap, Now: time.Now})
+	n.policy = policy.New(newRand(), time.Now, o.Zap)
+	n.exec = exec.New(n.router, n.policy, n, o.Zap)
 	n.guard = guard.New(guard.Options{
 		Ready: n.ready,
 		Marks: n.marks.Load,
-		Limit: func(job.Request, time.Time) *fault.Error { return nil },
-		Fits:  func(job.Request, time.Time) *fault.Error { return nil },
+		Limit: n.quota.Limit,
+		Fits:  n.policy.Fits,
 		Now:   time.Now,
 		Log:   o.Zap,
 	})
@@ -115,23 +133,37 @@
 	})
 	operators := opsapi.New(opsapi.Options{
 		Name:        n.o.Name,
+		Zone:        n.o.Zone,
+		Guard:       n.guard,
 		TokenDigest: n.o.OperatorToken,
 		Index:       n.index.Load,
 		Feed:        n.feed,
 		Publisher:   accept.New(n.o.Log, n.feed, uuid.New, n.o.Zap),
 		Actions:     actions,
 		Links:       n.links,
+		Dial:        n.o.Dial,
 		Marks:       n.marks,
 		Drain:       n.startDrain,
 		Log:         n.o.Zap,
 	})
 	server, err := listen.New(n.o.HTTP, append(callers.Routes(), operators.Routes()...))
+	if err != nil {
+		return err
+	}
 	n.http = server
+	n.peers = grpc.NewServer(link.ServerOptions()...)
+	peerpb.RegisterPeerServer(n.peers, n.gossip)
+	n.peersLn, err = net.Listen("tcp", n.o.GRPC)
 	return err
 }
 
 // Address is the IP:port of the HTTP interface.
 func (n *Node) Address() string { return n.http.Addr() }
 
+// PeerAddress is the IP:port for other processes.
+func (n *Node) PeerAddress() string { return n.peersLn.Addr().String() }
+
 // Guard is the entry's admission.
 func (n *Node) Guard() *guard.Guard { return n.guard }
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -12,8 +12,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
-	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
+	"github.com/ragworthatch/ragworthatch/internal/side/warm"
 	"github.com/ragworthatch/ragworthatch/internal/side/watch"
 	"github.com/ragworthatch/ragworthatch/internal/side/window"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
@@ -35,7 +35,10 @@
 	counters counters
 	drain    drain
 	health   health
+	warm     *warm.Recent
 	engine   atomic.Pointer[[]string]
+	pool     atomic.Pointer[pool.Spec]
+	digest   atomic.Pointer[string] // of the configuration
 	revision atomic.Int64
 	offset   atomic.Int64
 }
@@ -50,9 +53,12 @@
 		opts:    opts,
 		flights: flight.New(maxRemembered),
 		hub:     watch.New(),
+		warm:    warm.New(),
 	}
 	s.drain.init()
 	s.health.init()
+	s.pool.Store(&opts.Pool)
+	s.digest.Store(new(string))
 	if opts.Pool.Kind == pool.Service {
 		s.window = window.New(window.Options{
 			Log:     opts.Log,
@@ -100,8 +106,8 @@
 func (s *Server) Cancel(_ context.Context, req *sidepb.CancelRequest) (*sidepb.CancelReply, error) {
 	s.counters.canceled.Add(1)
 	keep := clamp(time.Duration(req.GetKeepMs()) * time.Millisecond)
-	until := s.opts.Now().Add(keep + timing.ClockSkew)
-	verdict := s.flights.Cancel(attemptOf(req.GetId()), until)
+	now := s.opts.Now()
+	verdict := s.flights.Cancel(attemptOf(req.GetId()), now, now.Add(keep))
 	if req.GetId().GetIncarnation() != s.opts.Incarnation {
 		// Another incarnation may have dispatched the call, or may get a late copy of it.
 		verdict = fault.MayHaveRun
--- a/internal/side/serve/status.go
+++ b/internal/side/serve/status.go
@@ -15,19 +15,24 @@
 	leavingState = "leaving"
 )
 
-// Watch streams the status: at once, on each change, and as a heartbeat.
+// Watch streams the status: at once, on each change, and as a heartbeat, until the side has drained.
 func (s *Server) Watch(req *sidepb.WatchRequest, out sidepb.Side_WatchServer) error {
-	s.learn(0, req.GetOffset())
+	s.opts.Ahead(req.GetOffset())
 	beat := time.NewTicker(timing.HeartbeatInterval)
 	defer beat.Stop()
+	var position uint64 // in the cache events; they wait for the next heartbeat or change
 	for {
 		changed := s.hub.Changed()
-		if err := out.Send(s.status()); err != nil {
+		st := s.status()
+		st.Cached, st.Evicted, position = s.warm.Since(position)
+		if err := out.Send(st); err != nil {
 			return err
 		}
 		select {
 		case <-out.Context().Done():
 			return out.Context().Err()
+		case <-s.drain.done:
+			return nil
 		case <-changed:
 		case <-beat.C:
 		}
@@ -47,6 +52,7 @@
 		Incarnation:     s.opts.Incarnation,
 		Load:            s.load(),
 		Offset:          s.offset.Load(),
+		Digest:          *s.digest.Load(),
 		UpstreamHealthy: s.health.healthy(),
 	}
 	if m := s.engine.Load(); m != nil {
@@ -66,6 +72,8 @@
 		Draining:    s.drain.on(),
 		Revision:    s.revision.Load(),
 		Incarnation: s.opts.Incarnation,
+		ShortWaitMs: entered.Short.Milliseconds(),
+		LongWaitMs:  entered.Long.Milliseconds(),
 	}
 	if !reported.At.IsZero() {
 		l.AgeMs = max(s.opts.Now().Sub(reported.At).Milliseconds(), 0)
