--- a/internal/fleet/gossip/node.go
+++ b/internal/fleet/gossip/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,10 @@
 	hotFanout = 3
 	// markInterval is how often the marks are looked at for something new.
 	markInterval = 200 * time.Millisecond
+	// entriesPerInterval and sidesEntriesPerInterval are the numbers of entries at which an entry, and a side, has doubled its
+	// interval: news travels on its own, and what is left costs each process less the more of them there are.
+	entriesPerInterval      = 360
+	sidesEntriesPerInterval = 120
 )
 
 // Node takes part in the gossip; an entry also serves peerpb.PeerServer.
@@ -36,6 +41,10 @@
 	slots    chan struct{}
 	calls    sync.WaitGroup
 
+	// The fields below belong to the loop of Run.
+	known      []Peer
+	neighbours []Peer
+
 	whyMu sync.Mutex
 	why   string
 }
@@ -139,14 +148,17 @@
 
 // jittered spreads the rounds of the processes over time.
 func (n *Node) jittered() time.Duration {
-	half := n.o.Interval / 2
-	return half + time.Duration(n.o.Rand.Int64N(int64(n.o.Interval)))
+	per := entriesPerInterval
+	if n.o.Role == Side {
+		per = sidesEntriesPerInterval
+	}
+	interval := n.o.Interval + n.o.Interval*time.Duration(len(n.o.Peers()))/time.Duration(per)
+	return interval/2 + time.Duration(n.o.Rand.Int64N(int64(interval)))
 }
 
 // round asks one neighbour, or several while there is no configuration yet.
 func (n *Node) round(ctx context.Context) {
-	peers := n.o.Peers()
-	n.electReader(peers)
+	peers, neighbours := n.around()
 	if n.o.Feed.Ready() != nil {
 		asked := n.chooser.spread(peers, bootstrapPeers)
 		n.start(func() { n.bootstrap(ctx, asked) })
@@ -154,16 +166,22 @@
 	}
 	n.setWhy("")
 	n.rumors.sizeFor(len(peers))
-	neighbours := n.chooser.neighbours(peers)
 	n.conns.keep(neighbours)
 	if p, ok := n.chooser.next(neighbours); ok {
 		n.start(func() { n.exchange(ctx, p) })
 	}
 }
 
-// electReader tells the feed whether this process polls the log.
-func (n *Node) electReader(peers []Peer) {
-	n.o.Feed.SetReader(n.o.Role == Entry && Reader(n.o.Name, n.o.Zone, peers))
+// around returns the entries known and the neighbours among them; when the entries change, it chooses the neighbours anew
+// and tells the feed whether this process polls the log.
+func (n *Node) around() (peers, neighbours []Peer) {
+	peers = n.o.Peers()
+	if n.known == nil || !slices.Equal(peers, n.known) {
+		n.known = slices.Clone(peers)
+		n.neighbours = n.chooser.neighbours(peers)
+		n.o.Feed.SetReader(n.o.Role == Entry && Reader(n.o.Name, n.o.Zone, peers))
+	}
+	return peers, n.neighbours
 }
 
 // spreadNews tells a few neighbours at once; a side has nobody to tell.
@@ -171,7 +189,7 @@
 	if n.o.Role != Entry || n.o.Feed.Ready() != nil {
 		return
 	}
-	neighbours := n.chooser.neighbours(n.o.Peers())
+	_, neighbours := n.around()
 	for range hotFanout {
 		if p, ok := n.chooser.next(neighbours); ok {
 			n.start(func() { n.exchange(ctx, p) })
--- a/internal/fleet/link/control.go
+++ b/internal/fleet/link/control.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
 func (p *Pool) handle(now time.Time, e event) {
@@ -39,7 +41,7 @@
 	}
 	w.heardAt = now
 	p.table = p.table.WithStatus(now, e.name, e.status)
-	p.dirty = true
+	p.dirty = p.dirty || w == peer.probe || differs(p.View(), e.name, e.status)
 	p.o.OnStatus(e.name, e.status)
 	if w != peer.probe {
 		return
@@ -51,6 +53,14 @@
 		zap.Bool("replaced", replaced), zap.String("incarnation", e.status.GetIncarnation()))
 }
 
+// differs says whether a status tells more than a new load.
+func differs(v member.View, name string, st *sidepb.Status) bool {
+	u, ok := v.Upstream(name)
+	leaving := st.GetState() == string(member.Leaving)
+	return !ok || u.Incarnation != st.GetIncarnation() || leaving != (u.State == member.Leaving) ||
+		!slices.Equal(u.Models, st.GetModels()) || st.GetUpstreamHealthy() != (u.State == member.Live)
+}
+
 // ended handles a watch that broke: the current connection is replaced at once, a failed probe blames the upstream.
 func (p *Pool) ended(now time.Time, peer *peer, id uint64) {
 	switch w := peer.owns(id); {
@@ -104,7 +114,6 @@
 
 func (p *Pool) tick(now time.Time) {
 	p.table = p.table.Tick(now)
-	p.dirty = true
 	for _, peer := range p.peers {
 		p.check(now, peer)
 	}
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -19,6 +19,8 @@
 	tickInterval = 500 * time.Millisecond
 	// publishInterval bounds how often the view is rebuilt, and how late a leaving upstream shows in it.
 	publishInterval = 100 * time.Millisecond
+	// refreshInterval is how often it is rebuilt when only loads and the time have changed.
+	refreshInterval = time.Second
 	// defaultSubset is how many upstreams of a pool are connected when no subset is given.
 	defaultSubset = 12
 )
@@ -54,7 +56,8 @@
 	table  *member.Table
 	peers  map[string]*peer
 	nextID uint64
-	dirty  bool
+	dirty  bool      // the view lacks a change that matters at once
+	viewAt time.Time // when the view was last rebuilt
 }
 
 // New returns a pool without connections; Run starts it.
@@ -175,10 +178,11 @@
 
 // publish rebuilds the snapshots that traffic reads, if anything changed.
 func (p *Pool) publish(now time.Time) {
-	if !p.dirty {
+	if !p.dirty && now.Sub(p.viewAt) < refreshInterval {
 		return
 	}
 	p.dirty = false
+	p.viewAt = now
 	old := p.View()
 	v := p.table.View(now)
 	p.view.Store(&v)
--- a/internal/fleet/member/row.go
+++ b/internal/fleet/member/row.go
@@ -76,7 +76,7 @@
 }
 
 // drained says whether st would take back the leaving that the same incarnation has announced.
-func (r row) drained(st *sidepb.Status) bool {
+func (r *row) drained(st *sidepb.Status) bool {
 	return r.status.GetState() == sideLeaving && r.status.GetIncarnation() == st.GetIncarnation() && st.GetState() != sideLeaving
 }
 
@@ -99,7 +99,7 @@
 }
 
 // word is what the side last said, nil once that is old and nobody watches the side.
-func (r row) word(now time.Time, o Options) *sidepb.Status {
+func (r *row) word(now time.Time, o Options) *sidepb.Status {
 	if r.link != linkUp && now.Sub(r.statusAt) >= o.StatusFor {
 		return nil
 	}
@@ -119,7 +119,7 @@
 }
 
 // judge applies the rules in their order; the first that fits decides.
-func (r row) judge(now time.Time, o Options) (State, Reason) {
+func (r *row) judge(now time.Time, o Options) (State, Reason) {
 	word := r.word(now, o)
 	switch {
 	case r.reused:
@@ -152,7 +152,7 @@
 }
 
 // heardAt is the later of the last status and the start of the connection.
-func (r row) heardAt() time.Time {
+func (r *row) heardAt() time.Time {
 	if r.statusAt.After(r.linkFrom) {
 		return r.statusAt
 	}
@@ -160,7 +160,7 @@
 }
 
 // absent says whether the list's silence about the host is believed.
-func (r row) absent(now time.Time, o Options) bool {
+func (r *row) absent(now time.Time, o Options) bool {
 	if r.absentFrom.IsZero() || r.link == linkUp && now.Sub(r.heardAt()) < o.SuspectAfter {
 		return false
 	}
@@ -171,7 +171,7 @@
 	return now.Sub(r.absentFrom) >= after
 }
 
-func (r row) upstream(now time.Time, o Options) Upstream {
+func (r *row) upstream(now time.Time, o Options) Upstream {
 	state, reason := r.judge(now, o)
 	return Upstream{
 		Name: r.host.Name, Address: r.host.Address, Zone: r.host.Zone, Region: r.host.Region, Pool: r.host.Pool,
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -54,14 +54,14 @@
 // Table is an immutable record of what each source last said of each host.
 type Table struct {
 	options Options
-	rows    map[string]row
+	rows    map[string]*row // never changed once they are in the table
 	listAt  time.Time
 	missing int // hosts whose absence is held
 }
 
 // New returns an empty table.
 func New(o Options) *Table {
-	return &Table{options: o.withDefaults(), rows: map[string]row{}}
+	return &Table{options: o.withDefaults(), rows: map[string]*row{}}
 }
 
 func (t *Table) clone() *Table {
@@ -83,20 +83,21 @@
 		listed[h.Name] = true
 		owner[h.Address] = h.Name
 		if r, ok := c.rows[h.Name]; ok {
-			c.rows[h.Name] = r.relisted(h)
+			c.put(r.relisted(h))
 		} else {
-			c.rows[h.Name] = row{host: h}
+			c.put(row{host: h})
 		}
 	}
-	for name, r := range c.rows {
+	for name, old := range c.rows {
 		if listed[name] {
 			continue
 		}
+		r := *old
 		if r.absentFrom.IsZero() {
 			r.absentFrom = now
 		}
 		r.reused = owner[r.host.Address] != ""
-		c.rows[name] = r
+		c.put(r)
 	}
 	c.holdVanished(now)
 	return c
@@ -109,7 +110,7 @@
 		return t
 	}
 	c := t.clone()
-	c.rows[name] = r.withStatus(now, st)
+	c.put(r.withStatus(now, st))
 	return c
 }
 
@@ -121,7 +122,7 @@
 		return t
 	}
 	c := t.clone()
-	c.rows[name] = r.withLeaving(now, incarnation)
+	c.put(r.withLeaving(now, incarnation))
 	return c
 }
 
@@ -132,7 +133,7 @@
 		return t
 	}
 	c := t.clone()
-	c.rows[name] = r.withLink(now, up)
+	c.put(r.withLink(now, up))
 	return c
 }
 
@@ -142,28 +143,39 @@
 	if !ok {
 		return t
 	}
+	next := *r
+	next.link = linkUnknown
+	next.linkFrom = time.Time{}
 	c := t.clone()
-	r.link = linkUnknown
-	r.linkFrom = time.Time{}
-	c.rows[name] = r
+	c.put(next)
 	return c
 }
 
 // Tick returns a copy without the hosts that have been gone for long.
 func (t *Table) Tick(now time.Time) *Table {
-	c := t.clone()
-	for name, r := range c.rows {
-		state, _ := r.judge(now, t.options)
+	c := t
+	for name, old := range t.rows {
+		state, _ := old.judge(now, t.options)
+		if state != Gone && old.goneFrom.IsZero() || state == Gone && !old.goneFrom.IsZero() && now.Sub(old.goneFrom) < t.options.ForgetAfter {
+			continue
+		}
+		if c == t {
+			c = t.clone()
+		}
+		r := *old
 		switch {
 		case state != Gone:
 			r.goneFrom = time.Time{}
-			c.rows[name] = r
+			c.put(r)
 		case r.goneFrom.IsZero():
 			r.goneFrom = now
-			c.rows[name] = r
-		case now.Sub(r.goneFrom) >= t.options.ForgetAfter:
+			c.put(r)
+		default:
 			delete(c.rows, name)
 		}
 	}
 	return c
 }
+
+// put replaces a row of a table that is not yet published.
+func (t *Table) put(r row) { t.rows[r.host.Name] = &r }
--- a/internal/fleet/member/vanish.go
+++ b/internal/fleet/member/vanish.go
@@ -39,10 +39,11 @@
 		}
 	}
 	t.missing = 0
-	for name, r := range t.rows {
-		if r.absentFrom.IsZero() || !r.counts(now, t.options) {
+	for _, old := range t.rows {
+		if old.absentFrom.IsZero() || !old.counts(now, t.options) {
 			continue
 		}
+		r := *old
 		for _, p := range r.parts() {
 			if !counts[p].believed(t.options.VanishCap) {
 				r.held = true
@@ -51,16 +52,16 @@
 		if r.held {
 			t.missing++
 		}
-		t.rows[name] = r
+		t.put(r)
 	}
 }
 
 // counts says whether the host's absence would be news: those that were leaving or are gone may vanish freely.
-func (r row) counts(now time.Time, o Options) bool {
+func (r *row) counts(now time.Time, o Options) bool {
 	leaving := r.host.State == host.Leaving || r.status.GetState() == sideLeaving
 	return !leaving && !r.reused && !r.absent(now, o)
 }
 
-func (r row) parts() [2]part {
+func (r *row) parts() [2]part {
 	return [2]part{{pool: r.host.Pool}, {pool: r.host.Pool, zone: r.host.Zone}}
 }
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -16,7 +16,7 @@
 	Held    int                   `json:"held"`   // hosts missing from the list whose absence is not believed
 	Pools   map[string][]Upstream `json:"pools"`  // by name of the pool; each sorted by name
 	Entries []Upstream            `json:"entries"`
-	byName  map[string]Upstream
+	byName  map[string]*Upstream  // into Pools and Entries
 }
 
 // View returns the state of every known host at the time now.
@@ -24,30 +24,39 @@
 	v := View{
 		At: now, ListAt: t.listAt, Held: t.missing,
 		Pools:  map[string][]Upstream{},
-		byName: make(map[string]Upstream, len(t.rows)),
+		byName: make(map[string]*Upstream, len(t.rows)),
 	}
-	for name, r := range t.rows {
+	for _, r := range t.rows {
 		u := r.upstream(now, t.options)
-		v.byName[name] = u
 		if u.Pool == "" {
 			v.Entries = append(v.Entries, u)
 		} else {
 			v.Pools[u.Pool] = append(v.Pools[u.Pool], u)
 		}
 	}
-	slices.SortFunc(v.Entries, byName)
+	v.index(v.Entries)
 	for _, list := range v.Pools {
-		slices.SortFunc(list, byName)
+		v.index(list)
 	}
 	return v
 }
 
+func (v View) index(list []Upstream) {
+	slices.SortFunc(list, byName)
+	for i := range list {
+		v.byName[list[i].Name] = &list[i]
+	}
+}
+
 func byName(a, b Upstream) int { return cmp.Compare(a.Name, b.Name) }
 
 // Upstream returns one host by name.
 func (v View) Upstream(name string) (Upstream, bool) {
 	u, ok := v.byName[name]
-	return u, ok
+	if !ok {
+		return Upstream{}, false
+	}
+	return *u, true
 }
 
 // Usable returns the upstreams of a pool that may get new work: the live ones, and the suspects too when fewer than half
@@ -79,15 +88,16 @@
 func (v View) Changes(old View) []Change {
 	var out []Change
 	for name, u := range v.byName {
-		if before := old.byName[name].State; before != u.State {
-			out = append(out, Change{Upstream: u, Before: before})
+		before, _ := old.Upstream(name)
+		if before.State != u.State {
+			out = append(out, Change{Upstream: *u, Before: before.State})
 		}
 	}
 	for name, u := range old.byName {
 		if _, ok := v.byName[name]; !ok && u.State != Gone {
-			before := u.State
-			u.State = Gone
-			out = append(out, Change{Upstream: u, Before: before})
+			gone := *u
+			gone.State = Gone
+			out = append(out, Change{Upstream: gone, Before: u.State})
 		}
 	}
 	slices.SortFunc(out, func(a, b Change) int { return byName(a.Upstream, b.Upstream) })
--- /dev/null
+++ b/internal/oper/slopes/local.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/model/host"
+	"github.com/ragworthatch/ragworthatch/internal/model/team"
+	"github.com/ragworthatch/ragworthatch/internal/place/lease"
+	"github.com/ragworthatch/ragworthatch/internal/place/plan"
+	"github.com/ragworthatch/ragworthatch/internal/state/accept"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
+)
+
+// localCost is what runs within one process.
+type localCost struct {
+	teamBytes     float64 // heap for each team
+	hostBytes     float64 // heap for each host in the table and its view
+	markBytes     float64 // heap for each fingerprint
+	statusSize    int     // bytes of a side's status
+	hostListSize  int     // bytes for each host in the list's JSON
+	statusMicros  float64 // to fold a status, at the target's hosts
+	viewMicros    float64 // to build the view, at the target's hosts
+	planMillis    float64 // to plan, at the target's runners
+	planSize      int     // bytes of a plan record, at the target's runners
+	snapshotBytes int     // bytes of a snapshot at the target's teams
+}
+
+func measureLocal() (localCost, error) {
+	var c localCost
+	var err error
+	if c.teamBytes, c.snapshotBytes, err = teamCost(); err != nil {
+		return c, err
+	}
+	c.hostCost()
+	c.markCost()
+	c.planCost()
+	c.statusSize = proto.Size(typicalStatus("engine-0123"))
+	return c, nil
+}
+
+// kept holds what is being weighed, so that it is not collected.
+var kept any
+
+// weigh returns the heap that f's result takes.
+func weigh(f func() any) float64 {
+	kept = nil
+	before := heap()
+	kept = f()
+	after := heap()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+// teamCost publishes half and all of the target's teams and takes the slope between.
+func teamCost() (bytesPerTeam float64, snapshot int, err error) {
+	at := func(n int) float64 {
+		return weigh(func() any {
+			log := memlog.New()
+			f := feed.New(log, feed.Options{Author: "slopes"}, zap.NewNop())
+			p := accept.New(log, f, uuid.New, zap.NewNop())
+			const batch = 100
+			for i := 0; i < n && err == nil; i += batch {
+				_, err = p.Publish(context.Background(), "slopes", teams(i, batch))
+			}
+			var data []byte
+			if err == nil {
+				data, _, err = f.Snapshot()
+			}
+			snapshot = len(data)
+			return f.Current()
+		})
+	}
+	half, all := at(targetTeams/2), at(targetTeams)
+	return (all - half) / (targetTeams / 2), snapshot, err
+}
+
+func teams(from, n int) config.Change {
+	var c config.Change
+	for i := range n {
+		c.Set.Teams = append(c.Set.Teams, team.Spec{
+			Name:        fmt.Sprintf("team-%04d", from+i),
+			TokenDigest: fmt.Sprintf("%064x", from+i),
+			Share:       0.0001,
+		})
+	}
+	return c
+}
+
+func typicalHosts(n int) []host.Host {
+	var out []host.Host
+	for i := range n {
+		out = append(out, host.Host{
+			Name: fmt.Sprintf("engine-%04d", i), Address: fmt.Sprintf("10.%d.%d.%d:7000", i/65536, i/256%256, i%256),
+			Zone: zone(i), Region: "region-1", Pool: fmt.Sprint("pool-", i%targetPools), State: host.Live,
+		})
+	}
+	return out
+}
+
+func typicalStatus(name string) *sidepb.Status {
+	return &sidepb.Status{
+		Upstream: name, Pool: "pool-1", Zone: "zone-a", State: "live",
+		Incarnation: uuid.NewString(),
+		Load: &sidepb.Load{
+			Running: 12, Queued: 3, Limit: 16, LatencyMs: 812.5, AgeMs: 950, Revision: 12345, Incarnation: uuid.NewString(),
+		},
+		Offset: 23456, Models: []string{"model-large", "model-large@2026-11"}, UpstreamHealthy: true,
+	}
+}
+
+func (c *localCost) hostCost() {
+	now := time.Now()
+	table := func(n int) float64 {
+		return weigh(func() any {
+			t := member.New(member.Options{}).WithList(now, typicalHosts(n))
+			v := t.View(now)
+			return []any{t, v}
+		})
+	}
+	c.hostBytes = (table(targetHosts) - table(targetHosts/2)) / (targetHosts / 2)
+	t := member.New(member.Options{}).WithList(now, typicalHosts(targetHosts))
+	st := typicalStatus("engine-0001")
+	c.statusMicros = micros(func() { kept = t.WithStatus(now, "engine-0001", st) })
+	c.viewMicros = micros(func() { kept = t.View(now) })
+	c.hostListSize = len(`{"name":"engine-0123","address":"10.0.12.34:7000","zone":"zone-a","region":"region-1","pool":"pool-1","state":"live"},`)
+}
+
+func micros(f func()) float64 {
+	r := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			f()
+		}
+	})
+	return float64(r.NsPerOp()) / 1000
+}
+
+func (c *localCost) markCost() {
+	marks := func(n int) float64 {
+		return weigh(func() any {
+			s := mark.New(mark.Options{})
+			for i := range n {
+				fp := fmt.Sprintf("%064x", i)
+				s = s.WithCrash(time.Now(), mark.Crash{ID: fmt.Sprint("engine-0001/7b1c/", i), InFlight: 4}, fp)
+				s = s.WithCrash(time.Now(), mark.Crash{ID: fmt.Sprint("engine-0002/7b1c/", i), InFlight: 1}, fp)
+			}
+			return s
+		})
+	}
+	c.markBytes = (marks(1000) - marks(500)) / 500
+}
+
+func (c *localCost) planCost() {
+	in := plan.Input{Now: time.Now(), MaxLoads: 8, MoveAfter: time.Minute}
+	var models []string
+	for i := range targetModels {
+		models = append(models, fmt.Sprint("model-", i))
+		in.Wants = append(in.Wants, plan.Want{Model: models[i], Version: "2026-11", Runners: targetSides / targetModels})
+		in.Demands = append(in.Demands, plan.Demand{Pipeline: "p", Model: models[i], PerSecond: 40, Seconds: 1})
+	}
+	targets := map[string]lease.Target{}
+	for i := range targetSides {
+		r := plan.Runner{Name: fmt.Sprintf("engine-%04d", i), Zone: zone(i), Live: true, Models: models, Loaded: true}
+		r.Target = lease.Target{Model: models[(i+i%7)%targetModels], Version: "2026-11", Role: "serve"}
+		targets[r.Name] = r.Target
+		in.Runners = append(in.Runners, r)
+	}
+	c.planMillis = micros(func() { kept = plan.New(in) }) / 1000
+	data, err := lease.Encode(lease.Record{Kind: lease.Plan, Lease: 12345, Targets: targets})
+	if err == nil {
+		c.planSize = len(data)
+	}
+}
+
+func (c localCost) print() {
+	fmt.Printf("heap: %.0f B a team, %.0f B a host, %.0f B a fingerprint\n", c.teamBytes, c.hostBytes, c.markBytes)
+	fmt.Printf("sizes: status %d B, host list %d B a host, plan %d B, snapshot %d B\n", c.statusSize, c.hostListSize, c.planSize, c.snapshotBytes)
+	fmt.Printf("time at %d hosts: status %.0f us, view %.0f us; plan of %d runners %.1f ms\n", targetHosts, c.statusMicros, c.viewMicros, targetSides, c.planMillis)
+}
--- /dev/null
+++ b/internal/oper/slopes/main.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// runFor is how long each mesh runs.
+const runFor = 12 * time.Second
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "slopes:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	local, err := measureLocal()
+	if err != nil {
+		return err
+	}
+	local.print()
+	var meshes []meshCost
+	for _, size := range []meshSize{{12, 12}, {12, 48}, {48, 48}, {48, 192}} {
+		cost, err := measureMesh(size)
+		if err != nil {
+			return err
+		}
+		fmt.Println(cost)
+		meshes = append(meshes, cost)
+	}
+	printTable(local, meshes)
+	return nil
+}
--- /dev/null
+++ b/internal/oper/slopes/mesh.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/gossip"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
+	"github.com/ragworthatch/ragworthatch/internal/state/cell"
+	"github.com/ragworthatch/ragworthatch/internal/state/feed"
+	"github.com/ragworthatch/ragworthatch/internal/wire/peerpb"
+)
+
+type meshSize struct{ entries, sides int }
+
+// meshCost is what gossip over TCP on loopback costs the mean entry and side, in all messages both ways.
+type meshCost struct {
+	meshSize
+	entryBytes float64 // bytes a second on its server's connections and those it opened, HTTP/2 included
+	messages   float64 // messages a second of an entry
+	cpu        float64 // percent of a core for each process, entries and sides alike
+	heapKB     float64 // for each process
+}
+
+func (m meshCost) String() string {
+	return fmt.Sprintf("gossip, %d entries and %d sides over TCP: %.0f B/s and %.2f messages/s an entry, %.3f%% of a core and %.0f KB of heap a process",
+		m.entries, m.sides, m.entryBytes, m.messages, m.cpu, m.heapKB)
+}
+
+// counter counts the bytes of the connections that a listener accepts, both ways.
+type counter struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (c counter) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	return counted{conn, c.bytes}, err
+}
+
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// mesh is processes that gossip over TCP within this one.
+type mesh struct {
+	log     *memlog.Log
+	peers   []gossip.Peer
+	nodes   []*gossip.Node
+	servers []*grpc.Server
+	bytes   atomic.Int64
+	wg      sync.WaitGroup
+}
+
+func measureMesh(size meshSize) (meshCost, error) {
+	m := &mesh{log: memlog.New()}
+	ctx, cancel := context.WithCancel(context.Background())
+	before := heap()
+	listeners, err := m.listen(size.entries)
+	if err != nil {
+		cancel()
+		return meshCost{}, err
+	}
+	for i, l := range listeners {
+		if err := m.start(ctx, gossip.Entry, m.peers[i].Name, m.peers[i].Zone, l); err != nil {
+			cancel()
+			return meshCost{}, err
+		}
+	}
+	for i := range size.sides {
+		if err := m.start(ctx, gossip.Side, fmt.Sprintf("side%03d", i), zone(i), nil); err != nil {
+			cancel()
+			return meshCost{}, err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	cost := m.watch(size, before)
+	cancel()
+	for _, s := range m.servers {
+		s.Stop()
+	}
+	m.wg.Wait()
+	return cost, nil
+}
+
+func zone(i int) string { return fmt.Sprint("z", i%8) }
+
+func (m *mesh) listen(entries int) ([]net.Listener, error) {
+	var out []net.Listener
+	for i := range entries {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, counter{l, &m.bytes})
+		m.peers = append(m.peers, gossip.Peer{Name: fmt.Sprintf("entry%03d", i), Address: l.Addr().String(), Zone: zone(i)})
+	}
+	return out, nil
+}
+
+func (m *mesh) start(ctx context.Context, role gossip.Role, name, zone string, l net.Listener) error {
+	f := feed.New(m.log, feed.Options{Author: name}, zap.NewNop())
+	node, err := gossip.New(gossip.Options{
+		Name: name, Role: role, Zone: zone, Feed: f, Marks: cell.New(mark.New(mark.Options{})),
+		Peers: func() []gossip.Peer { return m.peers },
+		Dial:  gossip.Dial,
+		Rand:  rand.New(rand.NewPCG(uint64(len(m.nodes)), 1)),
+		Log:   zap.NewNop(),
+	})
+	if err != nil {
+		return err
+	}
+	m.nodes = append(m.nodes, node)
+	if l != nil {
+		server := grpc.NewServer(link.ServerOptions()...)
+		peerpb.RegisterPeerServer(server, node)
+		m.servers = append(m.servers, server)
+		m.wg.Go(func() { _ = server.Serve(l) })
+	}
+	m.wg.Go(func() { _ = f.Run(ctx) })
+	m.wg.Go(func() { _ = node.Run(ctx) })
+	return nil
+}
+
+func (m *mesh) messages(entries int) float64 {
+	var n int64
+	for _, node := range m.nodes[:entries] {
+		s := node.Stats()
+		n += s.SentMessages + s.ReceivedMessages
+	}
+	return float64(n)
+}
+
+func (m *mesh) watch(size meshSize, heapBefore uint64) meshCost {
+	bytes, messages, cpu := m.bytes.Load(), m.messages(size.entries), cpuTime()
+	time.Sleep(runFor)
+	seconds := runFor.Seconds()
+	processes := float64(size.entries + size.sides)
+	// Each connection between entries is counted at one end and costs both; one from a side costs one entry.
+	between := float64(m.bytes.Load()-bytes) / seconds / float64(size.entries)
+	perSide := sideShare(m, size)
+	return meshCost{
+		meshSize:   size,
+		entryBytes: between + (1-perSide)*between,
+		messages:   (m.messages(size.entries) - messages) / seconds / float64(size.entries),
+		cpu:        100 * (cpuTime() - cpu).Seconds() / seconds / processes,
+		heapKB:     float64(heap()-heapBefore) / 1024 / processes,
+	}
+}
+
+// sideShare is the part of the messages at the entries that sides asked for.
+func sideShare(m *mesh, size meshSize) float64 {
+	var sides, all float64
+	for i, node := range m.nodes {
+		s := node.Stats()
+		if i < size.entries {
+			all += float64(s.ReceivedBytes + s.SentBytes)
+		} else {
+			sides += float64(s.ReceivedBytes + s.SentBytes)
+		}
+	}
+	// Traffic between entries is counted at both of its ends.
+	return sides / (sides + (all-sides)/2)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc + s.StackInuse
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/place/plan/plan_test.go
+++ b/internal/place/plan/plan_test.go
@@ -83,6 +83,18 @@
 	c.Assert(zones["b"], qt.DeepEquals, map[string]int{"z0": 1, "z1": 1, "z2": 1})
 }
 
+func TestMoveGoesToTheZoneWithoutTheModel(t *testing.T) {
+	c := qt.New(t)
+	list := runners("aaaabaa")
+	for i := range list {
+		list[i].Zone = "crowded"
+	}
+	list[5].Zone, list[6].Zone = "empty", "empty"
+	out := New(Input{Now: epoch, Runners: list, Wants: wants(5, 2), MaxLoads: 10})
+	c.Assert(out.Moves, qt.HasLen, 1)
+	c.Assert(out.Moves[0].Runner, qt.Equals, "r05")
+}
+
 func TestLoadsAreLimited(t *testing.T) {
 	c := qt.New(t)
 	in := Input{Now: epoch, Runners: runners("aaaaaa"), Wants: wants(0, 6), MaxLoads: 2}
