--- a/internal/state/accept/publish_test.go
+++ b/internal/state/accept/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +73,34 @@
 	}
 }
 
+func TestManyOperatorsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	log := memlog.New()
+	names := []string{"one", "two", "three", "four", "five", "six", "seven", "eight"}
+	first := newEntry(log)
+	_, err := first.Publish(ctx, "ann", presets(names...))
+	c.Assert(err, qt.IsNil)
+	results := make([]Result, len(names))
+	var all sync.WaitGroup
+	for i, name := range names {
+		e := newEntry(log)
+		all.Go(func() { results[i], _ = e.UsePreset(ctx, name, name, WithBase(config.Absent)) })
+	}
+	all.Wait()
+	c.Assert(first.feed.Poll(ctx), qt.IsNil)
+	inForce := first.feed.Current().PresetSince()
+	for i, r := range results {
+		if names[i] == inForce.Name {
+			c.Assert(r.State, qt.Equals, Accepted)
+			c.Assert(r.Revision, qt.Equals, inForce.Revision)
+			continue
+		}
+		c.Assert(r.State, qt.Equals, Rejected)
+		c.Assert(r.Lost.Objects[0].Current.Author, qt.Equals, inForce.Author)
+	}
+}
+
 func TestRaceThatTheDryRunCannotSee(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -372,6 +372,28 @@
 	})
 }
 
+// oddLog answers with a batch that does not fit the call.
+type oddLog struct {
+	logs.Service
+	batch logs.Batch
+}
+
+func (l oddLog) Read(context.Context, string, int64, int) (logs.Batch, error) { return l.batch, nil }
+
+func TestOddAnswersAreErrors(t *testing.T) {
+	c := qt.New(t)
+	for _, b := range []logs.Batch{
+		{First: 0, Oldest: 0, Next: 3}, // no records, although there are some
+		{First: 1, Records: [][]byte{nil}, Oldest: 0, Next: 3},
+		{First: 4, Oldest: 4, Next: 4}, // all trimmed, and no snapshot
+	} {
+		f := New(oddLog{batch: b}, Options{}, zap.NewNop())
+		c.Assert(f.Poll(context.Background()), qt.IsNotNil)
+		c.Assert(f.Ready(), qt.IsNotNil)
+		c.Assert(f.Current().Offset(), qt.Equals, int64(-1))
+	}
+}
+
 func TestReadTo(t *testing.T) {
 	bubble(t, func(t *testing.T, c *qt.C) {
 		log := memlog.New()
--- a/internal/state/feed/read.go
+++ b/internal/state/feed/read.go
@@ -80,9 +80,12 @@
 	if err != nil {
 		return logs.Batch{}, err
 	}
-	if b.First != max(from, b.Oldest) && len(b.Records) > 0 {
+	if len(b.Records) > 0 && b.First != max(from, b.Oldest) {
 		return logs.Batch{}, fmt.Errorf("log answered from offset %d when asked for %d", b.First, from)
 	}
+	if len(b.Records) == 0 && max(from, b.Oldest) < b.Next {
+		return logs.Batch{}, fmt.Errorf("log answered no records from offset %d on, although it ends at %d", from, b.Next-1)
+	}
 	return b, nil
 }
 
