--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -107,6 +107,8 @@
 		checkCommand(s),
 		publishCommand(s),
 		presetCommand(s),
+		statusCommand(s),
+		handoverCommand(s),
 		drainCommand(s),
 		outcomeCommand(s),
 		settleCommand(s),
--- a/internal/side/window/window.go
+++ b/internal/side/window/window.go
@@ -107,9 +107,29 @@
 	return w.fold.Get(k)
 }
 
+// Doubts reads the stream to its end and returns the actions that nobody can tell of.
+// Its error is ErrDown or that of ctx.
+func (w *Window) Doubts(ctx context.Context) ([]claim.Doubt, error) {
+	if err := w.refresh(ctx); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fold.Doubts(w.opts.Now()), nil
+}
+
 // Look reads the stream to its end and returns what it says about an action.
 // Its error is ErrDown or that of ctx.
 func (w *Window) Look(ctx context.Context, k claim.Key) (claim.Entry, bool, error) {
+	if err := w.refresh(ctx); err != nil {
+		return claim.Entry{}, false, err
+	}
+	e, ok := w.Peek(k)
+	return e, ok, nil
+}
+
+// refresh waits for a read of the stream that starts from now on.
+func (w *Window) refresh(ctx context.Context) error {
 	w.mu.Lock()
 	want := w.started + 1
 	w.mu.Unlock()
@@ -120,34 +140,27 @@
 		return w.read >= want || down
 	})
 	if err == nil && down {
-		err = ErrDown
-	}
-	if err != nil {
-		return claim.Entry{}, false, err
+		return ErrDown
 	}
-	e, ok := w.Peek(k)
-	return e, ok, nil
+	return err
 }
 
-// Answer reads the recorded answer of an action that is done; false when none was recorded or kept.
-func (w *Window) Answer(ctx context.Context, e claim.Entry) ([]byte, bool, error) {
-	if !e.Answer {
-		return nil, false, nil
-	}
+// Outcome reads the outcome record of an action that is done; false when the log has dropped it.
+func (w *Window) Outcome(ctx context.Context, k claim.Key, e claim.Entry) (claim.Record, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	b, err := w.opts.Log.Read(ctx, w.stream, e.Offset, 1)
 	if err != nil {
-		return nil, false, err
+		return claim.Record{}, false, err
 	}
 	if b.First != e.Offset || len(b.Records) == 0 {
-		return nil, false, nil
+		return claim.Record{}, false, nil
 	}
 	r, err := claim.Decode(b.Records[0])
-	if err != nil || r.Kind != claim.Outcome || r.Nonce != e.Nonce {
-		return nil, false, err
+	if err != nil {
+		return r, false, err
 	}
-	return r.Answer, true, nil
+	return r, r.Kind == claim.Outcome && r.Key == k, nil
 }
 
 // Settle records an operator's decision about the claim that holds an action, and returns what the stream says then.
