--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
@@ -16,10 +15,11 @@
 	"github.com/ragworthatch/ragworthatch/internal/route/eject"
 	"github.com/ragworthatch/ragworthatch/internal/route/gauge"
 	"github.com/ragworthatch/ragworthatch/internal/route/pick"
+	"github.com/ragworthatch/ragworthatch/internal/route/spill"
+	"github.com/ragworthatch/ragworthatch/internal/route/subset"
 )
 
 const (
-	naiveTimeoutMs = 5000
 	naiveRetries   = 3
 	estimateWeight = 0.05
 	uncachedPart   = 0.1 // of a prompt's prefill, when its prefix is cached
@@ -44,6 +44,7 @@
 // entry plans the stages of its requests.
 type entry struct {
 	w         *world
+	name      string
 	zone      int
 	down      bool
 	views     map[string]*view
@@ -54,8 +55,8 @@
 	hedges    *hedge.Budget
 }
 
-func newEntry(w *world, zone int) *entry {
-	e := &entry{w: w, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
+func newEntry(w *world, name string, zone int) *entry {
+	e := &entry{w: w, name: name, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
 	e.admit = admit.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), admit.Options{})
 	e.share = share.New()
 	e.sketches = sketch.New(0)
@@ -67,7 +68,7 @@
 }
 
 func (e *entry) newView(p Pool) *view {
-	v := &view{sides: e.w.sides[p.Name], affin: affin.New(affin.Options{}), retries: retry.New(0), ejected: eject.New(eject.Options{})}
+	v := &view{sides: e.keep(p), affin: affin.New(affin.Options{}), retries: retry.New(0), ejected: eject.New(eject.Options{})}
 	var all []pick.Upstream
 	for _, s := range v.sides {
 		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
@@ -78,8 +79,28 @@
 	return v
 }
 
+// keep returns the sides that the entry keeps connections to.
+func (e *entry) keep(p Pool) []*side {
+	all := e.w.sides[p.Name]
+	if !e.w.policy.Zone {
+		return all
+	}
+	members := make([]subset.Member, len(all))
+	for i, s := range all {
+		members[i] = subset.Member{Name: s.name, Zone: zoneName(s.zone)}
+	}
+	var kept []*side
+	for _, i := range (subset.Spec{Entry: e.name, Zone: zoneName(e.zone)}).Of(members) {
+		kept = append(kept, all[i])
+	}
+	return kept
+}
+
 func (e *entry) pickOptions(v *view) pick.Options {
 	var o pick.Options
+	if e.w.policy.Zone {
+		o.Spill = spill.New(0)
+	}
 	if e.w.policy.Affin {
 		o.Affinity = v.affin
 	}
@@ -88,6 +109,9 @@
 
 func (e *entry) query(r *request) pick.Query {
 	q := pick.Query{Avoid: r.tried, SizeClass: r.class()}
+	if e.w.policy.Zone {
+		q.Zone = zoneName(e.zone)
+	}
 	if r.prefix >= 0 && r.now().PrefillMs > 0 {
 		q.Prefix = prefixName(r.prefix)
 	}
@@ -147,7 +171,7 @@
 		e.planHedge(a)
 	}
 	if !e.w.policy.Sched {
-		a.timer = e.w.loop.after(millis(naiveTimeoutMs), func() { e.timedOut(a) })
+		a.timer = e.w.loop.after(millis(e.w.scenario.timeoutMs()), func() { e.timedOut(a) })
 	}
 }
 
@@ -155,7 +179,7 @@
 func (e *entry) planHedge(a *attempt) {
 	r := a.req
 	key := stageKey{r.lineNo, r.stage}
-	est, _ := e.sketches.Estimate(sketchKey(key), e.w.loop.now)
+	est, _ := e.sketches.Estimate(e.sketchKey(key), e.w.loop.now)
 	delay, ok := e.hedges.Delay(hedge.Call{
 		Repeatable: !a.stage.Action,
 		Quantile:   est.P99,
@@ -257,7 +281,7 @@
 	if !a.hedge {
 		e.hedges.Spent(seconds(a.done))
 	}
-	e.sketches.Add(sketchKey(key), took, e.w.loop.now)
+	e.sketches.Add(e.sketchKey(key), took, e.w.loop.now)
 	old, ok := e.estimates[key]
 	if !ok {
 		e.estimates[key] = took
@@ -288,12 +312,13 @@
 	if !e.w.policy.Sketch {
 		return e.estimates[k]
 	}
-	est, _ := e.sketches.Estimate(sketchKey(k), e.w.loop.now)
+	est, _ := e.sketches.Estimate(e.sketchKey(k), e.w.loop.now)
 	return est.Median
 }
 
-func sketchKey(k stageKey) sketch.Key {
-	return sketch.Key{Pipeline: strconv.Itoa(k.line), Stage: strconv.Itoa(k.stage)}
+func (e *entry) sketchKey(k stageKey) sketch.Key {
+	line := &e.w.scenario.Pipelines[k.line]
+	return sketch.Key{Stage: line.Stages[k.stage].Pool, SizeClass: line.class()}
 }
 
 // after is the usual time of the stages after the present one.
