--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -20,22 +20,17 @@
 )
 
 const (
-	naiveRetries   = 3
-	estimateWeight = 0.05
-	uncachedPart   = 0.1 // of a prompt's prefill, when its prefix is cached
+	naiveRetries = 3
+	uncachedPart = 0.1 // of a prompt's prefill, when its prefix is cached
 )
 
-type stageKey struct {
-	line  int
-	stage int
-}
-
 // view is what an entry knows of a pool.
 type view struct {
 	set     *pick.Set
 	sides   []*side
 	picker  *pick.Picker
 	turn    int
+	gauges  []*gauge.Gauge
 	retries *retry.Budget
 	affin   *affin.Map
 	ejected *eject.Table
@@ -43,20 +38,19 @@
 
 // entry plans the stages of its requests.
 type entry struct {
-	w         *world
-	name      string
-	zone      int
-	down      bool
-	views     map[string]*view
-	estimates map[stageKey]time.Duration
-	admit     *admit.Control
-	share     *share.Bucket
-	sketches  *sketch.Set
-	hedges    *hedge.Budget
+	w        *world
+	name     string
+	zone     int
+	down     bool
+	views    map[string]*view
+	admit    *admit.Control
+	share    *share.Bucket
+	sketches *sketch.Set
+	hedges   *hedge.Budget
 }
 
 func newEntry(w *world, name string, zone int) *entry {
-	e := &entry{w: w, name: name, zone: zone, views: map[string]*view{}, estimates: map[stageKey]time.Duration{}}
+	e := &entry{w: w, name: name, zone: zone, views: map[string]*view{}}
 	e.admit = admit.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), admit.Options{})
 	e.share = share.New()
 	e.sketches = sketch.New(0)
@@ -69,16 +63,25 @@
 
 func (e *entry) newView(p Pool) *view {
 	v := &view{sides: e.keep(p), affin: affin.New(affin.Options{}), retries: retry.New(0), ejected: eject.New(eject.Options{})}
-	var all []pick.Upstream
-	for _, s := range v.sides {
-		all = append(all, pick.Upstream{Name: s.name, Zone: zoneName(s.zone), Gauge: &gauge.Gauge{}})
+	for range v.sides {
+		v.gauges = append(v.gauges, &gauge.Gauge{})
 	}
-	v.set = pick.NewSet(all)
-	v.turn = e.w.rng.IntN(len(all))
+	v.publish("")
+	v.turn = e.w.rng.IntN(len(v.sides))
 	v.picker = pick.New(rand.New(rand.NewPCG(e.w.rng.Uint64(), 0)), e.pickOptions(v))
 	return v
 }
 
+// publish makes the set that choices are made from; a zone under maintenance is left out.
+func (v *view) publish(maintenance string) {
+	all := make([]pick.Upstream, len(v.sides))
+	for i, s := range v.sides {
+		zone := zoneName(s.zone)
+		all[i] = pick.Upstream{Name: s.name, Zone: zone, Gauge: v.gauges[i], Out: zone == maintenance}
+	}
+	v.set = pick.NewSet(all)
+}
+
 // keep returns the sides that the entry keeps connections to.
 func (e *entry) keep(p Pool) []*side {
 	all := e.w.sides[p.Name]
@@ -139,7 +142,7 @@
 func (e *entry) need(r *request) admit.Query {
 	q := admit.Query{Team: r.team, SizeClass: r.class(), Remaining: r.remaining()}
 	for i, st := range r.line.Stages {
-		q.Needs = append(q.Needs, admit.Need{Pool: st.Pool, Time: e.estimate(stageKey{r.lineNo, i})})
+		q.Needs = append(q.Needs, admit.Need{Pool: st.Pool, Time: e.estimate(r, i)})
 	}
 	return q
 }
@@ -178,8 +181,7 @@
 // planHedge sends a second call once the first has taken longer than most.
 func (e *entry) planHedge(a *attempt) {
 	r := a.req
-	key := stageKey{r.lineNo, r.stage}
-	est, _ := e.sketches.Estimate(e.sketchKey(key), e.w.loop.now)
+	est, _ := e.sketches.Estimate(sketchKey(r, r.stage), e.w.loop.now)
 	delay, ok := e.hedges.Delay(hedge.Call{
 		Repeatable: !a.stage.Action,
 		Quantile:   est.P99,
@@ -276,18 +278,11 @@
 func (e *entry) succeeded(a *attempt) {
 	e.views[a.stage.Pool].ejected.Succeeded(a.side.name)
 	e.views[a.stage.Pool].retries.Succeeded()
-	key := stageKey{a.req.lineNo, a.req.stage}
 	took := e.w.loop.now.Sub(a.sent)
 	if !a.hedge {
 		e.hedges.Spent(seconds(a.done))
 	}
-	e.sketches.Add(e.sketchKey(key), took, e.w.loop.now)
-	old, ok := e.estimates[key]
-	if !ok {
-		e.estimates[key] = took
-		return
-	}
-	e.estimates[key] = old + time.Duration(estimateWeight*float64(took-old))
+	e.sketches.Add(sketchKey(a.req, a.req.stage), took, e.w.loop.now)
 }
 
 // observe takes the load report that rides on an answer.
@@ -305,27 +300,23 @@
 
 // expected is the usual time of the request's present stage, 0 when unknown.
 func (e *entry) expected(r *request) time.Duration {
-	return e.estimate(stageKey{r.lineNo, r.stage})
+	return e.estimate(r, r.stage)
 }
 
-func (e *entry) estimate(k stageKey) time.Duration {
-	if !e.w.policy.Sketch {
-		return e.estimates[k]
-	}
-	est, _ := e.sketches.Estimate(e.sketchKey(k), e.w.loop.now)
+func (e *entry) estimate(r *request, stage int) time.Duration {
+	est, _ := e.sketches.Estimate(sketchKey(r, stage), e.w.loop.now)
 	return est.Median
 }
 
-func (e *entry) sketchKey(k stageKey) sketch.Key {
-	line := &e.w.scenario.Pipelines[k.line]
-	return sketch.Key{Stage: line.Stages[k.stage].Pool, SizeClass: line.class()}
+func sketchKey(r *request, stage int) sketch.Key {
+	return sketch.Key{Stage: r.line.Stages[stage].Pool, SizeClass: r.class()}
 }
 
 // after is the usual time of the stages after the present one.
 func (e *entry) after(r *request) time.Duration {
 	var sum time.Duration
 	for i := r.stage + 1; i < len(r.line.Stages); i++ {
-		sum += e.estimate(stageKey{r.lineNo, i})
+		sum += e.estimate(r, i)
 	}
 	return sum
 }
--- a/internal/bench/trial/scenario.go
+++ b/internal/bench/trial/scenario.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -29,14 +30,16 @@
 	// Rate is what the load is parts of instead, in requests a second.
 	Rate float64 `yaml:"rate"`
 	// TimeoutMs is the fixed timeout of a call in the naive version, 5000 by default.
-	TimeoutMs float64  `yaml:"timeoutMs"`
-	Faults    []Fault  `yaml:"faults"`
-	Reports   Reports  `yaml:"reports"`
-	Prefix    Prefix   `yaml:"prefix"`
-	Hedge     float64  `yaml:"hedge"`  // budget of extra calls, as a fraction
-	Share     bool     `yaml:"share"`  // team limits are in force
-	Tail      Tail     `yaml:"tail"`   // calls that take much longer by chance
-	Expect    []Expect `yaml:"expect"` // stated targets
+	TimeoutMs float64 `yaml:"timeoutMs"`
+	Faults    []Fault `yaml:"faults"`
+	// Presets are switches of the preset in force.
+	Presets []Switch `yaml:"presets"`
+	Reports Reports  `yaml:"reports"`
+	Prefix  Prefix   `yaml:"prefix"`
+	Hedge   float64  `yaml:"hedge"`  // budget of extra calls, as a fraction
+	Share   bool     `yaml:"share"`  // team limits are in force
+	Tail    Tail     `yaml:"tail"`   // calls that take much longer by chance
+	Expect  []Expect `yaml:"expect"` // stated targets
 }
 
 // Pool is a pool of equal runners.
@@ -82,6 +85,13 @@
 	return s.Spread
 }
 
+// without returns a copy that leaves out the stages on a pool.
+func (p *Pipeline) without(pool string) *Pipeline {
+	c := *p
+	c.Stages = slices.DeleteFunc(slices.Clone(p.Stages), func(s Stage) bool { return s.Pool == pool })
+	return &c
+}
+
 // Team sends a part of the requests.
 type Team struct {
 	Name  string  `yaml:"name"`
@@ -106,6 +116,13 @@
 	Factor float64 `yaml:"factor"`
 }
 
+// Switch puts another preset in force: new requests leave a stage out, or keep out of a zone.
+type Switch struct {
+	At   float64 `yaml:"at"`
+	Skip string  `yaml:"skip"` // pool of the stage left out
+	Zone *int    `yaml:"zone"` // under maintenance
+}
+
 // Reports says how load reports fare.
 type Reports struct {
 	AgeMs   float64 `yaml:"ageMs"`
--- a/internal/bench/trial/world.go
+++ b/internal/bench/trial/world.go
@@ -25,6 +25,7 @@
 	wakeups  map[*side]*event
 	result   *Result
 	logDown  bool
+	skip     string // pool whose stage the preset in force leaves out
 	capacity float64
 }
 
@@ -60,6 +61,9 @@
 		w.limitTeams()
 		w.loop.after(gossipInterval, w.gossip)
 	}
+	for _, to := range s.Presets {
+		w.loop.after(seconds(to.At), func() { w.switchTo(to) })
+	}
 	w.arriveNext()
 	longest := 0.0
 	for _, l := range s.Pipelines {
@@ -69,6 +73,20 @@
 	return w.result
 }
 
+// switchTo puts a preset in force for the requests that arrive from now on.
+func (w *world) switchTo(to Switch) {
+	w.skip = to.Skip
+	zone := ""
+	if to.Zone != nil {
+		zone = zoneName(*to.Zone)
+	}
+	for _, e := range w.entries {
+		for _, p := range w.scenario.Pools {
+			e.views[p.Name].publish(zone)
+		}
+	}
+}
+
 // limitTeams sets each team's limit to its share of the capacity.
 func (w *world) limitTeams() {
 	limits := map[string]float64{}
@@ -109,6 +127,9 @@
 func (w *world) arrive() {
 	no := w.drawLine()
 	line := &w.scenario.Pipelines[no]
+	if w.skip != "" && w.policy.Pick {
+		line = line.without(w.skip)
+	}
 	r := &request{
 		w:        w,
 		line:     line,
