--- a/internal/proof/claims_test.go
+++ b/internal/proof/claims_test.go
@@ -107,13 +107,14 @@
 func runClaims(t *testing.T, naive bool) violations {
 	var sum violations
 	for seed := range len(claimFaults) * len(claimFaults) {
+		var v violations
 		synctest.Test(t, func(t *testing.T) {
-			v := newClaimRun(t, uint64(seed), naive, claimChaos(seed)).run()
-			if !naive && v.total() > 0 {
-				t.Errorf("seed %d, faults %v: %s", seed, claimChaos(seed), v)
-			}
-			sum.add(v)
+			v = newClaimRun(t, uint64(seed), naive, claimChaos(seed)).run()
 		})
+		if !naive && v.total() > 0 {
+			t.Errorf("seed %d, faults %v: %s", seed, claimChaos(seed), v)
+		}
+		sum.add(v)
 	}
 	return sum
 }
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -121,6 +121,9 @@
 				t.Parallel()
 				for seed := shard; seed < len(sets); seed += shards {
 					got := runSeed(t, seed, naive, sets[seed])
+					if !naive && got.broken() > 0 {
+						t.Errorf("seed %d, faults %v: %s", seed, sets[seed], got)
+					}
 					mu.Lock()
 					sum.add(got)
 					mu.Unlock()
@@ -135,9 +138,6 @@
 	var got tally
 	synctest.Test(t, func(t *testing.T) {
 		got = newSystem(t, uint64(seed), naive, faults).run()
-		if !naive && got.broken() > 0 {
-			t.Errorf("seed %d, faults %v: %s", seed, faults, got)
-		}
 	})
 	return got
 }
