Repair marks by digest, and tell different neighbours of news

With rounds more regular than before, every fourth message, which alone carried old marks, went to the same neighbours each time: TestLateEntryLearnsOldMarks failed and a mark took up to 10.6 s to reach 48 entries.

--- a/internal/fleet/gossip/choose.go
+++ b/internal/fleet/gossip/choose.go
@@ -71,6 +71,15 @@
 	return wanted[c.rng.IntN(len(wanted))], true
 }
 
+// few picks up to n different neighbours at random.
+func (c *chooser) few(neighbours []Peer, n int) []Peer {
+	var out []Peer
+	for _, i := range c.rng.Perm(len(neighbours))[:min(n, len(neighbours))] {
+		out = append(out, neighbours[i])
+	}
+	return out
+}
+
 // spread picks up to n peers at random, by turns over the zones, the own zone first.
 func (c *chooser) spread(peers []Peer, n int) []Peer {
 	zones := map[string][]Peer{}
--- a/internal/fleet/gossip/client.go
+++ b/internal/fleet/gossip/client.go
@@ -30,7 +30,9 @@
 		Offset: s.Offset(), Digest: Shorten(s.Digest()), ReadAgeMs: n.readAgeMs(now),
 	}
 	if n.o.Role == Entry {
-		r.Marks = n.rumors.next(now, n.o.Marks.Load())
+		marks := n.o.Marks.Load()
+		r.Marks = n.rumors.next(now, marks, n.rumors.takeDiffers())
+		r.MarksDigest = n.rumors.digest(now, marks)
 		r.Demands = n.o.Shares.Offer(now)
 		r.Versions = n.census.some(now)
 	}
@@ -97,6 +99,9 @@
 func (n *Node) take(ctx context.Context, p Peer, reply *peerpb.GossipReply) (bool, error) {
 	now := time.Now()
 	n.takeMarks(now, reply.GetMarks())
+	if n.o.Role == Entry {
+		n.rumors.compare(reply.GetMarksDigest(), n.rumors.digest(now, n.o.Marks.Load()))
+	}
 	n.o.Shares.Settle(reply.GetDemands(), now)
 	n.census.told(now, reply.GetVersions())
 	n.census.heard(Version{Process: p.Name, Role: Entry, Zone: p.Zone, Offset: reply.GetOffset(), Digest: reply.GetDigest(), Seen: now})
--- a/internal/fleet/gossip/node.go
+++ b/internal/fleet/gossip/node.go
@@ -16,7 +16,7 @@
 	// maxExchanges bounds the calls of peers at one time.
 	maxExchanges = 8
 	// hotFanout is how many neighbours are told at once of something new.
-	hotFanout = 3
+	hotFanout = 4
 	// markInterval is how often the marks are looked at for something new.
 	markInterval = 200 * time.Millisecond
 	// entriesPerInterval and sidesEntriesPerInterval are the numbers of entries at which an entry, and a side, has doubled its
@@ -153,7 +153,7 @@
 		per = sidesEntriesPerInterval
 	}
 	interval := n.o.Interval + n.o.Interval*time.Duration(len(n.o.Peers()))/time.Duration(per)
-	return interval/2 + time.Duration(n.o.Rand.Int64N(int64(interval)))
+	return interval*3/4 + time.Duration(n.o.Rand.Int64N(int64(interval)/2))
 }
 
 // round asks one neighbour, or several while there is no configuration yet.
@@ -190,10 +190,8 @@
 		return
 	}
 	_, neighbours := n.around()
-	for range hotFanout {
-		if p, ok := n.chooser.next(neighbours); ok {
-			n.start(func() { n.exchange(ctx, p) })
-		}
+	for _, p := range n.chooser.few(neighbours, hotFanout) {
+		n.start(func() { n.exchange(ctx, p) })
 	}
 }
 
--- a/internal/fleet/gossip/rumor.go
+++ b/internal/fleet/gossip/rumor.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 	"sync"
@@ -14,23 +15,28 @@
 const (
 	// marksPerMessage bounds the marks of one message.
 	marksPerMessage = 16
-	// repairEvery is how many messages have one with some old marks, for processes that missed them.
-	repairEvery = 4
-	// repairMarks is how many old marks such a message has.
-	repairMarks = 2
+	// repairLatest is among how many of the latest marks a peer that holds another set is sent one each time.
+	repairLatest = 8
+	// digestFor is how long the digest of a set is kept.
+	digestFor = time.Second
 	// extraRepeats is how much more often than the logarithm of the fleet's size a fresh mark is sent.
 	extraRepeats = 3
 )
 
-// rumors decides which marks go along with a message: each fresh one a few times, old ones in turn now and then.
+// rumors decides which marks go along with a message: each fresh one a few times, and others when a peer holds another set.
 type rumors struct {
 	mu      sync.Mutex
 	seen    *mark.Set
 	left    map[string]int // sends left, by fingerprint
-	sent    int
-	cursor  string
+	repairs int
 	repeats int
-	news    bool // something became fresh since the last takeNews
+	differs bool // a peer held another set
+
+	digestOf *mark.Set
+	digestAt time.Time
+	sum      uint64
+
+	news bool // something became fresh since the last takeNews
 }
 
 func newRumors() *rumors {
@@ -63,15 +69,22 @@
 	r.seen = s
 }
 
-// next returns the marks for the next message.
-func (r *rumors) next(now time.Time, s *mark.Set) []*peerpb.Mark {
+// next returns the marks for the next message: the fresh ones, and a few others for a peer that holds another set.
+func (r *rumors) next(now time.Time, s *mark.Set, repair bool) []*peerpb.Mark {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.note(s)
-	var fps []string
-	for fp := range r.left {
-		fps = append(fps, fp)
+	fps := r.fresh()
+	if repair {
+		fps = append(fps, r.repair(s)...)
 	}
+	slices.Sort(fps)
+	return s.Wire(now, slices.Compact(fps))
+}
+
+// fresh takes the marks with the most sends left.
+func (r *rumors) fresh() []string {
+	fps := slices.Collect(maps.Keys(r.left))
 	slices.SortFunc(fps, func(a, b string) int { return cmp.Or(r.left[b]-r.left[a], cmp.Compare(a, b)) })
 	fps = fps[:min(len(fps), marksPerMessage)]
 	for _, fp := range fps {
@@ -80,21 +93,42 @@
 			delete(r.left, fp)
 		}
 	}
-	r.sent++
-	if r.sent%repairEvery == 0 {
-		fps = append(fps, r.repair(s)...)
-	}
-	slices.Sort(fps)
-	return s.Wire(now, slices.Compact(fps))
+	return fps
 }
 
+// repair takes the next mark in turn and the next of the latest ones, which are the likeliest to be missing.
 func (r *rumors) repair(s *mark.Set) []string {
 	all := s.Fingerprints()
-	start, _ := slices.BinarySearch(all, r.cursor+"\x00")
-	var out []string
-	for i := range min(repairMarks, len(all)) {
-		r.cursor = all[(start+i)%len(all)]
-		out = append(out, r.cursor)
+	if len(all) == 0 {
+		return nil
+	}
+	latest := s.Latest(repairLatest)
+	r.repairs++
+	return []string{all[r.repairs%len(all)], latest[r.repairs%len(latest)]}
+}
+
+// digest is the digest of a set, kept while the set stays the same and for as long as nothing can expire unnoticed.
+func (r *rumors) digest(now time.Time, s *mark.Set) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s != r.digestOf || now.Sub(r.digestAt) >= digestFor {
+		r.digestOf, r.digestAt, r.sum = s, now, s.Digest(now)
 	}
-	return out
+	return r.sum
+}
+
+// compare notes whether a peer holds another set, so that the next request brings some marks.
+func (r *rumors) compare(theirs, own uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.differs = r.differs || theirs != own
+}
+
+// takeDiffers says whether a peer held another set since it was last asked.
+func (r *rumors) takeDiffers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	differs := r.differs
+	r.differs = false
+	return differs
 }
--- a/internal/fleet/gossip/server.go
+++ b/internal/fleet/gossip/server.go
@@ -50,7 +50,9 @@
 	if req.GetOffset() > s.Offset() {
 		n.wantPull(req.GetFrom())
 	}
-	reply.Marks = n.rumors.next(now, n.o.Marks.Load())
+	marks := n.o.Marks.Load()
+	reply.MarksDigest = n.rumors.digest(now, marks)
+	reply.Marks = n.rumors.next(now, marks, req.GetMarksDigest() != reply.MarksDigest)
 	reply.Demands = n.o.Shares.Answer(req.GetDemands(), now)
 	if req.GetCensus() {
 		reply.Versions = append(n.census.firstHand(now), wire(n.version(now)))
--- a/internal/fleet/mark/record.go
+++ b/internal/fleet/mark/record.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // maxCrashes is how many crashes are kept for one fingerprint, the latest ones.
@@ -116,3 +119,12 @@
 	}
 	return latest
 }
+
+func (r record) digest(fingerprint string) uint64 {
+	h := xxhash.New()
+	fmt.Fprintf(h, "%q %d %q", fingerprint, r.lift.atMs, r.lift.by)
+	for _, e := range r.sorted() {
+		fmt.Fprintf(h, " %q %d %t %t", e.id, e.atMs, e.alone, e.cleared)
+	}
+	return h.Sum64()
+}
--- a/internal/fleet/mark/set.go
+++ b/internal/fleet/mark/set.go
@@ -193,3 +193,23 @@
 	slices.Sort(out)
 	return out
 }
+
+// Digest is equal for sets that hold the same records; those that will be forgotten do not count.
+func (s *Set) Digest(now time.Time) uint64 {
+	var sum uint64
+	for fp, r := range s.records {
+		if now.UnixMilli()-r.latestMs() < s.ttlMs {
+			sum ^= r.digest(fp)
+		}
+	}
+	return sum
+}
+
+// Latest returns up to n fingerprints, the one with the latest crash or lift first.
+func (s *Set) Latest(n int) []string {
+	all := s.Fingerprints()
+	slices.SortStableFunc(all, func(a, b string) int {
+		return cmp.Compare(s.records[b].latestMs(), s.records[a].latestMs())
+	})
+	return all[:min(n, len(all))]
+}
