--- a/internal/entry/boot/boot.go
+++ b/internal/entry/boot/boot.go
@@ -31,6 +31,7 @@
 	n, err := node.New(node.Options{
 		Name:          s.Name,
 		Zone:          s.Zone,
+		Region:        s.Region,
 		HTTP:          s.HTTP,
 		GRPC:          s.GRPC,
 		Peers:         s.Peers,
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -39,6 +39,7 @@
 type Options struct {
 	Name          string
 	Zone          string
+	Region        string
 	HTTP          string   // IP:port for callers and operators
 	GRPC          string   // IP:port for other processes
 	Peers         []string // IP:port addresses of entries, for a start while the host list is down
@@ -91,6 +92,7 @@
 		Entry:  o.Name,
 		Hosts:  o.List,
 		Dial:   o.Dial,
+		Subset: n.subset,
 		Offset: func() int64 { return n.feed.Current().Offset() },
 		OnView: func(member.View) { n.poke() },
 		OnStatus: func(name string, st *sidepb.Status) {
--- a/internal/entry/node/peers.go
+++ b/internal/entry/node/peers.go
@@ -6,10 +6,19 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/fleet/gossip"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
 	"github.com/ragworthatch/ragworthatch/internal/oper/report"
+	"github.com/ragworthatch/ragworthatch/internal/route/subset"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
+// The connections kept to upstreams of one pool in the own zone.
+const (
+	baseNear     = 16
+	nearPerModel = 4 // for each model after the first
+	maxNear      = 64
+)
+
 // censusTimeout bounds the question to all entries.
 const censusTimeout = 3 * time.Second
 
@@ -65,3 +74,26 @@
 	}
 	return out
 }
+
+// subset chooses the upstreams to keep connections to, more of a pool whose runners hold different models.
+func (n *Node) subset(v member.View) []string {
+	pools := n.index.Load().Set.Pools
+	var names []string
+	for pool := range v.Pools {
+		usable := v.Usable(pool)
+		members := make([]subset.Member, len(usable))
+		for i, u := range usable {
+			members[i] = subset.Member{Name: u.Name, Zone: u.Zone, Region: u.Region}
+		}
+		spec := subset.Spec{Entry: n.o.Name, Zone: n.o.Zone, Region: n.o.Region, Near: near(len(pools[pool].Models))}
+		for _, i := range spec.Of(members) {
+			names = append(names, usable[i].Name)
+		}
+	}
+	return names
+}
+
+// near is how many upstreams of the own zone are kept for a pool of so many models.
+func near(models int) int {
+	return min(maxNear, baseNear+nearPerModel*max(0, models-1))
+}
