Read the host list only when it has changed

Cause: the list read whole every 2 s would cost 60 KB/s of an entry at the target size, ten times its budget for control. Change: conditional reads, and for a platform without them a longer interval for a long list.

--- a/internal/fake/httpd/platform.go
+++ b/internal/fake/httpd/platform.go
@@ -1,10 +1,15 @@
 package httpd
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragworthatch/ragworthatch/internal/model/host"
 	"github.com/ragworthatch/ragworthatch/internal/plat/client"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
@@ -43,11 +48,26 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, r *http.Request) {
 		shown, err := l.Hosts(r.Context())
+		if err == nil && unchanged(w, r, shown) {
+			return
+		}
 		reply(w, hostcl.Reply{Hosts: shown}, err)
 	})
 	return mux
 }
 
+// unchanged tags the list, and says so when the reader has it already.
+func unchanged(w http.ResponseWriter, r *http.Request, shown []host.Host) bool {
+	data, _ := json.Marshal(shown) // hosts always encode
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(data))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") != tag {
+		return false
+	}
+	w.WriteHeader(http.StatusNotModified)
+	return true
+}
+
 // Weights is the handler of a weight store.
 func Weights(s weight.Store) *http.ServeMux {
 	mux := http.NewServeMux()
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -146,29 +146,32 @@
 
 // pollHosts reads the host list; an error tells nothing and changes nothing.
 func (p *Pool) pollHosts(ctx context.Context) {
-	timer := time.NewTicker(timing.HostListInterval)
-	defer timer.Stop()
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, timing.HostListInterval)
-		list, err := p.o.Hosts.Hosts(callCtx)
-		cancel()
-		if err == nil {
-			select {
-			case p.lists <- list:
-			case <-ctx.Done():
-				return
-			}
-		} else if ctx.Err() == nil {
-			p.o.Log.Warn("host list does not answer", zap.Error(err))
-		}
+		p.readHosts(ctx)
 		select {
-		case <-timer.C:
+		case <-time.After(hosts.Interval(p.o.Hosts, timing.HostListInterval)):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+func (p *Pool) readHosts(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, timing.HostListInterval)
+	defer cancel()
+	list, err := p.o.Hosts.Hosts(callCtx)
+	if err != nil {
+		if ctx.Err() == nil {
+			p.o.Log.Warn("host list does not answer", zap.Error(err))
+		}
+		return
+	}
+	select {
+	case p.lists <- list:
+	case <-ctx.Done():
+	}
+}
+
 func (p *Pool) closeAll() {
 	p.clients.Store(&map[string]sidepb.SideClient{})
 	for _, peer := range p.peers {
--- a/internal/plat/hostcl/list.go
+++ b/internal/plat/hostcl/list.go
@@ -2,15 +2,26 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
 
 	"github.com/ragworthatch/ragworthatch/internal/model/host"
 	"github.com/ragworthatch/ragworthatch/internal/plat/client"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
 )
 
-// List is the host list at one address.
+// List is the host list at one address; it reads the list again only if it has changed.
 type List struct {
 	client *client.Client
+
+	mu    sync.Mutex
+	tag   string // entity tag of the last list, empty when the server gives none
+	last  []host.Host
+	bytes int
 }
 
 // Reply is the answer to a read of the list.
@@ -18,16 +29,66 @@
 	Hosts []host.Host `json:"hosts"`
 }
 
-var _ hosts.List = (*List)(nil)
+var (
+	_ hosts.List    = (*List)(nil)
+	_ hosts.Weighed = (*List)(nil)
+)
 
 // New returns the host list at an IP:port address.
 func New(address string) *List { return &List{client: client.New(address)} }
 
 // Hosts returns all hosts shown.
 func (l *List) Hosts(ctx context.Context) ([]host.Host, error) {
-	var reply Reply
-	if err := l.client.Get(ctx, "/v1/hosts", &reply); err != nil {
+	resp, err := l.client.Do(ctx, http.MethodGet, "/v1/hosts", nil, l.condition())
+	var failed *client.Error
+	if errors.As(err, &failed) && failed.Status == http.StatusNotModified {
+		return l.unchanged(), nil
+	}
+	if err != nil {
 		return nil, err
 	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, client.MaxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > client.MaxBody {
+		return nil, fmt.Errorf("host list is longer than %d bytes", client.MaxBody)
+	}
+	var reply Reply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return nil, fmt.Errorf("malformed host list: %w", err)
+	}
+	l.keep(reply.Hosts, resp.Header.Get("ETag"), len(data))
 	return reply.Hosts, nil
 }
+
+// LastBytes is the size of the last answer, 0 when the list had not changed.
+func (l *List) LastBytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
+// condition asks for the list only if it differs from the last one.
+func (l *List) condition() http.Header {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tag == "" {
+		return nil
+	}
+	return http.Header{"If-None-Match": {l.tag}}
+}
+
+func (l *List) unchanged() []host.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytes = 0
+	return l.last
+}
+
+func (l *List) keep(list []host.Host, tag string, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last, l.tag, l.bytes = list, tag, bytes
+}
--- a/internal/side/boot/pool.go
+++ b/internal/side/boot/pool.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/side/serve"
 	"github.com/ragworthatch/ragworthatch/internal/state/fold"
 )
@@ -56,14 +57,12 @@
 
 // listEntries reads the host list; an error tells nothing and changes nothing.
 func (s *Side) listEntries(ctx context.Context) {
-	tick := time.NewTicker(listInterval)
-	defer tick.Stop()
 	for {
 		s.readList(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(hosts.Interval(s.hosts, listInterval)):
 		}
 	}
 }
