Report on the plan stream what engines hold

An entry is connected to a few upstreams of each pool, so the planner cannot learn from its connections what all engines hold. Sides report it under their seat, and the planner leaves alone who has reported nothing. The stand-in engine of the order tests gets a lock: go test -race found it shared.

--- a/internal/place/agent/agent.go
+++ b/internal/place/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,10 +19,12 @@
 	standbyInterval = 15 * time.Second
 	// republish is how often an unchanged plan is appended again, for processes that read only the end of the stream.
 	republish = 20 * time.Minute
+	// awayFor is how long a runner may be away before others take its place.
+	awayFor = 2 * time.Minute
 )
 
-// Source returns what the next plan depends on, given the plan in force, with the configuration revision.
-type Source func(current lease.Current) (in plan.Input, revision int64)
+// Source returns what the next plan depends on, given the plan stream, with the configuration revision.
+type Source func(stream *lease.State) (in plan.Input, revision int64)
 
 // Agent plans while it holds the lease; one goroutine uses it.
 type Agent struct {
@@ -30,6 +33,7 @@
 	now       func() time.Time
 	lg        *zap.Logger
 	pressed   map[string]time.Time
+	away      map[string]time.Time // since when each runner that is not live has been away
 	published time.Time
 	frozen    bool
 }
@@ -72,17 +76,40 @@
 	return interval
 }
 
+// patient counts a runner that went away as one that is still loading, for a while: most come back.
+func (a *Agent) patient(list []plan.Runner) []plan.Runner {
+	away := make(map[string]time.Time)
+	out := slices.Clone(list)
+	for i, r := range out {
+		if r.Live {
+			continue
+		}
+		since, known := a.away[r.Name]
+		if !known {
+			since = a.now()
+		}
+		away[r.Name] = since
+		if a.now().Sub(since) < awayFor {
+			out[i].Live = true
+			out[i].Loaded = false
+		}
+	}
+	a.away = away
+	return out
+}
+
 func (a *Agent) plan(ctx context.Context) error {
 	current := a.holder.State().Plan()
-	in, revision := a.source(current)
+	in, revision := a.source(a.holder.State())
 	in.Now = a.now()
+	in.Runners = a.patient(in.Runners)
 	in.Pressed = a.pressed
 	out := plan.New(in)
 	a.pressed = out.Pressed
 	for model, n := range out.Missing {
 		a.lg.Warn("preset asks for runners that nobody can give", zap.String("model", model), zap.Int("missing", n), zap.Int64("revision", revision))
 	}
-	if len(out.Moves) == 0 && current.Offset >= 0 && a.now().Sub(a.published) < republish {
+	if len(out.Moves) == 0 && (current.Offset < 0 || a.now().Sub(a.published) < republish) {
 		return nil
 	}
 	if err := a.holder.Publish(ctx, revision, out.Targets); err != nil {
--- a/internal/place/agent/agent_test.go
+++ b/internal/place/agent/agent_test.go
@@ -10,13 +10,18 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/model/host"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
 	"github.com/ragworthatch/ragworthatch/internal/place/lease"
 	"github.com/ragworthatch/ragworthatch/internal/place/plan"
 )
 
-func source(current lease.Current) (plan.Input, int64) {
+func source(stream *lease.State) (plan.Input, int64) {
 	return plan.Input{
-		Runners: []plan.Runner{{Name: "r1", Zone: "z", Live: true, Models: []string{"m"}, Target: current.Targets["r1"], Loaded: true}},
+		Runners: []plan.Runner{{Name: "r1", Zone: "z", Live: true, Models: []string{"m"}, Target: stream.Plan().Targets["r1"], Loaded: true}},
 		Wants:   []plan.Want{{Model: "m", Runners: 1}}, MaxLoads: 1,
 	}, 7
 }
@@ -64,3 +69,79 @@
 		synctest.Wait()
 	})
 }
+
+func TestInputTakesReportedRunnersOnly(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	var list []host.Host
+	for _, name := range []string{"r1", "r2", "r3", "r4"} {
+		list = append(list, host.Host{Name: name, Address: name, Zone: "z", Pool: "engines", State: host.Live})
+	}
+	list[2].State = host.Leaving
+	view := member.New(member.Options{}).WithList(now, list).View(now)
+	stream := lease.New(0)
+	for _, r := range []lease.Record{
+		{Kind: lease.Claim, Holder: "e", After: -1},
+		{Kind: lease.Seat, Upstream: "r1", Incarnation: "i"},
+		{Kind: lease.Report, Upstream: "r1", Incarnation: "i", Seat: 1, Holds: &lease.Target{Model: "a", Version: "1"}},
+		{Kind: lease.Seat, Upstream: "r2", Incarnation: "i"},
+		{Kind: lease.Report, Upstream: "r2", Incarnation: "i", Seat: 3, Holds: &lease.Target{Model: "a"}},
+		{Kind: lease.Seat, Upstream: "r3", Incarnation: "i"},
+		{Kind: lease.Report, Upstream: "r3", Incarnation: "i", Seat: 5, Holds: &lease.Target{Model: "a"}},
+		{Kind: lease.Seat, Upstream: "r4", Incarnation: "i"},
+		{Kind: lease.Plan, Holder: "e", Lease: 0, Targets: map[string]lease.Target{"r2": {Model: "b"}}},
+	} {
+		data, err := lease.Encode(r)
+		c.Assert(err, qt.IsNil)
+		next, took := stream.Apply(data)
+		c.Assert(took, qt.IsTrue, qt.Commentf("%+v", r))
+		stream = next
+	}
+	set := config.Set{}.WithPool(pool.Spec{Name: "engines", Kind: pool.Engine, Models: []string{"a", "b"}}).
+		WithPreset(preset.Spec{Name: "day", Runners: map[string]int{"a": 2}}).WithInForce("day")
+	in := Input(view, set, stream, 3)
+	c.Assert(in.Wants, qt.DeepEquals, []plan.Want{{Model: "a", Runners: 2}})
+	c.Assert(in.Runners, qt.HasLen, 3)
+	c.Assert(in.Runners[0].Loaded, qt.IsTrue)
+	c.Assert(in.Runners[1].Target.Model, qt.Equals, "b")
+	c.Assert(in.Runners[1].Loaded, qt.IsFalse)
+	c.Assert(in.Runners[2].Live, qt.IsFalse)
+}
+
+func TestRunnerThatIsAwayForAMomentIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := memlog.New()
+		h := lease.NewHolder("one", log, time.Now, zap.NewNop())
+		away := false
+		var moves int
+		fleet := func(stream *lease.State) (plan.Input, int64) {
+			in := plan.Input{Wants: []plan.Want{{Model: "m", Runners: 1}, {Model: "n"}}, MaxLoads: 4}
+			for _, name := range []string{"r1", "r2"} {
+				r := plan.Runner{Name: name, Zone: "z", Live: name != "r1" || !away, Models: []string{"m", "n"}, Loaded: true}
+				r.Target = lease.Target{Model: map[string]string{"r1": "m", "r2": "n"}[name]}
+				if t, ok := stream.Plan().Targets[name]; ok {
+					r.Target = t
+				}
+				in.Runners = append(in.Runners, r)
+			}
+			return in, 1
+		}
+		a := New(h, fleet, time.Now, zap.NewNop())
+		step := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(interval) {
+				a.Step(t.Context())
+			}
+			moves = 0
+			if p := h.State().Plan(); p.Offset >= 0 && p.Targets["r2"].Model == "m" {
+				moves = 1
+			}
+		}
+		step(time.Minute)
+		away = true
+		step(awayFor - interval)
+		c.Assert(moves, qt.Equals, 0)
+		step(time.Minute)
+		c.Assert(moves, qt.Equals, 1)
+	})
+}
--- a/internal/place/lease/holder.go
+++ b/internal/place/lease/holder.go
@@ -18,8 +18,9 @@
 	RenewEvery = 10 * time.Second
 	// readLimit bounds one read of the log, in records.
 	readLimit = 256
-	// tail is how many records from the end a process that starts reads; they span more than an hour of renewals.
-	tail = 512
+	// tail is how many records from the end a process that starts reads; at 660 sides they span more than an hour of renewals
+	// and reports.
+	tail = 2048
 	// beyondEnd is an offset that no stream reaches.
 	beyondEnd = 1 << 60
 )
--- a/internal/place/lease/record.go
+++ b/internal/place/lease/record.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // Kind says what a record of the plan stream does.
@@ -19,6 +20,8 @@
 	Plan Kind = "plan"
 	// Seat makes a side the one that gives orders to its engine.
 	Seat Kind = "seat"
+	// Report tells what the engine of a seated side holds.
+	Report Kind = "report"
 )
 
 // Target is the state that a runner should be in.
@@ -29,16 +32,26 @@
 	Role     string   `json:"role,omitempty"`
 }
 
+// Accepts says whether an engine that holds h needs no order; what the target leaves empty may be anything.
+func (t Target) Accepts(h Target) bool {
+	return t.Model == h.Model &&
+		(t.Version == "" || t.Version == h.Version) &&
+		(t.Role == "" || t.Role == h.Role) &&
+		(len(t.Adapters) == 0 || slices.Equal(t.Adapters, h.Adapters))
+}
+
 // Record is one record of the plan stream.
 type Record struct {
 	Kind        Kind              `json:"kind"`
-	Holder      string            `json:"holder,omitempty"`   // claim, renew: name of the process
-	After       int64             `json:"after"`              // claim, renew: the claim or renewal in force when it was written, -1 for none
-	Lease       int64             `json:"lease"`              // renew, plan: offset of the claim
-	Targets     map[string]Target `json:"targets,omitempty"`  // plan: by name of the upstream, whole
-	Revision    int64             `json:"revision,omitempty"` // plan: configuration revision that it was made for
-	Upstream    string            `json:"upstream,omitempty"` // seat
-	Incarnation string            `json:"incarnation,omitempty"`
+	Holder      string            `json:"holder,omitempty"`      // claim, renew: name of the process
+	After       int64             `json:"after"`                 // claim, renew: the claim or renewal in force when it was written, -1 for none
+	Lease       int64             `json:"lease"`                 // renew, plan: offset of the claim
+	Targets     map[string]Target `json:"targets,omitempty"`     // plan: by name of the upstream, whole
+	Revision    int64             `json:"revision,omitempty"`    // plan: configuration revision that it was made for
+	Upstream    string            `json:"upstream,omitempty"`    // seat, report
+	Incarnation string            `json:"incarnation,omitempty"` // seat, report
+	Seat        int64             `json:"seat,omitempty"`        // report: offset of the seat
+	Holds       *Target           `json:"holds,omitempty"`       // report
 }
 
 // Encode renders a record as JSON.
--- a/internal/place/lease/state.go
+++ b/internal/place/lease/state.go
@@ -16,6 +16,13 @@
 	Targets  map[string]Target
 }
 
+// Seated is the side that may give orders to an upstream's engine.
+type Seated struct {
+	Incarnation string
+	Offset      int64   // of the seat
+	Holds       *Target // what the engine was last reported to hold; nil before the first report
+}
+
 // State is the fold of the plan stream, immutable; two readers of the same records hold the same state. Claims and renewals
 // form a chain, each naming the one before, so that no clock decides which of them count.
 type State struct {
@@ -25,7 +32,7 @@
 	root    int64             // what the first link folded names as the one before
 	plan    Current           // of the lease in force
 	early   map[int64]Current // plans by lease, while no link has been folded
-	seats   map[string]string // incarnation by upstream
+	seats   map[string]Seated // by upstream
 	ignored int64
 }
 
@@ -48,8 +55,8 @@
 // Plan is the plan in force; its Offset is -1 before the first.
 func (s *State) Plan() Current { return s.plan }
 
-// Seat is the incarnation of the side that may give orders to an upstream's engine, empty for none.
-func (s *State) Seat(upstream string) string { return s.seats[upstream] }
+// Seat is the side that may give orders to an upstream's engine; its Incarnation is empty for none.
+func (s *State) Seat(upstream string) Seated { return s.seats[upstream] }
 
 // Ignored counts the records that took no effect.
 func (s *State) Ignored() int64 { return s.ignored }
@@ -79,7 +86,9 @@
 	case Plan:
 		return s.takePlan(Current{Offset: offset, Revision: r.Revision, Targets: r.Targets}, r.Lease)
 	case Seat:
-		return s.takeSeat(r)
+		return s.takeSeat(r, Seated{Incarnation: r.Incarnation, Offset: offset})
+	case Report:
+		return r.Seat < offset && s.takeSeat(r, Seated{Incarnation: r.Incarnation, Offset: r.Seat, Holds: r.Holds})
 	default:
 		return false
 	}
@@ -120,14 +129,20 @@
 	return false
 }
 
-func (s *State) takeSeat(r Record) bool {
-	if r.Upstream == "" || r.Incarnation == "" {
+// takeSeat records a seat or a report; one that belongs to an earlier seat is ignored. A reader from mid-stream takes a
+// seat that it has not read from a report.
+func (s *State) takeSeat(r Record, seat Seated) bool {
+	known, ok := s.seats[r.Upstream]
+	if r.Upstream == "" || r.Incarnation == "" || ok && seat.Offset < known.Offset {
+		return false
+	}
+	if r.Kind == Report && seat.Offset >= s.first && seat.Offset != known.Offset {
 		return false
 	}
 	s.seats = maps.Clone(s.seats)
 	if s.seats == nil {
-		s.seats = map[string]string{}
+		s.seats = map[string]Seated{}
 	}
-	s.seats[r.Upstream] = r.Incarnation
+	s.seats[r.Upstream] = seat
 	return true
 }
--- a/internal/place/order/gate.go
+++ b/internal/place/order/gate.go
@@ -23,6 +23,9 @@
 	settle = Permit + Permit/5
 	// orderTimeout bounds one order, within the permit.
 	orderTimeout = 5 * time.Second
+	// reportEvery is how often a side reports what its engine holds although that has not changed, for processes that read
+	// only the end of the stream.
+	reportEvery = 30 * time.Minute
 )
 
 // Result says what one look at the plan led to.
@@ -56,6 +59,7 @@
 	reader   *lease.Reader
 	seated   bool
 	seatedAt time.Time
+	reported time.Time // when the last report was sent
 }
 
 // New returns a gate without a seat.
@@ -85,10 +89,15 @@
 		g.o.Zap.Warn("plan stream not read, orders wait", zap.String("upstream", g.o.Upstream), zap.Error(err))
 		return Frozen
 	}
-	if g.reader.State().Seat(g.o.Upstream) != g.o.Incarnation {
-		g.o.Zap.Warn("a newer side has the seat", zap.String("upstream", g.o.Upstream), zap.String("seat", g.reader.State().Seat(g.o.Upstream)))
+	if seat := g.seat(); seat.Incarnation != g.o.Incarnation {
+		g.o.Zap.Warn("a newer side has the seat", zap.String("upstream", g.o.Upstream), zap.String("seat", seat.Incarnation))
 		return Replaced
 	}
+	state, err := g.o.Engine.State(ctx)
+	if err != nil {
+		return g.failed("engine's state not read", err)
+	}
+	g.report(ctx, state)
 	if !g.o.ChecksFence && g.o.Now().Sub(g.seatedAt) < settle {
 		return Waiting
 	}
@@ -97,7 +106,35 @@
 	if !ok {
 		return Nothing
 	}
-	return g.bring(ctx, target, plan.Offset)
+	return g.bring(ctx, state, target, plan.Offset)
+}
+
+func (g *Gate) seat() lease.Seated { return g.reader.State().Seat(g.o.Upstream) }
+
+// report tells the planner what the engine holds, when that has changed and now and then.
+func (g *Gate) report(ctx context.Context, state runner.State) {
+	holds := held(state)
+	known := g.seat().Holds
+	if state.Loading || known != nil && same(holds, *known) && g.o.Now().Sub(g.reported) < reportEvery {
+		return
+	}
+	err := g.append(ctx, lease.Record{
+		Kind: lease.Report, Upstream: g.o.Upstream, Incarnation: g.o.Incarnation, Seat: g.seat().Offset, Holds: &holds,
+	})
+	if err != nil {
+		g.o.Zap.Warn("report not sent", zap.String("upstream", g.o.Upstream), zap.Error(err))
+		return
+	}
+	g.reported = g.o.Now()
+}
+
+func (g *Gate) append(ctx context.Context, r lease.Record) error {
+	data, err := lease.Encode(r)
+	if err != nil {
+		return err
+	}
+	_, err = g.o.Log.Append(ctx, logs.PlanStream, [][]byte{data})
+	return err
 }
 
 // read brings the state up to the end of the stream, taking the seat first.
@@ -110,7 +147,7 @@
 	if err := g.reader.Read(ctx); err != nil {
 		return err
 	}
-	if g.reader.State().Seat(g.o.Upstream) == "" {
+	if g.seat().Incarnation == "" {
 		// The records were trimmed unread during an outage.
 		g.seated = false
 		return errors.New("the seat is no longer in the stream")
@@ -123,12 +160,9 @@
 	if err := g.reader.Read(ctx); err != nil {
 		return err
 	}
-	if g.reader.State().Seat(g.o.Upstream) != g.o.Incarnation {
-		data, err := lease.Encode(lease.Record{Kind: lease.Seat, Upstream: g.o.Upstream, Incarnation: g.o.Incarnation})
+	if g.seat().Incarnation != g.o.Incarnation {
+		err := g.append(ctx, lease.Record{Kind: lease.Seat, Upstream: g.o.Upstream, Incarnation: g.o.Incarnation})
 		if err != nil {
-			return err
-		}
-		if _, err := g.o.Log.Append(ctx, logs.PlanStream, [][]byte{data}); err != nil {
 			return fmt.Errorf("append seat: %w", err)
 		}
 	}
@@ -138,15 +172,11 @@
 }
 
 // bring compares the engine with its target and sends an order if they differ.
-func (g *Gate) bring(ctx context.Context, target lease.Target, fence int64) Result {
-	state, err := g.o.Engine.State(ctx)
-	if err != nil {
-		return g.failed("engine's state not read", err)
-	}
+func (g *Gate) bring(ctx context.Context, state runner.State, target lease.Target, fence int64) Result {
 	if state.Loading {
 		return Loading
 	}
-	if holds(state, target) {
+	if target.Accepts(held(state)) {
 		return Nothing
 	}
 	left := Permit - g.o.Now().Sub(g.reader.ReadAt())
@@ -158,7 +188,7 @@
 	g.o.Zap.Info("order", zap.String("upstream", g.o.Upstream), zap.String("model", target.Model),
 		zap.Strings("adapters", target.Adapters), zap.String("version", target.Version),
 		zap.String("role", target.Role), zap.Int64("fence", fence), zap.String("from", state.Model))
-	err = g.o.Engine.Order(ctx, runner.Order{
+	err := g.o.Engine.Order(ctx, runner.Order{
 		Model: target.Model, Adapters: target.Adapters, Version: target.Version, Role: target.Role, Fence: fence,
 	})
 	if err != nil {
@@ -172,6 +202,10 @@
 	return Failed
 }
 
-func holds(s runner.State, t lease.Target) bool {
-	return s.Model == t.Model && s.Version == t.Version && s.Role == t.Role && slices.Equal(s.Adapters, t.Adapters)
+func held(s runner.State) lease.Target {
+	return lease.Target{Model: s.Model, Adapters: s.Adapters, Version: s.Version, Role: s.Role}
+}
+
+func same(a, b lease.Target) bool {
+	return a.Model == b.Model && a.Version == b.Version && a.Role == b.Role && slices.Equal(a.Adapters, b.Adapters)
 }
--- a/internal/place/order/order_test.go
+++ b/internal/place/order/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 // engine is a model engine that checks fencing numbers or ignores them.
 type engine struct {
 	checks  bool
+	mu      sync.Mutex // of what follows
 	state   runner.State
 	readyAt time.Time
 	orders  []runner.Order
@@ -30,12 +32,16 @@
 }
 
 func (e *engine) State(context.Context) (runner.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	s := e.state
 	s.Loading = time.Now().Before(e.readyAt)
 	return s, nil
 }
 
 func (e *engine) Order(_ context.Context, o runner.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.checks && o.Fence < e.state.Fence {
 		return errOldFence
 	}
@@ -236,3 +242,32 @@
 		b.Assert(b.engine.state.Model, qt.Equals, "m2")
 	})
 }
+
+func TestSideReportsWhatItsEngineHolds(t *testing.T) {
+	both(t, func(b *bench) {
+		b.engine.state = runner.State{Model: "m0", Version: "7"}
+		g := b.side("i1", b.engine)
+		b.plan("m0")
+		for range 10 {
+			// The plan names no version, so any will do.
+			time.Sleep(Interval)
+			b.Assert(g.Step(ctx) != Ordered, qt.IsTrue)
+		}
+		b.Assert(b.planner.Read(ctx), qt.IsNil)
+		b.Assert(*b.planner.State().Seat("r1").Holds, qt.DeepEquals, lease.Target{Model: "m0", Version: "7"})
+		b.plan("m1")
+		b.until(g, Ordered)
+		time.Sleep(loadTime)
+		b.until(g, Nothing)
+		b.Assert(b.planner.Read(ctx), qt.IsNil)
+		b.Assert(b.planner.State().Seat("r1").Holds.Model, qt.Equals, "m1")
+
+		// A report of a side that has been replaced, sent before it noticed, takes nothing back.
+		b.until(b.side("i2", b.engine), Nothing)
+		stale := lease.Target{Model: "m9"}
+		b.Assert(g.append(ctx, lease.Record{Kind: lease.Report, Upstream: "r1", Incarnation: "i1", Seat: g.seat().Offset, Holds: &stale}), qt.IsNil)
+		b.Assert(b.planner.Read(ctx), qt.IsNil)
+		b.Assert(b.planner.State().Seat("r1").Incarnation, qt.Equals, "i2")
+		b.Assert(b.planner.State().Seat("r1").Holds.Model, qt.Equals, "m1")
+	})
+}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -134,7 +134,7 @@
 func (b *book) reload() {
 	for _, r := range b.runners {
 		w, ok := b.wants[r.Target.Model]
-		if !ok || !r.Live || !r.Loaded || same(r.Target, w.target()) {
+		if !ok || !r.Live || !r.Loaded || w.target().Accepts(r.Target) {
 			continue
 		}
 		b.set(r.Name, w.Model, ReasonVersion)
@@ -145,10 +145,6 @@
 	return lease.Target{Model: w.Model, Adapters: w.Adapters, Version: w.Version, Role: w.Role}
 }
 
-func same(a, b lease.Target) bool {
-	return a.Model == b.Model && a.Version == b.Version && a.Role == b.Role && slices.Equal(a.Adapters, b.Adapters)
-}
-
 // sparesForPreset is how many runners a model can give to one that the preset wants.
 func (b *book) sparesForPreset(model string) int {
 	if w, ok := b.wants[model]; ok {
