--- a/internal/entry/policy/policy.go
+++ b/internal/entry/policy/policy.go
@@ -91,7 +91,7 @@
 }
 
 func keyOf(w exec.Work) sketch.Key {
-	return sketch.Key{Pipeline: w.Pipeline, Stage: w.Stage, SizeClass: w.Class}
+	return sketch.Key{Stage: w.Stage, SizeClass: w.Class}
 }
 
 // Ended takes the end of an attempt.
@@ -137,7 +137,7 @@
 	est := p.look(w)
 	return p.hedges.Delay(hedge.Call{
 		Repeatable: w.Repeatable,
-		Quantile:   est.P95,
+		Quantile:   est.P99,
 		Samples:    est.Samples,
 		Remaining:  w.Remaining,
 		Need:       est.Median + w.After,
