--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -124,7 +124,7 @@
 	actions := query.New(n.index.Load, n.router)
 	callers := front.New(front.Options{
 		Index:    n.index.Load,
-		Runner:   &runner{n},
+		Runner:   n.exec,
 		Admitter: n.guard,
 		Outcomes: actions,
 		Watcher:  n,
@@ -142,6 +142,8 @@
 		Actions:     actions,
 		Links:       n.links,
 		Dial:        n.o.Dial,
+		Versions:    n.versions,
+		Ejected:     n.router.Ejected,
 		Marks:       n.marks,
 		Drain:       n.startDrain,
 		Log:         n.o.Zap,
