--- a/internal/entry/query/query.go
+++ b/internal/entry/query/query.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -15,7 +17,8 @@
 
 const (
 	askTimeout = 2 * time.Second
-	maxAsked   = 3         // sides asked about one service
+	maxTries   = 8 // to find a side of one service that answers
+	tryPause   = 200 * time.Millisecond
 	unknown    = "unknown" // state of a key that no record names
 )
 
@@ -72,14 +75,19 @@
 	})
 }
 
-// first asks the sides of a service until one answers.
+// first asks the sides of a service until one answers; while none can be reached it waits a little.
 func first[T any](ctx context.Context, q *Query, service string, ask func(context.Context, sidepb.SideClient) (*T, error)) (*T, *fault.Error) {
 	var avoid []string
 	var last error
-	for range maxAsked {
+	for range maxTries {
 		t, err := q.router.Route(target.Query{Request: "outcome", Stage: "outcome", Pool: service, Avoid: avoid})
 		if err != nil {
-			return nil, fault.From(err)
+			last = errors.Join(last, err)
+			avoid = nil
+			if !pause(ctx) {
+				break
+			}
+			continue
 		}
 		avoid = append(avoid, t.Name)
 		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -92,9 +100,22 @@
 		if f := refused(err); f != nil {
 			return nil, f
 		}
-		last = err
+		last = errors.Join(last, fmt.Errorf("side of %s: %w", t.Name, err))
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, fault.New(fault.MayHaveRun, fault.Transport, "no side of service %q answers: %v", service, last)
+}
+
+// pause waits between two tries; false means that ctx ended.
+func pause(ctx context.Context) bool {
+	select {
+	case <-time.After(tryPause):
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return nil, fault.New(fault.MayHaveRun, fault.Transport, "no side of service %q tells the outcome", service).WithCause(last)
 }
 
 // Services are the pools of plain services, by name.
