--- a/internal/entry/boot/boot.go
+++ b/internal/entry/boot/boot.go
@@ -13,6 +13,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/oper/setup"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/weight"
+	"github.com/ragworthatch/ragworthatch/internal/plat/wtcl"
 )
 
 // Entry is one entry process.
@@ -39,6 +41,7 @@
 		Log:           logcl.New(s.Log),
 		List:          hostcl.New(s.HostList),
 		Dial:          link.Dial,
+		Weights:       weights(s.WeightStore),
 		Count:         count.New(m),
 		Zap:           log,
 	})
@@ -69,3 +72,11 @@
 	}
 	return e.metrics.Addr()
 }
+
+// weights is the weight store at an address, nil without one.
+func weights(address string) weight.Store {
+	if address == "" {
+		return nil
+	}
+	return wtcl.New(address, 0)
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/plat/weight"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
 	"github.com/ragworthatch/ragworthatch/internal/state/cell"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
@@ -47,6 +48,7 @@
 	Log           logs.Service
 	List          hosts.List
 	Dial          link.Dialer
+	Weights       weight.Store // nil leaves the placement of models to other entries
 	Count         *count.Count // nil counts nothing
 	Zap           *zap.Logger
 }
@@ -68,6 +70,8 @@
 	leave  chan struct{} // closed by an operator's drain
 	once   sync.Once
 	warm   atomic.Bool // connections to the pools are up
+	// largest is the size of the largest model, in bytes.
+	largest atomic.Int64
 	// began, of the control goroutine, is when the first view of the fleet came.
 	began time.Time
 	// entries, of the control goroutine, is how many entries share the teams' limits.
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/plain"
 	"github.com/ragworthatch/ragworthatch/internal/fake/record"
 	"github.com/ragworthatch/ragworthatch/internal/fake/roster"
+	"github.com/ragworthatch/ragworthatch/internal/fake/store"
 	"github.com/ragworthatch/ragworthatch/internal/fake/unit"
 	"github.com/ragworthatch/ragworthatch/internal/model/host"
 	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
@@ -115,6 +116,8 @@
 	logHTTP *httpd.Server
 	hosts   *httpd.Server
 	units   map[string]*unit.Unit
+	engines []*engine.Engine
+	weights *httpd.Server
 	sides   map[string]*process
 	entries []*process
 }
@@ -123,6 +126,7 @@
 	f := &fleet{t: t, dir: t.TempDir(), log: memlog.New(), list: roster.New(hostListLag), units: map[string]*unit.Unit{}, sides: map[string]*process{}}
 	f.logHTTP = f.serve(httpd.Log(f.log))
 	f.hosts = f.serve(httpd.Hosts(f.list))
+	f.weights = f.serve(httpd.Weights(store.New(map[string]int64{"atlas": 1 << 30, "boreas": 1 << 30}, 1<<30)))
 	for i, zone := range zones {
 		f.addEntry(fmt.Sprintf("entry-%d", i+1), zone)
 	}
@@ -151,6 +155,7 @@
 		Concurrency: 12, Prefill: 10 * time.Microsecond, Decode: 4 * time.Millisecond,
 		CachedPrefixes: 64, ChecksFence: true, State: runner.State{Model: "atlas", Version: "1", Role: "generate"},
 	})
+	f.engines = append(f.engines, e)
 	f.addSide("engines", fmt.Sprintf("engine-%d", i), zone, e.Unit, httpd.Engine(e, e))
 	s := plain.New(16, 10*time.Millisecond)
 	f.addSide("treasury", fmt.Sprintf("treasury-%d", i), zone, s.Unit, httpd.Upstream(s))
@@ -168,7 +173,7 @@
 
 func (f *fleet) addEntry(name, zone string) {
 	http := freeAddress(f.t)
-	p := f.process("entry", name, zone, fmt.Sprintf("http: %s\noperatorTokenDigest: %s\n", http, operatorsDigest))
+	p := f.process("entry", name, zone, fmt.Sprintf("http: %s\noperatorTokenDigest: %s\nweightStore: %s\n", http, operatorsDigest, f.weights.Address()))
 	p.http = http
 	f.entries = append(f.entries, p)
 	f.list.Put(host.Host{Name: name, Address: p.address, Zone: zone, Region: "north", State: host.Live})
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/fake/faults"
 	"github.com/ragworthatch/ragworthatch/internal/fake/unit"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
 	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
 )
 
@@ -22,6 +24,7 @@
 
 // TestRollingReplacement stops and starts every process under load: no request may be cut.
 func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t)
 	f.publish()
@@ -60,6 +63,7 @@
 
 // TestUnplanned kills, freezes and breaks processes and the platform under load: no promise may be broken.
 func TestUnplanned(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t)
 	f.publish()
@@ -117,6 +121,7 @@
 
 // TestCrashingRequest sends one request again and again that crashes each engine which runs it.
 func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
 	const poison = "poisoned-relish"
 	c := qt.New(t)
 	f := newFleet(t)
@@ -146,3 +151,43 @@
 	c.Check(counts.Broken(), qt.IsFalse)
 	c.Check(counts.Whole, qt.Equals, counts.Requests, qt.Commentf("an innocent request was held back"))
 }
+
+// TestPlacement asks for a second model: the planner moves one runner, its side orders the load, and requests go on.
+func TestPlacement(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFleet(t)
+	f.publishWith(func(o *config.Objects) {
+		for i := range o.Pools {
+			if o.Pools[i].Kind == pool.Engine {
+				o.Pools[i].Models = []string{"atlas", "boreas"}
+			}
+		}
+		for i := range o.Presets {
+			o.Presets[i].Runners = map[string]int{"atlas": 2, "boreas": 1}
+		}
+	})
+	tr := f.startTraffic()
+	f.eventually("a runner of the second model", func(ctx context.Context) error {
+		held := f.held(ctx)
+		if held["boreas"] == 0 {
+			return fmt.Errorf("runners hold %v", held)
+		}
+		return nil
+	})
+	counts := tr.finish(t)
+	c.Check(f.held(context.Background()), qt.DeepEquals, map[string]int{"atlas": 2, "boreas": 1})
+	c.Check(counts.Broken(), qt.IsFalse)
+	c.Check(counts.Whole, qt.Equals, counts.Requests)
+}
+
+// held counts the engines by the model that they hold.
+func (f *fleet) held(ctx context.Context) map[string]int {
+	out := map[string]int{}
+	for _, e := range f.engines {
+		if state, err := e.State(ctx); err == nil && !state.Loading {
+			out[state.Model]++
+		}
+	}
+	return out
+}
--- a/internal/proof/procs/traffic_test.go
+++ b/internal/proof/procs/traffic_test.go
@@ -41,13 +41,20 @@
 	wg      sync.WaitGroup
 }
 
-// publish sends the declarations and waits until every entry answers every pipeline.
+// publish sends the demo's declarations and waits until every entry answers every pipeline.
 func (f *fleet) publish() {
+	f.t.Helper()
+	f.publishWith(func(*config.Objects) {})
+}
+
+// publishWith is publish after a change of the declarations.
+func (f *fleet) publishWith(change func(*config.Objects)) {
 	f.t.Helper()
 	var objects config.Objects
 	if err := yaml.Unmarshal(world.Declarations, &objects); err != nil {
 		f.t.Fatal(err)
 	}
+	change(&objects)
 	client := admin.New(f.entries[0].http, operatorsToken)
 	f.eventually("publish", func(ctx context.Context) error {
 		var res accept.Result
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -48,7 +48,10 @@
 	gossip   *gossip.Node
 	entries  entries
 	server   *serve.Server
-	grpc     *grpc.Server
+	engine   *runcl.Engine
+	// incarnation differs at each start.
+	incarnation string
+	grpc        *grpc.Server
 }
 
 // New listens on the side's address; nothing is served before Run.
@@ -63,6 +66,9 @@
 		hosts:    hostcl.New(settings.HostList),
 		zap:      log.With(zap.String("side", settings.Name), zap.String("pool", settings.Pool)),
 		listener: l,
+		engine:   runcl.New(settings.Upstream),
+
+		incarnation: uuid.NewString(),
 	}
 	s.feed = feed.New(s.log, feed.Options{Author: settings.Name}, s.zap)
 	if s.gossip, err = gossip.New(s.gossipOptions()); err != nil {
@@ -96,6 +102,7 @@
 	}
 	go s.server.Run(background)
 	go s.adopt(background)
+	go s.order(background)
 	go s.drainOn(stop, background)
 	go s.stopWhenDrained(background)
 	s.zap.Info("side serves", zap.String("address", s.Address()))
@@ -133,12 +140,12 @@
 		Pool:        spec,
 		Name:        s.settings.Name,
 		Zone:        s.settings.Zone,
-		Incarnation: uuid.NewString(),
+		Incarnation: s.incarnation,
 		Ahead:       s.gossip.Ahead,
 		Zap:         s.zap,
 	}
 	if spec.Kind == pool.Engine {
-		out.Engine = runcl.New(s.settings.Upstream)
+		out.Engine = s.engine
 	}
 	return out
 }
