Run the planner at entries and the order gate at sides

An entry whose settings name the weight store competes for the planner's lease; a side beside a model engine takes its seat and brings the engine to the plan. Demand by pipeline is not gathered from the fleet yet, so the preset alone decides.

--- a/internal/entry/boot/boot.go
+++ b/internal/entry/boot/boot.go
@@ -13,6 +13,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/oper/setup"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hostcl"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logcl"
+	"github.com/ragworthatch/ragworthatch/internal/plat/weight"
+	"github.com/ragworthatch/ragworthatch/internal/plat/wtcl"
 )
 
 // Entry is one entry process.
@@ -28,6 +30,10 @@
 	if err != nil {
 		return nil, err
 	}
+	var weights weight.Store
+	if s.WeightStore != "" {
+		weights = wtcl.New(s.WeightStore, 0)
+	}
 	n, err := node.New(node.Options{
 		Name:          s.Name,
 		Zone:          s.Zone,
@@ -38,6 +44,7 @@
 		OperatorToken: s.OperatorTokenDigest,
 		Log:           logcl.New(s.Log),
 		List:          hostcl.New(s.HostList),
+		Weights:       weights,
 		Dial:          link.Dial,
 		Count:         count.New(m),
 		Zap:           log,
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
 	"github.com/ragworthatch/ragworthatch/internal/plat/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
+	"github.com/ragworthatch/ragworthatch/internal/plat/weight"
 	"github.com/ragworthatch/ragworthatch/internal/state/accept"
 	"github.com/ragworthatch/ragworthatch/internal/state/cell"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
@@ -46,6 +47,7 @@
 	OperatorToken string   // hex SHA-256; empty leaves only the teams of operators
 	Log           logs.Service
 	List          hosts.List
+	Weights       weight.Store // nil turns placement off
 	Dial          link.Dialer
 	Count         *count.Count // nil counts nothing
 	Zap           *zap.Logger
--- a/internal/entry/node/run.go
+++ b/internal/entry/node/run.go
@@ -20,6 +20,7 @@
 	g.Go(func() error { return n.links.Run(background) })
 	g.Go(func() error { n.control(background); return nil })
 	g.Go(func() error { return n.gossip.Run(background) })
+	g.Go(func() error { return n.place(background) })
 	g.Go(func() error { return n.peers.Serve(n.peersLn) })
 	g.Go(n.http.Serve)
 	g.Go(func() error {
--- a/internal/place/agent/agent.go
+++ b/internal/place/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +35,7 @@
 	lg        *zap.Logger
 	pressed   map[string]time.Time
 	away      map[string]time.Time // since when each runner that is not live has been away
+	missing   map[string]int
 	published time.Time
 	frozen    bool
 }
@@ -106,8 +108,9 @@
 	in.Pressed = a.pressed
 	out := plan.New(in)
 	a.pressed = out.Pressed
-	for model, n := range out.Missing {
-		a.lg.Warn("preset asks for runners that nobody can give", zap.String("model", model), zap.Int("missing", n), zap.Int64("revision", revision))
+	if !maps.Equal(out.Missing, a.missing) {
+		a.missing = out.Missing
+		a.lg.Warn("runners that the preset asks for and nobody can give", zap.Any("missing", out.Missing), zap.Int64("revision", revision))
 	}
 	if len(out.Moves) == 0 && (current.Offset < 0 || a.now().Sub(a.published) < republish) {
 		return nil
--- a/internal/place/agent/agent_test.go
+++ b/internal/place/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,3 +146,31 @@
 		c.Assert(moves, qt.Equals, 1)
 	})
 }
+
+type store struct {
+	size  int64
+	err   error
+	asked int
+}
+
+func (s *store) Size(context.Context, string) (int64, error) {
+	s.asked++
+	return s.size, s.err
+}
+
+func (s *store) BytesPerSecond() int64 { return 1000 }
+
+func TestLoadsFollowTheWeightStore(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	s := &store{size: 40_000}
+	w := NewWeights(s, func() time.Time { return now })
+	models := map[string]int{"m": 1}
+	for range 5 {
+		c.Assert(w.Loads(t.Context(), models), qt.Equals, 3)
+	}
+	c.Assert(s.asked, qt.Equals, 1)
+	now = now.Add(sizesFor)
+	s.err = errors.New("down")
+	c.Assert(w.Loads(t.Context(), models), qt.Equals, 1)
+}
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -48,6 +48,7 @@
 	gossip   *gossip.Node
 	entries  entries
 	server   *serve.Server
+	engine   serve.Options // beside a model engine; else empty
 	grpc     *grpc.Server
 }
 
@@ -96,6 +97,7 @@
 	}
 	go s.server.Run(background)
 	go s.adopt(background)
+	s.takeOrders(background)
 	go s.drainOn(stop, background)
 	go s.stopWhenDrained(background)
 	s.zap.Info("side serves", zap.String("address", s.Address()))
@@ -110,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	if s.server, err = serve.New(s.options(spec)); err != nil {
+	if s.server, err = serve.New(s.remember(s.options(spec))); err != nil {
 		return err
 	}
 	s.grpc = grpc.NewServer(
