--- /dev/null
+++ b/internal/place/agent/fleet_test.go
@@ -0,0 +1,126 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/model/config"
+	"github.com/ragworthatch/ragworthatch/internal/model/host"
+	"github.com/ragworthatch/ragworthatch/internal/model/pool"
+	"github.com/ragworthatch/ragworthatch/internal/model/preset"
+	"github.com/ragworthatch/ragworthatch/internal/place/lease"
+	"github.com/ragworthatch/ragworthatch/internal/place/order"
+	"github.com/ragworthatch/ragworthatch/internal/place/plan"
+	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+)
+
+const (
+	engines  = 6
+	loadTime = 30 * time.Second
+	maxLoads = 2
+)
+
+// fleet is engines that all load from one weight store.
+type fleet struct {
+	mu      sync.Mutex
+	loading int
+	most    int // loads at once
+}
+
+type engine struct {
+	*fleet
+	state runner.State
+}
+
+func (e *engine) State(context.Context) (runner.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+func (e *engine) Order(_ context.Context, o runner.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Loading = true
+	e.loading++
+	e.most = max(e.most, e.loading)
+	time.AfterFunc(loadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.loading--
+		e.state = runner.State{Model: o.Model, Version: "1", Fence: o.Fence}
+	})
+	return nil
+}
+
+func (e *engine) CacheEvents(context.Context, int64) ([]runner.CacheEvent, error) { return nil, nil }
+
+// A change of preset, by planners that compete and a gate for each engine, loads what is wanted and no more at once than
+// the weight store bears; during an outage of the log the engines keep what they hold.
+func TestPresetReachesTheEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		log := memlog.New()
+		f := &fleet{}
+		var list []host.Host
+		var all []*engine
+		for i := range engines {
+			name := fmt.Sprint("r", i)
+			list = append(list, host.Host{Name: name, Address: name, Zone: fmt.Sprint("z", i%3), Pool: "engines", State: host.Live})
+			e := &engine{fleet: f, state: runner.State{Model: "a", Version: "1"}}
+			all = append(all, e)
+			gate := order.New(order.Options{Upstream: name, Incarnation: "i", Log: log, Engine: e, Now: time.Now, Zap: zap.NewNop()})
+			go func() { _ = gate.Run(ctx) }()
+		}
+		table := member.New(member.Options{}).WithList(time.Now(), list)
+		set := config.Set{}.WithPool(pool.Spec{Name: "engines", Kind: pool.Engine, Models: []string{"a", "b"}}).
+			WithPreset(preset.Spec{Name: "day", Runners: map[string]int{"a": 5, "b": 1}}).
+			WithPreset(preset.Spec{Name: "peak", Runners: map[string]int{"a": 2, "b": 4}}).WithInForce("day")
+		var mu sync.Mutex
+		use := func(name string) {
+			mu.Lock()
+			defer mu.Unlock()
+			set = set.WithInForce(name)
+		}
+		source := func(stream *lease.State) (plan.Input, int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			return Input(table.View(time.Now()), set, stream, maxLoads), 1
+		}
+		for i := range 3 {
+			h := lease.NewHolder(fmt.Sprint("entry", i), log, time.Now, zap.NewNop())
+			go func() { _ = New(h, source, time.Now, zap.NewNop()).Run(ctx) }()
+		}
+		held := func() map[string]int {
+			n := map[string]int{}
+			for _, e := range all {
+				s, _ := e.State(ctx)
+				n[s.Model]++
+			}
+			return n
+		}
+		time.Sleep(5 * time.Minute)
+		c.Assert(held(), qt.DeepEquals, map[string]int{"a": 5, "b": 1})
+		log.SetDown(true)
+		use("peak")
+		time.Sleep(time.Hour)
+		c.Assert(held(), qt.DeepEquals, map[string]int{"a": 5, "b": 1})
+		log.SetDown(false)
+		time.Sleep(10 * time.Minute)
+		c.Assert(held(), qt.DeepEquals, map[string]int{"a": 2, "b": 4})
+		c.Assert(f.most <= maxLoads, qt.IsTrue, qt.Commentf("%d loads at once", f.most))
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
--- a/internal/place/order/gate.go
+++ b/internal/place/order/gate.go
@@ -23,9 +23,9 @@
 	settle = Permit + Permit/5
 	// orderTimeout bounds one order, within the permit.
 	orderTimeout = 5 * time.Second
-	// reportEvery is how often a side reports what its engine holds although that has not changed, for processes that read
+	// ReportEvery is how often a side reports what its engine holds although that has not changed, for processes that read
 	// only the end of the stream.
-	reportEvery = 30 * time.Minute
+	ReportEvery = 30 * time.Minute
 )
 
 // Result says what one look at the plan led to.
@@ -115,7 +115,7 @@
 func (g *Gate) report(ctx context.Context, state runner.State) {
 	holds := held(state)
 	known := g.seat().Holds
-	if state.Loading || known != nil && same(holds, *known) && g.o.Now().Sub(g.reported) < reportEvery {
+	if state.Loading || known != nil && same(holds, *known) && g.o.Now().Sub(g.reported) < ReportEvery {
 		return
 	}
 	err := g.append(ctx, lease.Record{
