Bound what cache events add to a status

A status goes to each watcher, so a long list of prefixes in each would eat the side's control traffic. The newest 16 events are kept; older ones are dropped, as entries stand gaps. The bytes were not measured.

--- a/internal/side/warm/recent.go
+++ b/internal/side/warm/recent.go
@@ -6,10 +6,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
 )
 
-const (
-	maxKept  = 1024 // events
-	maxTaken = 128  // events of one status
-)
+const maxKept = 16 // events, and so the most that one status carries to each of the watchers
 
 // Recent is the newest cache events of an engine; older ones are dropped, as watchers forget them too.
 type Recent struct {
@@ -61,7 +58,7 @@
 	defer r.mu.Unlock()
 	position = max(position, r.first)
 	from := min(int(position-r.first), len(r.events))
-	events := r.events[from:min(from+maxTaken, len(r.events))]
+	events := r.events[from:]
 	last := make(map[string]int, len(events))
 	for i, e := range events {
 		last[e.Prefix] = i
