Hold an engine's limit to the time between tokens

The limit followed the whole time of a generation, so long answers cut it: 20 calls of 40 tokens at 20 ms each took it from 5 to 2 under a target of 50 ms. It stays at 5 or above now; other calls still count with their whole time.

--- a/internal/model/pool/spec.go
+++ b/internal/model/pool/spec.go
@@ -24,7 +24,8 @@
 	MinConcurrency int `json:"minConcurrency,omitempty" yaml:"minConcurrency"`
 	// MaxConcurrency is its ceiling, in calls.
 	MaxConcurrency int `json:"maxConcurrency,omitempty" yaml:"maxConcurrency"`
-	// TargetMs is the mean time of a call that the limit of one upstream adapts to; 0 keeps the limit at its ceiling.
+	// TargetMs is the mean time of a call, or between the tokens of a generation, that the limit of one upstream adapts to;
+	// 0 keeps the limit at its ceiling.
 	TargetMs int64 `json:"targetMs,omitempty" yaml:"targetMs"`
 	// SilentMs is how long a call may make no progress before its connection is suspect.
 	SilentMs int64 `json:"silentMs,omitempty" yaml:"silentMs"`
--- a/internal/side/serve/action.go
+++ b/internal/side/serve/action.go
@@ -137,7 +137,7 @@
 // runClaimed dispatches the action and records what became of it.
 func (c *call) runClaimed(run *window.Run, pass gate.Pass) error {
 	err := c.dispatch()
-	pass.Done(gate.Result{Latency: c.latency(), Failed: isUpstreamFault(err)})
+	pass.Done(gate.Result{Latency: c.paced(), Failed: isUpstreamFault(err)})
 	switch {
 	case err == nil:
 		run.Finish(fault.Ran, c.reply.data)
--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -245,3 +246,18 @@
 		}
 	})
 }
+
+func TestLimitFollowsTheTimeBetweenTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limits := gate.New(gate.Options{Floor: 1, Ceiling: 8, Target: 50 * time.Millisecond})
+		before := limits.Load().Limit
+		b := newBench(t, Options{Gate: limits}, func(upstr.Call) worker.Plan {
+			return worker.Plan{Step: 20 * time.Millisecond, Tokens: 40}
+		})
+		for i := range 20 {
+			c.Assert(b.call(request(fmt.Sprint(i), "generate")).whole, qt.IsNotNil)
+		}
+		c.Check(limits.Load().Limit >= before, qt.IsTrue, qt.Commentf("%d after %d", limits.Load().Limit, before))
+	})
+}
--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
 	"github.com/ragworthatch/ragworthatch/internal/side/flight"
 	"github.com/ragworthatch/ragworthatch/internal/side/judge"
@@ -41,6 +42,8 @@
 	flight   *flight.Flight
 	reply    *reply
 	sent     time.Time // when it was dispatched
+	began    time.Time // when the first chunk came
+	last     time.Time // when the last one came
 	reruns   int
 	cost     *sidepb.Cost
 	broken   bool // the connection to the upstream broke under the call
@@ -113,7 +116,7 @@
 		return c.giveUp(err)
 	}
 	err = c.dispatch()
-	pass.Done(gate.Result{Latency: c.latency(), Failed: isUpstreamFault(err)})
+	pass.Done(gate.Result{Latency: c.paced(), Failed: isUpstreamFault(err)})
 	return c.finish(err)
 }
 
@@ -254,7 +257,9 @@
 }
 
 func (c *call) account(e upstr.Event) {
+	c.last = c.s.opts.Now()
 	if c.cost.Tokens == 0 {
+		c.began = c.last
 		c.s.setHealthy(true)
 	}
 	c.cost.Tokens++
@@ -312,6 +317,15 @@
 	return c.s.opts.Now().Sub(c.sent)
 }
 
+// paced is the latency that the concurrency limit is held to: the mean time between the tokens of a generation, which does
+// not depend on how long the answer is, and the time of any other call.
+func (c *call) paced() time.Duration {
+	if stage.Kind(c.req.GetKind()) != stage.Generate || c.cost.GetTokens() < 2 {
+		return c.latency()
+	}
+	return c.last.Sub(c.began) / time.Duration(c.cost.GetTokens()-1)
+}
+
 // upstreamID differs for each run, so that a late answer to an earlier one is dropped.
 func (c *call) upstreamID(run int) string {
 	if run == 0 {
