--- a/internal/entry/boot/boot.go
+++ b/internal/entry/boot/boot.go
@@ -30,6 +30,10 @@
 	if err != nil {
 		return nil, err
 	}
+	var weights weight.Store
+	if s.WeightStore != "" {
+		weights = wtcl.New(s.WeightStore, 0)
+	}
 	n, err := node.New(node.Options{
 		Name:          s.Name,
 		Zone:          s.Zone,
@@ -40,8 +44,8 @@
 		OperatorToken: s.OperatorTokenDigest,
 		Log:           logcl.New(s.Log),
 		List:          hostcl.New(s.HostList),
+		Weights:       weights,
 		Dial:          link.Dial,
-		Weights:       weights(s.WeightStore),
 		Count:         count.New(m),
 		Zap:           log,
 	})
@@ -72,11 +76,3 @@
 	}
 	return e.metrics.Addr()
 }
-
-// weights is the weight store at an address, nil without one.
-func weights(address string) weight.Store {
-	if address == "" {
-		return nil
-	}
-	return wtcl.New(address, 0)
-}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -47,8 +47,8 @@
 	OperatorToken string   // hex SHA-256; empty leaves only the teams of operators
 	Log           logs.Service
 	List          hosts.List
+	Weights       weight.Store // nil turns placement off
 	Dial          link.Dialer
-	Weights       weight.Store // nil leaves the placement of models to other entries
 	Count         *count.Count // nil counts nothing
 	Zap           *zap.Logger
 }
@@ -70,8 +70,6 @@
 	leave  chan struct{} // closed by an operator's drain
 	once   sync.Once
 	warm   atomic.Bool // connections to the pools are up
-	// largest is the size of the largest model, in bytes.
-	largest atomic.Int64
 	// began, of the control goroutine, is when the first view of the fleet came.
 	began time.Time
 	// entries, of the control goroutine, is how many entries share the teams' limits.
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -48,10 +48,8 @@
 	gossip   *gossip.Node
 	entries  entries
 	server   *serve.Server
-	engine   *runcl.Engine
-	// incarnation differs at each start.
-	incarnation string
-	grpc        *grpc.Server
+	engine   serve.Options // beside a model engine; else empty
+	grpc     *grpc.Server
 }
 
 // New listens on the side's address; nothing is served before Run.
@@ -66,9 +64,6 @@
 		hosts:    hostcl.New(settings.HostList),
 		zap:      log.With(zap.String("side", settings.Name), zap.String("pool", settings.Pool)),
 		listener: l,
-		engine:   runcl.New(settings.Upstream),
-
-		incarnation: uuid.NewString(),
 	}
 	s.feed = feed.New(s.log, feed.Options{Author: settings.Name}, s.zap)
 	if s.gossip, err = gossip.New(s.gossipOptions()); err != nil {
@@ -102,7 +97,7 @@
 	}
 	go s.server.Run(background)
 	go s.adopt(background)
-	go s.order(background)
+	s.takeOrders(background)
 	go s.drainOn(stop, background)
 	go s.stopWhenDrained(background)
 	s.zap.Info("side serves", zap.String("address", s.Address()))
@@ -117,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	if s.server, err = serve.New(s.options(spec)); err != nil {
+	if s.server, err = serve.New(s.remember(s.options(spec))); err != nil {
 		return err
 	}
 	s.grpc = grpc.NewServer(
@@ -140,12 +135,12 @@
 		Pool:        spec,
 		Name:        s.settings.Name,
 		Zone:        s.settings.Zone,
-		Incarnation: s.incarnation,
+		Incarnation: uuid.NewString(),
 		Ahead:       s.gossip.Ahead,
 		Zap:         s.zap,
 	}
 	if spec.Kind == pool.Engine {
-		out.Engine = s.engine
+		out.Engine = runcl.New(s.settings.Upstream)
 	}
 	return out
 }
