--- a/internal/oper/listen/listen.go
+++ b/internal/oper/listen/listen.go
@@ -30,7 +30,7 @@
 
 // New listens on addr (IP:port, port 0 for any) and routes requests.
 func New(addr string, routes []rest.Route) (*Server, error) {
-	inner, err := newRouter()
+	inner, err := rest.NewServer(conf())
 	if err != nil {
 		return nil, fmt.Errorf("routes of %s: %w", addr, err)
 	}
@@ -51,16 +51,6 @@
 	return &Server{http: server, ln: ln}, nil
 }
 
-// newRouter builds the library's server, which sets up its log anew: the writer stays as it was.
-func newRouter() (*rest.Server, error) {
-	writer := logx.Reset()
-	inner, err := rest.NewServer(conf())
-	if writer != nil {
-		logx.SetWriter(writer)
-	}
-	return inner, err
-}
-
 // conf leaves every middleware of the library off.
 func conf() rest.RestConf {
 	return rest.RestConf{
--- a/internal/oper/logger/logger.go
+++ b/internal/oper/logger/logger.go
@@ -31,8 +31,12 @@
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed))
 }
 
-// RouteLibraries sends the logs of go-zero, grpc and OpenTelemetry to l.
+// RouteLibraries sends the logs of go-zero, grpc and OpenTelemetry to l; call it before the first server is made.
 func RouteLibraries(l *zap.Logger) {
+	// Only the first SetUp counts: a server's own would put the console's writer in place of ours.
+	if err := logx.SetUp(logx.LogConf{Mode: "console", Level: "info"}); err != nil {
+		l.Warn("the HTTP library's log can't be set up", zap.Error(err))
+	}
 	logx.SetWriter(&writer{log: l.Named("goZero")})
 	logx.DisableStat()
 	// The library's information is of interest only when something is debugged.
--- a/internal/oper/logger/logger_test.go
+++ b/internal/oper/logger/logger_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
@@ -34,3 +36,14 @@
 	c.Assert(own["chosenUpstream"], qt.Equals, "a")
 	c.Assert(own["time"], qt.IsNotNil)
 }
+
+func TestServerDoesNotTakeTheLibraryLogsBack(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	logger.RouteLibraries(logger.New(&out, "info"))
+	defer logx.Reset()
+	_, err := rest.NewServer(rest.RestConf{ServiceConf: service.ServiceConf{Log: logx.LogConf{Mode: "console"}}})
+	c.Assert(err, qt.IsNil)
+	logx.Error("after the server")
+	c.Assert(out.String(), qt.Contains, "after the server")
+}
