--- a/internal/demo/world/host.go
+++ b/internal/demo/world/host.go
@@ -32,9 +32,10 @@
 	Kill context.CancelFunc
 	// Ended is closed when the side's process would have ended.
 	Ended chan struct{}
+	run   func()
 }
 
-// add starts an upstream's server and its side, and puts the host on the list.
+// add starts an upstream's server, makes its side, and puts the host on the list.
 func (w *World) add(pool, name, zone string, u *unit.Unit, handler http.Handler) error {
 	server, err := httpd.New(Any, handler)
 	if err != nil {
@@ -58,12 +59,12 @@
 	h := &Host{Name: name, Pool: pool, Zone: zone, Unit: u, HTTP: server, Stop: stopNow, Kill: killNow, Ended: make(chan struct{})}
 	w.Hosts[name] = h
 	w.Roster.Put(host.Host{Name: name, Address: side.Address(), Zone: zone, Region: Region, Pool: pool, State: host.Live})
-	w.sides.Go(func() {
+	h.run = func() {
 		defer close(h.Ended)
 		if err := side.Run(stop, kill); err != nil {
 			w.zap.Error("side ended", zap.String("side", name), zap.Error(err))
 		}
-	})
+	}
 	return nil
 }
 
--- a/internal/demo/world/world.go
+++ b/internal/demo/world/world.go
@@ -55,7 +55,7 @@
 	sides    sync.WaitGroup
 }
 
-// New starts the stand-ins and the sides; the sides wait for the configuration.
+// New starts the stand-ins; the sides follow with StartSides.
 func New(log *zap.Logger) (*World, error) {
 	w := &World{Log: memlog.New(), Roster: roster.New(hostListLag), Hosts: map[string]*Host{}, zap: log}
 	var err error
@@ -77,6 +77,14 @@
 	return w, nil
 }
 
+// StartSides starts the side beside each upstream. A side that starts before its pool is
+// declared waits for the configuration, which takes it some seconds to hear of.
+func (w *World) StartSides() {
+	for _, h := range w.Hosts {
+		w.sides.Go(h.run)
+	}
+}
+
 // Books are the books of all stand-ins for upstreams.
 func (w *World) Books() []*record.Book {
 	var out []*record.Book
