--- a/internal/bench/trial/entry.go
+++ b/internal/bench/trial/entry.go
@@ -160,7 +160,7 @@
 		return
 	}
 	u := v.set.At(i)
-	a := &attempt{req: r, stage: st, side: v.sides[i], gauge: u.Gauge, hedge: second, first: len(r.tried) == 0, sent: e.w.loop.now}
+	a := &attempt{req: r, stage: st, stageNo: r.stage, side: v.sides[i], gauge: u.Gauge, hedge: second, first: len(r.tried) == 0, sent: e.w.loop.now}
 	a.work, a.prefill = e.w.drawWork(st)
 	r.tried = append(r.tried, u.Name)
 	r.attempts = append(r.attempts, a)
@@ -267,7 +267,7 @@
 		Retries:    uint32(r.retries),
 		Overloads:  uint32(r.overloads),
 		Remaining:  r.remaining(),
-		Need:       e.expected(r) + e.after(r),
+		Need:       e.expected(a) + e.after(r),
 	})
 	if d.Reason == retry.Overloaded {
 		r.overloads++
@@ -298,10 +298,8 @@
 	e.w.loop.after(millis(reports.AgeMs), func() { a.gauge.Observe(report) })
 }
 
-// expected is the usual time of the request's present stage, 0 when unknown.
-func (e *entry) expected(r *request) time.Duration {
-	return e.estimate(r, r.stage)
-}
+// expected is the usual time of an attempt's stage, 0 when unknown.
+func (e *entry) expected(a *attempt) time.Duration { return e.estimate(a.req, a.stageNo) }
 
 func (e *entry) estimate(r *request, stage int) time.Duration {
 	est, _ := e.sketches.Estimate(sketchKey(r, stage), e.w.loop.now)
--- a/internal/bench/trial/request.go
+++ b/internal/bench/trial/request.go
@@ -78,6 +78,7 @@
 type attempt struct {
 	req      *request
 	stage    *Stage
+	stageNo  int
 	side     *side
 	gauge    *gauge.Gauge
 	hedge    bool
@@ -145,7 +146,7 @@
 func (a *attempt) succeed(report gauge.Report) {
 	r := a.req
 	r.entry.observe(a, report)
-	if !a.close(r.entry.expected(r)) {
+	if !a.close(r.entry.expected(a)) {
 		r.w.result.wasted += a.done
 		return
 	}
@@ -172,7 +173,7 @@
 
 // abandon gives the attempt up and tells the side.
 func (a *attempt) abandon() {
-	expected := a.req.entry.expected(a.req)
+	expected := a.req.entry.expected(a)
 	if a.req.w.loop.now.Sub(a.sent) < expected {
 		expected = 0
 	}
--- a/internal/bench/trial/trial_test.go
+++ b/internal/bench/trial/trial_test.go
@@ -76,3 +76,12 @@
 	}
 	return false
 }
+
+// TestLateAnswerOfALoserIsDropped plays a seed in which a hedge's loser answers after its request's last stage.
+func TestLateAnswerOfALoserIsDropped(t *testing.T) {
+	s, err := trial.Load(filepath.Join(data, "hedge.yaml"))
+	qt.Assert(t, err, qt.IsNil)
+	s.Seed = 17
+	s.Seconds = 20
+	qt.Check(t, trial.Run(s, trial.Ours()).Requests() > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/limit/gate/stress_test.go
@@ -0,0 +1,68 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
+)
+
+// TestManyCallersLeaveTheGateEmpty mixes teams, size classes, calls alone and callers that leave.
+func TestManyCallersLeaveTheGateEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, sure = 8, 2
+		g := gate.New(gate.Options{Floor: limit, Ceiling: limit})
+		var running, alone, ran, refused atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 400 {
+			rng := rand.New(rand.NewPCG(uint64(i), 1))
+			wg.Go(func() {
+				time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(50+rng.IntN(3000))*time.Millisecond)
+				defer cancel()
+				k := gate.Ticket{
+					Team:      fmt.Sprint(rng.IntN(5)),
+					Remaining: 3 * time.Second,
+					Alone:     rng.IntN(40) == 0,
+				}
+				if rng.IntN(3) == 0 {
+					k.SizeClass = pipe.Long
+				}
+				pass, err := g.Enter(ctx, k)
+				if err != nil {
+					qt.Check(t, fault.From(err).Verdict, qt.Equals, fault.NotRun)
+					refused.Add(1)
+					return
+				}
+				now := running.Add(1)
+				qt.Check(t, now <= limit+sure, qt.IsTrue)
+				if k.Alone {
+					alone.Add(1)
+				}
+				qt.Check(t, alone.Load() == 0 || now == 1, qt.IsTrue, qt.Commentf("%d run beside a call alone", now))
+				time.Sleep(time.Duration(20+rng.IntN(200)) * time.Millisecond)
+				if k.Alone {
+					alone.Add(-1)
+				}
+				running.Add(-1)
+				ran.Add(1)
+				pass.Done(gate.Result{})
+			})
+		}
+		wg.Wait()
+		qt.Check(t, ran.Load()+refused.Load(), qt.Equals, int64(400))
+		qt.Check(t, ran.Load() > 100, qt.IsTrue, qt.Commentf("%d ran", ran.Load()))
+		qt.Check(t, g.Load().Running, qt.Equals, 0)
+		qt.Check(t, g.Load().Queued, qt.Equals, 0)
+	})
+}
