--- a/internal/state/accept/naive_test.go
+++ b/internal/state/accept/naive_test.go
@@ -93,6 +93,16 @@
 	if record.Strict(r.Payload, &body) != nil {
 		return n, false
 	}
+	touched := map[config.Ref]bool{}
+	for _, ref := range append(body.Set.Refs(), body.Remove...) {
+		if _, based := r.Base[ref]; !based || touched[ref] {
+			return n, false
+		}
+		touched[ref] = true
+	}
+	if len(touched) == 0 {
+		return n, false
+	}
 	for _, ref := range body.Remove {
 		if n.revision(ref) == config.Absent {
 			return n, false
