--- a/internal/entry/node/gauges.go
+++ b/internal/entry/node/gauges.go
@@ -23,6 +23,8 @@
 		})
 	m.Gauge(meter.Spec{Name: "fingerprints", Unit: "{fingerprint}", Help: "Request fingerprints under suspicion or in quarantine."},
 		func(o meter.Observe) { n.countMarks(o) })
+	m.Gauge(meter.Spec{Name: "ejectedUpstreams", Unit: "{upstream}", Help: "Upstreams that get no calls of this entry because they failed."},
+		func(o meter.Observe) { o(int64(len(n.router.Ejected()))) })
 	m.Gauge(meter.Spec{Name: "upstreams", Unit: "{upstream}", Help: "Known upstreams by pool and state."},
 		func(o meter.Observe) { countStates(n.links.View(), o) })
 }
--- a/internal/side/boot/gauges.go
+++ b/internal/side/boot/gauges.go
@@ -15,10 +15,22 @@
 		func(o meter.Observe) { o(s.server.Counts().Running) })
 	s.meter.Gauge(meter.Spec{Name: "sideQueued", Unit: "{call}", Help: "Calls waiting for the upstream."},
 		func(o meter.Observe) { o(s.server.Counts().Queued) })
+	s.meter.Gauge(meter.Spec{Name: "sideLimit", Unit: "{call}", Help: "Calls that may run on the upstream at once."},
+		func(o meter.Observe) { o(s.server.Counts().Limit) })
 	s.meter.Gauge(meter.Spec{Name: "sideRemembered", Unit: "{attempt}", Help: "Attempts and tombstones held in memory."},
 		func(o meter.Observe) { o(s.server.Counts().Remembered) })
 }
 
+// claims adds the state of the action stream, for a side beside a plain service.
+func (s *Side) claims() {
+	s.meter.Gauge(meter.Spec{Name: "sideActions", Unit: "{action}", Help: "Actions remembered from the action stream."},
+		func(o meter.Observe) { o(s.server.Counts().Stream.Actions) })
+	s.meter.Gauge(meter.Spec{Name: "sidePendingRecords", Unit: "{record}", Help: "Claims, outcomes and releases that wait for the log."},
+		func(o meter.Observe) { o(s.server.Counts().Stream.Pending) })
+	s.meter.Total(meter.Spec{Name: "sideAppends", Unit: "{append}", Help: "Appends to the action stream."},
+		func(o meter.Observe) { o(s.server.Counts().Stream.Appends) })
+}
+
 func observeCalls(c serve.Counts, o meter.Observe) {
 	for _, v := range []struct {
 		result string
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -125,6 +125,9 @@
 	)
 	sidepb.RegisterSideServer(s.grpc, s.server)
 	s.gauges()
+	if spec.Kind == pool.Service {
+		s.claims()
+	}
 	return nil
 }
 
--- a/internal/side/serve/counts.go
+++ b/internal/side/serve/counts.go
@@ -24,6 +24,7 @@
 	Rerun      int64 // repeatable calls sent again on a new connection
 	Running    int64
 	Queued     int64
+	Limit      int64         // calls that may run at once
 	Remembered int64         // attempts and tombstones held in memory
 	Stream     window.Counts // of the action stream; zero without one
 }
@@ -58,6 +59,7 @@
 		Rerun:      c.rerun.Load(),
 		Running:    int64(s.flights.Running()),
 		Queued:     int64(s.flights.Queued()),
+		Limit:      int64(s.opts.Gate.Load().Limit),
 		Remembered: int64(s.flights.Len()),
 		Stream:     stream,
 	}
