--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -351,7 +351,7 @@
 		time.Sleep(time.Second)
 		b.Assert(old.closed.Load(), qt.IsTrue)
 		without.Store(false)
-		time.Sleep(time.Second)
+		time.Sleep(refreshInterval + publishInterval + tickInterval)
 		b.Assert(b.connected("a"), qt.IsTrue)
 	})
 }
--- a/internal/oper/slopes/table.go
+++ b/internal/oper/slopes/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
+	"github.com/ragworthatch/ragworthatch/internal/place/agent"
 	"github.com/ragworthatch/ragworthatch/internal/place/lease"
 	"github.com/ragworthatch/ragworthatch/internal/place/order"
 )
@@ -80,7 +81,7 @@
 		{"side", "plan stream", planRead, "B/s", budgetBytes},
 		{"planner", "plan", 100 * l.planMillis / 5000, "% of a core", budgetCPU},
 		{"platform", "appends to the plan stream", 1/lease.RenewEvery.Seconds() + float64(plansPerDay)/secondsPerDay + targetSides/order.ReportEvery.Seconds(), "a second", 0},
-		{"platform", "reads of the plan stream", targetSides / order.Interval.Seconds(), "a second", 0},
+		{"platform", "reads of the plan stream", targetSides/order.Interval.Seconds() + targetEntries/agent.StandbyInterval.Seconds(), "a second", 0},
 		{"platform", "reads of the config stream", 8 * 3 / timing.FeedInterval.Seconds(), "a second", 0},
 		{"platform", "appends to the config stream", float64(changesPerDay) / secondsPerDay, "a second", 0},
 	}
--- a/internal/place/agent/agent.go
+++ b/internal/place/agent/agent.go
@@ -16,8 +16,8 @@
 const (
 	// interval is how often the planner looks at the fleet.
 	interval = 5 * time.Second
-	// standbyInterval is how often an entry without the lease looks whether it lapsed.
-	standbyInterval = 15 * time.Second
+	// StandbyInterval is how often an entry without the lease looks whether it lapsed.
+	StandbyInterval = 15 * time.Second
 	// republish is how often an unchanged plan is appended again, for processes that read only the end of the stream.
 	republish = 20 * time.Minute
 	// awayFor is how long a runner may be away before others take its place.
@@ -66,7 +66,7 @@
 	switch {
 	case errors.Is(err, lease.ErrLost):
 		a.pressed = nil
-		return standbyInterval
+		return StandbyInterval
 	case err != nil:
 		if !a.frozen {
 			a.lg.Warn("log does not answer, the placement plan stays as it is", zap.Error(err))
--- a/internal/place/agent/agent_test.go
+++ b/internal/place/agent/agent_test.go
@@ -48,7 +48,7 @@
 		c.Assert(reader.Read(t.Context()), qt.IsNil)
 		c.Assert(reader.State().Holding().Holder, qt.Equals, "one")
 		stop()
-		time.Sleep(lease.Length + 2*standbyInterval)
+		time.Sleep(lease.Length + 2*StandbyInterval)
 		c.Assert(reader.Read(t.Context()), qt.IsNil)
 		c.Assert(reader.State().Holding().Holder, qt.Equals, "two")
 
