--- a/internal/entry/exec/attempt.go
+++ b/internal/entry/exec/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/assem"
 	"github.com/ragworthatch/ragworthatch/internal/entry/target"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/model/stage"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
@@ -47,7 +49,9 @@
 // run makes the call and reads its answer to the end.
 func (a *attempt) run(ctx context.Context) (result, *fault.Error) {
 	f := a.exchange(ctx)
-	if f != nil && a.answer.Failure() == nil {
+	if f == nil {
+		f = a.step.wellFormed(a.answer.Chunks())
+	} else if a.answer.Failure() == nil {
 		f = a.abandon(ctx, f)
 	}
 	a.report(f)
@@ -57,6 +61,17 @@
 	return result{chunks: a.answer.Chunks(), replayed: a.answer.Replayed()}, nil
 }
 
+// wellFormed wants exactly one JSON value from a stage that does not generate.
+func (s *step) wellFormed(chunks [][]byte) *fault.Error {
+	if s.spec.Kind == stage.Generate {
+		return nil
+	}
+	if len(chunks) != 1 || !json.Valid(chunks[0]) {
+		return fault.New(fault.Ran, fault.Malformed, "the result of stage %q is not one JSON value", s.spec.Name)
+	}
+	return nil
+}
+
 func (a *attempt) exchange(ctx context.Context) *fault.Error {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/entry/exec/exec_test.go
+++ b/internal/entry/exec/exec_test.go
@@ -273,6 +273,12 @@
 			[][]line{{chunk(0, `"x"`)}, okay}, fault.Ran, "", "", 2},
 		{"altered answer", []stage.Kind{stage.Encode},
 			[][]line{{chunk(0, `"y"`), whole(`"x"`)}, okay}, fault.Ran, "", "", 2},
+		{"result that is no JSON", []stage.Kind{stage.Encode},
+			[][]line{{chunk(0, `{"x`), whole(`{"x`)}, okay}, fault.Ran, "", "", 2},
+		{"whole answer without a result", []stage.Kind{stage.Encode},
+			[][]line{{whole()}, okay}, fault.Ran, "", "", 2},
+		{"malformed result of an action", []stage.Kind{stage.Service},
+			[][]line{{chunk(0, `{"x`), whole(`{"x`)}, okay}, fault.Ran, fault.Malformed, fault.Ran, 2},
 		{"foreign frame dropped", []stage.Kind{stage.Encode},
 			[][]line{{foreign(), chunk(0, `"x"`), whole(`"x"`)}}, fault.Ran, "", "", 1},
 	}
--- a/internal/entry/exec/settle.go
+++ b/internal/entry/exec/settle.go
@@ -71,7 +71,11 @@
 	if isOther || len(reply.GetAnswer()) == 0 {
 		return result{}, fault.New(fault.Ran, fault.Incomplete, "the action ran; its answer is not in the record")
 	}
-	return result{chunks: [][]byte{reply.GetAnswer()}, replayed: true}, nil
+	chunks := [][]byte{reply.GetAnswer()}
+	if f := s.wellFormed(chunks); f != nil {
+		return result{}, f
+	}
+	return result{chunks: chunks, replayed: true}, nil
 }
 
 func outcomeReport(start time.Time, err error) target.Report {
