Drop a load report that was seen before

The entry's view hands the same report to the gauge each second. Calls of its own that had ended since were then taken for those of others: 0.9 of the slots where 0.1 were in use.

--- a/internal/route/gauge/gauge.go
+++ b/internal/route/gauge/gauge.go
@@ -64,13 +64,13 @@
 // InFlight is the number of the entry's own calls, in calls.
 func (g *Gauge) InFlight() int { return int(g.inFlight.Load()) }
 
-// Observe takes a report; one that is older than the last is dropped.
+// Observe takes a report; one that is not newer than the last is dropped.
 func (g *Gauge) Observe(r Report) {
 	others := max(0, float64(r.Running+r.Queued)-float64(g.inFlight.Load()))
 	next := &report{Report: r, others: others}
 	for {
 		last := g.last.Load()
-		if last != nil && last.At.After(r.At) {
+		if last != nil && !r.At.After(last.At) {
 			return
 		}
 		if g.last.CompareAndSwap(last, next) {
