Bound the side's reruns by a retry budget

A side ran each silent repeatable call once more without a budget, and after retries of the entry. 60 silent calls: 60 reruns before, 20 at most now, none for a call that has been retried three times.

--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -261,3 +261,21 @@
 		c.Check(limits.Load().Limit >= before, qt.IsTrue, qt.Commentf("%d after %d", limits.Load().Limit, before))
 	})
 }
+
+func TestRerunsOfSilentCallsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{Pool: pool.Spec{SilentMs: 1000}}, func(upstr.Call) worker.Plan {
+			return worker.Plan{Fault: worker.Silent}
+		})
+		for i := range 60 {
+			c.Assert(b.call(request(fmt.Sprint(i), "")).failure, qt.IsNotNil)
+		}
+		c.Check(b.server.counters.rerun.Load() <= 20, qt.IsTrue, qt.Commentf("%d", b.server.counters.rerun.Load()))
+		spent := request("spent", "")
+		spent.Retries = 3
+		before := b.server.counters.rerun.Load()
+		b.call(spent)
+		c.Check(b.server.counters.rerun.Load(), qt.Equals, before)
+	})
+}
--- a/internal/side/serve/call.go
+++ b/internal/side/serve/call.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/limit/gate"
+	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
@@ -125,6 +126,7 @@
 	switch {
 	case err == nil:
 		c.s.counters.whole.Add(1)
+		c.s.reruns.Succeeded()
 		c.s.health.observe(c.latency())
 		return c.reply.whole(c.cost, false)
 	case c.sent.IsZero():
@@ -197,7 +199,7 @@
 		}
 		c.s.counters.silences.Add(1)
 		alive := c.s.ping(c.work)
-		again := alive && c.req.GetRepeatable() && c.reply.chunks == 0 && c.reruns < maxReruns
+		again := alive && c.reply.chunks == 0 && c.reruns < maxReruns && c.mayRerun()
 		c.s.opts.Zap.Info("silent",
 			zap.Stringer("attempt", c.id),
 			zap.Bool("upstreamAlive", alive),
@@ -210,6 +212,16 @@
 	}
 }
 
+// mayRerun asks the budget that bounds the side's own retries; those of the hops before count too.
+func (c *call) mayRerun() bool {
+	return c.s.reruns.Decide(retry.Failure{
+		Err:        fault.New(fault.MayHaveRun, fault.Silent, "no progress"),
+		Repeatable: c.req.GetRepeatable(),
+		Retries:    c.req.GetRetries(),
+		Remaining:  c.remaining(),
+	}).Again
+}
+
 func (c *call) relayOnce(run int) error {
 	ctx, cancel := context.WithCancelCause(c.work)
 	defer cancel(nil)
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
@@ -36,6 +37,7 @@
 	drain    drain
 	health   health
 	warm     *warm.Recent
+	reruns   *retry.Budget
 	engine   atomic.Pointer[[]string]
 	pool     atomic.Pointer[pool.Spec]
 	digest   atomic.Pointer[string] // of the configuration
@@ -54,6 +56,7 @@
 		flights: flight.New(maxRemembered),
 		hub:     watch.New(),
 		warm:    warm.New(),
+		reruns:  retry.New(0),
 	}
 	s.drain.init()
 	s.health.init()
