Keep refusing with a verdict until the entries know of a drain

Change: the drain itself includes the notice to the entries, watches end with it, calls that come last have their refusals, and a call whose stream was never opened is notRun. The handover lists the publishes that are not settled.

--- a/internal/entry/exec/attempt.go
+++ b/internal/entry/exec/attempt.go
@@ -51,7 +51,7 @@
 	f := a.exchange(ctx)
 	if f == nil {
 		f = a.step.wellFormed(a.answer.Chunks())
-	} else if a.answer.Failure() == nil {
+	} else if a.answer.Failure() == nil && f.Verdict != fault.NotRun {
 		f = a.abandon(ctx, f)
 	}
 	a.report(f)
@@ -187,8 +187,12 @@
 	}
 }
 
-// transport is the error of a broken connection: nobody knows what the side did.
+// transport is the error of a broken connection: nobody knows what the side did, unless the link does.
 func transport(err error) *fault.Error {
+	var known *fault.Error
+	if errors.As(err, &known) {
+		return known
+	}
 	if errors.Is(err, io.EOF) {
 		return fault.New(fault.MayHaveRun, fault.Incomplete, "the answer ended before it was whole")
 	}
--- a/internal/entry/opsapi/handover.go
+++ b/internal/entry/opsapi/handover.go
@@ -26,6 +26,7 @@
 		Upstreams:   a.troubled(now),
 		Quarantined: quarantined(a.o.Marks.Load(), now),
 		Actions:     a.doubts(r.Context(), now),
+		Unsettled:   a.unsettled(),
 	}
 	if err := a.o.Guard.Ready(); err != nil {
 		in.NotReady = err.Error()
@@ -36,6 +37,15 @@
 	return report.New(in), nil
 }
 
+// unsettled lists the publishes of this entry whose answers were lost.
+func (a *API) unsettled() []report.Publish {
+	var out []report.Publish
+	for _, p := range a.o.Publisher.Unsettled() {
+		out = append(out, report.Publish{Nonce: p.Nonce, Author: p.Author, Since: p.Since})
+	}
+	return out
+}
+
 // troubled lists the upstreams that get no or less work, as this entry sees them.
 func (a *API) troubled(now time.Time) []report.Upstream {
 	v := a.o.Links.View()
--- a/internal/fleet/link/conn.go
+++ b/internal/fleet/link/conn.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
@@ -28,6 +29,20 @@
 	*grpc.ClientConn
 }
 
+// Call is NotRun when no stream could be opened, as the message goes out only on an open one.
+func (c grpcConn) Call(ctx context.Context, in *sidepb.CallRequest, opts ...grpc.CallOption) (grpc.ServerStreamingClient[sidepb.CallFrame], error) {
+	opts = append([]grpc.CallOption{grpc.StaticMethod()}, opts...)
+	stream, err := c.ClientConn.NewStream(ctx, &sidepb.Side_ServiceDesc.Streams[0], sidepb.Side_Call_FullMethodName, opts...)
+	if err != nil {
+		return nil, fault.New(fault.NotRun, fault.Transport, "no stream to the side could be opened").WithCause(err)
+	}
+	out := &grpc.GenericClientStream[sidepb.CallRequest, sidepb.CallFrame]{ClientStream: stream}
+	if err := stream.SendMsg(in); err != nil {
+		return nil, err
+	}
+	return out, stream.CloseSend()
+}
+
 // Close closes the connection and breaks its calls.
 func (c grpcConn) Close() error { return c.ClientConn.Close() }
 
--- a/internal/side/boot/pool.go
+++ b/internal/side/boot/pool.go
@@ -62,11 +62,19 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(hosts.Interval(s.hosts, listInterval)):
+		case <-time.After(hosts.Interval(s.hosts, s.listWait())):
 		}
 	}
 }
 
+// listWait is short while there is no entry to ask.
+func (s *Side) listWait() time.Duration {
+	if len(s.known()) == 0 {
+		return timing.HostListInterval
+	}
+	return listInterval
+}
+
 func (s *Side) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, timing.HostListInterval)
 	defer cancel()
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -31,8 +31,8 @@
 const (
 	// maxMessage bounds a call, in bytes.
 	maxMessage = 16 << 20
-	// lingerAfterDrain lets the watching entries learn of the drain.
-	lingerAfterDrain = timing.LeavingBound
+	// finishTimeout bounds the wait for the connections to end after a drain.
+	finishTimeout = 2 * time.Second
 )
 
 // Side is one side process.
@@ -161,15 +161,26 @@
 func (s *Side) stopWhenDrained(ended context.Context) {
 	select {
 	case <-s.server.Drained():
-		select {
-		case <-time.After(lingerAfterDrain):
-		case <-ended.Done():
-		}
+		s.finish(ended)
 	case <-ended.Done():
 	}
 	s.grpc.Stop()
 }
 
+// finish lets the calls that came last have their refusals.
+func (s *Side) finish(ended context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.grpc.GracefulStop()
+	}()
+	select {
+	case <-done:
+	case <-time.After(finishTimeout):
+	case <-ended.Done():
+	}
+}
+
 // either ends when one of two contexts does.
 func either(a, b context.Context) context.Context {
 	out, cancel := context.WithCancel(a)
--- a/internal/side/serve/drain.go
+++ b/internal/side/serve/drain.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -76,8 +77,8 @@
 	return &sidepb.DrainReply{InFlight: uint32(n)}, nil
 }
 
-// Drained is closed when a drain has been asked for, no call is in flight any more
-// and what became of the actions is in the log.
+// Drained is closed when a drain has been asked for, no call is in flight any more, what became of the
+// actions is in the log, and the entries have had time to learn of it. Watches end then.
 func (s *Server) Drained() <-chan struct{} { return s.drain.done }
 
 // drained waits for the end of a drain; a log that stays down holds it up for flushBound only.
@@ -94,5 +95,14 @@
 			s.opts.Zap.Warn("flush", zap.Int64("pending", s.window.Counts().Pending), zap.Error(err))
 		}
 	}
+	s.linger(ctx)
 	close(s.drain.done)
 }
+
+// linger goes on refusing calls with a verdict until every entry has learned of the drain.
+func (s *Server) linger(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(timing.LeavingBound):
+	}
+}
--- a/internal/side/serve/status.go
+++ b/internal/side/serve/status.go
@@ -33,6 +33,8 @@
 			return out.Context().Err()
 		case <-s.drain.done:
 			return nil
+		case <-s.drain.done:
+			return nil
 		case <-changed:
 		case <-beat.C:
 		}
