Look at all connections when one goes silent

Cause: a lost route silences many connections at once, and each was found only by a call that waited 2 s on it; the side's reruns could meet another silent connection of its pool. Change: an entry that suspects one connection asks for a status on all others, and a side closes its idle connections with each ping. The process tests now run anew when the program changes; their cached result had hidden that.

--- a/internal/fleet/link/control.go
+++ b/internal/fleet/link/control.go
@@ -31,6 +31,11 @@
 		p.ended(now, peer, e.conn)
 	case suspected:
 		p.replace(now, peer, "a call went silent")
+		p.pingOthers(now, peer)
+	case unanswered:
+		if peer.current != nil && peer.current.id == e.conn {
+			p.replace(now, peer, "a ping went unanswered")
+		}
 	}
 }
 
@@ -99,6 +104,19 @@
 	p.open(now, peer)
 }
 
+// pingOthers looks at the connections to all other upstreams, as what made one of them silent may have lost them too.
+func (p *Pool) pingOthers(now time.Time, silent *peer) {
+	if now.Sub(p.pingedAt) < replaceInterval {
+		return
+	}
+	p.pingedAt = now
+	for _, peer := range p.peers {
+		if w := peer.current; w != nil && peer != silent {
+			go p.ping(peer.name, w.id, w.conn)
+		}
+	}
+}
+
 func (p *Pool) open(now time.Time, peer *peer) {
 	dialed, err := p.o.Dial(peer.address)
 	if err != nil {
--- a/internal/fleet/link/event.go
+++ b/internal/fleet/link/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
@@ -22,6 +23,7 @@
 	watchEnded  eventKind = "watchEnded"
 	suspected   eventKind = "suspected"
 	refused     eventKind = "refused"
+	unanswered  eventKind = "unanswered" // a ping on a connection in use
 )
 
 // maxEvents is how many events wait for the control goroutine.
@@ -58,3 +60,19 @@
 	default:
 	}
 }
+
+// pingTimeout is how long a connection in use may take to show a status when another has gone silent.
+const pingTimeout = time.Second
+
+// ping asks for a status on a connection in use.
+func (p *Pool) ping(name string, id uint64, conn sidepb.SideClient) {
+	ctx, cancel := context.WithTimeout(p.ctx, pingTimeout)
+	defer cancel()
+	stream, err := conn.Watch(ctx, &sidepb.WatchRequest{Entry: p.o.Entry, Offset: p.o.Offset()})
+	if err == nil {
+		_, err = stream.Recv()
+	}
+	if err != nil && p.ctx.Err() == nil {
+		p.hint(event{kind: unanswered, name: name, conn: id})
+	}
+}
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -58,6 +58,8 @@
 	nextID uint64
 	dirty  bool      // the view lacks a change that matters at once
 	viewAt time.Time // when the view was last rebuilt
+	// pingedAt is when all connections were last looked at because one had gone silent.
+	pingedAt time.Time
 }
 
 // New returns a pool without connections; Run starts it.
--- a/internal/plat/upcl/upstream.go
+++ b/internal/plat/upcl/upstream.go
@@ -74,8 +74,9 @@
 	return l, nil
 }
 
-// Ping asks for a sign of life on a new connection.
+// Ping asks for a sign of life on a new connection; later calls open new ones too, as idle ones may be silent.
 func (u *Upstream) Ping(ctx context.Context) error {
+	u.Fresh()
 	c := client.New(u.address)
 	defer c.Fresh()
 	var alive struct{}
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/zeromicro/go-zero/core/logx"
 
+	_ "github.com/ragworthatch/ragworthatch/internal/entry/boot" // so that a change of the program runs the tests anew
 	"github.com/ragworthatch/ragworthatch/internal/fake/engine"
 	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
@@ -27,6 +28,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/unit"
 	"github.com/ragworthatch/ragworthatch/internal/model/host"
 	"github.com/ragworthatch/ragworthatch/internal/plat/runner"
+	_ "github.com/ragworthatch/ragworthatch/internal/side/boot" // as above
 )
 
 const (
@@ -120,10 +122,13 @@
 	weights *httpd.Server
 	sides   map[string]*process
 	entries []*process
+	servers map[string]*httpd.Server // of the upstreams
+	relays  map[string]*relay        // before the sides
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), log: memlog.New(), list: roster.New(hostListLag), units: map[string]*unit.Unit{}, sides: map[string]*process{}}
+	f := &fleet{t: t, dir: t.TempDir(), log: memlog.New(), list: roster.New(hostListLag), units: map[string]*unit.Unit{},
+		sides: map[string]*process{}, servers: map[string]*httpd.Server{}, relays: map[string]*relay{}}
 	f.logHTTP = f.serve(httpd.Log(f.log))
 	f.hosts = f.serve(httpd.Hosts(f.list))
 	f.weights = f.serve(httpd.Weights(store.New(map[string]int64{"atlas": 1 << 30, "boreas": 1 << 30}, 1<<30)))
@@ -165,9 +170,11 @@
 	server := f.serve(h)
 	server.Follow(u.Proc)
 	f.units[name] = u
+	f.servers[name] = server
 	p := f.process("side", name, zone, fmt.Sprintf("pool: %s\nupstream: %s\n", pool, server.Address()))
 	f.sides[name] = p
-	f.list.Put(host.Host{Name: name, Address: p.address, Zone: zone, Region: "north", Pool: pool, State: host.Live})
+	f.relays[name] = newRelay(f.t, p.address)
+	f.list.Put(host.Host{Name: name, Address: f.relays[name].address(), Zone: zone, Region: "north", Pool: pool, State: host.Live})
 	p.start()
 }
 
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -191,3 +191,29 @@
 	}
 	return out
 }
+
+// TestSilentConnections lets every connection go silent for good, first between entries and sides, then between sides
+// and upstreams: new ones work, so every request is answered whole and no upstream is blamed.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFleet(t)
+	f.publish()
+	tr := f.startTraffic()
+	time.Sleep(settle)
+	silenced := 0
+	for _, r := range f.relays {
+		silenced += r.silence()
+	}
+	time.Sleep(3 * settle)
+	for _, s := range f.servers {
+		s.Silence()
+	}
+	time.Sleep(3 * settle)
+	counts := tr.finish(t)
+	c.Check(silenced >= len(f.relays), qt.IsTrue)
+	c.Check(counts.Broken(), qt.IsFalse)
+	c.Check(tr.unended.Load(), qt.Equals, int64(0))
+	c.Check(counts.Whole+counts.MayHaveRun, qt.Equals, counts.Requests)
+	c.Check(counts.MayHaveRun <= callers, qt.IsTrue, qt.Commentf("more actions in doubt than were in flight"))
+}
