Test that a slow caller holds the upstream back

A heartbeat skips its turn while a frame is being sent. The lock of a reply is a channel, as virtual time stands still while a goroutine waits for a mutex that a slow caller's frame holds.

--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -245,3 +246,43 @@
 		}
 	})
 }
+
+// counting counts the events that were read from the upstream.
+type counting struct {
+	*worker.Worker
+	read *atomic.Int64
+}
+
+type countingStream struct {
+	upstr.Stream
+	read *atomic.Int64
+}
+
+// Call runs a call whose events are counted.
+func (u counting) Call(ctx context.Context, c upstr.Call) (upstr.Stream, error) {
+	s, err := u.Worker.Call(ctx, c)
+	return countingStream{Stream: s, read: u.read}, err
+}
+
+// Next counts one event.
+func (s countingStream) Next(ctx context.Context) (upstr.Event, error) {
+	s.read.Add(1)
+	return s.Stream.Next(ctx)
+}
+
+func TestSlowCallerHoldsTheUpstreamBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const tokens, bound = 1000, 32 // a link holds 16 frames
+		w := worker.New(func(upstr.Call) worker.Plan { return worker.Plan{Tokens: tokens} })
+		var read atomic.Int64
+		b := newBench(t, Options{Upstream: counting{Worker: w, read: &read}}, nil)
+		stream, err := inmem.New(b.node, nil).Call(t.Context(), request("r1", "generate"))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		c.Assert(read.Load() <= bound, qt.IsTrue, qt.Commentf("%d events read ahead", read.Load()))
+		got := collect(stream)
+		c.Assert(got.whole, qt.IsNotNil)
+		c.Assert(got.chunks, qt.HasLen, tokens)
+	})
+}
--- a/internal/side/serve/reply.go
+++ b/internal/side/serve/reply.go
@@ -25,7 +25,7 @@
 	stop   context.CancelFunc
 	beats  sync.WaitGroup
 
-	mu    sync.Mutex // of the stream and what follows
+	lock  chan struct{} // of the stream and what follows; a sender may hold it while its caller is slow
 	seq   uint64
 	last  bool // the last frame was sent
 	quiet bool // nothing was sent since the last heartbeat
@@ -39,7 +39,7 @@
 	if id.Incarnation == "" {
 		id.Incarnation = s.opts.Incarnation
 	}
-	r := &reply{out: out, id: id, load: s.load, digest: ident.NewDigest()}
+	r := &reply{out: out, id: id, load: s.load, digest: ident.NewDigest(), lock: make(chan struct{}, 1)}
 	for _, token := range req.GetHeld() {
 		r.digest.Add([]byte(token))
 	}
@@ -92,8 +92,8 @@
 
 // send writes one frame.
 func (r *reply) send(f *sidepb.CallFrame) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.lock <- struct{}{}
+	defer func() { <-r.lock }()
 	return r.write(f)
 }
 
@@ -113,8 +113,12 @@
 }
 
 func (r *reply) beatOnce() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	select {
+	case r.lock <- struct{}{}:
+	default:
+		return // a frame is being sent
+	}
+	defer func() { <-r.lock }()
 	if r.quiet && !r.last {
 		_ = r.write(&sidepb.CallFrame{}) // a caller that went away ends the call through its context
 	}
