--- a/internal/place/agent/agent.go
+++ b/internal/place/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,8 +16,8 @@
 const (
 	// interval is how often the planner looks at the fleet.
 	interval = 5 * time.Second
-	// standbyInterval is how often an entry without the lease looks whether it lapsed.
-	standbyInterval = 15 * time.Second
+	// StandbyInterval is how often an entry without the lease looks whether it lapsed.
+	StandbyInterval = 15 * time.Second
 	// republish is how often an unchanged plan is appended again, for processes that read only the end of the stream.
 	republish = 20 * time.Minute
 	// awayFor is how long a runner may be away before others take its place.
@@ -34,6 +35,7 @@
 	lg        *zap.Logger
 	pressed   map[string]time.Time
 	away      map[string]time.Time // since when each runner that is not live has been away
+	missing   map[string]int
 	published time.Time
 	frozen    bool
 }
@@ -64,7 +66,7 @@
 	switch {
 	case errors.Is(err, lease.ErrLost):
 		a.pressed = nil
-		return standbyInterval
+		return StandbyInterval
 	case err != nil:
 		if !a.frozen {
 			a.lg.Warn("log does not answer, the placement plan stays as it is", zap.Error(err))
@@ -106,8 +108,9 @@
 	in.Pressed = a.pressed
 	out := plan.New(in)
 	a.pressed = out.Pressed
-	for model, n := range out.Missing {
-		a.lg.Warn("preset asks for runners that nobody can give", zap.String("model", model), zap.Int("missing", n), zap.Int64("revision", revision))
+	if !maps.Equal(out.Missing, a.missing) {
+		a.missing = out.Missing
+		a.lg.Warn("runners that the preset asks for and nobody can give", zap.Any("missing", out.Missing), zap.Int64("revision", revision))
 	}
 	if len(out.Moves) == 0 && (current.Offset < 0 || a.now().Sub(a.published) < republish) {
 		return nil
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -31,8 +31,8 @@
 const (
 	// maxMessage bounds a call, in bytes.
 	maxMessage = 16 << 20
-	// lingerAfterDrain lets the watching entries learn of the drain.
-	lingerAfterDrain = timing.LeavingBound
+	// finishTimeout bounds the wait for the connections to end after a drain.
+	finishTimeout = 2 * time.Second
 )
 
 // Side is one side process.
@@ -48,6 +48,7 @@
 	gossip   *gossip.Node
 	entries  entries
 	server   *serve.Server
+	engine   serve.Options // beside a model engine; else empty
 	grpc     *grpc.Server
 }
 
@@ -96,6 +97,7 @@
 	}
 	go s.server.Run(background)
 	go s.adopt(background)
+	s.takeOrders(background)
 	go s.drainOn(stop, background)
 	go s.stopWhenDrained(background)
 	s.zap.Info("side serves", zap.String("address", s.Address()))
@@ -110,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	if s.server, err = serve.New(s.options(spec)); err != nil {
+	if s.server, err = serve.New(s.remember(s.options(spec))); err != nil {
 		return err
 	}
 	s.grpc = grpc.NewServer(
@@ -123,6 +125,9 @@
 	)
 	sidepb.RegisterSideServer(s.grpc, s.server)
 	s.gauges()
+	if spec.Kind == pool.Service {
+		s.claims()
+	}
 	return nil
 }
 
@@ -156,15 +161,26 @@
 func (s *Side) stopWhenDrained(ended context.Context) {
 	select {
 	case <-s.server.Drained():
-		select {
-		case <-time.After(lingerAfterDrain):
-		case <-ended.Done():
-		}
+		s.finish(ended)
 	case <-ended.Done():
 	}
 	s.grpc.Stop()
 }
 
+// finish lets the calls that came last have their refusals.
+func (s *Side) finish(ended context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.grpc.GracefulStop()
+	}()
+	select {
+	case <-done:
+	case <-time.After(finishTimeout):
+	case <-ended.Done():
+	}
+}
+
 // either ends when one of two contexts does.
 func either(a, b context.Context) context.Context {
 	out, cancel := context.WithCancel(a)
--- a/internal/side/serve/attempt_test.go
+++ b/internal/side/serve/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -286,3 +287,36 @@
 		c.Assert(got.chunks, qt.HasLen, tokens)
 	})
 }
+
+func TestLimitFollowsTheTimeBetweenTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limits := gate.New(gate.Options{Floor: 1, Ceiling: 8, Target: 50 * time.Millisecond})
+		before := limits.Load().Limit
+		b := newBench(t, Options{Gate: limits}, func(upstr.Call) worker.Plan {
+			return worker.Plan{Step: 20 * time.Millisecond, Tokens: 40}
+		})
+		for i := range 20 {
+			c.Assert(b.call(request(fmt.Sprint(i), "generate")).whole, qt.IsNotNil)
+		}
+		c.Check(limits.Load().Limit >= before, qt.IsTrue, qt.Commentf("%d after %d", limits.Load().Limit, before))
+	})
+}
+
+func TestRerunsOfSilentCallsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, Options{Pool: pool.Spec{SilentMs: 1000}}, func(upstr.Call) worker.Plan {
+			return worker.Plan{Fault: worker.Silent}
+		})
+		for i := range 60 {
+			c.Assert(b.call(request(fmt.Sprint(i), "")).failure, qt.IsNotNil)
+		}
+		c.Check(b.server.counters.rerun.Load() <= 20, qt.IsTrue, qt.Commentf("%d", b.server.counters.rerun.Load()))
+		spent := request("spent", "")
+		spent.Retries = 3
+		before := b.server.counters.rerun.Load()
+		b.call(spent)
+		c.Check(b.server.counters.rerun.Load(), qt.Equals, before)
+	})
+}
