--- a/cmd/ragworthatch/demo.go
+++ b/cmd/ragworthatch/demo.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+	"github.com/ragworthatch/ragworthatch/internal/demo/script"
 	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
 )
 
@@ -41,7 +41,7 @@
 		logger.RouteLibraries(log)
 	}
 	ctx, _ := stopSignals()
-	d, err := day.New(ctx, day.Options{Progress: s.err, Log: log, Seed: o.seed, Pause: demoPause})
+	d, err := script.New(ctx, script.Options{Progress: s.err, Log: log, Seed: o.seed, Pause: demoPause})
 	if err != nil {
 		return err
 	}
@@ -65,7 +65,7 @@
 	return nil
 }
 
-func reportText(r day.Report) string {
+func reportText(r script.Report) string {
 	var b strings.Builder
 	for _, row := range []struct {
 		name  string
@@ -89,8 +89,8 @@
 	CallerToken   string   `json:"callerToken"`
 }
 
-func serveDemo(ctx context.Context, s *streams, o *demoOptions, d *day.Day) error {
-	v := served{Entries: d.Entries(), Metrics: d.Metrics(), OperatorToken: day.OperatorsToken, CallerToken: day.CollectorsToken}
+func serveDemo(ctx context.Context, s *streams, o *demoOptions, d *script.Day) error {
+	v := served{Entries: d.Entries(), Metrics: d.Metrics(), OperatorToken: script.OperatorsToken, CallerToken: script.CollectorsToken}
 	text := fmt.Sprintf(`entries         %s
 metrics         %s
 operator token  %s
--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -18,7 +18,7 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"go.uber.org/zap"
 
-	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+	"github.com/ragworthatch/ragworthatch/internal/demo/script"
 	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
 	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
@@ -40,7 +40,7 @@
 			if err != nil {
 				return err
 			}
-			e.Values[dayKey{}] = new(*day.Day)
+			e.Values[dayKey{}] = new(*script.Day)
 			e.Setenv("ROOT", strings.TrimSuffix(root, "/cmd/ragworthatch"))
 			return nil
 		},
@@ -61,7 +61,7 @@
 // dayKey finds the deployment among a script's values.
 type dayKey struct{}
 
-func deployed(ts *testscript.TestScript) **day.Day { return ts.Value(dayKey{}).(**day.Day) }
+func deployed(ts *testscript.TestScript) **script.Day { return ts.Value(dayKey{}).(**script.Day) }
 
 // loseAnswers makes each plain service break one connection after it has done the work.
 func loseAnswers(ts *testscript.TestScript, _ bool, _ []string) { (*deployed(ts)).LoseAnswers() }
@@ -71,7 +71,7 @@
 	key := uuid.Must(uuid.NewV7()).String()
 	ts.Setenv("KEY", key)
 	a := caller.New("script").Call(context.Background(), ts.Getenv(envEntry), caller.Request{
-		Pipeline: "transfer", Token: day.CollectorsToken, Key: key, Input: json.RawMessage(`{"marker":"script"}`),
+		Pipeline: "transfer", Token: script.CollectorsToken, Key: key, Input: json.RawMessage(`{"marker":"script"}`),
 	})
 	ts.Logf("status %d, verdict %s, code %s", a.Status, a.Verdict, a.Code)
 }
@@ -82,13 +82,13 @@
 	if neg || len(args) > 0 {
 		ts.Fatalf("usage: deploy")
 	}
-	d, err := day.New(context.Background(), day.Options{Log: zap.NewNop()})
+	d, err := script.New(context.Background(), script.Options{Log: zap.NewNop()})
 	ts.Check(err)
 	ts.Defer(d.Close)
 	*deployed(ts) = d
 	ts.Setenv(envEntry, d.Entries()[0])
 	ts.Setenv("ENTRY2", d.Entries()[1])
-	ts.Setenv(envToken, day.OperatorsToken)
+	ts.Setenv(envToken, script.OperatorsToken)
 	ts.Setenv(envAuthor, "ana")
 }
 
--- a/internal/demo/day/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package day is the demo: a deployment in one process, a scripted day of faults, and a count from outside.
-package day
--- a/internal/demo/day/day.go
+++ b/internal/demo/script/day.go
@@ -1,4 +1,4 @@
-package day
+package script
 
 import (
 	"context"
--- a/internal/demo/day/day_test.go
+++ b/internal/demo/script/day_test.go
@@ -1,4 +1,4 @@
-package day_test
+package script_test
 
 import (
 	"context"
@@ -8,14 +8,14 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+	"github.com/ragworthatch/ragworthatch/internal/demo/script"
 	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
 )
 
 func TestNoPromiseIsBroken(t *testing.T) {
 	c := qt.New(t)
 	logger.RouteLibraries(zap.NewNop())
-	d, err := day.New(context.Background(), day.Options{Log: zap.NewNop(), Seed: 3, Pause: 100 * time.Millisecond})
+	d, err := script.New(context.Background(), script.Options{Log: zap.NewNop(), Seed: 3, Pause: 100 * time.Millisecond})
 	c.Assert(err, qt.IsNil)
 	defer d.Close()
 	r, err := d.Run(context.Background())
--- a/internal/entry/count/count.go
+++ b/internal/entry/count/count.go
@@ -6,7 +6,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
 	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
 )
@@ -79,7 +79,7 @@
 }
 
 // Attempt counts the cost of one attempt.
-func (c *Count) Attempt(_ job.Request, cost exec.Cost) {
+func (c *Count) Attempt(_ task.Request, cost exec.Cost) {
 	labels := []meter.Label{
 		{Name: "stage", Value: cost.Stage},
 		{Name: "reason", Value: reasonOf(cost)},
--- a/internal/entry/exec/exec.go
+++ b/internal/entry/exec/exec.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
 	"github.com/ragworthatch/ragworthatch/internal/entry/target"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
@@ -72,7 +72,7 @@
 
 // Watcher sees what the executor learns.
 type Watcher interface {
-	Attempt(r job.Request, c Cost)
+	Attempt(r task.Request, c Cost)
 	Crashed(c Crash)
 	// Suspicion is what is known of a fingerprint now, the request's own crashes included.
 	Suspicion(fingerprint string) Suspicion
@@ -127,7 +127,7 @@
 
 // Run runs the stages of r in order. With a nil sink the tokens are only collected.
 // The error's verdict covers the whole request: NotRun only if no stage may have run.
-func (e *Executor) Run(ctx context.Context, r job.Request, sink Sink) (Answer, *Failure) {
+func (e *Executor) Run(ctx context.Context, r task.Request, sink Sink) (Answer, *Failure) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	run := newRun(e, r, sink)
--- a/internal/entry/exec/exec_test.go
+++ b/internal/entry/exec/exec_test.go
@@ -15,8 +15,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
 	"github.com/ragworthatch/ragworthatch/internal/entry/target"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
@@ -185,7 +185,7 @@
 
 func (w *fakeWatcher) Cleared(fingerprint string) { w.cleared = append(w.cleared, fingerprint) }
 
-func (w *fakeWatcher) Attempt(_ job.Request, c exec.Cost) {
+func (w *fakeWatcher) Attempt(_ task.Request, c exec.Cost) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.costs = append(w.costs, c)
@@ -203,8 +203,8 @@
 	return nil
 }
 
-func request(kinds ...stage.Kind) job.Request {
-	r := job.Request{
+func request(kinds ...stage.Kind) task.Request {
+	r := task.Request{
 		ID: "id", Label: "label", Key: "key", Input: []byte(`{}`),
 		Pools:    map[string]pool.Spec{"resuming": {Resumes: true}, "plain": {}},
 		Preset:   preset.Spec{HedgeBudget: 0.02},
@@ -235,7 +235,7 @@
 	return &fixture{router: r, watcher: &fakeWatcher{}, policy: fakePolicy{attempts: 3}}
 }
 
-func (f *fixture) run(ctx context.Context, r job.Request, s exec.Sink) (exec.Answer, *exec.Failure) {
+func (f *fixture) run(ctx context.Context, r task.Request, s exec.Sink) (exec.Answer, *exec.Failure) {
 	return exec.New(f.router, f.policy, f.watcher, zap.NewNop()).Run(ctx, r, s)
 }
 
--- a/internal/entry/exec/run.go
+++ b/internal/entry/exec/run.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
@@ -22,7 +22,7 @@
 // run is the state of one request; its fields belong to the request's goroutine but for those under mu.
 type run struct {
 	e        *Executor
-	req      job.Request
+	req      task.Request
 	sink     Sink
 	results  map[string]json.RawMessage
 	last     [][]byte
@@ -38,7 +38,7 @@
 	costs  []Cost
 }
 
-func newRun(e *Executor, r job.Request, sink Sink) *run {
+func newRun(e *Executor, r task.Request, sink Sink) *run {
 	run := &run{e: e, req: r, sink: sink, alone: r.Alone, results: map[string]json.RawMessage{}}
 	if r.HasAction() {
 		run.action = fault.NotRun
--- a/internal/entry/front/answer.go
+++ b/internal/entry/front/answer.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -29,7 +29,7 @@
 	Replayed  bool            `json:"replayed,omitempty"`
 }
 
-func newWhole(req job.Request, a exec.Answer) wholeBody {
+func newWhole(req task.Request, a exec.Answer) wholeBody {
 	sum := sha256.Sum256(bytes.Join(a.Chunks, nil))
 	return wholeBody{
 		RequestID: req.Label,
@@ -43,7 +43,7 @@
 	}
 }
 
-func writeAnswer(w http.ResponseWriter, req job.Request, a exec.Answer) {
+func writeAnswer(w http.ResponseWriter, req task.Request, a exec.Answer) {
 	WriteJSON(w, http.StatusOK, withContent(newWhole(req, a), a))
 }
 
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -10,19 +10,19 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
 // Runner runs an admitted request.
 type Runner interface {
-	Run(ctx context.Context, r job.Request, sink exec.Sink) (exec.Answer, *exec.Failure)
+	Run(ctx context.Context, r task.Request, sink exec.Sink) (exec.Answer, *exec.Failure)
 }
 
 // Admitter decides whether a checked request may start.
 type Admitter interface {
 	// Admit returns the request to run, perhaps altered, or why not; its verdict is NotRun.
-	Admit(r job.Request) (job.Request, *fault.Error)
+	Admit(r task.Request) (task.Request, *fault.Error)
 	// Ready returns why no request can start now; nil when they can.
 	Ready() *fault.Error
 	// Begin and End count requests in flight, so that a drain can wait for them.
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -23,7 +23,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
@@ -36,7 +36,7 @@
 
 // desk stands in for everything behind the front.
 type desk struct {
-	runs    []job.Request
+	runs    []task.Request
 	answer  exec.Answer
 	failure *exec.Failure
 	tokens  []string
@@ -44,7 +44,7 @@
 	records []front.Record
 }
 
-func (d *desk) Run(_ context.Context, r job.Request, sink exec.Sink) (exec.Answer, *exec.Failure) {
+func (d *desk) Run(_ context.Context, r task.Request, sink exec.Sink) (exec.Answer, *exec.Failure) {
 	d.runs = append(d.runs, r)
 	for i, t := range d.tokens {
 		if sink == nil {
@@ -57,10 +57,10 @@
 	return d.answer, d.failure
 }
 
-func (d *desk) Admit(r job.Request) (job.Request, *fault.Error) { return r, nil }
-func (d *desk) Ready() *fault.Error                             { return nil }
-func (d *desk) End()                                            {}
-func (d *desk) Finished(r front.Record)                         { d.records = append(d.records, r) }
+func (d *desk) Admit(r task.Request) (task.Request, *fault.Error) { return r, nil }
+func (d *desk) Ready() *fault.Error                               { return nil }
+func (d *desk) End()                                              {}
+func (d *desk) Finished(r front.Record)                           { d.records = append(d.records, r) }
 
 func (d *desk) Begin() *fault.Error {
 	if d.closed {
--- a/internal/entry/front/key.go
+++ b/internal/entry/front/key.go
@@ -5,13 +5,13 @@
 
 	"github.com/google/uuid"
 
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 )
 
 // checkKey wants a fresh UUIDv7 on a request with an action, and none on another.
-func checkKey(req job.Request, now time.Time) *fault.Error {
+func checkKey(req task.Request, now time.Time) *fault.Error {
 	if !req.HasAction() {
 		if req.Key != "" {
 			return fault.New(fault.NotRun, fault.BadRequest, "pipeline %q has no action that a key could name", req.Pipeline.Name)
--- a/internal/entry/front/parse.go
+++ b/internal/entry/front/parse.go
@@ -14,7 +14,7 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
@@ -40,14 +40,14 @@
 }
 
 // parse checks a request as far as one revision of the configuration can tell.
-func (f *Front) parse(w http.ResponseWriter, r *http.Request, now time.Time) (job.Request, bool, *fault.Error) {
+func (f *Front) parse(w http.ResponseWriter, r *http.Request, now time.Time) (task.Request, bool, *fault.Error) {
 	if err := f.o.Admitter.Ready(); err != nil {
-		return job.Request{}, false, err
+		return task.Request{}, false, err
 	}
 	ix := f.o.Index()
 	t, err := authenticate(ix, r)
 	if err != nil {
-		return job.Request{}, false, err
+		return task.Request{}, false, err
 	}
 	req, err := permitted(ix, t, pathvar.Vars(r)["pipeline"])
 	if err != nil {
@@ -75,8 +75,8 @@
 }
 
 // permitted starts a request of t for a pipeline that it may call and that is open.
-func permitted(ix *index.Index, t team.Spec, name string) (job.Request, *fault.Error) {
-	req := job.Request{Team: t, Pools: ix.Set.Pools, Revision: ix.Revision}
+func permitted(ix *index.Index, t team.Spec, name string) (task.Request, *fault.Error) {
+	req := task.Request{Team: t, Pools: ix.Set.Pools, Revision: ix.Revision}
 	p, ok := ix.Set.Pipelines[name]
 	if !ok {
 		return req, fault.New(fault.NotRun, fault.NotFound, "there is no pipeline %q", name)
@@ -145,7 +145,7 @@
 }
 
 // fill completes the request from its envelope.
-func fill(req job.Request, env envelope, now time.Time) (job.Request, *fault.Error) {
+func fill(req task.Request, env envelope, now time.Time) (task.Request, *fault.Error) {
 	id, err := uuid.NewV7()
 	if err != nil {
 		return req, fault.New(fault.NotRun, fault.Internal, "no random numbers").WithCause(err)
--- a/internal/entry/front/run.go
+++ b/internal/entry/front/run.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -30,7 +30,7 @@
 	f.serve(w, r, req, stream, start)
 }
 
-func (f *Front) serve(w http.ResponseWriter, r *http.Request, req job.Request, stream bool, start time.Time) {
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, req task.Request, stream bool, start time.Time) {
 	var sink exec.Sink
 	var events *eventStream
 	if stream {
@@ -52,7 +52,7 @@
 }
 
 // refuse answers a request that does not start.
-func (f *Front) refuse(w http.ResponseWriter, req job.Request, err *fault.Error, start time.Time) {
+func (f *Front) refuse(w http.ResponseWriter, req task.Request, err *fault.Error, start time.Time) {
 	fail := &exec.Failure{Error: err}
 	if req.HasAction() {
 		fail.Action = err.Verdict
@@ -62,7 +62,7 @@
 }
 
 // finish logs and counts the end of a request.
-func (f *Front) finish(req job.Request, fail *exec.Failure, start time.Time, events *eventStream) {
+func (f *Front) finish(req task.Request, fail *exec.Failure, start time.Time, events *eventStream) {
 	now := f.o.Now()
 	rec := Record{
 		Team:     req.Team.Name,
--- a/internal/entry/front/stream.go
+++ b/internal/entry/front/stream.go
@@ -8,20 +8,20 @@
 	"unicode/utf8"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 )
 
 // eventStream writes an answer as server-sent events; its headers go out with the first event.
 type eventStream struct {
 	w       http.ResponseWriter
 	ctl     *http.ResponseController
-	req     job.Request
+	req     task.Request
 	now     func() time.Time
 	firstAt time.Time
 	started bool
 }
 
-func newEventStream(w http.ResponseWriter, req job.Request, now func() time.Time) *eventStream {
+func newEventStream(w http.ResponseWriter, req task.Request, now func() time.Time) *eventStream {
 	return &eventStream{w: w, ctl: http.NewResponseController(w), req: req, now: now}
 }
 
--- a/internal/entry/guard/guard.go
+++ b/internal/entry/guard/guard.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -21,9 +21,9 @@
 	// Marks are the fingerprints that crash upstreams.
 	Marks func() *mark.Set
 	// Limit takes one request from a team's share; its error's verdict is NotRun.
-	Limit func(r job.Request, now time.Time) *fault.Error
+	Limit func(r task.Request, now time.Time) *fault.Error
 	// Fits refuses what can't finish in its deadline; its error's verdict is NotRun.
-	Fits func(r job.Request, now time.Time) *fault.Error
+	Fits func(r task.Request, now time.Time) *fault.Error
 	Now  func() time.Time
 	Log  *zap.Logger
 }
@@ -49,7 +49,7 @@
 }
 
 // Admit returns the request to run, perhaps alone on its upstream, or why not.
-func (g *Guard) Admit(r job.Request) (job.Request, *fault.Error) {
+func (g *Guard) Admit(r task.Request) (task.Request, *fault.Error) {
 	now := g.o.Now()
 	r, err := g.quarantine(r, now)
 	if err == nil {
@@ -67,7 +67,7 @@
 }
 
 // quarantine refuses what crashed upstreams, and runs suspects alone.
-func (g *Guard) quarantine(r job.Request, now time.Time) (job.Request, *fault.Error) {
+func (g *Guard) quarantine(r task.Request, now time.Time) (task.Request, *fault.Error) {
 	switch g.o.Marks().State(r.Fingerprint, now) {
 	case mark.Quarantined:
 		return r, fault.New(fault.NotRun, fault.Quarantined,
--- a/internal/entry/guard/guard_test.go
+++ b/internal/entry/guard/guard_test.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -16,7 +16,7 @@
 var now = time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
 
 func newGuard(marks *mark.Set) *guard.Guard {
-	pass := func(job.Request, time.Time) *fault.Error { return nil }
+	pass := func(task.Request, time.Time) *fault.Error { return nil }
 	return guard.New(guard.Options{
 		Ready: func() *fault.Error { return nil },
 		Marks: func() *mark.Set { return marks },
@@ -70,17 +70,17 @@
 func TestQuarantine(t *testing.T) {
 	c := qt.New(t)
 	marks := mark.New(mark.Options{}).WithCrash(now, mark.Crash{ID: "a/1", InFlight: 2}, "fp")
-	r, err := newGuard(marks).Admit(job.Request{Fingerprint: "fp"})
+	r, err := newGuard(marks).Admit(task.Request{Fingerprint: "fp"})
 	c.Assert(err == nil, qt.IsTrue)
 	c.Check(r.Alone, qt.IsTrue)
 
 	marks = marks.WithCrash(now, mark.Crash{ID: "b/1", InFlight: 1}, "fp")
-	_, err = newGuard(marks).Admit(job.Request{Fingerprint: "fp"})
+	_, err = newGuard(marks).Admit(task.Request{Fingerprint: "fp"})
 	c.Assert(err, qt.IsNotNil)
 	c.Check(err.Code, qt.Equals, fault.Quarantined)
 	c.Check(err.Verdict, qt.Equals, fault.NotRun)
 
-	r, err = newGuard(marks).Admit(job.Request{Fingerprint: "other"})
+	r, err = newGuard(marks).Admit(task.Request{Fingerprint: "other"})
 	c.Assert(err == nil, qt.IsTrue)
 	c.Check(r.Alone, qt.IsFalse)
 }
--- a/internal/entry/job/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package job is one admitted request with everything it runs under.
-package job
--- a/internal/entry/node/control.go
+++ b/internal/entry/node/control.go
@@ -9,7 +9,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/mark"
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -112,7 +112,7 @@
 }
 
 // Attempt counts the cost of an attempt.
-func (n *Node) Attempt(r job.Request, c exec.Cost) {
+func (n *Node) Attempt(r task.Request, c exec.Cost) {
 	if n.o.Count != nil {
 		n.o.Count.Attempt(r, c)
 	}
--- a/internal/entry/policy/policy.go
+++ b/internal/entry/policy/policy.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/limit/admit"
 	"github.com/ragworthatch/ragworthatch/internal/limit/hedge"
 	"github.com/ragworthatch/ragworthatch/internal/limit/retry"
@@ -63,7 +63,7 @@
 }
 
 // Fits returns why a request could not finish in its deadline; its verdict is NotRun.
-func (p *Policy) Fits(r job.Request, now time.Time) *fault.Error {
+func (p *Policy) Fits(r task.Request, now time.Time) *fault.Error {
 	q := admit.Query{
 		Team:      r.Team.Name,
 		Weight:    r.Weight(),
--- a/internal/entry/quota/quota.go
+++ b/internal/entry/quota/quota.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/limit/share"
 	"github.com/ragworthatch/ragworthatch/internal/model/config"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -45,7 +45,7 @@
 }
 
 // Limit takes a request from its team's share; its error's verdict is NotRun.
-func (q *Quota) Limit(r job.Request, now time.Time) *fault.Error {
+func (q *Quota) Limit(r task.Request, now time.Time) *fault.Error {
 	ok, wait := q.bucket.Allow(r.Team.Name, now)
 	if ok {
 		return nil
--- /dev/null
+++ b/internal/entry/task/doc.go
@@ -0,0 +1,2 @@
+// Package task is one admitted request with everything it runs under.
+package task
--- a/internal/entry/job/request.go
+++ b/internal/entry/task/request.go
@@ -1,4 +1,4 @@
-package job
+package task
 
 import (
 	"encoding/json"
--- a/internal/proof/entry_test.go
+++ b/internal/proof/entry_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
 	"github.com/ragworthatch/ragworthatch/internal/entry/target"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/fake/inmem"
 	"github.com/ragworthatch/ragworthatch/internal/fake/worker"
 	verdict "github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -196,7 +196,7 @@
 func (e *entry) SettleHedge(time.Duration, time.Duration) {}
 
 // Attempt implements exec.Watcher.
-func (e *entry) Attempt(job.Request, exec.Cost) {}
+func (e *entry) Attempt(task.Request, exec.Cost) {}
 
 // Crashed implements exec.Watcher.
 func (e *entry) Crashed(exec.Crash) {}
@@ -215,7 +215,7 @@
 }
 
 // serve runs a request; a caller whose entry dies sees its connection break.
-func (e *entry) serve(r job.Request, sink exec.Sink) outcome {
+func (e *entry) serve(r task.Request, sink exec.Sink) outcome {
 	done := make(chan outcome, 1)
 	e.wg.Go(func() {
 		answer, f := e.exec.Run(e.ctx, r, sink)
@@ -234,7 +234,7 @@
 }
 
 // naiveServe runs a request as a naive entry would: every error is tried again, every frame is taken.
-func (e *entry) naiveServe(r job.Request, sink exec.Sink) outcome {
+func (e *entry) naiveServe(r task.Request, sink exec.Sink) outcome {
 	results := map[string]json.RawMessage{}
 	var last [][]byte
 	for _, st := range r.Stages {
@@ -258,7 +258,7 @@
 	return outcome{chunks: last}
 }
 
-func naiveFailure(r job.Request) outcome {
+func naiveFailure(r task.Request) outcome {
 	o := outcome{err: verdict.New(verdict.NotRun, verdict.Deadline, "stage failed")}
 	if r.HasAction() {
 		o.action = verdict.NotRun
@@ -266,7 +266,7 @@
 	return o
 }
 
-func (e *entry) naiveStage(r job.Request, st stage.Spec, body []byte) ([][]byte, bool) {
+func (e *entry) naiveStage(r task.Request, st stage.Spec, body []byte) ([][]byte, bool) {
 	for try := range 4 {
 		t, err := e.naiveRoute(st.Pool)
 		if err != nil {
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/ragworthatch/ragworthatch/internal/entry/job"
+	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	verdict "github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
@@ -233,7 +233,7 @@
 	start := time.Now()
 	deadline := pickOne(s.w.rnd, systemDeadlines...)
 	r := &result{id: mint(), key: key, stages: pipelines[name], input: input}
-	req := job.Request{
+	req := task.Request{
 		ID:          r.id,
 		Label:       r.id,
 		Team:        team.Spec{Name: "treasury"},
