--- a/internal/bench/plots/main.go
+++ b/internal/bench/plots/main.go
@@ -1,4 +1,3 @@
-// Command plots draws attainment against load, and an overload with its recovery over time, ours beside naive.
 package main
 
 import (
