--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -22,6 +20,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
 	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/roster"
 	"github.com/ragworthatch/ragworthatch/internal/model/host"
 	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
@@ -130,31 +129,14 @@
 	serve("LIST", httpd.Hosts(list))
 	serve("UPSTREAM", httpd.Upstream(upstream))
 	for _, name := range []string{"HTTP", "ENTRY", "SIDE", "METRICS"} {
-		ts.Setenv(name, freeAddress(ts))
+		address, err := ports.Next()
+		ts.Check(err)
+		ts.Setenv(name, address)
 	}
 	list.Put(host.Host{Name: "entry-1", Address: ts.Getenv("ENTRY"), Zone: "a", State: host.Live})
 	list.Put(host.Host{Name: "encoder-1", Address: ts.Getenv("SIDE"), Zone: "a", Pool: "encoders", State: host.Live})
 }
 
-// nextPort is below the ports that the system gives to outgoing connections, which
-// might take one between its choice and its use.
-var nextPort = 20_000 + os.Getpid()%1000*10
-
-func freeAddress(ts *testscript.TestScript) string {
-	for ; nextPort < 32_000; nextPort++ {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		ts.Check(l.Close())
-		nextPort++
-		return address
-	}
-	ts.Fatalf("no free port")
-	return ""
-}
-
 // eventually runs a command until its output matches; patience only ends a run that hangs.
 func eventually(ts *testscript.TestScript, neg bool, args []string) {
 	const patience, pause = 1200, 50 * time.Millisecond
--- a/internal/fake/httpd/server.go
+++ b/internal/fake/httpd/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/proc"
 )
 
@@ -26,8 +27,18 @@
 	conns   map[*conn]struct{}
 }
 
-// New serves a handler on an IP:port address; port 0 chooses one.
+// anyPort is the address that lets New choose a port.
+const anyPort = "127.0.0.1:0"
+
+// New serves a handler on an IP:port address; port 0 on 127.0.0.1 chooses one that the server can come back to.
 func New(address string, handler http.Handler) (*Server, error) {
+	if address == anyPort {
+		chosen, err := ports.Next()
+		if err != nil {
+			return nil, fmt.Errorf("stand-in: %w", err)
+		}
+		address = chosen
+	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
 	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
 	"github.com/ragworthatch/ragworthatch/internal/fake/plain"
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/record"
 	"github.com/ragworthatch/ragworthatch/internal/fake/roster"
 	"github.com/ragworthatch/ragworthatch/internal/fake/store"
@@ -248,10 +248,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Next()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return address
 }
