Measure whole processes, overhead and action streams in slopes

Cause: docs/CAPACITY.md had heap figures of the state only, and nothing of action streams or of the overhead of a call. Change: slopes builds the program, runs an entry and a side at three sizes, compares lookups with the stand-in, and sends actions to sides that share a stream.

--- a/internal/oper/slopes/main.go
+++ b/internal/oper/slopes/main.go
@@ -17,6 +17,14 @@
 }
 
 func run() error {
+	if err := measureProcesses(); err != nil {
+		return err
+	}
+	for _, sides := range []int{6, 24} {
+		for _, rate := range []float64{25, 250} {
+			fmt.Println(measureAppends(sides, rate))
+		}
+	}
 	local, err := measureLocal()
 	if err != nil {
 		return err
