--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -129,9 +129,7 @@
 	serve("LIST", httpd.Hosts(list))
 	serve("UPSTREAM", httpd.Upstream(upstream))
 	for _, name := range []string{"HTTP", "ENTRY", "SIDE", "METRICS"} {
-		address, err := ports.Next()
-		ts.Check(err)
-		ts.Setenv(name, address)
+		ts.Setenv(name, ports.Next())
 	}
 	list.Put(host.Host{Name: "entry-1", Address: ts.Getenv("ENTRY"), Zone: "a", State: host.Live})
 	list.Put(host.Host{Name: "encoder-1", Address: ts.Getenv("SIDE"), Zone: "a", Pool: "encoders", State: host.Live})
--- a/internal/fake/httpd/server.go
+++ b/internal/fake/httpd/server.go
@@ -27,17 +27,13 @@
 	conns   map[*conn]struct{}
 }
 
-// anyPort is the address that lets New choose a port.
+// anyPort is the address that lets New choose one.
 const anyPort = "127.0.0.1:0"
 
-// New serves a handler on an IP:port address; port 0 on 127.0.0.1 chooses one that the server can come back to.
+// New serves a handler on an IP:port address; 127.0.0.1:0 chooses a loopback address that the server can come back to.
 func New(address string, handler http.Handler) (*Server, error) {
 	if address == anyPort {
-		chosen, err := ports.Next()
-		if err != nil {
-			return nil, fmt.Errorf("stand-in: %w", err)
-		}
-		address = chosen
+		address = ports.Next()
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/fake/ports/ports.go
+++ b/internal/fake/ports/ports.go
@@ -7,30 +7,21 @@
 	"sync/atomic"
 )
 
-// The ports handed out lie below the range that the kernel gives to outgoing connections.
 const (
-	first = 12000
-	last  = 32000
-	// stride spreads the processes of one machine over the range.
-	stride = 97
+	firstPort = 10000
+	// firstNet is the second byte of the addresses; 127.0.0.1 itself is left to others.
+	firstNet = 64
 )
 
-var next atomic.Int64
+var taken atomic.Int64
 
-// Next returns a loopback address whose port was free a moment ago and is not handed out twice by this process.
-func Next() (string, error) {
-	start := int64(os.Getpid()) * stride
-	for range last - first {
-		port := first + (start+next.Add(1))%(last-first)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		if err := l.Close(); err != nil {
-			return "", err
-		}
-		return address, nil
-	}
-	return "", fmt.Errorf("no free port from %d to %d", first, last)
+// Next returns an address that no other process uses and that is handed out once: each process has a loopback
+// IP of its own, and outgoing connections start from 127.0.0.1.
+func Next() string {
+	pid := os.Getpid()
+	port := firstPort + taken.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", firstNet+pid>>16&63, pid>>8&255, pid&255, port)
 }
+
+// Listen listens on the next address.
+func Listen() (net.Listener, error) { return net.Listen("tcp", Next()) }
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -179,7 +179,7 @@
 }
 
 func (f *fleet) addEntry(name, zone string) {
-	http := freeAddress(f.t)
+	http := ports.Next()
 	p := f.process("entry", name, zone, fmt.Sprintf("http: %s\noperatorTokenDigest: %s\nweightStore: %s\n", http, operatorsDigest, f.weights.Address()))
 	p.http = http
 	f.entries = append(f.entries, p)
@@ -188,7 +188,7 @@
 }
 
 func (f *fleet) process(role, name, zone, more string) *process {
-	p := &process{t: f.t, name: name, address: freeAddress(f.t)}
+	p := &process{t: f.t, name: name, address: ports.Next()}
 	settings := fmt.Sprintf("role: %s\nname: %s\nregion: north\nzone: %s\nzones: [zone-a, zone-b, zone-c]\ngrpc: %s\nlog: %s\nhostList: %s\nlogLevel: info\n%s",
 		role, name, zone, p.address, f.logHTTP.Address(), f.hosts.Address(), more)
 	file := filepath.Join(f.dir, name+".yaml")
@@ -246,11 +246,3 @@
 		}
 	}
 }
-
-func freeAddress(t *testing.T) string {
-	address, err := ports.Next()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return address
-}
--- a/internal/proof/procs/relay_test.go
+++ b/internal/proof/procs/relay_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 )
 
 // relay stands between the entries and a side, and can let open connections go silent, as a lost route would.
@@ -22,7 +24,7 @@
 }
 
 func newRelay(t *testing.T, target string) *relay {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := ports.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
