--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -18,10 +16,11 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"go.uber.org/zap"
 
-	"github.com/ragworthatch/ragworthatch/internal/demo/day"
+	"github.com/ragworthatch/ragworthatch/internal/demo/script"
 	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
 	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/roster"
 	"github.com/ragworthatch/ragworthatch/internal/model/host"
 	"github.com/ragworthatch/ragworthatch/internal/oper/caller"
@@ -40,7 +39,7 @@
 			if err != nil {
 				return err
 			}
-			e.Values[dayKey{}] = new(*day.Day)
+			e.Values[dayKey{}] = new(*script.Day)
 			e.Setenv("ROOT", strings.TrimSuffix(root, "/cmd/ragworthatch"))
 			return nil
 		},
@@ -61,7 +60,7 @@
 // dayKey finds the deployment among a script's values.
 type dayKey struct{}
 
-func deployed(ts *testscript.TestScript) **day.Day { return ts.Value(dayKey{}).(**day.Day) }
+func deployed(ts *testscript.TestScript) **script.Day { return ts.Value(dayKey{}).(**script.Day) }
 
 // loseAnswers makes each plain service break one connection after it has done the work.
 func loseAnswers(ts *testscript.TestScript, _ bool, _ []string) { (*deployed(ts)).LoseAnswers() }
@@ -71,7 +70,7 @@
 	key := uuid.Must(uuid.NewV7()).String()
 	ts.Setenv("KEY", key)
 	a := caller.New("script").Call(context.Background(), ts.Getenv(envEntry), caller.Request{
-		Pipeline: "transfer", Token: day.CollectorsToken, Key: key, Input: json.RawMessage(`{"marker":"script"}`),
+		Pipeline: "transfer", Token: script.CollectorsToken, Key: key, Input: json.RawMessage(`{"marker":"script"}`),
 	})
 	ts.Logf("status %d, verdict %s, code %s", a.Status, a.Verdict, a.Code)
 }
@@ -82,13 +81,13 @@
 	if neg || len(args) > 0 {
 		ts.Fatalf("usage: deploy")
 	}
-	d, err := day.New(context.Background(), day.Options{Log: zap.NewNop()})
+	d, err := script.New(context.Background(), script.Options{Log: zap.NewNop()})
 	ts.Check(err)
 	ts.Defer(d.Close)
 	*deployed(ts) = d
 	ts.Setenv(envEntry, d.Entries()[0])
 	ts.Setenv("ENTRY2", d.Entries()[1])
-	ts.Setenv(envToken, day.OperatorsToken)
+	ts.Setenv(envToken, script.OperatorsToken)
 	ts.Setenv(envAuthor, "ana")
 }
 
@@ -130,31 +129,12 @@
 	serve("LIST", httpd.Hosts(list))
 	serve("UPSTREAM", httpd.Upstream(upstream))
 	for _, name := range []string{"HTTP", "ENTRY", "SIDE", "METRICS"} {
-		ts.Setenv(name, freeAddress(ts))
+		ts.Setenv(name, ports.Next())
 	}
 	list.Put(host.Host{Name: "entry-1", Address: ts.Getenv("ENTRY"), Zone: "a", State: host.Live})
 	list.Put(host.Host{Name: "encoder-1", Address: ts.Getenv("SIDE"), Zone: "a", Pool: "encoders", State: host.Live})
 }
 
-// nextPort is below the ports that the system gives to outgoing connections, which
-// might take one between its choice and its use.
-var nextPort = 20_000 + os.Getpid()%1000*10
-
-func freeAddress(ts *testscript.TestScript) string {
-	for ; nextPort < 32_000; nextPort++ {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		ts.Check(l.Close())
-		nextPort++
-		return address
-	}
-	ts.Fatalf("no free port")
-	return ""
-}
-
 // eventually runs a command until its output matches; patience only ends a run that hangs.
 func eventually(ts *testscript.TestScript, neg bool, args []string) {
 	const patience, pause = 1200, 50 * time.Millisecond
--- a/internal/fake/httpd/server.go
+++ b/internal/fake/httpd/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/proc"
 )
 
@@ -26,8 +27,14 @@
 	conns   map[*conn]struct{}
 }
 
-// New serves a handler on an IP:port address; port 0 chooses one.
+// anyPort is the address that lets New choose one.
+const anyPort = "127.0.0.1:0"
+
+// New serves a handler on an IP:port address; 127.0.0.1:0 chooses a loopback address that the server can come back to.
 func New(address string, handler http.Handler) (*Server, error) {
+	if address == anyPort {
+		address = ports.Next()
+	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
 	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
 	"github.com/ragworthatch/ragworthatch/internal/fake/plain"
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/record"
 	"github.com/ragworthatch/ragworthatch/internal/fake/roster"
 	"github.com/ragworthatch/ragworthatch/internal/fake/store"
@@ -179,7 +179,7 @@
 }
 
 func (f *fleet) addEntry(name, zone string) {
-	http := freeAddress(f.t)
+	http := ports.Next()
 	p := f.process("entry", name, zone, fmt.Sprintf("http: %s\noperatorTokenDigest: %s\nweightStore: %s\n", http, operatorsDigest, f.weights.Address()))
 	p.http = http
 	f.entries = append(f.entries, p)
@@ -188,7 +188,7 @@
 }
 
 func (f *fleet) process(role, name, zone, more string) *process {
-	p := &process{t: f.t, name: name, address: freeAddress(f.t)}
+	p := &process{t: f.t, name: name, address: ports.Next()}
 	settings := fmt.Sprintf("role: %s\nname: %s\nregion: north\nzone: %s\nzones: [zone-a, zone-b, zone-c]\ngrpc: %s\nlog: %s\nhostList: %s\nlogLevel: info\n%s",
 		role, name, zone, p.address, f.logHTTP.Address(), f.hosts.Address(), more)
 	file := filepath.Join(f.dir, name+".yaml")
@@ -246,12 +246,3 @@
 		}
 	}
 }
-
-func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
