--- a/internal/model/timing/timing.go
+++ b/internal/model/timing/timing.go
@@ -5,9 +5,9 @@
 // Membership.
 const (
 	// HeartbeatInterval is how often a side repeats its status on an idle watch.
-	HeartbeatInterval = 10 * time.Second
+	HeartbeatInterval = 15 * time.Second
 	// SuspectAfter is the silence after which a watched upstream is suspect.
-	SuspectAfter = 25 * time.Second
+	SuspectAfter = 35 * time.Second
 	// LeavingBound is how long a leaving upstream may still get new work.
 	LeavingBound = 3 * time.Second
 	// HostListInterval is how often an entry reads the host list.
--- a/internal/oper/slopes/target.go
+++ b/internal/oper/slopes/target.go
@@ -8,7 +8,7 @@
 	targetTeams    = 3500
 	targetModels   = 10
 	targetPools    = 6  // pools of runners and stages; an assumption
-	subsetPerPool  = 12 // upstreams of a pool that an entry is connected to
+	subsetPerPool  = 20 // upstreams of a pool that an entry is connected to
 	changesPerDay  = 2200
 	secondsPerDay  = 24 * 60 * 60
 	linksPerEntry  = targetPools * subsetPerPool
--- a/internal/side/boot/pool.go
+++ b/internal/side/boot/pool.go
@@ -127,7 +127,7 @@
 		if declared, ok := s.declared(state); ok {
 			spec = declared
 		}
-		s.server.Use(serve.Config{Offset: state.Offset(), Revision: state.Revision(), Digest: state.Digest(), Pool: spec})
+		s.server.Use(serve.Config{Offset: state.Offset(), Revision: state.Revision(), Digest: gossip.Shorten(state.Digest()), Pool: spec})
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/side/serve/config.go
+++ b/internal/side/serve/config.go
@@ -12,7 +12,7 @@
 type Config struct {
 	Offset   int64 // folded up to
 	Revision int64
-	Digest   string
+	Digest   string // start of it, as it travels with each status
 	Pool     pool.Spec
 }
 
--- a/internal/side/serve/status.go
+++ b/internal/side/serve/status.go
@@ -52,7 +52,7 @@
 		Zone:            s.opts.Zone,
 		State:           state,
 		Incarnation:     s.opts.Incarnation,
-		Load:            s.load(),
+		Load:            s.loadOfStatus(),
 		Offset:          s.offset.Load(),
 		Digest:          *s.digest.Load(),
 		UpstreamHealthy: s.health.healthy(),
@@ -63,6 +63,13 @@
 	return st
 }
 
+// loadOfStatus leaves out the incarnation, which the status itself has.
+func (s *Server) loadOfStatus() *sidepb.Load {
+	l := s.load()
+	l.Incarnation = ""
+	return l
+}
+
 func (s *Server) load() *sidepb.Load {
 	latency, reported := s.health.look()
 	entered := s.opts.Gate.Load()
