--- a/internal/entry/node/control.go
+++ b/internal/entry/node/control.go
@@ -111,8 +111,9 @@
 	return nil
 }
 
-// Attempt counts the cost of an attempt.
+// Attempt counts the cost of an attempt, and what it says of the demand for a model.
 func (n *Node) Attempt(r task.Request, c exec.Cost) {
+	n.measure(r, c)
 	if n.o.Count != nil {
 		n.o.Count.Attempt(r, c)
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/ragworthatch/ragworthatch/internal/entry/count"
+	"github.com/ragworthatch/ragworthatch/internal/entry/demand"
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/front"
 	"github.com/ragworthatch/ragworthatch/internal/entry/guard"
@@ -62,6 +63,7 @@
 	router *router.Router
 	policy *policy.Policy
 	quota  *quota.Quota
+	demand *demand.Meter
 	guard  *guard.Guard
 	exec   *exec.Executor
 	index  *cell.Cell[*index.Index]
@@ -85,10 +87,12 @@
 		o:     o,
 		feed:  feed.New(o.Log, feed.Options{Author: o.Name}, o.Zap),
 		quota: quota.New(),
-		index: cell.New(&index.Index{}),
-		marks: cell.New(mark.New(mark.Options{})),
-		views: make(chan struct{}, 1),
-		leave: make(chan struct{}),
+
+		demand: demand.New(),
+		index:  cell.New(&index.Index{}),
+		marks:  cell.New(mark.New(mark.Options{})),
+		views:  make(chan struct{}, 1),
+		leave:  make(chan struct{}),
 	}
 	links, err := link.New(link.Options{
 		Entry:  o.Name,
