--- a/internal/proof/procs/traffic_test.go
+++ b/internal/proof/procs/traffic_test.go
@@ -39,6 +39,19 @@
 	unsure  atomic.Int64 // sends told mayHaveRun
 	stop    chan struct{}
 	wg      sync.WaitGroup
+	mu      sync.Mutex
+	said    []string // the first sends told mayHaveRun
+}
+
+// maxSaid bounds what is kept of the sends told mayHaveRun.
+const maxSaid = 5
+
+func (tr *traffic) say(format string, args ...any) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if len(tr.said) < maxSaid {
+		tr.said = append(tr.said, fmt.Sprintf(format, args...))
+	}
 }
 
 // publish sends the demo's declarations and waits until every entry answers every pipeline.
@@ -166,6 +179,7 @@
 		}
 		if a.Ended && a.Verdict != fault.NotRun {
 			tr.unsure.Add(1)
+			tr.say("%s %s told %s: %s: %s", r.Pipeline, r.ID, a.Verdict, a.Code, a.Message)
 		}
 		time.Sleep(resendWait)
 	}
@@ -177,7 +191,7 @@
 	close(tr.stop)
 	tr.wg.Wait()
 	counts, problems := tr.tally.Count(tr.f.books())
-	for _, p := range problems {
+	for _, p := range append(problems, tr.said...) {
 		t.Log(p)
 	}
 	t.Logf("sent %d, without end %d, told mayHaveRun %d: %+v", tr.sent.Load(), tr.unended.Load(), tr.unsure.Load(), counts)
