Do not count refusals by leaving upstreams as retries

Cause: a request may be retried three times over all its stages, and refusals by draining sides counted; when a zone drains at once, a request of four stages can meet four of them before the entry's view shows it, and was told mayHaveRun. Seen with real processes: 4 sends in 2 of 12 runs of TestRollingReplacement. Change: such refusals, and those by a replaced side, are counted apart, up to 5 for a stage.

--- a/internal/entry/exec/exec.go
+++ b/internal/entry/exec/exec.go
@@ -59,8 +59,9 @@
 type Try struct {
 	Fault     *fault.Error
 	Attempt   uint32 // of this stage, 1 is the first
-	Retries   uint32 // of the whole request
+	Retries   uint32 // of the whole request, but for those in Elsewhere
 	Overloads uint32 // of these, those after a refusal for overload
+	Elsewhere uint32 // of this stage, those after a refusal by an upstream that is leaving or was replaced
 }
 
 // Crash is an upstream that died with a call of this request in flight.
--- a/internal/entry/exec/exec_test.go
+++ b/internal/entry/exec/exec_test.go
@@ -152,8 +152,9 @@
 
 // fakePolicy allows attempts of a stage as long as the fault allows it, and hedges after hedge.
 type fakePolicy struct {
-	attempts uint32
-	hedge    time.Duration
+	attempts  uint32
+	elsewhere uint32 // refusals by leaving upstreams that a stage may meet
+	hedge     time.Duration
 }
 
 func (p fakePolicy) Estimate(exec.Work) time.Duration           { return 0 }
@@ -162,6 +163,9 @@
 func (p fakePolicy) SettleHedge(time.Duration, time.Duration)   {}
 func (p fakePolicy) HedgeAfter(exec.Work) (time.Duration, bool) { return p.hedge, p.hedge > 0 }
 func (p fakePolicy) Retry(_ exec.Work, t exec.Try) (time.Duration, bool) {
+	if t.Fault.Code == fault.Draining && t.Elsewhere < p.elsewhere {
+		return 0, true
+	}
 	return 0, t.Retries+1 < p.attempts
 }
 
@@ -305,6 +309,20 @@
 	}
 }
 
+// TestRefusalsByLeavingUpstreams checks that they do not count as retries of the request, over all its stages.
+func TestRefusalsByLeavingUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		leaving := []line{failed(fault.NotRun, fault.Draining)}
+		f := newFixture(leaving, okay, leaving, okay, leaving, okay)
+		f.policy.attempts = 1
+		f.policy.elsewhere = 2
+		_, fail := f.run(t.Context(), request(stage.Encode, stage.Retrieve, stage.Rerank), nil)
+		c.Check(fail, qt.IsNil)
+		c.Check(f.router.next, qt.Equals, 6)
+	})
+}
+
 // TestResume checks that a stream goes on elsewhere without a token twice or missing.
 func TestResume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/exec/stage.go
+++ b/internal/entry/exec/stage.go
@@ -21,6 +21,8 @@
 	held     [][]byte // tokens to resume from
 	attempts uint32
 	avoid    []string
+	// elsewhere counts the refusals by upstreams that are leaving or were replaced.
+	elsewhere uint32
 }
 
 // stage runs stage i to a whole result.
@@ -55,16 +57,25 @@
 		if !again {
 			return result{}, f
 		}
-		s.run.retries++
-		if f.Code == fault.Overloaded {
-			s.run.overload++
-		}
+		s.count(f)
 		if !sleep(ctx, pause) {
 			return result{}, ended(ctx, f.Verdict)
 		}
 	}
 }
 
+// count notes a retry after f.
+func (s *step) count(f *fault.Error) {
+	switch f.Code {
+	case fault.Draining, fault.WrongTarget:
+		s.elsewhere++
+		return
+	case fault.Overloaded:
+		s.run.overload++
+	}
+	s.run.retries++
+}
+
 // isolate makes a request that may have crashed its upstream run alone from now on, and stops it after
 // the second crash.
 func (s *step) isolate(f *fault.Error) *fault.Error {
@@ -90,6 +101,7 @@
 		Attempt:   s.attempts,
 		Retries:   s.run.retries,
 		Overloads: s.run.overload,
+		Elsewhere: s.elsewhere,
 	})
 }
 
--- a/internal/entry/policy/policy.go
+++ b/internal/entry/policy/policy.go
@@ -121,6 +121,7 @@
 		Repeatable: w.Repeatable,
 		Retries:    t.Retries,
 		Overloads:  t.Overloads,
+		Elsewhere:  t.Elsewhere,
 		Remaining:  w.Remaining,
 		Need:       p.Estimate(w) + w.After,
 	})
--- /dev/null
+++ b/internal/entry/policy/policy_test.go
@@ -0,0 +1,31 @@
+package policy_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
+	"github.com/ragworthatch/ragworthatch/internal/entry/policy"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+// TestLeavingZoneIsNoFault checks that a request which every stage of a leaving zone refuses once still goes on,
+// and that a pool which only leaves ends it.
+func TestLeavingZoneIsNoFault(t *testing.T) {
+	c := qt.New(t)
+	p := policy.New(rand.New(rand.NewPCG(1, 1)), time.Now, zap.NewNop())
+	w := exec.Work{Pool: "engines", Remaining: time.Second}
+	draining := fault.New(fault.NotRun, fault.Draining, "leaving")
+	for n := range uint32(5) {
+		_, again := p.Retry(w, exec.Try{Fault: draining, Retries: 3, Elsewhere: n})
+		c.Check(again, qt.IsTrue, qt.Commentf("after %d refusals", n))
+	}
+	_, again := p.Retry(w, exec.Try{Fault: draining, Elsewhere: 5})
+	c.Check(again, qt.IsFalse)
+	_, again = p.Retry(w, exec.Try{Fault: fault.New(fault.NotRun, fault.NoUpstream, "none"), Retries: 3})
+	c.Check(again, qt.IsFalse)
+}
--- a/internal/limit/retry/budget.go
+++ b/internal/limit/retry/budget.go
@@ -11,6 +11,7 @@
 	defaultRatio   = 0.1
 	defaultBurst   = 20 // calls
 	maxPerRequest  = 3  // calls
+	maxElsewhere   = 5  // calls of one stage that upstreams which are leaving refused
 	overloadedOnce = 1  // calls
 )
 
@@ -19,7 +20,7 @@
 
 // The reasons.
 const (
-	Draining   Reason = "draining"   // refused by an upstream that is leaving: sent elsewhere at no cost
+	Draining   Reason = "draining"   // refused by an upstream that is leaving or was replaced: sent elsewhere at no cost
 	Overloaded Reason = "overloaded" // refused by a full upstream: sent elsewhere once
 	Refused    Reason = "refused"    // did not run for another reason
 	Repeatable Reason = "repeatable" // may have run, and may run again
@@ -40,8 +41,10 @@
 type Failure struct {
 	Err        *fault.Error
 	Repeatable bool
-	// Retries of the request so far, over all stages and hops; it travels on each call.
+	// Retries of the request so far, over all stages and hops, but for those that cost nothing; it travels on each call.
 	Retries uint32
+	// Elsewhere counts the retries of this stage that cost nothing.
+	Elsewhere uint32
 	// Overloads counts those of them that followed a refusal for overload.
 	Overloads uint32
 	Remaining time.Duration // until the request's deadline
@@ -91,7 +94,7 @@
 		return Decision{Reason: reason}
 	}
 	switch {
-	case f.Retries >= maxPerRequest || (reason == Overloaded && f.Overloads >= overloadedOnce):
+	case tooMany(f, reason):
 		return Decision{Reason: TooMany}
 	case f.Remaining <= f.Need:
 		return Decision{Reason: TooLate}
@@ -101,6 +104,17 @@
 	return Decision{Again: true, Reason: reason}
 }
 
+// tooMany counts the retries that cost nothing apart, as a whole zone may be leaving under a request of many stages.
+func tooMany(f Failure, reason Reason) bool {
+	switch reason {
+	case Draining:
+		return f.Elsewhere >= maxElsewhere
+	case Overloaded:
+		return f.Retries >= maxPerRequest || f.Overloads >= overloadedOnce
+	}
+	return f.Retries >= maxPerRequest
+}
+
 func (b *Budget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -118,7 +132,7 @@
 		return Final
 	}
 	switch {
-	case f.Err.Verdict == fault.NotRun && f.Err.Code == fault.Draining:
+	case f.Err.Verdict == fault.NotRun && (f.Err.Code == fault.Draining || f.Err.Code == fault.WrongTarget):
 		return Draining
 	case f.Err.Verdict == fault.NotRun && f.Err.Code == fault.Overloaded:
 		return Overloaded
