--- a/internal/entry/assem/answer.go
+++ b/internal/entry/assem/answer.go
@@ -29,7 +29,6 @@
 	cost   *sidepb.Cost
 	whole  *sidepb.Whole
 	failed *sidepb.Failure
-	ran    bool
 }
 
 // New returns an answer that goes on after the held chunks.
@@ -57,7 +56,6 @@
 	case nil:
 		return Progress, nil
 	case *sidepb.CallFrame_Started:
-		a.ran = true
 		return Started, nil
 	case *sidepb.CallFrame_Chunk:
 		return a.chunk(body.Chunk)
@@ -74,9 +72,6 @@
 // Chunks are the chunks so far, held ones included.
 func (a *Answer) Chunks() [][]byte { return a.chunks }
 
-// Ran says that the side has sent the call to its upstream.
-func (a *Answer) Ran() bool { return a.ran }
-
 // Cost is what the side counted for the attempt; nil before its end.
 func (a *Answer) Cost() *sidepb.Cost { return a.cost }
 
@@ -96,7 +91,6 @@
 }
 
 func (a *Answer) chunk(c *sidepb.Chunk) (Step, error) {
-	a.ran = true
 	want := uint64(len(a.chunks))
 	if c.GetIndex() != want {
 		return Failed, a.fail(fault.Incomplete, "chunk %d came in place of %d", c.GetIndex(), want)
@@ -106,7 +100,6 @@
 }
 
 func (a *Answer) finish(w *sidepb.Whole) (Step, error) {
-	a.ran = true
 	a.whole = w
 	a.cost = w.GetCost()
 	if have := uint64(len(a.chunks)); w.GetCount() != have {
--- a/internal/side/boot/side.go
+++ b/internal/side/boot/side.go
@@ -9,11 +9,10 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/ragworthatch/ragworthatch/internal/fleet/gossip"
+	"github.com/ragworthatch/ragworthatch/internal/fleet/link"
 	"github.com/ragworthatch/ragworthatch/internal/model/pool"
-	"github.com/ragworthatch/ragworthatch/internal/model/timing"
 	"github.com/ragworthatch/ragworthatch/internal/oper/listen"
 	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
 	"github.com/ragworthatch/ragworthatch/internal/oper/setup"
@@ -115,14 +114,7 @@
 	if s.server, err = serve.New(s.remember(s.options(spec))); err != nil {
 		return err
 	}
-	s.grpc = grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessage),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: timing.KeepaliveInterval, Timeout: timing.KeepaliveTimeout}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
-			MinTime:             timing.KeepaliveInterval / 2,
-			PermitWithoutStream: true,
-		}),
-	)
+	s.grpc = grpc.NewServer(append(link.ServerOptions(), grpc.MaxRecvMsgSize(maxMessage))...)
 	sidepb.RegisterSideServer(s.grpc, s.server)
 	s.gauges()
 	if spec.Kind == pool.Service {
