--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -104,6 +104,7 @@
 	all := []*command{
 		entryCommand(s),
 		sideCommand(s),
+		edgeCommand(s),
 		checkCommand(s),
 		publishCommand(s),
 		presetCommand(s),
--- /dev/null
+++ b/cmd/ragworthatch/edge.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/node"
+	"github.com/ragworthatch/ragworthatch/internal/oper/logger"
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+func edgeCommand(s *streams) *command {
+	var o edgeOptions
+	return &command{
+		name:     "edge",
+		group:    groupServe,
+		synopsis: "serve callers on the operators' platform",
+		usage: `edge [--settings FILE]
+
+Serves callers on a host of the operators' platform, which provides the settings, the
+configuration and the list of upstreams; no sides run there. The first SIGTERM or SIGINT
+starts a graceful shutdown, a second one stops at once.`,
+		flags: o.define,
+		run: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			settings, err := platform.LoadSettings(o.path())
+			if err != nil {
+				return err
+			}
+			log := logger.New(s.out, o.logLevel)
+			logger.RouteLibraries(log)
+			return node.New(settings, log).Run(stopSignals())
+		},
+	}
+}
+
+// path is where the platform put the settings.
+func (o *edgeOptions) path() string {
+	switch {
+	case o.settings != "":
+		return o.settings
+	case os.Getenv(platform.SettingsVariable) != "":
+		return os.Getenv(platform.SettingsVariable)
+	}
+	return platform.DefaultSettingsPath
+}
--- a/cmd/ragworthatch/options.go
+++ b/cmd/ragworthatch/options.go
@@ -10,6 +10,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/oper/admin"
 	"github.com/ragworthatch/ragworthatch/internal/oper/load"
+	"github.com/ragworthatch/ragworthatch/platform"
 )
 
 // operatorOptions are the options of all commands that ask an entry.
@@ -293,3 +294,14 @@
 	}
 	return args[0], nil
 }
+
+// edgeOptions are the options of edge.
+type edgeOptions struct {
+	settings string
+	logLevel string
+}
+
+func (o *edgeOptions) define(f *flag.FlagSet) {
+	f.StringVar(&o.settings, "settings", "", "`file` with the platform's settings; "+platform.SettingsVariable+" stands in")
+	f.StringVar(&o.logLevel, "logLevel", "info", "least `level` of log lines: debug, info, warn or error")
+}
--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -51,7 +51,7 @@
 
 			"eventually":  eventually,
 			"loseAnswers": loseAnswers,
-			"platform":    platform,
+			"fakePlatform": fakePlatform,
 			"transfer":    transfer,
 		},
 	})
@@ -117,7 +117,7 @@
 
 // platform starts the platform's stand-ins and one upstream, puts an entry and a side on the
 // host list, and sets the variables for their settings.
-func platform(ts *testscript.TestScript, _ bool, _ []string) {
+func fakePlatform(ts *testscript.TestScript, _ bool, _ []string) {
 	list, upstream := roster.New(0), member.New(8, time.Millisecond)
 	serve := func(name string, h http.Handler) {
 		s, err := httpd.New("127.0.0.1:0", h)
--- /dev/null
+++ b/internal/cell/board/admit.go
@@ -0,0 +1,104 @@
+package board
+
+import "time"
+
+// admit says whether a new job is refused, and marks it late if it can't meet its target.
+func (b *Board) admit(j *job, now time.Time) (Refusal, bool) {
+	need := j.FinalStep
+	for _, s := range j.steps {
+		if s.spec.Pieces == 0 {
+			continue
+		}
+		p := b.pools[s.spec.Pool]
+		if p == nil || p.present() == 0 {
+			return Refusal{Job: j.ID, Reason: NoUpstreams, RetryAfter: time.Second}, true
+		}
+	}
+	var path time.Duration
+	for i, s := range j.steps {
+		if len(s.spec.After) == 0 && s.spec.Pieces > 0 {
+			path = max(path, b.pathWait(j, i, false))
+		}
+	}
+	need += path
+	j.late = now.Add(need).After(j.Target)
+	if !j.late {
+		return Refusal{}, false
+	}
+	left := j.Deadline.Sub(now)
+	var all time.Duration
+	for i, s := range j.steps {
+		if len(s.spec.After) == 0 && s.spec.Pieces > 0 {
+			all = max(all, b.pathWait(j, i, true))
+		}
+	}
+	if all+j.FinalStep > time.Duration(maxLateLoad*float64(left)) {
+		return Refusal{Job: j.ID, Reason: Overloaded, RetryAfter: b.retryAfter(j)}, true
+	}
+	return Refusal{}, false
+}
+
+// pathWait is the expected time from now to the end of a stage and those after it.
+func (b *Board) pathWait(j *job, index int, withLate bool) time.Duration {
+	s := j.steps[index]
+	var longest time.Duration
+	for i, next := range j.steps {
+		if next.spec.Pieces == 0 {
+			continue
+		}
+		for _, a := range next.spec.After {
+			if a == index {
+				longest = max(longest, b.pathWait(j, i, withLate))
+			}
+		}
+	}
+	return b.wait(s.spec.Pool, withLate) + b.duration(s) + longest
+}
+
+// wait is the expected time until a new step of a pool begins: half a call when all upstreams are busy, and what is queued.
+func (b *Board) wait(name string, withLate bool) time.Duration {
+	p := b.pools[name]
+	pieces, busy, present := 0, 0, 0
+	for _, s := range p.ready {
+		if withLate || !s.job.late {
+			pieces += len(s.pending)
+		}
+	}
+	for _, w := range p.workers {
+		if !w.present {
+			continue
+		}
+		present++
+		if w.running != nil {
+			busy++
+		}
+	}
+	if present == 0 || busy < present {
+		return 0
+	}
+	full := p.spec.Call + time.Duration(p.spec.Size)*p.spec.Piece
+	calls := float64(pieces) / float64(p.spec.Size)
+	return time.Duration((0.5 + calls) * float64(full) / float64(present))
+}
+
+// present is the number of upstreams that are listed and ready.
+func (p *pool) present() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.present {
+			n++
+		}
+	}
+	return n
+}
+
+// retryAfter is when the queues on a job's way are expected to be short.
+func (b *Board) retryAfter(j *job) time.Duration {
+	var longest time.Duration
+	for _, s := range j.steps {
+		if s.spec.Pieces > 0 && b.pools[s.spec.Pool] != nil {
+			longest = max(longest, b.wait(s.spec.Pool, true))
+		}
+	}
+	return max(minRetryAfter, longest)
+}
--- /dev/null
+++ b/internal/cell/board/board.go
@@ -0,0 +1,642 @@
+package board
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+)
+
+const (
+	minHomeBytes     = 200_000                // input that is worth staying in its zone for
+	crossAfter       = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
+	rankStep         = 100 * time.Millisecond // a rank's worth of urgency
+	lateHold         = 0.35                   // part of its time that a late job waits for its first call
+	maxLateLoad      = 0.5                    // part of the time to the deadline that queued work may take
+	maxRestarts      = 2                      // of a job whose results were lost
+	maxFailures      = 4                      // calls of one step that failed
+	roomPause        = 100 * time.Millisecond // an upstream that had no room for results gets no calls
+	firstPause       = 300 * time.Millisecond // after a failed call; doubles
+	longestPause     = 2 * time.Second
+	hedgeFactor      = 1.8 // a call that takes longer than this multiple of its expected time runs elsewhere too
+	hedgeSlack       = 100 * time.Millisecond
+	speedSmoothing   = 0.4
+	slowFactor       = 1.7 // upstreams slower than this get work only when the others are busy
+	overheadPerCall  = 4 * time.Millisecond
+	minRetryAfter    = 200 * time.Millisecond
+	abandonCallAfter = 10 * time.Second // a call without an answer for this long counts as failed
+)
+
+// Batch is a call to make.
+type Batch struct {
+	ID       int64
+	Upstream hosts.Upstream
+	Items    []call.Item
+	Expected time.Duration
+}
+
+// Grant says that all stages of a job are done.
+type Grant struct {
+	Job    string
+	Inputs []string         // handles that the request reads
+	ByZone map[string]int64 // bytes of those results by zone
+	Late   bool
+}
+
+// Reason says why a job is refused.
+type Reason string
+
+// The reasons.
+const (
+	Overloaded  Reason = "overloaded"  // the queues are too long for its deadline
+	Expired     Reason = "expired"     // it waited too long for its first call
+	NoUpstreams Reason = "noUpstreams" // a pool has no upstream
+	Failing     Reason = "failing"     // its calls failed too often
+)
+
+// Refusal says that a job does not run.
+type Refusal struct {
+	Job        string
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Release gives up results at their maker.
+type Release struct {
+	Upstream hosts.Upstream
+	Handles  []string
+}
+
+// Output is what the owner of a board has to carry out.
+type Output struct {
+	Batches  []Batch
+	Grants   []Grant
+	Refusals []Refusal
+	Releases []Release
+}
+
+// worker is a stage upstream.
+type worker struct {
+	up       hosts.Upstream
+	present  bool // listed and ready
+	running  *running
+	used     int64 // bytes of results held or expected
+	speed    float64
+	pause    time.Duration
+	paused   time.Time // gets no calls until then
+	fullTill time.Time
+	held     map[string]held
+}
+
+// held is a result that still occupies its maker.
+type held struct {
+	bytes   int64
+	expires time.Time
+}
+
+// part is a step's share of a call.
+type part struct {
+	step   *step
+	pieces []int
+}
+
+// running is a call on its way.
+type running struct {
+	id       int64
+	worker   *worker
+	parts    []part
+	begun    time.Time
+	expected time.Duration
+	bytes    int64
+	hedged   bool
+}
+
+// pool is a stage pool.
+type pool struct {
+	spec    rule.Batch
+	workers map[string]*worker
+	ready   []*step
+}
+
+// Board is owned by one goroutine.
+type Board struct {
+	pools   map[string]*pool
+	jobs    map[string]*job
+	calls   map[int64]*running
+	nextID  int64
+	out     Output
+	dropped map[string][]string // handles to release by maker
+	makers  map[string]*worker
+}
+
+// New returns a board without pools.
+func New() *Board {
+	return &Board{
+		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*running{},
+		dropped: map[string][]string{}, makers: map[string]*worker{},
+	}
+}
+
+// SetPool declares a pool or changes its figures.
+func (b *Board) SetPool(name string, spec rule.Batch) {
+	p := b.pools[name]
+	if p == nil {
+		p = &pool{workers: map[string]*worker{}}
+		b.pools[name] = p
+	}
+	p.spec = spec
+}
+
+// SetUpstreams replaces the known upstreams of all pools.
+func (b *Board) SetUpstreams(t *hosts.Table) {
+	for name, p := range b.pools {
+		for _, w := range p.workers {
+			w.present = false
+		}
+		for _, u := range t.Ready(name) {
+			w := p.workers[u.ID]
+			if w == nil || w.up.Born != u.Born {
+				w = &worker{speed: 1, held: map[string]held{}}
+				p.workers[u.ID] = w
+				b.makers[u.ID] = w
+			}
+			w.up, w.present = u, true
+		}
+		for id, w := range p.workers {
+			if !w.present && w.running == nil && len(w.held) == 0 {
+				delete(p.workers, id)
+				delete(b.makers, id)
+			}
+		}
+	}
+}
+
+// Submit adds a job, or refuses it at once.
+func (b *Board) Submit(spec Job, now time.Time) {
+	if b.jobs[spec.ID] != nil {
+		return
+	}
+	j := newJob(spec, now)
+	if refusal, refused := b.admit(j, now); refused {
+		b.out.Refusals = append(b.out.Refusals, refusal)
+		return
+	}
+	b.jobs[spec.ID] = j
+	b.enqueue(j.unblock(now))
+	b.finish(j)
+}
+
+// Cancel drops a job and releases what it holds; unknown jobs are ignored.
+func (b *Board) Cancel(id string) {
+	j := b.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(b.jobs, id)
+	for _, s := range j.steps {
+		b.unqueue(s)
+		b.releaseStep(s)
+	}
+}
+
+// Release gives up all results of a job whose request has read them.
+func (b *Board) Release(id string) { b.Cancel(id) }
+
+// Restart makes the stages run again whose results were lost; it reports whether the job may.
+func (b *Board) Restart(id string, now time.Time) bool {
+	j := b.jobs[id]
+	if j == nil || j.restarts >= maxRestarts {
+		return false
+	}
+	j.restarts++
+	j.granted = false
+	for _, s := range j.steps {
+		b.unqueue(s)
+		b.releaseStep(s)
+		s.reset()
+	}
+	b.enqueue(j.unblock(now))
+	return true
+}
+
+// Finished notes the results of a call, in the order of its items.
+func (b *Board) Finished(id int64, results []call.Result, now time.Time) {
+	r := b.calls[id]
+	if r == nil {
+		return
+	}
+	b.endCall(r)
+	w := r.worker
+	w.pause = 0
+	w.speed += speedSmoothing * (float64(now.Sub(r.begun))/float64(r.expected) - w.speed)
+	at := 0
+	for _, p := range r.parts {
+		for _, piece := range p.pieces {
+			b.settle(r, p.step, piece, results[at], now)
+			at++
+		}
+		b.advance(p.step, now)
+	}
+}
+
+// Failed notes a call without results; busy says that the upstream had no place for it.
+func (b *Board) Failed(id int64, busy bool, now time.Time) {
+	r := b.calls[id]
+	if r == nil {
+		return
+	}
+	b.endCall(r)
+	w := r.worker
+	w.pause = min(longestPause, max(firstPause, 2*w.pause))
+	if busy {
+		w.pause = roomPause
+	}
+	w.paused = now.Add(w.pause)
+	for _, p := range r.parts {
+		if !busy {
+			p.step.failures++
+		}
+		for _, piece := range p.pieces {
+			b.again(p.step, piece)
+		}
+		b.advance(p.step, now)
+	}
+}
+
+func (b *Board) endCall(r *running) {
+	delete(b.calls, r.id)
+	if r.worker.running == r {
+		r.worker.running = nil
+	}
+	r.worker.used -= r.bytes
+}
+
+// settle notes the outcome of one piece.
+func (b *Board) settle(r *running, s *step, piece int, got call.Result, now time.Time) {
+	w := r.worker
+	if got.Failure == "" {
+		w.hold(got.Handle, s.spec.ResultBytes, now.Add(b.pools[s.spec.Pool].spec.HoldResults))
+		if b.jobs[s.job.ID] != s.job || s.results[piece].handle != "" || s.state == stepBlocked {
+			b.drop(w, got.Handle)
+			return
+		}
+		s.results[piece] = result{handle: got.Handle, maker: w.up.ID, zone: w.up.Zone, bytes: s.spec.ResultBytes}
+		s.missing--
+		s.pending = slices.DeleteFunc(s.pending, func(p int) bool { return p == piece })
+		return
+	}
+	switch got.Failure {
+	case call.FailedRoom:
+		w.fullTill = now.Add(roomPause)
+	case call.FailedGone:
+		if b.jobs[s.job.ID] == s.job && !b.Restart(s.job.ID, now) {
+			b.refuse(s.job, Failing)
+		}
+		return
+	default:
+		s.failures++
+	}
+	b.again(s, piece)
+}
+
+// again makes a piece pending, unless it has a result or is pending already.
+func (b *Board) again(s *step, piece int) {
+	if b.jobs[s.job.ID] != s.job || s.results[piece].handle != "" || slices.Contains(s.pending, piece) {
+		return
+	}
+	if s.state != stepRunning && s.state != stepReady {
+		return
+	}
+	s.pending = append(s.pending, piece)
+	if s.state == stepRunning {
+		s.state = stepReady
+		b.enqueue([]*step{s})
+	}
+}
+
+// advance moves a job on after results of one of its steps came.
+func (b *Board) advance(s *step, now time.Time) {
+	j := s.job
+	if b.jobs[j.ID] != j || (s.state != stepReady && s.state != stepRunning) {
+		return
+	}
+	if s.failures > maxFailures {
+		b.refuse(j, Failing)
+		return
+	}
+	if s.missing > 0 {
+		return
+	}
+	b.unqueue(s)
+	s.state = stepDone
+	b.enqueue(j.unblock(now))
+	b.releaseRead(j)
+	b.finish(j)
+}
+
+// releaseRead gives up results that no stage of the job will read again.
+func (b *Board) releaseRead(j *job) {
+	for i, s := range j.steps {
+		if s.state != stepDone || j.last(i) {
+			continue
+		}
+		needed := false
+		for _, other := range j.steps {
+			if slices.Contains(other.spec.After, i) && other.state != stepDone {
+				needed = true
+			}
+		}
+		if !needed {
+			b.releaseStep(s)
+		}
+	}
+}
+
+// finish grants a job whose stages are all done.
+func (b *Board) finish(j *job) {
+	if j.granted || b.jobs[j.ID] != j || !j.done() {
+		return
+	}
+	j.granted = true
+	handles, byZone := j.outputs()
+	b.out.Grants = append(b.out.Grants, Grant{Job: j.ID, Inputs: handles, ByZone: byZone, Late: j.late})
+}
+
+func (b *Board) refuse(j *job, reason Reason) {
+	if b.jobs[j.ID] != j {
+		return
+	}
+	b.Cancel(j.ID)
+	b.out.Refusals = append(b.out.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: b.retryAfter(j)})
+}
+
+func (b *Board) enqueue(steps []*step) {
+	for _, s := range steps {
+		if p := b.pools[s.spec.Pool]; p != nil && !slices.Contains(p.ready, s) {
+			p.ready = append(p.ready, s)
+		}
+	}
+}
+
+func (b *Board) unqueue(s *step) {
+	if p := b.pools[s.spec.Pool]; p != nil {
+		p.ready = slices.DeleteFunc(p.ready, func(o *step) bool { return o == s })
+	}
+}
+
+func (b *Board) releaseStep(s *step) {
+	for i, r := range s.results {
+		if r.handle == "" {
+			continue
+		}
+		if w := b.makers[r.maker]; w != nil {
+			b.drop(w, r.handle)
+		}
+		s.results[i] = result{}
+	}
+}
+
+func (w *worker) hold(handle string, bytes int64, expires time.Time) {
+	w.held[handle] = held{bytes: bytes, expires: expires}
+	w.used += bytes
+}
+
+// drop gives up a result at its maker.
+func (b *Board) drop(w *worker, handle string) {
+	h, ok := w.held[handle]
+	if !ok {
+		return
+	}
+	delete(w.held, handle)
+	w.used -= h.bytes
+	b.dropped[w.up.ID] = append(b.dropped[w.up.ID], handle)
+}
+
+// Step assigns ready pieces to free upstreams and returns what there is to carry out.
+func (b *Board) Step(now time.Time) Output {
+	for _, p := range b.pools {
+		p.expire(now)
+	}
+	b.hedge(now)
+	b.expire(now)
+	for _, name := range sortedKeys(b.pools) {
+		b.assign(b.pools[name], now)
+	}
+	out := b.out
+	b.out = Output{}
+	for _, id := range sortedKeys(b.dropped) {
+		if w := b.makers[id]; w != nil {
+			out.Releases = append(out.Releases, Release{Upstream: w.up, Handles: b.dropped[id]})
+		}
+	}
+	clear(b.dropped)
+	return out
+}
+
+// expire forgets results that their maker has dropped by itself.
+func (p *pool) expire(now time.Time) {
+	for _, w := range p.workers {
+		for handle, h := range w.held {
+			if now.After(h.expires) {
+				delete(w.held, handle)
+				w.used -= h.bytes
+			}
+		}
+	}
+}
+
+// hedge makes the pieces of calls that take too long pending again.
+func (b *Board) hedge(now time.Time) {
+	for _, id := range sortedKeys(b.calls) {
+		r := b.calls[id]
+		took := now.Sub(r.begun)
+		if took > abandonCallAfter {
+			b.Failed(id, false, now)
+			continue
+		}
+		if r.hedged || took < time.Duration(hedgeFactor*float64(r.expected))+hedgeSlack {
+			continue
+		}
+		r.hedged = true
+		r.worker.speed = max(r.worker.speed, float64(took)/float64(r.expected))
+		for _, p := range r.parts {
+			for _, piece := range p.pieces {
+				b.again(p.step, piece)
+			}
+		}
+	}
+}
+
+// expire refuses jobs that can't be served any more.
+func (b *Board) expire(now time.Time) {
+	for _, id := range sortedKeys(b.jobs) {
+		j := b.jobs[id]
+		if j.granted {
+			continue
+		}
+		hold := time.Duration(lateHold * float64(j.Deadline.Sub(j.Arrived)))
+		switch {
+		case now.After(j.Deadline):
+			b.refuse(j, Expired)
+		case !j.started && now.Sub(j.Arrived) > hold:
+			b.refuse(j, Expired)
+		}
+	}
+}
+
+// assign gives free upstreams of a pool the most urgent steps.
+func (b *Board) assign(p *pool, now time.Time) {
+	if len(p.ready) == 0 {
+		return
+	}
+	for _, s := range p.ready {
+		if !s.job.late && now.Add(b.shortest(s)).After(s.job.Target) {
+			s.job.late = true
+		}
+	}
+	slices.SortStableFunc(p.ready, func(a, c *step) int {
+		if a.job.late != c.job.late {
+			if a.job.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.urgency(a), b.urgency(c))
+	})
+	for _, w := range p.free(now) {
+		if len(p.ready) == 0 {
+			return
+		}
+		b.load(p, w, now)
+	}
+}
+
+// urgency is when a step has to begin at the latest, as Unix nanoseconds, less what its rank is worth.
+func (b *Board) urgency(s *step) int64 {
+	return s.job.Target.Add(-b.shortest(s)).UnixNano() + int64(s.job.Rank)*int64(rankStep)
+}
+
+// shortest is the least time from the start of a step to the first byte of the answer.
+func (b *Board) shortest(s *step) time.Duration {
+	return b.duration(s) + b.tail(s.job, s.index) + s.job.FinalStep
+}
+
+// tail is the least time of the stages that follow one.
+func (b *Board) tail(j *job, index int) time.Duration {
+	var longest time.Duration
+	for i, s := range j.steps {
+		if s.spec.Pieces > 0 && slices.Contains(s.spec.After, index) {
+			longest = max(longest, b.duration(s)+b.tail(j, i))
+		}
+	}
+	return longest
+}
+
+// duration is the time of a call for the pieces of a step alone.
+func (b *Board) duration(s *step) time.Duration {
+	p := b.pools[s.spec.Pool]
+	if p == nil {
+		return 0
+	}
+	return p.spec.Call + time.Duration(min(s.spec.Pieces, p.spec.Size))*p.spec.Piece + overheadPerCall
+}
+
+// free lists the upstreams that can take a call, the best first.
+func (p *pool) free(now time.Time) []*worker {
+	var out []*worker
+	fastBusy := false
+	for _, w := range p.workers {
+		switch {
+		case !w.present:
+		case w.running != nil:
+			fastBusy = fastBusy || w.speed < slowFactor
+		case now.Before(w.paused) || now.Before(w.fullTill):
+		default:
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, c *worker) int {
+		return cmp.Or(cmp.Compare(a.slow(), c.slow()), cmp.Compare(a.used, c.used), cmp.Compare(a.up.ID, c.up.ID))
+	})
+	return out
+}
+
+func (w *worker) slow() int {
+	if w.speed > slowFactor {
+		return 1
+	}
+	return 0
+}
+
+// load builds a call for a free upstream from the ready steps, in order.
+func (b *Board) load(p *pool, w *worker, now time.Time) {
+	r := &running{worker: w, begun: now}
+	var items []call.Item
+	room := p.spec.Headroom - w.used
+	for _, s := range slices.Clone(p.ready) {
+		free := p.spec.Size - len(items)
+		if free == 0 {
+			break
+		}
+		if !p.fits(s, w, now) {
+			continue
+		}
+		take := min(len(s.pending), free)
+		if s.spec.ResultBytes > 0 {
+			take = min(take, int(max(0, room)/s.spec.ResultBytes))
+		}
+		// The pieces of a step stay together where they can, so that later calls find them in one place.
+		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size) {
+			continue
+		}
+		pieces := slices.Clone(s.pending[:take])
+		s.pending = slices.Delete(s.pending, 0, take)
+		if len(s.pending) == 0 {
+			s.state = stepRunning
+			b.unqueue(s)
+		}
+		s.job.started = true
+		for _, piece := range pieces {
+			items = append(items, s.item(piece, now))
+		}
+		bytes := int64(take) * s.spec.ResultBytes
+		room -= bytes
+		r.bytes += bytes
+		r.parts = append(r.parts, part{step: s, pieces: pieces})
+	}
+	if len(items) == 0 {
+		return
+	}
+	b.nextID++
+	r.id = b.nextID
+	r.expected = p.spec.Call + time.Duration(len(items))*p.spec.Piece + overheadPerCall
+	w.running = r
+	w.used += r.bytes
+	b.calls[r.id] = r
+	b.out.Batches = append(b.out.Batches, Batch{ID: r.id, Upstream: w.up, Items: items, Expected: r.expected})
+}
+
+// fits says whether a step should run at an upstream.
+func (p *pool) fits(s *step, w *worker, now time.Time) bool {
+	if s.home == "" || s.home == w.up.Zone || now.Sub(s.since) > crossAfter {
+		return true
+	}
+	for _, other := range p.workers {
+		if other.present && other.up.Zone == s.home && !now.Before(other.paused) && other.speed < slowFactor {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/cell/lead/desk.go
@@ -0,0 +1,45 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+)
+
+// Order is a request that needs stages, an engine, or both.
+type Order struct {
+	Job    board.Job
+	Engine place.Order
+}
+
+// Decision says where a request runs, or that it does not.
+type Decision struct {
+	Upstream   string   // ID of the engine; empty when refused
+	Inputs     []string // handles of the results that the request reads
+	Late       bool     // the target can't be met
+	Refused    board.Reason
+	RetryAfter time.Duration
+}
+
+// Problem says why a request that was placed did not run.
+type Problem string
+
+// The problems.
+const (
+	ProblemRefused   Problem = "refused"   // the engine takes no more
+	ProblemFailed    Problem = "failed"    // the engine failed
+	ProblemInputGone Problem = "inputGone" // a result of a stage is lost
+)
+
+// Desk takes orders; it is safe for concurrent use.
+type Desk interface {
+	// Submit asks for a decision; reply is called once, unless Ended comes first.
+	Submit(o Order, reply func(Decision))
+	// Again asks for another decision after a problem with the engine that was decided on.
+	Again(id, engine string, why Problem, reply func(Decision))
+	// FirstByte says that the answer has begun; unless keep is set, the results of its stages are released.
+	FirstByte(id string, keep bool)
+	// Ended says that the request is over; failed says that its engine failed it.
+	Ended(id, engine string, failed bool)
+}
--- /dev/null
+++ b/internal/cell/lead/lead.go
@@ -0,0 +1,330 @@
+package lead
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+const (
+	inboxSize     = 1024
+	tick          = 20 * time.Millisecond // between looks at the queues while there is work
+	sweepEvery    = 5 * time.Second
+	maxAnswerSize = 4 << 20 // bytes of the results of one batch
+	releaseLimit  = 2 * time.Second
+	callLimit     = 12 * time.Second // longest call to a stage upstream
+)
+
+// Codec writes and reads the calls to stage upstreams.
+type Codec struct {
+	RunPath     string
+	FreePath    string
+	EncodeBatch func([]call.Item) ([]byte, error)
+	DecodeBatch func(data []byte, n int) ([]call.Result, error)
+	EncodeFree  func([]string) ([]byte, error)
+	HeaderFor   func(upstream string, remaining time.Duration) http.Header
+}
+
+// Options are the dependencies of a Lead.
+type Options struct {
+	Rules  func() *rule.Rules
+	Hosts  func() *hosts.Table
+	Client *xchg.Client
+	Codec  Codec
+	Now    func() time.Time
+	Log    *zap.Logger
+}
+
+// waiter is an order without its decision.
+type waiter struct {
+	order Order
+	reply func(Decision)
+	late  bool
+	grant board.Grant
+}
+
+// Lead is a Desk whose decisions are made in this process.
+type Lead struct {
+	o       Options
+	inbox   chan func(now time.Time)
+	board   *board.Board
+	placer  *place.Placer
+	waiting map[string]*waiter
+	rules   *rule.Rules
+	hosts   *hosts.Table
+}
+
+var _ Desk = (*Lead)(nil)
+
+// New returns a lead; nothing happens until Run.
+func New(o Options) *Lead {
+	return &Lead{
+		o: o, inbox: make(chan func(time.Time), inboxSize), board: board.New(), placer: place.New(), waiting: map[string]*waiter{},
+	}
+}
+
+// Run owns all state until ctx ends.
+func (l *Lead) Run(ctx context.Context) {
+	timer := time.NewTimer(sweepEvery)
+	defer timer.Stop()
+	swept := l.o.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.inbox:
+			f(l.o.Now())
+			l.drainInbox()
+		case <-timer.C:
+		}
+		now := l.o.Now()
+		l.refresh()
+		l.carryOut(l.board.Step(now), now)
+		if now.Sub(swept) > sweepEvery {
+			l.placer.Sweep(now)
+			swept = now
+		}
+		wait := sweepEvery
+		if len(l.waiting) > 0 {
+			wait = tick
+		}
+		timer.Reset(wait)
+	}
+}
+
+func (l *Lead) drainInbox() {
+	for {
+		select {
+		case f := <-l.inbox:
+			f(l.o.Now())
+		default:
+			return
+		}
+	}
+}
+
+// refresh takes over a new configuration or new upstreams.
+func (l *Lead) refresh() {
+	if rules := l.o.Rules(); rules != l.rules {
+		l.rules = rules
+		for _, p := range rules.Pools() {
+			if p.Batch != nil {
+				l.board.SetPool(p.Name, *p.Batch)
+			}
+		}
+		l.hosts = nil
+	}
+	if table := l.o.Hosts(); table != l.hosts {
+		l.hosts = table
+		l.board.SetUpstreams(table)
+		l.placer.SetUpstreams(table)
+	}
+}
+
+// Submit asks for a decision.
+func (l *Lead) Submit(o Order, reply func(Decision)) {
+	l.inbox <- func(now time.Time) {
+		l.refresh()
+		o.Job.FinalStep = l.placer.FinalStep(o.Engine, l.hosts, now)
+		l.waiting[o.Job.ID] = &waiter{order: o, reply: reply}
+		l.board.Submit(o.Job, now)
+	}
+}
+
+// Again asks for another decision.
+func (l *Lead) Again(id, engine string, why Problem, reply func(Decision)) {
+	l.inbox <- func(now time.Time) {
+		w := l.waiting[id]
+		if w == nil {
+			reply(Decision{Refused: board.Failing, RetryAfter: time.Second})
+			return
+		}
+		w.reply = reply
+		w.order.Engine.Exclude = append(w.order.Engine.Exclude, engine)
+		switch why {
+		case ProblemFailed:
+			l.fail(engine, now)
+		case ProblemInputGone:
+			l.placer.Ended(id)
+			if !l.board.Restart(id, now) {
+				l.answer(id, w, Decision{Refused: board.Failing, RetryAfter: time.Second})
+			}
+			return
+		}
+		l.place(w, now)
+	}
+}
+
+// FirstByte releases what the request has read, unless it may go on at another engine.
+func (l *Lead) FirstByte(id string, keep bool) {
+	l.inbox <- func(now time.Time) {
+		l.placer.FirstByte(id, now)
+		if keep {
+			return
+		}
+		l.board.Release(id)
+		delete(l.waiting, id)
+	}
+}
+
+// Ended forgets a request.
+func (l *Lead) Ended(id, engine string, failed bool) {
+	l.inbox <- func(now time.Time) {
+		if failed {
+			l.fail(engine, now)
+		}
+		l.placer.Ended(id)
+		l.board.Cancel(id)
+		delete(l.waiting, id)
+	}
+}
+
+func (l *Lead) fail(engine string, now time.Time) {
+	if until := l.placer.Failed(engine, now); until > 0 {
+		l.o.Log.Info("engine ejected", zap.String("upstream", engine), zap.Duration("for", until))
+	}
+}
+
+// place picks the engine of a request whose stages are done.
+func (l *Lead) place(w *waiter, now time.Time) {
+	id := w.order.Job.ID
+	var spec rule.Engine
+	if p, ok := l.rules.Pool(w.order.Engine.Pool); ok && p.Engine != nil {
+		spec = *p.Engine
+	}
+	up, ok := l.placer.Pick(w.order.Engine, l.hosts, spec, now)
+	if !ok {
+		l.answer(id, w, Decision{Refused: board.NoUpstreams, RetryAfter: time.Second})
+		return
+	}
+	l.answer(id, w, Decision{Upstream: up.ID, Inputs: w.grant.Inputs, Late: w.grant.Late})
+}
+
+func (l *Lead) answer(id string, w *waiter, d Decision) {
+	if d.Refused != "" {
+		l.board.Cancel(id)
+		delete(l.waiting, id)
+	}
+	if w.reply != nil {
+		reply := w.reply
+		w.reply = nil
+		reply(d)
+	}
+}
+
+// carryOut starts calls and answers orders.
+func (l *Lead) carryOut(out board.Output, now time.Time) {
+	for _, g := range out.Grants {
+		w := l.waiting[g.Job]
+		if w == nil {
+			l.board.Cancel(g.Job)
+			continue
+		}
+		w.grant = g
+		w.order.Engine.ByZone = g.ByZone
+		l.place(w, now)
+	}
+	for _, r := range out.Refusals {
+		if w := l.waiting[r.Job]; w != nil {
+			l.answer(r.Job, w, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
+		}
+	}
+	for _, b := range out.Batches {
+		l.o.Log.Info("stage call", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID),
+			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
+			zap.Duration("listAge", now.Sub(l.hosts.Read())))
+		go l.runBatch(b)
+	}
+	for _, r := range out.Releases {
+		go l.release(r)
+	}
+}
+
+// runBatch carries one call to a stage upstream.
+func (l *Lead) runBatch(b board.Batch) {
+	results, failure := l.callBatch(b)
+	busy := failure != nil && failure.Code == fault.Overloaded
+	if failure != nil {
+		l.o.Log.Info("stage call failed", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID), zap.Error(failure))
+	}
+	l.inbox <- func(now time.Time) {
+		if failure != nil {
+			l.board.Failed(b.ID, busy, now)
+			return
+		}
+		l.board.Finished(b.ID, results, now)
+	}
+}
+
+func (l *Lead) callBatch(b board.Batch) ([]call.Result, *fault.Error) {
+	body, err := l.o.Codec.EncodeBatch(b.Items)
+	if err != nil {
+		return nil, fault.New(fault.NotRun, fault.Internal, "a batch can't be encoded").WithCause(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	answer, failure := l.o.Client.Do(ctx, b.Upstream.Address, xchg.Request{
+		Method: http.MethodPost, URI: l.o.Codec.RunPath, Host: b.Upstream.Address, Body: body,
+		Header: l.o.Codec.HeaderFor(b.Upstream.ID, longest(b.Items)),
+	})
+	if failure != nil {
+		return nil, failure
+	}
+	defer answer.Close()
+	data, err := io.ReadAll(io.LimitReader(answer, maxAnswerSize))
+	switch {
+	case err != nil:
+		return nil, fault.New(fault.MayHaveRun, fault.Incomplete, "results from %s are cut off", b.Upstream.ID).WithCause(err)
+	case answer.Status == http.StatusServiceUnavailable:
+		return nil, fault.New(fault.NotRun, fault.Overloaded, "%s takes no call", b.Upstream.ID)
+	case answer.Status != http.StatusOK:
+		return nil, fault.New(fault.MayHaveRun, fault.Upstream, "%s answered with status %d", b.Upstream.ID, answer.Status)
+	}
+	results, err := l.o.Codec.DecodeBatch(data, len(b.Items))
+	if err != nil {
+		return nil, fault.New(fault.MayHaveRun, fault.Malformed, "results from %s can't be read", b.Upstream.ID).WithCause(err)
+	}
+	return results, nil
+}
+
+func longest(items []call.Item) time.Duration {
+	var d time.Duration
+	for _, it := range items {
+		d = max(d, it.Remaining)
+	}
+	return d
+}
+
+// release gives up results; a release that fails costs only memory until the results expire.
+func (l *Lead) release(r board.Release) {
+	body, err := l.o.Codec.EncodeFree(r.Handles)
+	if err != nil {
+		l.o.Log.Warn("a release can't be encoded", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	answer, failure := l.o.Client.Do(ctx, r.Upstream.Address, xchg.Request{
+		Method: http.MethodPost, URI: l.o.Codec.FreePath, Host: r.Upstream.Address, Body: body,
+		Header: l.o.Codec.HeaderFor(r.Upstream.ID, 0),
+	})
+	if failure != nil {
+		l.o.Log.Info("release failed", zap.String("upstream", r.Upstream.ID), zap.Error(failure))
+		return
+	}
+	defer answer.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxAnswerSize)); err != nil {
+		l.o.Log.Info("release failed", zap.String("upstream", r.Upstream.ID), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/cell/place/place.go
@@ -0,0 +1,277 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+)
+
+const (
+	prefillRate     = 45.0                  // prompt tokens an engine reads in a ms; the engines of the sheets read 44 to 51
+	missWeight      = 1.5                   // reading a cached part again also costs other requests
+	crossCostPerMB  = 80 * time.Millisecond // what moving results between zones is worth avoiding
+	farZoneCost     = 4 * time.Millisecond  // a round trip to another zone
+	runCost         = 2 * time.Millisecond  // each running request slows the tokens of the others
+	fullCost        = 2 * time.Second       // an engine without memory makes requests wait
+	fullPart        = 0.85                  // of the memory that running requests may take
+	cacheFor        = 30 * time.Second      // a part that was not used for longer is taken as evicted
+	speedSmoothing  = 0.2
+	maxSpeed        = 8.0
+	firstByteBase   = 15 * time.Millisecond // from sending a request without a prompt to its first token
+	failuresToEject = 2
+	firstEjection   = 1 * time.Second
+	longestEjection = 4 * time.Second
+)
+
+// Order is a request that needs an engine.
+type Order struct {
+	ID           string
+	Pool         string
+	Zone         string // of the entry that will send it
+	Model        string
+	Prefix       []call.Part
+	PromptTokens int
+	OutputTokens int // expected
+	ByZone       map[string]int64
+	Exclude      []string // upstreams that have refused or failed it
+}
+
+// run is a request on an engine.
+type run struct {
+	tokens   int // memory it is expected to take
+	prefill  int // prompt tokens not read yet
+	expected time.Duration
+	begun    time.Time
+}
+
+// engine is one model engine.
+type engine struct {
+	runs     map[string]run
+	prefill  int
+	tokens   int
+	cached   map[uint64]time.Time
+	speed    float64 // time to the first token over its expectation, smoothed
+	failures int
+	ejected  time.Duration
+	until    time.Time
+}
+
+// Placer holds what is known of the engines; it is owned by one goroutine.
+type Placer struct {
+	engines map[string]*engine
+	where   map[string]string // engine of each request
+}
+
+// New returns a placer that knows nothing yet.
+func New() *Placer {
+	return &Placer{engines: map[string]*engine{}, where: map[string]string{}}
+}
+
+// SetUpstreams forgets engines that are gone and run nothing.
+func (p *Placer) SetUpstreams(t *hosts.Table) {
+	for id, e := range p.engines {
+		if _, known := t.Get(id); !known && len(e.runs) == 0 {
+			delete(p.engines, id)
+		}
+	}
+}
+
+// Pick chooses an engine and counts the request there; false when none takes work.
+func (p *Placer) Pick(o Order, t *hosts.Table, spec rule.Engine, now time.Time) (hosts.Upstream, bool) {
+	p.Ended(o.ID)
+	var best hosts.Upstream
+	var bestCost time.Duration
+	found := false
+	keys := chain(o)
+	for _, pass := range []bool{false, true} { // the second pass takes ejected and excluded engines too
+		for _, u := range t.Ready(o.Pool) {
+			e := p.engine(u.ID)
+			if !pass && (now.Before(e.until) || slices.Contains(o.Exclude, u.ID)) {
+				continue
+			}
+			cost := e.cost(o, keys, u, spec, now)
+			if !found || cost < bestCost {
+				best, bestCost, found = u, cost, true
+			}
+		}
+		if found {
+			break
+		}
+	}
+	if !found {
+		return best, false
+	}
+	p.begin(o, keys, best.ID, now)
+	return best, true
+}
+
+func (p *Placer) engine(id string) *engine {
+	e := p.engines[id]
+	if e == nil {
+		e = &engine{runs: map[string]run{}, cached: map[uint64]time.Time{}, speed: 1}
+		p.engines[id] = e
+	}
+	return e
+}
+
+func (p *Placer) begin(o Order, keys []uint64, id string, now time.Time) {
+	e := p.engine(id)
+	missing := o.PromptTokens - e.hit(o, keys, now)
+	r := run{
+		tokens: o.PromptTokens + o.OutputTokens, prefill: missing, begun: now,
+		expected: e.readTime(e.prefill+missing) + firstByteBase,
+	}
+	e.runs[o.ID] = r
+	e.prefill += r.prefill
+	e.tokens += r.tokens
+	for _, k := range keys {
+		e.cached[k] = now
+	}
+	p.where[o.ID] = id
+}
+
+// FirstByte notes that the engine has read the prompt of a request.
+func (p *Placer) FirstByte(id string, now time.Time) {
+	e := p.engines[p.where[id]]
+	if e == nil {
+		return
+	}
+	r := e.runs[id]
+	ratio := min(maxSpeed, max(0.5, float64(now.Sub(r.begun))/float64(r.expected)))
+	e.speed += speedSmoothing * (ratio - e.speed)
+	e.failures, e.ejected = 0, 0
+	e.prefill -= r.prefill
+	r.prefill = 0
+	e.runs[id] = r
+}
+
+// Ended takes a request off its engine.
+func (p *Placer) Ended(id string) {
+	e := p.engines[p.where[id]]
+	delete(p.where, id)
+	if e == nil {
+		return
+	}
+	r := e.runs[id]
+	delete(e.runs, id)
+	e.prefill -= r.prefill
+	e.tokens -= r.tokens
+}
+
+// Failed notes that an engine failed a request, and ejects it for a while if it goes on.
+func (p *Placer) Failed(engineID string, now time.Time) (ejected time.Duration) {
+	e := p.engine(engineID)
+	if now.Before(e.until) {
+		return 0
+	}
+	e.failures++
+	if e.failures < failuresToEject {
+		return 0
+	}
+	e.ejected = min(longestEjection, max(firstEjection, 2*e.ejected))
+	e.until = now.Add(e.ejected)
+	clear(e.cached)
+	return e.ejected
+}
+
+// FinalStep is the time to the first token that the best engine is expected to need.
+func (p *Placer) FinalStep(o Order, t *hosts.Table, now time.Time) time.Duration {
+	var best time.Duration
+	keys := chain(o)
+	for i, u := range t.Ready(o.Pool) {
+		e := p.engine(u.ID)
+		need := firstByteBase + e.readTime(e.prefill+o.PromptTokens-e.hit(o, keys, now))
+		if i == 0 || need < best {
+			best = need
+		}
+	}
+	return best
+}
+
+// readTime is how long an engine reads a number of prompt tokens.
+func (e *engine) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond))
+}
+
+// cost is how much an engine would delay the request and others, in time.
+func (e *engine) cost(o Order, keys []uint64, u hosts.Upstream, spec rule.Engine, now time.Time) time.Duration {
+	missing := o.PromptTokens - e.hit(o, keys, now)
+	cost := e.readTime(e.prefill) + time.Duration(missWeight*float64(e.readTime(missing)))
+	cost += time.Duration(len(e.runs)) * runCost
+	cost = time.Duration(max(1, e.speed) * float64(cost))
+	if u.Zone != o.Zone {
+		cost += farZoneCost
+	}
+	for zone, bytes := range o.ByZone {
+		if zone != u.Zone {
+			cost += time.Duration(float64(bytes) / 1e6 * float64(crossCostPerMB))
+		}
+	}
+	if spec.Tokens > 0 && e.tokens+o.PromptTokens > int(fullPart*float64(spec.Tokens)) {
+		cost += fullCost
+	}
+	if spec.Slots > 0 && len(e.runs) >= spec.Slots {
+		cost += fullCost
+	}
+	return cost
+}
+
+// hit is how many tokens of the prompt's beginning the engine is expected to have.
+func (e *engine) hit(o Order, keys []uint64, now time.Time) int {
+	tokens := 0
+	for i, k := range keys {
+		used, ok := e.cached[k]
+		if !ok || now.Sub(used) > cacheFor {
+			break
+		}
+		tokens += o.Prefix[i].Tokens
+	}
+	return min(tokens, o.PromptTokens)
+}
+
+// chain hashes each part of the prompt together with all parts before it, as a part is of use only behind those.
+func chain(o Order) []uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(o.Model)
+	keys := make([]uint64, len(o.Prefix))
+	for i, part := range o.Prefix {
+		_, _ = d.WriteString("/" + part.ID)
+		keys[i] = d.Sum64()
+	}
+	return keys
+}
+
+// Sweep forgets cached parts that were not used for long.
+func (p *Placer) Sweep(now time.Time) {
+	for _, e := range p.engines {
+		for k, used := range e.cached {
+			if now.Sub(used) > cacheFor {
+				delete(e.cached, k)
+			}
+		}
+	}
+}
+
+// Loads lists the engines by their load, for reports.
+func (p *Placer) Loads() []Load {
+	out := make([]Load, 0, len(p.engines))
+	for id, e := range p.engines {
+		out = append(out, Load{ID: id, Running: len(e.runs), Tokens: e.tokens, Speed: e.speed})
+	}
+	slices.SortFunc(out, func(a, b Load) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Load is what is known of one engine.
+type Load struct {
+	ID      string
+	Running int
+	Tokens  int
+	Speed   float64
+}
--- /dev/null
+++ b/internal/edge/call/request.go
@@ -0,0 +1,70 @@
+package call
+
+import "time"
+
+// Part is a run of prompt tokens that several requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what the head of a caller's request says.
+type Request struct {
+	ID           string // names one attempt of the caller
+	Key          string // the caller's secret
+	Remaining    time.Duration
+	HasDeadline  bool
+	Model        string
+	PromptTokens int
+	OutputLimit  int // tokens
+	OutputHint   int // the caller's estimate in tokens; 0 if none
+	Prefix       []Part
+	Pieces       []int  // of each stage
+	PieceKey     string // input of the stages that come first
+	LastEvent    string // where a resumed stream goes on
+}
+
+// Forward is what is added to a request on its way to an upstream.
+type Forward struct {
+	Instance  string // the only lifetime that may run it
+	Team      string
+	Remaining time.Duration
+	Inputs    []string // handles of the results that the request reads
+	LastEvent string   // where a resumed stream goes on; empty leaves the caller's
+}
+
+// Answer is what the head of an upstream's answer says.
+type Answer struct {
+	RequestID string // echo of the request's ID
+	Signed    bool   // carries the upstream's signature
+	NotRun    bool   // the upstream states that it did not run the request
+	Instance  string // the lifetime that answered, if it says
+	IdleLimit time.Duration
+}
+
+// Item is one piece of a stage in a batch.
+type Item struct {
+	RequestID string
+	Stage     int
+	Piece     int
+	Remaining time.Duration
+	Key       string   // of a stage that comes first
+	Inputs    []string // handles, of any other
+}
+
+// Failure says why an upstream has no result for a piece.
+type Failure string
+
+// The failures of pieces.
+const (
+	FailedLate  Failure = "late"  // its time was over when its turn came
+	FailedGone  Failure = "gone"  // an input no longer exists
+	FailedRoom  Failure = "room"  // there is no memory for the result
+	FailedError Failure = "error" // any other
+)
+
+// Result is the outcome of one piece: a handle or a failure.
+type Result struct {
+	Handle  string
+	Failure Failure
+}
--- /dev/null
+++ b/internal/edge/front/doc.go
@@ -0,0 +1,2 @@
+// Package front answers the callers of a deployment on the operators' platform.
+package front
--- /dev/null
+++ b/internal/edge/front/front.go
@@ -0,0 +1,253 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/least"
+	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/limit/extra"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+const (
+	defaultDeadline   = 10 * time.Second // of a request that names none
+	defaultBodyLimit  = 4 << 20          // bytes, when the configuration names none
+	notReadyRetry     = 500 * time.Millisecond
+	defaultRetryAfter = 300 * time.Millisecond
+	minTime           = 20 * time.Millisecond // with less left, no upstream is tried
+	maxBuffered       = 256 << 10             // bytes of an answer that is read whole before the caller gets any
+	streamBuffer      = 8 << 10               // bytes of one read of a stream
+)
+
+// Codec reads callers' requests and writes those to upstreams.
+type Codec struct {
+	ReadRequest   func(http.Header) call.Request
+	ForwardHeader func(http.Header, call.Forward) http.Header
+	BackHeader    func(http.Header) http.Header
+	RetryAfter    func(time.Duration) string
+}
+
+// Options are the dependencies of a Front.
+type Options struct {
+	Zone   string
+	Codec  Codec
+	Rules  func() *rule.Rules
+	Hosts  func() *hosts.Table
+	Desk   lead.Desk
+	Client *xchg.Client
+	Picker *least.Picker
+	Budget *extra.Budget
+	// Stopping says that new requests get no service, only an answer that says so.
+	Stopping func() bool
+	Leaving  func() bool // connections are closed after the answer
+	Now      func() time.Time
+	Log      *zap.Logger
+}
+
+// Front is the handler of callers' requests.
+type Front struct{ o Options }
+
+// New returns a front.
+func New(o Options) *Front { return &Front{o: o} }
+
+// exchange is one request on its way.
+type exchange struct {
+	*Front
+	in       *http.Request
+	out      *relay.Writer
+	head     call.Request
+	body     []byte
+	rules    *rule.Rules
+	route    rule.Route
+	team     string
+	rank     int
+	pool     string
+	arrived  time.Time
+	deadline time.Time // of the caller or the route, whichever comes first
+	sends    int
+}
+
+// ServeHTTP answers one request.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.o.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{Front: f, in: r, out: relay.New(w), arrived: f.o.Now(), rules: f.o.Rules(), head: f.o.Codec.ReadRequest(r.Header)}
+	failure := x.prepare(w)
+	if failure == nil {
+		failure = x.run()
+	}
+	if failure != nil {
+		x.fail(w, failure)
+	}
+}
+
+// prepare finds the route and the team, and reads the body.
+func (x *exchange) prepare(w http.ResponseWriter) *fault.Error {
+	if x.rules.Version() == 0 {
+		return fault.New(fault.NotRun, fault.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetry)
+	}
+	host := x.in.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	route, ok := x.rules.Match(host, x.in.URL.EscapedPath())
+	if !ok {
+		return fault.New(fault.NotRun, fault.NotFound, "no route for this host and path")
+	}
+	x.route, x.rank = route, route.Priority
+	if x.rules.NeedsKey() && !route.Public {
+		team, known := x.rules.Team(x.head.Key)
+		if !known {
+			return fault.New(fault.NotRun, fault.Unauthorized, "unknown key")
+		}
+		x.team = team.Name
+		if team.HasPriority {
+			x.rank = team.Priority
+		}
+	}
+	if x.o.Stopping() {
+		return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(defaultRetryAfter)
+	}
+	limit := x.rules.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, x.in.Body, limit))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return fault.New(fault.NotRun, fault.TooLarge, "the body is larger than %d bytes", limit)
+		}
+		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
+	}
+	x.body = body
+	remaining := x.head.Remaining
+	if !x.head.HasDeadline {
+		remaining = defaultDeadline
+	}
+	if route.Timeout > 0 {
+		remaining = min(remaining, route.Timeout)
+	}
+	x.deadline = x.arrived.Add(remaining)
+	x.pool = route.Pick(rand.Float64())
+	x.o.Budget.Request(x.pool)
+	return nil
+}
+
+// run sends the request to upstreams until there is an answer.
+func (x *exchange) run() *fault.Error {
+	spec, _ := x.rules.Pool(x.pool)
+	if spec.Engine != nil || len(x.route.Stages) > 0 {
+		return x.runPlaced()
+	}
+	return x.runPlain()
+}
+
+// left is the time until the caller or the operator wants no answer any more.
+func (x *exchange) left() time.Duration { return x.deadline.Sub(x.o.Now()) }
+
+// send passes the request on to one upstream.
+func (x *exchange) send(u hosts.Upstream, inputs []string, lastEvent string) (*xchg.Answer, *fault.Error) {
+	if !x.o.Hosts().TakesWork(u.ID) {
+		return nil, fault.New(fault.NotRun, fault.Draining, "upstream %s takes no more work", u.ID)
+	}
+	x.sends++
+	header := x.o.Codec.ForwardHeader(x.in.Header, call.Forward{
+		Instance: u.ID, Team: x.team, Remaining: x.left(), Inputs: inputs, LastEvent: lastEvent,
+	})
+	answer, failure := x.o.Client.Do(x.in.Context(), u.Address, xchg.Request{
+		Method: x.in.Method, URI: rawTarget(x.in), Host: x.in.Host, Header: header, Body: x.body,
+		ID: x.head.ID, Once: !x.route.Repeatable(),
+	})
+	x.logSend(u, answer, failure)
+	if failure != nil {
+		return nil, failure
+	}
+	if answer.Head.NotRun {
+		answer.Close()
+		code := fault.Overloaded
+		switch answer.Status {
+		case http.StatusMisdirectedRequest:
+			code = fault.WrongTarget
+		case http.StatusConflict:
+			code = fault.Conflict
+		case http.StatusBadRequest:
+			code = fault.BadRequest
+		}
+		return nil, fault.New(fault.NotRun, code, "upstream %s did not run the request: status %d", u.ID, answer.Status)
+	}
+	return answer, nil
+}
+
+func (x *exchange) logSend(u hosts.Upstream, answer *xchg.Answer, failure *fault.Error) {
+	fields := []zap.Field{
+		zap.String("request", x.head.ID), zap.String("route", x.route.Name), zap.String("upstream", u.ID), zap.Int("send", x.sends),
+		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
+		zap.Duration("listAge", x.o.Now().Sub(x.o.Hosts().Read())),
+	}
+	if failure != nil {
+		fields = append(fields, zap.String("verdict", string(failure.Verdict)), zap.Error(failure))
+	} else {
+		fields = append(fields, zap.Int("status", answer.Status), zap.Bool("notRun", answer.Head.NotRun))
+	}
+	x.o.Log.Info("sent", fields...)
+}
+
+// fail answers with an error of our own.
+func (x *exchange) fail(w http.ResponseWriter, failure *fault.Error) {
+	x.o.Log.Info("failed", zap.String("request", x.head.ID), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
+		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
+		zap.String("code", string(failure.Code)), zap.String("verdict", string(failure.Verdict)),
+		zap.Duration("retryAfter", failure.RetryAfter), zap.Error(failure))
+	if x.in.Context().Err() != nil || x.out.Begun() {
+		x.out.Break()
+	}
+	status := statusOf(failure)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", x.o.Codec.RetryAfter(max(failure.RetryAfter, defaultRetryAfter)))
+	}
+	http.Error(w, failure.Message, status)
+}
+
+// statusOf is the status that keeps the promise of the verdict.
+func statusOf(failure *fault.Error) int {
+	switch failure.Code {
+	case fault.NotFound:
+		return http.StatusNotFound
+	case fault.Unauthorized:
+		return http.StatusUnauthorized
+	case fault.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fault.BadRequest:
+		return http.StatusBadRequest
+	}
+	switch {
+	case failure.Verdict == fault.NotRun:
+		return http.StatusServiceUnavailable
+	case failure.Code == fault.Deadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// rawTarget is the path and query as the caller wrote them.
+func rawTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
--- /dev/null
+++ b/internal/edge/front/placed.go
@@ -0,0 +1,175 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
+	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+const maxPlacements = 4 // engines that may refuse or be gone before a request is given up
+
+// runPlaced has the stages of a request run and sends it to the engine that was picked for it.
+func (x *exchange) runPlaced() *fault.Error {
+	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline.Add(lateAnswer))
+	defer cancel()
+	x.in = x.in.WithContext(ctx)
+	engine, failed := "", false
+	defer func() { x.o.Desk.Ended(x.head.ID, engine, failed) }()
+	decision, failure := x.wait(func(reply func(lead.Decision)) { x.o.Desk.Submit(x.order(), reply) })
+	events := &relay.Events{}
+	for placements := 1; ; placements++ {
+		if failure != nil {
+			return failure
+		}
+		engine, failed = decision.Upstream, false
+		var why lead.Problem
+		why, failure = x.tryEngine(decision, events)
+		if failure == nil {
+			return nil
+		}
+		failed = why == lead.ProblemFailed
+		if !x.againPlaced(failure, events) || placements >= maxPlacements {
+			return x.giveUp(nil, failure)
+		}
+		decision, failure = x.wait(func(reply func(lead.Decision)) { x.o.Desk.Again(x.head.ID, engine, why, reply) })
+		failed = false
+	}
+}
+
+// againPlaced says whether another engine may get the request.
+func (x *exchange) againPlaced(failure *fault.Error, events *relay.Events) bool {
+	if x.in.Context().Err() != nil || x.left() < minTime {
+		return false
+	}
+	if failure.Code == fault.Conflict {
+		x.sends--
+		return true
+	}
+	if failure.Verdict == fault.NotRun && !x.out.Begun() {
+		return x.again(failure)
+	}
+	if !x.route.Resumable || (x.out.Begun() && events.LastID() == "") {
+		return false
+	}
+	return x.sends < x.route.Attempts && x.o.Budget.Repeat(x.pool)
+}
+
+// order describes the request to the desk.
+func (x *exchange) order() lead.Order {
+	job := board.Job{
+		ID: x.head.ID, PieceKey: x.head.PieceKey, Rank: x.rank,
+		Arrived: x.arrived, Target: x.arrived.Add(x.route.Target), Deadline: x.deadline,
+	}
+	for i, s := range x.route.Stages {
+		pieces := 0
+		if i < len(x.head.Pieces) {
+			pieces = x.head.Pieces[i]
+		}
+		job.Stages = append(job.Stages, board.Stage{Pool: s.Pool, After: s.After, Pieces: pieces, ResultBytes: s.ResultBytes})
+	}
+	output := x.head.OutputHint
+	if output == 0 {
+		output = x.head.OutputLimit / 2
+	}
+	return lead.Order{Job: job, Engine: place.Order{
+		ID: x.head.ID, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
+		PromptTokens: x.head.PromptTokens, OutputTokens: min(output, max(x.head.OutputLimit, 1)),
+	}}
+}
+
+// wait asks the desk and waits for its decision.
+func (x *exchange) wait(ask func(reply func(lead.Decision))) (lead.Decision, *fault.Error) {
+	answer := make(chan lead.Decision, 1)
+	ask(func(d lead.Decision) { answer <- d })
+	select {
+	case <-x.in.Context().Done():
+		return lead.Decision{}, fault.New(fault.NotRun, fault.Deadline, "no engine in time").WithCause(x.in.Context().Err())
+	case d := <-answer:
+		x.o.Log.Info("decided", zap.String("request", x.head.ID), zap.String("route", x.route.Name), zap.String("upstream", d.Upstream),
+			zap.Int("inputs", len(d.Inputs)), zap.Bool("late", d.Late), zap.String("refused", string(d.Refused)),
+			zap.Duration("retryAfter", d.RetryAfter), zap.Duration("age", x.o.Now().Sub(x.arrived)))
+		if d.Refused != "" {
+			return d, fault.New(fault.NotRun, fault.Overloaded, "the request can't be served in time: %s", d.Refused).
+				WithRetryAfter(d.RetryAfter)
+		}
+		return d, nil
+	}
+}
+
+// tryEngine sends the request to an engine and passes its answer on.
+func (x *exchange) tryEngine(d lead.Decision, events *relay.Events) (lead.Problem, *fault.Error) {
+	u, known := x.o.Hosts().Get(d.Upstream)
+	if !known {
+		u = hosts.Upstream{ID: d.Upstream}
+	}
+	answer, failure := x.send(u, d.Inputs, events.LastID())
+	if failure != nil {
+		switch {
+		case failure.Code == fault.Conflict:
+			return lead.ProblemInputGone, failure
+		case failure.Verdict == fault.NotRun && failure.Code != fault.NoUpstream:
+			return lead.ProblemRefused, failure
+		}
+		return lead.ProblemFailed, failure
+	}
+	defer answer.Close()
+	if answer.Status != http.StatusOK {
+		return x.passFailure(u, answer)
+	}
+	return x.passEvents(u, answer, events)
+}
+
+// passFailure passes on an answer of the engine that is no stream.
+func (x *exchange) passFailure(u hosts.Upstream, answer *xchg.Answer) (lead.Problem, *fault.Error) {
+	body, whole, err := relay.Whole(answer, maxBuffered)
+	if err != nil || !whole || x.out.Begun() {
+		return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
+	}
+	return "", x.deliver(&complete{status: answer.Status, header: x.o.Codec.BackHeader(answer.Header), body: body})
+}
+
+// passEvents passes on the events of an answer as they come.
+func (x *exchange) passEvents(u hosts.Upstream, answer *xchg.Answer, events *relay.Events) (lead.Problem, *fault.Error) {
+	header := x.o.Codec.BackHeader(answer.Header)
+	buffer := make([]byte, streamBuffer)
+	first := true
+	for {
+		n, err := answer.Read(buffer)
+		if whole := events.Add(buffer[:n]); len(whole) > 0 {
+			if first {
+				first = false
+				x.o.Desk.FirstByte(x.head.ID, x.route.Resumable)
+			}
+			x.out.Head(answer.Status, header, -1)
+			if werr := x.out.Body(whole); werr != nil {
+				x.out.Break()
+			}
+		}
+		switch {
+		case isEnd(err):
+			x.out.Head(answer.Status, header, -1)
+			if rest := events.Rest(); len(rest) > 0 {
+				_ = x.out.Body(rest)
+			}
+			x.o.Log.Info("served", zap.String("request", x.head.ID), zap.String("route", x.route.Name),
+				zap.Int("events", events.Count()), zap.Duration("age", x.o.Now().Sub(x.arrived)))
+			return "", nil
+		case err != nil:
+			events.Rest()
+			return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Incomplete, "the stream of %s broke off", u.ID).WithCause(err)
+		}
+	}
+}
+
+func isEnd(err error) bool { return errors.Is(err, io.EOF) }
--- /dev/null
+++ b/internal/edge/node/node.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/edge/front"
+	"github.com/ragworthatch/ragworthatch/internal/edge/least"
+	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/limit/extra"
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+const (
+	maxHeaderBytes   = 64 << 10
+	headerTimeout    = 10 * time.Second
+	idleTimeout      = 90 * time.Second // longer than any caller keeps an idle connection
+	callerProbeAfter = 5 * time.Second
+	callerUnacked    = 5 * time.Second // TCP_USER_TIMEOUT towards callers
+	storeDialTimeout = 1 * time.Second
+	storeIdle        = 20 * time.Second
+	storeUnacked     = 2 * time.Second
+	serveAfterTerm   = 3 * time.Second        // the balancer still sends new connections this long after SIGTERM
+	exitBefore       = 300 * time.Millisecond // the end of the grace
+	sweepEvery       = 1 * time.Second
+	assumedPeers     = 8 // share the retry slack, as long as their number is not known
+)
+
+// Node is one entry.
+type Node struct {
+	settings platform.Settings
+	log      *zap.Logger
+	client   *xchg.Client
+	watch    *watch.Watch
+	lead     *lead.Lead
+	picker   *least.Picker
+	front    *front.Front
+	leaving  atomic.Bool // SIGTERM came
+	stopping atomic.Bool // new requests are refused
+	inFlight atomic.Int64
+}
+
+// New builds an entry; nothing happens until Run.
+func New(s platform.Settings, log *zap.Logger) *Node {
+	n := &Node{settings: s, log: log}
+	n.client = xchg.New(platform.ReadAnswer, time.Now, func() {})
+	n.watch = watch.New(watch.Options{
+		Store: platform.NewStore(s.Store, storeClient()), DrainWithin: s.DrainWithin, Now: time.Now, Log: log.Named("watch"),
+	})
+	n.picker = least.New(time.Now)
+	n.lead = lead.New(lead.Options{
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Now: time.Now, Log: log.Named("lead"),
+		Codec: lead.Codec{
+			RunPath: platform.StageRunPath, FreePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
+			DecodeBatch: platform.DecodeBatch, EncodeFree: platform.EncodeFree, HeaderFor: platform.StageHeader,
+		},
+	})
+	n.front = front.New(front.Options{
+		Zone: s.Zone,
+		Codec: front.Codec{
+			ReadRequest: platform.ReadRequest, ForwardHeader: platform.ForwardHeader, BackHeader: platform.BackHeader,
+			RetryAfter: platform.RetryAfter,
+		},
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.lead, Client: n.client, Picker: n.picker,
+		Budget:   extra.New(s.RetryRatio, s.RetrySlack, s.RetryWindow, func() int { return assumedPeers }, time.Now),
+		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("front"),
+	})
+	return n
+}
+
+// storeClient returns an HTTP client that notices when the store's connection is dead.
+func storeClient() *http.Client {
+	dialer := &net.Dialer{
+		Timeout:         storeDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control:         userTimeout(storeUnacked),
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: storeIdle, MaxIdleConnsPerHost: 4,
+	}}
+}
+
+// userTimeout sets how long sent bytes may stay without an acknowledgement.
+func userTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var set error
+		err := raw.Control(func(fd uintptr) {
+			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		return errors.Join(err, set)
+	}
+}
+
+// Run serves until stop ends, then finishes what is in flight; kill ends it at once.
+func (n *Node) Run(stop, kill context.Context) error {
+	ctx, cancel := context.WithCancel(kill)
+	defer cancel()
+	n.log.Info("start", zap.String("host", n.settings.Name), zap.String("zone", n.settings.Zone),
+		zap.String("front", n.settings.Front), zap.String("store", n.settings.Store))
+	go n.watch.Run(ctx)
+	go n.lead.Run(ctx)
+	go n.sweep(ctx)
+	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{
+		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	failed := make(chan error, 2)
+	for address, server := range map[string]*http.Server{n.settings.Ready: ready, n.settings.Front: callers} {
+		listener, err := listen(ctx, address)
+		if err != nil {
+			return err
+		}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-stop.Done():
+	case <-kill.Done():
+		return nil
+	}
+	n.drain(kill, callers)
+	n.log.Info("stop", zap.Int64("inFlight", n.inFlight.Load()))
+	return nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerProbeAfter, Interval: time.Second, Count: 3},
+		Control:         userTimeout(callerUnacked),
+	}
+	listener, err := config.Listen(ctx, "tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	n.front.ServeHTTP(w, r)
+}
+
+// serveReady answers the balancer's probes.
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != platform.ReadinessPath:
+		w.WriteHeader(http.StatusNotFound)
+	case n.leaving.Load() || n.watch.Rules().Version() == 0:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// drain serves on until the balancer has noticed, then waits for what is in flight.
+func (n *Node) drain(kill context.Context, callers *http.Server) {
+	n.leaving.Store(true)
+	n.log.Info("shutting down", zap.Int64("inFlight", n.inFlight.Load()), zap.Duration("grace", n.settings.Grace))
+	begun := time.Now()
+	pause(kill, serveAfterTerm)
+	n.stopping.Store(true)
+	ctx, cancel := context.WithDeadline(kill, begun.Add(n.settings.Grace-exitBefore))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		n.log.Warn("requests are cut off by the end of the grace", zap.Int64("inFlight", n.inFlight.Load()), zap.Error(err))
+	}
+}
+
+// sweep closes idle connections and forgets upstreams that are gone.
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.client.Sweep()
+			n.picker.Forget(n.watch.Hosts())
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/edge/relay/events.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"bytes"
+	"strings"
+)
+
+// Events cuts a stream of events into whole ones and remembers the last ID.
+type Events struct {
+	rest   []byte
+	lastID string
+	count  int
+}
+
+// Add takes bytes and returns those that complete events; the slice is valid until the next call.
+func (e *Events) Add(p []byte) []byte {
+	e.rest = append(e.rest, p...)
+	end := 0
+	for {
+		size := eventEnd(e.rest[end:])
+		if size == 0 {
+			break
+		}
+		e.note(e.rest[end : end+size])
+		end += size
+	}
+	if end == 0 {
+		return nil
+	}
+	whole := append([]byte(nil), e.rest[:end]...)
+	e.rest = append(e.rest[:0], e.rest[end:]...)
+	return whole
+}
+
+// Rest returns the bytes after the last whole event, and forgets them.
+func (e *Events) Rest() []byte {
+	rest := e.rest
+	e.rest = nil
+	return rest
+}
+
+// LastID is the ID of the last whole event; empty before there is one.
+func (e *Events) LastID() string { return e.lastID }
+
+// Count is the number of whole events.
+func (e *Events) Count() int { return e.count }
+
+// eventEnd returns the length of the first event with its blank line; 0 if it is not whole.
+func eventEnd(p []byte) int {
+	lf := bytes.Index(p, []byte("\n\n"))
+	crlf := bytes.Index(p, []byte("\r\n\r\n"))
+	switch {
+	case crlf >= 0 && (lf < 0 || crlf < lf):
+		return crlf + len("\r\n\r\n")
+	case lf >= 0:
+		return lf + len("\n\n")
+	}
+	return 0
+}
+
+func (e *Events) note(event []byte) {
+	for line := range strings.Lines(string(event)) {
+		name, value, ok := strings.Cut(strings.TrimRight(line, "\r\n"), ":")
+		if ok && name == "id" {
+			e.lastID = strings.TrimPrefix(value, " ")
+			e.count++
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/relay/writer.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+)
+
+// Writer writes one answer to a caller.
+type Writer struct {
+	to      http.ResponseWriter
+	control *http.ResponseController
+	begun   bool
+}
+
+// New returns a writer of an answer that has not begun.
+func New(to http.ResponseWriter) *Writer {
+	return &Writer{to: to, control: http.NewResponseController(to)}
+}
+
+// Begun says whether the caller has got any of the answer.
+func (w *Writer) Begun() bool { return w.begun }
+
+// Head writes status and headers as the upstream gave them; length is that of the body, -1 if unknown.
+func (w *Writer) Head(status int, header http.Header, length int64) {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	h := w.to.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // keeps the server from guessing one
+	}
+	w.to.WriteHeader(status)
+}
+
+// Body writes bytes and sends them at once.
+func (w *Writer) Body(p []byte) error {
+	if len(p) > 0 {
+		if _, err := w.to.Write(p); err != nil {
+			return err
+		}
+	}
+	return w.control.Flush()
+}
+
+// Break ends an answer that is not complete in a way that shows it.
+func (w *Writer) Break() { panic(http.ErrAbortHandler) }
+
+// Whole reads the body of an answer into memory, up to a limit; whole is false if there is more or the body broke off.
+func Whole(a *xchg.Answer, limit int) (body []byte, whole bool, err error) {
+	buffer := make([]byte, 0, 2048)
+	for len(buffer) < limit {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		n, err := a.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return buffer, true, nil
+			}
+			return buffer, false, err
+		}
+	}
+	return buffer, false, nil
+}
--- /dev/null
+++ b/internal/edge/rule/doc.go
@@ -0,0 +1,2 @@
+// Package rule holds one version of the operators' configuration, as the requests see it.
+package rule
--- /dev/null
+++ b/internal/edge/watch/doc.go
@@ -0,0 +1,2 @@
+// Package watch follows the configuration and the list of upstreams in the platform's store.
+package watch
--- /dev/null
+++ b/internal/edge/watch/watch.go
@@ -0,0 +1,169 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+const (
+	rulesWait   = 2500 * time.Millisecond // a read of the configuration waits this long for a change
+	callTimeout = 1200 * time.Millisecond // of a call, beyond its wait
+	pollPart    = 0.35                    // of the time within which an upstream's leaving must be known
+	retryPause  = 250 * time.Millisecond
+	outageAfter = 3000 * time.Millisecond // without an answer, the store counts as having been away
+	lapseGrace  = 2200 * time.Millisecond // after an outage, entries that are missing may come back
+	rulesTopic  = platform.TopicRules
+	hostsTopic  = platform.TopicUpstreams
+)
+
+// Store is what a Watch reads.
+type Store interface {
+	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error)
+	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
+}
+
+// Options are the dependencies of a Watch.
+type Options struct {
+	Store       Store
+	DrainWithin time.Duration // an upstream's leaving must be known this long after the store knows it
+	Now         func() time.Time
+	Log         *zap.Logger
+}
+
+// Watch publishes the newest configuration and list of upstreams.
+type Watch struct {
+	o     Options
+	rules atomic.Pointer[rule.Rules]
+	hosts atomic.Pointer[hosts.Table]
+}
+
+// New returns a watch that knows nothing until Run.
+func New(o Options) *Watch {
+	w := &Watch{o: o}
+	w.rules.Store(rule.New(0, nil, nil, nil, rule.Limits{}))
+	w.hosts.Store(hosts.New(nil, o.Now()))
+	return w
+}
+
+// Rules is the newest configuration; its version is 0 before any is known.
+func (w *Watch) Rules() *rule.Rules { return w.rules.Load() }
+
+// Hosts is the newest list of upstreams.
+func (w *Watch) Hosts() *hosts.Table { return w.hosts.Load() }
+
+// Run follows the store until ctx ends.
+func (w *Watch) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.follow(ctx, &follower{topic: rulesTopic, wait: rulesWait, apply: w.applyRules})
+	}()
+	list := newList(w.o.Now, w.o.Log)
+	w.follow(ctx, &follower{
+		topic: hostsTopic,
+		pause: time.Duration(pollPart * float64(w.o.DrainWithin)),
+		apply: func(records []platform.Record, whole bool) {
+			list.apply(records, whole)
+			w.hosts.Store(list.table())
+		},
+		back: list.storeIsBack,
+	})
+	<-done
+}
+
+// follower reads one topic.
+type follower struct {
+	topic platform.Topic
+	wait  time.Duration // of a read, for a new record
+	pause time.Duration // between reads
+	apply func(records []platform.Record, whole bool)
+	back  func() // the store answers again after an outage
+}
+
+// follow reads a topic from a snapshot on; a snapshot again when records were trimmed.
+func (w *Watch) follow(ctx context.Context, f *follower) {
+	next, synced, lost := int64(0), false, false
+	heard := w.o.Now()
+	for ctx.Err() == nil {
+		records, end, err := w.read(ctx, f, next, synced)
+		if errors.Is(err, platform.ErrTrimmed) {
+			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)), zap.Int64("from", next))
+			synced = false
+			continue
+		}
+		now := w.o.Now()
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			if !lost {
+				lost = true
+				w.o.Log.Warn("store lost", zap.String("topic", string(f.topic)), zap.Error(err))
+			}
+			sleep(ctx, retryPause)
+			continue
+		}
+		if lost {
+			lost = false
+			away := now.Sub(heard)
+			w.o.Log.Info("store regained", zap.String("topic", string(f.topic)), zap.Duration("away", away))
+			if away > outageAfter && f.back != nil {
+				f.back()
+			}
+		}
+		heard = now
+		f.apply(records, !synced)
+		next, synced = end, true
+		sleep(ctx, f.pause)
+	}
+}
+
+func (w *Watch) read(ctx context.Context, f *follower, next int64, synced bool) ([]platform.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+callTimeout)
+	defer cancel()
+	if !synced {
+		return w.o.Store.Newest(ctx, f.topic)
+	}
+	return w.o.Store.Read(ctx, f.topic, next, f.wait)
+}
+
+// applyRules takes over a configuration that is newer than the one in force.
+func (w *Watch) applyRules(records []platform.Record, _ bool) {
+	for _, r := range records {
+		if r.Key != platform.RulesKey || len(r.Value) == 0 {
+			continue
+		}
+		rules, err := platform.DecodeRules(r.Value)
+		if err != nil {
+			w.o.Log.Error("configuration can't be read, the one before stays", zap.Int64("offset", r.Offset), zap.Error(err))
+			continue
+		}
+		before := w.rules.Load().Version()
+		if rules.Version() <= before {
+			continue
+		}
+		w.rules.Store(rules)
+		w.o.Log.Info("configuration in force", zap.Int64("version", rules.Version()), zap.Int64("before", before),
+			zap.Int64("offset", r.Offset))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/limit/extra/budget.go
@@ -0,0 +1,75 @@
+package extra
+
+import (
+	"sync"
+	"time"
+)
+
+const slices = 20 // of the window
+
+// Budget is one process's part of the repeats that all processes together may send; it is safe for concurrent use.
+type Budget struct {
+	ratio  float64
+	slack  int
+	window time.Duration
+	peers  func() int
+	now    func() time.Time
+	mu     sync.Mutex
+	pools  map[string]*counts
+}
+
+// counts holds the requests and repeats of a pool by slices of time.
+type counts struct {
+	newest   int64
+	requests [slices]int
+	repeats  [slices]int
+}
+
+// New returns a budget of ratio repeats for each request and an equal part of slack for each of the peers, in any window.
+func New(ratio float64, slack int, window time.Duration, peers func() int, now func() time.Time) *Budget {
+	return &Budget{ratio: ratio, slack: slack, window: window, peers: peers, now: now, pools: map[string]*counts{}}
+}
+
+// Request counts a request for a pool.
+func (b *Budget) Request(pool string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, at := b.slot(pool)
+	c.requests[at]++
+}
+
+// Repeat takes one repeat to a pool, or reports that the budget is spent.
+func (b *Budget) Repeat(pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, at := b.slot(pool)
+	requests, repeats := 0, 0
+	for i := range slices {
+		requests += c.requests[i]
+		repeats += c.repeats[i]
+	}
+	allowed := b.ratio*float64(requests) + float64(b.slack)/float64(max(1, b.peers()))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	c.repeats[at]++
+	return true
+}
+
+// slot returns the counts of a pool without those older than the window, and the present slice.
+func (b *Budget) slot(pool string) (*counts, int) {
+	c := b.pools[pool]
+	if c == nil {
+		c = &counts{}
+		b.pools[pool] = c
+	}
+	present := b.now().UnixNano() / int64(b.window/slices)
+	if present-c.newest >= slices {
+		*c = counts{newest: present}
+	}
+	for ; c.newest < present; c.newest++ {
+		next := (c.newest + 1) % slices
+		c.requests[next], c.repeats[next] = 0, 0
+	}
+	return c, int(present % slices)
+}
