--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -49,10 +49,10 @@
 			"capture": capture,
 			"readme":  readme,
 
-			"eventually":  eventually,
-			"loseAnswers": loseAnswers,
+			"eventually":   eventually,
+			"loseAnswers":  loseAnswers,
 			"fakePlatform": fakePlatform,
-			"transfer":    transfer,
+			"transfer":     transfer,
 		},
 	})
 }
--- /dev/null
+++ b/internal/cell/crew/crew.go
@@ -0,0 +1,193 @@
+package crew
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+const (
+	topic        = platform.TopicMembers
+	renewEvery   = 20 * time.Second // an entry writes its record
+	expireAfter  = 65 * time.Second // a record that was not renewed for this long names nobody
+	readWait     = 10 * time.Second // a read of the records waits this long for a new one
+	callTimeout  = 1500 * time.Millisecond
+	retryPause   = 400 * time.Millisecond
+	leaveTimeout = 500 * time.Millisecond
+	coreSteps    = 10 // hosts whose parts of a core differ by less than a tenth count as equal
+)
+
+// Member is one entry.
+type Member struct {
+	Host    string  `json:"host"`
+	Address string  `json:"address"` // for other entries, as IP:port
+	Zone    string  `json:"zone"`
+	Cores   float64 `json:"cores"`
+	Born    int64   `json:"born"` // Unix ms of the start of the process
+}
+
+// Store is where members are recorded.
+type Store interface {
+	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error)
+	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
+	Put(ctx context.Context, topic platform.Topic, r platform.Record) error
+}
+
+// Options are the dependencies of a Crew.
+type Options struct {
+	Self  Member
+	Store Store
+	Now   func() time.Time
+	Log   *zap.Logger
+}
+
+// Crew follows the records of the entries.
+type Crew struct {
+	o       Options
+	members atomic.Pointer[[]Member]
+	seen    map[string]sighting
+}
+
+// sighting is when a record was read.
+type sighting struct {
+	member Member
+	at     time.Time
+}
+
+// New returns a crew of this entry alone.
+func New(o Options) *Crew {
+	c := &Crew{o: o, seen: map[string]sighting{}}
+	c.publish()
+	return c
+}
+
+// Members lists the known entries, this one among them; those that should lead come first. It must not be changed.
+func (c *Crew) Members() []Member { return *c.members.Load() }
+
+// Size is the number of known entries.
+func (c *Crew) Size() int { return len(c.Members()) }
+
+// Run renews this entry's record and follows those of the others until ctx ends.
+func (c *Crew) Run(ctx context.Context) {
+	go c.renew(ctx)
+	next, synced := int64(0), false
+	for ctx.Err() == nil {
+		records, end, err := c.read(ctx, next, synced)
+		switch {
+		case errors.Is(err, platform.ErrTrimmed):
+			synced = false
+			continue
+		case err != nil:
+			c.o.Log.Debug("members can't be read", zap.Error(err))
+			sleep(ctx, retryPause)
+			c.publish()
+			continue
+		}
+		c.apply(records, !synced)
+		next, synced = end, true
+	}
+}
+
+func (c *Crew) read(ctx context.Context, next int64, synced bool) ([]platform.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait+callTimeout)
+	defer cancel()
+	if !synced {
+		return c.o.Store.Newest(ctx, topic)
+	}
+	return c.o.Store.Read(ctx, topic, next, readWait)
+}
+
+// renew writes the record again and again.
+func (c *Crew) renew(ctx context.Context) {
+	value, err := json.Marshal(c.o.Self)
+	if err != nil {
+		c.o.Log.Error("the member record can't be encoded", zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := c.o.Store.Put(call, topic, platform.Record{Key: c.o.Self.Host, Value: value})
+		cancel()
+		wait := renewEvery
+		if err != nil {
+			c.o.Log.Info("the member record can't be written", zap.Error(err))
+			wait = retryPause
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// Leave drops this entry's record, so that the others stop asking it.
+func (c *Crew) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := c.o.Store.Put(ctx, topic, platform.Record{Key: c.o.Self.Host}); err != nil {
+		c.o.Log.Info("the member record can't be dropped", zap.Error(err))
+	}
+}
+
+// apply takes over records; a snapshot lacks the members that have left.
+func (c *Crew) apply(records []platform.Record, whole bool) {
+	if whole {
+		clear(c.seen)
+	}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(c.seen, r.Key)
+			c.o.Log.Info("member left", zap.String("member", r.Key))
+			continue
+		}
+		var m Member
+		if err := json.Unmarshal(r.Value, &m); err != nil || m.Host != r.Key {
+			c.o.Log.Warn("a member record can't be read", zap.String("member", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+			continue
+		}
+		if before, known := c.seen[r.Key]; !known || before.member.Born != m.Born {
+			c.o.Log.Info("member listed", zap.String("member", m.Host), zap.String("address", m.Address), zap.Int64("born", m.Born))
+		}
+		c.seen[r.Key] = sighting{member: m, at: c.o.Now()}
+	}
+	c.publish()
+}
+
+// publish sorts the members; all entries that know the same members agree on the order.
+func (c *Crew) publish() {
+	now := c.o.Now()
+	out := []Member{c.o.Self}
+	for host, s := range c.seen {
+		if now.Sub(s.at) > expireAfter {
+			delete(c.seen, host)
+			c.o.Log.Info("member expired", zap.String("member", host), zap.Duration("age", now.Sub(s.at)))
+			continue
+		}
+		if host != c.o.Self.Host {
+			out = append(out, s.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(math.Round(b.Cores*coreSteps), math.Round(a.Cores*coreSteps)),
+			cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host)),
+			cmp.Compare(a.Host, b.Host))
+	})
+	c.members.Store(&out)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/cell/link/session.go
@@ -0,0 +1,196 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
+	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
+)
+
+const (
+	unackedTimeout = 2 * time.Second // TCP_USER_TIMEOUT towards the leader
+	retireAfter    = 8 * time.Second // a leader that was replaced may still decide on what it has
+)
+
+// session is a connection to one leader.
+type session struct {
+	member    crew.Member
+	conn      *grpc.ClientConn
+	cancel    context.CancelFunc
+	outbox    chan *cellpb.ToLead
+	broken    atomic.Bool
+	leaving   atomic.Bool
+	lastHeard atomic.Int64 // nanoseconds since begun
+	begun     time.Time
+	sequence  int64
+	now       func() time.Time
+}
+
+// dial connects to a member.
+func dial(ctx context.Context, m crew.Member, self string, now func() time.Time, decided func(string, lead.Decision)) (*session, error) {
+	raw, err := dialTCP(ctx, m.Address)
+	if err != nil {
+		return nil, err
+	}
+	// One connection only: when it ends, the session ends, and the library must not make another.
+	used := false
+	conn, err := grpc.NewClient("passthrough:///"+m.Address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(context.Context, string) (net.Conn, error) {
+			if used {
+				return nil, net.ErrClosed
+			}
+			used = true
+			return raw, nil
+		}))
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stream, err := cellpb.NewCellClient(conn).Work(ctx)
+	if err != nil {
+		cancel()
+		_ = conn.Close()
+		return nil, err
+	}
+	s := &session{
+		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), begun: now(), now: now,
+	}
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: self}}})
+	go s.sendAll(ctx, stream)
+	go s.receiveAll(stream, decided)
+	return s, nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+		},
+	}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+func (s *session) sendAll(ctx context.Context, stream grpc.BidiStreamingClient[cellpb.ToLead, cellpb.ToEntry]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.outbox:
+			if err := stream.Send(m); err != nil {
+				s.broken.Store(true)
+				return
+			}
+		}
+	}
+}
+
+func (s *session) receiveAll(stream grpc.BidiStreamingClient[cellpb.ToLead, cellpb.ToEntry], decided func(string, lead.Decision)) {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			s.broken.Store(true)
+			return
+		}
+		s.lastHeard.Store(int64(s.now().Sub(s.begun)))
+		switch body := m.Body.(type) {
+		case *cellpb.ToEntry_Pong:
+			s.leaving.Store(body.Pong.Leaving)
+		case *cellpb.ToEntry_Decision:
+			d := body.Decision
+			decided(d.Id, lead.Decision{
+				Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: board.Reason(d.Refused),
+				RetryAfter: time.Duration(d.RetryAfterUs) * time.Microsecond,
+			})
+		}
+	}
+}
+
+// heard is when the leader last sent anything.
+func (s *session) heard() time.Time { return s.begun.Add(time.Duration(s.lastHeard.Load())) }
+
+// gone says why the leader can't be used any more; empty while it can.
+func (s *session) gone(now time.Time) string {
+	switch {
+	case s.broken.Load():
+		return "connection broken"
+	case now.Sub(s.heard()) > silentAfter:
+		return "silent"
+	}
+	return ""
+}
+
+// retire closes the connection when the requests that use it have had time to end.
+func (s *session) retire() {
+	time.Sleep(retireAfter)
+	s.close()
+}
+
+func (s *session) close() {
+	s.broken.Store(true)
+	s.cancel()
+	_ = s.conn.Close()
+}
+
+// post never waits: a leader that takes no messages is gone.
+func (s *session) post(m *cellpb.ToLead) {
+	select {
+	case s.outbox <- m:
+	default:
+		s.broken.Store(true)
+	}
+}
+
+func (s *session) ping() {
+	s.sequence++
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: &cellpb.Ping{Sequence: s.sequence}}})
+}
+
+func (s *session) submit(o lead.Order) {
+	now := s.now()
+	m := &cellpb.Submit{
+		Id: o.Job.ID, PieceKey: o.Job.PieceKey, Rank: int32(o.Job.Rank),
+		AgeUs: now.Sub(o.Job.Arrived).Microseconds(), TargetUs: o.Job.Target.Sub(o.Job.Arrived).Microseconds(),
+		DeadlineUs: o.Job.Deadline.Sub(o.Job.Arrived).Microseconds(),
+		Pool:       o.Engine.Pool, Zone: o.Engine.Zone, Model: o.Engine.Model,
+		PromptTokens: int32(o.Engine.PromptTokens), OutputTokens: int32(o.Engine.OutputTokens), Exclude: o.Engine.Exclude,
+	}
+	for _, st := range o.Job.Stages {
+		stage := &cellpb.Stage{Pool: st.Pool, Pieces: int32(st.Pieces), ResultBytes: st.ResultBytes}
+		for _, a := range st.After {
+			stage.After = append(stage.After, int32(a))
+		}
+		m.Stages = append(m.Stages, stage)
+	}
+	for _, p := range o.Engine.Prefix {
+		m.Prefix = append(m.Prefix, &cellpb.Part{Id: p.ID, Tokens: int32(p.Tokens)})
+	}
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Submit{Submit: m}})
+}
+
+func (s *session) again(id, engine string, why lead.Problem) {
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Again{Again: &cellpb.Again{Id: id, Engine: engine, Problem: string(why)}}})
+}
+
+func (s *session) firstByte(id string, keep bool) {
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_FirstByte{FirstByte: &cellpb.FirstByte{Id: id, Keep: keep}}})
+}
+
+func (s *session) ended(id, engine string, failed bool) {
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ended{Ended: &cellpb.Ended{Id: id, Engine: engine, Failed: failed}}})
+}
--- /dev/null
+++ b/internal/cell/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve lets other entries use this process's desk.
+package serve
--- /dev/null
+++ b/internal/cell/serve/server.go
@@ -0,0 +1,156 @@
+package serve
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
+)
+
+const outboxSize = 512 // messages to one entry
+
+// Server is the leader's end of the connections of other entries.
+type Server struct {
+	cellpb.UnimplementedCellServer
+	desk    lead.Desk
+	leaving func() bool
+	now     func() time.Time
+	log     *zap.Logger
+}
+
+// New returns a server of a desk.
+func New(desk lead.Desk, leaving func() bool, now func() time.Time, log *zap.Logger) *Server {
+	return &Server{desk: desk, leaving: leaving, now: now, log: log}
+}
+
+// session is the connection of one entry.
+type session struct {
+	*Server
+	outbox chan *cellpb.ToEntry
+	mu     sync.Mutex
+	open   map[string]bool // requests that have not ended
+	closed bool
+}
+
+// Work serves one entry until its connection ends; its requests end with it.
+func (s *Server) Work(stream grpc.BidiStreamingServer[cellpb.ToLead, cellpb.ToEntry]) error {
+	ses := &session{Server: s, outbox: make(chan *cellpb.ToEntry, outboxSize), open: map[string]bool{}}
+	done := make(chan struct{})
+	defer close(done)
+	defer ses.end()
+	go func() {
+		for {
+			select {
+			case m := <-ses.outbox:
+				if err := stream.Send(m); err != nil {
+					return
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		ses.handle(m)
+	}
+}
+
+func (ses *session) handle(m *cellpb.ToLead) {
+	switch body := m.Body.(type) {
+	case *cellpb.ToLead_Hello:
+		ses.log.Info("entry connected", zap.String("member", body.Hello.Host))
+	case *cellpb.ToLead_Submit:
+		ses.track(body.Submit.Id)
+		ses.desk.Submit(orderOf(body.Submit, ses.now()), ses.reply(body.Submit.Id))
+	case *cellpb.ToLead_Again:
+		ses.desk.Again(body.Again.Id, body.Again.Engine, lead.Problem(body.Again.Problem), ses.reply(body.Again.Id))
+	case *cellpb.ToLead_FirstByte:
+		ses.desk.FirstByte(body.FirstByte.Id, body.FirstByte.Keep)
+	case *cellpb.ToLead_Ended:
+		ses.untrack(body.Ended.Id)
+		ses.desk.Ended(body.Ended.Id, body.Ended.Engine, body.Ended.Failed)
+	case *cellpb.ToLead_Ping:
+		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{
+			Pong: &cellpb.Pong{Sequence: body.Ping.Sequence, Leaving: ses.leaving()},
+		}})
+	}
+}
+
+func (ses *session) track(id string) {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	ses.open[id] = true
+}
+
+func (ses *session) untrack(id string) {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	delete(ses.open, id)
+}
+
+// end drops the requests of an entry whose connection is gone.
+func (ses *session) end() {
+	ses.mu.Lock()
+	ses.closed = true
+	open := ses.open
+	ses.open = nil
+	ses.mu.Unlock()
+	for id := range open {
+		ses.desk.Ended(id, "", false)
+	}
+}
+
+func (ses *session) reply(id string) func(lead.Decision) {
+	return func(d lead.Decision) {
+		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Decision{Decision: &cellpb.Decision{
+			Id: id, Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: string(d.Refused),
+			RetryAfterUs: d.RetryAfter.Microseconds(),
+		}}})
+	}
+}
+
+// post never waits: an entry that does not read loses messages, and its connection by its own pings.
+func (ses *session) post(m *cellpb.ToEntry) {
+	select {
+	case ses.outbox <- m:
+	default:
+		ses.log.Warn("an entry does not read its decisions")
+	}
+}
+
+func orderOf(s *cellpb.Submit, now time.Time) lead.Order {
+	arrived := now.Add(-time.Duration(s.AgeUs) * time.Microsecond)
+	o := lead.Order{
+		Job: board.Job{
+			ID: s.Id, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
+			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
+			Deadline: arrived.Add(time.Duration(s.DeadlineUs) * time.Microsecond),
+		},
+		Engine: place.Order{
+			ID: s.Id, Pool: s.Pool, Zone: s.Zone, Model: s.Model, PromptTokens: int(s.PromptTokens),
+			OutputTokens: int(s.OutputTokens), Exclude: s.Exclude,
+		},
+	}
+	for _, st := range s.Stages {
+		stage := board.Stage{Pool: st.Pool, Pieces: int(st.Pieces), ResultBytes: st.ResultBytes}
+		for _, a := range st.After {
+			stage.After = append(stage.After, int(a))
+		}
+		o.Job.Stages = append(o.Job.Stages, stage)
+	}
+	for _, p := range s.Prefix {
+		o.Engine.Prefix = append(o.Engine.Prefix, call.Part{ID: p.Id, Tokens: int(p.Tokens)})
+	}
+	return o
+}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -67,6 +68,7 @@
 type exchange struct {
 	*Front
 	in       *http.Request
+	caller   context.Context // ends when the caller is gone
 	out      *relay.Writer
 	head     call.Request
 	body     []byte
@@ -85,7 +87,7 @@
 	if f.o.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{Front: f, in: r, out: relay.New(w), arrived: f.o.Now(), rules: f.o.Rules(), head: f.o.Codec.ReadRequest(r.Header)}
+	x := &exchange{Front: f, in: r, caller: r.Context(), out: relay.New(w), arrived: f.o.Now(), rules: f.o.Rules(), head: f.o.Codec.ReadRequest(r.Header)}
 	failure := x.prepare(w)
 	if failure == nil {
 		failure = x.run()
@@ -213,7 +215,7 @@
 		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
 		zap.String("code", string(failure.Code)), zap.String("verdict", string(failure.Verdict)),
 		zap.Duration("retryAfter", failure.RetryAfter), zap.Error(failure))
-	if x.in.Context().Err() != nil || x.out.Begun() {
+	if x.caller.Err() != nil || x.out.Begun() {
 		x.out.Break()
 	}
 	status := statusOf(failure)
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -21,7 +21,7 @@
 
 // runPlaced has the stages of a request run and sends it to the engine that was picked for it.
 func (x *exchange) runPlaced() *fault.Error {
-	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline.Add(lateAnswer))
+	ctx, cancel := context.WithDeadline(x.caller, x.deadline.Add(lateAnswer))
 	defer cancel()
 	x.in = x.in.WithContext(ctx)
 	engine, failed := "", false
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -23,7 +23,7 @@
 
 // runPlain sends a request to a service without stages.
 func (x *exchange) runPlain() *fault.Error {
-	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline.Add(lateAnswer))
+	ctx, cancel := context.WithDeadline(x.caller, x.deadline.Add(lateAnswer))
 	defer cancel()
 	x.in = x.in.WithContext(ctx)
 	var tried []string
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -6,19 +6,25 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
 
+	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/cell/link"
+	"github.com/ragworthatch/ragworthatch/internal/cell/serve"
 	"github.com/ragworthatch/ragworthatch/internal/edge/front"
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
 	"github.com/ragworthatch/ragworthatch/internal/limit/extra"
+	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
@@ -44,6 +50,8 @@
 	client   *xchg.Client
 	watch    *watch.Watch
 	lead     *lead.Lead
+	crew     *crew.Crew
+	link     *link.Link
 	picker   *least.Picker
 	front    *front.Front
 	leaving  atomic.Bool // SIGTERM came
@@ -55,8 +63,9 @@
 func New(s platform.Settings, log *zap.Logger) *Node {
 	n := &Node{settings: s, log: log}
 	n.client = xchg.New(platform.ReadAnswer, time.Now, func() {})
+	store := platform.NewStore(s.Store, storeClient())
 	n.watch = watch.New(watch.Options{
-		Store: platform.NewStore(s.Store, storeClient()), DrainWithin: s.DrainWithin, Now: time.Now, Log: log.Named("watch"),
+		Store: store, DrainWithin: s.DrainWithin, Now: time.Now, Log: log.Named("watch"),
 	})
 	n.picker = least.New(time.Now)
 	n.lead = lead.New(lead.Options{
@@ -66,14 +75,24 @@
 			DecodeBatch: platform.DecodeBatch, EncodeFree: platform.EncodeFree, HeaderFor: platform.StageHeader,
 		},
 	})
+	n.crew = crew.New(crew.Options{
+		Self: crew.Member{
+			Host: s.Name, Address: netip.AddrPortFrom(s.IP, uint16(s.PeerPort)).String(), Zone: s.Zone, Cores: s.Cores,
+			Born: time.Now().UnixMilli(),
+		},
+		Store: store, Now: time.Now, Log: log.Named("crew"),
+	})
+	n.link = link.New(link.Options{
+		Self: s.Name, Local: n.lead, Members: n.crew.Members, Now: time.Now, Log: log.Named("link"),
+	})
 	n.front = front.New(front.Options{
 		Zone: s.Zone,
 		Codec: front.Codec{
 			ReadRequest: platform.ReadRequest, ForwardHeader: platform.ForwardHeader, BackHeader: platform.BackHeader,
 			RetryAfter: platform.RetryAfter,
 		},
-		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.lead, Client: n.client, Picker: n.picker,
-		Budget:   extra.New(s.RetryRatio, s.RetrySlack, s.RetryWindow, func() int { return assumedPeers }, time.Now),
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.link, Client: n.client, Picker: n.picker,
+		Budget:   extra.New(s.RetryRatio, s.RetrySlack, s.RetryWindow, func() int { return max(assumedPeers, n.crew.Size()) }, time.Now),
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("front"),
 	})
 	return n
@@ -110,7 +129,14 @@
 		zap.String("front", n.settings.Front), zap.String("store", n.settings.Store))
 	go n.watch.Run(ctx)
 	go n.lead.Run(ctx)
+	go n.crew.Run(ctx)
+	go n.link.Run(ctx)
 	go n.sweep(ctx)
+	peers, err := n.servePeers(ctx)
+	if err != nil {
+		return err
+	}
+	defer peers.Stop()
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	callers := &http.Server{
 		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -135,6 +161,22 @@
 	return nil
 }
 
+// servePeers lets other entries use this one as their leader.
+func (n *Node) servePeers(ctx context.Context) (*grpc.Server, error) {
+	listener, err := listen(ctx, netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort)).String())
+	if err != nil {
+		return nil, err
+	}
+	server := grpc.NewServer()
+	cellpb.RegisterCellServer(server, serve.New(n.lead, n.leaving.Load, time.Now, n.log.Named("serve")))
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			n.log.Error("entries can't reach this one", zap.Error(err))
+		}
+	}()
+	return server, nil
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerProbeAfter, Interval: time.Second, Count: 3},
@@ -170,6 +212,7 @@
 	n.leaving.Store(true)
 	n.log.Info("shutting down", zap.Int64("inFlight", n.inFlight.Load()), zap.Duration("grace", n.settings.Grace))
 	begun := time.Now()
+	go n.crew.Leave(kill)
 	pause(kill, serveAfterTerm)
 	n.stopping.Store(true)
 	ctx, cancel := context.WithDeadline(kill, begun.Add(n.settings.Grace-exitBefore))
--- /dev/null
+++ b/internal/wire/cellpb/doc.go
@@ -0,0 +1,2 @@
+// Package cellpb holds the generated code of cell.proto.
+package cellpb
