Bound late work at the leader, and make the lead stick to the oldest entry

Change: the oldest process leads; late jobs are refused when pools are crowded or after a bounded wait; slow stage upstreams get single steps; reports tell of foreign results.

--- a/internal/cell/board/admit.go
+++ b/internal/cell/board/admit.go
@@ -4,7 +4,6 @@
 
 // admit says whether a new job is refused, and marks it late if it can't meet its target.
 func (b *Board) admit(j *job, now time.Time) (Refusal, bool) {
-	need := j.FinalStep
 	for _, s := range j.steps {
 		if s.spec.Pieces == 0 {
 			continue
@@ -17,50 +16,42 @@
 	var path time.Duration
 	for i, s := range j.steps {
 		if len(s.spec.After) == 0 && s.spec.Pieces > 0 {
-			path = max(path, b.pathWait(j, i, false))
+			path = max(path, b.wait(s.spec.Pool)+max(b.duration(s), b.pools[s.spec.Pool].call)+b.usualTail(j, i))
 		}
 	}
-	need += path
-	j.late = now.Add(need).After(j.Target)
-	if !j.late {
-		return Refusal{}, false
-	}
-	left := j.Deadline.Sub(now)
-	var all time.Duration
-	for i, s := range j.steps {
-		if len(s.spec.After) == 0 && s.spec.Pieces > 0 {
-			all = max(all, b.pathWait(j, i, true))
-		}
-	}
-	if all+j.FinalStep > time.Duration(maxLateLoad*float64(left)) {
+	j.late = now.Add(path + j.FinalStep).After(j.Target)
+	if j.late && b.crowded(j) {
 		return Refusal{Job: j.ID, Reason: Overloaded, RetryAfter: b.retryAfter(j)}, true
 	}
 	return Refusal{}, false
 }
 
-// pathWait is the expected time from now to the end of a stage and those after it.
-func (b *Board) pathWait(j *job, index int, withLate bool) time.Duration {
-	s := j.steps[index]
-	var longest time.Duration
-	for i, next := range j.steps {
-		if next.spec.Pieces == 0 {
+// crowded says whether a pool on the job's way has more late work than its upstreams do in one call each.
+func (b *Board) crowded(j *job) bool {
+	for _, s := range j.steps {
+		if s.spec.Pieces == 0 {
 			continue
 		}
-		for _, a := range next.spec.After {
-			if a == index {
-				longest = max(longest, b.pathWait(j, i, withLate))
+		p := b.pools[s.spec.Pool]
+		late := 0
+		for _, other := range p.ready {
+			if other.job.late {
+				late += len(other.pending)
 			}
 		}
+		if late >= p.present()*p.spec.Size {
+			return true
+		}
 	}
-	return b.wait(s.spec.Pool, withLate) + b.duration(s) + longest
+	return false
 }
 
 // wait is the expected time until a new step of a pool begins: half a call when all upstreams are busy, and what is queued.
-func (b *Board) wait(name string, withLate bool) time.Duration {
+func (b *Board) wait(name string) time.Duration {
 	p := b.pools[name]
 	pieces, busy, present := 0, 0, 0
 	for _, s := range p.ready {
-		if withLate || !s.job.late {
+		if !s.job.late {
 			pieces += len(s.pending)
 		}
 	}
@@ -69,7 +60,7 @@
 			continue
 		}
 		present++
-		if w.running != nil {
+		if w.running != nil || w.slow() {
 			busy++
 		}
 	}
@@ -97,7 +88,7 @@
 	var longest time.Duration
 	for _, s := range j.steps {
 		if s.spec.Pieces > 0 && b.pools[s.spec.Pool] != nil {
-			longest = max(longest, b.wait(s.spec.Pool, true))
+			longest = max(longest, b.wait(s.spec.Pool))
 		}
 	}
 	return max(minRetryAfter, longest)
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -11,20 +11,27 @@
 )
 
 const (
-	minHomeBytes     = 200_000                // input that is worth staying in its zone for
-	crossAfter       = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
-	rankStep         = 100 * time.Millisecond // a rank's worth of urgency
-	lateHold         = 0.35                   // part of its time that a late job waits for its first call
-	maxLateLoad      = 0.5                    // part of the time to the deadline that queued work may take
-	maxRestarts      = 2                      // of a job whose results were lost
-	maxFailures      = 4                      // calls of one step that failed
-	roomPause        = 100 * time.Millisecond // an upstream that had no room for results gets no calls
-	firstPause       = 300 * time.Millisecond // after a failed call; doubles
+	minHomeBytes     = 200_000                 // input that is worth staying in its zone for
+	crossAfter       = 150 * time.Millisecond  // a step that waited this long may leave the zone of its input
+	rankStep         = 100 * time.Millisecond  // a rank's worth of urgency
+	lateHold         = 0.2                     // part of its time that a late job waits for its first call
+	longestHold      = 0.6                     // part of its time after which a job without an engine is refused
+	longestStepWait  = 1500 * time.Millisecond // that a late job waits between two of its calls
+	maxRestarts      = 2                       // of a job whose results were lost
+	maxFailures      = 4                       // calls of one step that failed
+	roomPause        = 100 * time.Millisecond  // an upstream that had no room for results gets no calls
+	firstPause       = 300 * time.Millisecond  // after a failed call; doubles
 	longestPause     = 2 * time.Second
-	hedgeFactor      = 1.8 // a call that takes longer than this multiple of its expected time runs elsewhere too
-	hedgeSlack       = 100 * time.Millisecond
+	hedgeFactor      = 1.5 // a call that takes longer than this multiple of its expected time runs elsewhere too
+	hedgeSlack       = 60 * time.Millisecond
 	speedSmoothing   = 0.4
-	slowFactor       = 1.7 // upstreams slower than this get work only when the others are busy
+	slowFactor       = 1.7 // upstreams slower than this get single steps, to see whether they still are
+	retestEvery      = 1500 * time.Millisecond
+	loadSmoothing    = 0.15                   // of the usual wait and length of calls
+	minProbed        = 4_000_000              // bytes of memory below which reports, in whole MB, say too little
+	reportStep       = 1_000_000              // bytes by which a report may be too low
+	foreignPart      = 8                      // results of unknown origin count from this part of the memory on
+	probeEvery       = 500 * time.Millisecond // while results of unknown origin occupy an upstream
 	overheadPerCall  = 4 * time.Millisecond
 	minRetryAfter    = 200 * time.Millisecond
 	abandonCallAfter = 10 * time.Second // a call without an answer for this long counts as failed
@@ -76,6 +83,7 @@
 	Grants   []Grant
 	Refusals []Refusal
 	Releases []Release
+	Probes   []hosts.Upstream // to be asked how much memory they have left; see SetFree
 }
 
 // worker is a stage upstream.
@@ -88,7 +96,11 @@
 	pause    time.Duration
 	paused   time.Time // gets no calls until then
 	fullTill time.Time
+	retest   time.Time // a slow upstream gets a step then
 	held     map[string]held
+	foreign  int64 // bytes of results that are not of this board
+	suspect  bool  // may hold such results
+	probeAt  time.Time
 }
 
 // held is a result that still occupies its maker.
@@ -119,6 +131,8 @@
 	spec    rule.Batch
 	workers map[string]*worker
 	ready   []*step
+	wait    time.Duration // usual wait of a step that is in time
+	call    time.Duration // usual length of a call
 }
 
 // Board is owned by one goroutine.
@@ -159,7 +173,7 @@
 		for _, u := range t.Ready(name) {
 			w := p.workers[u.ID]
 			if w == nil || w.up.Born != u.Born {
-				w = &worker{speed: 1, held: map[string]held{}}
+				w = &worker{speed: 1, held: map[string]held{}, suspect: p.spec.Headroom >= minProbed}
 				p.workers[u.ID] = w
 				b.makers[u.ID] = w
 			}
@@ -291,6 +305,8 @@
 	switch got.Failure {
 	case call.FailedRoom:
 		w.fullTill = now.Add(roomPause)
+		w.suspect = b.pools[s.spec.Pool].spec.Headroom >= minProbed
+		w.probeAt = now
 	case call.FailedGone:
 		if b.jobs[s.job.ID] == s.job && !b.Restart(s.job.ID, now) {
 			b.refuse(s.job, Failing)
@@ -424,6 +440,7 @@
 	b.expire(now)
 	for _, name := range sortedKeys(b.pools) {
 		b.assign(b.pools[name], now)
+		b.probe(b.pools[name], now)
 	}
 	out := b.out
 	b.out = Output{}
@@ -436,6 +453,33 @@
 	return out
 }
 
+// probe asks for the memory of upstreams that hold results of unknown origin, or may do so.
+func (b *Board) probe(p *pool, now time.Time) {
+	for _, id := range sortedKeys(p.workers) {
+		w := p.workers[id]
+		if w.present && (w.suspect || w.foreign > 0) && len(p.ready) > 0 && !now.Before(w.probeAt) {
+			w.probeAt = now.Add(probeEvery)
+			b.out.Probes = append(b.out.Probes, w.up)
+		}
+	}
+}
+
+// SetFree notes how much memory for results an upstream says it has left.
+func (b *Board) SetFree(id string, free int64) {
+	w := b.makers[id]
+	if w == nil {
+		return
+	}
+	w.foreign, w.suspect = 0, false
+	p := b.pools[w.up.Pool]
+	if p == nil {
+		return
+	}
+	if foreign := p.spec.Headroom - free - reportStep - w.used; foreign > p.spec.Headroom/foreignPart {
+		w.foreign = foreign
+	}
+}
+
 // expire forgets results that their maker has dropped by itself.
 func (p *pool) expire(now time.Time) {
 	for _, w := range p.workers {
@@ -477,11 +521,13 @@
 		if j.granted {
 			continue
 		}
-		hold := time.Duration(lateHold * float64(j.Deadline.Sub(j.Arrived)))
+		whole, held := float64(j.Deadline.Sub(j.Arrived)), now.Sub(j.submitted)
 		switch {
-		case now.After(j.Deadline):
+		case held > time.Duration(longestHold*whole):
+			b.refuse(j, Expired)
+		case j.late && !j.started && held > time.Duration(lateHold*whole):
 			b.refuse(j, Expired)
-		case !j.started && now.Sub(j.Arrived) > hold:
+		case j.late && j.waitsSince(now) > longestStepWait:
 			b.refuse(j, Expired)
 		}
 	}
@@ -493,7 +539,7 @@
 		return
 	}
 	for _, s := range p.ready {
-		if !s.job.late && now.Add(b.shortest(s)).After(s.job.Target) {
+		if !s.job.late && now.Add(b.expected(s)).After(s.job.Target) {
 			s.job.late = true
 		}
 	}
@@ -524,6 +570,26 @@
 	return b.duration(s) + b.tail(s.job, s.index) + s.job.FinalStep
 }
 
+// expected is the time from the start of a step to the first byte; what has not begun yet meets the usual waits.
+func (b *Board) expected(s *step) time.Duration {
+	if s.job.started {
+		return b.shortest(s)
+	}
+	return max(b.duration(s), b.pools[s.spec.Pool].call) + b.usualTail(s.job, s.index) + s.job.FinalStep
+}
+
+// usualTail is the usual time of the stages that follow one.
+func (b *Board) usualTail(j *job, index int) time.Duration {
+	var longest time.Duration
+	for i, s := range j.steps {
+		p := b.pools[s.spec.Pool]
+		if s.spec.Pieces > 0 && p != nil && slices.Contains(s.spec.After, index) {
+			longest = max(longest, p.wait+max(b.duration(s), p.call)+b.usualTail(j, i))
+		}
+	}
+	return longest
+}
+
 // tail is the least time of the stages that follow one.
 func (b *Board) tail(j *job, index int) time.Duration {
 	var longest time.Duration
@@ -547,38 +613,37 @@
 // free lists the upstreams that can take a call, the best first.
 func (p *pool) free(now time.Time) []*worker {
 	var out []*worker
-	fastBusy := false
 	for _, w := range p.workers {
 		switch {
-		case !w.present:
-		case w.running != nil:
-			fastBusy = fastBusy || w.speed < slowFactor
+		case !w.present || w.running != nil:
 		case now.Before(w.paused) || now.Before(w.fullTill):
+		case w.slow() && now.Before(w.retest):
 		default:
 			out = append(out, w)
 		}
 	}
 	slices.SortFunc(out, func(a, c *worker) int {
-		return cmp.Or(cmp.Compare(a.slow(), c.slow()), cmp.Compare(a.used, c.used), cmp.Compare(a.up.ID, c.up.ID))
+		if a.slow() != c.slow() {
+			if a.slow() {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.used+a.foreign, c.used+c.foreign), cmp.Compare(a.up.ID, c.up.ID))
 	})
 	return out
 }
 
-func (w *worker) slow() int {
-	if w.speed > slowFactor {
-		return 1
-	}
-	return 0
-}
+func (w *worker) slow() bool { return w.speed > slowFactor }
 
 // load builds a call for a free upstream from the ready steps, in order.
 func (b *Board) load(p *pool, w *worker, now time.Time) {
 	r := &running{worker: w, begun: now}
 	var items []call.Item
-	room := p.spec.Headroom - w.used
+	room := p.spec.Headroom - w.used - w.foreign
 	for _, s := range slices.Clone(p.ready) {
 		free := p.spec.Size - len(items)
-		if free == 0 {
+		if free == 0 || (w.slow() && len(items) > 0) {
 			break
 		}
 		if !p.fits(s, w, now) {
@@ -599,6 +664,9 @@
 			b.unqueue(s)
 		}
 		s.job.started = true
+		if !s.job.late {
+			smooth(&p.wait, now.Sub(s.since))
+		}
 		for _, piece := range pieces {
 			items = append(items, s.item(piece, now))
 		}
@@ -613,8 +681,12 @@
 	b.nextID++
 	r.id = b.nextID
 	r.expected = p.spec.Call + time.Duration(len(items))*p.spec.Piece + overheadPerCall
+	smooth(&p.call, r.expected)
 	w.running = r
 	w.used += r.bytes
+	if w.slow() {
+		w.retest = now.Add(retestEvery)
+	}
 	b.calls[r.id] = r
 	b.out.Batches = append(b.out.Batches, Batch{ID: r.id, Upstream: w.up, Items: items, Expected: r.expected})
 }
@@ -632,6 +704,11 @@
 	return true
 }
 
+// smooth moves an average towards a new value.
+func smooth(average *time.Duration, value time.Duration) {
+	*average += time.Duration(loadSmoothing * float64(value-*average))
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -61,15 +61,16 @@
 // job is a Job on its way.
 type job struct {
 	Job
-	steps    []*step
-	late     bool // can no longer meet its target
-	started  bool // a call holds or held one of its pieces
-	granted  bool
-	restarts int
+	steps     []*step
+	submitted time.Time
+	late      bool // can no longer meet its target
+	started   bool // a call holds or held one of its pieces
+	granted   bool
+	restarts  int
 }
 
 func newJob(spec Job, now time.Time) *job {
-	j := &job{Job: spec}
+	j := &job{Job: spec, submitted: now}
 	for i, s := range spec.Stages {
 		st := &step{job: j, index: i, spec: s, state: stepBlocked, since: now}
 		st.reset()
@@ -138,6 +139,20 @@
 	return best
 }
 
+// waitsSince is how long the job has had steps that are ready and none that runs.
+func (j *job) waitsSince(now time.Time) time.Duration {
+	var longest time.Duration
+	for _, s := range j.steps {
+		switch s.state {
+		case stepRunning:
+			return 0
+		case stepReady:
+			longest = max(longest, now.Sub(s.since))
+		}
+	}
+	return longest
+}
+
 func (j *job) done() bool {
 	for _, s := range j.steps {
 		if s.state != stepDone {
--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/platform"
@@ -177,7 +176,7 @@
 	slices.SortFunc(out, func(a, b Member) int {
 		return cmp.Or(
 			cmp.Compare(math.Round(b.Cores*coreSteps), math.Round(a.Cores*coreSteps)),
-			cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host)),
+			cmp.Compare(a.Born, b.Born), // a restarted host does not take the lead back
 			cmp.Compare(a.Host, b.Host))
 	})
 	c.members.Store(&out)
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -33,6 +33,8 @@
 	EncodeBatch func([]call.Item) ([]byte, error)
 	DecodeBatch func(data []byte, n int) ([]call.Result, error)
 	EncodeFree  func([]string) ([]byte, error)
+	ReportPath  string
+	DecodeFree  func([]byte) (int64, error) // bytes for results that an upstream has left
 	HeaderFor   func(upstream string, remaining time.Duration) http.Header
 }
 
@@ -249,6 +251,35 @@
 	for _, r := range out.Releases {
 		go l.release(r)
 	}
+	for _, u := range out.Probes {
+		go l.probe(u)
+	}
+}
+
+// probe asks an upstream for the memory that it has left.
+func (l *Lead) probe(u hosts.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	answer, failure := l.o.Client.Do(ctx, u.Address, xchg.Request{
+		Method: http.MethodGet, URI: l.o.Codec.ReportPath, Host: u.Address, Header: http.Header{},
+	})
+	if failure != nil {
+		l.o.Log.Info("report failed", zap.String("upstream", u.ID), zap.Error(failure))
+		return
+	}
+	defer answer.Close()
+	data, err := io.ReadAll(io.LimitReader(answer, maxAnswerSize))
+	if err != nil {
+		l.o.Log.Info("report failed", zap.String("upstream", u.ID), zap.Error(err))
+		return
+	}
+	free, err := l.o.Codec.DecodeFree(data)
+	if err != nil {
+		l.o.Log.Info("report failed", zap.String("upstream", u.ID), zap.Error(err))
+		return
+	}
+	l.o.Log.Info("report", zap.String("upstream", u.ID), zap.Int64("freeBytes", free))
+	l.inbox <- func(time.Time) { l.board.SetFree(u.ID, free) }
 }
 
 // runBatch carries one call to a stage upstream.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -73,6 +73,7 @@
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, FreePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
 			DecodeBatch: platform.DecodeBatch, EncodeFree: platform.EncodeFree, HeaderFor: platform.StageHeader,
+			ReportPath: platform.ReportPath, DecodeFree: platform.DecodeFree,
 		},
 	})
 	n.crew = crew.New(crew.Options{
