Do not restart jobs whose overtaken calls find no input

Cause: the first call of a hedged piece reports its inputs as gone once the job went on, and the job began anew; a call that waited behind another leader's marked its upstream as slow for seconds. Change: only pieces still waited for restart a job; one call of normal length clears an upstream.

--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -26,7 +26,7 @@
 	hedgeSlack       = 60 * time.Millisecond
 	speedSmoothing   = 0.4
 	slowFactor       = 1.7 // upstreams slower than this get single steps, to see whether they still are
-	retestEvery      = 1500 * time.Millisecond
+	retestEvery      = 700 * time.Millisecond
 	loadSmoothing    = 0.15                   // of the usual wait and length of calls
 	minProbed        = 4_000_000              // bytes of memory below which reports, in whole MB, say too little
 	reportStep       = 1_000_000              // bytes by which a report may be too low
@@ -245,7 +245,7 @@
 	b.endCall(r)
 	w := r.worker
 	w.pause = 0
-	w.speed += speedSmoothing * (float64(now.Sub(r.begun))/float64(r.expected) - w.speed)
+	w.observe(float64(now.Sub(r.begun)) / float64(r.expected))
 	at := 0
 	for _, p := range r.parts {
 		for _, piece := range p.pieces {
@@ -308,7 +308,8 @@
 		w.suspect = b.pools[s.spec.Pool].spec.Headroom >= minProbed
 		w.probeAt = now
 	case call.FailedGone:
-		if b.jobs[s.job.ID] == s.job && !b.Restart(s.job.ID, now) {
+		// A call that was overtaken by another one finds its inputs released.
+		if b.waits(s, piece) && !b.Restart(s.job.ID, now) {
 			b.refuse(s.job, Failing)
 		}
 		return
@@ -318,12 +319,14 @@
 	b.again(s, piece)
 }
 
+// waits says whether a step still needs the result of a piece.
+func (b *Board) waits(s *step, piece int) bool {
+	return b.jobs[s.job.ID] == s.job && s.results[piece].handle == "" && (s.state == stepRunning || s.state == stepReady)
+}
+
 // again makes a piece pending, unless it has a result or is pending already.
 func (b *Board) again(s *step, piece int) {
-	if b.jobs[s.job.ID] != s.job || s.results[piece].handle != "" || slices.Contains(s.pending, piece) {
-		return
-	}
-	if s.state != stepRunning && s.state != stepReady {
+	if !b.waits(s, piece) || slices.Contains(s.pending, piece) {
 		return
 	}
 	s.pending = append(s.pending, piece)
@@ -505,7 +508,7 @@
 			continue
 		}
 		r.hedged = true
-		r.worker.speed = max(r.worker.speed, float64(took)/float64(r.expected))
+		r.worker.observe(float64(took) / float64(r.expected))
 		for _, p := range r.parts {
 			for _, piece := range p.pieces {
 				b.again(p.step, piece)
@@ -636,6 +639,15 @@
 
 func (w *worker) slow() bool { return w.speed > slowFactor }
 
+// observe notes how long a call took over its expected time. One call as expected clears an upstream, as a call may also
+// have waited behind those of another caller.
+func (w *worker) observe(ratio float64) {
+	if ratio < slowFactor {
+		w.speed = min(w.speed, slowFactor)
+	}
+	w.speed += speedSmoothing * (ratio - w.speed)
+}
+
 // load builds a call for a free upstream from the ready steps, in order.
 func (b *Board) load(p *pool, w *worker, now time.Time) {
 	r := &running{worker: w, begun: now}
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -294,10 +294,25 @@
 			l.board.Failed(b.ID, busy, now)
 			return
 		}
+		l.logPieces(b, results)
 		l.board.Finished(b.ID, results, now)
 	}
 }
 
+// logPieces notes pieces without a result.
+func (l *Lead) logPieces(b board.Batch, results []call.Result) {
+	failed := map[call.Failure]int{}
+	for _, r := range results {
+		if r.Failure != "" {
+			failed[r.Failure]++
+		}
+	}
+	for reason, n := range failed {
+		l.o.Log.Info("pieces failed", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID), zap.String("pool", b.Upstream.Pool),
+			zap.String("reason", string(reason)), zap.Int("pieces", n), zap.Int("of", len(results)))
+	}
+}
+
 func (l *Lead) callBatch(b board.Batch) ([]call.Result, *fault.Error) {
 	body, err := l.o.Codec.EncodeBatch(b.Items)
 	if err != nil {
