--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -22,7 +22,8 @@
 	roomPause        = 100 * time.Millisecond  // an upstream that had no room for results gets no calls
 	firstPause       = 300 * time.Millisecond  // after a failed call; doubles
 	longestPause     = 2 * time.Second
-	hedgeFactor      = 1.5 // a call that takes longer than this multiple of its expected time runs elsewhere too
+	hedgeFactor      = 1.5 // a call that takes longer than this multiple of its expected time runs elsewhere too,
+	hedgeBusyFactor  = 3.0 // or than this one while other steps wait for the pool
 	hedgeSlack       = 60 * time.Millisecond
 	speedSmoothing   = 0.4
 	slowFactor       = 1.7 // upstreams slower than this get single steps, to see whether they still are
@@ -216,6 +217,16 @@
 	}
 }
 
+// CancelAll drops all jobs.
+func (b *Board) CancelAll() {
+	for _, id := range sortedKeys(b.jobs) {
+		b.Cancel(id)
+	}
+}
+
+// Jobs is the number of jobs that hold or wait for anything.
+func (b *Board) Jobs() int { return len(b.jobs) }
+
 // Release gives up all results of a job whose request has read them.
 func (b *Board) Release(id string) { b.Cancel(id) }
 
@@ -504,7 +515,11 @@
 			b.Failed(id, false, now)
 			continue
 		}
-		if r.hedged || took < time.Duration(hedgeFactor*float64(r.expected))+hedgeSlack {
+		factor := hedgeFactor
+		if p := b.pools[r.worker.up.Pool]; p != nil && len(p.ready) > 0 {
+			factor = hedgeBusyFactor
+		}
+		if r.hedged || took < time.Duration(factor*float64(r.expected))+hedgeSlack {
 			continue
 		}
 		r.hedged = true
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,8 @@
 	sweepEvery    = 5 * time.Second
 	maxAnswerSize = 4 << 20 // bytes of the results of one batch
 	releaseLimit  = 2 * time.Second
+	finishPoll    = 50 * time.Millisecond
+	finishRelease = 200 * time.Millisecond
 	callLimit     = 12 * time.Second // longest call to a stage upstream
 )
 
@@ -65,6 +68,8 @@
 	waiting map[string]*waiter
 	rules   *rule.Rules
 	hosts   *hosts.Table
+
+	releases sync.WaitGroup
 }
 
 var _ Desk = (*Lead)(nil)
@@ -76,6 +81,41 @@
 	}
 }
 
+// Finish waits until no order is open or ctx ends, then gives up what is still held.
+func (l *Lead) Finish(ctx context.Context) {
+	open := 1
+	for open > 0 && ctx.Err() == nil {
+		if !l.ask(ctx, func() { open = l.board.Jobs() }) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(finishPoll):
+		}
+	}
+	l.o.Log.Info("leader finished", zap.Int("openOrders", open))
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishRelease)
+	defer cancel()
+	l.ask(last, l.board.CancelAll)
+	l.releases.Wait()
+}
+
+// ask runs f on the goroutine that owns the state, and carries out what follows from it.
+func (l *Lead) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	l.inbox <- func(now time.Time) {
+		f()
+		l.carryOut(l.board.Step(now), now)
+		close(done)
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Run owns all state until ctx ends.
 func (l *Lead) Run(ctx context.Context) {
 	timer := time.NewTimer(sweepEvery)
@@ -249,7 +289,7 @@
 		go l.runBatch(b)
 	}
 	for _, r := range out.Releases {
-		go l.release(r)
+		l.releases.Go(func() { l.release(r) })
 	}
 	for _, u := range out.Probes {
 		go l.probe(u)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -221,6 +221,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests are cut off by the end of the grace", zap.Int64("inFlight", n.inFlight.Load()), zap.Error(err))
 	}
+	n.lead.Finish(ctx)
 }
 
 // sweep closes idle connections and forgets upstreams that are gone.
