--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -32,6 +32,8 @@
 	minProbed        = 4_000_000              // bytes of memory below which reports, in whole MB, say too little
 	reportStep       = 1_000_000              // bytes by which a report may be too low
 	foreignPart      = 8                      // results of unknown origin count from this part of the memory on
+	foreignFor       = 1 * time.Second        // results of unknown origin are assumed after a piece found no room
+	roomPart         = 0.95                   // of an upstream's memory that is planned with, as sizes of results are approximate
 	probeEvery       = 500 * time.Millisecond // while results of unknown origin occupy an upstream
 	overheadPerCall  = 4 * time.Millisecond
 	minRetryAfter    = 200 * time.Millisecond
@@ -89,19 +91,20 @@
 
 // worker is a stage upstream.
 type worker struct {
-	up       hosts.Upstream
-	present  bool // listed and ready
-	running  *running
-	used     int64 // bytes of results held or expected
-	speed    float64
-	pause    time.Duration
-	paused   time.Time // gets no calls until then
-	fullTill time.Time
-	retest   time.Time // a slow upstream gets a step then
-	held     map[string]held
-	foreign  int64 // bytes of results that are not of this board
-	suspect  bool  // may hold such results
-	probeAt  time.Time
+	up          hosts.Upstream
+	present     bool // listed and ready
+	running     *running
+	used        int64 // bytes of results held or expected
+	speed       float64
+	pause       time.Duration
+	paused      time.Time // gets no calls until then
+	fullTill    time.Time
+	retest      time.Time // a slow upstream gets a step then
+	held        map[string]held
+	foreign     int64 // bytes of results that are not of this board
+	suspect     bool  // may hold such results
+	foreignTill time.Time
+	probeAt     time.Time
 }
 
 // held is a result that still occupies its maker.
@@ -318,6 +321,8 @@
 		w.fullTill = now.Add(roomPause)
 		w.suspect = b.pools[s.spec.Pool].spec.Headroom >= minProbed
 		w.probeAt = now
+		w.foreign += s.spec.ResultBytes
+		w.foreignTill = now.Add(foreignFor)
 	case call.FailedGone:
 		// A call that was overtaken by another one finds its inputs released.
 		if b.waits(s, piece) && !b.Restart(s.job.ID, now) {
@@ -471,7 +476,10 @@
 func (b *Board) probe(p *pool, now time.Time) {
 	for _, id := range sortedKeys(p.workers) {
 		w := p.workers[id]
-		if w.present && (w.suspect || w.foreign > 0) && len(p.ready) > 0 && !now.Before(w.probeAt) {
+		if w.foreign > 0 && p.spec.Headroom < minProbed && now.After(w.foreignTill) {
+			w.foreign = 0
+		}
+		if w.present && (w.suspect || (w.foreign > 0 && p.spec.Headroom >= minProbed)) && len(p.ready) > 0 && !now.Before(w.probeAt) {
 			w.probeAt = now.Add(probeEvery)
 			b.out.Probes = append(b.out.Probes, w.up)
 		}
@@ -667,7 +675,7 @@
 func (b *Board) load(p *pool, w *worker, now time.Time) {
 	r := &running{worker: w, begun: now}
 	var items []call.Item
-	room := p.spec.Headroom - w.used - w.foreign
+	room := int64(roomPart*float64(p.spec.Headroom)) - w.used - w.foreign
 	for _, s := range slices.Clone(p.ready) {
 		free := p.spec.Size - len(items)
 		if free == 0 || (w.slow() && len(items) > 0) {
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -15,6 +15,7 @@
 	pingEvery   = 250 * time.Millisecond
 	silentAfter = 800 * time.Millisecond // without a pong, the leader counts as gone
 	suspectFor  = 3 * time.Second        // a member that was gone is not asked again for this long
+	leavingFor  = 10 * time.Second       // nor one that is shutting down for this long
 	dialTimeout = 600 * time.Millisecond
 	outboxSize  = 512 // messages to the leader
 )
@@ -24,6 +25,7 @@
 	Self    string // host name of this entry
 	Local   lead.Desk
 	Members func() []crew.Member
+	Leaving func() bool // this entry is shutting down and must not lead others
 	Now     func() time.Time
 	Log     *zap.Logger
 }
@@ -81,6 +83,11 @@
 		} else {
 			current.ping()
 		}
+		if current.leaving.Load() {
+			l.mu.Lock()
+			l.suspect[current.member.Host] = now.Add(leavingFor)
+			l.mu.Unlock()
+		}
 	}
 	wanted := l.wanted(now)
 	if current != nil && wanted.Host == current.member.Host && wanted.Born == current.member.Born && current.gone(now) == "" {
@@ -97,6 +104,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range l.o.Members() {
+		if m.Host == l.o.Self && l.o.Leaving() {
+			continue
+		}
 		if m.Host == l.o.Self || !now.Before(l.suspect[m.Host]) {
 			return m
 		}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -84,7 +84,7 @@
 		Store: store, Now: time.Now, Log: log.Named("crew"),
 	})
 	n.link = link.New(link.Options{
-		Self: s.Name, Local: n.lead, Members: n.crew.Members, Now: time.Now, Log: log.Named("link"),
+		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("link"),
 	})
 	n.front = front.New(front.Options{
 		Zone: s.Zone,
