Reload the settings at SIGHUP and when the file changes

Change: the node follows signal and file; a file that can't be read leaves the settings as they are.

--- a/cmd/ragworthatch/edge.go
+++ b/cmd/ragworthatch/edge.go
@@ -25,13 +25,13 @@
 			if err := noArguments(args); err != nil {
 				return err
 			}
-			settings, err := platform.LoadSettings(o.path())
+			log := logger.New(s.out, o.logLevel)
+			logger.RouteLibraries(log)
+			entry, err := node.New(o.path(), log)
 			if err != nil {
 				return err
 			}
-			log := logger.New(s.out, o.logLevel)
-			logger.RouteLibraries(log)
-			return node.New(settings, log).Run(stopSignals())
+			return entry.Run(stopSignals())
 		},
 	}
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -45,7 +45,9 @@
 
 // Node is one entry.
 type Node struct {
-	settings platform.Settings
+	settings atomic.Pointer[platform.Settings]
+	path     string
+	budget   *extra.Budget
 	log      *zap.Logger
 	client   *xchg.Client
 	watch    *watch.Watch
@@ -59,13 +61,18 @@
 	inFlight atomic.Int64
 }
 
-// New builds an entry; nothing happens until Run.
-func New(s platform.Settings, log *zap.Logger) *Node {
-	n := &Node{settings: s, log: log}
+// New builds an entry with the settings in a file; nothing happens until Run.
+func New(path string, log *zap.Logger) (*Node, error) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{path: path, log: log}
+	n.settings.Store(&s)
 	n.client = xchg.New(platform.ReadAnswer, time.Now, func() {})
 	store := platform.NewStore(s.Store, storeClient())
 	n.watch = watch.New(watch.Options{
-		Store: store, DrainWithin: s.DrainWithin, Now: time.Now, Log: log.Named("watch"),
+		Store: store, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Now: time.Now, Log: log.Named("watch"),
 	})
 	n.picker = least.New(time.Now)
 	n.lead = lead.New(lead.Options{
@@ -86,6 +93,8 @@
 	n.link = link.New(link.Options{
 		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("link"),
 	})
+	n.budget = extra.New(s.RetryWindow, func() int { return max(assumedPeers, n.crew.Size()) }, time.Now)
+	n.budget.Set(s.RetryRatio, s.RetrySlack)
 	n.front = front.New(front.Options{
 		Zone: s.Zone,
 		Codec: front.Codec{
@@ -93,10 +102,10 @@
 			RetryAfter: platform.RetryAfter,
 		},
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.link, Client: n.client, Picker: n.picker,
-		Budget:   extra.New(s.RetryRatio, s.RetrySlack, s.RetryWindow, func() int { return max(assumedPeers, n.crew.Size()) }, time.Now),
+		Budget:   n.budget,
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("front"),
 	})
-	return n
+	return n, nil
 }
 
 // storeClient returns an HTTP client that notices when the store's connection is dead.
@@ -126,8 +135,10 @@
 func (n *Node) Run(stop, kill context.Context) error {
 	ctx, cancel := context.WithCancel(kill)
 	defer cancel()
-	n.log.Info("start", zap.String("host", n.settings.Name), zap.String("zone", n.settings.Zone),
-		zap.String("front", n.settings.Front), zap.String("store", n.settings.Store))
+	settings := n.settings.Load()
+	n.log.Info("start", zap.String("host", settings.Name), zap.String("zone", settings.Zone),
+		zap.String("front", settings.Front), zap.String("store", settings.Store))
+	go n.followSettings(ctx)
 	go n.watch.Run(ctx)
 	go n.lead.Run(ctx)
 	go n.crew.Run(ctx)
@@ -143,7 +154,7 @@
 		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 2)
-	for address, server := range map[string]*http.Server{n.settings.Ready: ready, n.settings.Front: callers} {
+	for address, server := range map[string]*http.Server{settings.Ready: ready, settings.Front: callers} {
 		listener, err := listen(ctx, address)
 		if err != nil {
 			return err
@@ -164,7 +175,8 @@
 
 // servePeers lets other entries use this one as their leader.
 func (n *Node) servePeers(ctx context.Context) (*grpc.Server, error) {
-	listener, err := listen(ctx, netip.AddrPortFrom(n.settings.IP, uint16(n.settings.PeerPort)).String())
+	settings := n.settings.Load()
+	listener, err := listen(ctx, netip.AddrPortFrom(settings.IP, uint16(settings.PeerPort)).String())
 	if err != nil {
 		return nil, err
 	}
@@ -211,12 +223,13 @@
 // drain serves on until the balancer has noticed, then waits for what is in flight.
 func (n *Node) drain(kill context.Context, callers *http.Server) {
 	n.leaving.Store(true)
-	n.log.Info("shutting down", zap.Int64("inFlight", n.inFlight.Load()), zap.Duration("grace", n.settings.Grace))
+	grace := n.settings.Load().Grace
+	n.log.Info("shutting down", zap.Int64("inFlight", n.inFlight.Load()), zap.Duration("grace", grace))
 	begun := time.Now()
 	go n.crew.Leave(kill)
 	pause(kill, serveAfterTerm)
 	n.stopping.Store(true)
-	ctx, cancel := context.WithDeadline(kill, begun.Add(n.settings.Grace-exitBefore))
+	ctx, cancel := context.WithDeadline(kill, begun.Add(grace-exitBefore))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests are cut off by the end of the grace", zap.Int64("inFlight", n.inFlight.Load()), zap.Error(err))
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -33,7 +33,7 @@
 // Options are the dependencies of a Watch.
 type Options struct {
 	Store       Store
-	DrainWithin time.Duration // an upstream's leaving must be known this long after the store knows it
+	DrainWithin func() time.Duration // an upstream's leaving must be known this long after the store knows it
 	Now         func() time.Time
 	Log         *zap.Logger
 }
@@ -69,7 +69,7 @@
 	list := newList(w.o.Now, w.o.Log)
 	w.follow(ctx, &follower{
 		topic: hostsTopic,
-		pause: time.Duration(pollPart * float64(w.o.DrainWithin)),
+		pause: func() time.Duration { return time.Duration(pollPart * float64(w.o.DrainWithin())) },
 		apply: func(records []platform.Record, whole bool) {
 			list.apply(records, whole)
 			w.hosts.Store(list.table())
@@ -82,8 +82,8 @@
 // follower reads one topic.
 type follower struct {
 	topic platform.Topic
-	wait  time.Duration // of a read, for a new record
-	pause time.Duration // between reads
+	wait  time.Duration        // of a read, for a new record
+	pause func() time.Duration // between reads
 	apply func(records []platform.Record, whole bool)
 	back  func() // the store answers again after an outage
 }
@@ -122,7 +122,9 @@
 		heard = now
 		f.apply(records, !synced)
 		next, synced = end, true
-		sleep(ctx, f.pause)
+		if f.pause != nil {
+			sleep(ctx, f.pause())
+		}
 	}
 }
 
--- a/internal/limit/extra/budget.go
+++ b/internal/limit/extra/budget.go
@@ -25,9 +25,16 @@
 	repeats  [slices]int
 }
 
-// New returns a budget of ratio repeats for each request and an equal part of slack for each of the peers, in any window.
-func New(ratio float64, slack int, window time.Duration, peers func() int, now func() time.Time) *Budget {
-	return &Budget{ratio: ratio, slack: slack, window: window, peers: peers, now: now, pools: map[string]*counts{}}
+// New returns a budget for windows of a length, shared evenly among the peers; it allows nothing until Set.
+func New(window time.Duration, peers func() int, now func() time.Time) *Budget {
+	return &Budget{window: window, peers: peers, now: now, pools: map[string]*counts{}}
+}
+
+// Set allows ratio repeats for each request, and slack for all peers together, in any window.
+func (b *Budget) Set(ratio float64, slack int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
 }
 
 // Request counts a request for a pool.
