Refuse requests that break down upstreams, and bound the log

Cause: a request that comes again after breaking down its upstream could take one after the other; logs had no bound.

--- a/cmd/ragworthatch/edge.go
+++ b/cmd/ragworthatch/edge.go
@@ -25,9 +25,10 @@
 			if err := noArguments(args); err != nil {
 				return err
 			}
-			log := logger.New(s.out, o.logLevel)
-			logger.RouteLibraries(log)
-			entry, err := node.New(o.path(), log)
+			log := logger.NewAsync(s.out, o.logLevel)
+			defer log.Close()
+			logger.RouteLibraries(log.Logger)
+			entry, err := node.New(o.path(), log.Logger)
 			if err != nil {
 				return err
 			}
--- a/internal/cell/lead/desk.go
+++ b/internal/cell/lead/desk.go
@@ -42,4 +42,6 @@
 	FirstByte(id string, keep bool)
 	// Ended says that the request is over; failed says that its engine failed it.
 	Ended(id, engine string, failed bool)
+	// Crashed says that an upstream broke down while it ran a request with this fingerprint.
+	Crashed(fingerprint uint64)
 }
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -15,6 +15,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -47,6 +48,7 @@
 	Hosts  func() *hosts.Table
 	Client *xchg.Client
 	Codec  Codec
+	Crash  *crash.Record
 	Now    func() time.Time
 	Log    *zap.Logger
 }
@@ -232,6 +234,14 @@
 	}
 }
 
+// Crashed counts a breakdown of an upstream.
+func (l *Lead) Crashed(fingerprint uint64) {
+	if l.o.Crash.Crashed(fingerprint) {
+		l.o.Log.Warn("requests with this fingerprint break down upstreams, they are refused for a while",
+			zap.Uint64("fingerprint", fingerprint))
+	}
+}
+
 func (l *Lead) fail(engine string, now time.Time) {
 	if until := l.placer.Failed(engine, now); until > 0 {
 		l.o.Log.Info("engine ejected", zap.String("upstream", engine), zap.Duration("for", until))
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
 const (
@@ -25,7 +26,8 @@
 	Self    string // host name of this entry
 	Local   lead.Desk
 	Members func() []crew.Member
-	Leaving func() bool // this entry is shutting down and must not lead others
+	Blocked func(fingerprints []uint64) // takes over what the leader found of requests that break down upstreams
+	Leaving func() bool                 // this entry is shutting down and must not lead others
 	Now     func() time.Time
 	Log     *zap.Logger
 }
@@ -119,7 +121,7 @@
 	var next *session
 	if m.Host != l.o.Self {
 		var err error
-		next, err = dial(ctx, m, l.o.Self, l.o.Now, l.decided)
+		next, err = dial(ctx, m, l.o, l.decided)
 		if err != nil {
 			l.o.Log.Info("member can't be reached", zap.String("member", m.Host), zap.Error(err))
 			l.mu.Lock()
@@ -252,6 +254,17 @@
 	}
 }
 
+// Crashed tells the leader of a breakdown, so that it counts those that all entries see.
+func (l *Link) Crashed(fingerprint uint64) {
+	l.mu.Lock()
+	current := l.current
+	l.mu.Unlock()
+	l.o.Local.Crashed(fingerprint)
+	if current != nil {
+		current.post(&cellpb.ToLead{Body: &cellpb.ToLead_Crashed{Crashed: &cellpb.Crashed{Fingerprint: fingerprint}}})
+	}
+}
+
 // request returns the session that has a request; nil for the local desk.
 func (l *Link) request(id string) (*session, bool) {
 	l.mu.Lock()
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -34,10 +34,11 @@
 	begun     time.Time
 	sequence  int64
 	now       func() time.Time
+	blocked   func([]uint64)
 }
 
 // dial connects to a member.
-func dial(ctx context.Context, m crew.Member, self string, now func() time.Time, decided func(string, lead.Decision)) (*session, error) {
+func dial(ctx context.Context, m crew.Member, o Options, decided func(string, lead.Decision)) (*session, error) {
 	raw, err := dialTCP(ctx, m.Address)
 	if err != nil {
 		return nil, err
@@ -65,9 +66,10 @@
 		return nil, err
 	}
 	s := &session{
-		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), begun: now(), now: now,
+		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), begun: o.Now(), now: o.Now,
+		blocked: o.Blocked,
 	}
-	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: self}}})
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: o.Self}}})
 	go s.sendAll(ctx, stream)
 	go s.receiveAll(stream, decided)
 	return s, nil
@@ -111,6 +113,7 @@
 		switch body := m.Body.(type) {
 		case *cellpb.ToEntry_Pong:
 			s.leaving.Store(body.Pong.Leaving)
+			s.blocked(body.Pong.Blocked)
 		case *cellpb.ToEntry_Decision:
 			d := body.Decision
 			decided(d.Id, lead.Decision{
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -21,13 +21,14 @@
 	cellpb.UnimplementedCellServer
 	desk    lead.Desk
 	leaving func() bool
+	blocked func() []uint64
 	now     func() time.Time
 	log     *zap.Logger
 }
 
 // New returns a server of a desk.
-func New(desk lead.Desk, leaving func() bool, now func() time.Time, log *zap.Logger) *Server {
-	return &Server{desk: desk, leaving: leaving, now: now, log: log}
+func New(desk lead.Desk, leaving func() bool, blocked func() []uint64, now func() time.Time, log *zap.Logger) *Server {
+	return &Server{desk: desk, leaving: leaving, blocked: blocked, now: now, log: log}
 }
 
 // session is the connection of one entry.
@@ -80,9 +81,11 @@
 	case *cellpb.ToLead_Ended:
 		ses.untrack(body.Ended.Id)
 		ses.desk.Ended(body.Ended.Id, body.Ended.Engine, body.Ended.Failed)
+	case *cellpb.ToLead_Crashed:
+		ses.desk.Crashed(body.Crashed.Fingerprint)
 	case *cellpb.ToLead_Ping:
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{
-			Pong: &cellpb.Pong{Sequence: body.Ping.Sequence, Leaving: ses.leaving()},
+			Pong: &cellpb.Pong{Sequence: body.Ping.Sequence, Leaving: ses.leaving(), Blocked: ses.blocked()},
 		}})
 	}
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
@@ -51,6 +52,8 @@
 	Client *xchg.Client
 	Picker *least.Picker
 	Budget *extra.Budget
+	// Blocked says for how long requests with a fingerprint are refused.
+	Blocked func(fingerprint uint64) time.Duration
 	// Stopping says that new requests get no service, only an answer that says so.
 	Stopping func() bool
 	Leaving  func() bool // connections are closed after the answer
@@ -80,6 +83,8 @@
 	arrived  time.Time
 	deadline time.Time // of the caller or the route, whichever comes first
 	sends    int
+
+	fingerprint uint64
 }
 
 // ServeHTTP answers one request.
@@ -137,6 +142,10 @@
 		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
 	}
 	x.body = body
+	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
+	if d := x.o.Blocked(x.fingerprint); d > 0 {
+		return fault.New(fault.NotRun, fault.Quarantined, "requests like this one broke down upstreams").WithRetryAfter(d)
+	}
 	remaining := x.head.Remaining
 	if !x.head.HasDeadline {
 		remaining = defaultDeadline
@@ -177,6 +186,7 @@
 	})
 	x.logSend(u, answer, failure)
 	if failure != nil {
+		x.noteCrash(failure)
 		return nil, failure
 	}
 	if answer.Head.NotRun {
@@ -246,6 +256,24 @@
 	return http.StatusBadGateway
 }
 
+// noteCrash counts a connection that ended without an answer, while the caller was still waiting.
+func (x *exchange) noteCrash(failure *fault.Error) {
+	if failure.Verdict == fault.MayHaveRun && failure.Code == fault.Transport && x.in.Context().Err() == nil {
+		x.o.Desk.Crashed(x.fingerprint)
+	}
+}
+
+// fingerprintOf is what stays the same when a request comes again.
+func fingerprintOf(r *http.Request, key string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, rawTarget(r), key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
 // rawTarget is the path and query as the caller wrote them.
 func rawTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -167,6 +167,9 @@
 			return "", nil
 		case err != nil:
 			events.Rest()
+			if x.in.Context().Err() == nil {
+				x.o.Desk.Crashed(x.fingerprint)
+			}
 			return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Incomplete, "the stream of %s broke off", u.ID).WithCause(err)
 		}
 	}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/extra"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 	"github.com/ragworthatch/ragworthatch/platform"
@@ -48,6 +49,7 @@
 	settings atomic.Pointer[platform.Settings]
 	path     string
 	budget   *extra.Budget
+	crash    *crash.Record
 	log      *zap.Logger
 	client   *xchg.Client
 	watch    *watch.Watch
@@ -74,9 +76,10 @@
 	n.watch = watch.New(watch.Options{
 		Store: store, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Now: time.Now, Log: log.Named("watch"),
 	})
+	n.crash = crash.New(time.Now)
 	n.picker = least.New(time.Now)
 	n.lead = lead.New(lead.Options{
-		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Now: time.Now, Log: log.Named("lead"),
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Now: time.Now, Log: log.Named("lead"),
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, FreePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
 			DecodeBatch: platform.DecodeBatch, EncodeFree: platform.EncodeFree, HeaderFor: platform.StageHeader,
@@ -91,7 +94,7 @@
 		Store: store, Now: time.Now, Log: log.Named("crew"),
 	})
 	n.link = link.New(link.Options{
-		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("link"),
+		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Blocked: n.crash.Block, Now: time.Now, Log: log.Named("link"),
 	})
 	n.budget = extra.New(s.RetryWindow, func() int { return max(assumedPeers, n.crew.Size()) }, time.Now)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
@@ -103,6 +106,7 @@
 		},
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.link, Client: n.client, Picker: n.picker,
 		Budget:   n.budget,
+		Blocked:  n.crash.Blocked,
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
@@ -181,7 +185,7 @@
 		return nil, err
 	}
 	server := grpc.NewServer()
-	cellpb.RegisterCellServer(server, serve.New(n.lead, n.leaving.Load, time.Now, n.log.Named("serve")))
+	cellpb.RegisterCellServer(server, serve.New(n.lead, n.leaving.Load, n.crash.Shared, time.Now, n.log.Named("serve")))
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			n.log.Error("entries can't reach this one", zap.Error(err))
--- /dev/null
+++ b/internal/limit/crash/record.go
@@ -0,0 +1,102 @@
+package crash
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	crashesToBlock = 2                // with the same fingerprint
+	countFor       = 60 * time.Second // crashes that are further apart do not add up
+	blockFor       = 30 * time.Second // after the last crash
+	maxKnown       = 4096             // fingerprints
+	maxShared      = 64               // blocked fingerprints that are told to other processes
+)
+
+// entry is what is known of one fingerprint.
+type entry struct {
+	crashes int
+	last    time.Time
+	blocked time.Time // until then
+}
+
+// Record counts crashes by fingerprint; it is safe for concurrent use.
+type Record struct {
+	now   func() time.Time
+	mu    sync.Mutex
+	known map[uint64]entry
+}
+
+// New returns a record without crashes.
+func New(now func() time.Time) *Record { return &Record{now: now, known: map[uint64]entry{}} }
+
+// Crashed counts a crash and says whether the fingerprint is blocked now.
+func (r *Record) Crashed(fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	e := r.known[fingerprint]
+	if now.Sub(e.last) > countFor {
+		e = entry{}
+	}
+	e.crashes++
+	e.last = now
+	if e.crashes >= crashesToBlock {
+		e.blocked = now.Add(blockFor)
+	}
+	r.put(fingerprint, e, now)
+	return e.crashes >= crashesToBlock
+}
+
+// Block takes over what another process found.
+func (r *Record) Block(fingerprints []uint64) {
+	if len(fingerprints) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for _, f := range fingerprints {
+		e := r.known[f]
+		if now.Before(e.blocked) {
+			continue
+		}
+		e.crashes, e.last, e.blocked = crashesToBlock, now, now.Add(blockFor)
+		r.put(f, e, now)
+	}
+}
+
+// Blocked says for how long requests with a fingerprint are refused; 0 when they are not.
+func (r *Record) Blocked(fingerprint uint64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, r.known[fingerprint].blocked.Sub(r.now()))
+}
+
+// Shared lists the fingerprints that were blocked by crashes, for other processes.
+func (r *Record) Shared() []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var out []uint64
+	for f, e := range r.known {
+		if now.Before(e.blocked) && len(out) < maxShared {
+			out = append(out, f)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// put stores an entry, making place by forgetting old ones.
+func (r *Record) put(fingerprint uint64, e entry, now time.Time) {
+	if len(r.known) >= maxKnown {
+		for f, old := range r.known {
+			if now.Sub(old.last) > countFor || len(r.known) >= maxKnown {
+				delete(r.known, f)
+			}
+		}
+	}
+	r.known[fingerprint] = e
+}
