--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -13,6 +13,7 @@
 const (
 	minHomeBytes     = 200_000                 // input that is worth staying in its zone for
 	crossAfter       = 150 * time.Millisecond  // a step that waited this long may leave the zone of its input
+	forecastMargin   = 40 * time.Millisecond  // by which forecasts are on the safe side
 	rankStep         = 100 * time.Millisecond  // a rank's worth of urgency
 	lateHold         = 0.2                     // part of its time that a late job waits for its first call
 	longestHold      = 0.6                     // part of its time after which a job without an engine is refused
@@ -598,10 +599,7 @@
 
 // expected is the time from the start of a step to the first byte; what has not begun yet meets the usual waits.
 func (b *Board) expected(s *step) time.Duration {
-	if s.job.started {
-		return b.shortest(s)
-	}
-	return max(b.duration(s), b.pools[s.spec.Pool].call) + b.usualTail(s.job, s.index) + s.job.FinalStep
+	return max(b.duration(s), b.pools[s.spec.Pool].call) + b.usualTail(s.job, s.index) + s.job.FinalStep + forecastMargin
 }
 
 // usualTail is the usual time of the stages that follow one.
