Refuse late jobs sooner, and name a later time to come back

Conclusion: kept; a late job rarely gets a place while a pool is saturated, and its wait delays its second try.

--- a/internal/cell/board/admit.go
+++ b/internal/cell/board/admit.go
@@ -83,13 +83,24 @@
 	return n
 }
 
-// retryAfter is when the queues on a job's way are expected to be short.
+// retryAfter is when the work that is queued on a job's way is expected to be done, late work included.
 func (b *Board) retryAfter(j *job) time.Duration {
 	var longest time.Duration
 	for _, s := range j.steps {
-		if s.spec.Pieces > 0 && b.pools[s.spec.Pool] != nil {
-			longest = max(longest, b.wait(s.spec.Pool))
+		if p := b.pools[s.spec.Pool]; s.spec.Pieces > 0 && p != nil {
+			longest = max(longest, p.backlog())
 		}
 	}
-	return max(minRetryAfter, longest)
+	return max(minRetryAfter, retryFactor*longest)
+}
+
+// backlog is how long the upstreams need for all steps that are ready.
+func (p *pool) backlog() time.Duration {
+	pieces := 0
+	for _, s := range p.ready {
+		pieces += len(s.pending)
+	}
+	calls := float64(pieces)/float64(p.spec.Size) + 1
+	full := p.spec.Call + time.Duration(p.spec.Size)*p.spec.Piece
+	return time.Duration(calls * float64(full) / float64(max(1, p.present())))
 }
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	minHomeBytes     = 200_000                 // input that is worth staying in its zone for
-	crossAfter       = 150 * time.Millisecond  // a step that waited this long may leave the zone of its input
+	minHomeBytes     = 200_000                // input that is worth staying in its zone for
+	crossAfter       = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
 	forecastMargin   = 40 * time.Millisecond  // by which forecasts are on the safe side
-	rankStep         = 100 * time.Millisecond  // a rank's worth of urgency
-	lateHold         = 0.2                     // part of its time that a late job waits for its first call
-	longestHold      = 0.6                     // part of its time after which a job without an engine is refused
-	longestStepWait  = 1500 * time.Millisecond // that a late job waits between two of its calls
-	maxRestarts      = 2                       // of a job whose results were lost
-	maxFailures      = 4                       // calls of one step that failed
-	roomPause        = 100 * time.Millisecond  // an upstream that had no room for results gets no calls
-	firstPause       = 300 * time.Millisecond  // after a failed call; doubles
+	rankStep         = 100 * time.Millisecond // a rank's worth of urgency
+	lateHold         = 0.08                   // part of its time that a late job waits for its first call
+	longestHold      = 0.6                    // part of its time after which a job without an engine is refused
+	longestStepWait  = 600 * time.Millisecond // that a late job waits between two of its calls
+	maxRestarts      = 2                      // of a job whose results were lost
+	maxFailures      = 4                      // calls of one step that failed
+	roomPause        = 100 * time.Millisecond // an upstream that had no room for results gets no calls
+	firstPause       = 300 * time.Millisecond // after a failed call; doubles
 	longestPause     = 2 * time.Second
 	hedgeFactor      = 1.5 // a call that takes longer than this multiple of its expected time runs elsewhere too,
 	hedgeBusyFactor  = 3.0 // or than this one while other steps wait for the pool
@@ -37,7 +37,8 @@
 	roomPart         = 0.95                   // of an upstream's memory that is planned with, as sizes of results are approximate
 	probeEvery       = 500 * time.Millisecond // while results of unknown origin occupy an upstream
 	overheadPerCall  = 4 * time.Millisecond
-	minRetryAfter    = 200 * time.Millisecond
+	minRetryAfter    = 1 * time.Second
+	retryFactor      = 2                // new work keeps coming while queued work is done
 	abandonCallAfter = 10 * time.Second // a call without an answer for this long counts as failed
 )
 
