--- a/internal/cell/board/admit.go
+++ b/internal/cell/board/admit.go
@@ -20,7 +20,7 @@
 		}
 	}
 	j.late = now.Add(path + j.FinalStep).After(j.Target)
-	if j.late && b.crowded(j) {
+	if j.late && (now.Sub(b.expired) < noLateFor || b.crowded(j)) {
 		return Refusal{Job: j.ID, Reason: Overloaded, RetryAfter: b.retryAfter(j)}, true
 	}
 	return Refusal{}, false
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -13,9 +13,10 @@
 const (
 	minHomeBytes     = 200_000                // input that is worth staying in its zone for
 	crossAfter       = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
-	forecastMargin   = 40 * time.Millisecond  // by which forecasts are on the safe side
+	forecastMargin   = 100 * time.Millisecond  // by which forecasts are on the safe side
 	rankStep         = 100 * time.Millisecond // a rank's worth of urgency
 	lateHold         = 0.08                   // part of its time that a late job waits for its first call
+	noLateFor        = 1 * time.Second        // after a late job waited in vain, no others are taken
 	longestHold      = 0.6                    // part of its time after which a job without an engine is refused
 	longestStepWait  = 600 * time.Millisecond // that a late job waits between two of its calls
 	maxRestarts      = 2                      // of a job whose results were lost
@@ -150,6 +151,7 @@
 	out     Output
 	dropped map[string][]string // handles to release by maker
 	makers  map[string]*worker
+	expired time.Time // when a late job last waited in vain
 }
 
 // New returns a board without pools.
@@ -553,9 +555,8 @@
 		switch {
 		case held > time.Duration(longestHold*whole):
 			b.refuse(j, Expired)
-		case j.late && !j.started && held > time.Duration(lateHold*whole):
-			b.refuse(j, Expired)
-		case j.late && j.waitsSince(now) > longestStepWait:
+		case j.late && !j.started && held > time.Duration(lateHold*whole), j.late && j.waitsSince(now) > longestStepWait:
+			b.expired = now
 			b.refuse(j, Expired)
 		}
 	}
