--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -13,7 +13,7 @@
 const (
 	minHomeBytes     = 200_000                // input that is worth staying in its zone for
 	crossAfter       = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
-	forecastMargin   = 100 * time.Millisecond  // by which forecasts are on the safe side
+	forecastMargin   = 100 * time.Millisecond // by which forecasts are on the safe side
 	rankStep         = 100 * time.Millisecond // a rank's worth of urgency
 	lateHold         = 0.08                   // part of its time that a late job waits for its first call
 	noLateFor        = 1 * time.Second        // after a late job waited in vain, no others are taken
--- /dev/null
+++ b/internal/edge/node/node_test.go
@@ -0,0 +1,316 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/cloud"
+)
+
+// plain starts an entry before one or more upstreams of the plain pool.
+func plain(t *testing.T, upstreams ...*cloud.Upstream) (*world, *entry) {
+	w := newWorld(t)
+	w.configure()
+	for _, u := range upstreams {
+		w.upstream("plain", u)
+	}
+	e := w.start("entry-1")
+	w.waitReady(e, http.StatusOK)
+	w.eventually(func() bool { return w.do(e, http.MethodGet, "/read/warm", "warm", "").status == http.StatusOK })
+	return w, e
+}
+
+func TestRequestsReachUpstreamsUnchanged(t *testing.T) {
+	u := &cloud.Upstream{ID: "up-1"}
+	w, e := plain(t, u)
+	got := w.do(e, http.MethodPost, "/act/a%2Fb?x=%20y", "id-1", "the body", "Tenant", "forged", "Hold", "h", "Kv-From", "k",
+		"Pin-Ms", "5", "X-Other", "kept", "Accept-Encoding", "identity")
+	w.c.Assert(got.status, qt.Equals, http.StatusOK)
+	w.c.Check(got.body, qt.Equals, "answer of up-1 to id-1")
+	w.c.Check(got.header.Get("Response-Stamp"), qt.Equals, "stamp-up-1")
+	arrivals := u.Arrivals()
+	a := arrivals[len(arrivals)-1]
+	w.c.Check(a.Target, qt.Equals, "/act/a%2Fb?x=%20y")
+	w.c.Check(a.Host, qt.Equals, "svc.example")
+	w.c.Check(a.Body, qt.Equals, "the body")
+	w.c.Check(a.Header.Get("Tenant"), qt.Equals, "team-one")
+	w.c.Check(a.Header.Get("Expect-Instance"), qt.Equals, "up-1")
+	w.c.Check(a.Header.Get("X-Other"), qt.Equals, "kept")
+	for _, name := range []string{"Credential", "Hold", "Kv-From", "Pin-Ms"} {
+		w.c.Check(a.Header.Get(name), qt.Equals, "", qt.Commentf(name))
+	}
+}
+
+func TestRefusalsOfOurOwn(t *testing.T) {
+	w := newWorld(t)
+	e := w.start("entry-1")
+	w.waitReady(e, http.StatusServiceUnavailable)
+	got := w.do(e, http.MethodGet, "/read/x", "id-0", "")
+	w.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("before a configuration is known"))
+	w.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	w.configure()
+	w.upstream("plain", &cloud.Upstream{ID: "up-1"})
+	w.waitReady(e, http.StatusOK)
+	w.eventually(func() bool { return w.do(e, http.MethodGet, "/read/x", "id-1", "").status == http.StatusOK })
+	w.c.Check(w.do(e, http.MethodGet, "/none/", "id-2", "").status, qt.Equals, http.StatusNotFound)
+	w.c.Check(w.do(e, http.MethodGet, "/read/x", "id-3", "", "Credential", "other").status, qt.Equals, http.StatusUnauthorized)
+	w.c.Check(w.do(e, http.MethodGet, "/read/open/x", "id-4", "", "Credential", "other").status, qt.Equals, http.StatusOK)
+	large := w.do(e, http.MethodPost, "/act/x", "id-5", strings.Repeat("x", 2000))
+	w.c.Check(large.status, qt.Equals, http.StatusRequestEntityTooLarge)
+	w.c.Check(w.raw(e, "POST /act/x HTTP/1.1\r\nHost: svc.example\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc"),
+		qt.Contains, " 400 ")
+}
+
+func TestSafeRequestsGoOnceMore(t *testing.T) {
+	failing := &cloud.Upstream{ID: "up-1", Act: func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.URL.Path, "/read/bad") {
+			w.Header().Set("Response-Stamp", "s")
+			w.WriteHeader(http.StatusInternalServerError)
+			return true
+		}
+		return false
+	}}
+	w, e := plain(t, failing, &cloud.Upstream{ID: "up-2"})
+	for i := range 6 {
+		got := w.do(e, http.MethodGet, "/read/bad", fmt.Sprintf("id-%d", i), "")
+		w.c.Check(got.status, qt.Equals, http.StatusOK)
+	}
+}
+
+func TestUnsafeRequestsRunOnce(t *testing.T) {
+	abort := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.URL.Path, "/act/lost") {
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	}
+	one, two := &cloud.Upstream{ID: "up-1", Act: abort}, &cloud.Upstream{ID: "up-2", Act: abort}
+	w, e := plain(t, one, two)
+	before := len(one.Arrivals()) + len(two.Arrivals())
+	got := w.do(e, http.MethodPost, "/act/lost", "id-1", "x")
+	w.c.Check(got.status, qt.Equals, http.StatusBadGateway)
+	w.c.Check(len(one.Arrivals())+len(two.Arrivals())-before, qt.Equals, 1)
+}
+
+func TestTruncatedAnswersAreNotPassedOn(t *testing.T) {
+	u := &cloud.Upstream{ID: "up-1", Act: func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.URL.Path, "/act/cut") {
+			return false
+		}
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("only this"))
+		panic(http.ErrAbortHandler)
+	}}
+	w, e := plain(t, u)
+	got := w.do(e, http.MethodPost, "/act/cut", "id-1", "x")
+	w.c.Check(got.status, qt.Equals, http.StatusBadGateway)
+}
+
+func TestAnswersToOtherRequestsAreDropped(t *testing.T) {
+	u := &cloud.Upstream{ID: "up-1", Act: func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.URL.Path, "/act/mixed") {
+			return false
+		}
+		w.Header().Set("Request-Id", "another")
+		_, _ = w.Write([]byte("the answer of another"))
+		return true
+	}}
+	w, e := plain(t, u)
+	got := w.do(e, http.MethodPost, "/act/mixed", "id-1", "x", "Deadline-Ms", "400")
+	w.c.Check(got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("%d", got.status))
+	w.c.Check(got.body, qt.Not(qt.Contains), "another")
+}
+
+func TestRequestsThatBreakUpstreamsAreRefused(t *testing.T) {
+	u := &cloud.Upstream{ID: "up-1", Act: func(_ http.ResponseWriter, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.URL.Path, "/act/poison") {
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	}}
+	w, e := plain(t, u)
+	var statuses []int
+	for i := range 4 {
+		statuses = append(statuses, w.do(e, http.MethodPost, "/act/poison", fmt.Sprintf("id-%d", i), "same").status)
+	}
+	w.c.Check(statuses, qt.DeepEquals, []int{502, 502, 503, 503})
+	w.c.Check(w.do(e, http.MethodPost, "/act/fine", "id-9", "same").status, qt.Equals, http.StatusOK)
+}
+
+func TestLeavingUpstreamsGetNoMoreRequests(t *testing.T) {
+	one, two := &cloud.Upstream{ID: "up-1"}, &cloud.Upstream{ID: "up-2"}
+	w, e := plain(t, one, two)
+	w.list("up-1", "plain", "draining")
+	time.Sleep(600 * time.Millisecond) // drain_ms of the settings
+	before := len(one.Arrivals())
+	for i := range 10 {
+		w.c.Check(w.do(e, http.MethodGet, "/read/x", fmt.Sprintf("id-%d", i), "").status, qt.Equals, http.StatusOK)
+	}
+	w.c.Check(len(one.Arrivals()), qt.Equals, before)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	w, e := plain(t, &cloud.Upstream{ID: "up-1"})
+	w.configure("/read/", "/moved/")
+	w.eventually(func() bool { return w.do(e, http.MethodGet, "/moved/x", "id-1", "").status == http.StatusOK })
+	w.version = 0
+	w.configure() // an older version is written again
+	w.store.Trim("keyed.op")
+	time.Sleep(300 * time.Millisecond)
+	w.c.Check(w.do(e, http.MethodGet, "/moved/x", "id-2", "").status, qt.Equals, http.StatusOK)
+	w.c.Check(w.do(e, http.MethodGet, "/read/x", "id-3", "").status, qt.Equals, http.StatusNotFound)
+}
+
+func TestTrafficGoesOnWithoutTheStore(t *testing.T) {
+	w, e := plain(t, &cloud.Upstream{ID: "up-1"})
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		w.store.Answer(status)
+		time.Sleep(300 * time.Millisecond)
+		w.c.Check(w.do(e, http.MethodGet, "/read/x", "id-1", "").status, qt.Equals, http.StatusOK)
+	}
+	w.store.Answer(0)
+	w.store.Trim("keyed.servers")
+	w.list("up-1", "plain", "ready")
+	time.Sleep(600 * time.Millisecond)
+	w.c.Check(w.do(e, http.MethodGet, "/read/x", "id-2", "").status, qt.Equals, http.StatusOK)
+}
+
+// staged starts entries before engines and stage upstreams.
+func staged(t *testing.T, entries int, engines ...*cloud.Upstream) *world {
+	w := newWorld(t)
+	w.configure()
+	for _, u := range engines {
+		w.upstream("engines", u)
+	}
+	for _, pool := range []string{"first", "second"} {
+		for i := range 2 {
+			w.upstream(pool, &cloud.Upstream{ID: fmt.Sprintf("%s-%d", pool, i), Work: 20 * time.Millisecond})
+		}
+	}
+	for i := range entries {
+		w.start(fmt.Sprintf("entry-%d", i))
+	}
+	for _, e := range w.entries {
+		w.waitReady(e, http.StatusOK)
+		w.eventually(func() bool { return w.generate(e, "warm").status == http.StatusOK })
+	}
+	return w
+}
+
+func (w *world) generate(e *entry, id string) answer {
+	return w.do(e, http.MethodPost, "/gen/x", id, "prompt", "Model", "m", "Token-Counts", "100,10", "Prompt-Prefix", "a:50,b:50",
+		"Pieces", "2,1", "Piece-Key", "piece-key")
+}
+
+func TestStagesRunBeforeTheEngine(t *testing.T) {
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 3})
+	got := w.generate(w.entries[0], "id-1")
+	w.c.Check(got.body, qt.Equals, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n")
+	a := w.upstreams["engine-1"].Arrivals()
+	w.c.Check(a[len(a)-1].Header.Get("Inputs"), qt.Matches, `second-\d/\d+`)
+}
+
+func TestStreamsGoOnAtAnotherEngine(t *testing.T) {
+	broken := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id") != "id-1" || r.Header.Get("Last-Event-Id") != "" {
+			return false
+		}
+		w.Header().Set("Response-Stamp", "first stamp")
+		cloud.WriteEvents(w, 1, 2)
+		_, _ = w.Write([]byte("id: 3\ndata: hal"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 4, Act: broken}, &cloud.Upstream{ID: "engine-2", Event: 4, Act: broken})
+	got := w.generate(w.entries[0], "id-1")
+	w.c.Check(got.err, qt.IsNil)
+	w.c.Check(strings.Count(got.body, "id: "), qt.Equals, 4)
+	w.c.Check(got.body, qt.Not(qt.Contains), "hal\n")
+	w.c.Check(got.header.Get("Response-Stamp"), qt.Equals, "first stamp")
+}
+
+func TestStreamsThatMustNotRepeatBreakOff(t *testing.T) {
+	engine := &cloud.Upstream{ID: "engine-1", Event: 4, Act: func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id") != "id-1" {
+			return false
+		}
+		cloud.WriteEvents(w, 1, 2)
+		panic(http.ErrAbortHandler)
+	}}
+	w := staged(t, 1, engine)
+	got := w.do(w.entries[0], http.MethodPost, "/once/x", "id-1", "prompt")
+	w.c.Check(got.err, qt.IsNotNil, qt.Commentf("an answer that broke off must not look complete"))
+}
+
+func TestEntriesShareOneLeaderAndOutliveIt(t *testing.T) {
+	w := staged(t, 3, &cloud.Upstream{ID: "engine-1", Event: 2})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed []string
+	for i := range 60 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			e := w.entries[1+i%2]
+			if got := w.generate(e, fmt.Sprintf("id-%d", i)); got.status != http.StatusOK || got.err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed = append(failed, fmt.Sprintf("%d: %d %v", i, got.status, got.err))
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	w.entries[0].stop() // the oldest entry leads
+	wg.Wait()
+	w.c.Check(failed, qt.HasLen, 0)
+	w.c.Check(<-w.entries[0].done, qt.IsNil)
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	u := &cloud.Upstream{ID: "up-1", Work: 500 * time.Millisecond}
+	w, e := plain(t, u)
+	results := make(chan answer, 3)
+	for i := range 3 {
+		go func() { results <- w.do(e, http.MethodPost, "/act/x", fmt.Sprintf("id-%d", i), "x") }()
+	}
+	w.eventually(func() bool { return len(u.Arrivals()) >= 4 })
+	e.stop()
+	w.waitReady(e, http.StatusServiceUnavailable)
+	late := w.do(e, http.MethodPost, "/act/x", "id-late", "x")
+	w.c.Check(late.status, qt.Equals, http.StatusOK, qt.Commentf("the balancer still sends connections for a while"))
+	var statuses []int
+	for range 3 {
+		statuses = append(statuses, (<-results).status)
+	}
+	slices.Sort(statuses)
+	w.c.Check(statuses, qt.DeepEquals, []int{200, 200, 200})
+	w.c.Check(<-e.done, qt.IsNil)
+}
+
+func TestCallersThatLeaveStopTheirUpstream(t *testing.T) {
+	stopped := make(chan struct{}, 1)
+	u := &cloud.Upstream{ID: "up-1", Act: func(_ http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.URL.Path, "/act/long") {
+			return false
+		}
+		<-r.Context().Done()
+		stopped <- struct{}{}
+		return true
+	}}
+	w, e := plain(t, u)
+	go func() {
+		_ = w.raw(e, "POST /act/long HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: id-1\r\nCredential: key-one\r\n"+
+			"Deadline-Ms: 60000\r\nContent-Length: 1\r\n\r\nx")
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(waitLimit):
+		t.Fatal("the upstream was not told")
+	}
+}
--- /dev/null
+++ b/internal/edge/node/world_test.go
@@ -0,0 +1,167 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/node"
+	"github.com/ragworthatch/ragworthatch/internal/fake/cloud"
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
+)
+
+const waitLimit = 10 * time.Second
+
+// world is a platform with upstreams and entries, all in this process.
+type world struct {
+	c         *qt.C
+	store     *cloud.Store
+	storeURL  string
+	upstreams map[string]*cloud.Upstream
+	addresses map[string]string
+	version   int
+	entries   []*entry
+}
+
+// entry is one running node.
+type entry struct {
+	front, ready string
+	stop         context.CancelFunc
+	done         chan error
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{c: qt.New(t), store: cloud.NewStore(), upstreams: map[string]*cloud.Upstream{}, addresses: map[string]string{}}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	w.storeURL = server.Listener.Addr().String()
+	return w
+}
+
+// upstream starts a back end and lists it.
+func (w *world) upstream(pool string, u *cloud.Upstream) *cloud.Upstream {
+	server := httptest.NewServer(u)
+	w.c.Cleanup(server.Close)
+	w.upstreams[u.ID] = u
+	w.addresses[u.ID] = server.Listener.Addr().String()
+	w.list(u.ID, pool, "ready")
+	return u
+}
+
+// list writes the entry of an upstream.
+func (w *world) list(id, pool, state string) {
+	value, err := json.Marshal(map[string]any{
+		"service": pool, "address": w.addresses[id], "zone": "zone-a", "slots": 4, "state": state, "sequence": 1, "born": 1,
+	})
+	w.c.Assert(err, qt.IsNil)
+	w.store.Put("keyed.servers", id, value)
+}
+
+// configure publishes the configuration of testdata with changes of words.
+func (w *world) configure(changes ...string) {
+	data, err := os.ReadFile("testdata/config.json")
+	w.c.Assert(err, qt.IsNil)
+	w.version++
+	text := strings.NewReplacer(changes...).Replace(string(data))
+	w.store.Put("keyed.op", "config", []byte(strings.Replace(text, `"version": 1`, fmt.Sprintf(`"version": %d`, w.version), 1)))
+}
+
+// start runs an entry and waits until it is ready.
+func (w *world) start(name string) *entry {
+	e := &entry{front: ports.Next(), ready: ports.Next(), done: make(chan error, 1)}
+	peers := netip.MustParseAddrPort(ports.Next())
+	ports.Next() // the second of the internal ports
+	path := filepath.Join(w.c.TempDir(), "settings.conf")
+	settings := strings.Join([]string{
+		"node_name=" + name, "zone=zone-a", "ip=" + peers.Addr().String(), "listen.front=" + e.front, "listen.ready=" + e.ready,
+		fmt.Sprintf("internal_ports=%d,%d", peers.Port(), peers.Port()+1), "platform.address=" + w.storeURL,
+		"bounds.drain_ms=600", "bounds.grace_s=4", "bounds.budget_ratio=0.2", "bounds.budget_slack=80", "bounds.budget_window_s=10",
+	}, "\n")
+	w.c.Assert(os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
+	n, err := node.New(path, zap.NewNop())
+	w.c.Assert(err, qt.IsNil)
+	stop, cancel := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	e.stop = cancel
+	go func() { e.done <- n.Run(stop, kill) }()
+	w.c.Cleanup(func() { cancel(); end() })
+	w.entries = append(w.entries, e)
+	return e
+}
+
+// waitReady waits until an entry answers its readiness probe with a status.
+func (w *world) waitReady(e *entry, status int) {
+	w.eventually(func() bool {
+		got, err := http.Get("http://" + e.ready + "/ragworthatch/readiness")
+		if err != nil {
+			return false
+		}
+		_ = got.Body.Close()
+		return got.StatusCode == status
+	})
+}
+
+func (w *world) eventually(ok func() bool) {
+	w.c.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	w.c.Fatal("not reached in time")
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+// do sends a request with headers given as name, value pairs.
+func (w *world) do(e *entry, method, target, id, body string, headers ...string) answer {
+	w.c.Helper()
+	r, err := http.NewRequest(method, "http://"+e.front+target, strings.NewReader(body))
+	w.c.Assert(err, qt.IsNil)
+	r.Host = "svc.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Credential", "key-one")
+	r.Header.Set("Deadline-Ms", "3000")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: waitLimit}
+	got, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer got.Body.Close()
+	data, err := io.ReadAll(got.Body)
+	return answer{status: got.StatusCode, header: got.Header, body: string(data), err: err}
+}
+
+// raw sends bytes on a connection and returns the status line of the answer.
+func (w *world) raw(e *entry, text string) string {
+	conn, err := net.DialTimeout("tcp", e.front, time.Second)
+	w.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, _ = io.WriteString(conn, text)
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return strings.TrimSpace(line)
+}
--- /dev/null
+++ b/internal/fake/cloud/store.go
@@ -0,0 +1,182 @@
+package cloud
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const readPoll = 5 * time.Millisecond // while a read waits for a record
+
+// record is one record of a keyed topic.
+type record struct {
+	key   string
+	value []byte
+}
+
+// Store is a stand-in for the metadata store: keyed topics with one partition, outages and trimmed records.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	status int // of every answer; 0 while the store works
+	calls  map[string]int
+}
+
+type topic struct {
+	first   int // offset of the oldest record that is kept
+	records []record
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{topics: map[string]*topic{}, calls: map[string]int{}} }
+
+// Put appends a record as the operator or an upstream would; an empty value drops the key.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = append(t.records, record{key: key, value: value})
+}
+
+// Trim forgets all records but for the newest of each key.
+func (s *Store) Trim(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first = len(t.records)
+}
+
+// Answer makes every call fail with a status; 0 lets them work.
+func (s *Store) Answer(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+}
+
+// Calls is the number of calls of a kind, as in log-read.
+func (s *Store) Calls(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[name]
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// ServeHTTP answers one call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Path[len("/ragworthatch/"):]
+	s.mu.Lock()
+	status := s.status
+	s.calls[name]++
+	s.mu.Unlock()
+	if status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	switch name {
+	case "log-newest":
+		s.serveNewest(w, r)
+	case "log-read":
+		s.serveRead(w, r)
+	case "log-append":
+		s.serveAppend(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int    `json:"offset"`
+	}
+	var body struct {
+		Items []item `json:"items"`
+		More  bool   `json:"has_more"`
+		End   int    `json:"end"`
+	}
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	newest := map[string]int{}
+	for i, rec := range t.records {
+		newest[rec.key] = i
+	}
+	for key, i := range newest {
+		if value := t.records[i].value; len(value) > 0 && key > r.URL.Query().Get("after") {
+			body.Items = append(body.Items, item{key, base64.StdEncoding.EncodeToString(value), i})
+		}
+	}
+	body.End = len(t.records)
+	s.mu.Unlock()
+	slices.SortFunc(body.Items, func(a, b item) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	const page = 3 // small, so that tests meet more than one
+	if len(body.Items) > page {
+		body.Items, body.More = body.Items[:page], true
+	}
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	for deadline := time.Now().Add(time.Duration(wait) * time.Millisecond); ; time.Sleep(readPoll) {
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		end, first := len(t.records), t.first
+		var found []record
+		if from <= end && from >= first {
+			found = t.records[from:]
+		}
+		s.mu.Unlock()
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(found) > 0 || time.Now().After(deadline) || r.Context().Err() != nil {
+			_, _ = w.Write(encodeRecords(end, first, found))
+			return
+		}
+	}
+}
+
+func encodeRecords(end, first int, records []record) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))
+	out = binary.BigEndian.AppendUint64(out, uint64(first))
+	for _, rec := range records {
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec.key)+len(rec.value)))
+		out = append(out, byte(len(rec.key)))
+		out = append(out, rec.key...)
+		out = append(out, rec.value...)
+	}
+	return out
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil || len(data) < 5 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	keyEnd := 5 + int(data[4])
+	s.Put(r.URL.Query().Get("topic"), string(data[5:keyEnd]), data[keyEnd:])
+	_, _ = w.Write([]byte("{}"))
+}
--- /dev/null
+++ b/internal/fake/cloud/upstream.go
@@ -0,0 +1,123 @@
+package cloud
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Arrival is a request that reached an upstream.
+type Arrival struct {
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   string
+}
+
+// Upstream is a stand-in for a back end of any kind; the fields must be set before it serves.
+type Upstream struct {
+	ID    string
+	Work  time.Duration
+	Event int // events of a stream; 0 makes it a plain service
+	// Act may answer in place of the upstream and returns whether it did.
+	Act func(w http.ResponseWriter, r *http.Request, n int) bool
+
+	mu       sync.Mutex
+	arrivals []Arrival
+	ran      map[string]int // by request ID
+	handles  atomic.Int64
+}
+
+// Arrivals lists the requests that reached the upstream.
+func (u *Upstream) Arrivals() []Arrival {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Arrival(nil), u.arrivals...)
+}
+
+// Ran is how often a request ran here.
+func (u *Upstream) Ran(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ran[id]
+}
+
+// ServeHTTP answers one request.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Instance-Id", u.ID)
+	u.mu.Lock()
+	u.arrivals = append(u.arrivals, Arrival{r.Method, r.RequestURI, r.Host, r.Header.Clone(), string(body)})
+	n := len(u.arrivals)
+	u.mu.Unlock()
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.ID {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if u.Act != nil && u.Act(w, r, n) {
+		return
+	}
+	switch r.URL.Path {
+	case "/ragworthatch/stage-run":
+		u.serveStage(w, body)
+		return
+	case "/ragworthatch/stage-free", "/ragworthatch/report":
+		_, _ = io.WriteString(w, `{"free_mb":100}`)
+		return
+	}
+	u.Run(r.Header.Get("Request-Id"))
+	time.Sleep(u.Work)
+	w.Header().Set("Response-Stamp", "stamp-"+u.ID)
+	if u.Event > 0 {
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		WriteEvents(w, first+1, u.Event)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "answer of %s to %s", u.ID, r.Header.Get("Request-Id"))
+}
+
+// Run counts a run of a request.
+func (u *Upstream) Run(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ran == nil {
+		u.ran = map[string]int{}
+	}
+	u.ran[id]++
+}
+
+// WriteEvents writes the events with the IDs from first to last.
+func WriteEvents(w http.ResponseWriter, first, last int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func (u *Upstream) serveStage(w http.ResponseWriter, body []byte) {
+	var call struct {
+		Items []json.RawMessage `json:"items"`
+	}
+	if err := json.Unmarshal(body, &call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(u.Work)
+	type result struct {
+		Handle string `json:"handle"`
+	}
+	results := make([]result, len(call.Items))
+	for i := range results {
+		results[i].Handle = fmt.Sprintf("%s/%d", u.ID, u.handles.Add(1))
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": results})
+}
