--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -483,7 +483,9 @@
 		if w.foreign > 0 && p.spec.Headroom < minProbed && now.After(w.foreignTill) {
 			w.foreign = 0
 		}
-		if w.present && (w.suspect || (w.foreign > 0 && p.spec.Headroom >= minProbed)) && len(p.ready) > 0 && !now.Before(w.probeAt) {
+		unknown := w.suspect && len(b.jobs) > 0
+		occupied := w.foreign > 0 && p.spec.Headroom >= minProbed && len(p.ready) > 0
+		if w.present && (unknown || occupied) && !now.Before(w.probeAt) {
 			w.probeAt = now.Add(probeEvery)
 			b.out.Probes = append(b.out.Probes, w.up)
 		}
--- /dev/null
+++ b/internal/cell/board/board_test.go
@@ -0,0 +1,168 @@
+package board_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+)
+
+var spec = rule.Batch{
+	Size: 12, Call: 200 * time.Millisecond, Piece: 10 * time.Millisecond, Headroom: 20_000_000, HoldResults: 4 * time.Second,
+}
+
+// twoPools returns a board with upstreams a-0 and a-1 of pool a, and b-0 and b-1 of pool b, in two zones.
+func twoPools() *board.Board {
+	b := board.New()
+	var all []hosts.Upstream
+	for _, pool := range []string{"a", "b"} {
+		b.SetPool(pool, spec)
+		for i, zone := range []string{"zone-0", "zone-1"} {
+			all = append(all, hosts.Upstream{ID: pool + "-" + string(rune('0'+i)), Pool: pool, Zone: zone, State: hosts.Ready})
+		}
+	}
+	b.SetUpstreams(hosts.New(all, start))
+	return b
+}
+
+// chain is a job with one piece in pool a, whose result of the given size one piece of pool b reads.
+func chain(id string, bytes int64) board.Job {
+	return board.Job{
+		ID: id, Arrived: start, Target: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second), PieceKey: "key",
+		Stages: []board.Stage{
+			{Pool: "a", Pieces: 1, ResultBytes: bytes},
+			{Pool: "b", After: []int{0}, Pieces: 1, ResultBytes: 1000},
+		},
+	}
+}
+
+func results(handles ...string) []call.Result {
+	out := make([]call.Result, len(handles))
+	for i, h := range handles {
+		out[i] = call.Result{Handle: h}
+	}
+	return out
+}
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestChainStaysInTheZoneOfLargeResults(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	b.Submit(chain("one", 1_500_000), start)
+	first := b.Step(start).Batches
+	c.Assert(first, qt.HasLen, 1)
+	b.Finished(first[0].ID, results("h1"), at(210))
+	second := b.Step(at(210)).Batches
+	c.Assert(second, qt.HasLen, 1)
+	c.Check(second[0].Upstream.Zone, qt.Equals, first[0].Upstream.Zone)
+	c.Check(second[0].Items[0].Inputs, qt.DeepEquals, []string{"h1"})
+	c.Check(second[0].Items[0].Key, qt.Equals, "", qt.Commentf("only first stages read the key"))
+}
+
+func TestOvertakenCallDoesNotRestartItsJob(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	b.Submit(chain("one", 1000), start)
+	first := b.Step(start).Batches[0]
+	b.Finished(first.ID, results("h1"), at(210))
+	slow := b.Step(at(210)).Batches[0]
+	hedge := b.Step(at(700)).Batches
+	c.Assert(hedge, qt.HasLen, 1, qt.Commentf("a call that takes too long runs elsewhere too"))
+	c.Check(hedge[0].Upstream.ID, qt.Not(qt.Equals), slow.Upstream.ID)
+	b.Finished(hedge[0].ID, results("h2"), at(910))
+	out := b.Step(at(910))
+	c.Assert(out.Grants, qt.HasLen, 1)
+	c.Check(out.Grants[0].Inputs, qt.DeepEquals, []string{"h2"})
+	b.Finished(slow.ID, []call.Result{{Failure: call.FailedGone}}, at(950))
+	out = b.Step(at(950))
+	c.Check(out.Batches, qt.HasLen, 0)
+	c.Check(out.Releases, qt.HasLen, 0, qt.Commentf("the results of the request are kept until it has read them"))
+	b.Release("one")
+	c.Check(b.Step(at(960)).Releases, qt.HasLen, 1)
+}
+
+func TestLostInputsRestartTheStages(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	b.Submit(chain("one", 1000), start)
+	b.Finished(b.Step(start).Batches[0].ID, results("h1"), at(210))
+	second := b.Step(at(210)).Batches[0]
+	b.Finished(second.ID, []call.Result{{Failure: call.FailedGone}}, at(420))
+	again := b.Step(at(420)).Batches
+	c.Assert(again, qt.HasLen, 1)
+	c.Check(again[0].Upstream.Pool, qt.Equals, "a")
+}
+
+func TestFailedUpstreamsPauseAndPiecesGoElsewhere(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	b.Submit(chain("one", 1000), start)
+	first := b.Step(start).Batches[0]
+	b.Failed(first.ID, false, at(10))
+	again := b.Step(at(10)).Batches
+	c.Assert(again, qt.HasLen, 1)
+	c.Check(again[0].Upstream.ID, qt.Not(qt.Equals), first.Upstream.ID)
+}
+
+func TestMemoryForResultsBoundsACall(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
+		b.Submit(chain(id, 9_000_000), start)
+	}
+	out := b.Step(start).Batches
+	c.Assert(out, qt.HasLen, 2)
+	for _, batch := range out {
+		c.Check(batch.Items, qt.HasLen, 2, qt.Commentf("two results of 9 MB fit into 20 MB"))
+	}
+}
+
+func TestForeignResultsAreCounted(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	b.Submit(chain("1", 9_000_000), start)
+	probes := b.Step(start).Probes
+	c.Assert(len(probes) > 0, qt.IsTrue, qt.Commentf("a new leader asks what others have left behind"))
+	b.SetFree("a-0", 1_000_000)
+	b.SetFree("a-1", 1_000_000)
+	b.Submit(chain("2", 9_000_000), at(10))
+	c.Check(b.Step(at(10)).Batches, qt.HasLen, 0)
+}
+
+func TestCancelledJobsReleaseResultsThatComeLater(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	b.Submit(chain("one", 1000), start)
+	first := b.Step(start).Batches[0]
+	b.Cancel("one")
+	b.Finished(first.ID, results("h1"), at(210))
+	out := b.Step(at(210))
+	c.Assert(out.Releases, qt.HasLen, 1)
+	c.Check(out.Releases[0].Handles, qt.DeepEquals, []string{"h1"})
+	c.Check(out.Batches, qt.HasLen, 0)
+}
+
+func TestJobsWithoutUpstreamsAreRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := board.New()
+	b.SetPool("a", spec)
+	b.Submit(chain("one", 1000), start)
+	out := b.Step(start)
+	c.Assert(out.Refusals, qt.HasLen, 1)
+	c.Check(out.Refusals[0].Reason, qt.Equals, board.NoUpstreams)
+}
+
+func TestJobsWithoutPiecesAreGrantedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	j := chain("one", 1000)
+	j.Stages[0].Pieces, j.Stages[1].Pieces = 0, 0
+	b.Submit(j, start)
+	c.Check(b.Step(start).Grants, qt.HasLen, 1)
+}
--- /dev/null
+++ b/internal/edge/relay/events_test.go
@@ -0,0 +1,47 @@
+package relay_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
+)
+
+func TestOnlyWholeEventsPass(t *testing.T) {
+	c := qt.New(t)
+	text := "id: 1\ndata: a\n\nid:2\ndata: b\r\n\r\nweight-versions:3\nid: 3\ndata: c\n\nid: 4\nda"
+	for size := 1; size < 9; size++ {
+		var e relay.Events
+		var got strings.Builder
+		for rest := text; rest != ""; {
+			n := min(size, len(rest))
+			got.Write(e.Add([]byte(rest[:n])))
+			rest = rest[n:]
+		}
+		c.Check(got.String(), qt.Equals, strings.TrimSuffix(text, "id: 4\nda"))
+		c.Check(e.LastID(), qt.Equals, "3")
+		c.Check(e.Count(), qt.Equals, 3)
+		c.Check(string(e.Rest()), qt.Equals, "id: 4\nda")
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\n\n"), 3)
+	f.Add([]byte("\n\n\r\n\r\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, size int) {
+		if size < 1 || size > 64 {
+			return
+		}
+		var e relay.Events
+		var got []byte
+		for rest := data; len(rest) > 0; {
+			n := min(size, len(rest))
+			got = append(got, e.Add(rest[:n])...)
+			rest = rest[n:]
+		}
+		got = append(got, e.Rest()...)
+		qt.Assert(t, string(got), qt.Equals, string(data))
+	})
+}
--- a/internal/limit/crash/record.go
+++ b/internal/limit/crash/record.go
@@ -93,7 +93,7 @@
 func (r *Record) put(fingerprint uint64, e entry, now time.Time) {
 	if len(r.known) >= maxKnown {
 		for f, old := range r.known {
-			if now.Sub(old.last) > countFor || len(r.known) >= maxKnown {
+			if now.Sub(old.last) > countFor || len(r.known) > maxKnown/2 {
 				delete(r.known, f)
 			}
 		}
