Let followers take the leader's word for what the store holds

Change: pongs carry the version of the configuration and of the list with their ages, counted from the ping; an entry reads for itself when they are old, differ or there is no leader. Members are read every 2 s.

--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -17,9 +17,10 @@
 
 const (
 	topic        = platform.TopicMembers
-	renewEvery   = 20 * time.Second // an entry writes its record
-	expireAfter  = 65 * time.Second // a record that was not renewed for this long names nobody
+	renewEvery   = 30 * time.Second // an entry writes its record
+	expireAfter  = 95 * time.Second // a record that was not renewed for this long names nobody
 	readWait     = 10 * time.Second // a read of the records waits this long for a new one
+	readPause    = 2 * time.Second  // between reads, so that one read sees several records
 	callTimeout  = 1500 * time.Millisecond
 	retryPause   = 400 * time.Millisecond
 	leaveTimeout = 500 * time.Millisecond
@@ -94,6 +95,7 @@
 		}
 		c.apply(records, !synced)
 		next, synced = end, true
+		sleep(ctx, readPause)
 	}
 }
 
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -27,7 +28,9 @@
 	Local   lead.Desk
 	Members func() []crew.Member
 	Blocked func(fingerprints []uint64) // takes over what the leader found of requests that break down upstreams
-	Leaving func() bool                 // this entry is shutting down and must not lead others
+	// Confirm takes over what the leader has read from the store.
+	Confirm func(rulesVersion int64, rulesRead time.Time, table *hosts.Table)
+	Leaving func() bool // this entry is shutting down and must not lead others
 	Now     func() time.Time
 	Log     *zap.Logger
 }
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -32,9 +33,12 @@
 	leaving   atomic.Bool
 	lastHeard atomic.Int64 // nanoseconds since begun
 	begun     time.Time
-	sequence  int64
+	sequence  atomic.Int64
+	pinged    atomic.Int64 // when the newest ping was sent, in nanoseconds since begun
+	hosts     *hosts.Table // the leader's list; belongs to the receiving goroutine
 	now       func() time.Time
 	blocked   func([]uint64)
+	confirm   func(int64, time.Time, *hosts.Table)
 }
 
 // dial connects to a member.
@@ -67,7 +71,7 @@
 	}
 	s := &session{
 		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), begun: o.Now(), now: o.Now,
-		blocked: o.Blocked,
+		blocked: o.Blocked, confirm: o.Confirm,
 	}
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: o.Self}}})
 	go s.sendAll(ctx, stream)
@@ -114,6 +118,9 @@
 		case *cellpb.ToEntry_Pong:
 			s.leaving.Store(body.Pong.Leaving)
 			s.blocked(body.Pong.Blocked)
+			s.takeOver(body.Pong)
+		case *cellpb.ToEntry_Hosts:
+			s.hosts = tableOf(body.Hosts)
 		case *cellpb.ToEntry_Decision:
 			d := body.Decision
 			decided(d.Id, lead.Decision{
@@ -124,6 +131,31 @@
 	}
 }
 
+// takeOver passes on what the leader has read. Its ages count from the ping, which was sent before they were taken, so
+// that a pong that was delayed makes nothing look newer than it is.
+func (s *session) takeOver(p *cellpb.Pong) {
+	if p.Sequence != s.sequence.Load() {
+		return
+	}
+	pinged := s.begun.Add(time.Duration(s.pinged.Load()))
+	ago := func(us int64) time.Time { return pinged.Add(-time.Duration(us) * time.Microsecond) }
+	var table *hosts.Table
+	if s.hosts != nil && s.hosts.Version() == p.HostsVersion {
+		table = s.hosts.WithRead(ago(p.HostsAgeUs))
+	}
+	s.confirm(p.RulesVersion, ago(p.RulesAgeUs), table)
+}
+
+func tableOf(m *cellpb.Hosts) *hosts.Table {
+	all := make([]hosts.Upstream, 0, len(m.Upstreams))
+	for _, u := range m.Upstreams {
+		all = append(all, hosts.Upstream{
+			ID: u.Id, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: hosts.State(u.State), Slots: int(u.Slots), Born: u.Born,
+		})
+	}
+	return hosts.New(all, time.Time{}).WithVersion(m.Version)
+}
+
 // heard is when the leader last sent anything.
 func (s *session) heard() time.Time { return s.begun.Add(time.Duration(s.lastHeard.Load())) }
 
@@ -160,8 +192,8 @@
 }
 
 func (s *session) ping() {
-	s.sequence++
-	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: &cellpb.Ping{Sequence: s.sequence}}})
+	s.pinged.Store(int64(s.now().Sub(s.begun)))
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: &cellpb.Ping{Sequence: s.sequence.Add(1)}}})
 }
 
 func (s *session) submit(o lead.Order) {
--- a/internal/cell/place/place.go
+++ b/internal/cell/place/place.go
@@ -14,7 +14,7 @@
 
 const (
 	prefillRate     = 45.0                  // prompt tokens an engine reads in a ms; the engines of the sheets read 44 to 51
-	missWeight      = 3                   // reading a cached part again also costs other requests
+	missWeight      = 3                     // reading a cached part again also costs other requests
 	crossCostPerMB  = 80 * time.Millisecond // what moving results between zones is worth avoiding
 	farZoneCost     = 4 * time.Millisecond  // a round trip to another zone
 	runCost         = 2 * time.Millisecond  // each running request slows the tokens of the others
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -11,6 +11,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/cell/place"
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -22,13 +23,28 @@
 	desk    lead.Desk
 	leaving func() bool
 	blocked func() []uint64
+	rules   func() (version int64, read time.Time)
+	hosts   func() *hosts.Table
 	now     func() time.Time
 	log     *zap.Logger
 }
 
+// Options are the dependencies of a Server.
+type Options struct {
+	Desk    lead.Desk
+	Leaving func() bool                            // this process is shutting down
+	Blocked func() []uint64                        // fingerprints of requests that break down upstreams
+	Rules   func() (version int64, read time.Time) // the configuration, and when the store last confirmed it
+	Hosts   func() *hosts.Table
+	Now     func() time.Time
+	Log     *zap.Logger
+}
+
 // New returns a server of a desk.
-func New(desk lead.Desk, leaving func() bool, blocked func() []uint64, now func() time.Time, log *zap.Logger) *Server {
-	return &Server{desk: desk, leaving: leaving, blocked: blocked, now: now, log: log}
+func New(o Options) *Server {
+	return &Server{
+		desk: o.Desk, leaving: o.Leaving, blocked: o.Blocked, rules: o.Rules, hosts: o.Hosts, now: o.Now, log: o.Log,
+	}
 }
 
 // session is the connection of one entry.
@@ -36,6 +52,7 @@
 	*Server
 	outbox chan *cellpb.ToEntry
 	mu     sync.Mutex
+	told   int64           // version of the list of upstreams that was sent
 	open   map[string]bool // requests that have not ended
 	closed bool
 }
@@ -84,10 +101,34 @@
 	case *cellpb.ToLead_Crashed:
 		ses.desk.Crashed(body.Crashed.Fingerprint)
 	case *cellpb.ToLead_Ping:
-		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{
-			Pong: &cellpb.Pong{Sequence: body.Ping.Sequence, Leaving: ses.leaving(), Blocked: ses.blocked()},
-		}})
+		ses.pong(body.Ping.Sequence)
+	}
+}
+
+// pong answers a ping, after the list of upstreams if that has changed.
+func (ses *session) pong(sequence int64) {
+	table := ses.hosts()
+	if table.Version() != ses.told {
+		ses.told = table.Version()
+		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: hostsMessage(table)}})
+	}
+	now := ses.now()
+	version, read := ses.rules()
+	ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{Pong: &cellpb.Pong{
+		Sequence: sequence, Leaving: ses.leaving(), Blocked: ses.blocked(),
+		RulesVersion: version, RulesAgeUs: now.Sub(read).Microseconds(),
+		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
+	}}})
+}
+
+func hostsMessage(t *hosts.Table) *cellpb.Hosts {
+	m := &cellpb.Hosts{Version: t.Version()}
+	for _, u := range t.All() {
+		m.Upstreams = append(m.Upstreams, &cellpb.Upstream{
+			Id: u.ID, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: string(u.State), Slots: int32(u.Slots), Born: u.Born,
+		})
 	}
+	return m
 }
 
 func (ses *session) track(id string) {
--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -28,9 +29,10 @@
 
 // Table is the set of upstreams at one moment; it does not change once made.
 type Table struct {
-	read   time.Time
-	byID   map[string]Upstream
-	byPool map[string][]Upstream
+	read    time.Time
+	version int64
+	byID    map[string]Upstream
+	byPool  map[string][]Upstream
 }
 
 // New returns a table of the upstreams as they were read at a time.
@@ -53,6 +55,26 @@
 // Read is when the table was read from the platform.
 func (t *Table) Read() time.Time { return t.read }
 
+// Version changes with the upstreams, and is of meaning only in the process that set it.
+func (t *Table) Version() int64 { return t.version }
+
+// WithRead returns a table of the same upstreams that was read at another time.
+func (t *Table) WithRead(read time.Time) *Table {
+	out := *t
+	out.read = read
+	return &out
+}
+
+// WithVersion returns a table of the same upstreams with another version.
+func (t *Table) WithVersion(version int64) *Table {
+	out := *t
+	out.version = version
+	return &out
+}
+
+// Same says whether two tables hold the same upstreams.
+func (t *Table) Same(other *Table) bool { return maps.Equal(t.byID, other.byID) }
+
 // Ready lists the upstreams of a pool that take new work, by ID; it must not be changed.
 func (t *Table) Ready(pool string) []Upstream { return t.byPool[pool] }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -94,7 +94,8 @@
 		Store: store, Now: time.Now, Log: log.Named("crew"),
 	})
 	n.link = link.New(link.Options{
-		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Blocked: n.crash.Block, Now: time.Now, Log: log.Named("link"),
+		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Blocked: n.crash.Block,
+		Confirm: n.watch.Confirm, Now: time.Now, Log: log.Named("link"),
 	})
 	n.budget = extra.New(s.RetryWindow, func() int { return max(assumedPeers, n.crew.Size()) }, time.Now)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
@@ -185,7 +186,11 @@
 		return nil, err
 	}
 	server := grpc.NewServer()
-	cellpb.RegisterCellServer(server, serve.New(n.lead, n.leaving.Load, n.crash.Shared, time.Now, n.log.Named("serve")))
+	cellpb.RegisterCellServer(server, serve.New(serve.Options{
+		Desk: n.lead, Leaving: n.leaving.Load, Blocked: n.crash.Shared, Hosts: n.watch.Hosts,
+		Rules: func() (int64, time.Time) { return n.watch.Rules().Version(), n.watch.RulesRead() },
+		Now:   time.Now, Log: n.log.Named("serve"),
+	}))
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			n.log.Error("entries can't reach this one", zap.Error(err))
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +17,11 @@
 const (
 	rulesWait   = 2500 * time.Millisecond // a read of the configuration waits this long for a change
 	callTimeout = 1200 * time.Millisecond // of a call, beyond its wait
-	pollPart    = 0.35                    // of the time within which an upstream's leaving must be known
+	rulesFresh  = 3200 * time.Millisecond // a configuration that the leader read this recently is not read here
+	freshPoll   = 50 * time.Millisecond
+	pollPart    = 0.3                    // of the time within which an upstream's leaving must be known: between reads of the list
+	trustPart   = 0.55                   // of it: age of the leader's list from which on it is read here
+	trustFor    = 700 * time.Millisecond // after the leader's last word
 	retryPause  = 250 * time.Millisecond
 	outageAfter = 3000 * time.Millisecond // without an answer, the store counts as having been away
 	lapseGrace  = 2200 * time.Millisecond // after an outage, entries that are missing may come back
@@ -43,6 +48,11 @@
 	o     Options
 	rules atomic.Pointer[rule.Rules]
 	hosts atomic.Pointer[hosts.Table]
+
+	rulesRead atomic.Pointer[time.Time] // the last answer of the store
+	confirmed atomic.Pointer[time.Time] // when the leader last read the version in force here
+	told      atomic.Pointer[time.Time] // when the leader last told its list of upstreams
+	mu        sync.Mutex                // orders changes of hosts
 }
 
 // New returns a watch that knows nothing until Run.
@@ -50,6 +60,9 @@
 	w := &Watch{o: o}
 	w.rules.Store(rule.New(0, nil, nil, nil, rule.Limits{}))
 	w.hosts.Store(hosts.New(nil, o.Now()))
+	w.rulesRead.Store(&time.Time{})
+	w.confirmed.Store(&time.Time{})
+	w.told.Store(&time.Time{})
 	return w
 }
 
@@ -59,22 +72,63 @@
 // Hosts is the newest list of upstreams.
 func (w *Watch) Hosts() *hosts.Table { return w.hosts.Load() }
 
+// RulesRead is when the configuration was last read from the store.
+func (w *Watch) RulesRead() time.Time { return *w.rulesRead.Load() }
+
+// Confirm takes over what the leader has read from the store, so that this process need not read it too: the version of
+// the configuration, and the list of upstreams if it is newer than the one here; nil if that is not known.
+func (w *Watch) Confirm(rulesVersion int64, rulesRead time.Time, table *hosts.Table) {
+	if rulesVersion != w.Rules().Version() {
+		rulesRead = time.Time{}
+	}
+	w.confirmed.Store(&rulesRead)
+	if table != nil {
+		now := w.o.Now()
+		w.told.Store(&now)
+		w.setHosts(table)
+	}
+}
+
+// setHosts publishes a list unless a newer one is known.
+func (w *Watch) setHosts(t *hosts.Table) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.hosts.Load()
+	if t.Read().Before(before.Read()) {
+		return
+	}
+	version := before.Version()
+	if !t.Same(before) {
+		version++
+	}
+	w.hosts.Store(t.WithVersion(version))
+}
+
 // Run follows the store until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		w.follow(ctx, &follower{topic: rulesTopic, wait: rulesWait, apply: w.applyRules})
+		w.follow(ctx, &follower{
+			topic: rulesTopic, wait: rulesWait, apply: w.applyRules,
+			fresh: func() bool { return w.o.Now().Sub(*w.confirmed.Load()) < rulesFresh },
+		})
 	}()
 	list := newList(w.o.Now, w.o.Log)
 	w.follow(ctx, &follower{
 		topic: hostsTopic,
-		pause: func() time.Duration { return time.Duration(pollPart * float64(w.o.DrainWithin())) },
 		apply: func(records []platform.Record, whole bool) {
 			list.apply(records, whole)
-			w.hosts.Store(list.table())
+			w.setHosts(list.table())
 		},
 		back: list.storeIsBack,
+		fresh: func() bool {
+			now, limit := w.o.Now(), pollPart
+			if now.Sub(*w.told.Load()) < trustFor {
+				limit = trustPart
+			}
+			return now.Sub(w.Hosts().Read()) < time.Duration(limit*float64(w.o.DrainWithin()))
+		},
 	})
 	<-done
 }
@@ -82,10 +136,10 @@
 // follower reads one topic.
 type follower struct {
 	topic platform.Topic
-	wait  time.Duration        // of a read, for a new record
-	pause func() time.Duration // between reads
+	wait  time.Duration // of a read, for a new record
 	apply func(records []platform.Record, whole bool)
-	back  func() // the store answers again after an outage
+	back  func()      // the store answers again after an outage
+	fresh func() bool // the leader has just read the topic
 }
 
 // follow reads a topic from a snapshot on; a snapshot again when records were trimmed.
@@ -93,6 +147,10 @@
 	next, synced, lost := int64(0), false, false
 	heard := w.o.Now()
 	for ctx.Err() == nil {
+		if synced && f.fresh() {
+			sleep(ctx, freshPoll)
+			continue
+		}
 		records, end, err := w.read(ctx, f, next, synced)
 		if errors.Is(err, platform.ErrTrimmed) {
 			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)), zap.Int64("from", next))
@@ -122,9 +180,6 @@
 		heard = now
 		f.apply(records, !synced)
 		next, synced = end, true
-		if f.pause != nil {
-			sleep(ctx, f.pause())
-		}
 	}
 }
 
@@ -139,6 +194,8 @@
 
 // applyRules takes over a configuration that is newer than the one in force.
 func (w *Watch) applyRules(records []platform.Record, _ bool) {
+	now := w.o.Now()
+	w.rulesRead.Store(&now)
 	for _, r := range records {
 		if r.Key != platform.RulesKey || len(r.Value) == 0 {
 			continue
