--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -86,6 +86,7 @@
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
 			synced = false
+			sleep(ctx, retryPause)
 			continue
 		case err != nil:
 			c.o.Log.Debug("members can't be read", zap.Error(err))
--- /dev/null
+++ b/internal/cell/crew/crew_test.go
@@ -0,0 +1,89 @@
+package crew_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+// memStore holds the member records of several entries.
+type memStore struct{ records []platform.Record }
+
+func (s *memStore) Newest(context.Context, platform.Topic) ([]platform.Record, int64, error) {
+	return s.records, int64(len(s.records)), nil
+}
+
+func (s *memStore) Read(ctx context.Context, _ platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+	}
+	return s.records[from:], int64(len(s.records)), nil
+}
+
+func (s *memStore) Put(_ context.Context, _ platform.Topic, r platform.Record) error {
+	s.records = append(s.records, r)
+	return nil
+}
+
+func names(c *crew.Crew) []string {
+	var out []string
+	for _, m := range c.Members() {
+		out = append(out, m.Host)
+	}
+	return out
+}
+
+func TestEntriesAgreeOnTheOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &memStore{}
+		ctx, cancel := context.WithCancel(t.Context())
+		members := []crew.Member{
+			{Host: "young", Cores: 0.3, Born: 30}, {Host: "old", Cores: 0.3, Born: 10}, {Host: "large", Cores: 0.8, Born: 40},
+		}
+		var crews []*crew.Crew
+		for _, m := range members {
+			one := crew.New(crew.Options{Self: m, Store: s, Now: time.Now, Log: zap.NewNop()})
+			crews = append(crews, one)
+			go one.Run(ctx)
+		}
+		time.Sleep(15 * time.Second)
+		for _, one := range crews {
+			c.Check(names(one), qt.DeepEquals, []string{"large", "old", "young"})
+		}
+		crews[2].Leave(ctx)
+		time.Sleep(15 * time.Second)
+		c.Check(names(crews[0]), qt.DeepEquals, []string{"old", "young"})
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestRecordsThatAreNotRenewedExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &memStore{}
+		dead, err := json.Marshal(crew.Member{Host: "dead", Cores: 0.3, Born: 1})
+		c.Assert(err, qt.IsNil)
+		s.records = []platform.Record{{Key: "dead", Value: dead}, {Key: "odd", Value: []byte("{")}}
+		ctx, cancel := context.WithCancel(t.Context())
+		one := crew.New(crew.Options{Self: crew.Member{Host: "a", Cores: 0.3, Born: 5}, Store: s, Now: time.Now, Log: zap.NewNop()})
+		go one.Run(ctx)
+		time.Sleep(30 * time.Second)
+		c.Check(names(one), qt.DeepEquals, []string{"dead", "a"})
+		time.Sleep(2 * time.Minute)
+		c.Check(names(one), qt.DeepEquals, []string{"a"})
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -155,6 +155,7 @@
 		if errors.Is(err, platform.ErrTrimmed) {
 			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)), zap.Int64("from", next))
 			synced = false
+			sleep(ctx, freshPoll)
 			continue
 		}
 		now := w.o.Now()
--- /dev/null
+++ b/internal/edge/watch/watch_test.go
@@ -0,0 +1,181 @@
+package watch_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+const drainWithin = 2 * time.Second
+
+// memStore is a store in memory that can be away.
+type memStore struct {
+	logs  map[platform.Topic][]platform.Record
+	first int64
+	down  bool
+	reads int
+}
+
+func (s *memStore) put(topic platform.Topic, key, value string) {
+	s.logs[topic] = append(s.logs[topic], platform.Record{Key: key, Value: []byte(value), Offset: int64(len(s.logs[topic]))})
+}
+
+func (s *memStore) Newest(_ context.Context, topic platform.Topic) ([]platform.Record, int64, error) {
+	if s.down {
+		return nil, 0, context.DeadlineExceeded
+	}
+	newest := map[string]platform.Record{}
+	for _, r := range s.logs[topic] {
+		newest[r.Key] = r
+	}
+	var out []platform.Record
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			out = append(out, r)
+		}
+	}
+	return out, int64(len(s.logs[topic])), nil
+}
+
+func (s *memStore) Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error) {
+	const step = 20 * time.Millisecond
+	for begun := time.Now(); !s.down; time.Sleep(step) {
+		s.reads++
+		end := int64(len(s.logs[topic]))
+		switch {
+		case topic == platform.TopicUpstreams && from < s.first:
+			return nil, 0, platform.ErrTrimmed
+		case from < end:
+			return s.logs[topic][from:], end, nil
+		case time.Since(begun) >= wait || ctx.Err() != nil:
+			return nil, from, ctx.Err()
+		}
+	}
+	return nil, 0, context.DeadlineExceeded
+}
+
+func entry(state string) string {
+	return fmt.Sprintf(`{"service":"p","address":"10.0.0.1:80","zone":"z","slots":1,"state":%q,"born":1}`, state)
+}
+
+// play runs a watch in virtual time.
+func play(t *testing.T, f func(c *qt.C, s *memStore, w *watch.Watch)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &memStore{logs: map[platform.Topic][]platform.Record{}}
+		s.put(platform.TopicRules, platform.RulesKey, `{"version":5}`)
+		s.put(platform.TopicUpstreams, "u1", entry("ready"))
+		s.put(platform.TopicUpstreams, "u2", entry("ready"))
+		w := watch.New(watch.Options{
+			Store: s, DrainWithin: func() time.Duration { return drainWithin }, Now: time.Now, Log: zap.NewNop(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); w.Run(ctx) }()
+		time.Sleep(time.Second)
+		f(qt.New(t), s, w)
+		cancel()
+		<-done
+	})
+}
+
+func TestChangesAreKnownInTime(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		c.Check(w.Rules().Version(), qt.Equals, int64(5))
+		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2)
+		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
+		s.put(platform.TopicUpstreams, "u1", entry("draining"))
+		s.put(platform.TopicUpstreams, "u2", "")
+		time.Sleep(drainWithin)
+		c.Check(w.Rules().Version(), qt.Equals, int64(9))
+		c.Check(w.Hosts().Ready("p"), qt.HasLen, 0)
+		_, known := w.Hosts().Get("u1")
+		c.Check(known, qt.IsTrue)
+	})
+}
+
+func TestOlderAndUnreadableConfigurationsAreIgnored(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		for _, bad := range []string{`{"version":4}`, `{"version":6`, `{"version":7,"routes":[{"kind":"odd"}]}`} {
+			s.put(platform.TopicRules, platform.RulesKey, bad)
+		}
+		time.Sleep(drainWithin)
+		c.Check(w.Rules().Version(), qt.Equals, int64(5))
+	})
+}
+
+func TestEntriesOfOtherWritersNameNoUpstream(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		for i, bad := range []string{`{}`, `nonsense`, `{"service":"p","address":7}`, `{"service":"p","address":"10.0.0.1:80","state":"odd"}`} {
+			s.put(platform.TopicUpstreams, fmt.Sprint("bad", i), bad)
+		}
+		time.Sleep(drainWithin)
+		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2)
+	})
+}
+
+func TestTrimmedRecordsAreReadAsASnapshot(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		s.down = true
+		time.Sleep(time.Second)
+		s.put(platform.TopicUpstreams, "u1", "")
+		s.put(platform.TopicUpstreams, "u3", entry("ready"))
+		s.first = 4
+		s.down = false
+		time.Sleep(2 * time.Second)
+		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2)
+		c.Check(w.Hosts().TakesWork("u3"), qt.IsTrue)
+	})
+}
+
+func TestLapsedEntriesMayComeBackAfterAnOutage(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		s.down = true
+		time.Sleep(6 * time.Second)
+		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2, qt.Commentf("traffic goes on while the store is away"))
+		s.put(platform.TopicUpstreams, "u1", "")
+		s.put(platform.TopicUpstreams, "u2", "")
+		s.down = false
+		time.Sleep(1500 * time.Millisecond)
+		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2)
+		s.put(platform.TopicUpstreams, "u1", entry("ready"))
+		time.Sleep(3 * time.Second)
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsTrue)
+		c.Check(w.Hosts().TakesWork("u2"), qt.IsFalse, qt.Commentf("missing for longer than that is gone"))
+	})
+}
+
+func TestLeaderSavesReads(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		before := s.reads
+		for range 40 {
+			w.Confirm(5, time.Now(), w.Hosts().WithRead(time.Now().Add(-500*time.Millisecond)))
+			time.Sleep(250 * time.Millisecond)
+		}
+		c.Check(s.reads-before < 200, qt.IsTrue, qt.Commentf("%d looks at the log", s.reads-before))
+		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
+		w.Confirm(9, time.Now(), nil)
+		time.Sleep(200 * time.Millisecond)
+		c.Check(w.Rules().Version(), qt.Equals, int64(9), qt.Commentf("another version at the leader is read at once"))
+	})
+}
+
+func TestOlderListsOfTheLeaderAreIgnored(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		old := w.Hosts().WithRead(time.Now())
+		s.put(platform.TopicUpstreams, "u1", entry("draining"))
+		time.Sleep(drainWithin)
+		w.Confirm(5, time.Now(), old)
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse)
+		w.Confirm(5, time.Now(), hosts.New(nil, time.Now()))
+		c.Check(w.Hosts().TakesWork("u2"), qt.IsFalse, qt.Commentf("a newer list counts"))
+	})
+}
