Pass the configuration on between entries, and rely on the leader for 1.3 s only

Change: a leader that can't read says so at once, its word counts for 1.3 s, reads wait 0.7 s; the leader's configuration itself goes to entries with an older one, so that those the store turns away have it too. The test of a silent leader fails with 3.2 s.

--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -30,6 +30,8 @@
 	Blocked func(fingerprints []uint64) // takes over what the leader found of requests that break down upstreams
 	// Confirm takes over what the leader has read from the store.
 	Confirm func(rulesVersion int64, rulesRead time.Time, table *hosts.Table)
+	// Adopt takes over the leader's configuration, as the operator wrote it.
+	Adopt   func(rules []byte)
 	Leaving func() bool // this entry is shutting down and must not lead others
 	Now     func() time.Time
 	Log     *zap.Logger
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -39,6 +39,7 @@
 	now       func() time.Time
 	blocked   func([]uint64)
 	confirm   func(int64, time.Time, *hosts.Table)
+	adopt     func([]byte)
 }
 
 // dial connects to a member.
@@ -71,7 +72,7 @@
 	}
 	s := &session{
 		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), begun: o.Now(), now: o.Now,
-		blocked: o.Blocked, confirm: o.Confirm,
+		blocked: o.Blocked, confirm: o.Confirm, adopt: o.Adopt,
 	}
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: o.Self}}})
 	go s.sendAll(ctx, stream)
@@ -119,6 +120,8 @@
 			s.leaving.Store(body.Pong.Leaving)
 			s.blocked(body.Pong.Blocked)
 			s.takeOver(body.Pong)
+		case *cellpb.ToEntry_Rules:
+			s.adopt(body.Rules.Body)
 		case *cellpb.ToEntry_Hosts:
 			s.hosts = tableOf(body.Hosts)
 		case *cellpb.ToEntry_Decision:
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -23,18 +23,25 @@
 	desk    lead.Desk
 	leaving func() bool
 	blocked func() []uint64
-	rules   func() (version int64, read time.Time)
+	rules   func() Rules
 	hosts   func() *hosts.Table
 	now     func() time.Time
 	log     *zap.Logger
 }
 
+// Rules is the configuration in force here.
+type Rules struct {
+	Version int64
+	Body    []byte    // as the operator wrote it
+	Read    time.Time // when the store last confirmed it
+}
+
 // Options are the dependencies of a Server.
 type Options struct {
 	Desk    lead.Desk
-	Leaving func() bool                            // this process is shutting down
-	Blocked func() []uint64                        // fingerprints of requests that break down upstreams
-	Rules   func() (version int64, read time.Time) // the configuration, and when the store last confirmed it
+	Leaving func() bool     // this process is shutting down
+	Blocked func() []uint64 // fingerprints of requests that break down upstreams
+	Rules   func() Rules
 	Hosts   func() *hosts.Table
 	Now     func() time.Time
 	Log     *zap.Logger
@@ -53,6 +60,7 @@
 	outbox chan *cellpb.ToEntry
 	mu     sync.Mutex
 	told   int64           // version of the list of upstreams that was sent
+	ruled  int64           // version of the configuration that was sent
 	open   map[string]bool // requests that have not ended
 	closed bool
 }
@@ -113,10 +121,14 @@
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: hostsMessage(table)}})
 	}
 	now := ses.now()
-	version, read := ses.rules()
+	rules := ses.rules()
+	if rules.Version != ses.ruled {
+		ses.ruled = rules.Version
+		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Rules{Rules: &cellpb.Rules{Version: rules.Version, Body: rules.Body}}})
+	}
 	ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{Pong: &cellpb.Pong{
 		Sequence: sequence, Leaving: ses.leaving(), Blocked: ses.blocked(),
-		RulesVersion: version, RulesAgeUs: now.Sub(read).Microseconds(),
+		RulesVersion: rules.Version, RulesAgeUs: now.Sub(rules.Read).Microseconds(),
 		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
 	}}})
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -95,7 +95,7 @@
 	})
 	n.link = link.New(link.Options{
 		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Blocked: n.crash.Block,
-		Confirm: n.watch.Confirm, Now: time.Now, Log: log.Named("link"),
+		Confirm: n.watch.Confirm, Adopt: n.watch.Adopt, Now: time.Now, Log: log.Named("link"),
 	})
 	n.budget = extra.New(s.RetryWindow, func() int { return max(assumedPeers, n.crew.Size()) }, time.Now)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
@@ -188,7 +188,7 @@
 	server := grpc.NewServer()
 	cellpb.RegisterCellServer(server, serve.New(serve.Options{
 		Desk: n.lead, Leaving: n.leaving.Load, Blocked: n.crash.Shared, Hosts: n.watch.Hosts,
-		Rules: func() (int64, time.Time) { return n.watch.Rules().Version(), n.watch.RulesRead() },
+		Rules: n.sharedRules,
 		Now:   time.Now, Log: n.log.Named("serve"),
 	}))
 	go func() {
@@ -199,6 +199,12 @@
 	return server, nil
 }
 
+// sharedRules is the configuration as other entries may take it over.
+func (n *Node) sharedRules() serve.Rules {
+	version, body := n.watch.Raw()
+	return serve.Rules{Version: version, Body: body, Read: n.watch.RulesRead()}
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerProbeAfter, Interval: time.Second, Count: 3},
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	rulesWait   = 2500 * time.Millisecond // a read of the configuration waits this long for a change
+	rulesWait   = 700 * time.Millisecond  // a read of the configuration waits this long for a change
 	callTimeout = 1200 * time.Millisecond // of a call, beyond its wait
-	rulesFresh  = 3200 * time.Millisecond // a configuration that the leader read this recently is not read here
+	rulesFresh  = 1300 * time.Millisecond // a configuration that the leader read this recently is not read here
 	freshPoll   = 50 * time.Millisecond
 	pollPart    = 0.3                    // of the time within which an upstream's leaving must be known: between reads of the list
 	trustPart   = 0.55                   // of it: age of the leader's list from which on it is read here
@@ -48,11 +48,18 @@
 	o     Options
 	rules atomic.Pointer[rule.Rules]
 	hosts atomic.Pointer[hosts.Table]
+	raw   atomic.Pointer[rawRules]
 
 	rulesRead atomic.Pointer[time.Time] // the last answer of the store
 	confirmed atomic.Pointer[time.Time] // when the leader last read the version in force here
 	told      atomic.Pointer[time.Time] // when the leader last told its list of upstreams
-	mu        sync.Mutex                // orders changes of hosts
+	mu        sync.Mutex                // orders changes of rules and hosts
+}
+
+// rawRules is a configuration as the operator wrote it.
+type rawRules struct {
+	version int64
+	body    []byte
 }
 
 // New returns a watch that knows nothing until Run.
@@ -63,6 +70,7 @@
 	w.rulesRead.Store(&time.Time{})
 	w.confirmed.Store(&time.Time{})
 	w.told.Store(&time.Time{})
+	w.raw.Store(&rawRules{})
 	return w
 }
 
@@ -75,6 +83,15 @@
 // RulesRead is when the configuration was last read from the store.
 func (w *Watch) RulesRead() time.Time { return *w.rulesRead.Load() }
 
+// Raw is the version of the newest configuration and what the operator wrote.
+func (w *Watch) Raw() (version int64, body []byte) {
+	raw := w.raw.Load()
+	return raw.version, raw.body
+}
+
+// Adopt takes over the leader's configuration if it is newer than the one in force here.
+func (w *Watch) Adopt(body []byte) { w.takeRules(body, "leader") }
+
 // Confirm takes over what the leader has read from the store, so that this process need not read it too: the version of
 // the configuration, and the list of upstreams if it is newer than the one here; nil if that is not known.
 func (w *Watch) Confirm(rulesVersion int64, rulesRead time.Time, table *hosts.Table) {
@@ -111,6 +128,7 @@
 		defer close(done)
 		w.follow(ctx, &follower{
 			topic: rulesTopic, wait: rulesWait, apply: w.applyRules,
+			lost:  func() { w.rulesRead.Store(&time.Time{}) }, // others must not rely on this process
 			fresh: func() bool { return w.o.Now().Sub(*w.confirmed.Load()) < rulesFresh },
 		})
 	}()
@@ -139,6 +157,7 @@
 	wait  time.Duration // of a read, for a new record
 	apply func(records []platform.Record, whole bool)
 	back  func()      // the store answers again after an outage
+	lost  func()      // a read failed
 	fresh func() bool // the leader has just read the topic
 }
 
@@ -163,6 +182,9 @@
 			if ctx.Err() != nil {
 				return
 			}
+			if f.lost != nil {
+				f.lost()
+			}
 			if !lost {
 				lost = true
 				w.o.Log.Warn("store lost", zap.String("topic", string(f.topic)), zap.Error(err))
@@ -201,19 +223,30 @@
 		if r.Key != platform.RulesKey || len(r.Value) == 0 {
 			continue
 		}
-		rules, err := platform.DecodeRules(r.Value)
-		if err != nil {
-			w.o.Log.Error("configuration can't be read, the one before stays", zap.Int64("offset", r.Offset), zap.Error(err))
-			continue
-		}
-		before := w.rules.Load().Version()
-		if rules.Version() <= before {
-			continue
-		}
-		w.rules.Store(rules)
-		w.o.Log.Info("configuration in force", zap.Int64("version", rules.Version()), zap.Int64("before", before),
-			zap.Int64("offset", r.Offset))
+		w.takeRules(r.Value, "store")
+	}
+}
+
+// takeRules puts a configuration in force if it is newer than the one before.
+func (w *Watch) takeRules(body []byte, source string) {
+	if len(body) == 0 {
+		return
+	}
+	rules, err := platform.DecodeRules(body)
+	if err != nil {
+		w.o.Log.Error("configuration can't be read, the one before stays", zap.String("source", source), zap.Error(err))
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.rules.Load().Version()
+	if rules.Version() <= before {
+		return
 	}
+	w.raw.Store(&rawRules{version: rules.Version(), body: body})
+	w.rules.Store(rules)
+	w.o.Log.Info("configuration in force", zap.Int64("version", rules.Version()), zap.Int64("before", before),
+		zap.String("source", source))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -168,6 +168,37 @@
 	})
 }
 
+func TestRulesOfTheLeaderCountWhenTheStoreIsAway(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		s.down = true
+		w.Adopt([]byte(`{"version":9}`))
+		c.Check(w.Rules().Version(), qt.Equals, int64(9))
+		w.Adopt([]byte(`{"version":8}`))
+		c.Check(w.Rules().Version(), qt.Equals, int64(9), qt.Commentf("an older one does not"))
+	})
+}
+
+func TestLeaderWithoutTheStoreSaysSo(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		c.Check(time.Since(w.RulesRead()) < 2*time.Second, qt.IsTrue)
+		s.down = true
+		time.Sleep(time.Second)
+		c.Check(w.RulesRead().IsZero(), qt.IsTrue)
+	})
+}
+
+func TestSilentLeaderIsNotReliedOnForLong(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		read := time.Now() // the leader's last read; what follows it does not see
+		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
+		for range 8 {
+			w.Confirm(5, read, nil)
+			time.Sleep(250 * time.Millisecond)
+		}
+		c.Check(w.Rules().Version(), qt.Equals, int64(9), qt.Commentf("2 s after the change"))
+	})
+}
+
 func TestOlderListsOfTheLeaderAreIgnored(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		old := w.Hosts().WithRead(time.Now())
