--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -189,6 +189,10 @@
 
 func TestSilentLeaderIsNotReliedOnForLong(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		for range 6 { // until this process has stopped reading for itself
+			w.Confirm(5, time.Now(), nil)
+			time.Sleep(250 * time.Millisecond)
+		}
 		read := time.Now() // the leader's last read; what follows it does not see
 		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
 		for range 8 {
