--- a/cmd/ragworthatch/edge.go
+++ b/cmd/ragworthatch/edge.go
@@ -28,7 +28,7 @@
 			log := logger.NewAsync(s.out, o.logLevel)
 			defer log.Close()
 			logger.RouteLibraries(log.Logger)
-			entry, err := node.New(o.path(), log.Logger)
+			entry, err := node.New(o.path(), o.metricsPort, log.Logger)
 			if err != nil {
 				return err
 			}
--- a/cmd/ragworthatch/options.go
+++ b/cmd/ragworthatch/options.go
@@ -299,9 +299,12 @@
 type edgeOptions struct {
 	settings string
 	logLevel string
+
+	metricsPort int
 }
 
 func (o *edgeOptions) define(f *flag.FlagSet) {
 	f.StringVar(&o.settings, "settings", "", "`file` with the platform's settings; "+platform.SettingsVariable+" stands in")
 	f.StringVar(&o.logLevel, "logLevel", "info", "least `level` of log lines: debug, info, warn or error")
+	f.IntVar(&o.metricsPort, "metricsPort", 0, "`port` that serves the metrics; 0 takes the second internal port of the settings")
 }
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -49,6 +50,7 @@
 	Client *xchg.Client
 	Codec  Codec
 	Crash  *crash.Record
+	Stats  *stats.Stats
 	Now    func() time.Time
 	Log    *zap.Logger
 }
@@ -336,6 +338,11 @@
 func (l *Lead) runBatch(b board.Batch) {
 	results, failure := l.callBatch(b)
 	busy := failure != nil && failure.Code == fault.Overloaded
+	outcome := "answered"
+	if failure != nil {
+		outcome = string(failure.Code)
+	}
+	l.o.Stats.StageCall(b.Upstream.Pool, outcome, len(b.Items))
 	if failure != nil {
 		l.o.Log.Info("stage call failed", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID), zap.Error(failure))
 	}
@@ -358,6 +365,7 @@
 		}
 	}
 	for reason, n := range failed {
+		l.o.Stats.FailedPieces(b.Upstream.Pool, string(reason), n)
 		l.o.Log.Info("pieces failed", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID), zap.String("pool", b.Upstream.Pool),
 			zap.String("reason", string(reason)), zap.Int("pieces", n), zap.Int("of", len(results)))
 	}
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -270,6 +270,13 @@
 	}
 }
 
+// Leads says whether this entry decides for itself.
+func (l *Link) Leads() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current == nil
+}
+
 // request returns the session that has a request; nil for the local desk.
 func (l *Link) request(id string) (*session, bool) {
 	l.mu.Lock()
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
 	"github.com/ragworthatch/ragworthatch/internal/limit/extra"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -52,6 +53,7 @@
 	Client *xchg.Client
 	Picker *least.Picker
 	Budget *extra.Budget
+	Stats  *stats.Stats
 	// Blocked says for how long requests with a fingerprint are refused.
 	Blocked func(fingerprint uint64) time.Duration
 	// Stopping says that new requests get no service, only an answer that says so.
@@ -99,7 +101,9 @@
 	}
 	if failure != nil {
 		x.fail(w, failure)
+		return
 	}
+	x.o.Stats.Finished(x.route.Name, "served", x.o.Now().Sub(x.arrived))
 }
 
 // prepare finds the route and the team, and reads the body.
@@ -211,6 +215,11 @@
 		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
 		zap.Duration("listAge", x.o.Now().Sub(x.o.Hosts().Read())),
 	}
+	result := "answered"
+	if failure != nil {
+		result = string(failure.Code)
+	}
+	x.o.Stats.Sent(x.pool, x.sends > 1, result)
 	if failure != nil {
 		fields = append(fields, zap.String("verdict", string(failure.Verdict)), zap.Error(failure))
 	} else {
@@ -225,11 +234,13 @@
 		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
 		zap.String("code", string(failure.Code)), zap.String("verdict", string(failure.Verdict)),
 		zap.Duration("retryAfter", failure.RetryAfter), zap.Error(failure))
+	x.o.Stats.Finished(x.route.Name, string(failure.Code), x.o.Now().Sub(x.arrived))
 	if x.caller.Err() != nil || x.out.Begun() {
 		x.out.Break()
 	}
 	status := statusOf(failure)
 	if status == http.StatusServiceUnavailable {
+		x.o.Stats.Refused(string(failure.Code))
 		w.Header().Set("Retry-After", x.o.Codec.RetryAfter(max(failure.RetryAfter, defaultRetryAfter)))
 	}
 	http.Error(w, failure.Message, status)
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -150,6 +150,7 @@
 			if first {
 				first = false
 				x.o.Desk.FirstByte(x.head.ID, x.route.Resumable)
+				x.o.Stats.FirstByte(x.o.Now().Sub(x.arrived))
 			}
 			x.out.Head(answer.Status, header, -1)
 			if werr := x.out.Body(whole); werr != nil {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -21,10 +21,12 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/serve"
 	"github.com/ragworthatch/ragworthatch/internal/edge/front"
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
+	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/extra"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
@@ -48,8 +50,13 @@
 type Node struct {
 	settings atomic.Pointer[platform.Settings]
 	path     string
+
+	metricsPort int // 0 takes the one of the settings
+
 	budget   *extra.Budget
 	crash    *crash.Record
+	meter    *meter.Meter
+	stats    *stats.Stats
 	log      *zap.Logger
 	client   *xchg.Client
 	watch    *watch.Watch
@@ -63,23 +70,29 @@
 	inFlight atomic.Int64
 }
 
-// New builds an entry with the settings in a file; nothing happens until Run.
-func New(path string, log *zap.Logger) (*Node, error) {
+// New builds an entry with the settings in a file; nothing happens until Run. A metricsPort of 0 takes that of the settings.
+func New(path string, metricsPort int, log *zap.Logger) (*Node, error) {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{path: path, log: log}
+	n := &Node{path: path, metricsPort: metricsPort, log: log}
 	n.settings.Store(&s)
+	n.meter, err = meter.New(meter.Process{Role: "edge", Name: s.Name, Zone: s.Zone})
+	if err != nil {
+		return nil, err
+	}
+	n.stats = stats.New(n.meter, n.state)
 	n.client = xchg.New(platform.ReadAnswer, time.Now, func() {})
 	store := platform.NewStore(s.Store, storeClient())
 	n.watch = watch.New(watch.Options{
-		Store: store, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Now: time.Now, Log: log.Named("watch"),
+		Store: store, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Stats: n.stats,
+		Now: time.Now, Log: log.Named("watch"),
 	})
 	n.crash = crash.New(time.Now)
 	n.picker = least.New(time.Now)
 	n.lead = lead.New(lead.Options{
-		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Now: time.Now, Log: log.Named("lead"),
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Stats: n.stats, Now: time.Now, Log: log.Named("lead"),
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, FreePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
 			DecodeBatch: platform.DecodeBatch, EncodeFree: platform.EncodeFree, HeaderFor: platform.StageHeader,
@@ -107,12 +120,22 @@
 		},
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.link, Client: n.client, Picker: n.picker,
 		Budget:   n.budget,
+		Stats:    n.stats,
 		Blocked:  n.crash.Blocked,
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
 }
 
+// state is what the metrics show of this entry.
+func (n *Node) state() stats.State {
+	now := time.Now()
+	return stats.State{
+		ConfigVersion: n.watch.Rules().Version(), ConfigAge: now.Sub(n.watch.RulesRead()), ListAge: now.Sub(n.watch.Hosts().Read()),
+		Members: int64(n.crew.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
+	}
+}
+
 // storeClient returns an HTTP client that notices when the store's connection is dead.
 func storeClient() *http.Client {
 	dialer := &net.Dialer{
@@ -158,8 +181,11 @@
 	callers := &http.Server{
 		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	failed := make(chan error, 2)
-	for address, server := range map[string]*http.Server{settings.Ready: ready, settings.Front: callers} {
+	metrics := &http.Server{Handler: n.meter.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 3)
+	for address, server := range map[string]*http.Server{
+		settings.Ready: ready, settings.Front: callers, n.metricsAddress(): metrics,
+	} {
 		listener, err := listen(ctx, address)
 		if err != nil {
 			return err
@@ -205,6 +231,15 @@
 	return serve.Rules{Version: version, Body: body, Read: n.watch.RulesRead()}
 }
 
+// metricsAddress is the second of the ports for traffic between hosts, unless the command line names another one.
+func (n *Node) metricsAddress() string {
+	port := n.settings.Load().MetricsPort
+	if n.metricsPort > 0 {
+		port = n.metricsPort
+	}
+	return netip.AddrPortFrom(n.settings.Load().IP, uint16(port)).String()
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerProbeAfter, Interval: time.Second, Count: 3},
--- a/internal/edge/node/world_test.go
+++ b/internal/edge/node/world_test.go
@@ -92,7 +92,7 @@
 		"bounds.drain_ms=600", "bounds.grace_s=4", "bounds.budget_ratio=0.2", "bounds.budget_slack=80", "bounds.budget_window_s=10",
 	}, "\n")
 	w.c.Assert(os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
-	n, err := node.New(path, zap.NewNop())
+	n, err := node.New(path, 0, zap.NewNop())
 	w.c.Assert(err, qt.IsNil)
 	stop, cancel := context.WithCancel(context.Background())
 	kill, end := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/edge/stats/doc.go
@@ -0,0 +1,2 @@
+// Package stats counts what an entry on the operators' platform does.
+package stats
--- /dev/null
+++ b/internal/edge/stats/stats.go
@@ -0,0 +1,115 @@
+package stats
+
+import (
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
+)
+
+// latencyBounds are the upper bounds of the buckets of latencies, in ms.
+var latencyBounds = []float64{10, 25, 50, 100, 150, 250, 500, 750, 1000, 1500, 2000, 3000, 5000, 10000, 20000}
+
+// fillBounds are the upper bounds of the buckets of pieces in a call.
+var fillBounds = []float64{1, 2, 4, 8, 12, 16, 24, 32, 48, 64}
+
+// State is read when the metrics are.
+type State struct {
+	ConfigVersion int64
+	ConfigAge     time.Duration // since the store last confirmed it
+	ListAge       time.Duration // since the list of upstreams was read
+	Members       int64
+	Leads         bool
+	InFlight      int64
+}
+
+// Stats is safe for concurrent use.
+type Stats struct {
+	requests  meter.Counter
+	duration  meter.Histogram
+	firstByte meter.Histogram
+	sends     meter.Counter
+	refusals  meter.Counter
+	calls     meter.Counter
+	fill      meter.Histogram
+	pieces    meter.Counter
+	store     meter.Counter
+}
+
+// New makes the instruments; state is called when the metrics are read.
+func New(m *meter.Meter, state func() State) *Stats {
+	gauge := func(name, unit, help string, value func(State) int64) {
+		m.Gauge(meter.Spec{Name: name, Unit: unit, Help: help}, func(o meter.Observe) { o(value(state())) })
+	}
+	gauge("edge.configVersion", "{version}", "Version of the configuration in force.", func(s State) int64 { return s.ConfigVersion })
+	gauge("edge.configAge", "ms", "Time since the store last confirmed the configuration.",
+		func(s State) int64 { return s.ConfigAge.Milliseconds() })
+	gauge("edge.listAge", "ms", "Age of the list of upstreams.", func(s State) int64 { return s.ListAge.Milliseconds() })
+	gauge("edge.members", "{entry}", "Known entries, this one among them.", func(s State) int64 { return s.Members })
+	gauge("edge.leads", "1", "Whether this entry decides for itself and for those that follow it.", func(s State) int64 {
+		if s.Leads {
+			return 1
+		}
+		return 0
+	})
+	gauge("edge.inFlight", "{request}", "Requests on their way.", func(s State) int64 { return s.InFlight })
+	return &Stats{
+		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}", Help: "Finished requests by route and outcome."}),
+		duration: m.Histogram(meter.Spec{Name: "edge.requestDuration", Unit: "ms",
+			Help: "Time from a request's arrival to the end of its answer, by outcome."}, latencyBounds...),
+		firstByte: m.Histogram(meter.Spec{Name: "edge.firstByte", Unit: "ms",
+			Help: "Time from a request's arrival to the first byte of its answer."}, latencyBounds...),
+		sends: m.Counter(meter.Spec{Name: "edge.sends", Unit: "{send}",
+			Help: "Requests passed to upstreams, by pool, whether they were repeats, and result."}),
+		refusals: m.Counter(meter.Spec{Name: "edge.refusals", Unit: "{request}", Help: "Refused requests by reason."}),
+		calls:    m.Counter(meter.Spec{Name: "edge.stageCalls", Unit: "{call}", Help: "Calls to stage upstreams by pool and result."}),
+		fill: m.Histogram(meter.Spec{Name: "edge.stagePieces", Unit: "{piece}", Help: "Pieces in a call to a stage upstream."},
+			fillBounds...),
+		pieces: m.Counter(meter.Spec{Name: "edge.failedPieces", Unit: "{piece}", Help: "Pieces without a result, by pool and reason."}),
+		store:  m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}", Help: "Calls to the platform's store by topic and result."}),
+	}
+}
+
+func label(name, value string) meter.Label { return meter.Label{Name: name, Value: value} }
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Finished counts a request; outcome is "served" or the code of a failure.
+func (s *Stats) Finished(route, outcome string, took time.Duration) {
+	s.requests.Add(1, label("route", route), label("outcome", outcome))
+	s.duration.Record(millis(took), label("outcome", outcome))
+}
+
+// FirstByte notes when an answer began.
+func (s *Stats) FirstByte(took time.Duration) { s.firstByte.Record(millis(took)) }
+
+// Sent counts a request passed to an upstream; result is "answered" or the code of a failure.
+func (s *Stats) Sent(pool string, repeat bool, result string) {
+	kind := "first"
+	if repeat {
+		kind = "repeat"
+	}
+	s.sends.Add(1, label("pool", pool), label("kind", kind), label("result", result))
+}
+
+// Refused counts a request that was refused before it ran.
+func (s *Stats) Refused(reason string) { s.refusals.Add(1, label("reason", reason)) }
+
+// StageCall counts a call to a stage upstream; result is "answered" or the code of a failure.
+func (s *Stats) StageCall(pool, result string, pieces int) {
+	s.calls.Add(1, label("pool", pool), label("result", result))
+	s.fill.Record(float64(pieces), label("pool", pool))
+}
+
+// FailedPieces counts pieces without a result.
+func (s *Stats) FailedPieces(pool, reason string, n int) {
+	s.pieces.Add(int64(n), label("pool", pool), label("reason", reason))
+}
+
+// StoreCall counts a call to the platform's store.
+func (s *Stats) StoreCall(topic string, ok bool) {
+	result := "answered"
+	if !ok {
+		result = "failed"
+	}
+	s.store.Add(1, label("topic", topic), label("result", result))
+}
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
@@ -39,6 +40,7 @@
 type Options struct {
 	Store       Store
 	DrainWithin func() time.Duration // an upstream's leaving must be known this long after the store knows it
+	Stats       *stats.Stats
 	Now         func() time.Time
 	Log         *zap.Logger
 }
@@ -177,6 +179,7 @@
 			sleep(ctx, freshPoll)
 			continue
 		}
+		w.o.Stats.StoreCall(string(f.topic), err == nil)
 		now := w.o.Now()
 		if err != nil {
 			if ctx.Err() != nil {
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -11,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
@@ -67,6 +69,12 @@
 	return fmt.Sprintf(`{"service":"p","address":"10.0.0.1:80","zone":"z","slots":1,"state":%q,"born":1}`, state)
 }
 
+func testStats(t *testing.T) *stats.Stats {
+	m, err := meter.New(meter.Process{})
+	qt.Assert(t, err, qt.IsNil)
+	return stats.New(m, func() stats.State { return stats.State{} })
+}
+
 // play runs a watch in virtual time.
 func play(t *testing.T, f func(c *qt.C, s *memStore, w *watch.Watch)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -76,6 +84,7 @@
 		s.put(platform.TopicUpstreams, "u2", entry("ready"))
 		w := watch.New(watch.Options{
 			Store: s, DrainWithin: func() time.Duration { return drainWithin }, Now: time.Now, Log: zap.NewNop(),
+			Stats: testStats(t),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/oper/meter/meter.go
+++ b/internal/oper/meter/meter.go
@@ -51,8 +51,12 @@
 
 // Routes serve the metrics.
 func (m *Meter) Routes() []rest.Route {
-	handler := promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-	return []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: handler.ServeHTTP}}
+	return []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: m.Handler().ServeHTTP}}
+}
+
+// Handler serves the metrics as text.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
 // Spec names an instrument.
