--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -114,6 +114,7 @@
 		outcomeCommand(s),
 		settleCommand(s),
 		quarantineCommand(s),
+		explainRequestCommand(s),
 		demoCommand(s),
 		loadCommand(s),
 		versionCommand(s),
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -297,7 +298,7 @@
 	for _, b := range out.Batches {
 		l.o.Log.Info("stage call", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID),
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
-			zap.Duration("listAge", now.Sub(l.hosts.Read())))
+			zap.Duration("listAge", now.Sub(l.hosts.Read())), zap.Strings("requests", requestsOf(b.Items)))
 		go l.runBatch(b)
 	}
 	for _, r := range out.Releases {
@@ -402,6 +403,17 @@
 	return results, nil
 }
 
+// requestsOf lists the requests that the pieces of a call belong to.
+func requestsOf(items []call.Item) []string {
+	var out []string
+	for _, it := range items {
+		if !slices.Contains(out, it.RequestID) {
+			out = append(out, it.RequestID)
+		}
+	}
+	return out
+}
+
 func longest(items []call.Item) time.Duration {
 	var d time.Duration
 	for _, it := range items {
--- /dev/null
+++ b/internal/oper/story/cause.go
@@ -0,0 +1,72 @@
+package story
+
+import "fmt"
+
+// refusals say what a reason of the leader means.
+var refusals = map[string]string{
+	"overloaded":  "it could not meet its target and the queues of its stages were full of late work",
+	"expired":     "it waited too long for a place in a stage",
+	"noUpstreams": "a pool on its way had no upstream that takes work",
+	"failing":     "the calls of a stage failed too often",
+}
+
+// codes say what the code of a failure means.
+var codes = map[string]string{
+	"notReady":     "the entry knew no configuration yet",
+	"notFound":     "the configuration in force had no route for it",
+	"unauthorized": "the configuration in force did not hold its key",
+	"draining":     "the entry or the upstream was leaving",
+	"quarantined":  "requests like it had broken down upstreams",
+	"noUpstream":   "no upstream could be reached",
+	"transport":    "the upstream closed the connection without an answer, so it may have run",
+	"incomplete":   "the upstream's answer broke off",
+	"malformed":    "the upstream sent bytes that are no answer to it",
+	"deadline":     "no answer came in time",
+	"tooLarge":     "its body was too large",
+	"badRequest":   "it could not be read",
+	"conflict":     "the results of its stages were lost",
+	"wrongTarget":  "another upstream had the address",
+}
+
+// cause names what decided the request's fate, from its last lines.
+func (s Story) cause() string {
+	if len(s.Lines) == 0 {
+		return "no line names it; the logs are of other hosts or times, or its lines were dropped (look for \"log lines dropped\")"
+	}
+	refused := ""
+	for _, line := range s.Lines {
+		if reason, _ := line.Fields["refused"].(string); reason != "" {
+			refused = reason
+		}
+	}
+	for i := len(s.Lines) - 1; i >= 0; i-- {
+		line := s.Lines[i]
+		switch line.Message {
+		case "served":
+			if late(s.Lines) {
+				return "served, but known to be late when it was placed"
+			}
+			return "served"
+		case "failed":
+			code, _ := line.Fields["code"].(string)
+			verdict, _ := line.Fields["verdict"].(string)
+			if why, ok := refusals[refused]; ok && code == "overloaded" {
+				return fmt.Sprintf("refused (%s): %s", verdict, why)
+			}
+			if why, ok := codes[code]; ok {
+				return fmt.Sprintf("failed (%s): %s", verdict, why)
+			}
+			return fmt.Sprintf("failed (%s): %s", verdict, code)
+		}
+	}
+	return "no end of it is logged; the process may have been killed, see the starts below"
+}
+
+func late(lines []Line) bool {
+	for _, line := range lines {
+		if line.Fields["late"] == true {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/oper/story/story_test.go
@@ -0,0 +1,45 @@
+package story_test
+
+import (
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/oper/story"
+)
+
+func read(c *qt.C, request string) story.Story {
+	file, err := os.Open("testdata/log.txt")
+	c.Assert(err, qt.IsNil)
+	defer file.Close()
+	s, err := story.Read(request, map[string]io.Reader{"log.txt": file})
+	c.Assert(err, qt.IsNil)
+	return s
+}
+
+func TestCauses(t *testing.T) {
+	c := qt.New(t)
+	for request, want := range map[string]string{
+		"id-1": `refused \(notRun\): it waited too long .*`,
+		"id-2": `failed \(mayHaveRun\): the upstream closed the connection .*`,
+		"id-3": `served, but known to be late .*`,
+		"id-4": `no end of it is logged.*`,
+		"id-9": `no line names it.*`,
+	} {
+		c.Check(read(c, request).Cause, qt.Matches, want, qt.Commentf(request))
+	}
+}
+
+func TestStoryIsInOrderWithItsSurroundings(t *testing.T) {
+	c := qt.New(t)
+	s := read(c, "id-1")
+	c.Assert(s.Lines, qt.HasLen, 3)
+	c.Check(s.Lines[0].Source, qt.Equals, "front-2", qt.Commentf("the leader's call names the request"))
+	c.Check(s.Beliefs, qt.HasLen, 1)
+	text := s.Text()
+	c.Check(strings.Index(text, "stage call") < strings.Index(text, "decided"), qt.IsTrue)
+	c.Check(text, qt.Contains, "member=front-2")
+}
