--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -17,10 +17,12 @@
 
 const (
 	topic        = platform.TopicMembers
-	renewEvery   = 30 * time.Second // an entry writes its record
-	expireAfter  = 95 * time.Second // a record that was not renewed for this long names nobody
-	readWait     = 10 * time.Second // a read of the records waits this long for a new one
-	readPause    = 2 * time.Second  // between reads, so that one read sees several records
+	renewEvery   = 30 * time.Second       // an entry writes its record
+	expireAfter  = 95 * time.Second       // a record that was not renewed for this long names nobody
+	readWait     = 10 * time.Second       // a read of the records waits this long for a new one
+	readPause    = 2 * time.Second        // between reads, so that one read sees several records
+	settlePause  = 250 * time.Millisecond // instead, for settleFor after an entry came or left
+	settleFor    = 4 * time.Second
 	callTimeout  = 1500 * time.Millisecond
 	retryPause   = 400 * time.Millisecond
 	leaveTimeout = 500 * time.Millisecond
@@ -56,6 +58,7 @@
 	o       Options
 	members atomic.Pointer[[]Member]
 	seen    map[string]sighting
+	changed time.Time // when an entry came or left
 }
 
 // sighting is when a record was read.
@@ -66,7 +69,7 @@
 
 // New returns a crew of this entry alone.
 func New(o Options) *Crew {
-	c := &Crew{o: o, seen: map[string]sighting{}}
+	c := &Crew{o: o, seen: map[string]sighting{}, changed: o.Now()}
 	c.publish()
 	return c
 }
@@ -96,7 +99,7 @@
 		}
 		c.apply(records, !synced)
 		next, synced = end, true
-		sleep(ctx, readPause)
+		sleep(ctx, c.pause())
 	}
 }
 
@@ -109,6 +112,14 @@
 	return c.o.Store.Read(ctx, topic, next, readWait)
 }
 
+// pause is the time until the next read; short while entries come and go, so that all soon agree on the leader.
+func (c *Crew) pause() time.Duration {
+	if c.o.Now().Sub(c.changed) < settleFor {
+		return settlePause
+	}
+	return readPause
+}
+
 // renew writes the record again and again.
 func (c *Crew) renew(ctx context.Context) {
 	value, err := json.Marshal(c.o.Self)
@@ -146,6 +157,7 @@
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			delete(c.seen, r.Key)
+			c.changed = c.o.Now()
 			c.o.Log.Info("member left", zap.String("member", r.Key))
 			continue
 		}
@@ -155,6 +167,7 @@
 			continue
 		}
 		if before, known := c.seen[r.Key]; !known || before.member.Born != m.Born {
+			c.changed = c.o.Now()
 			c.o.Log.Info("member listed", zap.String("member", m.Host), zap.String("address", m.Address), zap.Int64("born", m.Born))
 		}
 		c.seen[r.Key] = sighting{member: m, at: c.o.Now()}
