--- a/internal/edge/xchg/client.go
+++ b/internal/edge/xchg/client.go
@@ -115,8 +115,11 @@
 	if failure != nil {
 		stop()
 		_ = cn.Close()
-		if ctx.Err() != nil {
-			failure = failure.WithCause(context.Cause(ctx))
+		switch {
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+			failure = fault.New(failure.Verdict, fault.Deadline, "no answer from %s in time", address)
+		case ctx.Err() != nil:
+			failure = fault.New(failure.Verdict, fault.Canceled, "the caller left before %s answered", address)
 		}
 		return nil, failure
 	}
--- a/internal/oper/story/cause.go
+++ b/internal/oper/story/cause.go
@@ -18,6 +18,7 @@
 	"draining":     "the entry or the upstream was leaving",
 	"quarantined":  "requests like it had broken down upstreams",
 	"noUpstream":   "no upstream could be reached",
+	"canceled":     "its caller left",
 	"transport":    "the upstream closed the connection without an answer, so it may have run",
 	"incomplete":   "the upstream's answer broke off",
 	"malformed":    "the upstream sent bytes that are no answer to it",
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -65,7 +65,7 @@
 	if len(s.Lines) > 0 {
 		from, to := s.Lines[0].Time.Add(-around), s.Lines[len(s.Lines)-1].Time.Add(around)
 		for _, line := range others {
-			if line.Time.After(from) && line.Time.Before(to) {
+			if line.Time.After(from) && line.Time.Before(to) && s.concerns(line) {
 				s.Beliefs = append(s.Beliefs, line)
 			}
 		}
@@ -74,6 +74,12 @@
 	return s, nil
 }
 
+// concerns says whether a change of belief may matter: one about an upstream does only if the request met it.
+func (s Story) concerns(belief Line) bool {
+	upstream, _ := belief.Fields["upstream"].(string)
+	return upstream == "" || slices.ContainsFunc(s.Lines, func(l Line) bool { return l.Fields["upstream"] == upstream })
+}
+
 // parse reads one line, which may have words before the JSON object; false if there is none.
 func parse(source, text string) (Line, bool) {
 	at := strings.IndexByte(text, '{')
