--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -230,6 +230,9 @@
 
 // fail answers with an error of our own.
 func (x *exchange) fail(w http.ResponseWriter, failure *fault.Error) {
+	if x.caller.Err() != nil {
+		failure = fault.New(failure.Verdict, fault.Canceled, "the caller left").WithCause(failure)
+	}
 	x.o.Log.Info("failed", zap.String("request", x.head.ID), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
 		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
 		zap.String("code", string(failure.Code)), zap.String("verdict", string(failure.Verdict)),
