--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -60,7 +60,6 @@
 type waiter struct {
 	order Order
 	reply func(Decision)
-	late  bool
 	grant board.Grant
 }
 
--- /dev/null
+++ b/internal/edge/xchg/client_test.go
@@ -0,0 +1,199 @@
+package xchg_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+)
+
+func decode(h http.Header) call.Answer { return call.Answer{RequestID: h.Get("Id")} }
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// server answers the nth request of each connection, from 1, with what act writes; false closes the connection.
+func server(c *qt.C, act func(conn net.Conn, id string, nth int) bool) (address string, arrivals *atomic.Int64) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	arrivals = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for nth := 1; ; nth++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					arrivals.Add(1)
+					if !act(conn, r.Header.Get("Id"), nth) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), arrivals
+}
+
+// send makes one exchange and returns the body.
+func send(client *xchg.Client, address, method, id string) (string, error) {
+	got, failure := client.Do(context.Background(), address, xchg.Request{
+		Method: method, URI: "/x", Host: "h", ID: id, Header: http.Header{"Id": {id}},
+	})
+	if failure != nil {
+		return "", failure
+	}
+	defer got.Close()
+	body, err := io.ReadAll(got)
+	return string(body), err
+}
+
+func TestAnswersToOthersAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	address, _ := server(c, func(conn net.Conn, id string, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n\r\n"+answer("another", "not yours")+answer(id, "yours"))
+		return true
+	})
+	client := xchg.New(decode, time.Now, func() {})
+	body, err := send(client, address, http.MethodPost, "1")
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "yours")
+}
+
+func TestConnectionsWithLeftoversAreNotUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	dialed := 0
+	address, _ := server(c, func(conn net.Conn, id string, _ int) bool {
+		_, _ = io.WriteString(conn, answer(id, "body"))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, answer(id, "again"))
+		return true
+	})
+	client := xchg.New(decode, time.Now, func() { dialed++ })
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := send(client, address, http.MethodGet, id)
+		c.Assert(err, qt.IsNil)
+		c.Check(body, qt.Equals, "body")
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.Check(dialed, qt.Equals, 3)
+}
+
+func TestKeptConnectionsAreUsed(t *testing.T) {
+	c := qt.New(t)
+	dialed := 0
+	address, _ := server(c, func(conn net.Conn, id string, _ int) bool {
+		_, _ = io.WriteString(conn, answer(id, "body"))
+		return true
+	})
+	client := xchg.New(decode, time.Now, func() { dialed++ })
+	for _, id := range []string{"1", "2", "3"} {
+		_, err := send(client, address, http.MethodGet, id)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(dialed, qt.Equals, 1)
+}
+
+func TestRequestsAreNeverSentTwice(t *testing.T) {
+	c := qt.New(t)
+	address, arrivals := server(c, func(conn net.Conn, id string, nth int) bool {
+		if nth == 1 {
+			_, _ = io.WriteString(conn, answer(id, "body"))
+			return true
+		}
+		return false // the second request of a kept connection is lost
+	})
+	client := xchg.New(decode, time.Now, func() {})
+	_, err := send(client, address, http.MethodGet, "1")
+	c.Assert(err, qt.IsNil)
+	_, err = send(client, address, http.MethodGet, "2")
+	c.Check(fault.From(err).Verdict, qt.Equals, fault.MayHaveRun)
+	c.Check(arrivals.Load(), qt.Equals, int64(2))
+}
+
+func TestVerdicts(t *testing.T) {
+	c := qt.New(t)
+	client := xchg.New(decode, time.Now, func() {})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	closed := listener.Addr().String()
+	c.Assert(listener.Close(), qt.IsNil)
+	_, err = send(client, closed, http.MethodPost, "1")
+	c.Check(fault.From(err).Verdict, qt.Equals, fault.NotRun)
+	for _, bytes := range []string{"", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Encoding: gzip\r\n\r\n", answer("2", "x")} {
+		address, _ := server(c, func(conn net.Conn, _ string, _ int) bool {
+			_, _ = io.WriteString(conn, bytes)
+			return false
+		})
+		_, err = send(client, address, http.MethodPost, "1")
+		c.Check(fault.From(err).Verdict, qt.Equals, fault.MayHaveRun, qt.Commentf("%q", bytes))
+	}
+}
+
+func TestBodiesThatBreakOffAreNotComplete(t *testing.T) {
+	c := qt.New(t)
+	for _, head := range []string{"Content-Length: 100", "Transfer-Encoding: chunked"} {
+		address, _ := server(c, func(conn net.Conn, id string, _ int) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n"+head+"\r\n\r\n4\r\nbody\r\n")
+			return false
+		})
+		_, err := send(xchg.New(decode, time.Now, func() {}), address, http.MethodPost, "1")
+		c.Check(err, qt.ErrorIs, io.ErrUnexpectedEOF, qt.Commentf(head))
+	}
+}
+
+func TestEarlyAnswersDoNotReuseTheConnection(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { // answers once the head is there, and reads on later
+				head := make([]byte, 200)
+				n, _ := conn.Read(head)
+				if strings.HasPrefix(string(head[:n]), "POST") {
+					_, _ = io.WriteString(conn, answer("1", "early"))
+				}
+			}()
+		}
+	}()
+	dialed := 0
+	client := xchg.New(decode, time.Now, func() { dialed++ })
+	for range 2 {
+		got, failure := client.Do(t.Context(), listener.Addr().String(), xchg.Request{
+			Method: http.MethodPost, URI: "/x", Host: "h", ID: "1", Header: http.Header{"Id": {"1"}}, Body: make([]byte, 32<<20),
+		})
+		c.Assert(failure == nil, qt.IsTrue)
+		_, err := io.ReadAll(got)
+		c.Assert(err, qt.IsNil)
+		got.Close()
+	}
+	c.Check(dialed, qt.Equals, 2)
+}
