--- a/cmd/ragworthatch/edge.go
+++ b/cmd/ragworthatch/edge.go
@@ -30,7 +30,7 @@
 			logger.RouteLibraries(log.Logger)
 			entry, err := node.New(o.path(), o.metricsPort, log.Logger)
 			if err != nil {
-				return err
+				return fileError(err)
 			}
 			return entry.Run(stopSignals())
 		},
--- a/cmd/ragworthatch/script_test.go
+++ b/cmd/ragworthatch/script_test.go
@@ -49,10 +49,10 @@
 			"capture": capture,
 			"readme":  readme,
 
-			"eventually":   eventually,
-			"loseAnswers":  loseAnswers,
-			"fakePlatform": fakePlatform,
-			"transfer":     transfer,
+			"eventually":  eventually,
+			"loseAnswers": loseAnswers,
+			"platform":    fakePlatform,
+			"transfer":    transfer,
 		},
 	})
 }
