--- a/internal/cell/crew/crew_test.go
+++ b/internal/cell/crew/crew_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,10 +17,20 @@
 )
 
 // memStore holds the member records of several entries.
-type memStore struct{ records []platform.Record }
+type memStore struct {
+	mu      sync.Mutex
+	records []platform.Record
+}
+
+// from returns the records from an offset.
+func (s *memStore) from(offset int64) ([]platform.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.records[offset:]), int64(len(s.records)), nil
+}
 
 func (s *memStore) Newest(context.Context, platform.Topic) ([]platform.Record, int64, error) {
-	return s.records, int64(len(s.records)), nil
+	return s.from(0)
 }
 
 func (s *memStore) Read(ctx context.Context, _ platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error) {
@@ -27,10 +39,12 @@
 		return nil, 0, ctx.Err()
 	case <-time.After(wait):
 	}
-	return s.records[from:], int64(len(s.records)), nil
+	return s.from(from)
 }
 
 func (s *memStore) Put(_ context.Context, _ platform.Topic, r platform.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.records = append(s.records, r)
 	return nil
 }
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -43,6 +44,9 @@
 	w.c.Check(a.Header.Get("Tenant"), qt.Equals, "team-one")
 	w.c.Check(a.Header.Get("Expect-Instance"), qt.Equals, "up-1")
 	w.c.Check(a.Header.Get("X-Other"), qt.Equals, "kept")
+	left, err := strconv.Atoi(a.Header.Get("Deadline-Ms"))
+	w.c.Check(err, qt.IsNil)
+	w.c.Check(left > 0 && left <= 1000, qt.IsTrue, qt.Commentf("%d ms left of the route's timeout of 1000 ms", left))
 	for _, name := range []string{"Credential", "Hold", "Kv-From", "Pin-Ms"} {
 		w.c.Check(a.Header.Get(name), qt.Equals, "", qt.Commentf(name))
 	}
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +24,7 @@
 
 // memStore is a store in memory that can be away.
 type memStore struct {
+	mu    sync.Mutex
 	logs  map[platform.Topic][]platform.Record
 	first int64
 	down  bool
@@ -28,10 +32,14 @@
 }
 
 func (s *memStore) put(topic platform.Topic, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.logs[topic] = append(s.logs[topic], platform.Record{Key: key, Value: []byte(value), Offset: int64(len(s.logs[topic]))})
 }
 
 func (s *memStore) Newest(_ context.Context, topic platform.Topic) ([]platform.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.down {
 		return nil, 0, context.DeadlineExceeded
 	}
@@ -50,19 +58,40 @@
 
 func (s *memStore) Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error) {
 	const step = 20 * time.Millisecond
-	for begun := time.Now(); !s.down; time.Sleep(step) {
-		s.reads++
-		end := int64(len(s.logs[topic]))
-		switch {
-		case topic == platform.TopicUpstreams && from < s.first:
-			return nil, 0, platform.ErrTrimmed
-		case from < end:
-			return s.logs[topic][from:], end, nil
-		case time.Since(begun) >= wait || ctx.Err() != nil:
-			return nil, from, ctx.Err()
+	for begun := time.Now(); ; time.Sleep(step) {
+		records, end, err := s.look(topic, from)
+		if err != nil || len(records) > 0 || time.Since(begun) >= wait || ctx.Err() != nil {
+			return records, end, errors.Join(err, ctx.Err())
 		}
 	}
-	return nil, 0, context.DeadlineExceeded
+}
+
+// look returns the records from an offset.
+func (s *memStore) look(topic platform.Topic, from int64) ([]platform.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	switch {
+	case s.down:
+		return nil, 0, context.DeadlineExceeded
+	case topic == platform.TopicUpstreams && from < s.first:
+		return nil, 0, platform.ErrTrimmed
+	}
+	return slices.Clone(s.logs[topic][from:]), int64(len(s.logs[topic])), nil
+}
+
+// set changes whether the store is away, and from which offset it keeps records of upstreams.
+func (s *memStore) set(down bool, first int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.first = down, first
+}
+
+// looks is how often the log was looked at.
+func (s *memStore) looks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
 }
 
 func entry(state string) string {
@@ -133,12 +162,11 @@
 
 func TestTrimmedRecordsAreReadAsASnapshot(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
-		s.down = true
+		s.set(true, 0)
 		time.Sleep(time.Second)
 		s.put(platform.TopicUpstreams, "u1", "")
 		s.put(platform.TopicUpstreams, "u3", entry("ready"))
-		s.first = 4
-		s.down = false
+		s.set(false, 4)
 		time.Sleep(2 * time.Second)
 		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2)
 		c.Check(w.Hosts().TakesWork("u3"), qt.IsTrue)
@@ -147,12 +175,12 @@
 
 func TestLapsedEntriesMayComeBackAfterAnOutage(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
-		s.down = true
+		s.set(true, 0)
 		time.Sleep(6 * time.Second)
 		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2, qt.Commentf("traffic goes on while the store is away"))
 		s.put(platform.TopicUpstreams, "u1", "")
 		s.put(platform.TopicUpstreams, "u2", "")
-		s.down = false
+		s.set(false, 0)
 		time.Sleep(1500 * time.Millisecond)
 		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2)
 		s.put(platform.TopicUpstreams, "u1", entry("ready"))
@@ -164,12 +192,12 @@
 
 func TestLeaderSavesReads(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
-		before := s.reads
+		before := s.looks()
 		for range 40 {
 			w.Confirm(5, time.Now(), w.Hosts().WithRead(time.Now().Add(-500*time.Millisecond)))
 			time.Sleep(250 * time.Millisecond)
 		}
-		c.Check(s.reads-before < 200, qt.IsTrue, qt.Commentf("%d looks at the log", s.reads-before))
+		c.Check(s.looks()-before < 200, qt.IsTrue, qt.Commentf("%d looks at the log", s.looks()-before))
 		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
 		w.Confirm(9, time.Now(), nil)
 		time.Sleep(200 * time.Millisecond)
@@ -179,7 +207,7 @@
 
 func TestRulesOfTheLeaderCountWhenTheStoreIsAway(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
-		s.down = true
+		s.set(true, 0)
 		w.Adopt([]byte(`{"version":9}`))
 		c.Check(w.Rules().Version(), qt.Equals, int64(9))
 		w.Adopt([]byte(`{"version":8}`))
@@ -190,7 +218,7 @@
 func TestLeaderWithoutTheStoreSaysSo(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		c.Check(time.Since(w.RulesRead()) < 2*time.Second, qt.IsTrue)
-		s.down = true
+		s.set(true, 0)
 		time.Sleep(time.Second)
 		c.Check(w.RulesRead().IsZero(), qt.IsTrue)
 	})
