Miss no change of the settings file at the start

Cause: the file was looked at only after it had been read, so a change in between was never seen. Found by the new test, which failed first.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -50,6 +50,7 @@
 type Node struct {
 	settings atomic.Pointer[platform.Settings]
 	path     string
+	loaded   fileStamp // the version of the file that the process began with
 
 	metricsPort int // 0 takes the one of the settings
 
@@ -72,11 +73,12 @@
 
 // New builds an entry with the settings in a file; nothing happens until Run. A metricsPort of 0 takes that of the settings.
 func New(path string, metricsPort int, log *zap.Logger) (*Node, error) {
+	loaded := stamp(path) // before the file is read, so that no change is missed
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{path: path, metricsPort: metricsPort, log: log}
+	n := &Node{path: path, loaded: loaded, metricsPort: metricsPort, log: log}
 	n.settings.Store(&s)
 	n.meter, err = meter.New(meter.Process{Role: "edge", Name: s.Name, Zone: s.Zone})
 	if err != nil {
--- a/internal/edge/node/reload.go
+++ b/internal/edge/node/reload.go
@@ -22,7 +22,7 @@
 	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
-	last := stamp(n.path)
+	last := n.loaded
 	for {
 		select {
 		case <-ctx.Done():
