--- /dev/null
+++ b/internal/cell/board/assign.go
@@ -0,0 +1,180 @@
+package board
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+)
+
+// assign gives free upstreams of a pool the most urgent steps.
+func (b *Board) assign(p *pool, now time.Time) {
+	if len(p.ready) == 0 {
+		return
+	}
+	for _, s := range p.ready {
+		if !s.job.late && now.Add(b.expected(s)).After(s.job.Target) {
+			s.job.late = true
+		}
+	}
+	slices.SortStableFunc(p.ready, func(a, c *step) int {
+		if a.job.late != c.job.late {
+			if a.job.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.urgency(a), b.urgency(c))
+	})
+	for _, w := range p.free(now) {
+		if len(p.ready) == 0 {
+			return
+		}
+		b.load(p, w, now)
+	}
+}
+
+// urgency is when a step has to begin at the latest, as Unix nanoseconds, less what its rank is worth.
+func (b *Board) urgency(s *step) int64 {
+	return s.job.Target.Add(-b.shortest(s)).UnixNano() + int64(s.job.Rank)*int64(rankStep)
+}
+
+// shortest is the least time from the start of a step to the first byte of the answer.
+func (b *Board) shortest(s *step) time.Duration {
+	return b.duration(s) + b.tail(s.job, s.index) + s.job.FinalStep
+}
+
+// expected is the time from the start of a step to the first byte; what has not begun yet meets the usual waits.
+func (b *Board) expected(s *step) time.Duration {
+	return max(b.duration(s), b.pools[s.spec.Pool].call) + b.usualTail(s.job, s.index) + s.job.FinalStep + forecastMargin
+}
+
+// usualTail is the usual time of the stages that follow one.
+func (b *Board) usualTail(j *job, index int) time.Duration {
+	var longest time.Duration
+	for i, s := range j.steps {
+		p := b.pools[s.spec.Pool]
+		if s.spec.Pieces > 0 && p != nil && slices.Contains(s.spec.After, index) {
+			longest = max(longest, p.wait+max(b.duration(s), p.call)+b.usualTail(j, i))
+		}
+	}
+	return longest
+}
+
+// tail is the least time of the stages that follow one.
+func (b *Board) tail(j *job, index int) time.Duration {
+	var longest time.Duration
+	for i, s := range j.steps {
+		if s.spec.Pieces > 0 && slices.Contains(s.spec.After, index) {
+			longest = max(longest, b.duration(s)+b.tail(j, i))
+		}
+	}
+	return longest
+}
+
+// duration is the time of a call for the pieces of a step alone.
+func (b *Board) duration(s *step) time.Duration {
+	p := b.pools[s.spec.Pool]
+	if p == nil {
+		return 0
+	}
+	return p.spec.Call + time.Duration(min(s.spec.Pieces, p.spec.Size))*p.spec.Piece + overheadPerCall
+}
+
+// free lists the upstreams that can take a call, the best first.
+func (p *pool) free(now time.Time) []*worker {
+	var out []*worker
+	for _, w := range p.workers {
+		switch {
+		case !w.present || w.running != nil:
+		case now.Before(w.paused) || now.Before(w.fullTill):
+		case w.slow() && now.Before(w.retest):
+		default:
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, c *worker) int {
+		if a.slow() != c.slow() {
+			if a.slow() {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.used+a.foreign, c.used+c.foreign), cmp.Compare(a.up.ID, c.up.ID))
+	})
+	return out
+}
+
+// load builds a call for a free upstream from the ready steps, in order.
+func (b *Board) load(p *pool, w *worker, now time.Time) {
+	r := &running{worker: w, begun: now}
+	var items []call.Item
+	room := int64(roomPart*float64(p.spec.Headroom)) - w.used - w.foreign
+	for _, s := range slices.Clone(p.ready) {
+		free := p.spec.Size - len(items)
+		if free == 0 || (w.slow() && len(items) > 0) {
+			break
+		}
+		if !p.fits(s, w, now) {
+			continue
+		}
+		take := min(len(s.pending), free)
+		if s.spec.ResultBytes > 0 {
+			take = min(take, int(max(0, room)/s.spec.ResultBytes))
+		}
+		// The pieces of a step stay together where they can, so that later calls find them in one place.
+		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size) {
+			continue
+		}
+		pieces := slices.Clone(s.pending[:take])
+		s.pending = slices.Delete(s.pending, 0, take)
+		if len(s.pending) == 0 {
+			s.state = stepRunning
+			b.unqueue(s)
+		}
+		s.job.started = true
+		if !s.job.late {
+			smooth(&p.wait, now.Sub(s.since))
+		}
+		for _, piece := range pieces {
+			items = append(items, s.item(piece, now))
+		}
+		bytes := int64(take) * s.spec.ResultBytes
+		room -= bytes
+		r.bytes += bytes
+		r.parts = append(r.parts, part{step: s, pieces: pieces})
+	}
+	if len(items) == 0 {
+		return
+	}
+	b.nextID++
+	r.id = b.nextID
+	r.expected = p.spec.Call + time.Duration(len(items))*p.spec.Piece + overheadPerCall
+	smooth(&p.call, r.expected)
+	w.running = r
+	w.used += r.bytes
+	if w.slow() {
+		w.retest = now.Add(retestEvery)
+	}
+	b.calls[r.id] = r
+	b.out.Batches = append(b.out.Batches, Batch{ID: r.id, Upstream: w.up, Items: items, Expected: r.expected})
+}
+
+// fits says whether a step should run at an upstream.
+func (p *pool) fits(s *step, w *worker, now time.Time) bool {
+	if s.home == "" || s.home == w.up.Zone || now.Sub(s.since) > crossAfter {
+		return true
+	}
+	for _, other := range p.workers {
+		if other.present && other.up.Zone == s.home && !now.Before(other.paused) && other.speed < slowFactor {
+			return false
+		}
+	}
+	return true
+}
+
+// smooth moves an average towards a new value.
+func smooth(average *time.Duration, value time.Duration) {
+	*average += time.Duration(loadSmoothing * float64(value-*average))
+}
--- /dev/null
+++ b/internal/cell/board/room.go
@@ -0,0 +1,96 @@
+package board
+
+import (
+	"slices"
+	"time"
+)
+
+// releaseRead gives up results that no stage of the job will read again.
+func (b *Board) releaseRead(j *job) {
+	for i, s := range j.steps {
+		if s.state != stepDone || j.last(i) {
+			continue
+		}
+		needed := false
+		for _, other := range j.steps {
+			if slices.Contains(other.spec.After, i) && other.state != stepDone {
+				needed = true
+			}
+		}
+		if !needed {
+			b.releaseStep(s)
+		}
+	}
+}
+
+func (b *Board) releaseStep(s *step) {
+	for i, r := range s.results {
+		if r.handle == "" {
+			continue
+		}
+		if w := b.makers[r.maker]; w != nil {
+			b.drop(w, r.handle)
+		}
+		s.results[i] = result{}
+	}
+}
+
+func (w *worker) hold(handle string, bytes int64, expires time.Time) {
+	w.held[handle] = held{bytes: bytes, expires: expires}
+	w.used += bytes
+}
+
+// drop gives up a result at its maker.
+func (b *Board) drop(w *worker, handle string) {
+	h, ok := w.held[handle]
+	if !ok {
+		return
+	}
+	delete(w.held, handle)
+	w.used -= h.bytes
+	b.dropped[w.up.ID] = append(b.dropped[w.up.ID], handle)
+}
+
+// probe asks for the memory of upstreams that hold results of unknown origin, or may do so.
+func (b *Board) probe(p *pool, now time.Time) {
+	for _, id := range sortedKeys(p.workers) {
+		w := p.workers[id]
+		if w.foreign > 0 && p.spec.Headroom < minProbed && now.After(w.foreignTill) {
+			w.foreign = 0
+		}
+		unknown := w.suspect && len(b.jobs) > 0
+		occupied := w.foreign > 0 && p.spec.Headroom >= minProbed && len(p.ready) > 0
+		if w.present && (unknown || occupied) && !now.Before(w.probeAt) {
+			w.probeAt = now.Add(probeEvery)
+			b.out.Probes = append(b.out.Probes, w.up)
+		}
+	}
+}
+
+// SetFree notes how much memory for results an upstream says it has left.
+func (b *Board) SetFree(id string, free int64) {
+	w := b.makers[id]
+	if w == nil {
+		return
+	}
+	w.foreign, w.suspect = 0, false
+	p := b.pools[w.up.Pool]
+	if p == nil {
+		return
+	}
+	if foreign := p.spec.Headroom - free - reportStep - w.used; foreign > p.spec.Headroom/foreignPart {
+		w.foreign = foreign
+	}
+}
+
+// expire forgets results that their maker has dropped by itself.
+func (p *pool) expire(now time.Time) {
+	for _, w := range p.workers {
+		for handle, h := range w.held {
+			if now.After(h.expires) {
+				delete(w.held, handle)
+				w.used -= h.bytes
+			}
+		}
+	}
+}
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -4,10 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -15,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -84,11 +83,7 @@
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-		},
+		Control:         sock.UserTimeout(unackedTimeout),
 	}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
@@ -21,6 +18,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/serve"
 	"github.com/ragworthatch/ragworthatch/internal/edge/front"
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
+	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
@@ -143,24 +141,13 @@
 	dialer := &net.Dialer{
 		Timeout:         storeDialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control:         userTimeout(storeUnacked),
+		Control:         sock.UserTimeout(storeUnacked),
 	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: storeIdle, MaxIdleConnsPerHost: 4,
 	}}
 }
 
-// userTimeout sets how long sent bytes may stay without an acknowledgement.
-func userTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var set error
-		err := raw.Control(func(fd uintptr) {
-			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		return errors.Join(err, set)
-	}
-}
-
 // Run serves until stop ends, then finishes what is in flight; kill ends it at once.
 func (n *Node) Run(stop, kill context.Context) error {
 	ctx, cancel := context.WithCancel(kill)
@@ -245,7 +232,7 @@
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerProbeAfter, Interval: time.Second, Count: 3},
-		Control:         userTimeout(callerUnacked),
+		Control:         sock.UserTimeout(callerUnacked),
 	}
 	listener, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -99,7 +99,6 @@
 // Limits bound what callers may send.
 type Limits struct {
 	BodyBytes int64
-	Idle      time.Duration // an open connection without a request is kept at least this long
 }
 
 // Rules is one version of the configuration; it does not change once made.
--- a/internal/edge/xchg/client.go
+++ b/internal/edge/xchg/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -87,20 +89,12 @@
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probeCount},
-			Control:         setUserTimeout,
+			Control:         sock.UserTimeout(unackedTimeout),
 		},
 		decode: decode, now: now, dialed: dialed, idle: map[string][]*conn{},
 	}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, set)
-}
-
 // Do sends a request and returns the head of its answer. The error's verdict is NotRun only if nothing was sent.
 // When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Answer, *fault.Error) {
@@ -136,7 +130,7 @@
 		if err != nil {
 			return nil, fault.New(fault.MayHaveRun, fault.Transport, "no answer from %s", cn.address).WithCause(err)
 		}
-		cn.limit.N = 1 << 62
+		cn.limit.N = math.MaxInt64
 		if got.StatusCode < http.StatusOK {
 			continue
 		}
