Let upstreams that leave after an outage go at once

Ruled out: slow reads, as all were answered. Change: only what the first read after an outage shows as gone may come back; a list that holds such entries is not shared. The new test failed without the first part.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -202,7 +202,7 @@
 	}
 	server := grpc.NewServer()
 	cellpb.RegisterCellServer(server, serve.New(serve.Options{
-		Desk: n.lead, Leaving: n.leaving.Load, Blocked: n.crash.Shared, Hosts: n.watch.Hosts,
+		Desk: n.lead, Leaving: n.leaving.Load, Blocked: n.crash.Shared, Hosts: n.watch.SharedHosts,
 		Rules: n.sharedRules,
 		Now:   time.Now, Log: n.log.Named("serve"),
 	}))
--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -15,15 +15,19 @@
 	log     *zap.Logger
 	byID    map[string]hosts.Upstream
 	missing map[string]time.Time // entries that lapsed around an outage, and until when they may come back
-	grace   time.Time
+	back    bool                 // the next records are the first after an outage
 }
 
 func newList(now func() time.Time, log *zap.Logger) *list {
 	return &list{now: now, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{}}
 }
 
-// storeIsBack gives entries that lapsed while the store was away time to come back.
-func (l *list) storeIsBack() { l.grace = l.now().Add(lapseGrace) }
+// storeIsBack gives entries that lapsed while the store was away time to come back. What the first read after the outage
+// does not show as gone has not lapsed but left, and is gone at once.
+func (l *list) storeIsBack() { l.back = true }
+
+// settled says whether no entry waits for its upstream to come back.
+func (l *list) settled() bool { return len(l.missing) == 0 }
 
 // apply takes over records; a whole snapshot lacks the entries that are gone.
 func (l *list) apply(records []platform.Record, whole bool) {
@@ -43,6 +47,7 @@
 			}
 		}
 	}
+	l.back = false
 	for id, until := range l.missing {
 		if !l.now().Before(until) {
 			delete(l.missing, id)
@@ -72,10 +77,11 @@
 	if _, known := l.byID[id]; !known {
 		return
 	}
-	if l.now().Before(l.grace) {
-		if _, waits := l.missing[id]; !waits {
-			l.missing[id] = l.grace
-		}
+	if _, waits := l.missing[id]; waits {
+		return
+	}
+	if l.back {
+		l.missing[id] = l.now().Add(lapseGrace)
 		return
 	}
 	l.drop(id)
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -54,6 +54,7 @@
 
 	rulesRead atomic.Pointer[time.Time] // the last answer of the store
 	confirmed atomic.Pointer[time.Time] // when the leader last read the version in force here
+	unsettled atomic.Bool               // the list holds entries that may have lapsed
 	told      atomic.Pointer[time.Time] // when the leader last told its list of upstreams
 	mu        sync.Mutex                // orders changes of rules and hosts
 }
@@ -82,6 +83,15 @@
 // Hosts is the newest list of upstreams.
 func (w *Watch) Hosts() *hosts.Table { return w.hosts.Load() }
 
+// SharedHosts is the list as other entries may rely on it: while it holds entries that may have lapsed, they must not, as
+// some of them may know better.
+func (w *Watch) SharedHosts() *hosts.Table {
+	if w.unsettled.Load() {
+		return w.Hosts().WithRead(time.Time{})
+	}
+	return w.Hosts()
+}
+
 // RulesRead is when the configuration was last read from the store.
 func (w *Watch) RulesRead() time.Time { return *w.rulesRead.Load() }
 
@@ -139,6 +149,7 @@
 		topic: hostsTopic,
 		apply: func(records []platform.Record, whole bool) {
 			list.apply(records, whole)
+			w.unsettled.Store(!list.settled())
 			w.setHosts(list.table())
 		},
 		back: list.storeIsBack,
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -190,6 +190,23 @@
 	})
 }
 
+func TestUpstreamsThatLeaveAfterAnOutageAreGoneAtOnce(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		s.set(true, 0)
+		time.Sleep(6 * time.Second)
+		s.put(platform.TopicUpstreams, "u2", "")
+		s.set(false, 0)
+		time.Sleep(time.Second)
+		c.Check(w.Hosts().TakesWork("u2"), qt.IsTrue, qt.Commentf("it may have lapsed"))
+		c.Check(w.SharedHosts().Read().IsZero(), qt.IsTrue, qt.Commentf("others must not rely on that"))
+		s.put(platform.TopicUpstreams, "u1", "")
+		time.Sleep(drainWithin / 2)
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse)
+		time.Sleep(drainWithin)
+		c.Check(w.SharedHosts().Read().IsZero(), qt.IsFalse)
+	})
+}
+
 func TestLeaderSavesReads(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		before := s.looks()
