Leave a leader that follows another one

Change: pongs say whether the leader has another one itself; after three of them the next member is asked.

--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	pingEvery   = 250 * time.Millisecond
-	silentAfter = 800 * time.Millisecond // without a pong, the leader counts as gone
-	suspectFor  = 3 * time.Second        // a member that was gone is not asked again for this long
-	leavingFor  = 10 * time.Second       // nor one that is shutting down for this long
-	dialTimeout = 600 * time.Millisecond
-	outboxSize  = 512 // messages to the leader
+	pingEvery    = 250 * time.Millisecond
+	silentAfter  = 800 * time.Millisecond // without a pong, the leader counts as gone
+	suspectFor   = 3 * time.Second        // a member that was gone is not asked again for this long
+	leavingFor   = 10 * time.Second       // nor one that is shutting down for this long
+	followsLimit = 3                      // pongs that say so, until a leader that follows another one is left
+	dialTimeout  = 600 * time.Millisecond
+	outboxSize   = 512 // messages to the leader
 )
 
 // Options are the dependencies of a Link.
@@ -90,7 +91,7 @@
 		} else {
 			current.ping()
 		}
-		if current.leaving.Load() {
+		if current.leaving.Load() || current.follows.Load() >= followsLimit {
 			l.mu.Lock()
 			l.suspect[current.member.Host] = now.Add(leavingFor)
 			l.mu.Unlock()
@@ -287,3 +288,13 @@
 	}
 	return p.session, true
 }
+
+// Close ends the connection to the leader, which then drops the orders of this entry.
+func (l *Link) Close() {
+	l.mu.Lock()
+	current := l.current
+	l.mu.Unlock()
+	if current != nil {
+		current.close()
+	}
+}
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -30,6 +30,7 @@
 	outbox    chan *cellpb.ToLead
 	broken    atomic.Bool
 	leaving   atomic.Bool
+	follows   atomic.Int64 // pongs in a row that said that the leader has another one itself
 	lastHeard atomic.Int64 // nanoseconds since begun
 	begun     time.Time
 	sequence  atomic.Int64
@@ -113,6 +114,11 @@
 		switch body := m.Body.(type) {
 		case *cellpb.ToEntry_Pong:
 			s.leaving.Store(body.Pong.Leaving)
+			if body.Pong.Follows {
+				s.follows.Add(1)
+			} else {
+				s.follows.Store(0)
+			}
 			s.blocked(body.Pong.Blocked)
 			s.takeOver(body.Pong)
 		case *cellpb.ToEntry_Rules:
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -22,6 +22,7 @@
 	cellpb.UnimplementedCellServer
 	desk    lead.Desk
 	leaving func() bool
+	leads   func() bool
 	blocked func() []uint64
 	rules   func() Rules
 	hosts   func() *hosts.Table
@@ -40,6 +41,7 @@
 type Options struct {
 	Desk    lead.Desk
 	Leaving func() bool     // this process is shutting down
+	Leads   func() bool     // this process has no other leader
 	Blocked func() []uint64 // fingerprints of requests that break down upstreams
 	Rules   func() Rules
 	Hosts   func() *hosts.Table
@@ -50,7 +52,7 @@
 // New returns a server of a desk.
 func New(o Options) *Server {
 	return &Server{
-		desk: o.Desk, leaving: o.Leaving, blocked: o.Blocked, rules: o.Rules, hosts: o.Hosts, now: o.Now, log: o.Log,
+		desk: o.Desk, leaving: o.Leaving, leads: o.Leads, blocked: o.Blocked, rules: o.Rules, hosts: o.Hosts, now: o.Now, log: o.Log,
 	}
 }
 
@@ -127,7 +129,7 @@
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Rules{Rules: &cellpb.Rules{Version: rules.Version, Body: rules.Body}}})
 	}
 	ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{Pong: &cellpb.Pong{
-		Sequence: sequence, Leaving: ses.leaving(), Blocked: ses.blocked(),
+		Sequence: sequence, Leaving: ses.leaving(), Follows: !ses.leads(), Blocked: ses.blocked(),
 		RulesVersion: rules.Version, RulesAgeUs: now.Sub(rules.Read).Microseconds(),
 		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
 	}}})
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -202,7 +202,7 @@
 	}
 	server := grpc.NewServer()
 	cellpb.RegisterCellServer(server, serve.New(serve.Options{
-		Desk: n.lead, Leaving: n.leaving.Load, Blocked: n.crash.Shared, Hosts: n.watch.SharedHosts,
+		Desk: n.lead, Leaving: n.leaving.Load, Leads: n.link.Leads, Blocked: n.crash.Shared, Hosts: n.watch.SharedHosts,
 		Rules: n.sharedRules,
 		Now:   time.Now, Log: n.log.Named("serve"),
 	}))
@@ -274,6 +274,7 @@
 		n.log.Warn("requests are cut off by the end of the grace", zap.Int64("inFlight", n.inFlight.Load()), zap.Error(err))
 	}
 	n.lead.Finish(ctx)
+	n.link.Close()
 }
 
 // sweep closes idle connections and forgets upstreams that are gone.
