Count attempts where requests are sent

Cause: send counted, and the callers of it took back what had not been sent, also for an upstream that was found leaving before anything was counted; each such case won an attempt beyond the route's. Found by reading, and by a test that failed first (-1, -2, -3 in place of 0). Change: send alone counts and takes back. Ruled out as harmless: a resumable stream could have run on three engines with two attempts.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -84,7 +84,7 @@
 	pool     string
 	arrived  time.Time
 	deadline time.Time // of the caller or the route, whichever comes first
-	sends    int
+	sends    int       // that count as attempts
 
 	fingerprint uint64
 }
@@ -190,6 +190,9 @@
 	})
 	x.logSend(u, answer, failure)
 	if failure != nil {
+		if failure.Verdict == fault.NotRun {
+			x.sends-- // no connection
+		}
 		x.noteCrash(failure)
 		return nil, failure
 	}
@@ -201,6 +204,7 @@
 			code = fault.WrongTarget
 		case http.StatusConflict:
 			code = fault.Conflict
+			x.sends-- // results of stages were lost, the request itself is still to be sent
 		case http.StatusBadRequest:
 			code = fault.BadRequest
 		}
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -53,7 +53,6 @@
 		return false
 	}
 	if failure.Code == fault.Conflict {
-		x.sends--
 		return true
 	}
 	if failure.Verdict == fault.NotRun && !x.out.Begun() {
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -95,10 +95,8 @@
 	if !notRun && !x.route.Repeatable() {
 		return false
 	}
-	neverSent := notRun && (failure.Code == fault.NoUpstream || failure.Code == fault.Draining)
-	if neverSent {
-		x.sends--
-		return true
+	if notRun && (failure.Code == fault.NoUpstream || failure.Code == fault.Draining) {
+		return true // nothing was sent
 	}
 	return x.sends < x.route.Attempts && x.o.Budget.Repeat(x.pool)
 }
