--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
@@ -89,17 +90,17 @@
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
 			synced = false
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		case err != nil:
 			c.o.Log.Debug("members can't be read", zap.Error(err))
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			c.publish()
 			continue
 		}
 		c.apply(records, !synced)
 		next, synced = end, true
-		sleep(ctx, c.pause())
+		pause.For(ctx, c.pause())
 	}
 }
 
@@ -136,7 +137,7 @@
 			c.o.Log.Info("the member record can't be written", zap.Error(err))
 			wait = retryPause
 		}
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -197,12 +198,3 @@
 	})
 	c.members.Store(&out)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/extra"
 	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
@@ -266,7 +267,7 @@
 	n.log.Info("shutting down", zap.Int64("inFlight", n.inFlight.Load()), zap.Duration("grace", grace))
 	begun := time.Now()
 	go n.crew.Leave(kill)
-	pause(kill, serveAfterTerm)
+	pause.For(kill, serveAfterTerm)
 	n.stopping.Store(true)
 	ctx, cancel := context.WithDeadline(kill, begun.Add(grace-exitBefore))
 	defer cancel()
@@ -291,12 +292,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
@@ -180,14 +181,14 @@
 	heard := w.o.Now()
 	for ctx.Err() == nil {
 		if synced && f.fresh() {
-			sleep(ctx, freshPoll)
+			pause.For(ctx, freshPoll)
 			continue
 		}
 		records, end, err := w.read(ctx, f, next, synced)
 		if errors.Is(err, platform.ErrTrimmed) {
 			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)), zap.Int64("from", next))
 			synced = false
-			sleep(ctx, freshPoll)
+			pause.For(ctx, freshPoll)
 			continue
 		}
 		w.o.Stats.StoreCall(string(f.topic), err == nil)
@@ -203,7 +204,7 @@
 				lost = true
 				w.o.Log.Warn("store lost", zap.String("topic", string(f.topic)), zap.Error(err))
 			}
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		if lost {
@@ -262,15 +263,3 @@
 	w.o.Log.Info("configuration in force", zap.Int64("version", rules.Version()), zap.Int64("before", before),
 		zap.String("source", source))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/exec/settle.go
+++ b/internal/entry/exec/settle.go
@@ -7,6 +7,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/target"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -31,7 +32,7 @@
 				return result{}, f
 			}
 		}
-		if !sleep(ctx, settleInterval) {
+		if !pause.For(ctx, settleInterval) {
 			break
 		}
 	}
--- a/internal/entry/exec/stage.go
+++ b/internal/entry/exec/stage.go
@@ -10,6 +10,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 )
 
 // step is the state of one stage over its attempts.
@@ -53,12 +54,12 @@
 		if q := s.isolate(f); q != nil {
 			return result{}, q
 		}
-		pause, again := s.again(ctx, f)
+		delay, again := s.again(ctx, f)
 		if !again {
 			return result{}, f
 		}
 		s.count(f)
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, delay) {
 			return result{}, ended(ctx, f.Verdict)
 		}
 	}
@@ -179,20 +180,6 @@
 	return time.Until(at)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (s *step) log(msg string, fields ...zap.Field) {
 	fields = append(fields,
 		zap.String("request", s.run.req.Label),
--- a/internal/fake/inmem/link.go
+++ b/internal/fake/inmem/link.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -37,7 +38,7 @@
 	}
 	req := proto.CloneOf(in)
 	go func() {
-		if !sleep(ctx, p.Delay) {
+		if !pause.For(ctx, p.Delay) {
 			c.end(ctx.Err())
 			return
 		}
@@ -106,7 +107,7 @@
 func unary[Q, A any](ctx context.Context, l *Link, m Method, in Q, f method[Q, A]) (A, error) {
 	var none A
 	p := l.plan(m)
-	if !sleep(ctx, p.Delay) {
+	if !pause.For(ctx, p.Delay) {
 		return none, status.FromContextError(ctx.Err()).Err()
 	}
 	server, life, err := l.node.seat()
@@ -151,18 +152,3 @@
 		return errCut
 	}
 }
-
-// sleep waits; false means that ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/fake/inmem/stream.go
+++ b/internal/fake/inmem/stream.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/internal/wire/sidepb"
 )
 
@@ -99,7 +100,7 @@
 
 // push carries one frame; the sender waits while the window is full.
 func (c *stream[T, M]) push(ctx context.Context, cancel context.CancelFunc, f *T) error {
-	if c.plan.FrameDelay > 0 && !sleep(ctx, c.plan.FrameDelay) {
+	if c.plan.FrameDelay > 0 && !pause.For(ctx, c.plan.FrameDelay) {
 		return ctx.Err()
 	}
 	if c.silent() {
--- /dev/null
+++ b/internal/oper/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time that the end of a context cuts short.
+package pause
--- a/internal/side/window/loop.go
+++ b/internal/side/window/loop.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/internal/plat/logs"
 )
 
@@ -159,10 +160,10 @@
 // pause waits for work, but never less than the bound on the rate of appends.
 func (w *Window) pause(ctx context.Context, failed bool) {
 	if failed {
-		wait(ctx, retryInterval)
+		pause.For(ctx, retryInterval)
 		return
 	}
-	if !wait(ctx, commitInterval) || w.waiting() {
+	if !pause.For(ctx, commitInterval) || w.waiting() {
 		return
 	}
 	t := time.NewTimer(pollInterval)
@@ -179,14 +180,3 @@
 	defer w.mu.Unlock()
 	return len(w.pending) > 0
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
