Say once how the lead calls an upstream, and drop what nothing reads

Three exchanges of the lead, three ways of the link to leave a member out, two sums of the board over its queue and three of a call's length stood side by side. No change of behaviour.

--- a/internal/cell/board/admit.go
+++ b/internal/cell/board/admit.go
@@ -33,13 +33,7 @@
 			continue
 		}
 		p := b.pools[s.spec.Pool]
-		late := 0
-		for _, other := range p.ready {
-			if other.job.late {
-				late += len(other.pending)
-			}
-		}
-		if late >= p.present()*p.spec.Size {
+		if _, late := p.queued(); late >= p.present()*p.spec.Size {
 			return true
 		}
 	}
@@ -49,12 +43,7 @@
 // wait is the expected time until a new step of a pool begins: half a call when all upstreams are busy, and what is queued.
 func (b *Board) wait(name string) time.Duration {
 	p := b.pools[name]
-	pieces, busy, present := 0, 0, 0
-	for _, s := range p.ready {
-		if !s.job.late {
-			pieces += len(s.pending)
-		}
-	}
+	busy, present := 0, 0
 	for _, w := range p.workers {
 		if !w.present {
 			continue
@@ -67,9 +56,26 @@
 	if present == 0 || busy < present {
 		return 0
 	}
-	full := p.spec.Call + time.Duration(p.spec.Size)*p.spec.Piece
-	calls := float64(pieces) / float64(p.spec.Size)
-	return time.Duration((0.5 + calls) * float64(full) / float64(present))
+	inTime, _ := p.queued()
+	return p.timeFor(inTime, 0.5)
+}
+
+// queued is the number of pieces that no call holds, of jobs that are in time and of late ones.
+func (p *pool) queued() (inTime, late int) {
+	for _, s := range p.ready {
+		if s.job.late {
+			late += len(s.pending)
+		} else {
+			inTime += len(s.pending)
+		}
+	}
+	return inTime, late
+}
+
+// timeFor is how long the upstreams need together for pieces in full calls, and some calls more.
+func (p *pool) timeFor(pieces int, more float64) time.Duration {
+	calls := float64(pieces)/float64(p.spec.Size) + more
+	return time.Duration(calls * float64(p.callTime(p.spec.Size)) / float64(max(1, p.present())))
 }
 
 // present is the number of upstreams that are listed and ready.
@@ -88,19 +94,9 @@
 	var longest time.Duration
 	for _, s := range j.steps {
 		if p := b.pools[s.spec.Pool]; s.spec.Pieces > 0 && p != nil {
-			longest = max(longest, p.backlog())
+			inTime, late := p.queued()
+			longest = max(longest, p.timeFor(inTime+late, 1))
 		}
 	}
 	return max(minRetryAfter, retryFactor*longest)
 }
-
-// backlog is how long the upstreams need for all steps that are ready.
-func (p *pool) backlog() time.Duration {
-	pieces := 0
-	for _, s := range p.ready {
-		pieces += len(s.pending)
-	}
-	calls := float64(pieces)/float64(p.spec.Size) + 1
-	full := p.spec.Call + time.Duration(p.spec.Size)*p.spec.Piece
-	return time.Duration(calls * float64(full) / float64(max(1, p.present())))
-}
--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -79,7 +79,12 @@
 	if p == nil {
 		return 0
 	}
-	return p.spec.Call + time.Duration(min(s.spec.Pieces, p.spec.Size))*p.spec.Piece + overheadPerCall
+	return p.callTime(min(s.spec.Pieces, p.spec.Size)) + overheadPerCall
+}
+
+// callTime is the work of a call for a number of pieces.
+func (p *pool) callTime(pieces int) time.Duration {
+	return p.spec.Call + time.Duration(pieces)*p.spec.Piece
 }
 
 // free lists the upstreams that can take a call, the best first.
@@ -150,7 +155,7 @@
 	}
 	b.nextID++
 	r.id = b.nextID
-	r.expected = p.spec.Call + time.Duration(len(items))*p.spec.Piece + overheadPerCall
+	r.expected = p.callTime(len(items)) + overheadPerCall
 	smooth(&p.call, r.expected)
 	w.running = r
 	w.used += r.bytes
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -310,28 +310,40 @@
 
 // probe asks an upstream for the memory that it has left.
 func (l *Lead) probe(u hosts.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
-	defer cancel()
-	answer, failure := l.o.Client.Do(ctx, u.Address, xchg.Request{
-		Method: http.MethodGet, URI: l.o.Codec.ReportPath, Host: u.Address, Header: http.Header{},
+	free, err := l.askFree(u)
+	if err != nil {
+		l.o.Log.Info("report failed", zap.String("upstream", u.ID), zap.Error(err))
+		return
+	}
+	l.o.Log.Info("report", zap.String("upstream", u.ID), zap.Int64("freeBytes", free))
+	l.inbox <- func(time.Time) { l.board.SetFree(u.ID, free) }
+}
+
+func (l *Lead) askFree(u hosts.Upstream) (int64, error) {
+	_, data, failure := l.exchange(u, releaseLimit, xchg.Request{
+		Method: http.MethodGet, URI: l.o.Codec.ReportPath, Header: http.Header{},
 	})
 	if failure != nil {
-		l.o.Log.Info("report failed", zap.String("upstream", u.ID), zap.Error(failure))
-		return
+		return 0, failure
+	}
+	return l.o.Codec.DecodeFree(data)
+}
+
+// exchange sends a request to a stage upstream and returns the status and the whole body of the answer.
+func (l *Lead) exchange(u hosts.Upstream, limit time.Duration, r xchg.Request) (int, []byte, *fault.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	r.Host = u.Address
+	answer, failure := l.o.Client.Do(ctx, u.Address, r)
+	if failure != nil {
+		return 0, nil, failure
 	}
 	defer answer.Close()
 	data, err := io.ReadAll(io.LimitReader(answer, maxAnswerSize))
 	if err != nil {
-		l.o.Log.Info("report failed", zap.String("upstream", u.ID), zap.Error(err))
-		return
-	}
-	free, err := l.o.Codec.DecodeFree(data)
-	if err != nil {
-		l.o.Log.Info("report failed", zap.String("upstream", u.ID), zap.Error(err))
-		return
+		return 0, nil, fault.New(fault.MayHaveRun, fault.Incomplete, "the answer of %s is cut off", u.ID).WithCause(err)
 	}
-	l.o.Log.Info("report", zap.String("upstream", u.ID), zap.Int64("freeBytes", free))
-	l.inbox <- func(time.Time) { l.board.SetFree(u.ID, free) }
+	return answer.Status, data, nil
 }
 
 // runBatch carries one call to a stage upstream.
@@ -376,24 +388,16 @@
 	if err != nil {
 		return nil, fault.New(fault.NotRun, fault.Internal, "a batch can't be encoded").WithCause(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	answer, failure := l.o.Client.Do(ctx, b.Upstream.Address, xchg.Request{
-		Method: http.MethodPost, URI: l.o.Codec.RunPath, Host: b.Upstream.Address, Body: body,
-		Header: l.o.Codec.HeaderFor(b.Upstream.ID, longest(b.Items)),
+	status, data, failure := l.exchange(b.Upstream, callLimit, xchg.Request{
+		Method: http.MethodPost, URI: l.o.Codec.RunPath, Body: body, Header: l.o.Codec.HeaderFor(b.Upstream.ID, longest(b.Items)),
 	})
-	if failure != nil {
-		return nil, failure
-	}
-	defer answer.Close()
-	data, err := io.ReadAll(io.LimitReader(answer, maxAnswerSize))
 	switch {
-	case err != nil:
-		return nil, fault.New(fault.MayHaveRun, fault.Incomplete, "results from %s are cut off", b.Upstream.ID).WithCause(err)
-	case answer.Status == http.StatusServiceUnavailable:
+	case failure != nil:
+		return nil, failure
+	case status == http.StatusServiceUnavailable:
 		return nil, fault.New(fault.NotRun, fault.Overloaded, "%s takes no call", b.Upstream.ID)
-	case answer.Status != http.StatusOK:
-		return nil, fault.New(fault.MayHaveRun, fault.Upstream, "%s answered with status %d", b.Upstream.ID, answer.Status)
+	case status != http.StatusOK:
+		return nil, fault.New(fault.MayHaveRun, fault.Upstream, "%s answered with status %d", b.Upstream.ID, status)
 	}
 	results, err := l.o.Codec.DecodeBatch(data, len(b.Items))
 	if err != nil {
@@ -428,18 +432,10 @@
 		l.o.Log.Warn("a release can't be encoded", zap.Error(err))
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
-	defer cancel()
-	answer, failure := l.o.Client.Do(ctx, r.Upstream.Address, xchg.Request{
-		Method: http.MethodPost, URI: l.o.Codec.FreePath, Host: r.Upstream.Address, Body: body,
-		Header: l.o.Codec.HeaderFor(r.Upstream.ID, 0),
+	_, _, failure := l.exchange(r.Upstream, releaseLimit, xchg.Request{
+		Method: http.MethodPost, URI: l.o.Codec.FreePath, Body: body, Header: l.o.Codec.HeaderFor(r.Upstream.ID, 0),
 	})
 	if failure != nil {
 		l.o.Log.Info("release failed", zap.String("upstream", r.Upstream.ID), zap.Error(failure))
-		return
-	}
-	defer answer.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxAnswerSize)); err != nil {
-		l.o.Log.Info("release failed", zap.String("upstream", r.Upstream.ID), zap.Error(err))
 	}
 }
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
@@ -83,18 +84,14 @@
 	l.mu.Unlock()
 	if current != nil {
 		if reason := current.gone(now); reason != "" {
-			l.mu.Lock()
-			l.suspect[current.member.Host] = now.Add(suspectFor)
-			l.mu.Unlock()
+			l.leaveOut(current.member, suspectFor)
 			l.o.Log.Info("leader lost", zap.String("member", current.member.Host), zap.String("reason", reason),
 				zap.Duration("silent", now.Sub(current.heard())))
 		} else {
 			current.ping()
 		}
 		if current.leaving.Load() || current.follows.Load() >= followsLimit {
-			l.mu.Lock()
-			l.suspect[current.member.Host] = now.Add(leavingFor)
-			l.mu.Unlock()
+			l.leaveOut(current.member, leavingFor)
 		}
 	}
 	wanted := l.wanted(now)
@@ -107,6 +104,13 @@
 	l.change(ctx, wanted)
 }
 
+// leaveOut keeps a member from being asked for a while.
+func (l *Link) leaveOut(m crew.Member, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.suspect[m.Host] = l.o.Now().Add(d)
+}
+
 // wanted is the first member that is not suspect.
 func (l *Link) wanted(now time.Time) crew.Member {
 	l.mu.Lock()
@@ -130,9 +134,7 @@
 		next, err = dial(ctx, m, l.o, l.decided)
 		if err != nil {
 			l.o.Log.Info("member can't be reached", zap.String("member", m.Host), zap.Error(err))
-			l.mu.Lock()
-			l.suspect[m.Host] = l.o.Now().Add(suspectFor)
-			l.mu.Unlock()
+			l.leaveOut(m, suspectFor)
 			if l.currentAlive() {
 				return
 			}
@@ -209,7 +211,7 @@
 	p := l.requests[id]
 	if p == nil {
 		l.mu.Unlock()
-		reply(lead.Decision{Refused: "unknown", RetryAfter: time.Second})
+		reply(lead.Decision{Refused: board.Failing, RetryAfter: time.Second})
 		return
 	}
 	p.reply = reply
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -64,7 +64,6 @@
 	told   int64           // version of the list of upstreams that was sent
 	ruled  int64           // version of the configuration that was sent
 	open   map[string]bool // requests that have not ended
-	closed bool
 }
 
 // Work serves one entry until its connection ends; its requests end with it.
@@ -160,7 +159,6 @@
 // end drops the requests of an entry whose connection is gone.
 func (ses *session) end() {
 	ses.mu.Lock()
-	ses.closed = true
 	open := ses.open
 	ses.open = nil
 	ses.mu.Unlock()
--- a/internal/edge/call/request.go
+++ b/internal/edge/call/request.go
@@ -36,9 +36,7 @@
 // Answer is what the head of an upstream's answer says.
 type Answer struct {
 	RequestID string // echo of the request's ID
-	Signed    bool   // carries the upstream's signature
 	NotRun    bool   // the upstream states that it did not run the request
-	Instance  string // the lifetime that answered, if it says
 	IdleLimit time.Duration
 }
 
