--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/edge/cursor"
 	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
@@ -41,8 +42,7 @@
 
 // Store is where members are recorded.
 type Store interface {
-	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error)
-	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
+	cursor.Store
 	Put(ctx context.Context, topic platform.Topic, r platform.Record) error
 }
 
@@ -84,12 +84,11 @@
 // Run renews this entry's record and follows those of the others until ctx ends.
 func (c *Crew) Run(ctx context.Context) {
 	go c.renew(ctx)
-	next, synced := int64(0), false
+	at := cursor.New(c.o.Store, topic, readWait, callTimeout)
 	for ctx.Err() == nil {
-		records, end, err := c.read(ctx, next, synced)
+		records, whole, err := at.Read(ctx)
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
-			synced = false
 			pause.For(ctx, retryPause)
 			continue
 		case err != nil:
@@ -98,21 +97,11 @@
 			c.publish()
 			continue
 		}
-		c.apply(records, !synced)
-		next, synced = end, true
+		c.apply(records, whole)
 		pause.For(ctx, c.pause())
 	}
 }
 
-func (c *Crew) read(ctx context.Context, next int64, synced bool) ([]platform.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait+callTimeout)
-	defer cancel()
-	if !synced {
-		return c.o.Store.Newest(ctx, topic)
-	}
-	return c.o.Store.Read(ctx, topic, next, readWait)
-}
-
 // pause is the time until the next read; short while entries come and go, so that all soon agree on the leader.
 func (c *Crew) pause() time.Duration {
 	if c.o.Now().Sub(c.changed) < settleFor {
--- /dev/null
+++ b/internal/edge/cursor/cursor.go
@@ -0,0 +1,56 @@
+package cursor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+// Store is what a Cursor reads.
+type Store interface {
+	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error)
+	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
+}
+
+// Cursor is a place in a topic; it is owned by one goroutine.
+type Cursor struct {
+	store  Store
+	topic  platform.Topic
+	wait   time.Duration
+	limit  time.Duration
+	next   int64
+	synced bool
+}
+
+// New returns a cursor that begins with a snapshot. A read waits up to wait for a new record, and fails after limit more.
+func New(store Store, topic platform.Topic, wait, limit time.Duration) *Cursor {
+	return &Cursor{store: store, topic: topic, wait: wait, limit: limit}
+}
+
+// Synced says whether the next read continues the one before; otherwise it takes a snapshot.
+func (c *Cursor) Synced() bool { return c.synced }
+
+// Offset is where the next read continues.
+func (c *Cursor) Offset() int64 { return c.next }
+
+// Read returns the records since the last read, or a whole snapshot. After platform.ErrTrimmed the next read is a snapshot.
+func (c *Cursor) Read(ctx context.Context) (records []platform.Record, whole bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.wait+c.limit)
+	defer cancel()
+	whole = !c.synced
+	var next int64
+	if whole {
+		records, next, err = c.store.Newest(ctx, c.topic)
+	} else {
+		records, next, err = c.store.Read(ctx, c.topic, c.next, c.wait)
+	}
+	switch {
+	case errors.Is(err, platform.ErrTrimmed):
+		c.synced = false
+	case err == nil:
+		c.next, c.synced = next, true
+	}
+	return records, whole, err
+}
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/edge/cursor"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
@@ -31,15 +32,9 @@
 	hostsTopic  = platform.TopicUpstreams
 )
 
-// Store is what a Watch reads.
-type Store interface {
-	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error)
-	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
-}
-
 // Options are the dependencies of a Watch.
 type Options struct {
-	Store       Store
+	Store       cursor.Store
 	DrainWithin func() time.Duration // an upstream's leaving must be known this long after the store knows it
 	Stats       *stats.Stats
 	Now         func() time.Time
@@ -177,17 +172,16 @@
 
 // follow reads a topic from a snapshot on; a snapshot again when records were trimmed.
 func (w *Watch) follow(ctx context.Context, f *follower) {
-	next, synced, lost := int64(0), false, false
+	at, lost := cursor.New(w.o.Store, f.topic, f.wait, callTimeout), false
 	heard := w.o.Now()
 	for ctx.Err() == nil {
-		if synced && f.fresh() {
+		if at.Synced() && f.fresh() {
 			pause.For(ctx, freshPoll)
 			continue
 		}
-		records, end, err := w.read(ctx, f, next, synced)
+		records, whole, err := at.Read(ctx)
 		if errors.Is(err, platform.ErrTrimmed) {
-			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)), zap.Int64("from", next))
-			synced = false
+			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)), zap.Int64("from", at.Offset()))
 			pause.For(ctx, freshPoll)
 			continue
 		}
@@ -216,18 +210,8 @@
 			}
 		}
 		heard = now
-		f.apply(records, !synced)
-		next, synced = end, true
-	}
-}
-
-func (w *Watch) read(ctx context.Context, f *follower, next int64, synced bool) ([]platform.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+callTimeout)
-	defer cancel()
-	if !synced {
-		return w.o.Store.Newest(ctx, f.topic)
+		f.apply(records, whole)
 	}
-	return w.o.Store.Read(ctx, f.topic, next, f.wait)
 }
 
 // applyRules takes over a configuration that is newer than the one in force.
