--- a/cmd/ragworthatch/check.go
+++ b/cmd/ragworthatch/check.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -13,6 +15,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/stage"
 	"github.com/ragworthatch/ragworthatch/internal/model/team"
 	"github.com/ragworthatch/ragworthatch/internal/oper/decl"
+	"github.com/ragworthatch/ragworthatch/platform"
 )
 
 func checkCommand(s *streams) *command {
@@ -21,10 +24,13 @@
 		name:     "check",
 		group:    groupOperate,
 		synopsis: "check declarations, and compare them with what is in force",
-		usage: `check FILE... [--against --entry ADDRESS]
+		usage: `check FILE... [--against --entry ADDRESS | --platform]
 
 Checks the declarations of all files together, as publish would. Without --against
-nothing is asked of an entry, and the files must be complete in themselves.`,
+nothing is asked of an entry, and the files must be complete in themselves.
+
+With --platform, each file is one that edge reads on the operators' platform: a
+configuration if its name ends in .json, settings otherwise.`,
 		flags: o.defineAll,
 		run: func(ctx context.Context, args []string) error {
 			ctx, cancel := withTimeout(ctx)
@@ -45,6 +51,12 @@
 	if len(files) == 0 {
 		return usagef("wants at least one file")
 	}
+	if o.platform {
+		if o.against || o.prune {
+			return usagef("--platform goes with neither --against nor --prune")
+		}
+		return s.report(o.json, newCheckReport(platformProblems(files)))
+	}
 	declared, err := declarations(files)
 	if err != nil {
 		return err
@@ -53,7 +65,12 @@
 	if err != nil {
 		return err
 	}
-	if err := s.print(o.json, r, r.text()); err != nil {
+	return s.report(o.json, r)
+}
+
+// report prints a report and fails if it holds problems.
+func (s *streams) report(json bool, r checkReport) error {
+	if err := s.print(json, r, r.text()); err != nil {
 		return err
 	}
 	if !r.Valid {
@@ -62,6 +79,27 @@
 	return nil
 }
 
+// platformProblems lists what is wrong with the platform's files.
+func platformProblems(files []string) []error {
+	var problems []error
+	for _, file := range files {
+		if filepath.Ext(file) != ".json" {
+			if _, err := platform.LoadSettings(file); err != nil {
+				problems = append(problems, err)
+			}
+			continue
+		}
+		data, err := os.ReadFile(file)
+		if err == nil {
+			_, err = platform.DecodeRules(data)
+		}
+		if err != nil {
+			problems = append(problems, fmt.Errorf("%s: %w", file, err))
+		}
+	}
+	return problems
+}
+
 func (o *checkOptions) report(ctx context.Context, declared *decl.Declared) (checkReport, error) {
 	if !o.against {
 		return newCheckReport(declared.Check()), nil
--- a/cmd/ragworthatch/options.go
+++ b/cmd/ragworthatch/options.go
@@ -122,13 +122,15 @@
 // checkOptions are the options of check.
 type checkOptions struct {
 	operatorOptions
-	against bool
-	prune   bool
+	against  bool
+	prune    bool
+	platform bool
 }
 
 func (o *checkOptions) defineAll(f *flag.FlagSet) {
 	o.operatorOptions.define(f)
 	f.BoolVar(&o.prune, "prune", false, "with --against, count objects that no file declares as removed")
+	f.BoolVar(&o.platform, "platform", false, "check the files that the operators' platform hands to edge: settings, and configurations as JSON")
 	f.BoolVar(&o.against, "against", false, "compare with what is in force at --entry, and check the two together")
 }
 
