Tell requests apart that share an ID

Found by reading: the desk, its connections and the board kept requests by the caller's ID. Callers that sent one ID twice, or none, took each other's decisions: the first one waited until its deadline and got 503.

Change: each request gets a key of its own; the caller's ID goes only to upstreams and logs. Test: TestRequestsMayShareAnID, 503 before, 200 now.

Also found by reading, each with its test or its line: - HEAD and 304 answers were given Content-Length: 0 (TestAnswersWithoutABodyKeepTheirLength). - An answer that broke off midway left no line and was not counted; ejections of plain upstreams and a spent retry budget neither. Now logged, counted, and the metrics are listed in docs/OPERATIONS.md; a test compares the list with what is served. New: open orders and queued pieces at a leader.

--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -234,6 +234,16 @@
 // Jobs is the number of jobs that hold or wait for anything.
 func (b *Board) Jobs() int { return len(b.jobs) }
 
+// Queued is the number of pieces that no call holds yet.
+func (b *Board) Queued() int {
+	n := 0
+	for _, p := range b.pools {
+		inTime, late := p.queued()
+		n += inTime + late
+	}
+	return n
+}
+
 // Release gives up all results of a job whose request has read them.
 func (b *Board) Release(id string) { b.Cancel(id) }
 
--- a/internal/cell/board/board_test.go
+++ b/internal/cell/board/board_test.go
@@ -33,7 +33,7 @@
 // chain is a job with one piece in pool a, whose result of the given size one piece of pool b reads.
 func chain(id string, bytes int64) board.Job {
 	return board.Job{
-		ID: id, Arrived: start, Target: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second), PieceKey: "key",
+		ID: id, Request: id, Arrived: start, Target: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second), PieceKey: "key",
 		Stages: []board.Stage{
 			{Pool: "a", Pieces: 1, ResultBytes: bytes},
 			{Pool: "b", After: []int{0}, Pieces: 1, ResultBytes: 1000},
--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -16,7 +16,8 @@
 
 // Job is a request that needs stages before it can run.
 type Job struct {
-	ID        string
+	ID        string // unique among all jobs
+	Request   string // the caller's ID of the request, as stage upstreams get it; other requests may have the same
 	Stages    []Stage
 	PieceKey  string
 	Rank      int // priority; 0 is the most urgent
@@ -202,7 +203,7 @@
 
 // item is one piece as a call carries it.
 func (s *step) item(piece int, now time.Time) call.Item {
-	it := call.Item{RequestID: s.job.ID, Stage: s.index, Piece: piece, Remaining: s.job.Deadline.Sub(now)}
+	it := call.Item{RequestID: s.job.Request, Stage: s.index, Piece: piece, Remaining: s.job.Deadline.Sub(now)}
 	if len(s.spec.After) == 0 {
 		it.Key = s.job.PieceKey
 	} else {
--- a/internal/cell/board/load_test.go
+++ b/internal/cell/board/load_test.go
@@ -128,7 +128,7 @@
 
 func (k loadKind) job(id string, now time.Time) board.Job {
 	j := board.Job{
-		ID: id, Rank: k.Rank, Arrived: now, Target: now.Add(millis(k.TargetMs)), Deadline: now.Add(millis(k.DeadlineMs)),
+		ID: id, Request: id, Rank: k.Rank, Arrived: now, Target: now.Add(millis(k.TargetMs)), Deadline: now.Add(millis(k.DeadlineMs)),
 		FinalStep: finalStep,
 	}
 	for _, s := range k.Stages {
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,6 +73,8 @@
 	waiting map[string]*waiter
 	rules   *rule.Rules
 	hosts   *hosts.Table
+	open    atomic.Int64
+	queued  atomic.Int64
 
 	releases sync.WaitGroup
 }
@@ -85,6 +88,9 @@
 	}
 }
 
+// Load is the number of requests that are decided on here, and of their pieces that wait for a call.
+func (l *Lead) Load() (open, queued int64) { return l.open.Load(), l.queued.Load() }
+
 // Finish waits until no order is open or ctx ends, then gives up what is still held.
 func (l *Lead) Finish(ctx context.Context) {
 	open := 1
@@ -124,7 +130,7 @@
 func (l *Lead) Run(ctx context.Context) {
 	timer := time.NewTimer(sweepEvery)
 	defer timer.Stop()
-	swept := l.o.Now()
+	swept, counted := l.o.Now(), l.o.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -137,6 +143,11 @@
 		now := l.o.Now()
 		l.refresh()
 		l.carryOut(l.board.Step(now), now)
+		if now.Sub(counted) >= tick {
+			l.open.Store(int64(l.board.Jobs()))
+			l.queued.Store(int64(l.board.Queued()))
+			counted = now
+		}
 		if now.Sub(swept) > sweepEvery {
 			l.placer.Sweep(now)
 			swept = now
@@ -246,6 +257,9 @@
 
 func (l *Lead) fail(engine string, now time.Time) {
 	if until := l.placer.Failed(engine, now); until > 0 {
+		if u, known := l.o.Hosts().Get(engine); known {
+			l.o.Stats.Ejected(u.Pool)
+		}
 		l.o.Log.Info("engine ejected", zap.String("upstream", engine), zap.Duration("for", until))
 	}
 }
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -189,7 +189,7 @@
 	arrived := now.Add(-time.Duration(s.AgeUs) * time.Microsecond)
 	o := lead.Order{
 		Job: board.Job{
-			ID: s.Id, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
+			ID: s.Id, Request: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
 			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
 			Deadline: arrived.Add(time.Duration(s.DeadlineUs) * time.Microsecond),
 		},
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -1,13 +1,16 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,10 +67,16 @@
 }
 
 // Front is the handler of callers' requests.
-type Front struct{ o Options }
+type Front struct {
+	o        Options
+	lifetime string // of this process
+	count    atomic.Uint64
+}
 
 // New returns a front.
-func New(o Options) *Front { return &Front{o: o} }
+func New(o Options) *Front {
+	return &Front{o: o, lifetime: strconv.FormatUint(rand.Uint64(), 36)}
+}
 
 // exchange is one request on its way.
 type exchange struct {
@@ -76,6 +85,8 @@
 	caller   context.Context // ends when the caller is gone
 	out      *relay.Writer
 	head     call.Request
+	key      string // unique, which callers' IDs need not be
+	label    string // of the request in logs: the caller's ID, or the key if there is none
 	body     []byte
 	rules    *rule.Rules
 	route    rule.Route
@@ -94,7 +105,11 @@
 	if f.o.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{Front: f, in: r, caller: r.Context(), out: relay.New(w), arrived: f.o.Now(), rules: f.o.Rules(), head: f.o.Codec.ReadRequest(r.Header)}
+	x := &exchange{
+		Front: f, in: r, caller: r.Context(), out: relay.New(w), arrived: f.o.Now(), rules: f.o.Rules(),
+		head: f.o.Codec.ReadRequest(r.Header), key: f.lifetime + "-" + strconv.FormatUint(f.count.Add(1), 36),
+	}
+	x.label = cmp.Or(x.head.ID, x.key)
 	failure := x.prepare(w)
 	if failure == nil {
 		failure = x.run()
@@ -215,7 +230,7 @@
 
 func (x *exchange) logSend(u hosts.Upstream, answer *xchg.Answer, failure *fault.Error) {
 	fields := []zap.Field{
-		zap.String("request", x.head.ID), zap.String("route", x.route.Name), zap.String("upstream", u.ID), zap.Int("send", x.sends),
+		zap.String("request", x.label), zap.String("route", x.route.Name), zap.String("upstream", u.ID), zap.Int("send", x.sends),
 		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
 		zap.Duration("listAge", x.o.Now().Sub(x.o.Hosts().Read())),
 	}
@@ -237,7 +252,7 @@
 	if x.caller.Err() != nil {
 		failure = fault.New(failure.Verdict, fault.Canceled, "the caller left").WithCause(failure)
 	}
-	x.o.Log.Info("failed", zap.String("request", x.head.ID), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
+	x.o.Log.Info("failed", zap.String("request", x.label), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
 		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
 		zap.String("code", string(failure.Code)), zap.String("verdict", string(failure.Verdict)),
 		zap.Duration("retryAfter", failure.RetryAfter), zap.Error(failure))
@@ -253,6 +268,15 @@
 	http.Error(w, failure.Message, status)
 }
 
+// breakOff ends an answer that has begun and can't be completed.
+func (x *exchange) breakOff(code fault.Code, cause error) {
+	x.o.Log.Info("failed", zap.String("request", x.label), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
+		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
+		zap.String("code", string(code)), zap.String("verdict", string(fault.MayHaveRun)), zap.Error(cause))
+	x.o.Stats.Finished(x.route.Name, string(code), x.o.Now().Sub(x.arrived))
+	x.out.Break()
+}
+
 // statusOf is the status that keeps the promise of the verdict.
 func statusOf(failure *fault.Error) int {
 	switch failure.Code {
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -25,7 +25,7 @@
 	defer cancel()
 	x.in = x.in.WithContext(ctx)
 	engine, failed := "", false
-	defer func() { x.o.Desk.Ended(x.head.ID, engine, failed) }()
+	defer func() { x.o.Desk.Ended(x.key, engine, failed) }()
 	decision, failure := x.wait(func(reply func(lead.Decision)) { x.o.Desk.Submit(x.order(), reply) })
 	events := &relay.Events{}
 	for placements := 1; ; placements++ {
@@ -42,7 +42,7 @@
 		if !x.againPlaced(failure, events) || placements >= maxPlacements {
 			return x.giveUp(nil, failure)
 		}
-		decision, failure = x.wait(func(reply func(lead.Decision)) { x.o.Desk.Again(x.head.ID, engine, why, reply) })
+		decision, failure = x.wait(func(reply func(lead.Decision)) { x.o.Desk.Again(x.key, engine, why, reply) })
 		failed = false
 	}
 }
@@ -61,13 +61,13 @@
 	if !x.route.Resumable || (x.out.Begun() && events.LastID() == "") {
 		return false
 	}
-	return x.sends < x.route.Attempts && x.o.Budget.Repeat(x.pool)
+	return x.sends < x.route.Attempts && x.repeat()
 }
 
 // order describes the request to the desk.
 func (x *exchange) order() lead.Order {
 	job := board.Job{
-		ID: x.head.ID, PieceKey: x.head.PieceKey, Rank: x.rank,
+		ID: x.key, Request: x.label, PieceKey: x.head.PieceKey, Rank: x.rank,
 		Arrived: x.arrived, Target: x.arrived.Add(x.route.Target), Deadline: x.deadline,
 	}
 	for i, s := range x.route.Stages {
@@ -82,7 +82,7 @@
 		output = x.head.OutputLimit / 2
 	}
 	return lead.Order{Job: job, Engine: place.Order{
-		ID: x.head.ID, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
+		ID: x.key, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
 		PromptTokens: x.head.PromptTokens, OutputTokens: min(output, max(x.head.OutputLimit, 1)),
 	}}
 }
@@ -95,7 +95,7 @@
 	case <-x.in.Context().Done():
 		return lead.Decision{}, fault.New(fault.NotRun, fault.Deadline, "no engine in time").WithCause(x.in.Context().Err())
 	case d := <-answer:
-		x.o.Log.Info("decided", zap.String("request", x.head.ID), zap.String("route", x.route.Name), zap.String("upstream", d.Upstream),
+		x.o.Log.Info("decided", zap.String("request", x.label), zap.String("route", x.route.Name), zap.String("upstream", d.Upstream),
 			zap.Int("inputs", len(d.Inputs)), zap.Bool("late", d.Late), zap.String("refused", string(d.Refused)),
 			zap.Duration("retryAfter", d.RetryAfter), zap.Duration("age", x.o.Now().Sub(x.arrived)))
 		if d.Refused != "" {
@@ -135,7 +135,9 @@
 	if err != nil || !whole || x.out.Begun() {
 		return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
 	}
-	return "", x.deliver(&complete{status: answer.Status, header: x.o.Codec.BackHeader(answer.Header), body: body})
+	return "", x.deliver(&complete{
+		status: answer.Status, header: x.o.Codec.BackHeader(answer.Header), body: body, length: x.lengthOf(answer, body),
+	})
 }
 
 // passEvents passes on the events of an answer as they come.
@@ -148,12 +150,12 @@
 		if whole := events.Add(buffer[:n]); len(whole) > 0 {
 			if first {
 				first = false
-				x.o.Desk.FirstByte(x.head.ID, x.route.Resumable)
+				x.o.Desk.FirstByte(x.key, x.route.Resumable)
 				x.o.Stats.FirstByte(x.o.Now().Sub(x.arrived))
 			}
 			x.out.Head(answer.Status, header, -1)
 			if werr := x.out.Body(whole); werr != nil {
-				x.out.Break()
+				x.breakOff(fault.Canceled, werr)
 			}
 		}
 		switch {
@@ -162,7 +164,7 @@
 			if rest := events.Rest(); len(rest) > 0 {
 				_ = x.out.Body(rest)
 			}
-			x.o.Log.Info("served", zap.String("request", x.head.ID), zap.String("route", x.route.Name),
+			x.o.Log.Info("served", zap.String("request", x.label), zap.String("route", x.route.Name),
 				zap.Int("events", events.Count()), zap.Duration("age", x.o.Now().Sub(x.arrived)))
 			return "", nil
 		case err != nil:
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
@@ -19,6 +21,7 @@
 	status int
 	header http.Header
 	body   []byte
+	length int64 // of the body; -1 when the caller is not told
 }
 
 // runPlain sends a request to a service without stages.
@@ -71,7 +74,18 @@
 		x.stream(answer, header, body)
 		return nil, nil
 	}
-	return &complete{status: answer.Status, header: header, body: body}, nil
+	return &complete{status: answer.Status, header: header, body: body, length: x.lengthOf(answer, body)}, nil
+}
+
+// lengthOf is the length that the caller is told; answers without a body may have one.
+func (x *exchange) lengthOf(answer *xchg.Answer, body []byte) int64 {
+	switch {
+	case x.in.Method == http.MethodHead:
+		return answer.Length
+	case answer.Status == http.StatusNotModified || answer.Status == http.StatusNoContent:
+		return -1
+	}
+	return int64(len(body))
 }
 
 // blame tells the picker how a send failed.
@@ -82,7 +96,11 @@
 	case failure.Code == fault.Overloaded || failure.Code == fault.Conflict || failure.Code == fault.BadRequest:
 		x.o.Picker.Dropped(u.ID)
 	default:
-		x.o.Picker.Failed(u.ID)
+		if ejected := x.o.Picker.Failed(u.ID); ejected > 0 {
+			x.o.Stats.Ejected(u.Pool)
+			x.o.Log.Info("upstream ejected", zap.String("request", x.label), zap.String("upstream", u.ID), zap.String("pool", u.Pool),
+				zap.String("code", string(failure.Code)), zap.Duration("for", ejected))
+		}
 	}
 }
 
@@ -98,7 +116,17 @@
 	if notRun && (failure.Code == fault.NoUpstream || failure.Code == fault.Draining) {
 		return true // nothing was sent
 	}
-	return x.sends < x.route.Attempts && x.o.Budget.Repeat(x.pool)
+	return x.sends < x.route.Attempts && x.repeat()
+}
+
+// repeat takes one repeat from the budget, or reports that it is spent.
+func (x *exchange) repeat() bool {
+	allowed := x.o.Budget.Repeat(x.pool)
+	x.o.Stats.Repeat(x.pool, allowed)
+	if !allowed {
+		x.o.Log.Info("retry budget is spent", zap.String("request", x.label), zap.String("pool", x.pool), zap.Int("sends", x.sends))
+	}
+	return allowed
 }
 
 // giveUp ends a request with the upstream's own failure, if there is one.
@@ -114,9 +142,9 @@
 
 // deliver writes an answer that was read whole.
 func (x *exchange) deliver(c *complete) *fault.Error {
-	x.out.Head(c.status, c.header, int64(len(c.body)))
+	x.out.Head(c.status, c.header, c.length)
 	if err := x.out.Body(c.body); err != nil {
-		x.out.Break()
+		x.breakOff(fault.Canceled, err)
 	}
 	return nil
 }
@@ -125,19 +153,19 @@
 func (x *exchange) stream(answer *xchg.Answer, header http.Header, first []byte) {
 	x.out.Head(answer.Status, header, answer.Length)
 	if err := x.out.Body(first); err != nil {
-		x.out.Break()
+		x.breakOff(fault.Canceled, err)
 	}
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			if werr := x.out.Body(buffer[:n]); werr != nil {
-				x.out.Break()
+				x.breakOff(fault.Canceled, werr)
 			}
 		}
 		if err != nil {
 			if !isEnd(err) {
-				x.out.Break()
+				x.breakOff(fault.Incomplete, err)
 			}
 			return
 		}
--- a/internal/edge/front/sends_test.go
+++ b/internal/edge/front/sends_test.go
@@ -8,9 +8,17 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"go.uber.org/zap"
+
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
+	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
+	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
+	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
+	"github.com/ragworthatch/ragworthatch/platform"
 )
 
 func TestRequestsThatWereNotSentDoNotCount(t *testing.T) {
@@ -27,3 +35,25 @@
 		c.Check(x.sends, qt.Equals, 0, qt.Commentf("an upstream that has left got nothing, and no attempt is won back by it"))
 	}
 }
+
+func TestRequestsWithoutAConnectionDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	m, err := meter.New(meter.Process{Role: "edge"})
+	c.Assert(err, qt.IsNil)
+	closed := hosts.Upstream{ID: "up-1", Address: ports.Next(), State: hosts.Ready}
+	f := New(Options{
+		Codec: Codec{ForwardHeader: platform.ForwardHeader},
+		Rules: func() *rule.Rules { return rule.New(0, nil, nil, nil, rule.Limits{}) },
+		Hosts: func() *hosts.Table { return hosts.New([]hosts.Upstream{closed}, time.Now()) }, Now: time.Now,
+		Client: xchg.New(platform.ReadAnswer, time.Now, func() {}), Log: zap.NewNop(),
+		Stats: stats.New(m, func() stats.State { return stats.State{} }),
+	})
+	x := &exchange{
+		Front: f, in: httptest.NewRequest("GET", "/x", nil), caller: context.Background(), out: relay.New(httptest.NewRecorder()),
+		route: rule.Route{Kind: rule.Safe, Attempts: 2}, deadline: time.Now().Add(time.Minute), rules: f.o.Rules(),
+	}
+	_, failure := x.send(closed, nil, "")
+	c.Assert(failure != nil, qt.IsTrue)
+	c.Check(failure.Verdict, qt.Equals, fault.NotRun)
+	c.Check(x.sends, qt.Equals, 0)
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -131,7 +131,9 @@
 // state is what the metrics show of this entry.
 func (n *Node) state() stats.State {
 	now := time.Now()
+	open, queued := n.lead.Load()
 	return stats.State{
+		OpenOrders: open, QueuedPieces: queued,
 		ConfigVersion: n.watch.Rules().Version(), ConfigAge: now.Sub(n.watch.RulesRead()), ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.crew.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
 	}
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,25 @@
 	}
 }
 
+func TestAnswersWithoutABodyKeepTheirLength(t *testing.T) {
+	u := &cloud.Upstream{ID: "up-1", Act: func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.URL.Path, "/read/old") {
+			w.Header().Set("Etag", `"v1"`)
+			w.WriteHeader(http.StatusNotModified)
+			return true
+		}
+		return false
+	}}
+	w, e := plain(t, u)
+	got := w.do(e, http.MethodHead, "/read/x", "id-1", "")
+	w.c.Check(got.status, qt.Equals, http.StatusOK)
+	w.c.Check(got.header.Get("Content-Length"), qt.Equals, strconv.Itoa(len("answer of up-1 to id-1")))
+	got = w.do(e, http.MethodGet, "/read/old", "id-2", "")
+	w.c.Check(got.status, qt.Equals, http.StatusNotModified)
+	w.c.Check(got.header.Get("Etag"), qt.Equals, `"v1"`)
+	w.c.Check(got.header.Values("Content-Length"), qt.HasLen, 0)
+}
+
 func TestRefusalsOfOurOwn(t *testing.T) {
 	w := newWorld(t)
 	e := w.start("entry-1")
@@ -110,6 +130,7 @@
 		}
 		w.Header().Set("Content-Length", "100")
 		_, _ = w.Write([]byte("only this"))
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}}
 	w, e := plain(t, u)
@@ -221,6 +242,21 @@
 	w.c.Check(a[len(a)-1].Header.Get("Inputs"), qt.Matches, `second-\d/\d+`)
 }
 
+func TestRequestsMayShareAnID(t *testing.T) {
+	w := staged(t, 2, &cloud.Upstream{ID: "engine-1", Event: 2, Work: 100 * time.Millisecond})
+	for _, id := range []string{"same", ""} {
+		answers := make(chan answer, 6)
+		for i := range cap(answers) {
+			go func() { answers <- w.generate(w.entries[i%2], id) }()
+		}
+		for range cap(answers) {
+			got := <-answers
+			w.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("ID %q", id))
+			w.c.Check(strings.Count(got.body, "id: "), qt.Equals, 2)
+		}
+	}
+}
+
 func TestStreamsGoOnAtAnotherEngine(t *testing.T) {
 	broken := func(w http.ResponseWriter, r *http.Request, _ int) bool {
 		if r.Header.Get("Request-Id") != "id-1" || r.Header.Get("Last-Event-Id") != "" {
@@ -241,16 +277,19 @@
 }
 
 func TestStreamsThatMustNotRepeatBreakOff(t *testing.T) {
-	engine := &cloud.Upstream{ID: "engine-1", Event: 4, Act: func(w http.ResponseWriter, r *http.Request, _ int) bool {
+	var arrivals atomic.Int64
+	broken := func(w http.ResponseWriter, r *http.Request, _ int) bool {
 		if r.Header.Get("Request-Id") != "id-1" {
 			return false
 		}
+		arrivals.Add(1)
 		cloud.WriteEvents(w, 1, 2)
 		panic(http.ErrAbortHandler)
-	}}
-	w := staged(t, 1, engine)
+	}
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 4, Act: broken}, &cloud.Upstream{ID: "engine-2", Event: 4, Act: broken})
 	got := w.do(w.entries[0], http.MethodPost, "/once/x", "id-1", "prompt")
 	w.c.Check(got.err, qt.IsNotNil, qt.Commentf("an answer that broke off must not look complete"))
+	w.c.Check(arrivals.Load(), qt.Equals, int64(1))
 }
 
 func TestEntriesShareOneLeaderAndOutliveIt(t *testing.T) {
@@ -297,6 +336,22 @@
 	w.c.Check(<-e.done, qt.IsNil)
 }
 
+func TestRequestsUnderWayOutliveTheDrain(t *testing.T) {
+	u := &cloud.Upstream{ID: "up-1", Act: func(_ http.ResponseWriter, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.URL.Path, "/act/long") {
+			time.Sleep(800 * time.Millisecond)
+		}
+		return false
+	}}
+	w, e := plain(t, u)
+	e.stop()
+	time.Sleep(2500 * time.Millisecond) // new requests are refused 3 s after the signal, the process ends 0.7 s later
+	got := w.do(e, http.MethodPost, "/act/long", "id-1", "x")
+	w.c.Check(got.status, qt.Equals, http.StatusOK)
+	w.c.Check(got.err, qt.IsNil)
+	w.c.Check(<-e.done, qt.IsNil)
+}
+
 func TestCallersThatLeaveStopTheirUpstream(t *testing.T) {
 	stopped := make(chan struct{}, 1)
 	u := &cloud.Upstream{ID: "up-1", Act: func(_ http.ResponseWriter, r *http.Request, _ int) bool {
--- /dev/null
+++ b/internal/edge/stats/pages_test.go
@@ -0,0 +1,49 @@
+package stats_test
+
+import (
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
+	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
+)
+
+// TestOperationsPageListsTheMetrics compares what is served with the table of docs/OPERATIONS.md.
+func TestOperationsPageListsTheMetrics(t *testing.T) {
+	c := qt.New(t)
+	m, err := meter.New(meter.Process{Role: "edge"})
+	c.Assert(err, qt.IsNil)
+	s := stats.New(m, func() stats.State { return stats.State{} })
+	s.Finished("route", "served", time.Second)
+	s.FirstByte(time.Second)
+	s.Sent("pool", false, "answered")
+	s.Refused("reason")
+	s.StageCall("pool", "answered", 1)
+	s.FailedPieces("pool", "reason", 1)
+	s.Repeat("pool", true)
+	s.Ejected("pool")
+	s.StoreCall("topic", true)
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	c.Assert(err, qt.IsNil)
+	served := names(regexp.MustCompile(`(?m)^# TYPE (ragworthatch\S+)`), w.Body.String())
+	listed := names(regexp.MustCompile("(?m)^\\| `(ragworthatch\\S+)`"), string(page))
+	c.Check(listed, qt.DeepEquals, served)
+}
+
+func names(pattern *regexp.Regexp, text string) []string {
+	var out []string
+	for _, m := range pattern.FindAllStringSubmatch(text, -1) {
+		out = append(out, m[1])
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -20,6 +20,8 @@
 	Members       int64
 	Leads         bool
 	InFlight      int64
+	OpenOrders    int64 // that this entry decides on as the leader
+	QueuedPieces  int64 // of them, not yet in a call
 }
 
 // Stats is safe for concurrent use.
@@ -33,6 +35,8 @@
 	fill      meter.Histogram
 	pieces    meter.Counter
 	store     meter.Counter
+	repeats   meter.Counter
+	ejections meter.Counter
 }
 
 // New makes the instruments; state is called when the metrics are read.
@@ -45,13 +49,15 @@
 		func(s State) int64 { return s.ConfigAge.Milliseconds() })
 	gauge("edge.listAge", "ms", "Age of the list of upstreams.", func(s State) int64 { return s.ListAge.Milliseconds() })
 	gauge("edge.members", "{entry}", "Known entries, this one among them.", func(s State) int64 { return s.Members })
-	gauge("edge.leads", "1", "Whether this entry decides for itself and for those that follow it.", func(s State) int64 {
+	gauge("edge.leads", "", "Whether this entry decides for itself and for those that follow it.", func(s State) int64 {
 		if s.Leads {
 			return 1
 		}
 		return 0
 	})
 	gauge("edge.inFlight", "{request}", "Requests on their way.", func(s State) int64 { return s.InFlight })
+	gauge("edge.openOrders", "{request}", "Requests that this entry decides on as the leader.", func(s State) int64 { return s.OpenOrders })
+	gauge("edge.queuedPieces", "{piece}", "Pieces of those requests that wait for a call.", func(s State) int64 { return s.QueuedPieces })
 	return &Stats{
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}", Help: "Finished requests by route and outcome."}),
 		duration: m.Histogram(meter.Spec{Name: "edge.requestDuration", Unit: "ms",
@@ -65,7 +71,11 @@
 		fill: m.Histogram(meter.Spec{Name: "edge.stagePieces", Unit: "{piece}", Help: "Pieces in a call to a stage upstream."},
 			fillBounds...),
 		pieces: m.Counter(meter.Spec{Name: "edge.failedPieces", Unit: "{piece}", Help: "Pieces without a result, by pool and reason."}),
-		store:  m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}", Help: "Calls to the platform's store by topic and result."}),
+		repeats: m.Counter(meter.Spec{Name: "edge.repeats", Unit: "{send}",
+			Help: "Repeated sends that were asked of the retry budget, by pool and result."}),
+		ejections: m.Counter(meter.Spec{Name: "edge.ejections", Unit: "{ejection}",
+			Help: "Upstreams left out for a while because calls failed, by pool."}),
+		store: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}", Help: "Calls to the platform's store by topic and result."}),
 	}
 }
 
@@ -105,6 +115,18 @@
 	s.pieces.Add(int64(n), label("pool", pool), label("reason", reason))
 }
 
+// Repeat counts a repeated send that the retry budget allowed or denied.
+func (s *Stats) Repeat(pool string, allowed bool) {
+	result := "allowed"
+	if !allowed {
+		result = "denied"
+	}
+	s.repeats.Add(1, label("pool", pool), label("result", result))
+}
+
+// Ejected counts an upstream that is left out for a while.
+func (s *Stats) Ejected(pool string) { s.ejections.Add(1, label("pool", pool)) }
+
 // StoreCall counts a call to the platform's store.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -27,7 +27,7 @@
 // beliefs are the messages of changes in what a process believes.
 var beliefs = []string{
 	"leader", "leader lost", "store lost", "store regained", "configuration in force", "upstream listed", "upstream gone",
-	"engine ejected", "reload", "start", "stop", "shutting down", "member left", "member expired",
+	"engine ejected", "upstream ejected", "reload", "start", "stop", "shutting down", "member left", "member expired",
 }
 
 // Story is what is known of one request.
