--- a/internal/edge/xchg/client_test.go
+++ b/internal/edge/xchg/client_test.go
@@ -197,3 +197,43 @@
 	}
 	c.Check(dialed, qt.Equals, 2)
 }
+
+// FuzzAnswers checks that whatever an upstream writes, a request gets an answer with its own ID or an error, and nothing of
+// it reaches the next request.
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte(answer("first", "body")))
+	f.Add([]byte(answer("other", "body") + answer("first", "late")))
+	f.Add([]byte(answer("first", "body") + answer("second", "forged")))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + answer("first", "x")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: first\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: first\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"))
+	f.Add([]byte("HTTP/1.1 204 No Content\r\nId: first\r\nContent-Length: 5\r\n\r\nHTTP/"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: first\r\n\r\nuntil the end"))
+	f.Add([]byte("HTTP/1.0 200\r\nId: first\r\nContent-Length: -1\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := qt.New(t)
+		address, _ := server(c, func(conn net.Conn, id string, _ int) bool {
+			if id == "first" {
+				_, _ = conn.Write(data)
+				return strings.HasPrefix(string(data), "HTTP/1.1") // the connection stays open
+			}
+			_, _ = io.WriteString(conn, answer(id, "right"))
+			return true
+		})
+		client := xchg.New(decode, time.Now, func() {})
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		got, failure := client.Do(ctx, address, xchg.Request{
+			Method: "GET", URI: "/x", Host: "h", ID: "first", Header: http.Header{"Id": {"first"}},
+		})
+		if failure == nil {
+			c.Assert(got.Head.RequestID, qt.Equals, "first")
+			_, _ = io.ReadAll(got)
+			got.Close()
+		}
+		body, err := send(client, address, "GET", "second")
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "right")
+	})
+}
