Keep members through a long outage of the store

Found by reading: records of members expired 95 s after they were last read, also while the store was away and nobody could renew them. After 95 s without the store each entry led itself, and stage upstreams were shared by leaders that did not know of each other.

Change: records age only while the store can be read; an outage is added to their time. An entry that died meanwhile is dropped within two minutes of the store's return.

--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -60,6 +60,7 @@
 	members atomic.Pointer[[]Member]
 	seen    map[string]sighting
 	changed time.Time // when an entry came or left
+	read    time.Time // the last read that worked
 }
 
 // sighting is when a record was read.
@@ -70,7 +71,7 @@
 
 // New returns a crew of this entry alone.
 func New(o Options) *Crew {
-	c := &Crew{o: o, seen: map[string]sighting{}, changed: o.Now()}
+	c := &Crew{o: o, seen: map[string]sighting{}, changed: o.Now(), read: o.Now()}
 	c.publish()
 	return c
 }
@@ -94,14 +95,29 @@
 		case err != nil:
 			c.o.Log.Debug("members can't be read", zap.Error(err))
 			pause.For(ctx, retryPause)
-			c.publish()
 			continue
 		}
+		c.allowForOutage()
 		c.apply(records, whole)
 		pause.For(ctx, c.pause())
 	}
 }
 
+// allowForOutage lets records age only while they can be renewed.
+func (c *Crew) allowForOutage() {
+	now := c.o.Now()
+	away := now.Sub(c.read) - readWait - readPause
+	c.read = now
+	if away <= 0 {
+		return
+	}
+	for host, s := range c.seen {
+		s.at = s.at.Add(away)
+		c.seen[host] = s
+	}
+	c.o.Log.Info("members can be read again", zap.Duration("away", away))
+}
+
 // pause is the time until the next read; short while entries come and go, so that all soon agree on the leader.
 func (c *Crew) pause() time.Duration {
 	if c.o.Now().Sub(c.changed) < settleFor {
--- a/internal/cell/crew/crew_test.go
+++ b/internal/cell/crew/crew_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync"
 	"testing"
@@ -20,12 +21,24 @@
 type memStore struct {
 	mu      sync.Mutex
 	records []platform.Record
+	away    bool
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *memStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
 }
 
 // from returns the records from an offset.
 func (s *memStore) from(offset int64) ([]platform.Record, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		return nil, 0, errAway
+	}
 	return slices.Clone(s.records[offset:]), int64(len(s.records)), nil
 }
 
@@ -45,6 +58,9 @@
 func (s *memStore) Put(_ context.Context, _ platform.Topic, r platform.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		return errAway
+	}
 	s.records = append(s.records, r)
 	return nil
 }
@@ -101,3 +117,37 @@
 		synctest.Wait()
 	})
 }
+
+// A store that is away says nothing about the other entries, neither while it is away nor when it is back.
+func TestMembersOutliveALongOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &memStore{}
+		ctx, cancel := context.WithCancel(t.Context())
+		others, stop := context.WithCancel(ctx)
+		run := func(ctx context.Context, host string, born int64) *crew.Crew {
+			one := crew.New(crew.Options{Self: crew.Member{Host: host, Cores: 0.3, Born: born}, Store: s, Now: time.Now, Log: zap.NewNop()})
+			go one.Run(ctx)
+			return one
+		}
+		a := run(ctx, "a", 1)
+		run(ctx, "b", 2)
+		run(others, "dies", 3)
+		time.Sleep(20 * time.Second)
+		s.setAway(true)
+		for range 30 {
+			time.Sleep(10 * time.Second)
+			c.Assert(names(a), qt.DeepEquals, []string{"a", "b", "dies"})
+		}
+		stop()
+		s.setAway(false)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(names(a)[:2], qt.DeepEquals, []string{"a", "b"})
+		}
+		time.Sleep(2 * time.Minute)
+		c.Check(names(a), qt.DeepEquals, []string{"a", "b"})
+		cancel()
+		synctest.Wait()
+	})
+}
