--- /dev/null
+++ b/internal/fake/child/doc.go
@@ -0,0 +1,2 @@
+// Package child runs the program as a process of its own, for tests.
+package child
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -5,17 +5,16 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/logx"
 
 	_ "github.com/ragworthatch/ragworthatch/internal/entry/boot" // so that a change of the program runs the tests anew
+	"github.com/ragworthatch/ragworthatch/internal/fake/cable"
+	"github.com/ragworthatch/ragworthatch/internal/fake/child"
 	"github.com/ragworthatch/ragworthatch/internal/fake/engine"
 	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
@@ -39,74 +38,28 @@
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-// build makes the program once for all tests.
-var build = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "ragworthatch")
-	if err != nil {
-		return "", err
-	}
-	program := filepath.Join(dir, "ragworthatch")
-	out, err := exec.Command("go", "build", "-o", program, "github.com/ragworthatch/ragworthatch/cmd/ragworthatch").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return program, nil
-})
-
 func TestMain(m *testing.M) {
 	logx.Disable()
 	code := m.Run()
-	if program, err := build(); err == nil {
-		os.RemoveAll(filepath.Dir(program))
-	}
+	child.Clean()
 	os.Exit(code)
 }
 
 // process is one entry or side as a process of its own.
 type process struct {
+	*child.Child
 	t       *testing.T
 	name    string
-	args    []string
 	address string // of its gRPC server
 	http    string // of an entry
 	log     *os.File
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	code    int
 }
 
 func (p *process) start() {
 	p.t.Helper()
-	program, err := build()
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	p.cmd = exec.Command(program, p.args...)
-	p.cmd.Stderr = p.log
-	p.cmd.Stdout = p.log
-	if err := p.cmd.Start(); err != nil {
+	if err := p.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	p.ended = make(chan struct{})
-	go func(cmd *exec.Cmd, ended chan struct{}) {
-		_ = cmd.Wait()
-		p.code = cmd.ProcessState.ExitCode()
-		close(ended)
-	}(p.cmd, p.ended)
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.ended
-}
-
-// stop asks for a graceful shutdown and returns the exit code.
-func (p *process) stop() int {
-	p.signal(syscall.SIGTERM)
-	<-p.ended
-	return p.code
 }
 
 // fleet is a deployment of processes beside stand-ins.
@@ -123,12 +76,12 @@
 	sides   map[string]*process
 	entries []*process
 	servers map[string]*httpd.Server // of the upstreams
-	relays  map[string]*relay        // before the sides
+	cables  map[string]*cable.Cable  // before the sides
 }
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), log: memlog.New(), list: roster.New(hostListLag), units: map[string]*unit.Unit{},
-		sides: map[string]*process{}, servers: map[string]*httpd.Server{}, relays: map[string]*relay{}}
+		sides: map[string]*process{}, servers: map[string]*httpd.Server{}, cables: map[string]*cable.Cable{}}
 	f.logHTTP = f.serve(httpd.Log(f.log))
 	f.hosts = f.serve(httpd.Hosts(f.list))
 	f.weights = f.serve(httpd.Weights(store.New(map[string]int64{"atlas": 1 << 30, "boreas": 1 << 30}, 1<<30)))
@@ -173,8 +126,13 @@
 	f.servers[name] = server
 	p := f.process("side", name, zone, fmt.Sprintf("pool: %s\nupstream: %s\n", pool, server.Address()))
 	f.sides[name] = p
-	f.relays[name] = newRelay(f.t, p.address)
-	f.list.Put(host.Host{Name: name, Address: f.relays[name].address(), Zone: zone, Region: "north", Pool: pool, State: host.Live})
+	before, err := cable.New(p.address, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(before.Close)
+	f.cables[name] = before
+	f.list.Put(host.Host{Name: name, Address: before.Address(), Zone: zone, Region: "north", Pool: pool, State: host.Live})
 	p.start()
 }
 
@@ -200,7 +158,7 @@
 		f.t.Fatal(err)
 	}
 	p.log = log
-	p.args = []string{role, "--settings", file}
+	p.Child = child.New(log, nil, role, "--settings", file)
 	return p
 }
 
@@ -223,9 +181,7 @@
 // close ends every process and keeps the logs of a failed test.
 func (f *fleet) close() {
 	for _, p := range f.processes() {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
-		<-p.ended
+		p.Kill()
 		p.log.Close()
 	}
 	if f.t.Failed() {
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -35,7 +35,7 @@
 		time.Sleep(settle)
 	}
 	for _, p := range f.entries {
-		c.Check(p.stop(), qt.Equals, 0, qt.Commentf("exit code of %s", p.name))
+		c.Check(p.Stop(), qt.Equals, 0, qt.Commentf("exit code of %s", p.name))
 		p.start()
 		time.Sleep(settle)
 	}
@@ -54,7 +54,7 @@
 			continue
 		}
 		wg.Go(func() {
-			c.Check(p.stop(), qt.Equals, 0, qt.Commentf("exit code of %s", name))
+			c.Check(p.Stop(), qt.Equals, 0, qt.Commentf("exit code of %s", name))
 			p.start()
 		})
 	}
@@ -73,17 +73,17 @@
 		begin func()
 		end   func()
 	}{
-		{"a side beside an engine is killed", f.sides["engine-0"].kill, f.sides["engine-0"].start},
-		{"a side beside a service is killed", f.sides["treasury-0"].kill, f.sides["treasury-0"].start},
+		{"a side beside an engine is killed", f.sides["engine-0"].Kill, f.sides["engine-0"].start},
+		{"a side beside a service is killed", f.sides["treasury-0"].Kill, f.sides["treasury-0"].start},
 		{"a side beside a service freezes", f.freeze("treasury-1"), f.thaw("treasury-1")},
-		{"an entry is killed", f.entries[0].kill, f.entries[0].start},
+		{"an entry is killed", f.entries[0].Kill, f.entries[0].start},
 		{"an engine dies", f.units["engine-1"].Proc.Stop, f.units["engine-1"].Proc.Start},
 		{"the log is down", func() { f.log.SetDown(true) }, func() { f.log.SetDown(false) }},
 		{"the log loses answers", func() { f.log.LoseAnswers(20) }, func() { f.log.LoseAnswers(0) }},
 		{"the host list is down", func() { f.list.SetDown(true) }, func() { f.list.SetDown(false) }},
 		{"a service loses answers", loseAnswers(f.units["treasury-2"]), heal(f.units["treasury-2"])},
 		{"an encoder is slow", slow(f.units["encoders-0"]), heal(f.units["encoders-0"])},
-		{"an entry freezes", func() { f.entries[1].signal(syscall.SIGSTOP) }, func() { f.entries[1].signal(syscall.SIGCONT) }},
+		{"an entry freezes", func() { f.entries[1].Signal(syscall.SIGSTOP) }, func() { f.entries[1].Signal(syscall.SIGCONT) }},
 	}
 	for _, trouble := range faultsOf {
 		t.Log(trouble.name)
@@ -100,11 +100,11 @@
 }
 
 func (f *fleet) freeze(side string) func() {
-	return func() { f.sides[side].signal(syscall.SIGSTOP) }
+	return func() { f.sides[side].Signal(syscall.SIGSTOP) }
 }
 
 func (f *fleet) thaw(side string) func() {
-	return func() { f.sides[side].signal(syscall.SIGCONT) }
+	return func() { f.sides[side].Signal(syscall.SIGCONT) }
 }
 
 func loseAnswers(u *unit.Unit) func() {
@@ -202,8 +202,8 @@
 	tr := f.startTraffic()
 	time.Sleep(settle)
 	silenced := 0
-	for _, r := range f.relays {
-		silenced += r.silence()
+	for _, c := range f.cables {
+		silenced += c.Mute()
 	}
 	time.Sleep(3 * settle)
 	for _, s := range f.servers {
@@ -211,7 +211,7 @@
 	}
 	time.Sleep(3 * settle)
 	counts := tr.finish(t)
-	c.Check(silenced >= len(f.relays), qt.IsTrue)
+	c.Check(silenced >= len(f.cables), qt.IsTrue)
 	c.Check(counts.Broken(), qt.IsFalse)
 	c.Check(tr.unended.Load(), qt.Equals, int64(0))
 	c.Check(counts.Whole+counts.MayHaveRun, qt.Equals, counts.Requests)
