Move orders from leaders that were replaced and end

Requests were cut off by the end of the grace, 4.9 s after they came.

Only orders at the present leader were moved.

Causes, three: - A replaced leader was not looked after: no pings, no notice of its end. Now it is, and its undecided orders move when it goes (TestUndecidedOrdersOutliveAReplacedLeader: lost before). - The store carried out a renewal after the record had been dropped, so entries that were leaving were listed again and led (burgos-a-2 at 20.05, 2.3 s after it left). A lifetime that left stays gone, and a leaving entry writes no more (TestLateRecordsDoNotBringMembersBack: back before). - Requests without a decision were held to the end of the grace. They are refused 0.7 s before it (TestUndecidedRequestsAreRefusedAtTheEnd).

Ruled out: a slow upstream (the stages were done by 21.27), the balancer (sent 2.8 s after SIGTERM).

--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -59,6 +59,8 @@
 	o       Options
 	members atomic.Pointer[[]Member]
 	seen    map[string]sighting
+	left    map[string]int64 // births of the lifetimes that left, by host
+	leaving atomic.Bool
 	changed time.Time // when an entry came or left
 	read    time.Time // the last read that worked
 }
@@ -71,7 +73,7 @@
 
 // New returns a crew of this entry alone.
 func New(o Options) *Crew {
-	c := &Crew{o: o, seen: map[string]sighting{}, changed: o.Now(), read: o.Now()}
+	c := &Crew{o: o, seen: map[string]sighting{}, left: map[string]int64{}, changed: o.Now(), read: o.Now()}
 	c.publish()
 	return c
 }
@@ -133,7 +135,7 @@
 		c.o.Log.Error("the member record can't be encoded", zap.Error(err))
 		return
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !c.leaving.Load() {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := c.o.Store.Put(call, topic, platform.Record{Key: c.o.Self.Host, Value: value})
 		cancel()
@@ -148,6 +150,7 @@
 
 // Leave drops this entry's record, so that the others stop asking it.
 func (c *Crew) Leave(ctx context.Context) {
+	c.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := c.o.Store.Put(ctx, topic, platform.Record{Key: c.o.Self.Host}); err != nil {
@@ -162,6 +165,9 @@
 	}
 	for _, r := range records {
 		if len(r.Value) == 0 {
+			if s, known := c.seen[r.Key]; known {
+				c.left[r.Key] = s.member.Born
+			}
 			delete(c.seen, r.Key)
 			c.changed = c.o.Now()
 			c.o.Log.Info("member left", zap.String("member", r.Key))
@@ -172,6 +178,11 @@
 			c.o.Log.Warn("a member record can't be read", zap.String("member", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
 			continue
 		}
+		// The store may carry out a renewal after the record was dropped.
+		if born, left := c.left[r.Key]; left && born == m.Born {
+			c.o.Log.Info("record of a member that left", zap.String("member", m.Host), zap.Int64("born", m.Born))
+			continue
+		}
 		if before, known := c.seen[r.Key]; !known || before.member.Born != m.Born {
 			c.changed = c.o.Now()
 			c.o.Log.Info("member listed", zap.String("member", m.Host), zap.String("address", m.Address), zap.Int64("born", m.Born))
--- a/internal/cell/crew/crew_test.go
+++ b/internal/cell/crew/crew_test.go
@@ -151,3 +151,37 @@
 		synctest.Wait()
 	})
 }
+
+// The store may carry out a write long after the process has given up on it.
+func TestLateRecordsDoNotBringMembersBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &memStore{}
+		ctx, cancel := context.WithCancel(t.Context())
+		a := crew.New(crew.Options{Self: crew.Member{Host: "a", Cores: 0.3, Born: 2}, Store: s, Now: time.Now, Log: zap.NewNop()})
+		b := crew.New(crew.Options{Self: crew.Member{Host: "b", Cores: 0.3, Born: 1}, Store: s, Now: time.Now, Log: zap.NewNop()})
+		go a.Run(ctx)
+		go b.Run(ctx)
+		time.Sleep(15 * time.Second)
+		c.Assert(names(a), qt.DeepEquals, []string{"b", "a"})
+		b.Leave(ctx)
+		time.Sleep(time.Second)
+		late, err := json.Marshal(crew.Member{Host: "b", Cores: 0.3, Born: 1})
+		c.Assert(err, qt.IsNil)
+		c.Assert(s.Put(ctx, platform.TopicMembers, platform.Record{Key: "b", Value: late}), qt.IsNil)
+		time.Sleep(14 * time.Second)
+		for range 60 {
+			time.Sleep(time.Second)
+			for _, one := range names(a) {
+				c.Assert(one, qt.Equals, "a")
+			}
+		}
+		again, err := json.Marshal(crew.Member{Host: "b", Cores: 0.3, Born: 3})
+		c.Assert(err, qt.IsNil)
+		c.Assert(s.Put(ctx, platform.TopicMembers, platform.Record{Key: "b", Value: again}), qt.IsNil)
+		time.Sleep(15 * time.Second)
+		c.Check(names(a), qt.DeepEquals, []string{"a", "b"}, qt.Commentf("another lifetime of the host"))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -21,7 +21,8 @@
 	leavingFor   = 10 * time.Second       // nor one that is shutting down for this long
 	followsLimit = 3                      // pongs that say so, until a leader that follows another one is left
 	dialTimeout  = 600 * time.Millisecond
-	outboxSize   = 512 // messages to the leader
+	replacedFor  = 8 * time.Second // a leader that was replaced may still decide on what it has
+	outboxSize   = 512             // messages to the leader
 )
 
 // Options are the dependencies of a Link.
@@ -50,7 +51,8 @@
 type Link struct {
 	o        Options
 	mu       sync.Mutex
-	current  *session // nil while this entry leads
+	current  *session   // nil while this entry leads
+	replaced []*session // leaders that were replaced and may still decide on what they have
 	requests map[string]*pending
 	suspect  map[string]time.Time
 }
@@ -79,6 +81,7 @@
 // look checks the leader and changes it if it is gone or another one comes first.
 func (l *Link) look(ctx context.Context) {
 	now := l.o.Now()
+	l.lookAfterReplaced(now)
 	l.mu.Lock()
 	current := l.current
 	l.mu.Unlock()
@@ -141,26 +144,55 @@
 			m, next = crew.Member{Host: l.o.Self}, nil
 		}
 	}
+	now := l.o.Now()
 	l.mu.Lock()
 	before := l.current
 	l.current = next
+	alive := before != nil && before.gone(now) == ""
+	if alive {
+		before.replacedAt = now
+		before.replaced.Store(true)
+		l.replaced = append(l.replaced, before)
+	}
+	l.mu.Unlock()
+	l.o.Log.Info("leader", zap.String("member", m.Host), zap.Bool("before", alive))
+	if before != nil && !alive {
+		l.drop(before)
+	}
+}
+
+// lookAfterReplaced drops the replaced leaders that are gone or have had enough time.
+func (l *Link) lookAfterReplaced(now time.Time) {
+	l.mu.Lock()
+	replaced := l.replaced
+	l.replaced = nil
+	l.mu.Unlock()
+	for _, s := range replaced {
+		if s.gone(now) != "" || now.Sub(s.replacedAt) > replacedFor {
+			l.drop(s)
+			continue
+		}
+		s.ping()
+		l.mu.Lock()
+		l.replaced = append(l.replaced, s)
+		l.mu.Unlock()
+	}
+}
+
+// drop closes the connection to a leader and hands the orders that it has not decided on to the present one.
+func (l *Link) drop(s *session) {
+	s.close()
+	l.mu.Lock()
 	var moved []*pending
-	alive := before != nil && before.gone(l.o.Now()) == ""
 	for _, p := range l.requests {
-		if p.session == before && p.reply != nil && before != nil && !alive {
-			p.session = next
+		if p.session == s && p.reply != nil {
+			p.session = l.current
 			moved = append(moved, p)
 		}
 	}
 	l.mu.Unlock()
-	l.o.Log.Info("leader", zap.String("member", m.Host), zap.Int("moved", len(moved)), zap.Bool("before", alive))
-	if before != nil {
-		if alive {
-			// It goes on with what it has; the connection ends when that is done.
-			go before.retire()
-		} else {
-			before.close()
-		}
+	if len(moved) > 0 {
+		l.o.Log.Info("orders moved to the present leader", zap.String("from", s.member.Host), zap.Int("orders", len(moved)))
 	}
 	for _, p := range moved {
 		l.submit(p)
@@ -291,12 +323,15 @@
 	return p.session, true
 }
 
-// Close ends the connection to the leader, which then drops the orders of this entry.
+// Close ends the connections to leaders, which then drop the orders of this entry.
 func (l *Link) Close() {
 	l.mu.Lock()
-	current := l.current
+	open := l.replaced
+	if l.current != nil {
+		open = append(open, l.current)
+	}
 	l.mu.Unlock()
-	if current != nil {
-		current.close()
+	for _, s := range open {
+		s.close()
 	}
 }
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,8 +74,12 @@
 }
 
 func start(c *qt.C, local lead.Desk, first crew.Member) *link.Link {
+	return startAmong(c, local, func() []crew.Member { return []crew.Member{first, {Host: "self"}} })
+}
+
+func startAmong(c *qt.C, local lead.Desk, members func() []crew.Member) *link.Link {
 	l := link.New(link.Options{
-		Self: "self", Local: local, Members: func() []crew.Member { return []crew.Member{first, {Host: "self"}} },
+		Self: "self", Local: local, Members: members,
 		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func([]byte) {},
 		Confirm: func(int64, time.Time, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
@@ -123,6 +128,42 @@
 	c.Check(l.Leads(), qt.IsTrue)
 }
 
+// A leader that was replaced goes on with its orders; if it ends before it has decided, they go to the present one.
+func TestUndecidedOrdersOutliveAReplacedLeader(t *testing.T) {
+	c := qt.New(t)
+	first, server := leader(c, newDesk("first", true), true)
+	second, _ := leader(c, newDesk("second", false), true)
+	second.Host = "second"
+	var replaced atomic.Bool
+	l := startAmong(c, newDesk("local", false), func() []crew.Member {
+		if replaced.Load() {
+			return []crew.Member{second, first, {Host: "self"}}
+		}
+		return []crew.Member{first, second, {Host: "self"}}
+	})
+	eventually(c, func() bool { return !l.Leads() })
+	got := ask(l, "1")
+	replaced.Store(true)
+	eventually(c, func() bool {
+		defer l.Ended("2", "", false)
+		select {
+		case d := <-ask(l, "2"):
+			return d.Upstream == "second"
+		case <-time.After(100 * time.Millisecond):
+			return false
+		}
+	})
+	time.Sleep(time.Second)
+	c.Check(got, qt.HasLen, 0, qt.Commentf("a replaced leader that answers pings keeps its orders"))
+	server.Stop()
+	select {
+	case d := <-got:
+		c.Check(d.Upstream, qt.Equals, "second")
+	case <-time.After(5 * time.Second):
+		c.Fatal("the order is lost")
+	}
+}
+
 func TestLeadersThatFollowAnotherAreLeft(t *testing.T) {
 	c := qt.New(t)
 	member, _ := leader(c, newDesk("remote", false), false)
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -17,29 +17,28 @@
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
-const (
-	unackedTimeout = 2 * time.Second // TCP_USER_TIMEOUT towards the leader
-	retireAfter    = 8 * time.Second // a leader that was replaced may still decide on what it has
-)
+const unackedTimeout = 2 * time.Second // TCP_USER_TIMEOUT towards the leader
 
 // session is a connection to one leader.
 type session struct {
-	member    crew.Member
-	conn      *grpc.ClientConn
-	cancel    context.CancelFunc
-	outbox    chan *cellpb.ToLead
-	broken    atomic.Bool
-	leaving   atomic.Bool
-	follows   atomic.Int64 // pongs in a row that said that the leader has another one itself
-	lastHeard atomic.Int64 // nanoseconds since begun
-	begun     time.Time
-	sequence  atomic.Int64
-	pinged    atomic.Int64 // when the newest ping was sent, in nanoseconds since begun
-	hosts     *hosts.Table // the leader's list; belongs to the receiving goroutine
-	now       func() time.Time
-	blocked   func([]uint64)
-	confirm   func(int64, time.Time, *hosts.Table)
-	adopt     func([]byte)
+	member     crew.Member
+	conn       *grpc.ClientConn
+	cancel     context.CancelFunc
+	outbox     chan *cellpb.ToLead
+	broken     atomic.Bool
+	leaving    atomic.Bool
+	follows    atomic.Int64 // pongs in a row that said that the leader has another one itself
+	lastHeard  atomic.Int64 // nanoseconds since begun
+	begun      time.Time
+	sequence   atomic.Int64
+	pinged     atomic.Int64 // when the newest ping was sent, in nanoseconds since begun
+	hosts      *hosts.Table // the leader's list; belongs to the receiving goroutine
+	replaced   atomic.Bool  // by another leader
+	replacedAt time.Time    // belongs to the link
+	now        func() time.Time
+	blocked    func([]uint64)
+	confirm    func(int64, time.Time, *hosts.Table)
+	adopt      func([]byte)
 }
 
 // dial connects to a member.
@@ -120,7 +119,9 @@
 				s.follows.Store(0)
 			}
 			s.blocked(body.Pong.Blocked)
-			s.takeOver(body.Pong)
+			if !s.replaced.Load() {
+				s.takeOver(body.Pong)
+			}
 		case *cellpb.ToEntry_Rules:
 			s.adopt(body.Rules.Body)
 		case *cellpb.ToEntry_Hosts:
@@ -174,12 +175,6 @@
 	return ""
 }
 
-// retire closes the connection when the requests that use it have had time to end.
-func (s *session) retire() {
-	time.Sleep(retireAfter)
-	s.close()
-}
-
 func (s *session) close() {
 	s.broken.Store(true)
 	s.cancel()
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -62,6 +62,8 @@
 	// Stopping says that new requests get no service, only an answer that says so.
 	Stopping func() bool
 	Leaving  func() bool // connections are closed after the answer
+	// Ending is closed when there is no more time to wait for decisions.
+	Ending <-chan struct{}
 	Now      func() time.Time
 	Log      *zap.Logger
 }
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -94,6 +94,9 @@
 	select {
 	case <-x.in.Context().Done():
 		return lead.Decision{}, fault.New(fault.NotRun, fault.Deadline, "no engine in time").WithCause(x.in.Context().Err())
+	case <-x.o.Ending:
+		return lead.Decision{}, fault.New(fault.NotRun, fault.Draining, "this entry ends before there is a decision").
+			WithRetryAfter(defaultRetryAfter)
 	case d := <-answer:
 		x.o.Log.Info("decided", zap.String("request", x.label), zap.String("route", x.route.Name), zap.String("upstream", d.Upstream),
 			zap.Int("inputs", len(d.Inputs)), zap.Bool("late", d.Late), zap.String("refused", string(d.Refused)),
--- a/internal/edge/front/sends_test.go
+++ b/internal/edge/front/sends_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
@@ -57,3 +58,23 @@
 	c.Check(failure.Verdict, qt.Equals, fault.NotRun)
 	c.Check(x.sends, qt.Equals, 0)
 }
+
+// silentDesk never decides.
+type silentDesk struct{ lead.Desk }
+
+func (silentDesk) Submit(lead.Order, func(lead.Decision)) {}
+
+func TestUndecidedRequestsAreRefusedAtTheEnd(t *testing.T) {
+	c := qt.New(t)
+	ending := make(chan struct{})
+	x := &exchange{
+		Front: New(Options{Desk: silentDesk{}, Ending: ending, Now: time.Now, Log: zap.NewNop()}),
+		in:    httptest.NewRequest("POST", "/x", nil),
+	}
+	time.AfterFunc(10*time.Millisecond, func() { close(ending) })
+	_, failure := x.wait(func(reply func(lead.Decision)) { x.o.Desk.Submit(lead.Order{}, reply) })
+	c.Assert(failure != nil, qt.IsTrue)
+	c.Check(failure.Verdict, qt.Equals, fault.NotRun)
+	c.Check(failure.Code, qt.Equals, fault.Draining)
+	c.Check(statusOf(failure), qt.Equals, 503)
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -41,6 +41,7 @@
 	storeUnacked     = 2 * time.Second
 	serveAfterTerm   = 3 * time.Second        // the balancer still sends new connections this long after SIGTERM
 	exitBefore       = 300 * time.Millisecond // the end of the grace
+	refuseBefore     = 700 * time.Millisecond // the end of the grace, what has no decision yet
 	sweepEvery       = 1 * time.Second
 	assumedPeers     = 8 // share the retry slack, as long as their number is not known
 )
@@ -65,8 +66,9 @@
 	link     *link.Link
 	picker   *least.Picker
 	front    *front.Front
-	leaving  atomic.Bool // SIGTERM came
-	stopping atomic.Bool // new requests are refused
+	leaving  atomic.Bool   // SIGTERM came
+	stopping atomic.Bool   // new requests are refused
+	ending   chan struct{} // closed when requests without a decision are refused
 	inFlight atomic.Int64
 }
 
@@ -77,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{path: path, loaded: loaded, metricsPort: metricsPort, log: log}
+	n := &Node{path: path, loaded: loaded, metricsPort: metricsPort, log: log, ending: make(chan struct{})}
 	n.settings.Store(&s)
 	n.meter, err = meter.New(meter.Process{Role: "edge", Name: s.Name, Zone: s.Zone})
 	if err != nil {
@@ -123,7 +125,7 @@
 		Budget:   n.budget,
 		Stats:    n.stats,
 		Blocked:  n.crash.Blocked,
-		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Now: time.Now, Log: log.Named("front"),
+		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Ending: n.ending, Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
 }
@@ -273,6 +275,8 @@
 	n.stopping.Store(true)
 	ctx, cancel := context.WithDeadline(kill, begun.Add(grace-exitBefore))
 	defer cancel()
+	refuse := time.AfterFunc(time.Until(begun.Add(grace-refuseBefore)), func() { close(n.ending) })
+	defer refuse.Stop()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests are cut off by the end of the grace", zap.Int64("inFlight", n.inFlight.Load()), zap.Error(err))
 	}
