--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -64,8 +64,8 @@
 	Leaving  func() bool // connections are closed after the answer
 	// Ending is closed when there is no more time to wait for decisions.
 	Ending <-chan struct{}
-	Now      func() time.Time
-	Log      *zap.Logger
+	Now    func() time.Time
+	Log    *zap.Logger
 }
 
 // Front is the handler of callers' requests.
--- a/internal/edge/node/world_test.go
+++ b/internal/edge/node/world_test.go
@@ -24,7 +24,10 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 )
 
-const waitLimit = 10 * time.Second
+const (
+	waitLimit     = 10 * time.Second
+	internalPorts = 2 // for other entries and for the metrics
+)
 
 // world is a platform with upstreams and entries, all in this process.
 type world struct {
@@ -83,8 +86,7 @@
 // start runs an entry and waits until it is ready.
 func (w *world) start(name string) *entry {
 	e := &entry{front: ports.Next(), ready: ports.Next(), done: make(chan error, 1)}
-	peers := netip.MustParseAddrPort(ports.Next())
-	ports.Next() // the second of the internal ports
+	peers := netip.MustParseAddrPort(ports.Range(internalPorts))
 	path := filepath.Join(w.c.TempDir(), "settings.conf")
 	settings := strings.Join([]string{
 		"node_name=" + name, "zone=zone-a", "ip=" + peers.Addr().String(), "listen.front=" + e.front, "listen.ready=" + e.ready,
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -76,7 +76,16 @@
 }
 
 // ServeHTTP answers one call.
-func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, unchanged) }
+
+// View serves the store to one reader, which sees the values that change returns.
+func (s *Store) View(change func(topic, key string, value []byte) []byte) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, change) })
+}
+
+func unchanged(_, _ string, value []byte) []byte { return value }
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, change func(topic, key string, value []byte) []byte) {
 	name := r.URL.Path[len("/ragworthatch/"):]
 	s.mu.Lock()
 	status := s.status
@@ -88,9 +97,9 @@
 	}
 	switch name {
 	case "log-newest":
-		s.serveNewest(w, r)
+		s.serveNewest(w, r, change)
 	case "log-read":
-		s.serveRead(w, r)
+		s.serveRead(w, r, change)
 	case "log-append":
 		s.serveAppend(w, r)
 	default:
@@ -98,7 +107,7 @@
 	}
 }
 
-func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request, change func(topic, key string, value []byte) []byte) {
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
@@ -110,14 +119,15 @@
 		End   int    `json:"end"`
 	}
 	s.mu.Lock()
-	t := s.topic(r.URL.Query().Get("topic"))
+	name := r.URL.Query().Get("topic")
+	t := s.topic(name)
 	newest := map[string]int{}
 	for i, rec := range t.records {
 		newest[rec.key] = i
 	}
 	for key, i := range newest {
 		if value := t.records[i].value; len(value) > 0 && key > r.URL.Query().Get("after") {
-			body.Items = append(body.Items, item{key, base64.StdEncoding.EncodeToString(value), i})
+			body.Items = append(body.Items, item{key, base64.StdEncoding.EncodeToString(change(name, key, value)), i})
 		}
 	}
 	body.End = len(t.records)
@@ -135,16 +145,19 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, change func(topic, key string, value []byte) []byte) {
+	name := r.URL.Query().Get("topic")
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	for deadline := time.Now().Add(time.Duration(wait) * time.Millisecond); ; time.Sleep(readPoll) {
 		s.mu.Lock()
-		t := s.topic(r.URL.Query().Get("topic"))
+		t := s.topic(name)
 		end, first := len(t.records), t.first
 		var found []record
 		if from <= end && from >= first {
-			found = t.records[from:]
+			for _, rec := range t.records[from:] {
+				found = append(found, record{rec.key, change(name, rec.key, rec.value)})
+			}
 		}
 		s.mu.Unlock()
 		if from < first {
--- a/internal/fake/cloud/upstream.go
+++ b/internal/fake/cloud/upstream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -18,13 +19,15 @@
 	Host   string
 	Header http.Header
 	Body   string
+	At     time.Time
 }
 
 // Upstream is a stand-in for a back end of any kind; the fields must be set before it serves.
 type Upstream struct {
 	ID    string
 	Work  time.Duration
-	Event int // events of a stream; 0 makes it a plain service
+	Event int           // events of a stream; 0 makes it a plain service
+	Gap   time.Duration // between two events
 	// Act may answer in place of the upstream and returns whether it did.
 	Act func(w http.ResponseWriter, r *http.Request, n int) bool
 
@@ -48,13 +51,20 @@
 	return u.ran[id]
 }
 
+// Runs is how often each request ran here, by ID.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.ran)
+}
+
 // ServeHTTP answers one request.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Instance-Id", u.ID)
 	u.mu.Lock()
-	u.arrivals = append(u.arrivals, Arrival{r.Method, r.RequestURI, r.Host, r.Header.Clone(), string(body)})
+	u.arrivals = append(u.arrivals, Arrival{r.Method, r.RequestURI, r.Host, r.Header.Clone(), string(body), time.Now()})
 	n := len(u.arrivals)
 	u.mu.Unlock()
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.ID {
@@ -78,7 +88,10 @@
 	w.Header().Set("Response-Stamp", "stamp-"+u.ID)
 	if u.Event > 0 {
 		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		WriteEvents(w, first+1, u.Event)
+		for i := first + 1; i <= u.Event && r.Context().Err() == nil; i++ {
+			WriteEvents(w, i, i)
+			time.Sleep(u.Gap)
+		}
 		return
 	}
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", u.ID, r.Header.Get("Request-Id"))
--- a/internal/fake/ports/ports.go
+++ b/internal/fake/ports/ports.go
@@ -17,9 +17,12 @@
 
 // Next returns an address that no other process uses and that is handed out once: each process has a loopback
 // IP of its own, and outgoing connections start from 127.0.0.1.
-func Next() string {
+func Next() string { return Range(1) }
+
+// Range returns the first of n addresses with consecutive ports.
+func Range(n int) string {
 	pid := os.Getpid()
-	port := firstPort + taken.Add(1)
+	port := firstPort + taken.Add(int64(n)) - int64(n) + 1
 	return fmt.Sprintf("127.%d.%d.%d:%d", firstNet+pid>>16&63, pid>>8&255, pid&255, port)
 }
 
