Give members that follow the same leader time to notice

Change: a member that follows the leader that this entry is leaving is asked again at the next tick. One that was left out because it followed counts again as soon as somebody follows it.

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -163,7 +163,10 @@
 		w.retest = now.Add(retestEvery)
 	}
 	b.calls[r.id] = r
-	b.out.Batches = append(b.out.Batches, Batch{ID: r.id, Upstream: w.up, Items: items, Expected: r.expected})
+	inTime, late := p.queued()
+	b.out.Batches = append(b.out.Batches, Batch{
+		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, InTime: inTime, Late: late, Room: room,
+	})
 }
 
 // fits says whether a step should run at an upstream.
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -49,6 +49,9 @@
 	Upstream hosts.Upstream
 	Items    []call.Item
 	Expected time.Duration
+	InTime   int   // pieces that wait for another call of the pool, of jobs that can meet their target
+	Late     int   // and of those that can't
+	Room     int64 // bytes for results that the upstream has left
 }
 
 // Grant says that all stages of a job are done.
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -311,6 +311,7 @@
 	for _, b := range out.Batches {
 		l.o.Log.Info("stage call", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID),
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
+			zap.Int("waitInTime", b.InTime), zap.Int("waitLate", b.Late), zap.Int64("room", b.Room),
 			zap.Duration("listAge", now.Sub(l.hosts.Read())), zap.Strings("requests", requestsOf(b.Items)))
 		go l.runBatch(b)
 	}
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -70,8 +70,9 @@
 
 // suspect is a lifetime of a member that is not asked to lead until a time.
 type suspect struct {
-	born  int64
-	until time.Time
+	born    int64
+	until   time.Time
+	follows bool // it followed another
 }
 
 var _ lead.Desk = (*Link)(nil)
@@ -163,8 +164,7 @@
 	case refusedLeaving:
 		l.leaveOut(a.member, leavingFor)
 	case refusedFollows:
-		// It may not have noticed yet that its leader is gone.
-		if a.leader != nil && !l.eligible(*a.leader, l.o.Now()) && l.patience > 0 {
+		if l.patience > 0 && l.isOutdated(a.leader) {
 			l.patience--
 			return false
 		}
@@ -176,16 +176,31 @@
 	return true
 }
 
+// isOutdated says whether a member that follows another may only not have noticed yet that this one is gone or going.
+func (l *Link) isOutdated(leader *crew.Member) bool {
+	l.mu.Lock()
+	current := l.current
+	l.mu.Unlock()
+	if leader == nil || current == nil {
+		return false
+	}
+	return leader.Host == current.member.Host && leader.Born == current.member.Born
+}
+
 // leaveOut keeps a lifetime of a member from being asked for a while.
 func (l *Link) leaveOut(m crew.Member, d time.Duration) {
-	l.suspects[m.Host] = suspect{born: m.Born, until: l.o.Now().Add(d)}
+	l.suspects[m.Host] = suspect{born: m.Born, until: l.o.Now().Add(d), follows: d == followsFor}
 }
 
 // advise remembers whom another entry follows; it may know better.
 func (l *Link) advise(m *crew.Member) {
-	if m != nil {
-		l.advised, l.advisedAt = *m, l.o.Now()
+	if m == nil {
+		return
+	}
+	if s := l.suspects[m.Host]; s.born == m.Born && s.follows {
+		delete(l.suspects, m.Host) // it has begun to lead
 	}
+	l.advised, l.advisedAt = *m, l.o.Now()
 }
 
 // wanted is whom this entry should follow: the one that another entry follows, or the first member that is not suspect.
