Hand open orders over when the leader changes

Cause: a leader that was replaced went on with its undecided orders, beside the new one, for up to 8 s.

Change: the entry asks the replaced leader for its orders back; that one starts no more calls for them and, as soon as none of their pieces is in a call, answers with what it has done: the stages that are done and the results that upstreams hold. The entry submits the order to the present leader with that, which goes on from there. Nothing is released in between; results whose maker the new leader does not know run anew.

Tests: TestJobsMoveToAnotherBoardWithTheirResults, TestJobsWhoseResultsAreNotKnownRunAnew, TestOrdersMoveWithTheirProgress.

--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -88,11 +88,12 @@
 
 // Output is what the owner of a board has to carry out.
 type Output struct {
-	Batches  []Batch
-	Grants   []Grant
-	Refusals []Refusal
-	Releases []Release
-	Probes   []hosts.Upstream // to be asked how much memory they have left; see SetFree
+	Batches   []Batch
+	Grants    []Grant
+	Refusals  []Refusal
+	Releases  []Release
+	Handovers []Handover
+	Probes    []hosts.Upstream // to be asked how much memory they have left; see SetFree
 }
 
 // worker is a stage upstream.
@@ -210,6 +211,7 @@
 		return
 	}
 	b.jobs[spec.ID] = j
+	b.resume(j, now)
 	b.enqueue(j.unblock(now))
 	b.finish(j)
 }
@@ -329,8 +331,7 @@
 			return
 		}
 		s.results[piece] = result{handle: got.Handle, maker: w.up.ID, zone: w.up.Zone, bytes: s.spec.ResultBytes}
-		s.missing--
-		s.pending = slices.DeleteFunc(s.pending, func(p int) bool { return p == piece })
+		s.take(piece)
 		return
 	}
 	switch got.Failure {
@@ -409,7 +410,7 @@
 
 func (b *Board) enqueue(steps []*step) {
 	for _, s := range steps {
-		if p := b.pools[s.spec.Pool]; p != nil && !slices.Contains(p.ready, s) {
+		if p := b.pools[s.spec.Pool]; p != nil && !s.job.recalled && !slices.Contains(p.ready, s) {
 			p.ready = append(p.ready, s)
 		}
 	}
@@ -428,6 +429,7 @@
 	}
 	b.hedge(now)
 	b.expire(now)
+	b.handOver(now)
 	for _, name := range sortedKeys(b.pools) {
 		b.assign(b.pools[name], now)
 		b.probe(b.pools[name], now)
--- a/internal/cell/board/board_test.go
+++ b/internal/cell/board/board_test.go
@@ -166,3 +166,45 @@
 	b.Submit(j, start)
 	c.Check(b.Step(start).Grants, qt.HasLen, 1)
 }
+
+func TestJobsMoveToAnotherBoardWithTheirResults(t *testing.T) {
+	c := qt.New(t)
+	old, next := twoPools(), twoPools()
+	old.Submit(chain("one", 1000), start)
+	first := old.Step(start).Batches[0]
+	old.Recall("one")
+	out := old.Step(at(100))
+	c.Check(out.Handovers, qt.HasLen, 0, qt.Commentf("a call holds a piece"))
+	c.Check(out.Batches, qt.HasLen, 0)
+	old.Finished(first.ID, results("h1"), at(210))
+	out = old.Step(at(210))
+	c.Assert(out.Handovers, qt.HasLen, 1)
+	c.Check(out.Batches, qt.HasLen, 0, qt.Commentf("a recalled job gets no more calls"))
+	c.Check(out.Releases, qt.HasLen, 0, qt.Commentf("the results go with the job"))
+	c.Check(old.Jobs(), qt.Equals, 0)
+
+	job := chain("one", 1000)
+	job.Progress = out.Handovers[0].Stages
+	next.Submit(job, at(220))
+	second := next.Step(at(220)).Batches
+	c.Assert(second, qt.HasLen, 1)
+	c.Check(second[0].Upstream.Pool, qt.Equals, "b")
+	c.Check(second[0].Items[0].Inputs, qt.DeepEquals, []string{"h1"})
+	next.Finished(second[0].ID, results("h2"), at(420))
+	out = next.Step(at(420))
+	c.Assert(out.Grants, qt.HasLen, 1)
+	c.Check(out.Grants[0].Inputs, qt.DeepEquals, []string{"h2"})
+	c.Assert(out.Releases, qt.HasLen, 1)
+	c.Check(out.Releases[0].Handles, qt.DeepEquals, []string{"h1"})
+}
+
+func TestJobsWhoseResultsAreNotKnownRunAnew(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	job := chain("one", 1000)
+	job.Progress = []board.Progress{{Done: true, Results: []board.Held{{Handle: "h1", Maker: "elsewhere", Left: time.Second}}}, {}}
+	b.Submit(job, start)
+	batches := b.Step(start).Batches
+	c.Assert(batches, qt.HasLen, 1)
+	c.Check(batches[0].Upstream.Pool, qt.Equals, "a")
+}
--- /dev/null
+++ b/internal/cell/board/hand.go
@@ -0,0 +1,124 @@
+package board
+
+import "time"
+
+// Held is a result of a piece; it is empty for a piece that has none.
+type Held struct {
+	Handle string
+	Maker  string        // ID of the upstream
+	Left   time.Duration // until the maker drops it
+}
+
+// Progress is what another board has done of a stage.
+type Progress struct {
+	Done    bool
+	Results []Held // by piece; none when the stages that read them are done, too
+}
+
+// Handover is a job that another board is to go on with; its results stay at their makers.
+type Handover struct {
+	Job    string
+	Stages []Progress
+}
+
+// Recall hands a job over as soon as none of its pieces is in a call. A job that is granted stays.
+func (b *Board) Recall(id string) {
+	j := b.jobs[id]
+	if j == nil || j.granted {
+		return
+	}
+	j.recalled = true
+	for _, s := range j.steps {
+		b.unqueue(s)
+	}
+}
+
+// handOver gives the recalled jobs away that no call holds.
+func (b *Board) handOver(now time.Time) {
+	for _, id := range sortedKeys(b.jobs) {
+		j := b.jobs[id]
+		if !j.recalled || j.granted || j.inCalls() > 0 {
+			continue
+		}
+		h := Handover{Job: id}
+		for _, s := range j.steps {
+			h.Stages = append(h.Stages, b.progress(s, now))
+		}
+		delete(b.jobs, id)
+		b.out.Handovers = append(b.out.Handovers, h)
+	}
+}
+
+// inCalls is the number of pieces that wait for the end of a call.
+func (j *job) inCalls() int {
+	n := 0
+	for _, s := range j.steps {
+		if s.state == stepReady || s.state == stepRunning {
+			n += s.missing - len(s.pending)
+		}
+	}
+	return n
+}
+
+// progress describes a step, and forgets that this board holds its results.
+func (b *Board) progress(s *step, now time.Time) Progress {
+	p := Progress{Done: s.state == stepDone}
+	found := false
+	results := make([]Held, len(s.results))
+	for i, r := range s.results {
+		w := b.makers[r.maker]
+		if r.handle == "" || w == nil {
+			continue
+		}
+		h, held := w.held[r.handle]
+		if !held {
+			continue
+		}
+		delete(w.held, r.handle)
+		w.used -= h.bytes
+		results[i] = Held{Handle: r.handle, Maker: r.maker, Left: h.expires.Sub(now)}
+		found = true
+	}
+	if found {
+		p.Results = results
+	}
+	return p
+}
+
+// resume takes over what another board has done of a job. What is not known here runs anew.
+func (b *Board) resume(j *job, now time.Time) {
+	if len(j.Progress) != len(j.steps) || !b.knows(j) {
+		return
+	}
+	for i, p := range j.Progress {
+		s := j.steps[i]
+		for piece, h := range p.Results {
+			if h.Handle == "" {
+				continue
+			}
+			w := b.makers[h.Maker]
+			w.hold(h.Handle, s.spec.ResultBytes, now.Add(h.Left))
+			s.results[piece] = result{handle: h.Handle, maker: h.Maker, zone: w.up.Zone, bytes: s.spec.ResultBytes}
+			s.take(piece)
+		}
+		if p.Done {
+			s.state, s.missing, s.pending = stepDone, 0, nil
+			j.started = true
+		}
+	}
+}
+
+// knows says whether the makers of all results that were handed over are known here.
+func (b *Board) knows(j *job) bool {
+	for i, p := range j.Progress {
+		if len(p.Results) > j.steps[i].spec.Pieces {
+			return false
+		}
+		for _, h := range p.Results {
+			if h.Handle != "" && b.makers[h.Maker] == nil {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
@@ -25,6 +26,7 @@
 	Target    time.Time     // when the first byte of the answer is due
 	Deadline  time.Time     // when the caller gives up
 	FinalStep time.Duration // expected from the end of the stages to the first byte
+	Progress  []Progress    // by stage, of a job that another board has begun
 }
 
 // result is one piece that an upstream holds.
@@ -68,6 +70,7 @@
 	started   bool // a call holds or held one of its pieces
 	granted   bool
 	restarts  int
+	recalled  bool // goes to another board
 }
 
 func newJob(spec Job, now time.Time) *job {
@@ -114,6 +117,12 @@
 	return ready
 }
 
+// take notes that a piece has its result.
+func (s *step) take(piece int) {
+	s.missing--
+	s.pending = slices.DeleteFunc(s.pending, func(p int) bool { return p == piece })
+}
+
 func (j *job) inputsDone(s *step) bool {
 	for _, a := range s.spec.After {
 		if j.steps[a].state != stepDone {
--- a/internal/cell/lead/desk.go
+++ b/internal/cell/lead/desk.go
@@ -20,6 +20,9 @@
 	Late       bool     // the target can't be met
 	Refused    board.Reason
 	RetryAfter time.Duration
+	// Moved says that nothing was decided, and that another desk is to go on from Progress.
+	Moved    bool
+	Progress []board.Progress
 }
 
 // Problem says why a request that was placed did not run.
@@ -45,3 +48,10 @@
 	// Crashed says that an upstream broke down while it ran a request with this fingerprint.
 	Crashed(fingerprint uint64)
 }
+
+// Leader is a Desk that decides itself; it is safe for concurrent use.
+type Leader interface {
+	Desk
+	// Recall asks for an order back that is not decided on; its reply is a decision with Moved, unless another one comes first.
+	Recall(id string)
+}
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -79,7 +79,7 @@
 	releases sync.WaitGroup
 }
 
-var _ Desk = (*Lead)(nil)
+var _ Leader = (*Lead)(nil)
 
 // New returns a lead; nothing happens until Run.
 func New(o Options) *Lead {
@@ -223,6 +223,15 @@
 	}
 }
 
+// Recall gives an order back as soon as none of its pieces is in a call.
+func (l *Lead) Recall(id string) {
+	l.inbox <- func(time.Time) {
+		if w := l.waiting[id]; w != nil && w.reply != nil {
+			l.board.Recall(id)
+		}
+	}
+}
+
 // FirstByte releases what the request has read, unless it may go on at another engine.
 func (l *Lead) FirstByte(id string, keep bool) {
 	l.inbox <- func(now time.Time) {
@@ -308,6 +317,13 @@
 			l.answer(r.Job, w, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
+	for _, h := range out.Handovers {
+		if w := l.waiting[h.Job]; w != nil {
+			delete(l.waiting, h.Job)
+			l.o.Log.Info("order handed over", zap.String("request", w.order.Job.Request), zap.Int("stagesDone", stagesDone(h.Stages)))
+			l.answer(h.Job, w, Decision{Moved: true, Progress: h.Stages})
+		}
+	}
 	for _, b := range out.Batches {
 		l.o.Log.Info("stage call", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID),
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
@@ -421,6 +437,16 @@
 	return results, nil
 }
 
+func stagesDone(stages []board.Progress) int {
+	n := 0
+	for _, s := range stages {
+		if s.Done {
+			n++
+		}
+	}
+	return n
+}
+
 // requestsOf lists the requests that the pieces of a call belong to.
 func requestsOf(items []call.Item) []string {
 	var out []string
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -32,7 +32,7 @@
 // Options are the dependencies of a Link.
 type Options struct {
 	Self    string // host name of this entry
-	Local   lead.Desk
+	Local   lead.Leader
 	Members func() []crew.Member
 	Blocked func(fingerprints []uint64) // takes over what the leader found of requests that break down upstreams
 	// Confirm takes over what the leader has read from the store.
@@ -147,7 +147,7 @@
 		l.leaveOut(current.member, leavingFor)
 	}
 	if current.follows.Load() >= followsLimit {
-		l.leaveOut(current.member, followsFor)
+		l.leaveOutFollower(current.member)
 		l.advise(current.itsLeader.Load())
 	}
 	return true
@@ -168,7 +168,7 @@
 			l.patience--
 			return false
 		}
-		l.leaveOut(a.member, followsFor)
+		l.leaveOutFollower(a.member)
 		l.advise(a.leader)
 	default:
 		l.leaveOut(a.member, suspectFor)
@@ -189,7 +189,12 @@
 
 // leaveOut keeps a lifetime of a member from being asked for a while.
 func (l *Link) leaveOut(m crew.Member, d time.Duration) {
-	l.suspects[m.Host] = suspect{born: m.Born, until: l.o.Now().Add(d), follows: d == followsFor}
+	l.suspects[m.Host] = suspect{born: m.Born, until: l.o.Now().Add(d)}
+}
+
+// leaveOutFollower keeps a member that follows another from being asked, until somebody follows it.
+func (l *Link) leaveOutFollower(m crew.Member) {
+	l.suspects[m.Host] = suspect{born: m.Born, until: l.o.Now().Add(followsFor), follows: true}
 }
 
 // advise remembers whom another entry follows; it may know better.
@@ -241,9 +246,34 @@
 	l.o.Log.Info("leader", zap.String("member", m.Host), zap.Bool("before", alive))
 	if before != nil && !alive {
 		l.drop(before)
+		return
+	}
+	l.recall(before)
+}
+
+// recall asks a leader that was replaced, nil for this entry, for the orders that it has not decided on.
+func (l *Link) recall(before *session) {
+	for _, id := range l.undecided(before) {
+		if before == nil {
+			l.o.Local.Recall(id)
+			continue
+		}
+		before.recall(id)
 	}
 }
 
+func (l *Link) undecided(at *session) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ids []string
+	for id, p := range l.requests {
+		if p.session == at && p.reply != nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // lookAfterReplaced drops the replaced leaders that are gone or have had enough time.
 func (l *Link) lookAfterReplaced(now time.Time) {
 	l.mu.Lock()
@@ -305,6 +335,13 @@
 	l.mu.Lock()
 	p := l.requests[id]
 	var reply func(lead.Decision)
+	if p != nil && d.Moved {
+		p.order.Job.Progress = d.Progress
+		p.session = l.current
+		l.mu.Unlock()
+		l.submit(p)
+		return
+	}
 	if p != nil {
 		reply, p.reply = p.reply, nil
 	}
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -27,15 +27,21 @@
 
 // fakeDesk decides at once, or never when it is mute.
 type fakeDesk struct {
-	name string
-	mute bool
-	mu   sync.Mutex
-	open map[string]bool
+	name    string
+	mute    bool
+	replies map[string]func(lead.Decision)
+	mu      sync.Mutex
+	open    map[string]bool
+
+	handsOver bool             // at a recall
+	progress  []board.Progress // of the newest order
 }
 
 func (d *fakeDesk) Submit(o lead.Order, reply func(lead.Decision)) {
 	d.mu.Lock()
 	d.open[o.Job.ID] = true
+	d.replies[o.Job.ID] = reply
+	d.progress = o.Job.Progress
 	d.mu.Unlock()
 	if !d.mute {
 		reply(lead.Decision{Upstream: d.name})
@@ -45,7 +51,16 @@
 	reply(lead.Decision{Upstream: d.name + " again"})
 }
 func (d *fakeDesk) FirstByte(string, bool) {}
-func (d *fakeDesk) Crashed(uint64)         {}
+func (d *fakeDesk) Recall(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.handsOver {
+		return
+	}
+	delete(d.open, id)
+	d.replies[id](lead.Decision{Moved: true, Progress: []board.Progress{{Done: true, Results: []board.Held{{Handle: "h", Maker: "m", Left: time.Second}}}}})
+}
+func (d *fakeDesk) Crashed(uint64) {}
 func (d *fakeDesk) Ended(id, _ string, _ bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -59,7 +74,7 @@
 }
 
 func newDesk(name string, mute bool) *fakeDesk {
-	return &fakeDesk{name: name, mute: mute, open: map[string]bool{}}
+	return &fakeDesk{name: name, mute: mute, open: map[string]bool{}, replies: map[string]func(lead.Decision){}}
 }
 
 // peer is another entry.
@@ -72,7 +87,7 @@
 }
 
 // newPeer serves a desk.
-func newPeer(c *qt.C, host string, desk lead.Desk) *peer {
+func newPeer(c *qt.C, host string, desk lead.Leader) *peer {
 	listener, err := ports.Listen()
 	c.Assert(err, qt.IsNil)
 	p := &peer{Member: crew.Member{Host: host, Address: listener.Addr().String(), Born: 1}, server: grpc.NewServer(), born: 1}
@@ -98,11 +113,11 @@
 		func(zapcore.Entry) error { f(); return nil })
 }
 
-func start(c *qt.C, local lead.Desk, first crew.Member) *link.Link {
+func start(c *qt.C, local lead.Leader, first crew.Member) *link.Link {
 	return startAmong(c, local, func() []crew.Member { return []crew.Member{first, {Host: "self"}} })
 }
 
-func startAmong(c *qt.C, local lead.Desk, members func() []crew.Member) *link.Link {
+func startAmong(c *qt.C, local lead.Leader, members func() []crew.Member) *link.Link {
 	l := link.New(link.Options{
 		Self: "self", Local: local, Members: members,
 		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func([]byte) {},
@@ -187,6 +202,28 @@
 	}
 }
 
+// A leader that was replaced gives back what it has not decided on, with what it has done of it.
+func TestOrdersMoveWithTheirProgress(t *testing.T) {
+	c := qt.New(t)
+	old, next := newDesk("first", true), newDesk("second", false)
+	old.handsOver = true
+	first, second := newPeer(c, "first", old), newPeer(c, "second", next)
+	var replaced atomic.Bool
+	l := startAmong(c, newDesk("local", false), func() []crew.Member {
+		if replaced.Load() {
+			return []crew.Member{second.Member, first.Member, {Host: "self"}}
+		}
+		return []crew.Member{first.Member, second.Member, {Host: "self"}}
+	})
+	eventually(c, func() bool { return !l.Leads() })
+	got := ask(l, "1")
+	eventually(c, func() bool { return old.count() == 1 })
+	replaced.Store(true)
+	c.Check((<-got).Upstream, qt.Equals, "second")
+	c.Check(old.count(), qt.Equals, 0)
+	c.Check(next.progress, qt.DeepEquals, []board.Progress{{Done: true, Results: []board.Held{{Handle: "h", Maker: "m", Left: time.Second}}}})
+}
+
 // An entry goes to whom its leader follows, though it does not know that one itself.
 func TestEntriesGoWhereTheirLeaderGoes(t *testing.T) {
 	c := qt.New(t)
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -139,6 +139,7 @@
 			decided(d.Id, lead.Decision{
 				Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: board.Reason(d.Refused),
 				RetryAfter: time.Duration(d.RetryAfterUs) * time.Microsecond,
+				Moved:      d.Moved, Progress: cellpb.BoardProgress(d.Progress),
 			})
 		}
 	}
@@ -227,6 +228,7 @@
 		}
 		m.Stages = append(m.Stages, stage)
 	}
+	m.Progress = cellpb.ProgressOf(o.Job.Progress)
 	for _, p := range o.Engine.Prefix {
 		m.Prefix = append(m.Prefix, &cellpb.Part{Id: p.ID, Tokens: int32(p.Tokens)})
 	}
@@ -237,6 +239,10 @@
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Again{Again: &cellpb.Again{Id: id, Engine: engine, Problem: string(why)}}})
 }
 
+func (s *session) recall(id string) {
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Recall{Recall: &cellpb.Recall{Id: id}}})
+}
+
 func (s *session) firstByte(id string, keep bool) {
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_FirstByte{FirstByte: &cellpb.FirstByte{Id: id, Keep: keep}}})
 }
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -21,7 +21,7 @@
 // Server is the leader's end of the connections of other entries.
 type Server struct {
 	cellpb.UnimplementedCellServer
-	desk    lead.Desk
+	desk    lead.Leader
 	leaving func() bool
 	leader  func() (crew.Member, bool)
 	born    int64
@@ -41,7 +41,7 @@
 
 // Options are the dependencies of a Server.
 type Options struct {
-	Desk    lead.Desk
+	Desk    lead.Leader
 	Born    int64                      // Unix ms of the start of this process, as in its member record
 	Leaving func() bool                // this process is shutting down
 	Leader  func() (crew.Member, bool) // whom this process follows, if anybody
@@ -106,6 +106,8 @@
 		ses.desk.Submit(orderOf(body.Submit, ses.now()), ses.reply(body.Submit.Id))
 	case *cellpb.ToLead_Again:
 		ses.desk.Again(body.Again.Id, body.Again.Engine, lead.Problem(body.Again.Problem), ses.reply(body.Again.Id))
+	case *cellpb.ToLead_Recall:
+		ses.desk.Recall(body.Recall.Id)
 	case *cellpb.ToLead_FirstByte:
 		ses.desk.FirstByte(body.FirstByte.Id, body.FirstByte.Keep)
 	case *cellpb.ToLead_Ended:
@@ -180,7 +182,7 @@
 	return func(d lead.Decision) {
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Decision{Decision: &cellpb.Decision{
 			Id: id, Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: string(d.Refused),
-			RetryAfterUs: d.RetryAfter.Microseconds(),
+			RetryAfterUs: d.RetryAfter.Microseconds(), Moved: d.Moved, Progress: cellpb.ProgressOf(d.Progress),
 		}}})
 	}
 }
@@ -201,6 +203,7 @@
 			ID: s.Id, Request: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
 			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
 			Deadline: arrived.Add(time.Duration(s.DeadlineUs) * time.Microsecond),
+			Progress: cellpb.BoardProgress(s.Progress),
 		},
 		Engine: place.Order{
 			ID: s.Id, Pool: s.Pool, Zone: s.Zone, Model: s.Model, PromptTokens: int(s.PromptTokens),
