Let processes that have just started lead nobody

Change: for 0.75 s after its start a process leads nobody but itself. A member that names no leader, or the one that asks, is asked again at the next tick. Test: TestProcessesDoNotLeadOthersAtOnce.

--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -22,6 +22,7 @@
 	followsFor   = 2 * time.Second        // nor one that follows another
 	followsLimit = 2                      // pongs that say so, until a leader that follows another one is left
 	maxPatience  = 6                      // questions to a member that follows one that is gone, one in each pingEvery
+	settleTime   = 750 * time.Millisecond // for a process that has started, to find the leader: the members, and one question
 	adviceFor    = 2 * time.Second        // whom another entry follows counts this long
 	dialTimeout  = 600 * time.Millisecond
 	askTimeout   = 400 * time.Millisecond // for the first pong of a member that is asked to lead
@@ -59,6 +60,8 @@
 	replaced []*session // leaders that were replaced and may still decide on what they have
 	requests map[string]*pending
 
+	leadsFrom time.Time // this entry leads no others before
+
 	// What follows belongs to Run.
 	suspects  map[string]suspect // by host
 	advised   crew.Member        // whom another entry follows
@@ -84,6 +87,9 @@
 
 // Run keeps a connection to the leader until ctx ends.
 func (l *Link) Run(ctx context.Context) {
+	l.mu.Lock()
+	l.leadsFrom = l.o.Now().Add(settleTime)
+	l.mu.Unlock()
 	ticker := time.NewTicker(pingEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -176,15 +182,15 @@
 	return true
 }
 
-// isOutdated says whether a member that follows another may only not have noticed yet that this one is gone or going.
+// isOutdated says whether a member that follows another may only not have noticed yet that this one is gone or going. A
+// member that has just started names no leader.
 func (l *Link) isOutdated(leader *crew.Member) bool {
-	l.mu.Lock()
-	current := l.current
-	l.mu.Unlock()
-	if leader == nil || current == nil {
-		return false
+	if leader == nil || leader.Host == l.o.Self {
+		return true
 	}
-	return leader.Host == current.member.Host && leader.Born == current.member.Born
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current != nil && leader.Host == l.current.member.Host && leader.Born == l.current.member.Born
 }
 
 // leaveOut keeps a lifetime of a member from being asked for a while.
@@ -426,12 +432,13 @@
 	return l.current == nil
 }
 
-// Leader is whom this entry follows, if anybody.
-func (l *Link) Leader() (crew.Member, bool) {
+// Leader is whom this entry follows, if it does not lead; a process that has just started does not lead others before it
+// has looked for a leader.
+func (l *Link) Leader() (m crew.Member, follows bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current == nil {
-		return crew.Member{}, false
+		return crew.Member{}, l.o.Now().Before(l.leadsFrom)
 	}
 	return l.current.member, true
 }
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -314,3 +314,11 @@
 	l.Close()
 	eventually(c, func() bool { return remote.count() == 0 })
 }
+
+func TestProcessesDoNotLeadOthersAtOnce(t *testing.T) {
+	c := qt.New(t)
+	l := startAmong(c, newDesk("local", false), func() []crew.Member { return []crew.Member{{Host: "self"}} })
+	eventually(c, func() bool { _, follows := l.Leader(); return follows })
+	c.Check((<-ask(l, "1")).Upstream, qt.Equals, "local", qt.Commentf("its own orders do not wait"))
+	eventually(c, func() bool { _, follows := l.Leader(); return !follows })
+}
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -140,7 +140,9 @@
 	}
 	if leader, follows := ses.leader(); follows {
 		pong.Follows = true
-		pong.Leader = &cellpb.Member{Host: leader.Host, Address: leader.Address, Born: leader.Born}
+		if leader.Host != "" {
+			pong.Leader = &cellpb.Member{Host: leader.Host, Address: leader.Address, Born: leader.Born}
+		}
 	}
 	ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{Pong: pong}})
 }
