--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -149,18 +149,21 @@
 	return best
 }
 
-// waitsSince is how long the job has had steps that are ready and none that runs.
+// waitsSince is how long the job has not moved on: none of its steps runs or has become ready.
 func (j *job) waitsSince(now time.Time) time.Duration {
-	var longest time.Duration
+	var newest time.Time
 	for _, s := range j.steps {
-		switch s.state {
-		case stepRunning:
+		switch {
+		case s.state == stepRunning:
 			return 0
-		case stepReady:
-			longest = max(longest, now.Sub(s.since))
+		case s.state == stepReady && s.since.After(newest):
+			newest = s.since
 		}
 	}
-	return longest
+	if newest.IsZero() {
+		return 0
+	}
+	return now.Sub(newest)
 }
 
 func (j *job) done() bool {
