Make large results when the rest of their job is about done

The large step of shelf-plan is read by the engine only, but was made first and held its results through the three other stages, over a second.

Change: a step whose results only the request itself reads, of 500 kB or more, waits while the rest of the job is expected to take longer than the step by 200 ms. Test: TestLargeResultsAreMadeLate.

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -121,7 +121,7 @@
 		if free == 0 || (w.slow() && len(items) > 0) {
 			break
 		}
-		if !p.fits(s, w, now) {
+		if !p.fits(s, w, now) || b.early(s, now) {
 			continue
 		}
 		take := min(len(s.pending), free)
@@ -138,7 +138,7 @@
 			s.state = stepRunning
 			b.unqueue(s)
 		}
-		s.job.started = true
+		s.job.started, s.begun = true, now
 		if !s.job.late {
 			smooth(&p.wait, now.Sub(s.since))
 		}
--- a/internal/cell/board/board_test.go
+++ b/internal/cell/board/board_test.go
@@ -208,3 +208,22 @@
 	c.Assert(batches, qt.HasLen, 1)
 	c.Check(batches[0].Upstream.Pool, qt.Equals, "a")
 }
+
+func TestLargeResultsAreMadeLate(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	job := chain("one", 1000)
+	job.Stages = append(job.Stages, board.Stage{Pool: "a", Pieces: 1, ResultBytes: 2_000_000})
+	job.Target = start.Add(4 * time.Second)
+	b.Submit(job, start)
+	first := b.Step(start).Batches
+	c.Assert(first, qt.HasLen, 1)
+	c.Check(first[0].Items, qt.HasLen, 1)
+	c.Check(first[0].Items[0].Stage, qt.Equals, 0, qt.Commentf("its large result would only occupy memory while the chain runs"))
+	b.Finished(first[0].ID, results("h1"), at(210))
+	var stages []int
+	for _, batch := range b.Step(at(210)).Batches {
+		stages = append(stages, batch.Items[0].Stage)
+	}
+	c.Check(stages, qt.ContentEquals, []int{1, 2}, qt.Commentf("the last call of the chain takes as long as the large step"))
+}
--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -55,9 +55,10 @@
 	state    stepState
 	pending  []int // pieces that no call holds
 	results  []result
-	missing  int // pieces without a result
-	since    time.Time
-	home     string // availability zone of most of its input, if that matters
+	missing  int       // pieces without a result
+	since    time.Time // ready
+	begun    time.Time // the newest of its calls
+	home     string    // availability zone of most of its input, if that matters
 	failures int
 }
 
