Give up calls to stage upstreams that hang

Trace: their answers had no length (garble, unframed) and did not end; each call was waited for until 12 s had passed, and an upstream has one call at a time. Its pieces ran elsewhere, but the upstream did not work.

Change: a call has a limit of five times its expected time, at least 1 s; then its connection is closed and the upstream pauses like one that failed. What ran in the meantime elsewhere stays. Test: TestCallsThatHangAreGivenUp (fails with a factor of 50).

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -156,6 +156,7 @@
 	b.nextID++
 	r.id = b.nextID
 	r.expected = p.callTime(len(items)) + overheadPerCall
+	r.limit = max(leastLimit, limitFactor*r.expected)
 	smooth(&p.call, r.expected)
 	w.running = r
 	w.used += r.bytes
@@ -165,7 +166,7 @@
 	b.calls[r.id] = r
 	inTime, late := p.queued()
 	b.out.Batches = append(b.out.Batches, Batch{
-		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, InTime: inTime, Late: late, Room: room,
+		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, Limit: r.limit, InTime: inTime, Late: late, Room: room,
 	})
 }
 
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -11,36 +11,38 @@
 )
 
 const (
-	minHomeBytes     = 200_000                // input that is worth staying in its zone for
-	crossAfter       = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
-	forecastMargin   = 100 * time.Millisecond // by which forecasts are on the safe side
-	rankStep         = 100 * time.Millisecond // a rank's worth of urgency
-	lateHold         = 0.08                   // part of its time that a late job waits for its first call
-	noLateFor        = 1 * time.Second        // after a late job waited in vain, no others are taken
-	longestHold      = 0.6                    // part of its time after which a job without an engine is refused
-	longestStepWait  = 600 * time.Millisecond // that a late job waits between two of its calls
-	maxRestarts      = 2                      // of a job whose results were lost
-	maxFailures      = 4                      // calls of one step that failed
-	roomPause        = 100 * time.Millisecond // an upstream that had no room for results gets no calls
-	firstPause       = 300 * time.Millisecond // after a failed call; doubles
-	longestPause     = 2 * time.Second
-	hedgeFactor      = 1.5 // a call that takes longer than this multiple of its expected time runs elsewhere too,
-	hedgeBusyFactor  = 3.0 // or than this one while other steps wait for the pool
-	hedgeSlack       = 60 * time.Millisecond
-	speedSmoothing   = 0.4
-	slowFactor       = 1.7 // upstreams slower than this get single steps, to see whether they still are
-	retestEvery      = 700 * time.Millisecond
-	loadSmoothing    = 0.15                   // of the usual wait and length of calls
-	minProbed        = 4_000_000              // bytes of memory below which reports, in whole MB, say too little
-	reportStep       = 1_000_000              // bytes by which a report may be too low
-	foreignPart      = 8                      // results of unknown origin count from this part of the memory on
-	foreignFor       = 1 * time.Second        // results of unknown origin are assumed after a piece found no room
-	roomPart         = 0.95                   // of an upstream's memory that is planned with, as sizes of results are approximate
-	probeEvery       = 500 * time.Millisecond // while results of unknown origin occupy an upstream
-	overheadPerCall  = 4 * time.Millisecond
-	minRetryAfter    = 1 * time.Second
-	retryFactor      = 2                // new work keeps coming while queued work is done
-	abandonCallAfter = 10 * time.Second // a call without an answer for this long counts as failed
+	minHomeBytes    = 200_000                // input that is worth staying in its zone for
+	crossAfter      = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
+	forecastMargin  = 100 * time.Millisecond // by which forecasts are on the safe side
+	rankStep        = 100 * time.Millisecond // a rank's worth of urgency
+	lateHold        = 0.08                   // part of its time that a late job waits for its first call
+	noLateFor       = 1 * time.Second        // after a late job waited in vain, no others are taken
+	longestHold     = 0.6                    // part of its time after which a job without an engine is refused
+	longestStepWait = 600 * time.Millisecond // that a late job waits between two of its calls
+	maxRestarts     = 2                      // of a job whose results were lost
+	maxFailures     = 4                      // calls of one step that failed
+	roomPause       = 100 * time.Millisecond // an upstream that had no room for results gets no calls
+	firstPause      = 300 * time.Millisecond // after a failed call; doubles
+	longestPause    = 2 * time.Second
+	hedgeFactor     = 1.5 // a call that takes longer than this multiple of its expected time runs elsewhere too,
+	hedgeBusyFactor = 3.0 // or than this one while other steps wait for the pool
+	hedgeSlack      = 60 * time.Millisecond
+	speedSmoothing  = 0.4
+	slowFactor      = 1.7 // upstreams slower than this get single steps, to see whether they still are
+	retestEvery     = 700 * time.Millisecond
+	loadSmoothing   = 0.15                   // of the usual wait and length of calls
+	minProbed       = 4_000_000              // bytes of memory below which reports, in whole MB, say too little
+	reportStep      = 1_000_000              // bytes by which a report may be too low
+	foreignPart     = 8                      // results of unknown origin count from this part of the memory on
+	foreignFor      = 1 * time.Second        // results of unknown origin are assumed after a piece found no room
+	roomPart        = 0.95                   // of an upstream's memory that is planned with, as sizes of results are approximate
+	probeEvery      = 500 * time.Millisecond // while results of unknown origin occupy an upstream
+	overheadPerCall = 4 * time.Millisecond
+	minRetryAfter   = 1 * time.Second
+	retryFactor     = 2                      // new work keeps coming while queued work is done
+	limitFactor     = 5                      // a call that takes longer than this multiple of its expected time is given up,
+	leastLimit      = 1 * time.Second        // but not before
+	limitSlack      = 200 * time.Millisecond // after which the board itself gives the call up
 )
 
 // Batch is a call to make.
@@ -49,9 +51,10 @@
 	Upstream hosts.Upstream
 	Items    []call.Item
 	Expected time.Duration
-	InTime   int   // pieces that wait for another call of the pool, of jobs that can meet their target
-	Late     int   // and of those that can't
-	Room     int64 // bytes for results that the upstream has left
+	Limit    time.Duration // after which the call is to be given up
+	InTime   int           // pieces that wait for another call of the pool, of jobs that can meet their target
+	Late     int           // and of those that can't
+	Room     int64         // bytes for results that the upstream has left
 }
 
 // Grant says that all stages of a job are done.
@@ -133,6 +136,7 @@
 	parts    []part
 	begun    time.Time
 	expected time.Duration
+	limit    time.Duration
 	bytes    int64
 	hedged   bool
 }
--- a/internal/cell/board/board_test.go
+++ b/internal/cell/board/board_test.go
@@ -1,6 +1,7 @@
 package board_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -227,3 +228,26 @@
 	}
 	c.Check(stages, qt.ContentEquals, []int{1, 2}, qt.Commentf("the last call of the chain takes as long as the large step"))
 }
+
+// A call that hangs must not keep its upstream from working for longer than a slow one takes.
+func TestCallsThatHangAreGivenUp(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	b.Submit(chain("one", 1000), start)
+	first := b.Step(start).Batches[0]
+	c.Check(first.Limit >= first.Expected && first.Limit <= 2*time.Second, qt.IsTrue, qt.Commentf("%v", first.Limit))
+	for now := 500; now <= 4000; now += 20 {
+		if now%500 == 0 { // the other upstream has no answers either
+			job := chain(fmt.Sprint("more", now), 1000)
+			job.Target, job.Deadline = at(now+3000), at(now+9000)
+			b.Submit(job, at(now))
+		}
+		for _, batch := range b.Step(at(now)).Batches {
+			if batch.Upstream.ID == first.Upstream.ID {
+				c.Check(now >= 1000, qt.IsTrue)
+				return
+			}
+		}
+	}
+	c.Fatal("it gets no more calls")
+}
--- a/internal/cell/board/worker.go
+++ b/internal/cell/board/worker.go
@@ -9,7 +9,7 @@
 	for _, id := range sortedKeys(b.calls) {
 		r := b.calls[id]
 		took := now.Sub(r.begun)
-		if took > abandonCallAfter {
+		if took > r.limit+limitSlack {
 			b.Failed(id, false, now)
 			continue
 		}
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -30,7 +30,6 @@
 	releaseLimit  = 2 * time.Second
 	finishPoll    = 50 * time.Millisecond
 	finishRelease = 200 * time.Millisecond
-	callLimit     = 12 * time.Second // longest call to a stage upstream
 )
 
 // Codec writes and reads the calls to stage upstreams.
@@ -419,7 +418,7 @@
 	if err != nil {
 		return nil, fault.New(fault.NotRun, fault.Internal, "a batch can't be encoded").WithCause(err)
 	}
-	status, data, failure := l.exchange(b.Upstream, callLimit, xchg.Request{
+	status, data, failure := l.exchange(b.Upstream, b.Limit, xchg.Request{
 		Method: http.MethodPost, URI: l.o.Codec.RunPath, Body: body, Header: l.o.Codec.HeaderFor(b.Upstream.ID, longest(b.Items)),
 	})
 	switch {
