Let the store of the crew's tests answer when there is something

The test of long outages held without its mechanism, as the stand-in gave all renewals in one read. It answers at once now, as the store does; the mutant fails.

--- a/internal/cell/crew/crew_test.go
+++ b/internal/cell/crew/crew_test.go
@@ -24,6 +24,8 @@
 	away    bool
 }
 
+const readStep = 10 * time.Millisecond
+
 var errAway = errors.New("the store is away")
 
 func (s *memStore) setAway(away bool) {
@@ -47,12 +49,17 @@
 }
 
 func (s *memStore) Read(ctx context.Context, _ platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error) {
-	select {
-	case <-ctx.Done():
-		return nil, 0, ctx.Err()
-	case <-time.After(wait):
+	for waited := time.Duration(0); ; waited += readStep {
+		records, next, err := s.from(from)
+		if err != nil || len(records) > 0 || waited >= wait {
+			return records, next, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(readStep):
+		}
 	}
-	return s.from(from)
 }
 
 func (s *memStore) Put(_ context.Context, _ platform.Topic, r platform.Record) error {
