Look ahead over all stages before a job begins

Change: before calls are assigned, jobs that have not begun are taken in the order of their urgency, after the work of those that have; one that can't meet its target behind that work, over all its stages, is late. A late job does not begin while a later stage has more work than its upstreams do in half a call each.

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -121,7 +121,7 @@
 		if free == 0 || (w.slow() && len(items) > 0) {
 			break
 		}
-		if !p.fits(s, w, now) || b.early(s, now) {
+		if !p.fits(s, w, now) || b.early(s, now) || (s.job.late && !s.job.started && b.backedUp(s.job)) {
 			continue
 		}
 		take := min(len(s.pending), free)
@@ -165,6 +165,9 @@
 	}
 	b.calls[r.id] = r
 	inTime, late := p.queued()
+	if inTime > 0 && !w.slow() {
+		p.fill += loadSmoothing * (float64(len(items)) - p.fill)
+	}
 	b.out.Batches = append(b.out.Batches, Batch{
 		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, Limit: r.limit, InTime: inTime, Late: late, Room: room,
 	})
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -148,6 +148,7 @@
 	ready   []*step
 	wait    time.Duration // usual wait of a step that is in time
 	call    time.Duration // usual length of a call
+	fill    float64       // usual pieces of a call while others wait
 }
 
 // Board is owned by one goroutine.
@@ -178,6 +179,9 @@
 		b.pools[name] = p
 	}
 	p.spec = spec
+	if p.fill == 0 {
+		p.fill = float64(spec.Size)
+	}
 }
 
 // SetUpstreams replaces the known upstreams of all pools.
@@ -434,6 +438,7 @@
 	b.hedge(now)
 	b.expire(now)
 	b.handOver(now)
+	b.outlook(now)
 	for _, name := range sortedKeys(b.pools) {
 		b.assign(b.pools[name], now)
 		b.probe(b.pools[name], now)
--- a/internal/cell/board/load_test.go
+++ b/internal/cell/board/load_test.go
@@ -53,6 +53,7 @@
 	Silent    int
 	PerSecond map[string]float64 `yaml:"perSecond"`
 	InTime    map[string]float64 `yaml:"inTime"`
+	Wasted    float64            // most of the jobs that may be given up after they have begun; unbounded when 0
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -139,7 +140,11 @@
 
 func checkLoad(c *qt.C, w *world, f loadFile, l load) {
 	total, inTime := map[string]int{}, map[string]int{}
+	wasted := 0
 	for id, o := range w.jobs {
+		if o.began && !o.granted {
+			wasted++
+		}
 		total[o.kind]++
 		if o.granted && !o.first.IsZero() && !o.first.After(o.target) {
 			inTime[o.kind]++
@@ -154,6 +159,9 @@
 		c.Logf("%s: %s: %.3f of %d in time", l.Name, kind, part, total[kind])
 		c.Check(part >= least, qt.IsTrue, qt.Commentf("%s: only %.3f in time", kind, part))
 	}
+	part := float64(wasted) / float64(len(w.jobs))
+	c.Logf("%s: %.3f of %d given up after they had begun", l.Name, part, len(w.jobs))
+	c.Check(l.Wasted == 0 || part <= l.Wasted, qt.IsTrue, qt.Commentf("%.3f given up after they had begun", part))
 	for id, u := range w.upstreams {
 		c.Check(len(u.results), qt.Equals, 0, qt.Commentf("%s still holds results", id))
 	}
--- /dev/null
+++ b/internal/cell/board/outlook.go
@@ -0,0 +1,107 @@
+package board
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// outlook marks jobs that have not begun and can't meet their target any more, given the work of all stages that comes
+// before theirs: that of jobs that have begun, and of those that are more urgent. What would only be given up at a later
+// stage does not take the place of other work at the first one.
+func (b *Board) outlook(now time.Time) {
+	ahead := map[string]int{}
+	var waiting []*job
+	for _, id := range sortedKeys(b.jobs) {
+		j := b.jobs[id]
+		switch {
+		case j.late || j.granted || j.recalled:
+		case j.started:
+			j.addTo(ahead)
+		default:
+			waiting = append(waiting, j)
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, c *job) int { return cmp.Compare(b.jobUrgency(a), b.jobUrgency(c)) })
+	for _, j := range waiting {
+		if now.Add(b.path(j, ahead) + j.FinalStep + forecastMargin).After(j.Target) {
+			j.late = true
+			continue
+		}
+		j.addTo(ahead)
+	}
+}
+
+// addTo adds the pieces of a job that no call holds, by pool.
+func (j *job) addTo(ahead map[string]int) {
+	for _, s := range j.steps {
+		switch s.state {
+		case stepReady:
+			ahead[s.spec.Pool] += len(s.pending)
+		case stepBlocked:
+			ahead[s.spec.Pool] += s.spec.Pieces
+		}
+	}
+}
+
+// jobUrgency is the urgency of the most urgent step of a job that has not begun.
+func (b *Board) jobUrgency(j *job) int64 {
+	var least int64
+	for i, s := range j.steps {
+		if u := b.urgency(s); i == 0 || u < least {
+			least = u
+		}
+	}
+	return least
+}
+
+// path is the expected time until all stages of a job are done, after the pieces that are ahead of it.
+func (b *Board) path(j *job, ahead map[string]int) time.Duration {
+	finish := make([]time.Duration, len(j.steps))
+	var longest time.Duration
+	for i, s := range j.steps {
+		for _, a := range s.spec.After {
+			finish[i] = max(finish[i], finish[a])
+		}
+		p := b.pools[s.spec.Pool]
+		if s.spec.Pieces == 0 || p == nil {
+			continue
+		}
+		finish[i] = max(finish[i], p.drain(ahead[s.spec.Pool])) + max(b.duration(s), p.call)
+		longest = max(longest, finish[i])
+	}
+	return longest
+}
+
+// drain is the expected time until a pool has begun a number of pieces, in calls as full as they usually are.
+func (p *pool) drain(pieces int) time.Duration {
+	present, busy := 0, 0
+	for _, w := range p.workers {
+		if w.present {
+			present++
+			if w.running != nil {
+				busy++
+			}
+		}
+	}
+	if present == 0 || busy < present {
+		return 0
+	}
+	calls := float64(pieces)/p.fill + 0.5
+	return time.Duration(calls * float64(p.callTime(int(p.fill))) / float64(present))
+}
+
+// backedUp says whether a stage that comes later for a job has more work than its upstreams do in half a call each.
+func (b *Board) backedUp(j *job) bool {
+	for _, s := range j.steps {
+		p := b.pools[s.spec.Pool]
+		if s.state != stepBlocked || s.spec.Pieces == 0 || p == nil {
+			continue
+		}
+		inTime, late := p.queued()
+		if p.drain(1) > 0 && 2*(inTime+late) > p.present()*p.spec.Size {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cell/board/world_test.go
+++ b/internal/cell/board/world_test.go
@@ -45,6 +45,7 @@
 	decided time.Time // granted or refused
 	granted bool
 	first   time.Time // of the answer
+	began   bool      // a call held one of its pieces
 }
 
 // world plays upstreams and callers around a board.
@@ -162,6 +163,7 @@
 	spec := w.pools[b.Upstream.Pool]
 	took := spec.Call
 	for _, it := range b.Items {
+		w.jobs[it.RequestID].began = true
 		took += time.Duration(w.work(it.RequestID, it.Stage) * float64(spec.Piece))
 	}
 	if len(b.Items) > spec.Size {
