Count only the upstreams that work when a queue is forecast

Cause: a pool that memory for results keeps partly idle counted as having no queue at all, so jobs began that their later stages could not take (0.44 of the jobs in the load above).

Change: a queue is worked off by as many upstreams as usually had a call while pieces waited.

--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -143,12 +143,14 @@
 
 // pool is a stage pool.
 type pool struct {
-	spec    rule.Batch
-	workers map[string]*worker
-	ready   []*step
-	wait    time.Duration // usual wait of a step that is in time
-	call    time.Duration // usual length of a call
-	fill    float64       // usual pieces of a call while others wait
+	spec     rule.Batch
+	workers  map[string]*worker
+	ready    []*step
+	wait     time.Duration // usual wait of a step that is in time
+	call     time.Duration // usual length of a call
+	fill     float64       // usual pieces of a call while others wait
+	active   float64       // usual number of upstreams that have a call while pieces wait
+	observed time.Time
 }
 
 // Board is owned by one goroutine.
@@ -441,6 +443,7 @@
 	b.outlook(now)
 	for _, name := range sortedKeys(b.pools) {
 		b.assign(b.pools[name], now)
+		b.pools[name].observe(now)
 		b.probe(b.pools[name], now)
 	}
 	out := b.out
--- a/internal/cell/board/outlook.go
+++ b/internal/cell/board/outlook.go
@@ -2,10 +2,16 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
+const (
+	activeOver  = 1 * time.Second // over which the number of working upstreams is averaged
+	leastActive = 0.5             // upstreams
+)
+
 // outlook marks jobs that have not begun and can't meet their target any more, given the work of all stages that comes
 // before theirs: that of jobs that have begun, and of those that are more urgent. What would only be given up at a later
 // stage does not take the place of other work at the first one.
@@ -75,7 +81,16 @@
 
 // drain is the expected time until a pool has begun a number of pieces, in calls as full as they usually are.
 func (p *pool) drain(pieces int) time.Duration {
-	present, busy := 0, 0
+	present, busy := p.busy()
+	if present == 0 || (busy < present && len(p.ready) == 0) {
+		return 0
+	}
+	calls := float64(pieces)/p.fill + 0.5
+	return time.Duration(calls * float64(p.callTime(int(p.fill))) / max(leastActive, min(p.active, float64(present))))
+}
+
+// busy counts the upstreams that are listed and ready, and those of them that have a call.
+func (p *pool) busy() (present, busy int) {
 	for _, w := range p.workers {
 		if w.present {
 			present++
@@ -84,11 +99,23 @@
 			}
 		}
 	}
-	if present == 0 || busy < present {
-		return 0
+	return present, busy
+}
+
+// observe notes how many upstreams work while pieces wait; memory for results may keep some of them idle.
+func (p *pool) observe(now time.Time) {
+	passed := now.Sub(p.observed)
+	p.observed = now
+	present, busy := p.busy()
+	if p.active == 0 {
+		p.active = float64(present)
 	}
-	calls := float64(pieces)/p.fill + 0.5
-	return time.Duration(calls * float64(p.callTime(int(p.fill))) / float64(present))
+	if len(p.ready) == 0 {
+		return
+	}
+	part := 1 - math.Exp(-float64(passed)/float64(activeOver))
+	p.active += part * (float64(busy) - p.active)
+	p.active = min(p.active, float64(present))
 }
 
 // backedUp says whether a stage that comes later for a job has more work than its upstreams do in half a call each.
