--- a/internal/cell/board/outlook.go
+++ b/internal/cell/board/outlook.go
@@ -10,7 +10,7 @@
 const (
 	activeOver  = 1 * time.Second // over which the number of working upstreams is averaged
 	leastActive = 0.5             // upstreams
-	// backedUpPart is the part of a call for each upstream from which on what waits counts as a queue; from trials with 2, 4 and 8.
+	// A pool has a queue when more waits than an eighth of a call for each upstream; less is taken up by the next calls.
 	backedUpPart = 8
 )
 
