End no order with a connection that gave it back

Found by reading: an order that a leader handed over and that came back on another connection was ended when the first connection closed, up to 8 s later. And an order that moved from a leader that is gone took along results of an earlier move, which may have been used up since.

Change: a connection forgets orders that it gave back; what was done is forgotten when a leader is gone. Test: TestOrdersThatComeBackOutliveTheOldConnection, 0 orders left before, 1 now.

--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -305,7 +305,7 @@
 	var moved []*pending
 	for _, p := range l.requests {
 		if p.session == s && p.reply != nil {
-			p.session = l.current
+			p.session, p.order.Job.Progress = l.current, nil // what became of it since is not known
 			moved = append(moved, p)
 		}
 	}
@@ -370,7 +370,7 @@
 	p.order.Engine.Exclude = append(p.order.Engine.Exclude, engine)
 	moved := p.session != nil && p.session.gone(l.o.Now()) != ""
 	if moved {
-		p.session = l.current
+		p.session, p.order.Job.Progress = l.current, nil
 		if p.session != nil && p.session.gone(l.o.Now()) != "" {
 			p.session = nil
 		}
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
@@ -322,3 +323,30 @@
 	c.Check((<-ask(l, "1")).Upstream, qt.Equals, "local", qt.Commentf("its own orders do not wait"))
 	eventually(c, func() bool { _, follows := l.Leader(); return !follows })
 }
+
+// An order that was handed over may come back on another connection, and must not end with the old one.
+func TestOrdersThatComeBackOutliveTheOldConnection(t *testing.T) {
+	c := qt.New(t)
+	desk := newDesk("leader", true)
+	desk.handsOver = true
+	p := newPeer(c, "leader", desk)
+	conn, err := grpc.NewClient("passthrough:///"+p.Address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	order := &cellpb.ToLead{Body: &cellpb.ToLead_Submit{Submit: &cellpb.Submit{Id: "1"}}}
+	old, end := context.WithCancel(context.Background())
+	first, err := cellpb.NewCellClient(conn).Work(old)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Send(order), qt.IsNil)
+	c.Assert(first.Send(&cellpb.ToLead{Body: &cellpb.ToLead_Recall{Recall: &cellpb.Recall{Id: "1"}}}), qt.IsNil)
+	got, err := first.Recv()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.GetDecision().GetMoved(), qt.IsTrue)
+	second, err := cellpb.NewCellClient(conn).Work(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.Send(order), qt.IsNil)
+	eventually(c, func() bool { return desk.count() == 1 })
+	end()
+	time.Sleep(200 * time.Millisecond)
+	c.Check(desk.count(), qt.Equals, 1)
+}
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -182,6 +182,9 @@
 
 func (ses *session) reply(id string) func(lead.Decision) {
 	return func(d lead.Decision) {
+		if d.Moved {
+			ses.untrack(id) // it may come back on another connection
+		}
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Decision{Decision: &cellpb.Decision{
 			Id: id, Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: string(d.Refused),
 			RetryAfterUs: d.RetryAfter.Microseconds(), Moved: d.Moved, Progress: cellpb.ProgressOf(d.Progress),
