--- a/internal/fake/child/child.go
+++ b/internal/fake/child/child.go
@@ -32,11 +32,17 @@
 	}
 }
 
-// Child is one process of the program, which may end and be started again.
+// Child is one process of the program, which may end and be started again; it is safe for concurrent use.
 type Child struct {
-	args  []string
-	env   []string
-	log   *os.File
+	args []string
+	env  []string
+	log  *os.File
+	mu   sync.Mutex
+	life *life
+}
+
+// life is one run of the process.
+type life struct {
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -52,40 +58,46 @@
 	if err != nil {
 		return err
 	}
-	c.cmd = exec.Command(program, c.args...)
-	c.cmd.Env = append(os.Environ(), c.env...)
-	c.cmd.Stdout, c.cmd.Stderr = c.log, c.log
-	if err := c.cmd.Start(); err != nil {
+	l := &life{cmd: exec.Command(program, c.args...), ended: make(chan struct{})}
+	l.cmd.Env = append(os.Environ(), c.env...)
+	l.cmd.Stdout, l.cmd.Stderr = c.log, c.log
+	if err := l.cmd.Start(); err != nil {
 		return err
 	}
-	c.ended = make(chan struct{})
-	go func(cmd *exec.Cmd, ended chan struct{}) {
-		_ = cmd.Wait()
-		close(ended)
-	}(c.cmd, c.ended)
+	go func() {
+		_ = l.cmd.Wait()
+		close(l.ended)
+	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.life = l
 	return nil
 }
 
+// present is the newest run; there is none before Start.
+func (c *Child) present() *life {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.life
+}
+
 // Signal sends a signal; it does nothing after the end of the process.
-func (c *Child) Signal(s syscall.Signal) { _ = c.cmd.Process.Signal(s) }
+func (c *Child) Signal(s syscall.Signal) { _ = c.present().cmd.Process.Signal(s) }
 
 // Ended is closed when the process has ended.
-func (c *Child) Ended() <-chan struct{} { return c.ended }
-
-// Code is the exit code after the end; -1 after a signal.
-func (c *Child) Code() int {
-	<-c.ended
-	return c.cmd.ProcessState.ExitCode()
-}
+func (c *Child) Ended() <-chan struct{} { return c.present().ended }
 
 // Kill ends the process at once, also when it is paused.
 func (c *Child) Kill() {
-	c.Signal(syscall.SIGKILL)
-	<-c.ended
+	l := c.present()
+	_ = l.cmd.Process.Kill()
+	<-l.ended
 }
 
-// Stop asks for a graceful shutdown and returns the exit code.
+// Stop asks for a graceful shutdown and returns the exit code; -1 after a signal.
 func (c *Child) Stop() int {
-	c.Signal(syscall.SIGTERM)
-	return c.Code()
+	l := c.present()
+	_ = l.cmd.Process.Signal(syscall.SIGTERM)
+	<-l.ended
+	return l.cmd.ProcessState.ExitCode()
 }
