Refuse nothing that an upstream may have run

Trace: sent to engines-2.0 at age 1.0 s, reset at 1.99 s (mayHaveRun); the order went back for another engine and met its deadline there (notRun). The verdict of the last step was taken for that of the request. Ruled out: the upstream (it counts a run when it begins).

Change: a request remembers that an upstream may have run it; what ends it later is mayHaveRun then, 504 at the deadline and 502 otherwise. It holds for plain services too, where a second upstream could not be reached. Test: TestRequestsThatMayHaveRunAreNotRefused (503 before).

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -98,6 +98,7 @@
 	arrived  time.Time
 	deadline time.Time // of the caller or the route, whichever comes first
 	sends    int       // that count as attempts
+	ran      bool      // an upstream may have run it, whatever came later
 
 	fingerprint uint64
 }
@@ -210,6 +211,7 @@
 		if failure.Verdict == fault.NotRun {
 			x.sends-- // no connection
 		}
+		x.ran = x.ran || failure.Verdict != fault.NotRun
 		x.noteCrash(failure)
 		return nil, failure
 	}
@@ -227,6 +229,7 @@
 		}
 		return nil, fault.New(fault.NotRun, code, "upstream %s did not run the request: status %d", u.ID, answer.Status)
 	}
+	x.ran = true
 	return answer, nil
 }
 
@@ -251,6 +254,9 @@
 
 // fail answers with an error of our own.
 func (x *exchange) fail(w http.ResponseWriter, failure *fault.Error) {
+	if x.ran && failure.Verdict == fault.NotRun {
+		failure = fault.New(fault.MayHaveRun, failure.Code, "an upstream may have run it, and no other did").WithCause(failure)
+	}
 	if x.caller.Err() != nil {
 		failure = fault.New(failure.Verdict, fault.Canceled, "the caller left").WithCause(failure)
 	}
--- a/internal/edge/front/sends_test.go
+++ b/internal/edge/front/sends_test.go
@@ -78,3 +78,18 @@
 	c.Check(failure.Code, qt.Equals, fault.Draining)
 	c.Check(statusOf(failure), qt.Equals, 503)
 }
+
+func TestRequestsThatMayHaveRunAreNotRefused(t *testing.T) {
+	c := qt.New(t)
+	m, err := meter.New(meter.Process{Role: "edge"})
+	c.Assert(err, qt.IsNil)
+	for code, status := range map[fault.Code]int{fault.Deadline: 504, fault.Overloaded: 502, fault.Draining: 502} {
+		w := httptest.NewRecorder()
+		x := &exchange{
+			Front:  New(Options{Now: time.Now, Log: zap.NewNop(), Stats: stats.New(m, func() stats.State { return stats.State{} })}),
+			caller: context.Background(), out: relay.New(w), ran: true, rules: rule.New(0, nil, nil, nil, rule.Limits{}),
+		}
+		x.fail(w, fault.New(fault.NotRun, code, "nothing more was sent"))
+		c.Check(w.Code, qt.Equals, status)
+	}
+}
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -180,13 +180,16 @@
 		more = "\nzone="
 	}
 	return "reload " + e.name, func(lasts time.Duration) {
-		for _, text := range []string{e.text + more, e.text} {
-			if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-				s.problem("settings: %v", err)
+		// Alone, as a process that starts with settings that can't be read does not start.
+		s.alone(e, func() {
+			for _, text := range []string{e.text + more, e.text} {
+				if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+					s.problem("settings: %v", err)
+				}
+				e.Signal(syscall.SIGHUP)
+				time.Sleep(lasts / 2)
 			}
-			e.Signal(syscall.SIGHUP)
-			time.Sleep(lasts / 2)
-		}
+		})
 	}
 }
 
