Make one piece of what was written twice

From reading the whole change again; behaviour stays: - sock.Dialer in place of three dialers with the same keepalive probes (upstreams, leader, store). - board: one count of upstreams in place of three loops; usualCall in place of the same max in six places; smooth serves the fill of calls too; jobs are sorted once a step in place of three times. - front: what fails is logged and counted in one place. - crew.Member.Same for the comparison of lifetimes. - Tests: startBehind, cloud.Store.List; Child's environment, which nobody set, is gone.

--- a/internal/cell/board/admit.go
+++ b/internal/cell/board/admit.go
@@ -16,7 +16,7 @@
 	var path time.Duration
 	for i, s := range j.steps {
 		if len(s.spec.After) == 0 && s.spec.Pieces > 0 {
-			path = max(path, b.wait(s.spec.Pool)+max(b.duration(s), b.pools[s.spec.Pool].call)+b.usualTail(j, i))
+			path = max(path, b.wait(s.spec.Pool)+b.usualCall(s)+b.usualTail(j, i))
 		}
 	}
 	j.late = now.Add(path + j.FinalStep).After(j.Target)
@@ -43,17 +43,8 @@
 // wait is the expected time until a new step of a pool begins: half a call when all upstreams are busy, and what is queued.
 func (b *Board) wait(name string) time.Duration {
 	p := b.pools[name]
-	busy, present := 0, 0
-	for _, w := range p.workers {
-		if !w.present {
-			continue
-		}
-		present++
-		if w.running != nil || w.slow() {
-			busy++
-		}
-	}
-	if present == 0 || busy < present {
+	present := p.present()
+	if present == 0 || p.count(func(w *worker) bool { return w.running != nil || w.slow() }) < present {
 		return 0
 	}
 	inTime, _ := p.queued()
@@ -79,10 +70,16 @@
 }
 
 // present is the number of upstreams that are listed and ready.
-func (p *pool) present() int {
+func (p *pool) present() int { return p.count(func(*worker) bool { return true }) }
+
+// busy is the number of those that have a call.
+func (p *pool) busy() int { return p.count(func(w *worker) bool { return w.running != nil }) }
+
+// count is the number of upstreams that are listed and ready and of which something is true.
+func (p *pool) count(is func(*worker) bool) int {
 	n := 0
 	for _, w := range p.workers {
-		if w.present {
+		if w.present && is(w) {
 			n++
 		}
 	}
--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -47,7 +47,7 @@
 
 // expected is the time from the start of a step to the first byte; what has not begun yet meets the usual waits.
 func (b *Board) expected(s *step) time.Duration {
-	return max(b.duration(s), b.pools[s.spec.Pool].call) + b.usualTail(s.job, s.index) + s.job.FinalStep + forecastMargin
+	return b.usualCall(s) + b.usualTail(s.job, s.index) + s.job.FinalStep + forecastMargin
 }
 
 // usualTail is the usual time of the stages that follow one.
@@ -56,7 +56,7 @@
 	for i, s := range j.steps {
 		p := b.pools[s.spec.Pool]
 		if s.spec.Pieces > 0 && p != nil && slices.Contains(s.spec.After, index) {
-			longest = max(longest, p.wait+max(b.duration(s), p.call)+b.usualTail(j, i))
+			longest = max(longest, p.wait+b.usualCall(s)+b.usualTail(j, i))
 		}
 	}
 	return longest
@@ -82,6 +82,11 @@
 	return p.callTime(min(s.spec.Pieces, p.spec.Size)) + overheadPerCall
 }
 
+// usualCall is the time that a call takes with a step in it: as long as usual, or longer if the step needs it.
+func (b *Board) usualCall(s *step) time.Duration {
+	return max(b.duration(s), b.pools[s.spec.Pool].call)
+}
+
 // callTime is the work of a call for a number of pieces.
 func (p *pool) callTime(pieces int) time.Duration {
 	return p.spec.Call + time.Duration(pieces)*p.spec.Piece
@@ -166,7 +171,7 @@
 	b.calls[r.id] = r
 	inTime, late := p.queued()
 	if inTime > 0 && !w.slow() {
-		p.fill += loadSmoothing * (float64(len(items)) - p.fill)
+		smooth(&p.fill, float64(len(items)))
 	}
 	b.out.Batches = append(b.out.Batches, Batch{
 		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, Limit: r.limit, InTime: inTime, Late: late, Room: room,
@@ -187,6 +192,6 @@
 }
 
 // smooth moves an average towards a new value.
-func smooth(average *time.Duration, value time.Duration) {
-	*average += time.Duration(loadSmoothing * float64(value-*average))
+func smooth[T time.Duration | float64](average *T, value T) {
+	*average += T(loadSmoothing * float64(value-*average))
 }
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -438,9 +438,10 @@
 		p.expire(now)
 	}
 	b.hedge(now)
-	b.expire(now)
-	b.handOver(now)
-	b.outlook(now)
+	ids := sortedKeys(b.jobs)
+	b.expire(ids, now)
+	b.handOver(ids, now)
+	b.outlook(ids, now)
 	for _, name := range sortedKeys(b.pools) {
 		b.assign(b.pools[name], now)
 		b.pools[name].observe(now)
@@ -458,8 +459,8 @@
 }
 
 // expire refuses jobs that can't be served any more.
-func (b *Board) expire(now time.Time) {
-	for _, id := range sortedKeys(b.jobs) {
+func (b *Board) expire(ids []string, now time.Time) {
+	for _, id := range ids {
 		j := b.jobs[id]
 		if j.granted {
 			continue
--- a/internal/cell/board/early.go
+++ b/internal/cell/board/early.go
@@ -14,7 +14,7 @@
 		return false
 	}
 	p := b.pools[s.spec.Pool]
-	return b.rest(s, now) > p.wait+max(b.duration(s), p.call)+earlyMargin
+	return b.rest(s, now) > p.wait+b.usualCall(s)+earlyMargin
 }
 
 // rest is the expected time until the other steps of a job are done.
@@ -25,7 +25,7 @@
 		if other == s || p == nil {
 			continue
 		}
-		call, tail := max(b.duration(other), p.call), b.usualTail(s.job, other.index)
+		call, tail := b.usualCall(other), b.usualTail(s.job, other.index)
 		switch other.state {
 		case stepRunning:
 			longest = max(longest, max(0, call-now.Sub(other.begun))+tail)
--- a/internal/cell/board/hand.go
+++ b/internal/cell/board/hand.go
@@ -34,10 +34,10 @@
 }
 
 // handOver gives the recalled jobs away that no call holds.
-func (b *Board) handOver(now time.Time) {
-	for _, id := range sortedKeys(b.jobs) {
+func (b *Board) handOver(ids []string, now time.Time) {
+	for _, id := range ids {
 		j := b.jobs[id]
-		if !j.recalled || j.granted || j.inCalls() > 0 {
+		if j == nil || !j.recalled || j.granted || j.inCalls() > 0 {
 			continue
 		}
 		h := Handover{Job: id}
--- a/internal/cell/board/outlook.go
+++ b/internal/cell/board/outlook.go
@@ -17,13 +17,13 @@
 // outlook marks jobs that have not begun and can't meet their target any more, given the work of all stages that comes
 // before theirs: that of jobs that have begun, and of those that are more urgent. What would only be given up at a later
 // stage does not take the place of other work at the first one.
-func (b *Board) outlook(now time.Time) {
+func (b *Board) outlook(ids []string, now time.Time) {
 	ahead := map[string]int{}
 	var waiting []*job
-	for _, id := range sortedKeys(b.jobs) {
+	for _, id := range ids {
 		j := b.jobs[id]
 		switch {
-		case j.late || j.granted || j.recalled:
+		case j == nil || j.late || j.granted || j.recalled:
 		case j.started:
 			j.addTo(ahead)
 		default:
@@ -75,7 +75,7 @@
 		if s.spec.Pieces == 0 || p == nil {
 			continue
 		}
-		finish[i] = max(finish[i], p.drain(ahead[s.spec.Pool])) + max(b.duration(s), p.call)
+		finish[i] = max(finish[i], p.drain(ahead[s.spec.Pool])) + b.usualCall(s)
 		longest = max(longest, finish[i])
 	}
 	return longest
@@ -83,7 +83,7 @@
 
 // drain is the expected time until a pool has begun a number of pieces, in calls as full as they usually are.
 func (p *pool) drain(pieces int) time.Duration {
-	present, busy := p.busy()
+	present, busy := p.present(), p.busy()
 	if present == 0 || (busy < present && len(p.ready) == 0) {
 		return 0
 	}
@@ -91,24 +91,11 @@
 	return time.Duration(calls * float64(p.callTime(int(p.fill))) / max(leastActive, min(p.active, float64(present))))
 }
 
-// busy counts the upstreams that are listed and ready, and those of them that have a call.
-func (p *pool) busy() (present, busy int) {
-	for _, w := range p.workers {
-		if w.present {
-			present++
-			if w.running != nil {
-				busy++
-			}
-		}
-	}
-	return present, busy
-}
-
 // observe notes how many upstreams work while pieces wait; memory for results may keep some of them idle.
 func (p *pool) observe(now time.Time) {
 	passed := now.Sub(p.observed)
 	p.observed = now
-	present, busy := p.busy()
+	present, busy := p.present(), p.busy()
 	if p.active == 0 {
 		p.active = float64(present)
 	}
--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -40,6 +40,9 @@
 	Born    int64   `json:"born"` // Unix ms of the start of the process
 }
 
+// Same says whether two records name one lifetime of a host's process.
+func (m Member) Same(other Member) bool { return m.Host == other.Host && m.Born == other.Born }
+
 // Store is where members are recorded.
 type Store interface {
 	cursor.Store
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -125,7 +125,7 @@
 	sound := current != nil && l.lookAfterCurrent(current, now)
 	wanted := l.wanted(now)
 	switch {
-	case sound && wanted.Host == current.member.Host && wanted.Born == current.member.Born:
+	case sound && wanted.Same(current.member):
 	case wanted.Host == l.o.Self:
 		if current != nil {
 			l.change(wanted, nil)
@@ -190,7 +190,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.current != nil && leader.Host == l.current.member.Host && leader.Born == l.current.member.Born
+	return l.current != nil && leader.Same(l.current.member)
 }
 
 // leaveOut keeps a lifetime of a member from being asked for a while.
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -130,6 +130,19 @@
 	return l
 }
 
+// startBehind returns a link that follows first, and second once replaced is set.
+func startBehind(c *qt.C, first, second *peer) (l *link.Link, replaced *atomic.Bool) {
+	replaced = &atomic.Bool{}
+	l = startAmong(c, newDesk("local", false), func() []crew.Member {
+		if replaced.Load() {
+			return []crew.Member{second.Member, first.Member, {Host: "self"}}
+		}
+		return []crew.Member{first.Member, second.Member, {Host: "self"}}
+	})
+	eventually(c, func() bool { return !l.Leads() })
+	return l, replaced
+}
+
 func eventually(c *qt.C, ok func() bool) {
 	c.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -173,14 +186,7 @@
 func TestUndecidedOrdersOutliveAReplacedLeader(t *testing.T) {
 	c := qt.New(t)
 	first, second := newPeer(c, "first", newDesk("first", true)), newPeer(c, "second", newDesk("second", false))
-	var replaced atomic.Bool
-	l := startAmong(c, newDesk("local", false), func() []crew.Member {
-		if replaced.Load() {
-			return []crew.Member{second.Member, first.Member, {Host: "self"}}
-		}
-		return []crew.Member{first.Member, second.Member, {Host: "self"}}
-	})
-	eventually(c, func() bool { return !l.Leads() })
+	l, replaced := startBehind(c, first, second)
 	got := ask(l, "1")
 	replaced.Store(true)
 	eventually(c, func() bool {
@@ -209,14 +215,7 @@
 	old, next := newDesk("first", true), newDesk("second", false)
 	old.handsOver = true
 	first, second := newPeer(c, "first", old), newPeer(c, "second", next)
-	var replaced atomic.Bool
-	l := startAmong(c, newDesk("local", false), func() []crew.Member {
-		if replaced.Load() {
-			return []crew.Member{second.Member, first.Member, {Host: "self"}}
-		}
-		return []crew.Member{first.Member, second.Member, {Host: "self"}}
-	})
-	eventually(c, func() bool { return !l.Leads() })
+	l, replaced := startBehind(c, first, second)
 	got := ask(l, "1")
 	eventually(c, func() bool { return old.count() == 1 })
 	replaced.Store(true)
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -46,7 +46,7 @@
 
 // dial connects to a member.
 func dial(ctx context.Context, m crew.Member, o Options, decided func(string, lead.Decision)) (*session, error) {
-	raw, err := dialTCP(ctx, m.Address)
+	raw, err := sock.Dialer(dialTimeout, unackedTimeout).DialContext(ctx, "tcp4", m.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -82,15 +82,6 @@
 	return s, nil
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control:         sock.UserTimeout(unackedTimeout),
-	}
-	return dialer.DialContext(ctx, "tcp4", address)
-}
-
 func (s *session) sendAll(ctx context.Context, stream grpc.BidiStreamingClient[cellpb.ToLead, cellpb.ToEntry]) {
 	for {
 		select {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -260,11 +260,7 @@
 	if x.caller.Err() != nil {
 		failure = fault.New(failure.Verdict, fault.Canceled, "the caller left").WithCause(failure)
 	}
-	x.o.Log.Info("failed", zap.String("request", x.label), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
-		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
-		zap.String("code", string(failure.Code)), zap.String("verdict", string(failure.Verdict)),
-		zap.Duration("retryAfter", failure.RetryAfter), zap.Error(failure))
-	x.o.Stats.Finished(x.route.Name, string(failure.Code), x.o.Now().Sub(x.arrived))
+	x.noteFailed(failure.Code, failure.Verdict, failure, zap.Duration("retryAfter", failure.RetryAfter))
 	if x.caller.Err() != nil || x.out.Begun() {
 		x.out.Break()
 	}
@@ -276,12 +272,18 @@
 	http.Error(w, failure.Message, status)
 }
 
+// noteFailed logs and counts a request that was not answered whole.
+func (x *exchange) noteFailed(code fault.Code, verdict fault.Verdict, cause error, more ...zap.Field) {
+	age := x.o.Now().Sub(x.arrived)
+	x.o.Log.Info("failed", append(more, zap.String("request", x.label), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
+		zap.Duration("age", age), zap.Int64("version", x.rules.Version()), zap.String("code", string(code)),
+		zap.String("verdict", string(verdict)), zap.Error(cause))...)
+	x.o.Stats.Finished(x.route.Name, string(code), age)
+}
+
 // breakOff ends an answer that has begun and can't be completed.
 func (x *exchange) breakOff(code fault.Code, cause error) {
-	x.o.Log.Info("failed", zap.String("request", x.label), zap.String("route", x.route.Name), zap.Int("sends", x.sends),
-		zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
-		zap.String("code", string(code)), zap.String("verdict", string(fault.MayHaveRun)), zap.Error(cause))
-	x.o.Stats.Finished(x.route.Name, string(code), x.o.Now().Sub(x.arrived))
+	x.noteFailed(code, fault.MayHaveRun, cause)
 	x.out.Break()
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -144,13 +144,8 @@
 
 // storeClient returns an HTTP client that notices when the store's connection is dead.
 func storeClient() *http.Client {
-	dialer := &net.Dialer{
-		Timeout:         storeDialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control:         sock.UserTimeout(storeUnacked),
-	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: storeIdle, MaxIdleConnsPerHost: 4,
+		DialContext: sock.Dialer(storeDialTimeout, storeUnacked).DialContext, DisableCompression: true, IdleConnTimeout: storeIdle, MaxIdleConnsPerHost: 4,
 	}}
 }
 
--- a/internal/edge/node/world_test.go
+++ b/internal/edge/node/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -67,11 +66,7 @@
 
 // list writes the entry of an upstream.
 func (w *world) list(id, pool, state string) {
-	value, err := json.Marshal(map[string]any{
-		"service": pool, "address": w.addresses[id], "zone": "zone-a", "slots": 4, "state": state, "sequence": 1, "born": 1,
-	})
-	w.c.Assert(err, qt.IsNil)
-	w.store.Put("keyed.servers", id, value)
+	w.store.List(id, pool, w.addresses[id], state, 4)
 }
 
 // configure publishes the configuration of testdata with changes of words.
--- a/internal/edge/xchg/client.go
+++ b/internal/edge/xchg/client.go
@@ -23,9 +23,6 @@
 
 const (
 	dialTimeout     = 1 * time.Second
-	probeAfter      = 1 * time.Second // keepalive probes of a connection that is silent
-	probeInterval   = 1 * time.Second
-	probeCount      = 2
 	unackedTimeout  = 3 * time.Second // TCP_USER_TIMEOUT: sent bytes without an acknowledgement
 	idleByDefault   = 4 * time.Second // a connection is kept this long when the upstream does not say
 	idleMargin      = 500 * time.Millisecond
@@ -65,7 +62,7 @@
 
 // Client keeps connections to upstreams; it is safe for concurrent use.
 type Client struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 	decode func(http.Header) call.Answer
 	now    func() time.Time
 	dialed func()
@@ -87,11 +84,7 @@
 // New returns a client; decode reads the heads of answers, and dialed is called for each new connection.
 func New(decode func(http.Header) call.Answer, now func() time.Time, dialed func()) *Client {
 	return &Client{
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probeCount},
-			Control:         sock.UserTimeout(unackedTimeout),
-		},
+		dialer: sock.Dialer(dialTimeout, unackedTimeout),
 		decode: decode, now: now, dialed: dialed, idle: map[string][]*conn{},
 	}
 }
--- a/internal/fake/child/child.go
+++ b/internal/fake/child/child.go
@@ -35,7 +35,6 @@
 // Child is one process of the program, which may end and be started again; it is safe for concurrent use.
 type Child struct {
 	args []string
-	env  []string
 	log  *os.File
 	mu   sync.Mutex
 	life *life
@@ -48,8 +47,8 @@
 }
 
 // New returns a child that is not started; its output is appended to the log file.
-func New(log *os.File, env []string, args ...string) *Child {
-	return &Child{log: log, env: env, args: args}
+func New(log *os.File, args ...string) *Child {
+	return &Child{log: log, args: args}
 }
 
 // Start starts the process.
@@ -59,7 +58,6 @@
 		return err
 	}
 	l := &life{cmd: exec.Command(program, c.args...), ended: make(chan struct{})}
-	l.cmd.Env = append(os.Environ(), c.env...)
 	l.cmd.Stdout, l.cmd.Stderr = c.log, c.log
 	if err := l.cmd.Start(); err != nil {
 		return err
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -44,6 +44,26 @@
 	t.records = append(t.records, record{key: key, value: value})
 }
 
+// listed is an upstream's own entry in the list.
+type listed struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Slots    int    `json:"slots"`
+	State    string `json:"state"`
+	Sequence int    `json:"sequence"`
+	Born     int    `json:"born"`
+}
+
+// List writes the entry of an upstream in zone-a as the upstream itself would.
+func (s *Store) List(id, pool, address, state string, slots int) {
+	value, err := json.Marshal(listed{Service: pool, Address: address, Zone: "zone-a", Slots: slots, State: state, Sequence: 1, Born: 1})
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	s.Put("keyed.servers", id, value)
+}
+
 // Trim forgets all records but for the newest of each key.
 func (s *Store) Trim(name string) {
 	s.mu.Lock()
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -158,7 +158,7 @@
 		f.t.Fatal(err)
 	}
 	p.log = log
-	p.Child = child.New(log, nil, role, "--settings", file)
+	p.Child = child.New(log, role, "--settings", file)
 	return p
 }
 
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -30,7 +30,7 @@
 	run       func(lasts time.Duration)
 }
 
-// lossy are the modes of a cable that loses bytes.
+// modes are those of a cable that misbehaves.
 var modes = []cable.Mode{cable.Slow, cable.NoUp, cable.NoDown, cable.Dead}
 
 // plan draws the faults of a soak. All draws are made here, so that a seed means the same faults.
--- a/internal/proof/soak/world_test.go
+++ b/internal/proof/soak/world_test.go
@@ -147,11 +147,7 @@
 
 // list writes the record of a service's present lifetime.
 func (w *world) list(s *service, state string) {
-	value, err := json.Marshal(map[string]any{
-		"service": s.pool, "address": s.cable.Address(), "zone": "zone-a", "slots": 8, "state": state, "sequence": 1, "born": 1,
-	})
-	w.c.Assert(err, qt.IsNil)
-	w.store.Put(topicHosts, s.current.Load().ID, value)
+	w.store.List(s.current.Load().ID, s.pool, s.cable.Address(), state, 8)
 }
 
 func (w *world) unlist(s *service) { w.store.Put(topicHosts, s.current.Load().ID, nil) }
@@ -230,7 +226,7 @@
 	log, err := os.Create(filepath.Join(w.dir, e.name+".log"))
 	w.c.Assert(err, qt.IsNil)
 	e.log = log
-	e.Child = child.New(log, nil, "edge", "--settings", e.settings)
+	e.Child = child.New(log, "edge", "--settings", e.settings)
 	w.entries = append(w.entries, e)
 	w.c.Assert(e.Start(), qt.IsNil)
 }
