Tell overlapping planned stops from cut requests in the outcome proof

The answers, noUpstream (notRun) and deadline (notRun; mayHaveRun where the stage was sent in the last moments before the deadline), are true. Ruled out: cut calls; the count at the end of each drain was 0 throughout. Change: the world records when planned stops leave a pool without hosts. A request that did not run, or reached its deadline, and met such a time in one of its own pools does not count as cut; all others do, as before.

--- a/internal/proof/chaos_test.go
+++ b/internal/proof/chaos_test.go
@@ -11,6 +11,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/plat/upstr"
 )
 
+const linkDelay = 4 * time.Millisecond // at most, for a message on a link
+
 // fault is one kind of trouble in the world.
 type fault string
 
@@ -79,7 +81,7 @@
 // link returns the fates of calls on a link.
 func (c chaos) link(w *world) inmem.Planner {
 	return func(inmem.Method) inmem.Plan {
-		p := inmem.Plan{Delay: w.rnd.duration(4 * time.Millisecond)}
+		p := inmem.Plan{Delay: w.rnd.duration(linkDelay)}
 		if c[linkSilent] && w.rnd.chance(60) {
 			p.Drop = w.rnd.chance(500)
 			if !p.Drop {
@@ -163,9 +165,12 @@
 		sleep(ctx, w.rnd.duration(6*time.Second))
 		p.goOn()
 	case hostLeaves:
+		hosts := w.hostsOf(h.pool.Name)
+		w.absent.leave(h.pool.Name, hosts)
 		h.leave(time.Minute)
 		sleep(ctx, w.rnd.duration(time.Second))
 		h.start()
+		w.absent.back(h.pool.Name, hosts)
 	case upstreamDies:
 		h.worker.Crash()
 		sleep(ctx, w.rnd.duration(2*time.Second))
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -40,6 +40,7 @@
 	input   []byte
 	tokens  [][]byte // as streamed
 	outcome outcome
+	lasted  span
 	late    time.Duration // after the deadline; negative before it
 }
 
@@ -254,6 +255,7 @@
 		r.outcome = e.serve(req, k)
 	}
 	r.tokens = k.all()
+	r.lasted = span{start, time.Now()}
 	r.late = time.Since(start) - deadline
 	s.mu.Lock()
 	s.results = append(s.results, *r)
@@ -323,7 +325,7 @@
 			a.actionsNotRun++
 			a.actionsRanButNotRun += min(actions, 1)
 		}
-		if s.chaos[hostLeaves] && len(s.chaos) == 1 {
+		if s.chaos[hostLeaves] && len(s.chaos) == 1 && !s.unserved(r) {
 			a.cutByStops++
 		}
 		return a
@@ -337,6 +339,15 @@
 	return a
 }
 
+// unserved says whether a request that did not run, or reached its deadline, met a pool that planned stops had left
+// without a host.
+func (s *system) unserved(r result) bool {
+	if err := r.outcome.err; err.Verdict != verdict.NotRun && err.Code != verdict.Deadline {
+		return false
+	}
+	return slices.ContainsFunc(r.stages, func(st stage.Spec) bool { return s.w.absent.during(st.Pool, r.lasted) })
+}
+
 // compare finds what is missing from an answer, double in it or not its own.
 func compare(got, want [][]byte) tally {
 	var a tally
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -188,19 +188,31 @@
 
 // world is a deployment in memory.
 type world struct {
-	t     *testing.T
-	rnd   *source
-	log   *memlog.Log
-	hosts []*host
-	naive bool
-	cuts  atomic.Int64 // calls in flight at the end of planned stops
+	t      *testing.T
+	rnd    *source
+	log    *memlog.Log
+	hosts  []*host
+	naive  bool
+	absent *absences
+	cuts   atomic.Int64 // calls in flight at the end of planned stops
 }
 
 // cut is how many calls planned stops have cut.
 func (w *world) cut() int { return int(w.cuts.Load()) }
 
 func newWorld(t *testing.T, seed uint64, naive bool) *world {
-	return &world{t: t, rnd: newSource(seed), log: memlog.New(), naive: naive}
+	return &world{t: t, rnd: newSource(seed), log: memlog.New(), naive: naive, absent: newAbsences()}
+}
+
+// hostsOf counts the hosts of a pool.
+func (w *world) hostsOf(pool string) int {
+	n := 0
+	for _, h := range w.hosts {
+		if h.pool.Name == pool {
+			n++
+		}
+	}
+	return n
 }
 
 func (w *world) addHost(p pool.Spec, c chaos) *host {
