Refuse late work at once in an overload, and go on where a lost leader was

Changes: late jobs are refused at once while others of the same pools waited in vain in the last second, and told to come back after as long as the overload has lasted; forecasts over all stages get 0.2 s of margin; calls of a last stage share the pieces of a job while two full calls wait; a leader tells entries what is done of their orders, which the next one goes on from; orders wait until a started process knows its leader; a report right after a lack of room leaves none open.

--- a/internal/cell/board/admit.go
+++ b/internal/cell/board/admit.go
@@ -20,8 +20,11 @@
 		}
 	}
 	j.late = now.Add(path + j.FinalStep).After(j.Target)
-	if j.late && (now.Sub(b.expired) < noLateFor || b.crowded(j)) {
-		return Refusal{Job: j.ID, Reason: Overloaded, RetryAfter: b.retryAfter(j)}, true
+	if !j.late {
+		return Refusal{}, false
+	}
+	if _, still := b.overloaded(j, now); still || b.crowded(j) {
+		return Refusal{Job: j.ID, Reason: Overloaded, RetryAfter: b.retryAfter(j, now)}, true
 	}
 	return Refusal{}, false
 }
@@ -86,8 +89,9 @@
 	return n
 }
 
-// retryAfter is when the work that is queued on a job's way is expected to be done, late work included.
-func (b *Board) retryAfter(j *job) time.Duration {
+// retryAfter is when the work that is queued on a job's way is expected to be done, late work included. An overload is
+// expected to go on for as long as it has lasted.
+func (b *Board) retryAfter(j *job, now time.Time) time.Duration {
 	var longest time.Duration
 	for _, s := range j.steps {
 		if p := b.pools[s.spec.Pool]; s.spec.Pieces > 0 && p != nil {
@@ -95,5 +99,6 @@
 			longest = max(longest, p.timeFor(inTime+late, 1))
 		}
 	}
-	return max(minRetryAfter, retryFactor*longest)
+	lasted, _ := b.overloaded(j, now)
+	return min(max(minRetryAfter, retryFactor*longest, lasted), max(minRetryAfter, j.Deadline.Sub(now)/retryPart))
 }
--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -133,8 +133,7 @@
 		if s.spec.ResultBytes > 0 {
 			take = min(take, int(max(0, room)/s.spec.ResultBytes))
 		}
-		// The pieces of a step stay together where they can, so that later calls find them in one place.
-		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size) {
+		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size && !p.divides(s)) {
 			continue
 		}
 		pieces := slices.Clone(s.pending[:take])
@@ -178,6 +177,13 @@
 	})
 }
 
+// divides says whether calls may share the pieces of a step that fits into one. They stay together for the sake of the
+// stages that read them, and where the rest would not be in the next call anyway.
+func (p *pool) divides(s *step) bool {
+	inTime, late := p.queued()
+	return s.job.last(s.index) && s.spec.ResultBytes*int64(s.spec.Pieces) < minHomeBytes && inTime+late > fullCalls*p.spec.Size
+}
+
 // fits says whether a step should run at an upstream.
 func (p *pool) fits(s *step, w *worker, now time.Time) bool {
 	if s.home == "" || s.home == w.up.Zone || now.Sub(s.since) > crossAfter {
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -12,11 +12,11 @@
 
 const (
 	minHomeBytes    = 200_000                // input that is worth staying in its zone for
+	fullCalls       = 2                      // so many of them have to wait before calls share the pieces of a step
 	crossAfter      = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
 	forecastMargin  = 100 * time.Millisecond // by which forecasts are on the safe side
 	rankStep        = 100 * time.Millisecond // a rank's worth of urgency
 	lateHold        = 0.08                   // part of its time that a late job waits for its first call
-	noLateFor       = 1 * time.Second        // after a late job waited in vain, no others are taken
 	longestHold     = 0.6                    // part of its time after which a job without an engine is refused
 	longestStepWait = 600 * time.Millisecond // that a late job waits between two of its calls
 	maxRestarts     = 2                      // of a job whose results were lost
@@ -40,6 +40,7 @@
 	overheadPerCall = 4 * time.Millisecond
 	minRetryAfter   = 1 * time.Second
 	retryFactor     = 2                      // new work keeps coming while queued work is done
+	retryPart       = 3                      // callers come back within one part in so many of the time they have left
 	limitFactor     = 5                      // a call that takes longer than this multiple of its expected time is given up,
 	leastLimit      = 1 * time.Second        // but not before
 	limitSlack      = 200 * time.Millisecond // after which the board itself gives the call up
@@ -96,6 +97,7 @@
 	Refusals  []Refusal
 	Releases  []Release
 	Handovers []Handover
+	Advances  []Advance
 	Probes    []hosts.Upstream // to be asked how much memory they have left; see SetFree
 }
 
@@ -155,14 +157,14 @@
 
 // Board is owned by one goroutine.
 type Board struct {
-	pools   map[string]*pool
-	jobs    map[string]*job
-	calls   map[int64]*running
-	nextID  int64
-	out     Output
-	dropped map[string][]string // handles to release by maker
-	makers  map[string]*worker
-	expired time.Time // when a late job last waited in vain
+	pools     map[string]*pool
+	jobs      map[string]*job
+	calls     map[int64]*running
+	nextID    int64
+	out       Output
+	dropped   map[string][]string // handles to release by maker
+	makers    map[string]*worker
+	overloads map[string]*overload // by the names of their pools
 }
 
 // New returns a board without pools.
@@ -170,6 +172,7 @@
 	return &Board{
 		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*running{},
 		dropped: map[string][]string{}, makers: map[string]*worker{},
+		overloads: map[string]*overload{},
 	}
 }
 
@@ -296,6 +299,7 @@
 			at++
 		}
 		b.advance(p.step, now)
+		p.step.job.advanced = true
 	}
 }
 
@@ -354,7 +358,7 @@
 	case call.FailedGone:
 		// A call that was overtaken by another one finds its inputs released.
 		if b.waits(s, piece) && !b.Restart(s.job.ID, now) {
-			b.refuse(s.job, Failing)
+			b.refuse(s.job, Failing, now)
 		}
 		return
 	default:
@@ -387,7 +391,7 @@
 		return
 	}
 	if s.failures > maxFailures {
-		b.refuse(j, Failing)
+		b.refuse(j, Failing, now)
 		return
 	}
 	if s.missing > 0 {
@@ -410,12 +414,12 @@
 	b.out.Grants = append(b.out.Grants, Grant{Job: j.ID, Inputs: handles, ByZone: byZone, Late: j.late})
 }
 
-func (b *Board) refuse(j *job, reason Reason) {
+func (b *Board) refuse(j *job, reason Reason, now time.Time) {
 	if b.jobs[j.ID] != j {
 		return
 	}
 	b.Cancel(j.ID)
-	b.out.Refusals = append(b.out.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: b.retryAfter(j)})
+	b.out.Refusals = append(b.out.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: b.retryAfter(j, now)})
 }
 
 func (b *Board) enqueue(steps []*step) {
@@ -441,6 +445,7 @@
 	ids := sortedKeys(b.jobs)
 	b.expire(ids, now)
 	b.handOver(ids, now)
+	b.tellAdvances(ids, now)
 	b.outlook(ids, now)
 	for _, name := range sortedKeys(b.pools) {
 		b.assign(b.pools[name], now)
@@ -468,10 +473,14 @@
 		whole, held := float64(j.Deadline.Sub(j.Arrived)), now.Sub(j.submitted)
 		switch {
 		case held > time.Duration(longestHold*whole):
-			b.refuse(j, Expired)
+			b.refuse(j, Expired, now)
 		case j.late && !j.started && held > time.Duration(lateHold*whole), j.late && j.waitsSince(now) > longestStepWait:
-			b.expired = now
-			b.refuse(j, Expired)
+			b.inVain(j, now)
+			b.refuse(j, Expired, now)
+		case j.late && !j.started:
+			if _, still := b.overloaded(j, now); still {
+				b.refuse(j, Overloaded, now)
+			}
 		}
 	}
 }
--- a/internal/cell/board/board_test.go
+++ b/internal/cell/board/board_test.go
@@ -130,12 +130,92 @@
 	b.Submit(chain("1", 9_000_000), start)
 	probes := b.Step(start).Probes
 	c.Assert(len(probes) > 0, qt.IsTrue, qt.Commentf("a new leader asks what others have left behind"))
-	b.SetFree("a-0", 1_000_000)
-	b.SetFree("a-1", 1_000_000)
+	b.SetFree("a-0", 1_000_000, start)
+	b.SetFree("a-1", 1_000_000, start)
 	b.Submit(chain("2", 9_000_000), at(10))
 	c.Check(b.Step(at(10)).Batches, qt.HasLen, 0)
 }
 
+// Reports are in whole MB. Right after a piece found no room, what they leave open counts as taken.
+func TestReportsAfterALackOfRoomLeaveNoneOpen(t *testing.T) {
+	c := qt.New(t)
+	small := spec
+	small.Headroom = 4_200_000
+	b := board.New()
+	b.SetPool("a", small)
+	b.SetUpstreams(hosts.New([]hosts.Upstream{{ID: "a-0", Pool: "a", State: hosts.Ready}}, start))
+	b.Submit(chain1("one", 60_000), start)
+	first := b.Step(start).Batches
+	c.Assert(first, qt.HasLen, 1)
+	b.Finished(first[0].ID, []call.Result{{Failure: call.FailedRoom}}, at(210))
+	b.SetFree("a-0", 0, at(220))
+	c.Check(b.Step(at(400)).Batches, qt.HasLen, 0)
+	b.SetFree("a-0", 1_000_000, at(900))
+	c.Check(b.Step(at(900)).Batches, qt.HasLen, 1)
+}
+
+// While late jobs wait in vain, others for the same pools are refused at once, and told to come back later and later.
+func TestOverloadRefusesLateJobsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	late := func(id string, now time.Time, pools ...string) board.Job {
+		job := board.Job{ID: id, Request: id, Arrived: now, Target: now.Add(100 * time.Millisecond), Deadline: now.Add(6 * time.Second)}
+		for _, p := range pools {
+			job.Stages = append(job.Stages, board.Stage{Pool: p, Pieces: 1, ResultBytes: 1000})
+		}
+		return job
+	}
+	for i := range 24 { // both upstreams of pool a are busy, and more is urgent
+		b.Submit(chain1(fmt.Sprint("busy", i), 1_000_000), start)
+	}
+	b.Step(start)
+	refusals := func(ms int) map[string]time.Duration {
+		out := map[string]time.Duration{}
+		for _, r := range b.Step(at(ms)).Refusals {
+			out[r.Job] = r.RetryAfter
+		}
+		return out
+	}
+	b.Submit(late("first", at(10), "a"), at(10))
+	c.Check(refusals(20), qt.HasLen, 0, qt.Commentf("it may still find a free upstream"))
+	c.Check(refusals(600)["first"] > 0, qt.IsTrue)
+	b.Submit(late("second", at(700), "a"), at(700))
+	c.Check(refusals(700)["second"] > 0, qt.IsTrue, qt.Commentf("another one of its kind waited in vain"))
+	b.Submit(late("both", at(710), "a", "b"), at(710))
+	c.Check(refusals(710)["both"] > 0, qt.IsTrue, qt.Commentf("it needs the same pool too"))
+	b.Submit(late("other", at(720), "b"), at(720))
+	c.Check(refusals(720), qt.HasLen, 0, qt.Commentf("the other pool is free"))
+	b.Submit(late("probe", at(1700), "a"), at(1700))
+	c.Check(refusals(1700)["probe"], qt.Equals, time.Duration(0), qt.Commentf("one a second finds out whether the overload goes on"))
+	c.Check(refusals(2300)["probe"] > 0, qt.IsTrue)
+	b.Submit(late("third", at(3200), "a"), at(3200))
+	got := refusals(3200)["third"]
+	c.Check(got > time.Second && got <= 2*time.Second, qt.IsTrue, qt.Commentf("%v of overload, within a third of its time", got))
+}
+
+func TestLastStepsShareCallsWhenTheirPoolIsBackedUp(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		jobs, want int // pieces in the first call
+	}{{2, 10}, {8, 12}} {
+		b := twoPools()
+		for i := range test.jobs {
+			job := chain1(fmt.Sprint(i), 1000)
+			job.Stages[0].Pieces = 5
+			b.Submit(job, start)
+		}
+		batches := b.Step(start).Batches
+		c.Check(batches[0].Items, qt.HasLen, test.want, qt.Commentf("%d jobs of five pieces, calls of %d", test.jobs, spec.Size))
+	}
+}
+
+// chain1 is a job with one piece in pool a.
+func chain1(id string, bytes int64) board.Job {
+	job := chain(id, bytes)
+	job.Stages = job.Stages[:1]
+	return job
+}
+
 func TestCancelledJobsReleaseResultsThatComeLater(t *testing.T) {
 	c := qt.New(t)
 	b := twoPools()
@@ -199,6 +279,44 @@
 	c.Check(out.Releases[0].Handles, qt.DeepEquals, []string{"h1"})
 }
 
+func TestJobsGoOnWhereALostBoardToldTheyWere(t *testing.T) {
+	c := qt.New(t)
+	lost, next := twoPools(), twoPools()
+	lost.Submit(chain("one", 1000), start)
+	first := lost.Step(start)
+	c.Check(first.Advances, qt.HasLen, 0)
+	lost.Finished(first.Batches[0].ID, results("h1"), at(210))
+	out := lost.Step(at(210))
+	c.Assert(out.Advances, qt.HasLen, 1)
+	c.Check(out.Advances[0].Job, qt.Equals, "one")
+	c.Check(lost.Step(at(230)).Advances, qt.HasLen, 0, qt.Commentf("it was told"))
+	c.Check(lost.Jobs(), qt.Equals, 1)
+
+	job := chain("one", 1000)
+	job.Progress = board.WithAge(out.Advances[0].Stages, time.Second)
+	next.Submit(job, at(1210))
+	second := next.Step(at(1210)).Batches
+	c.Assert(second, qt.HasLen, 1)
+	c.Check(second[0].Items[0].Inputs, qt.DeepEquals, []string{"h1"})
+}
+
+func TestProgressAgesWithItsResults(t *testing.T) {
+	told := []board.Progress{{Done: true}, {Results: []board.Held{{Handle: "h1", Maker: "a-0", Left: time.Second}, {}}}, {}}
+	for _, test := range []struct {
+		age  time.Duration
+		want []board.Progress
+	}{
+		{0, told},
+		{900 * time.Millisecond, []board.Progress{
+			{Done: true}, {Results: []board.Held{{Handle: "h1", Maker: "a-0", Left: 100 * time.Millisecond}, {}}}, {},
+		}},
+		{time.Second, nil},
+	} {
+		got := board.WithAge(told, test.age)
+		qt.Check(t, got, qt.DeepEquals, test.want, qt.Commentf("%v", test.age))
+	}
+}
+
 func TestJobsWhoseResultsAreNotKnownRunAnew(t *testing.T) {
 	c := qt.New(t)
 	b := twoPools()
--- a/internal/cell/board/hand.go
+++ b/internal/cell/board/hand.go
@@ -21,6 +21,30 @@
 	Stages []Progress
 }
 
+// Advance is what is done of a job that stays here.
+type Advance struct {
+	Job    string
+	Stages []Progress
+}
+
+// WithAge returns what is left of a job's progress that was told some time ago: nothing when a result has expired since.
+func WithAge(stages []Progress, age time.Duration) []Progress {
+	out := make([]Progress, len(stages))
+	for i, s := range stages {
+		out[i].Done = s.Done
+		for _, h := range s.Results {
+			if h.Handle != "" {
+				h.Left -= age
+			}
+			if h.Handle != "" && h.Left <= 0 {
+				return nil
+			}
+			out[i].Results = append(out[i].Results, h)
+		}
+	}
+	return out
+}
+
 // Recall hands a job over as soon as none of its pieces is in a call. A job that is granted stays.
 func (b *Board) Recall(id string) {
 	j := b.jobs[id]
@@ -43,6 +67,7 @@
 		h := Handover{Job: id}
 		for _, s := range j.steps {
 			h.Stages = append(h.Stages, b.progress(s, now))
+			b.forget(s)
 		}
 		delete(b.jobs, id)
 		b.out.Handovers = append(b.out.Handovers, h)
@@ -60,24 +85,35 @@
 	return n
 }
 
-// progress describes a step, and forgets that this board holds its results.
+// tellAdvances describes the jobs that have new results, so that another board can go on with them if this one is lost.
+func (b *Board) tellAdvances(ids []string, now time.Time) {
+	for _, id := range ids {
+		j := b.jobs[id]
+		if j == nil || !j.advanced {
+			continue
+		}
+		j.advanced = false
+		if j.granted || j.recalled {
+			continue
+		}
+		a := Advance{Job: id}
+		for _, s := range j.steps {
+			a.Stages = append(a.Stages, b.progress(s, now))
+		}
+		b.out.Advances = append(b.out.Advances, a)
+	}
+}
+
+// progress describes what is done of a step.
 func (b *Board) progress(s *step, now time.Time) Progress {
 	p := Progress{Done: s.state == stepDone}
 	found := false
 	results := make([]Held, len(s.results))
 	for i, r := range s.results {
-		w := b.makers[r.maker]
-		if r.handle == "" || w == nil {
-			continue
-		}
-		h, held := w.held[r.handle]
-		if !held {
-			continue
+		if h, known := b.heldResult(r); known {
+			results[i] = Held{Handle: r.handle, Maker: r.maker, Left: h.expires.Sub(now)}
+			found = true
 		}
-		delete(w.held, r.handle)
-		w.used -= h.bytes
-		results[i] = Held{Handle: r.handle, Maker: r.maker, Left: h.expires.Sub(now)}
-		found = true
 	}
 	if found {
 		p.Results = results
@@ -85,6 +121,27 @@
 	return p
 }
 
+// forget drops a step's results here without giving them up at their makers.
+func (b *Board) forget(s *step) {
+	for _, r := range s.results {
+		if h, known := b.heldResult(r); known {
+			w := b.makers[r.maker]
+			delete(w.held, r.handle)
+			w.used -= h.bytes
+		}
+	}
+}
+
+// heldResult finds a result at its maker, unless that one is gone or has dropped it.
+func (b *Board) heldResult(r result) (held, bool) {
+	w := b.makers[r.maker]
+	if r.handle == "" || w == nil {
+		return held{}, false
+	}
+	h, known := w.held[r.handle]
+	return h, known
+}
+
 // resume takes over what another board has done of a job. What is not known here runs anew.
 func (b *Board) resume(j *job, now time.Time) {
 	if len(j.Progress) != len(j.steps) || !b.knows(j) {
--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -72,6 +72,7 @@
 	granted   bool
 	restarts  int
 	recalled  bool // goes to another board
+	advanced  bool // has results that were not told yet
 }
 
 func newJob(spec Job, now time.Time) *job {
--- a/internal/cell/board/outlook.go
+++ b/internal/cell/board/outlook.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	activeOver  = 1 * time.Second // over which the number of working upstreams is averaged
-	leastActive = 0.5             // upstreams
+	outlookMargin = 200 * time.Millisecond // by which forecasts over all stages are on the safe side
+	activeOver    = 1 * time.Second        // over which the number of working upstreams is averaged
+	leastActive   = 0.5                    // upstreams
 	// A pool has a queue when more waits than an eighth of a call for each upstream; less is taken up by the next calls.
 	backedUpPart = 8
 )
@@ -32,7 +33,7 @@
 	}
 	slices.SortStableFunc(waiting, func(a, c *job) int { return cmp.Compare(b.jobUrgency(a), b.jobUrgency(c)) })
 	for _, j := range waiting {
-		if now.Add(b.path(j, ahead) + j.FinalStep + forecastMargin).After(j.Target) {
+		if now.Add(b.path(j, ahead) + j.FinalStep + outlookMargin).After(j.Target) {
 			j.late = true
 			continue
 		}
--- a/internal/cell/board/room.go
+++ b/internal/cell/board/room.go
@@ -68,7 +68,7 @@
 }
 
 // SetFree notes how much memory for results an upstream says it has left.
-func (b *Board) SetFree(id string, free int64) {
+func (b *Board) SetFree(id string, free int64, now time.Time) {
 	w := b.makers[id]
 	if w == nil {
 		return
@@ -78,7 +78,11 @@
 	if p == nil {
 		return
 	}
-	if foreign := p.spec.Headroom - free - reportStep - w.used; foreign > p.spec.Headroom/foreignPart {
+	step := int64(reportStep)
+	if now.Before(w.foreignTill) {
+		step = 0 // it had no room lately
+	}
+	if foreign := p.spec.Headroom - free - step - w.used; foreign > p.spec.Headroom/foreignPart {
 		w.foreign = foreign
 	}
 }
--- a/internal/cell/lead/desk.go
+++ b/internal/cell/lead/desk.go
@@ -21,7 +21,9 @@
 	Refused    board.Reason
 	RetryAfter time.Duration
 	// Moved says that nothing was decided, and that another desk is to go on from Progress.
-	Moved    bool
+	Moved bool
+	// Pending says that nothing is decided yet; if this desk is lost, another one can go on from Progress.
+	Pending  bool
 	Progress []board.Progress
 }
 
@@ -37,7 +39,7 @@
 
 // Desk takes orders; it is safe for concurrent use.
 type Desk interface {
-	// Submit asks for a decision; reply is called once, unless Ended comes first.
+	// Submit asks for a decision; reply is called once, unless Ended comes first, and before that for each pending one.
 	Submit(o Order, reply func(Decision))
 	// Again asks for another decision after a problem with the engine that was decided on.
 	Again(id, engine string, why Problem, reply func(Decision))
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -323,6 +323,11 @@
 			l.answer(h.Job, w, Decision{Moved: true, Progress: h.Stages})
 		}
 	}
+	for _, a := range out.Advances {
+		if w := l.waiting[a.Job]; w != nil && w.reply != nil {
+			w.reply(Decision{Pending: true, Progress: a.Stages})
+		}
+	}
 	for _, b := range out.Batches {
 		l.o.Log.Info("stage call", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID),
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
@@ -346,7 +351,7 @@
 		return
 	}
 	l.o.Log.Info("report", zap.String("upstream", u.ID), zap.Int64("freeBytes", free))
-	l.inbox <- func(time.Time) { l.board.SetFree(u.ID, free) }
+	l.inbox <- func(now time.Time) { l.board.SetFree(u.ID, free, now) }
 }
 
 func (l *Lead) askFree(u hosts.Upstream) (int64, error) {
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -24,6 +24,7 @@
 	maxPatience  = 6                      // questions to a member that follows one that is gone, one in each pingEvery
 	settleTime   = 750 * time.Millisecond // for a process that has started, to find the leader: the members, and one question
 	adviceFor    = 2 * time.Second        // whom another entry follows counts this long
+	lookEvery    = 25 * time.Millisecond  // until a process that has started knows whom to ask
 	dialTimeout  = 600 * time.Millisecond
 	askTimeout   = 400 * time.Millisecond // for the first pong of a member that is asked to lead
 	replacedFor  = 8 * time.Second        // a leader that was replaced may still decide on what it has
@@ -50,6 +51,16 @@
 	order   lead.Order
 	reply   func(lead.Decision)
 	session *session // nil when the local desk has it
+
+	waits    bool             // for a leader to be found
+	progress []board.Progress // as the desk told it last
+	told     time.Time
+}
+
+// resume makes the order go on at another desk from where the one before has told it was.
+func (p *pending) resume(now time.Time) {
+	p.order.Job.Progress = board.WithAge(p.progress, now.Sub(p.told))
+	p.progress = nil
 }
 
 // Link is a Desk that passes orders to the leader, or to the local desk while this entry leads.
@@ -61,6 +72,7 @@
 	requests map[string]*pending
 
 	leadsFrom time.Time // this entry leads no others before
+	settled   bool      // this entry has found a leader, or leads itself; orders wait until then
 
 	// What follows belongs to Run.
 	suspects  map[string]suspect // by host
@@ -68,6 +80,7 @@
 	advisedAt time.Time
 	patience  int  // questions that are left to a member that follows one that is gone
 	asking    bool // a member is asked to lead
+	hasAsked  bool // one was asked since the start
 	asked     chan answer
 }
 
@@ -80,7 +93,7 @@
 
 var _ lead.Desk = (*Link)(nil)
 
-// New returns a link that uses the local desk until Run finds a leader.
+// New returns a link; orders wait until Run has found a leader, or for settleTime.
 func New(o Options) *Link {
 	return &Link{o: o, requests: map[string]*pending{}, suspects: map[string]suspect{}, patience: maxPatience, asked: make(chan answer, 1)}
 }
@@ -90,10 +103,13 @@
 	l.mu.Lock()
 	l.leadsFrom = l.o.Now().Add(settleTime)
 	l.mu.Unlock()
-	ticker := time.NewTicker(pingEvery)
+	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		l.look(ctx)
+		if l.isSettled() || l.hasAsked {
+			ticker.Reset(pingEvery)
+		}
 		l.await(ctx, ticker.C)
 	}
 }
@@ -130,9 +146,12 @@
 		if current != nil {
 			l.change(wanted, nil)
 		}
+		if !now.Before(l.leadsFrom) {
+			l.settle()
+		}
 	case !l.asking:
 		// Connecting may take longer than the leader may be silent, so it must not keep pings from being sent.
-		l.asking = true
+		l.asking, l.hasAsked = true, true
 		go func() { l.asked <- ask(ctx, wanted, l.o, l.decided) }()
 	}
 }
@@ -255,6 +274,35 @@
 		return
 	}
 	l.recall(before)
+	l.settle()
+}
+
+// settle submits the orders that have waited for a leader to be found.
+func (l *Link) settle() {
+	l.mu.Lock()
+	var waiting []*pending
+	if !l.settled {
+		for _, p := range l.requests {
+			if p.waits {
+				p.waits, p.session = false, l.current
+				waiting = append(waiting, p)
+			}
+		}
+	}
+	l.settled = true
+	l.mu.Unlock()
+	if len(waiting) > 0 {
+		l.o.Log.Info("orders waited for a leader", zap.Int("orders", len(waiting)))
+	}
+	for _, p := range waiting {
+		l.submit(p)
+	}
+}
+
+func (l *Link) isSettled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settled
 }
 
 // recall asks a leader that was replaced, nil for this entry, for the orders that it has not decided on.
@@ -302,16 +350,22 @@
 func (l *Link) drop(s *session) {
 	s.close()
 	l.mu.Lock()
+	now, resumed := l.o.Now(), 0
 	var moved []*pending
 	for _, p := range l.requests {
 		if p.session == s && p.reply != nil {
-			p.session, p.order.Job.Progress = l.current, nil // what became of it since is not known
+			p.session = l.current
+			p.resume(now)
+			if len(p.order.Job.Progress) > 0 {
+				resumed++
+			}
 			moved = append(moved, p)
 		}
 	}
 	l.mu.Unlock()
 	if len(moved) > 0 {
-		l.o.Log.Info("orders moved to the present leader", zap.String("from", s.member.Host), zap.Int("orders", len(moved)))
+		l.o.Log.Info("orders moved to the present leader", zap.String("from", s.member.Host), zap.Int("orders", len(moved)),
+			zap.Int("resumed", resumed))
 	}
 	for _, p := range moved {
 		l.submit(p)
@@ -321,10 +375,12 @@
 // Submit asks the leader for a decision.
 func (l *Link) Submit(o lead.Order, reply func(lead.Decision)) {
 	l.mu.Lock()
-	p := &pending{order: o, reply: reply, session: l.current}
+	p := &pending{order: o, reply: reply, session: l.current, waits: !l.settled}
 	l.requests[o.Job.ID] = p
 	l.mu.Unlock()
-	l.submit(p)
+	if !p.waits {
+		l.submit(p)
+	}
 }
 
 func (l *Link) submit(p *pending) {
@@ -341,8 +397,13 @@
 	l.mu.Lock()
 	p := l.requests[id]
 	var reply func(lead.Decision)
+	if p != nil && d.Pending {
+		p.progress, p.told = d.Progress, l.o.Now()
+		l.mu.Unlock()
+		return
+	}
 	if p != nil && d.Moved {
-		p.order.Job.Progress = d.Progress
+		p.order.Job.Progress, p.progress = d.Progress, nil
 		p.session = l.current
 		l.mu.Unlock()
 		l.submit(p)
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -68,6 +68,14 @@
 	delete(d.open, id)
 }
 
+// tell sends a decision on an order that is open.
+func (d *fakeDesk) tell(id string, decision lead.Decision) {
+	d.mu.Lock()
+	reply := d.replies[id]
+	d.mu.Unlock()
+	reply(decision)
+}
+
 func (d *fakeDesk) count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -183,6 +191,30 @@
 }
 
 // A leader that was replaced goes on with its orders; if it ends before it has decided, they go to the present one.
+func TestUndecidedOrdersGoOnWhereTheLostLeaderWas(t *testing.T) {
+	c := qt.New(t)
+	old, next := newDesk("old", true), newDesk("next", false)
+	first, second := newPeer(c, "first", old), newPeer(c, "second", next)
+	l, replaced := startBehind(c, first, second)
+	got := ask(l, "one")
+	eventually(c, func() bool { return old.count() == 1 })
+	old.tell("one", lead.Decision{Pending: true, Progress: []board.Progress{
+		{Done: true, Results: []board.Held{{Handle: "h1", Maker: "m", Left: time.Minute}}},
+	}})
+	// Messages of one connection arrive in order, so the decision shows that the progress is known.
+	other := ask(l, "other")
+	eventually(c, func() bool { return old.count() == 2 })
+	old.tell("other", lead.Decision{Upstream: "old"})
+	c.Assert((<-other).Upstream, qt.Equals, "old")
+	replaced.Store(true)
+	first.server.Stop()
+	c.Check((<-got).Upstream, qt.Equals, "next")
+	next.mu.Lock()
+	defer next.mu.Unlock()
+	c.Assert(next.progress, qt.HasLen, 1)
+	c.Check(next.progress[0].Results[0].Handle, qt.Equals, "h1")
+}
+
 func TestUndecidedOrdersOutliveAReplacedLeader(t *testing.T) {
 	c := qt.New(t)
 	first, second := newPeer(c, "first", newDesk("first", true)), newPeer(c, "second", newDesk("second", false))
@@ -209,6 +241,29 @@
 	}
 }
 
+// A process that has started does not act as if it were alone before it has found the leader.
+func TestOrdersWaitUntilALeaderIsFound(t *testing.T) {
+	c := qt.New(t)
+	local, remote := newDesk("local", false), newDesk("remote", false)
+	p := newPeer(c, "leader", remote)
+	var known atomic.Bool
+	l := startAmong(c, local, func() []crew.Member {
+		if known.Load() {
+			return []crew.Member{p.Member, {Host: "self"}}
+		}
+		return []crew.Member{{Host: "self"}}
+	})
+	first, second := ask(l, "1"), ask(l, "2")
+	l.Ended("2", "", false)
+	time.Sleep(100 * time.Millisecond)
+	known.Store(true)
+	c.Check((<-first).Upstream, qt.Equals, "remote")
+	c.Check(second, qt.HasLen, 0, qt.Commentf("it was over before a leader was found"))
+
+	alone := start(c, newDesk("alone", false), crew.Member{Host: "self"})
+	c.Check((<-ask(alone, "3")).Upstream, qt.Equals, "alone")
+}
+
 // A leader that was replaced gives back what it has not decided on, with what it has done of it.
 func TestOrdersMoveWithTheirProgress(t *testing.T) {
 	c := qt.New(t)
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -130,7 +130,7 @@
 			decided(d.Id, lead.Decision{
 				Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: board.Reason(d.Refused),
 				RetryAfter: time.Duration(d.RetryAfterUs) * time.Microsecond,
-				Moved:      d.Moved, Progress: cellpb.BoardProgress(d.Progress),
+				Moved:      d.Moved, Pending: d.Pending, Progress: cellpb.BoardProgress(d.Progress),
 			})
 		}
 	}
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -187,7 +187,7 @@
 		}
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Decision{Decision: &cellpb.Decision{
 			Id: id, Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: string(d.Refused),
-			RetryAfterUs: d.RetryAfter.Microseconds(), Moved: d.Moved, Progress: cellpb.ProgressOf(d.Progress),
+			RetryAfterUs: d.RetryAfter.Microseconds(), Moved: d.Moved, Pending: d.Pending, Progress: cellpb.ProgressOf(d.Progress),
 		}}})
 	}
 }
