Leave out engines that fail, and make results where the prompt is cached

A status 500 did not count as a failure of the engine, and one that fails at once looks idle. Changes: a status of 500 or more, but for 504, is the engine's failure; a stream that may be repeated goes to another engine within its attempts and the budget, others get the failure as it is. The share of requests that an engine failed lately adds to its cost, as one that fails every second is never ejected. Engines that start anew under their ID know nothing. Steps whose large results the request itself reads prefer the zone of the engine that has its prompt, for 150 ms at most.

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -18,21 +18,46 @@
 			s.job.late = true
 		}
 	}
-	slices.SortStableFunc(p.ready, func(a, c *step) int {
-		if a.job.late != c.job.late {
-			if a.job.late {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(b.urgency(a), b.urgency(c))
-	})
-	for _, w := range p.free(now) {
+	free := p.free(now)
+	if len(free) == 0 {
+		return
+	}
+	queue := make([]queued, len(p.ready))
+	for i, s := range p.ready {
+		queue[i] = queued{step: s, urgency: b.urgency(s)}
+	}
+	for _, w := range free {
 		if len(p.ready) == 0 {
 			return
 		}
-		b.load(p, w, now)
+		slices.SortStableFunc(queue, func(a, c queued) int { return cmp.Or(a.compareLate(c), cmp.Compare(a.at(w), c.at(w))) })
+		b.load(p, w, queue, now)
+		queue = slices.DeleteFunc(queue, func(q queued) bool { return q.step.state != stepReady })
+	}
+}
+
+// queued is a step that waits for a call.
+type queued struct {
+	step    *step
+	urgency int64
+}
+
+// at is the urgency of the step at an upstream.
+func (q queued) at(w *worker) int64 {
+	if q.step.home != "" && q.step.home != w.up.Zone {
+		return q.urgency + int64(homeWorth)
+	}
+	return q.urgency
+}
+
+func (q queued) compareLate(other queued) int {
+	switch {
+	case q.step.job.late == other.step.job.late:
+		return 0
+	case q.step.job.late:
+		return 1
 	}
+	return -1
 }
 
 // urgency is when a step has to begin at the latest, as Unix nanoseconds, less what its rank is worth.
@@ -116,12 +141,13 @@
 	return out
 }
 
-// load builds a call for a free upstream from the ready steps, in order.
-func (b *Board) load(p *pool, w *worker, now time.Time) {
+// load builds a call for a free upstream from the steps that wait, in order.
+func (b *Board) load(p *pool, w *worker, queue []queued, now time.Time) {
 	r := &running{worker: w, begun: now}
 	var items []call.Item
 	room := int64(roomPart*float64(p.spec.Headroom)) - w.used - w.foreign
-	for _, s := range slices.Clone(p.ready) {
+	for _, q := range queue {
+		s := q.step
 		free := p.spec.Size - len(items)
 		if free == 0 || (w.slow() && len(items) > 0) {
 			break
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -14,6 +14,7 @@
 	minHomeBytes    = 200_000                // input that is worth staying in its zone for
 	fullCalls       = 2                      // so many of them have to wait before calls share the pieces of a step
 	crossAfter      = 150 * time.Millisecond // a step that waited this long may leave the zone of its input
+	homeWorth       = 150 * time.Millisecond // urgency that a step is given up for another one that belongs to the zone
 	forecastMargin  = 100 * time.Millisecond // by which forecasts are on the safe side
 	rankStep        = 100 * time.Millisecond // a rank's worth of urgency
 	lateHold        = 0.08                   // part of its time that a late job waits for its first call
--- a/internal/cell/board/board_test.go
+++ b/internal/cell/board/board_test.go
@@ -66,6 +66,39 @@
 	c.Check(second[0].Items[0].Key, qt.Equals, "", qt.Commentf("only first stages read the key"))
 }
 
+func TestLargeResultsAreMadeWhereTheyAreRead(t *testing.T) {
+	c := qt.New(t)
+	b := twoPools()
+	submit := func(id, zone string, bytes int64, now time.Time) []board.Batch {
+		job := chain1(id, bytes)
+		job.Zone = zone
+		b.Submit(job, now)
+		return b.Step(now).Batches
+	}
+	for _, test := range []struct {
+		id, zone string
+		bytes    int64
+		ms       int
+		want     string // upstream of the call; empty when the job waits
+	}{
+		{"one", "zone-1", 1_500_000, 0, "a-1"},
+		{"two", "zone-1", 1_500_000, 10, ""},
+		{"small", "zone-1", 1000, 20, "a-0"},
+	} {
+		got := submit(test.id, test.zone, test.bytes, at(test.ms))
+		if test.want == "" {
+			c.Check(got, qt.HasLen, 0, qt.Commentf("%s", test.id))
+			continue
+		}
+		c.Assert(got, qt.HasLen, 1, qt.Commentf("%s", test.id))
+		c.Check(got[0].Upstream.ID, qt.Equals, test.want, qt.Commentf("%s", test.id))
+	}
+	b.Finished(2, results("h2"), at(170))
+	late := b.Step(at(170)).Batches
+	c.Assert(late, qt.HasLen, 1, qt.Commentf("a job does not wait for its zone for long"))
+	c.Check(late[0].Upstream.ID, qt.Equals, "a-0")
+}
+
 func TestOvertakenCallDoesNotRestartItsJob(t *testing.T) {
 	c := qt.New(t)
 	b := twoPools()
--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -26,6 +26,7 @@
 	Target    time.Time     // when the first byte of the answer is due
 	Deadline  time.Time     // when the caller gives up
 	FinalStep time.Duration // expected from the end of the stages to the first byte
+	Zone      string        // availability zone in which the request is expected to read its results; empty if any
 	Progress  []Progress    // by stage, of a job that another board has begun
 }
 
@@ -58,7 +59,7 @@
 	missing  int       // pieces without a result
 	since    time.Time // ready
 	begun    time.Time // the newest of its calls
-	home     string    // availability zone of most of its input, if that matters
+	home     string    // availability zone where it should run, if that matters
 	failures int
 }
 
@@ -134,8 +135,15 @@
 	return true
 }
 
-// homeOf returns the zone that holds most of the step's input, if moving it between zones would matter.
+// homeOf returns the zone that holds most of the step's input, or that the request reads its results in, if moving them
+// between zones would matter.
 func (j *job) homeOf(s *step) string {
+	if len(s.spec.After) == 0 {
+		if j.last(s.index) && s.spec.ResultBytes*int64(s.spec.Pieces) > minHomeBytes {
+			return j.Zone
+		}
+		return ""
+	}
 	byZone := map[string]int64{}
 	for _, a := range s.spec.After {
 		for _, r := range j.steps[a].results {
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -193,6 +193,7 @@
 	l.inbox <- func(now time.Time) {
 		l.refresh()
 		o.Job.FinalStep = l.placer.FinalStep(o.Engine, l.hosts, now)
+		o.Job.Zone = l.placer.Zone(o.Engine, l.hosts, l.engineSpec(o.Engine.Pool), now)
 		l.waiting[o.Job.ID] = &waiter{order: o, reply: reply}
 		l.board.Submit(o.Job, now)
 	}
@@ -275,11 +276,7 @@
 // place picks the engine of a request whose stages are done.
 func (l *Lead) place(w *waiter, now time.Time) {
 	id := w.order.Job.ID
-	var spec rule.Engine
-	if p, ok := l.rules.Pool(w.order.Engine.Pool); ok && p.Engine != nil {
-		spec = *p.Engine
-	}
-	up, ok := l.placer.Pick(w.order.Engine, l.hosts, spec, now)
+	up, ok := l.placer.Pick(w.order.Engine, l.hosts, l.engineSpec(w.order.Engine.Pool), now)
 	if !ok {
 		l.answer(id, w, Decision{Refused: board.NoUpstreams, RetryAfter: time.Second})
 		return
@@ -287,6 +284,14 @@
 	l.answer(id, w, Decision{Upstream: up.ID, Inputs: w.grant.Inputs, Late: w.grant.Late})
 }
 
+// engineSpec is what the configuration says of the engines of a pool.
+func (l *Lead) engineSpec(pool string) rule.Engine {
+	if p, ok := l.rules.Pool(pool); ok && p.Engine != nil {
+		return *p.Engine
+	}
+	return rule.Engine{}
+}
+
 func (l *Lead) answer(id string, w *waiter, d Decision) {
 	if d.Refused != "" {
 		l.board.Cancel(id)
--- a/internal/cell/place/place.go
+++ b/internal/cell/place/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -24,7 +25,12 @@
 	speedSmoothing  = 0.2
 	maxSpeed        = 8.0
 	firstByteBase   = 15 * time.Millisecond // from sending a request without a prompt to its first token
+	zoneMargin      = 50 * time.Millisecond // by which a zone must be better to be preferred
 	failuresToEject = 2
+	riskCost        = 1 * time.Second         // what a failed request costs its caller
+	riskSmoothing   = 0.2                     // of the share of requests that an engine fails
+	riskHalfLife    = 1500 * time.Millisecond // in which that share counts half, so that the engine is tried again
+	leastRisk       = 0.01                    // below which an engine is as good as others
 	firstEjection   = 1 * time.Second
 	longestEjection = 4 * time.Second
 )
@@ -52,11 +58,14 @@
 
 // engine is one model engine.
 type engine struct {
+	born     int64 // Unix ms of its start; 0 when not known
 	runs     map[string]run
 	prefill  int
 	tokens   int
 	cached   map[uint64]time.Time
 	speed    float64 // time to the first token over its expectation, smoothed
+	risk     float64 // share of requests that it failed lately, at riskAt
+	riskAt   time.Time
 	failures int
 	ejected  time.Duration
 	until    time.Time
@@ -73,11 +82,17 @@
 	return &Placer{engines: map[string]*engine{}, where: map[string]string{}}
 }
 
-// SetUpstreams forgets engines that are gone and run nothing.
+// SetUpstreams forgets engines that are gone and run nothing, and what is known of those that have started anew.
 func (p *Placer) SetUpstreams(t *hosts.Table) {
 	for id, e := range p.engines {
-		if _, known := t.Get(id); !known && len(e.runs) == 0 {
+		u, known := t.Get(id)
+		switch {
+		case !known && len(e.runs) == 0:
 			delete(p.engines, id)
+		case known && e.born != 0 && e.born != u.Born:
+			p.engines[id] = &engine{born: u.Born, runs: e.runs, prefill: e.prefill, tokens: e.tokens, cached: map[uint64]time.Time{}, speed: 1}
+		case known:
+			e.born = u.Born
 		}
 	}
 }
@@ -111,6 +126,36 @@
 	return best, true
 }
 
+// Zone is the availability zone of the engine that suits a request best, if those of other zones suit it clearly less; the
+// request's results are best made there.
+func (p *Placer) Zone(o Order, t *hosts.Table, spec rule.Engine, now time.Time) string {
+	least := map[string]time.Duration{}
+	keys := chain(o)
+	o.ByZone = nil
+	for _, u := range t.Ready(o.Pool) {
+		e := p.engine(u.ID)
+		if now.Before(e.until) {
+			continue
+		}
+		cost := e.cost(o, keys, u, spec, now)
+		if known, ok := least[u.Zone]; !ok || cost < known {
+			least[u.Zone] = cost
+		}
+	}
+	best := ""
+	for zone, cost := range least {
+		if best == "" || cost < least[best] || (cost == least[best] && zone < best) {
+			best = zone
+		}
+	}
+	for zone, cost := range least {
+		if zone != best && cost < least[best]+zoneMargin {
+			return ""
+		}
+	}
+	return best
+}
+
 func (p *Placer) engine(id string) *engine {
 	e := p.engines[id]
 	if e == nil {
@@ -146,6 +191,7 @@
 	ratio := min(maxSpeed, max(0.5, float64(now.Sub(r.begun))/float64(r.expected)))
 	e.speed += speedSmoothing * (ratio - e.speed)
 	e.failures, e.ejected = 0, 0
+	e.noteOutcome(0, now)
 	e.prefill -= r.prefill
 	r.prefill = 0
 	e.runs[id] = r
@@ -170,6 +216,7 @@
 	if now.Before(e.until) {
 		return 0
 	}
+	e.noteOutcome(1, now)
 	e.failures++
 	if e.failures < failuresToEject {
 		return 0
@@ -194,6 +241,21 @@
 	return best
 }
 
+// riskNow is the share of requests that the engine is expected to fail.
+func (e *engine) riskNow(now time.Time) float64 {
+	risk := e.risk * math.Exp2(-float64(now.Sub(e.riskAt))/float64(riskHalfLife))
+	if risk < leastRisk {
+		return 0
+	}
+	return risk
+}
+
+// noteOutcome counts a request that the engine failed, 1, or began to answer, 0.
+func (e *engine) noteOutcome(failed float64, now time.Time) {
+	risk := e.riskNow(now)
+	e.risk, e.riskAt = risk+riskSmoothing*(failed-risk), now
+}
+
 // readTime is how long an engine reads a number of prompt tokens.
 func (e *engine) readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond))
@@ -205,6 +267,7 @@
 	cost := e.readTime(e.prefill) + time.Duration(missWeight*float64(e.readTime(missing)))
 	cost += time.Duration(len(e.runs)) * runCost
 	cost = time.Duration(max(1, e.speed) * float64(cost))
+	cost += time.Duration(e.riskNow(now) * float64(riskCost))
 	if u.Zone != o.Zone {
 		cost += farZoneCost
 	}
--- a/internal/cell/place/place_test.go
+++ b/internal/cell/place/place_test.go
@@ -51,6 +51,20 @@
 	c.Check(again.ID, qt.Equals, first.ID)
 }
 
+func TestResultsAreWantedWhereThePromptIsCached(t *testing.T) {
+	c := qt.New(t)
+	p := place.New()
+	c.Check(p.Zone(order("1", "s", 9000), engines(), spec, start), qt.Equals, "", qt.Commentf("no engine knows the prompt"))
+	first, ok := p.Pick(order("1", "s", 9000), engines(), spec, start)
+	c.Assert(ok, qt.IsTrue)
+	p.FirstByte("1", start.Add(200*time.Millisecond))
+	p.Ended("1")
+	c.Check(p.Zone(order("2", "s", 9000), engines(), spec, start.Add(time.Second)), qt.Equals, first.Zone)
+	o := order("3", "s", 300)
+	o.Prefix = []call.Part{{ID: "short", Tokens: 250}}
+	c.Check(p.Zone(o, engines(), spec, start.Add(time.Second)), qt.Equals, "", qt.Commentf("any engine reads it soon"))
+}
+
 func TestLoadOutweighsThePrefix(t *testing.T) {
 	c := qt.New(t)
 	p := place.New()
@@ -80,6 +94,49 @@
 	c.Check(u.ID, qt.Not(qt.Equals), first.ID)
 }
 
+// An engine that fails every second request is never ejected, as failures in a row eject.
+func TestEnginesThatFailPartOfTheirRequestsGetFew(t *testing.T) {
+	c := qt.New(t)
+	p := place.New()
+	now, sent := start, map[string]int{}
+	for i := range 120 {
+		now = now.Add(100 * time.Millisecond)
+		o := order(fmt.Sprint(i), fmt.Sprint(i), 300)
+		o.Prefix = nil
+		u, _ := p.Pick(o, engines(), spec, now)
+		sent[u.ID]++
+		if u.ID == "e0" && sent["e0"]%2 == 0 {
+			p.Failed("e0", now)
+		} else {
+			p.FirstByte(o.ID, now.Add(20*time.Millisecond))
+		}
+		p.Ended(o.ID)
+	}
+	c.Check(sent["e0"] < 120/6/2, qt.IsTrue, qt.Commentf("%v", sent))
+	c.Check(sent["e0"] > 2, qt.IsTrue, qt.Commentf("it is tried again: %v", sent))
+}
+
+func TestEnginesThatStartAnewKnowNothing(t *testing.T) {
+	c := qt.New(t)
+	p := place.New()
+	table := func(born int64) *hosts.Table {
+		return hosts.New([]hosts.Upstream{
+			{ID: "old", Pool: "p", Zone: "z0", State: hosts.Ready, Born: born}, {ID: "other", Pool: "p", Zone: "z0", State: hosts.Ready, Born: 1},
+		}, start)
+	}
+	first, _ := p.Pick(order("1", "s", 9000), table(1), spec, start)
+	c.Assert(first.ID, qt.Equals, "old")
+	p.SetUpstreams(table(1))
+	p.FirstByte("1", start)
+	p.Ended("1")
+	p.SetUpstreams(table(2))
+	small := order("2", "", 100)
+	small.Prefix = nil
+	_, _ = p.Pick(small, table(2), spec, start)
+	again, _ := p.Pick(order("3", "s", 9000), table(2), spec, start)
+	c.Check(again.ID, qt.Equals, "other", qt.Commentf("the prompt is cached nowhere, and old is busy"))
+}
+
 func TestRefusedRequestsGoElsewhere(t *testing.T) {
 	c := qt.New(t)
 	p := place.New()
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -28,19 +28,27 @@
 	defer func() { x.o.Desk.Ended(x.key, engine, failed) }()
 	decision, failure := x.wait(func(reply func(lead.Decision)) { x.o.Desk.Submit(x.order(), reply) })
 	events := &relay.Events{}
+	var kept *complete // a failure of an engine, given to the caller if nothing better comes
 	for placements := 1; ; placements++ {
 		if failure != nil {
-			return failure
+			return x.giveUp(kept, failure)
 		}
 		engine, failed = decision.Upstream, false
 		var why lead.Problem
-		why, failure = x.tryEngine(decision, events)
+		var got *complete
+		why, got, failure = x.tryEngine(decision, events)
 		if failure == nil {
 			return nil
 		}
+		if got != nil {
+			kept = got
+		}
+		if x.out.Begun() {
+			kept = nil
+		}
 		failed = why == lead.ProblemFailed
 		if !x.againPlaced(failure, events) || placements >= maxPlacements {
-			return x.giveUp(nil, failure)
+			return x.giveUp(kept, failure)
 		}
 		decision, failure = x.wait(func(reply func(lead.Decision)) { x.o.Desk.Again(x.key, engine, why, reply) })
 		failed = false
@@ -109,8 +117,8 @@
 	}
 }
 
-// tryEngine sends the request to an engine and passes its answer on.
-func (x *exchange) tryEngine(d lead.Decision, events *relay.Events) (lead.Problem, *fault.Error) {
+// tryEngine sends the request to an engine and passes its answer on, unless that is a failure of the engine.
+func (x *exchange) tryEngine(d lead.Decision, events *relay.Events) (lead.Problem, *complete, *fault.Error) {
 	u, known := x.o.Hosts().Get(d.Upstream)
 	if !known {
 		u = hosts.Upstream{ID: d.Upstream}
@@ -119,28 +127,35 @@
 	if failure != nil {
 		switch {
 		case failure.Code == fault.Conflict:
-			return lead.ProblemInputGone, failure
+			return lead.ProblemInputGone, nil, failure
 		case failure.Verdict == fault.NotRun && failure.Code != fault.NoUpstream:
-			return lead.ProblemRefused, failure
+			return lead.ProblemRefused, nil, failure
 		}
-		return lead.ProblemFailed, failure
+		return lead.ProblemFailed, nil, failure
 	}
 	defer answer.Close()
 	if answer.Status != http.StatusOK {
 		return x.passFailure(u, answer)
 	}
-	return x.passEvents(u, answer, events)
+	why, failure := x.passEvents(u, answer, events)
+	return why, nil, failure
 }
 
-// passFailure passes on an answer of the engine that is no stream.
-func (x *exchange) passFailure(u hosts.Upstream, answer *xchg.Answer) (lead.Problem, *fault.Error) {
+// passFailure passes on an answer of the engine that is no stream, unless it is a failure that another engine may mend.
+func (x *exchange) passFailure(u hosts.Upstream, answer *xchg.Answer) (lead.Problem, *complete, *fault.Error) {
 	body, whole, err := relay.Whole(answer, maxBuffered)
+	failure := fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
 	if err != nil || !whole || x.out.Begun() {
-		return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
+		return lead.ProblemFailed, nil, failure
 	}
-	return "", x.deliver(&complete{
+	got := &complete{
 		status: answer.Status, header: x.o.Codec.BackHeader(answer.Header), body: body, length: x.lengthOf(answer, body),
-	})
+	}
+	// An engine answers with a gateway timeout when the time of the request is over, which is no fault of its own.
+	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout {
+		return lead.ProblemFailed, got, failure
+	}
+	return "", nil, x.deliver(got)
 }
 
 // passEvents passes on the events of an answer as they come.
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -276,6 +276,59 @@
 	w.c.Check(got.header.Get("Response-Stamp"), qt.Equals, "first stamp")
 }
 
+// failOnce fails the first request with an ID, with the engine's own status.
+func failOnce(id string, failed *atomic.Int64) func(http.ResponseWriter, *http.Request, int) bool {
+	return func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id") != id || failed.Add(1) > 1 {
+			return false
+		}
+		w.Header().Set("Response-Stamp", "stamp of the failure")
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+}
+
+func TestStreamsThatAnEngineFailsGoToAnother(t *testing.T) {
+	var failed atomic.Int64
+	act := failOnce("id-1", &failed)
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 4, Act: act}, &cloud.Upstream{ID: "engine-2", Event: 4, Act: act})
+	got := w.generate(w.entries[0], "id-1")
+	w.c.Check(got.status, qt.Equals, http.StatusOK)
+	w.c.Check(strings.Count(got.body, "id: "), qt.Equals, 4)
+	w.c.Check(got.header.Get("Response-Stamp"), qt.Not(qt.Equals), "stamp of the failure")
+	w.c.Check(failed.Load(), qt.Equals, int64(2))
+}
+
+func TestFailuresOfStreamsThatMustNotRepeatArePassedOn(t *testing.T) {
+	var failed atomic.Int64
+	act := failOnce("id-1", &failed)
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 4, Act: act}, &cloud.Upstream{ID: "engine-2", Event: 4, Act: act})
+	got := w.do(w.entries[0], http.MethodPost, "/once/x", "id-1", "prompt")
+	w.c.Check(got.status, qt.Equals, http.StatusInternalServerError)
+	w.c.Check(got.header.Get("Response-Stamp"), qt.Equals, "stamp of the failure")
+	w.c.Check(failed.Load(), qt.Equals, int64(1))
+}
+
+// An engine that fails all requests at once looks idle, and must not get most of them for that.
+func TestEnginesThatFailGetFewRequests(t *testing.T) {
+	var failed atomic.Int64
+	bad := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.URL.Path, "/once/") {
+			return false
+		}
+		failed.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	slow := 50 * time.Millisecond
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 1, Act: bad}, &cloud.Upstream{ID: "engine-2", Event: 1, Work: slow},
+		&cloud.Upstream{ID: "engine-3", Event: 1, Work: slow})
+	for i := range 30 {
+		w.do(w.entries[0], http.MethodPost, "/once/x", fmt.Sprintf("id-%d", i), "prompt")
+	}
+	w.c.Check(failed.Load() <= 4, qt.IsTrue, qt.Commentf("%d of 30 failed", failed.Load()))
+}
+
 func TestStreamsThatMustNotRepeatBreakOff(t *testing.T) {
 	var arrivals atomic.Int64
 	broken := func(w http.ResponseWriter, r *http.Request, _ int) bool {
