Count the targets of callers that come back from their first visit

Cause: a caller that was refused comes back 1 to 6 s later as a new request, and was given a whole new target. Ruled out: guessing from the time that callers have left, which varies by 15 in 100 between callers. What can't be in time any more yields to what can.

--- a/internal/cell/lead/desk.go
+++ b/internal/cell/lead/desk.go
@@ -9,8 +9,9 @@
 
 // Order is a request that needs stages, an engine, or both.
 type Order struct {
-	Job    board.Job
-	Engine place.Order
+	Fingerprint uint64 // the same for all visits of a caller with a request
+	Job         board.Job
+	Engine      place.Order
 }
 
 // Decision says where a request runs, or that it does not.
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -13,6 +13,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+	"github.com/ragworthatch/ragworthatch/internal/cell/visit"
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
@@ -69,6 +70,7 @@
 	inbox   chan func(now time.Time)
 	board   *board.Board
 	placer  *place.Placer
+	visits  *visit.Book
 	waiting map[string]*waiter
 	rules   *rule.Rules
 	hosts   *hosts.Table
@@ -83,7 +85,7 @@
 // New returns a lead; nothing happens until Run.
 func New(o Options) *Lead {
 	return &Lead{
-		o: o, inbox: make(chan func(time.Time), inboxSize), board: board.New(), placer: place.New(), waiting: map[string]*waiter{},
+		o: o, inbox: make(chan func(time.Time), inboxSize), board: board.New(), placer: place.New(), visits: visit.New(), waiting: map[string]*waiter{},
 	}
 }
 
@@ -149,6 +151,7 @@
 		}
 		if now.Sub(swept) > sweepEvery {
 			l.placer.Sweep(now)
+			l.visits.Sweep(now)
 			swept = now
 		}
 		wait := sweepEvery
@@ -192,6 +195,10 @@
 func (l *Lead) Submit(o Order, reply func(Decision)) {
 	l.inbox <- func(now time.Time) {
 		l.refresh()
+		if waited := l.visits.Note(o.Fingerprint, o.Job.Arrived, o.Job.Deadline); waited > 0 {
+			o.Job.Target = o.Job.Target.Add(-waited)
+			l.o.Log.Info("caller comes back", zap.String("request", o.Job.Request), zap.Duration("waited", waited))
+		}
 		o.Job.FinalStep = l.placer.FinalStep(o.Engine, l.hosts, now)
 		o.Job.Zone = l.placer.Zone(o.Engine, l.hosts, l.engineSpec(o.Engine.Pool), now)
 		l.waiting[o.Job.ID] = &waiter{order: o, reply: reply}
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -211,6 +211,7 @@
 		DeadlineUs: o.Job.Deadline.Sub(o.Job.Arrived).Microseconds(),
 		Pool:       o.Engine.Pool, Zone: o.Engine.Zone, Model: o.Engine.Model,
 		PromptTokens: int32(o.Engine.PromptTokens), OutputTokens: int32(o.Engine.OutputTokens), Exclude: o.Engine.Exclude,
+		Fingerprint: o.Fingerprint,
 	}
 	for _, st := range o.Job.Stages {
 		stage := &cellpb.Stage{Pool: st.Pool, Pieces: int32(st.Pieces), ResultBytes: st.ResultBytes}
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -204,6 +204,7 @@
 func orderOf(s *cellpb.Submit, now time.Time) lead.Order {
 	arrived := now.Add(-time.Duration(s.AgeUs) * time.Microsecond)
 	o := lead.Order{
+		Fingerprint: s.Fingerprint,
 		Job: board.Job{
 			ID: s.Id, Request: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
 			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -89,7 +89,7 @@
 	if output == 0 {
 		output = x.head.OutputLimit / 2
 	}
-	return lead.Order{Job: job, Engine: place.Order{
+	return lead.Order{Fingerprint: x.fingerprint, Job: job, Engine: place.Order{
 		ID: x.key, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
 		PromptTokens: x.head.PromptTokens, OutputTokens: min(output, max(x.head.OutputLimit, 1)),
 	}}
