--- /dev/null
+++ b/internal/cell/lead/lead_test.go
@@ -0,0 +1,63 @@
+package lead_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+)
+
+// start runs a lead before one engine until the test ends.
+func start(t *testing.T) *lead.Lead {
+	pools := []rule.Pool{{Name: "engines", Engine: &rule.Engine{Slots: 64, Tokens: 100_000}}}
+	rules := rule.New(1, nil, pools, nil, rule.Limits{})
+	table := hosts.New([]hosts.Upstream{{ID: "e", Pool: "engines", State: hosts.Ready}}, time.Now())
+	l := lead.New(lead.Options{
+		Rules: func() *rule.Rules { return rules }, Hosts: func() *hosts.Table { return table }, Now: time.Now, Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go l.Run(ctx)
+	return l
+}
+
+func TestTargetsCountFromTheFirstVisit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := start(t)
+		first := time.Now()
+		deadline := first.Add(6 * time.Second)
+		for _, test := range []struct {
+			id          string
+			fingerprint uint64
+			at          time.Duration
+			late        bool
+		}{
+			{"first", 1, 0, false},
+			{"soon back", 1, time.Second, false},
+			{"late back", 1, 2500 * time.Millisecond, true},
+			{"another caller", 2, 2600 * time.Millisecond, false},
+		} {
+			time.Sleep(time.Until(first.Add(test.at)))
+			now := time.Now()
+			got := make(chan lead.Decision, 1)
+			l.Submit(lead.Order{
+				Fingerprint: test.fingerprint,
+				Job:         board.Job{ID: test.id, Arrived: now, Target: now.Add(2 * time.Second), Deadline: deadline},
+				Engine:      place.Order{ID: test.id, Pool: "engines", PromptTokens: 100, OutputTokens: 10},
+			}, func(d lead.Decision) { got <- d })
+			d := <-got
+			qt.Check(t, d.Upstream, qt.Equals, "e")
+			qt.Check(t, d.Late, qt.Equals, test.late, qt.Commentf("%s", test.id))
+			l.Ended(test.id, "e", false)
+		}
+	})
+}
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -28,6 +28,7 @@
 var beliefs = []string{
 	"leader", "leader lost", "store lost", "store regained", "configuration in force", "upstream listed", "upstream gone",
 	"engine ejected", "upstream ejected", "reload", "start", "stop", "shutting down", "member left", "member expired",
+	"orders waited for a leader", "orders moved to the present leader",
 }
 
 // Story is what is known of one request.
