Blame requests only for the breakdowns that they can have caused

Its log says quarantined: the probes all have the same content, and two connections that a fault broke within a minute block such content for 30 s on all entries. Callers whose requests are alike, such as reads without a body, would meet the same. Change: two breakdowns count only at two lifetimes of upstreams, and only if the second request was sent after the first breakdown; an answer clears them.

--- a/internal/cell/lead/desk.go
+++ b/internal/cell/lead/desk.go
@@ -48,8 +48,10 @@
 	FirstByte(id string, keep bool)
 	// Ended says that the request is over; failed says that its engine failed it.
 	Ended(id, engine string, failed bool)
-	// Crashed says that an upstream broke down while it ran a request with this fingerprint.
-	Crashed(fingerprint uint64)
+	// Crashed says that a lifetime of an upstream broke down while it ran a request with this fingerprint, sent at a time.
+	Crashed(fingerprint uint64, lifetime string, sent time.Time)
+	// Served says that an upstream answered a request with this fingerprint.
+	Served(fingerprint uint64)
 }
 
 // Leader is a Desk that decides itself; it is safe for concurrent use.
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -264,13 +264,16 @@
 }
 
 // Crashed counts a breakdown of an upstream.
-func (l *Lead) Crashed(fingerprint uint64) {
-	if l.o.Crash.Crashed(fingerprint) {
+func (l *Lead) Crashed(fingerprint uint64, lifetime string, sent time.Time) {
+	if l.o.Crash.Crashed(fingerprint, lifetime, sent) {
 		l.o.Log.Warn("requests with this fingerprint break down upstreams, they are refused for a while",
 			zap.Uint64("fingerprint", fingerprint))
 	}
 }
 
+// Served forgets the breakdowns under a request that was answered.
+func (l *Lead) Served(fingerprint uint64) { l.o.Crash.Served(fingerprint) }
+
 func (l *Lead) fail(engine string, now time.Time) {
 	if until := l.placer.Failed(engine, now); until > 0 {
 		if u, known := l.o.Hosts().Get(engine); known {
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -476,13 +476,26 @@
 }
 
 // Crashed tells the leader of a breakdown, so that it counts those that all entries see.
-func (l *Link) Crashed(fingerprint uint64) {
+func (l *Link) Crashed(fingerprint uint64, lifetime string, sent time.Time) {
+	l.o.Local.Crashed(fingerprint, lifetime, sent)
+	l.tell(&cellpb.ToLead{Body: &cellpb.ToLead_Crashed{Crashed: &cellpb.Crashed{
+		Fingerprint: fingerprint, Lifetime: lifetime, AgeUs: l.o.Now().Sub(sent).Microseconds(),
+	}}})
+}
+
+// Served tells the leader that a request was answered under which an upstream broke down before.
+func (l *Link) Served(fingerprint uint64) {
+	l.o.Local.Served(fingerprint)
+	l.tell(&cellpb.ToLead{Body: &cellpb.ToLead_Served{Served: &cellpb.Served{Fingerprint: fingerprint}}})
+}
+
+// tell sends a message to the leader, if that is another entry.
+func (l *Link) tell(m *cellpb.ToLead) {
 	l.mu.Lock()
 	current := l.current
 	l.mu.Unlock()
-	l.o.Local.Crashed(fingerprint)
 	if current != nil {
-		current.post(&cellpb.ToLead{Body: &cellpb.ToLead_Crashed{Crashed: &cellpb.Crashed{Fingerprint: fingerprint}}})
+		current.post(m)
 	}
 }
 
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -114,7 +114,9 @@
 		ses.untrack(body.Ended.Id)
 		ses.desk.Ended(body.Ended.Id, body.Ended.Engine, body.Ended.Failed)
 	case *cellpb.ToLead_Crashed:
-		ses.desk.Crashed(body.Crashed.Fingerprint)
+		ses.desk.Crashed(body.Crashed.Fingerprint, body.Crashed.Lifetime, ses.now().Add(-time.Duration(body.Crashed.AgeUs)*time.Microsecond))
+	case *cellpb.ToLead_Served:
+		ses.desk.Served(body.Served.Fingerprint)
 	case *cellpb.ToLead_Ping:
 		ses.pong(body.Ping.Sequence)
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -59,6 +60,8 @@
 	Stats  *stats.Stats
 	// Blocked says for how long requests with a fingerprint are refused.
 	Blocked func(fingerprint uint64) time.Duration
+	// Served notes that a request was answered, and says whether upstreams had broken down under it before.
+	Served func(fingerprint uint64) bool
 	// Stopping says that new requests get no service, only an answer that says so.
 	Stopping func() bool
 	Leaving  func() bool // connections are closed after the answer
@@ -98,6 +101,8 @@
 	arrived  time.Time
 	deadline time.Time // of the caller or the route, whichever comes first
 	sends    int       // that count as attempts
+	sentAt   time.Time // of the newest send
+	sentTo   string    // lifetime of an upstream
 	ran      bool      // an upstream may have run it, whatever came later
 
 	fingerprint uint64
@@ -199,6 +204,7 @@
 		return nil, fault.New(fault.NotRun, fault.Draining, "upstream %s takes no more work", u.ID)
 	}
 	x.sends++
+	x.sentAt, x.sentTo = x.o.Now(), fmt.Sprintf("%s/%d", u.ID, u.Born)
 	header := x.o.Codec.ForwardHeader(x.in.Header, call.Forward{
 		Instance: u.ID, Team: x.team, Remaining: x.left(), Inputs: inputs, LastEvent: lastEvent,
 	})
@@ -311,7 +317,14 @@
 // noteCrash counts a connection that ended without an answer, while the caller was still waiting.
 func (x *exchange) noteCrash(failure *fault.Error) {
 	if failure.Verdict == fault.MayHaveRun && failure.Code == fault.Transport && x.in.Context().Err() == nil {
-		x.o.Desk.Crashed(x.fingerprint)
+		x.o.Desk.Crashed(x.fingerprint, x.sentTo, x.sentAt)
+	}
+}
+
+// noteServed tells that the request breaks down no upstream.
+func (x *exchange) noteServed() {
+	if x.o.Served(x.fingerprint) {
+		x.o.Desk.Served(x.fingerprint)
 	}
 }
 
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -182,13 +182,14 @@
 			if rest := events.Rest(); len(rest) > 0 {
 				_ = x.out.Body(rest)
 			}
+			x.noteServed()
 			x.o.Log.Info("served", zap.String("request", x.label), zap.String("route", x.route.Name),
 				zap.Int("events", events.Count()), zap.Duration("age", x.o.Now().Sub(x.arrived)))
 			return "", nil
 		case err != nil:
 			events.Rest()
 			if x.in.Context().Err() == nil {
-				x.o.Desk.Crashed(x.fingerprint)
+				x.o.Desk.Crashed(x.fingerprint, x.sentTo, x.sentAt)
 			}
 			return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Incomplete, "the stream of %s broke off", u.ID).WithCause(err)
 		}
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -68,6 +68,7 @@
 		x.blame(u, failure)
 		return nil, failure
 	}
+	x.noteServed()
 	x.o.Picker.Answered(u.ID, x.o.Now().Sub(begun), answer.Status < http.StatusInternalServerError)
 	header := x.o.Codec.BackHeader(answer.Header)
 	if !whole {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -126,6 +126,7 @@
 		Budget:   n.budget,
 		Stats:    n.stats,
 		Blocked:  n.crash.Blocked,
+		Served:   n.crash.Served,
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Ending: n.ending, Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
--- a/internal/limit/crash/record.go
+++ b/internal/limit/crash/record.go
@@ -16,9 +16,10 @@
 
 // entry is what is known of one fingerprint.
 type entry struct {
-	crashes int
-	last    time.Time
-	blocked time.Time // until then
+	crashes  int
+	lifetime string // the last one that crashed
+	last     time.Time
+	blocked  time.Time // until then
 }
 
 // Record counts crashes by fingerprint; it is safe for concurrent use.
@@ -31,8 +32,10 @@
 // New returns a record without crashes.
 func New(now func() time.Time) *Record { return &Record{now: now, known: map[uint64]entry{}} }
 
-// Crashed counts a crash and says whether the fingerprint is blocked now.
-func (r *Record) Crashed(fingerprint uint64) bool {
+// Crashed counts the breakdown of a lifetime of an upstream under a request that was sent at a time, and says whether the
+// fingerprint is blocked now. A lifetime that breaks off twice has not crashed, and requests that were sent before the
+// last crash may have met the same trouble; neither is counted again.
+func (r *Record) Crashed(fingerprint uint64, lifetime string, sent time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -40,6 +43,10 @@
 	if now.Sub(e.last) > countFor {
 		e = entry{}
 	}
+	if e.crashes > 0 && (e.lifetime == lifetime || !sent.After(e.last)) {
+		return now.Before(e.blocked)
+	}
+	e.lifetime = lifetime
 	e.crashes++
 	e.last = now
 	if e.crashes >= crashesToBlock {
@@ -49,6 +56,19 @@
 	return e.crashes >= crashesToBlock
 }
 
+// Served notes that an upstream has answered a request; one that breaks down upstreams is never answered, so crashes
+// before do not count. It says whether there were any.
+func (r *Record) Served(fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, known := r.known[fingerprint]
+	if !known || r.now().Before(e.blocked) {
+		return false
+	}
+	delete(r.known, fingerprint)
+	return true
+}
+
 // Block takes over what another process found.
 func (r *Record) Block(fingerprints []uint64) {
 	if len(fingerprints) == 0 {
