Sort the steps of a pool once for all upstreams of a zone

Cause: each free upstream sorted the whole queue, though the order differs between zones only, and not at all where no step prefers one. With hundreds of upstreams that are free but without memory, that is work for nothing. Change: the order is kept until the zone changes. Which steps are taken does not change but for steps of equal urgency.

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -26,11 +26,14 @@
 	for i, s := range p.ready {
 		queue[i] = queued{step: s, urgency: b.urgency(s)}
 	}
-	for _, w := range free {
+	hasHomes := slices.ContainsFunc(queue, func(q queued) bool { return q.step.home != "" })
+	for i, w := range free {
 		if len(p.ready) == 0 {
 			return
 		}
-		slices.SortStableFunc(queue, func(a, c queued) int { return cmp.Or(a.compareLate(c), cmp.Compare(a.at(w), c.at(w))) })
+		if i == 0 || (hasHomes && w.up.Zone != free[i-1].up.Zone) {
+			slices.SortStableFunc(queue, func(a, c queued) int { return cmp.Or(a.compareLate(c), cmp.Compare(a.at(w), c.at(w))) })
+		}
 		b.load(p, w, queue, now)
 		queue = slices.DeleteFunc(queue, func(q queued) bool { return q.step.state != stepReady })
 	}
