Explain refusals of callers that come back

Cause: a caller that comes back is refused at once though its own clock has only begun, and the lines of its request did not say why. Change: explain adds how long before its caller had first sent it, from the leader's line; the text for an overload says what it means now.

--- a/internal/oper/story/cause.go
+++ b/internal/oper/story/cause.go
@@ -4,7 +4,7 @@
 
 // refusals say what a reason of the leader means.
 var refusals = map[string]string{
-	"overloaded":  "it could not meet its target and the queues of its stages were full of late work",
+	"overloaded":  "it could not meet its target, and late work for the same stages waited in vain",
 	"expired":     "it waited too long for a place in a stage",
 	"noUpstreams": "a pool on its way had no upstream that takes work",
 	"failing":     "the calls of a stage failed too often",
@@ -29,8 +29,18 @@
 	"wrongTarget":  "another upstream had the address",
 }
 
-// cause names what decided the request's fate, from its last lines.
+// cause names what decided the request's fate, and how long ago its caller had sent it first.
 func (s Story) cause() string {
+	for _, line := range s.Lines {
+		if ms, ok := line.Fields["waited"].(float64); ok && line.Message == "caller comes back" {
+			return fmt.Sprintf("%s; its caller had first sent it %.0f ms before, so its target was that much nearer", s.fate(), ms)
+		}
+	}
+	return s.fate()
+}
+
+// fate names what decided, from the last lines.
+func (s Story) fate() string {
 	if len(s.Lines) == 0 {
 		return "no line names it; the logs are of other hosts or times, or its lines were dropped (look for \"log lines dropped\")"
 	}
--- a/internal/oper/story/story_test.go
+++ b/internal/oper/story/story_test.go
@@ -27,6 +27,7 @@
 		"id-2": `failed \(mayHaveRun\): the upstream closed the connection .*`,
 		"id-3": `served, but known to be late .*`,
 		"id-4": `no end of it is logged.*`,
+		"id-5": `refused \(notRun\): it could not meet its target.*; its caller had first sent it 1500 ms before.*`,
 		"id-9": `no line names it.*`,
 	} {
 		c.Check(read(c, request).Cause, qt.Matches, want, qt.Commentf(request))
