Spend less of the leader's processor on order and zones

The steps were sorted anew for nearly every upstream, as free ones alternate between zones; whether calls share the pieces of a step was worked out by walking the queue for each step that did not fit, the square of the queue; and the zone of the cached prompt was looked for though the request reads nothing large. Change: one order for each zone, the backlog once for each call, and zones only for requests that read large results.

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -27,15 +27,21 @@
 		queue[i] = queued{step: s, urgency: b.urgency(s)}
 	}
 	hasHomes := slices.ContainsFunc(queue, func(q queued) bool { return q.step.home != "" })
-	for i, w := range free {
+	byZone := map[string][]queued{}
+	for _, w := range free {
 		if len(p.ready) == 0 {
 			return
 		}
-		if i == 0 || (hasHomes && w.up.Zone != free[i-1].up.Zone) {
-			slices.SortStableFunc(queue, func(a, c queued) int { return cmp.Or(a.compareLate(c), cmp.Compare(a.at(w), c.at(w))) })
+		zone := w.up.Zone
+		if !hasHomes {
+			zone = "" // the order is the same everywhere
 		}
-		b.load(p, w, queue, now)
-		queue = slices.DeleteFunc(queue, func(q queued) bool { return q.step.state != stepReady })
+		if byZone[zone] == nil {
+			byZone[zone] = slices.Clone(queue)
+			slices.SortStableFunc(byZone[zone], func(a, c queued) int { return cmp.Or(a.compareLate(c), cmp.Compare(a.at(zone), c.at(zone))) })
+		}
+		byZone[zone] = slices.DeleteFunc(byZone[zone], func(q queued) bool { return q.step.state != stepReady })
+		b.load(p, w, byZone[zone], now)
 	}
 }
 
@@ -45,9 +51,9 @@
 	urgency int64
 }
 
-// at is the urgency of the step at an upstream.
-func (q queued) at(w *worker) int64 {
-	if q.step.home != "" && q.step.home != w.up.Zone {
+// at is the urgency of the step at the upstreams of a zone.
+func (q queued) at(zone string) int64 {
+	if q.step.home != "" && q.step.home != zone {
 		return q.urgency + int64(homeWorth)
 	}
 	return q.urgency
@@ -149,6 +155,11 @@
 	r := &running{worker: w, begun: now}
 	var items []call.Item
 	room := int64(roomPart*float64(p.spec.Headroom)) - w.used - w.foreign
+	backlog := 0
+	for _, q := range queue {
+		backlog += len(q.step.pending)
+	}
+	isShared := backlog > fullCalls*p.spec.Size
 	for _, q := range queue {
 		s := q.step
 		free := p.spec.Size - len(items)
@@ -162,7 +173,7 @@
 		if s.spec.ResultBytes > 0 {
 			take = min(take, int(max(0, room)/s.spec.ResultBytes))
 		}
-		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size && !p.divides(s)) {
+		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size && !(isShared && s.divides())) {
 			continue
 		}
 		pieces := slices.Clone(s.pending[:take])
@@ -206,11 +217,10 @@
 	})
 }
 
-// divides says whether calls may share the pieces of a step that fits into one. They stay together for the sake of the
-// stages that read them, and where the rest would not be in the next call anyway.
-func (p *pool) divides(s *step) bool {
-	inTime, late := p.queued()
-	return s.job.last(s.index) && s.spec.ResultBytes*int64(s.spec.Pieces) < minHomeBytes && inTime+late > fullCalls*p.spec.Size
+// divides says whether calls may share the pieces of a step that fits into one, while others wait. They stay together for
+// the sake of stages that read them, and where they are large.
+func (s *step) divides() bool {
+	return s.job.last(s.index) && s.spec.ResultBytes*int64(s.spec.Pieces) < minHomeBytes
 }
 
 // fits says whether a step should run at an upstream.
--- a/internal/cell/board/job.go
+++ b/internal/cell/board/job.go
@@ -139,7 +139,7 @@
 // between zones would matter.
 func (j *job) homeOf(s *step) string {
 	if len(s.spec.After) == 0 {
-		if j.last(s.index) && s.spec.ResultBytes*int64(s.spec.Pieces) > minHomeBytes {
+		if j.readsLarge(s.index) {
 			return j.Zone
 		}
 		return ""
@@ -196,16 +196,25 @@
 	return out
 }
 
-// last says whether no other stage reads the results of the step.
-func (j *job) last(index int) bool {
-	for _, s := range j.steps {
-		for _, a := range s.spec.After {
-			if a == index {
-				return false
-			}
+// ReadsLargeResults says whether the zone matters in which the request reads the results of a first stage.
+func (j Job) ReadsLargeResults() bool {
+	for i, s := range j.Stages {
+		if len(s.After) == 0 && j.readsLarge(i) {
+			return true
 		}
 	}
-	return true
+	return false
+}
+
+// readsLarge says whether the request itself reads the results of a stage, and moving them between zones would matter.
+func (j Job) readsLarge(index int) bool {
+	s := j.Stages[index]
+	return s.ResultBytes*int64(s.Pieces) > minHomeBytes && j.last(index)
+}
+
+// last says whether no other stage reads the results of a stage.
+func (j Job) last(index int) bool {
+	return !slices.ContainsFunc(j.Stages, func(s Stage) bool { return slices.Contains(s.After, index) })
 }
 
 // outputs are the handles that the request itself reads, and their bytes by zone.
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -200,7 +200,9 @@
 			l.o.Log.Info("caller comes back", zap.String("request", o.Job.Request), zap.Duration("waited", waited))
 		}
 		o.Job.FinalStep = l.placer.FinalStep(o.Engine, l.hosts, now)
-		o.Job.Zone = l.placer.Zone(o.Engine, l.hosts, l.engineSpec(o.Engine.Pool), now)
+		if o.Job.ReadsLargeResults() {
+			o.Job.Zone = l.placer.Zone(o.Engine, l.hosts, l.engineSpec(o.Engine.Pool), now)
+		}
 		l.waiting[o.Job.ID] = &waiter{order: o, reply: reply}
 		l.board.Submit(o.Job, now)
 	}
