Explain requests that were answered by their upstream

Change: the last answer of an upstream that ran the request is its end, but for streams that were begun. Nothing that the edge role runs has changed.

--- a/internal/oper/story/cause.go
+++ b/internal/oper/story/cause.go
@@ -1,6 +1,10 @@
 package story
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+	"slices"
+)
 
 // refusals say what a reason of the leader means.
 var refusals = map[string]string{
@@ -53,6 +57,10 @@
 	for i := len(s.Lines) - 1; i >= 0; i-- {
 		line := s.Lines[i]
 		switch line.Message {
+		case "sent":
+			if status, ok := line.Fields["status"].(float64); ok && line.Fields["notRun"] != true && !s.isStream(status) {
+				return fmt.Sprintf("answered: status %.0f of upstream %v was passed on", status, line.Fields["upstream"])
+			}
 		case "served":
 			if late(s.Lines) {
 				return "served, but known to be late when it was placed"
@@ -73,6 +81,11 @@
 	return "no end of it is logged; the process may have been killed, see the starts below"
 }
 
+// isStream says whether more lines are due after an answer with a status: streams, which are decided on, end with a line.
+func (s Story) isStream(status float64) bool {
+	return status == http.StatusOK && slices.ContainsFunc(s.Lines, func(l Line) bool { return l.Message == "decided" })
+}
+
 func late(lines []Line) bool {
 	for _, line := range lines {
 		if line.Fields["late"] == true {
--- a/internal/oper/story/story_test.go
+++ b/internal/oper/story/story_test.go
@@ -28,6 +28,9 @@
 		"id-3": `served, but known to be late .*`,
 		"id-4": `no end of it is logged.*`,
 		"id-5": `refused \(notRun\): it could not meet its target.*; its caller had first sent it 1500 ms before.*`,
+		"id-6": `answered: status 200 of upstream up-1 .*`,
+		"id-7": `answered: status 500 of upstream up-2 .*`,
+		"id-8": `no end of it is logged.*`,
 		"id-9": `no line names it.*`,
 	} {
 		c.Check(read(c, request).Cause, qt.Matches, want, qt.Commentf(request))
