--- a/internal/cell/crew/crew_test.go
+++ b/internal/cell/crew/crew_test.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	records []platform.Record
 	away    bool
+
+	refused string // host whose writes fail
 }
 
 const readStep = 10 * time.Millisecond
@@ -34,6 +36,12 @@
 	s.away = away
 }
 
+func (s *memStore) refuse(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = host
+}
+
 // from returns the records from an offset.
 func (s *memStore) from(offset int64) ([]platform.Record, int64, error) {
 	s.mu.Lock()
@@ -65,7 +73,7 @@
 func (s *memStore) Put(_ context.Context, _ platform.Topic, r platform.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.away {
+	if s.away || s.refused == r.Key {
 		return errAway
 	}
 	s.records = append(s.records, r)
@@ -147,10 +155,14 @@
 			c.Assert(names(a), qt.DeepEquals, []string{"a", "b", "dies"})
 		}
 		stop()
+		s.refuse("b") // for a second longer than others, so that their records come first
 		s.setAway(false)
-		for range 20 {
+		for i := range 20 {
 			time.Sleep(100 * time.Millisecond)
 			c.Assert(names(a)[:2], qt.DeepEquals, []string{"a", "b"})
+			if i == 10 {
+				s.refuse("")
+			}
 		}
 		time.Sleep(2 * time.Minute)
 		c.Check(names(a), qt.DeepEquals, []string{"a", "b"})
