Decide under the lock whether an order waits for a leader

Cause: the race step of the checks found that Submit reads whether an order waits after it has given up the lock, while the leader is just being found; the order could then be submitted twice. Ruled out: the tests, as the same race showed in the whole path of an entry. Change: what was decided under the lock is kept in a variable of its own. Before: three tests of cell/link and one of edge/node failed under -race.

--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -375,10 +375,11 @@
 // Submit asks the leader for a decision.
 func (l *Link) Submit(o lead.Order, reply func(lead.Decision)) {
 	l.mu.Lock()
-	p := &pending{order: o, reply: reply, session: l.current, waits: !l.settled}
+	waits := !l.settled
+	p := &pending{order: o, reply: reply, session: l.current, waits: waits}
 	l.requests[o.Job.ID] = p
 	l.mu.Unlock()
-	if !p.waits {
+	if !waits {
 		l.submit(p)
 	}
 }
