Keep one copy of what the board wrote again

Read once more: dropping a held result stood in three places (handing a job over, giving a result up, expiry), the progress of a job was put together in two, late jobs and slow upstreams were compared by twins, and a condition in WithAge was tested twice. Each is one function now.

--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -38,7 +38,9 @@
 		}
 		if byZone[zone] == nil {
 			byZone[zone] = slices.Clone(queue)
-			slices.SortStableFunc(byZone[zone], func(a, c queued) int { return cmp.Or(a.compareLate(c), cmp.Compare(a.at(zone), c.at(zone))) })
+			slices.SortStableFunc(byZone[zone], func(a, c queued) int {
+				return cmp.Or(falseFirst(a.step.job.late, c.step.job.late), cmp.Compare(a.at(zone), c.at(zone)))
+			})
 		}
 		byZone[zone] = slices.DeleteFunc(byZone[zone], func(q queued) bool { return q.step.state != stepReady })
 		b.load(p, w, byZone[zone], now)
@@ -59,11 +61,12 @@
 	return q.urgency
 }
 
-func (q queued) compareLate(other queued) int {
+// falseFirst compares two flags, as cmp.Compare does with other values.
+func falseFirst(a, b bool) int {
 	switch {
-	case q.step.job.late == other.step.job.late:
+	case a == b:
 		return 0
-	case q.step.job.late:
+	case a:
 		return 1
 	}
 	return -1
@@ -139,13 +142,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, c *worker) int {
-		if a.slow() != c.slow() {
-			if a.slow() {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.used+a.foreign, c.used+c.foreign), cmp.Compare(a.up.ID, c.up.ID))
+		return cmp.Or(falseFirst(a.slow(), c.slow()), cmp.Compare(a.used+a.foreign, c.used+c.foreign), cmp.Compare(a.up.ID, c.up.ID))
 	})
 	return out
 }
--- a/internal/cell/board/hand.go
+++ b/internal/cell/board/hand.go
@@ -34,10 +34,9 @@
 		out[i].Done = s.Done
 		for _, h := range s.Results {
 			if h.Handle != "" {
-				h.Left -= age
-			}
-			if h.Handle != "" && h.Left <= 0 {
-				return nil
+				if h.Left -= age; h.Left <= 0 {
+					return nil
+				}
 			}
 			out[i].Results = append(out[i].Results, h)
 		}
@@ -64,13 +63,9 @@
 		if j == nil || !j.recalled || j.granted || j.inCalls() > 0 {
 			continue
 		}
-		h := Handover{Job: id}
-		for _, s := range j.steps {
-			h.Stages = append(h.Stages, b.progress(s, now))
-			b.forget(s)
-		}
+		b.out.Handovers = append(b.out.Handovers, Handover{Job: id, Stages: b.progressOf(j, now)})
+		b.forget(j)
 		delete(b.jobs, id)
-		b.out.Handovers = append(b.out.Handovers, h)
 	}
 }
 
@@ -96,12 +91,17 @@
 		if j.granted || j.recalled {
 			continue
 		}
-		a := Advance{Job: id}
-		for _, s := range j.steps {
-			a.Stages = append(a.Stages, b.progress(s, now))
-		}
-		b.out.Advances = append(b.out.Advances, a)
+		b.out.Advances = append(b.out.Advances, Advance{Job: id, Stages: b.progressOf(j, now)})
+	}
+}
+
+// progressOf describes what is done of a job, by stage.
+func (b *Board) progressOf(j *job, now time.Time) []Progress {
+	out := make([]Progress, len(j.steps))
+	for i, s := range j.steps {
+		out[i] = b.progress(s, now)
 	}
+	return out
 }
 
 // progress describes what is done of a step.
@@ -121,13 +121,13 @@
 	return p
 }
 
-// forget drops a step's results here without giving them up at their makers.
-func (b *Board) forget(s *step) {
-	for _, r := range s.results {
-		if h, known := b.heldResult(r); known {
-			w := b.makers[r.maker]
-			delete(w.held, r.handle)
-			w.used -= h.bytes
+// forget drops a job's results here without giving them up at their makers.
+func (b *Board) forget(j *job) {
+	for _, s := range j.steps {
+		for _, r := range s.results {
+			if w := b.makers[r.maker]; w != nil {
+				w.unhold(r.handle)
+			}
 		}
 	}
 }
--- a/internal/cell/board/room.go
+++ b/internal/cell/board/room.go
@@ -40,15 +40,21 @@
 	w.used += bytes
 }
 
+// unhold counts a result as gone, and says whether it was held.
+func (w *worker) unhold(handle string) bool {
+	h, known := w.held[handle]
+	if known {
+		delete(w.held, handle)
+		w.used -= h.bytes
+	}
+	return known
+}
+
 // drop gives up a result at its maker.
 func (b *Board) drop(w *worker, handle string) {
-	h, ok := w.held[handle]
-	if !ok {
-		return
+	if w.unhold(handle) {
+		b.dropped[w.up.ID] = append(b.dropped[w.up.ID], handle)
 	}
-	delete(w.held, handle)
-	w.used -= h.bytes
-	b.dropped[w.up.ID] = append(b.dropped[w.up.ID], handle)
 }
 
 // probe asks for the memory of upstreams that hold results of unknown origin, or may do so.
@@ -92,8 +98,7 @@
 	for _, w := range p.workers {
 		for handle, h := range w.held {
 			if now.After(h.expires) {
-				delete(w.held, handle)
-				w.used -= h.bytes
+				w.unhold(handle)
 			}
 		}
 	}
