--- a/internal/cell/board/admit.go
+++ b/internal/cell/board/admit.go
@@ -47,7 +47,7 @@
 func (b *Board) wait(name string) time.Duration {
 	p := b.pools[name]
 	present := p.present()
-	if present == 0 || p.count(func(w *worker) bool { return w.running != nil || w.slow() }) < present {
+	if present == 0 || p.count().taken < present {
 		return 0
 	}
 	inTime, _ := p.queued()
@@ -73,20 +73,30 @@
 }
 
 // present is the number of upstreams that are listed and ready.
-func (p *pool) present() int { return p.count(func(*worker) bool { return true }) }
+func (p *pool) present() int { return p.count().present }
 
 // busy is the number of those that have a call.
-func (p *pool) busy() int { return p.count(func(w *worker) bool { return w.running != nil }) }
+func (p *pool) busy() int { return p.count().busy }
 
-// count is the number of upstreams that are listed and ready and of which something is true.
-func (p *pool) count(is func(*worker) bool) int {
-	n := 0
+// count counts the upstreams, if a call or the list has changed since.
+func (p *pool) count() numbers {
+	if p.counted {
+		return p.numbers
+	}
+	p.counted, p.numbers = true, numbers{}
 	for _, w := range p.workers {
-		if w.present && is(w) {
-			n++
+		if !w.present {
+			continue
+		}
+		p.numbers.present++
+		if w.running != nil {
+			p.numbers.busy++
+		}
+		if w.running != nil || w.slow() {
+			p.numbers.taken++
 		}
 	}
-	return n
+	return p.numbers
 }
 
 // retryAfter is when the work that is queued on a job's way is expected to be done, late work included. An overload is
--- a/internal/cell/board/assign.go
+++ b/internal/cell/board/assign.go
@@ -152,6 +152,7 @@
 	r := &running{worker: w, begun: now}
 	var items []call.Item
 	room := int64(roomPart*float64(p.spec.Headroom)) - w.used - w.foreign
+	queues := map[*pool]bool{}
 	backlog := 0
 	for _, q := range queue {
 		backlog += len(q.step.pending)
@@ -163,7 +164,7 @@
 		if free == 0 || (w.slow() && len(items) > 0) {
 			break
 		}
-		if !p.fits(s, w, now) || b.early(s, now) || (s.job.late && !s.job.started && b.backedUp(s.job)) {
+		if !p.fits(s, w, now) || b.early(s, now) || (s.job.late && !s.job.started && b.backedUp(s.job, queues)) {
 			continue
 		}
 		take := min(len(s.pending), free)
@@ -200,6 +201,7 @@
 	r.limit = max(leastLimit, limitFactor*r.expected)
 	smooth(&p.call, r.expected)
 	w.running = r
+	p.counted = false
 	w.used += r.bytes
 	if w.slow() {
 		w.retest = now.Add(retestEvery)
--- a/internal/cell/board/board.go
+++ b/internal/cell/board/board.go
@@ -76,6 +76,7 @@
 	Expired     Reason = "expired"     // it waited too long for its first call
 	NoUpstreams Reason = "noUpstreams" // a pool has no upstream
 	Failing     Reason = "failing"     // its calls failed too often
+	Paused      Reason = "paused"      // no engine wants requests of its entry for now
 )
 
 // Refusal says that a job does not run.
@@ -154,12 +155,23 @@
 	fill     float64       // usual pieces of a call while others wait
 	active   float64       // usual number of upstreams that have a call while pieces wait
 	observed time.Time
+	expired  time.Time // when results were last looked through
+	counted  bool      // the numbers that follow hold
+	numbers  numbers
+}
+
+// numbers are counts of the upstreams of a pool that are listed and ready.
+type numbers struct {
+	present int
+	busy    int // with a call
+	taken   int // with a call, or slow
 }
 
 // Board is owned by one goroutine.
 type Board struct {
 	pools     map[string]*pool
 	jobs      map[string]*job
+	order     []*job // as they came, those that are gone among them
 	calls     map[int64]*running
 	nextID    int64
 	out       Output
@@ -205,6 +217,7 @@
 			}
 			w.up, w.present = u, true
 		}
+		p.counted = false
 		for id, w := range p.workers {
 			if !w.present && w.running == nil && len(w.held) == 0 {
 				delete(p.workers, id)
@@ -225,6 +238,7 @@
 		return
 	}
 	b.jobs[spec.ID] = j
+	b.order = append(b.order, j)
 	b.resume(j, now)
 	b.enqueue(j.unblock(now))
 	b.finish(j)
@@ -304,6 +318,13 @@
 	}
 }
 
+// Pause keeps calls from an upstream until a time; unknown upstreams are ignored.
+func (b *Board) Pause(id string, until time.Time) {
+	if w := b.makers[id]; w != nil && until.After(w.paused) {
+		w.paused = until
+	}
+}
+
 // Failed notes a call without results; busy says that the upstream had no place for it.
 func (b *Board) Failed(id int64, busy bool, now time.Time) {
 	r := b.calls[id]
@@ -316,7 +337,7 @@
 	if busy {
 		w.pause = roomPause
 	}
-	w.paused = now.Add(w.pause)
+	b.Pause(w.up.ID, now.Add(w.pause))
 	for _, p := range r.parts {
 		if !busy {
 			p.step.failures++
@@ -333,6 +354,7 @@
 	if r.worker.running == r {
 		r.worker.running = nil
 	}
+	b.pools[r.worker.up.Pool].counted = false
 	r.worker.used -= r.bytes
 }
 
@@ -443,11 +465,11 @@
 		p.expire(now)
 	}
 	b.hedge(now)
-	ids := sortedKeys(b.jobs)
-	b.expire(ids, now)
-	b.handOver(ids, now)
-	b.tellAdvances(ids, now)
-	b.outlook(ids, now)
+	b.order = slices.DeleteFunc(b.order, func(j *job) bool { return b.jobs[j.ID] != j })
+	b.expire(now)
+	b.handOver(now)
+	b.tellAdvances(now)
+	b.outlook(now)
 	for _, name := range sortedKeys(b.pools) {
 		b.assign(b.pools[name], now)
 		b.pools[name].observe(now)
@@ -465,9 +487,8 @@
 }
 
 // expire refuses jobs that can't be served any more.
-func (b *Board) expire(ids []string, now time.Time) {
-	for _, id := range ids {
-		j := b.jobs[id]
+func (b *Board) expire(now time.Time) {
+	for _, j := range b.order {
 		if j.granted {
 			continue
 		}
--- a/internal/cell/board/hand.go
+++ b/internal/cell/board/hand.go
@@ -57,15 +57,14 @@
 }
 
 // handOver gives the recalled jobs away that no call holds.
-func (b *Board) handOver(ids []string, now time.Time) {
-	for _, id := range ids {
-		j := b.jobs[id]
-		if j == nil || !j.recalled || j.granted || j.inCalls() > 0 {
+func (b *Board) handOver(now time.Time) {
+	for _, j := range b.order {
+		if b.jobs[j.ID] != j || !j.recalled || j.granted || j.inCalls() > 0 {
 			continue
 		}
-		b.out.Handovers = append(b.out.Handovers, Handover{Job: id, Stages: b.progressOf(j, now)})
+		b.out.Handovers = append(b.out.Handovers, Handover{Job: j.ID, Stages: b.progressOf(j, now)})
 		b.forget(j)
-		delete(b.jobs, id)
+		delete(b.jobs, j.ID)
 	}
 }
 
@@ -81,17 +80,16 @@
 }
 
 // tellAdvances describes the jobs that have new results, so that another board can go on with them if this one is lost.
-func (b *Board) tellAdvances(ids []string, now time.Time) {
-	for _, id := range ids {
-		j := b.jobs[id]
-		if j == nil || !j.advanced {
+func (b *Board) tellAdvances(now time.Time) {
+	for _, j := range b.order {
+		if b.jobs[j.ID] != j || !j.advanced {
 			continue
 		}
 		j.advanced = false
 		if j.granted || j.recalled {
 			continue
 		}
-		b.out.Advances = append(b.out.Advances, Advance{Job: id, Stages: b.progressOf(j, now)})
+		b.out.Advances = append(b.out.Advances, Advance{Job: j.ID, Stages: b.progressOf(j, now)})
 	}
 }
 
--- a/internal/cell/board/outlook.go
+++ b/internal/cell/board/outlook.go
@@ -18,22 +18,21 @@
 // outlook marks jobs that have not begun and can't meet their target any more, given the work of all stages that comes
 // before theirs: that of jobs that have begun, and of those that are more urgent. What would only be given up at a later
 // stage does not take the place of other work at the first one.
-func (b *Board) outlook(ids []string, now time.Time) {
+func (b *Board) outlook(now time.Time) {
 	ahead := map[string]int{}
-	var waiting []*job
-	for _, id := range ids {
-		j := b.jobs[id]
+	var waiting []waitingJob
+	for _, j := range b.order {
 		switch {
-		case j == nil || j.late || j.granted || j.recalled:
+		case b.jobs[j.ID] != j || j.late || j.granted || j.recalled:
 		case j.started:
 			j.addTo(ahead)
 		default:
-			waiting = append(waiting, j)
+			waiting = append(waiting, waitingJob{job: j, urgency: b.jobUrgency(j)})
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, c *job) int { return cmp.Compare(b.jobUrgency(a), b.jobUrgency(c)) })
+	slices.SortStableFunc(waiting, func(a, c waitingJob) int { return cmp.Compare(a.urgency, c.urgency) })
 	for _, j := range waiting {
-		if now.Add(b.path(j, ahead) + j.FinalStep + outlookMargin).After(j.Target) {
+		if now.Add(b.path(j.job, ahead) + j.FinalStep + outlookMargin).After(j.Target) {
 			j.late = true
 			continue
 		}
@@ -41,6 +40,12 @@
 	}
 }
 
+// waitingJob is a job that has not begun.
+type waitingJob struct {
+	*job
+	urgency int64
+}
+
 // addTo adds the pieces of a job that no call holds, by pool.
 func (j *job) addTo(ahead map[string]int) {
 	for _, s := range j.steps {
@@ -108,15 +113,20 @@
 	p.active = min(p.active, float64(present))
 }
 
-// backedUp says whether a stage that comes later for a job has a queue.
-func (b *Board) backedUp(j *job) bool {
+// backedUp says whether a stage that comes later for a job has a queue; queues are looked at once for a call.
+func (b *Board) backedUp(j *job, known map[*pool]bool) bool {
 	for _, s := range j.steps {
 		p := b.pools[s.spec.Pool]
 		if s.state != stepBlocked || s.spec.Pieces == 0 || p == nil {
 			continue
 		}
-		inTime, late := p.queued()
-		if p.drain(1) > 0 && (inTime+late)*backedUpPart > p.present()*p.spec.Size {
+		hasQueue, looked := known[p]
+		if !looked {
+			inTime, late := p.queued()
+			hasQueue = p.drain(1) > 0 && (inTime+late)*backedUpPart > p.present()*p.spec.Size
+			known[p] = hasQueue
+		}
+		if hasQueue {
 			return true
 		}
 	}
--- a/internal/cell/board/room.go
+++ b/internal/cell/board/room.go
@@ -1,10 +1,15 @@
 package board
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 )
 
+const expireEvery = 100 * time.Millisecond // between looks for results that their makers have dropped
+
 // releaseRead gives up results that no stage of the job will read again.
 func (b *Board) releaseRead(j *job) {
 	for i, s := range j.steps {
@@ -59,8 +64,8 @@
 
 // probe asks for the memory of upstreams that hold results of unknown origin, or may do so.
 func (b *Board) probe(p *pool, now time.Time) {
-	for _, id := range sortedKeys(p.workers) {
-		w := p.workers[id]
+	var due []hosts.Upstream
+	for _, w := range p.workers {
 		if w.foreign > 0 && p.spec.Headroom < minProbed && now.After(w.foreignTill) {
 			w.foreign = 0
 		}
@@ -68,9 +73,11 @@
 		occupied := w.foreign > 0 && p.spec.Headroom >= minProbed && len(p.ready) > 0
 		if w.present && (unknown || occupied) && !now.Before(w.probeAt) {
 			w.probeAt = now.Add(probeEvery)
-			b.out.Probes = append(b.out.Probes, w.up)
+			due = append(due, w.up)
 		}
 	}
+	slices.SortFunc(due, func(a, c hosts.Upstream) int { return cmp.Compare(a.ID, c.ID) })
+	b.out.Probes = append(b.out.Probes, due...)
 }
 
 // SetFree notes how much memory for results an upstream says it has left.
@@ -95,6 +102,10 @@
 
 // expire forgets results that their maker has dropped by itself.
 func (p *pool) expire(now time.Time) {
+	if now.Sub(p.expired) < expireEvery {
+		return
+	}
+	p.expired = now
 	for _, w := range p.workers {
 		for handle, h := range w.held {
 			if now.After(h.expires) {
--- a/internal/cell/board/worker.go
+++ b/internal/cell/board/worker.go
@@ -22,6 +22,7 @@
 		}
 		r.hedged = true
 		r.worker.observe(float64(took) / float64(r.expected))
+		b.pools[r.worker.up.Pool].counted = false
 		for _, p := range r.parts {
 			for _, piece := range p.pieces {
 				b.again(p.step, piece)
--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -26,8 +26,13 @@
 	settlePause  = 250 * time.Millisecond // instead, for settleFor after an entry came or left
 	settleFor    = 4 * time.Second
 	callTimeout  = 1500 * time.Millisecond
-	retryPause   = 400 * time.Millisecond
+	retryPause   = 400 * time.Millisecond // after a call that failed; doubles up to
+	longestRetry = 2 * time.Second
 	leaveTimeout = 500 * time.Millisecond
+	trustLeader  = 1300 * time.Millisecond // the records are not read here while the leader was heard this recently,
+	trustRead    = 14 * time.Second        // and has read them itself this recently; its reads wait, too
+	freshPoll    = 100 * time.Millisecond
+	maxFirst     = 8  // members that the leader tells of
 	coreSteps    = 10 // hosts whose parts of a core differ by less than a tenth count as equal
 )
 
@@ -65,7 +70,18 @@
 	left    map[string]int64 // births of the lifetimes that left, by host
 	leaving atomic.Bool
 	changed time.Time // when an entry came or left
-	read    time.Time // the last read that worked
+	read    time.Time // the last read that worked; the leader's counts too
+
+	readAt atomic.Pointer[time.Time] // the last one of this process
+	told   atomic.Pointer[Roll]      // what the leader knows
+	heard  atomic.Pointer[time.Time] // when it said so
+}
+
+// Roll is what a process knows of the entries.
+type Roll struct {
+	First []Member // those that should lead, in order
+	Size  int      // of all
+	Read  time.Time
 }
 
 // sighting is when a record was read.
@@ -77,21 +93,60 @@
 // New returns a crew of this entry alone.
 func New(o Options) *Crew {
 	c := &Crew{o: o, seen: map[string]sighting{}, left: map[string]int64{}, changed: o.Now(), read: o.Now()}
+	c.readAt.Store(&time.Time{})
+	c.told.Store(&Roll{})
+	c.heard.Store(&time.Time{})
 	c.publish()
 	return c
 }
 
+// Roll is what other entries may rely on.
+func (c *Crew) Roll() Roll {
+	all := c.Members()
+	return Roll{First: all[:min(len(all), maxFirst)], Size: len(all), Read: *c.readAt.Load()}
+}
+
+// Confirm takes over what the leader has read, so that this process need not read it too.
+func (c *Crew) Confirm(r Roll) {
+	now := c.o.Now()
+	c.told.Store(&r)
+	c.heard.Store(&now)
+	if !c.isTold() {
+		return
+	}
+	out := append([]Member{c.o.Self}, slices.DeleteFunc(slices.Clone(r.First), func(m Member) bool { return m.Host == c.o.Self.Host })...)
+	sortMembers(out)
+	c.members.Store(&out)
+}
+
+// isTold says whether the leader has read the records lately.
+func (c *Crew) isTold() bool {
+	now := c.o.Now()
+	return now.Sub(*c.heard.Load()) < trustLeader && now.Sub(c.told.Load().Read) < trustRead
+}
+
 // Members lists the known entries, this one among them; those that should lead come first. It must not be changed.
 func (c *Crew) Members() []Member { return *c.members.Load() }
 
 // Size is the number of known entries.
-func (c *Crew) Size() int { return len(c.Members()) }
+func (c *Crew) Size() int {
+	if c.isTold() {
+		return max(c.told.Load().Size, len(c.Members()))
+	}
+	return len(c.Members())
+}
 
 // Run renews this entry's record and follows those of the others until ctx ends.
 func (c *Crew) Run(ctx context.Context) {
 	go c.renew(ctx)
 	at := cursor.New(c.o.Store, topic, readWait, callTimeout)
+	wait := pause.Growing{First: retryPause, Most: longestRetry}
 	for ctx.Err() == nil {
+		if at.Synced() && c.isTold() {
+			c.read = c.o.Now()
+			pause.For(ctx, freshPoll)
+			continue
+		}
 		records, whole, err := at.Read(ctx)
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
@@ -99,9 +154,11 @@
 			continue
 		case err != nil:
 			c.o.Log.Debug("members can't be read", zap.Error(err))
-			pause.For(ctx, retryPause)
+			c.readAt.Store(&time.Time{}) // others must not rely on this process
+			pause.For(ctx, wait.Next())
 			continue
 		}
+		wait.Reset()
 		c.allowForOutage()
 		c.apply(records, whole)
 		pause.For(ctx, c.pause())
@@ -113,6 +170,7 @@
 	now := c.o.Now()
 	away := now.Sub(c.read) - readWait - readPause
 	c.read = now
+	c.readAt.Store(&now)
 	if away <= 0 {
 		return
 	}
@@ -138,6 +196,7 @@
 		c.o.Log.Error("the member record can't be encoded", zap.Error(err))
 		return
 	}
+	retry := pause.Growing{First: retryPause, Most: longestRetry}
 	for ctx.Err() == nil && !c.leaving.Load() {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := c.o.Store.Put(call, topic, platform.Record{Key: c.o.Self.Host, Value: value})
@@ -145,7 +204,9 @@
 		wait := renewEvery
 		if err != nil {
 			c.o.Log.Info("the member record can't be written", zap.Error(err))
-			wait = retryPause
+			wait = retry.Next()
+		} else {
+			retry.Reset()
 		}
 		pause.For(ctx, wait)
 	}
@@ -209,11 +270,16 @@
 			out = append(out, s.member)
 		}
 	}
-	slices.SortFunc(out, func(a, b Member) int {
+	sortMembers(out)
+	c.members.Store(&out)
+}
+
+// sortMembers puts those first that should lead.
+func sortMembers(all []Member) {
+	slices.SortFunc(all, func(a, b Member) int {
 		return cmp.Or(
 			cmp.Compare(math.Round(b.Cores*coreSteps), math.Round(a.Cores*coreSteps)),
 			cmp.Compare(a.Born, b.Born), // a restarted host does not take the lead back
 			cmp.Compare(a.Host, b.Host))
 	})
-	c.members.Store(&out)
 }
--- a/internal/cell/lead/desk.go
+++ b/internal/cell/lead/desk.go
@@ -5,6 +5,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 )
 
 // Order is a request that needs stages, an engine, or both.
@@ -50,6 +51,8 @@
 	Ended(id, engine string, failed bool)
 	// Crashed says that a lifetime of an upstream broke down while it ran a request with this fingerprint, sent at a time.
 	Crashed(fingerprint uint64, lifetime string, sent time.Time)
+	// Told passes on what an upstream said to an entry.
+	Told(entry string, n heed.Notice)
 	// Served says that an upstream answered a request with this fingerprint.
 	Served(fingerprint uint64)
 }
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -9,12 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/place"
 	"github.com/ragworthatch/ragworthatch/internal/cell/visit"
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
@@ -24,13 +26,17 @@
 )
 
 const (
-	inboxSize     = 1024
-	tick          = 20 * time.Millisecond // between looks at the queues while there is work
-	sweepEvery    = 5 * time.Second
-	maxAnswerSize = 4 << 20 // bytes of the results of one batch
-	releaseLimit  = 2 * time.Second
-	finishPoll    = 50 * time.Millisecond
-	finishRelease = 200 * time.Millisecond
+	inboxSize      = 1024
+	tick           = 20 * time.Millisecond // between looks at the queues while there is work
+	stepShare      = 2                     // the board is looked at again after this multiple of the time that takes,
+	longestGap     = 10 * time.Millisecond // but no later, so that a burst of messages costs one look
+	sweepEvery     = 5 * time.Second
+	maxAnswer      = 64 << 10 // bytes of an answer of a stage upstream,
+	maxResult      = 1 << 10  // and further ones for each result in it
+	releaseLimit   = 2 * time.Second
+	longestRelease = 5 * time.Second // that a release waits for an upstream that wants nothing; results expire by then
+	finishPoll     = 50 * time.Millisecond
+	finishRelease  = 200 * time.Millisecond
 )
 
 // Codec writes and reads the calls to stage upstreams.
@@ -52,6 +58,7 @@
 	Client *xchg.Client
 	Codec  Codec
 	Crash  *crash.Record
+	Heed   *heed.Record
 	Stats  *stats.Stats
 	Now    func() time.Time
 	Log    *zap.Logger
@@ -132,18 +139,31 @@
 	timer := time.NewTimer(sweepEvery)
 	defer timer.Stop()
 	swept, counted := l.o.Now(), l.o.Now()
+	var next time.Time // when the board is to be looked at again at the earliest
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case f := <-l.inbox:
-			f(l.o.Now())
-			l.drainInbox()
+			l.guard(func() {
+				f(l.o.Now())
+				l.drainInbox()
+			})
 		case <-timer.C:
 		}
 		now := l.o.Now()
-		l.refresh()
-		l.carryOut(l.board.Step(now), now)
+		if gap := next.Sub(now); gap > 0 {
+			timer.Reset(gap)
+			continue
+		}
+		l.guard(func() {
+			l.refresh()
+			l.carryOut(l.board.Step(now), now)
+		})
+		next = now.Add(stepShare * l.o.Now().Sub(now))
+		if latest := l.o.Now().Add(longestGap); next.After(latest) {
+			next = latest
+		}
 		if now.Sub(counted) >= tick {
 			l.open.Store(int64(l.board.Jobs()))
 			l.queued.Store(int64(l.board.Queued()))
@@ -162,6 +182,27 @@
 	}
 }
 
+// guard keeps a fault in one decision from ending the process: all orders are refused, and decisions begin anew.
+func (l *Lead) guard(decide func()) {
+	defer func() {
+		failed := recover()
+		if failed == nil {
+			return
+		}
+		l.o.Log.Error("decisions failed, all orders are refused", zap.Any("panic", failed), zap.Stack("stack"), zap.Int("orders", len(l.waiting)))
+		waiting := l.waiting
+		l.board, l.placer, l.waiting = board.New(), place.New(), map[string]*waiter{}
+		l.rules, l.hosts = nil, nil
+		l.refresh()
+		for _, w := range waiting {
+			if w.reply != nil {
+				w.reply(Decision{Refused: board.Failing, RetryAfter: time.Second})
+			}
+		}
+	}()
+	decide()
+}
+
 func (l *Lead) drainInbox() {
 	for {
 		select {
@@ -199,6 +240,10 @@
 			o.Job.Target = o.Job.Target.Add(-waited)
 			l.o.Log.Info("caller comes back", zap.String("request", o.Job.Request), zap.Duration("waited", waited))
 		}
+		if _, paused := l.placer.Opens(o.Engine, l.hosts, now); paused {
+			reply(l.noEngine(o.Engine, now))
+			return
+		}
 		o.Job.FinalStep = l.placer.FinalStep(o.Engine, l.hosts, now)
 		if o.Job.ReadsLargeResults() {
 			o.Job.Zone = l.placer.Zone(o.Engine, l.hosts, l.engineSpec(o.Engine.Pool), now)
@@ -273,6 +318,24 @@
 	}
 }
 
+// Told takes over what an upstream said to an entry.
+func (l *Lead) Told(entry string, n heed.Notice) {
+	l.o.Heed.Told(n)
+	if n.Pause <= 0 {
+		return
+	}
+	l.inbox <- func(now time.Time) {
+		l.refresh()
+		until := now.Add(n.Pause)
+		if u, known := l.hosts.Get(n.Of.ID); known && u.Born == n.Of.Born {
+			if p, ok := l.rules.Pool(u.Pool); ok && p.Engine != nil {
+				l.placer.Pause(u.ID, entry, until)
+			}
+			l.board.Pause(u.ID, until)
+		}
+	}
+}
+
 // Served forgets the breakdowns under a request that was answered.
 func (l *Lead) Served(fingerprint uint64) { l.o.Crash.Served(fingerprint) }
 
@@ -290,12 +353,20 @@
 	id := w.order.Job.ID
 	up, ok := l.placer.Pick(w.order.Engine, l.hosts, l.engineSpec(w.order.Engine.Pool), now)
 	if !ok {
-		l.answer(id, w, Decision{Refused: board.NoUpstreams, RetryAfter: time.Second})
+		l.answer(id, w, l.noEngine(w.order.Engine, now))
 		return
 	}
 	l.answer(id, w, Decision{Upstream: up.ID, Inputs: w.grant.Inputs, Late: w.grant.Late})
 }
 
+// noEngine refuses an order until the first engine may get something from its entry again.
+func (l *Lead) noEngine(o place.Order, now time.Time) Decision {
+	if opens, paused := l.placer.Opens(o, l.hosts, now); paused {
+		return Decision{Refused: board.Paused, RetryAfter: opens}
+	}
+	return Decision{Refused: board.NoUpstreams, RetryAfter: time.Second}
+}
+
 // engineSpec is what the configuration says of the engines of a pool.
 func (l *Lead) engineSpec(pool string) rule.Engine {
 	if p, ok := l.rules.Pool(pool); ok && p.Engine != nil {
@@ -372,30 +443,46 @@
 }
 
 func (l *Lead) askFree(u hosts.Upstream) (int64, error) {
-	_, data, failure := l.exchange(u, releaseLimit, xchg.Request{
+	got, failure := l.exchange(u, releaseLimit, 0, xchg.Request{
 		Method: http.MethodGet, URI: l.o.Codec.ReportPath, Header: http.Header{},
 	})
 	if failure != nil {
 		return 0, failure
 	}
-	return l.o.Codec.DecodeFree(data)
+	return l.o.Codec.DecodeFree(got.body)
+}
+
+// reply is an answer of a stage upstream.
+type reply struct {
+	status  int
+	body    []byte
+	repeats bool // it is the same as the one before on its connection
 }
 
-// exchange sends a request to a stage upstream and returns the status and the whole body of the answer.
-func (l *Lead) exchange(u hosts.Upstream, limit time.Duration, r xchg.Request) (int, []byte, *fault.Error) {
+// exchange sends a request to a stage upstream and returns the whole answer, which may hold a
+// number of results.
+func (l *Lead) exchange(u hosts.Upstream, limit time.Duration, results int, r xchg.Request) (reply, *fault.Error) {
+	if d := l.o.Heed.Opens(u.Lifetime()); d > 0 {
+		return reply{}, fault.New(fault.NotRun, fault.Overloaded, "%s wants nothing for now", u.ID).WithRetryAfter(d)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	r.Host = u.Address
 	answer, failure := l.o.Client.Do(ctx, u.Address, r)
 	if failure != nil {
-		return 0, nil, failure
+		return reply{}, failure
 	}
 	defer answer.Close()
-	data, err := io.ReadAll(io.LimitReader(answer, maxAnswerSize))
-	if err != nil {
-		return 0, nil, fault.New(fault.MayHaveRun, fault.Incomplete, "the answer of %s is cut off", u.ID).WithCause(err)
+	l.o.Heed.Answer(u, answer.Status, answer.Head)
+	most := int64(maxAnswer + results*maxResult)
+	data, err := io.ReadAll(io.LimitReader(answer, most+1))
+	switch {
+	case err != nil:
+		return reply{}, fault.New(fault.MayHaveRun, fault.Incomplete, "the answer of %s is cut off", u.ID).WithCause(err)
+	case int64(len(data)) > most:
+		return reply{}, fault.New(fault.MayHaveRun, fault.Malformed, "the answer of %s is longer than %d bytes", u.ID, most)
 	}
-	return answer.Status, data, nil
+	return reply{status: answer.Status, body: data, repeats: answer.Repeats(xxhash.Sum64(data))}, nil
 }
 
 // runBatch carries one call to a stage upstream.
@@ -440,21 +527,25 @@
 	if err != nil {
 		return nil, fault.New(fault.NotRun, fault.Internal, "a batch can't be encoded").WithCause(err)
 	}
-	status, data, failure := l.exchange(b.Upstream, b.Limit, xchg.Request{
+	got, failure := l.exchange(b.Upstream, b.Limit, len(b.Items), xchg.Request{
 		Method: http.MethodPost, URI: l.o.Codec.RunPath, Body: body, Header: l.o.Codec.HeaderFor(b.Upstream.ID, longest(b.Items)),
 	})
 	switch {
 	case failure != nil:
 		return nil, failure
-	case status == http.StatusServiceUnavailable:
+	case got.status == http.StatusServiceUnavailable:
 		return nil, fault.New(fault.NotRun, fault.Overloaded, "%s takes no call", b.Upstream.ID)
-	case status != http.StatusOK:
-		return nil, fault.New(fault.MayHaveRun, fault.Upstream, "%s answered with status %d", b.Upstream.ID, status)
+	case got.status != http.StatusOK:
+		return nil, fault.New(fault.MayHaveRun, fault.Upstream, "%s answered with status %d", b.Upstream.ID, got.status)
 	}
-	results, err := l.o.Codec.DecodeBatch(data, len(b.Items))
+	results, err := l.o.Codec.DecodeBatch(got.body, len(b.Items))
 	if err != nil {
 		return nil, fault.New(fault.MayHaveRun, fault.Malformed, "results from %s can't be read", b.Upstream.ID).WithCause(err)
 	}
+	// Handles are never used twice, so this is the answer to the call before.
+	if got.repeats && slices.ContainsFunc(results, func(r call.Result) bool { return r.Handle != "" }) {
+		return nil, fault.New(fault.MayHaveRun, fault.Malformed, "a second copy of an answer of %s", b.Upstream.ID)
+	}
 	return results, nil
 }
 
@@ -489,12 +580,15 @@
 
 // release gives up results; a release that fails costs only memory until the results expire.
 func (l *Lead) release(r board.Release) {
+	if d := l.o.Heed.Opens(r.Upstream.Lifetime()); d > 0 && d < longestRelease {
+		time.Sleep(d)
+	}
 	body, err := l.o.Codec.EncodeFree(r.Handles)
 	if err != nil {
 		l.o.Log.Warn("a release can't be encoded", zap.Error(err))
 		return
 	}
-	_, _, failure := l.exchange(r.Upstream, releaseLimit, xchg.Request{
+	_, failure := l.exchange(r.Upstream, releaseLimit, 0, xchg.Request{
 		Method: http.MethodPost, URI: l.o.Codec.FreePath, Body: body, Header: l.o.Codec.HeaderFor(r.Upstream.ID, 0),
 	})
 	if failure != nil {
--- a/internal/cell/lead/lead_test.go
+++ b/internal/cell/lead/lead_test.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/cell/place"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 )
@@ -23,6 +24,7 @@
 	table := hosts.New([]hosts.Upstream{{ID: "e", Pool: "engines", State: hosts.Ready}}, time.Now())
 	l := lead.New(lead.Options{
 		Rules: func() *rule.Rules { return rules }, Hosts: func() *hosts.Table { return table }, Now: time.Now, Log: zap.NewNop(),
+		Heed: heed.New(heed.Options{Now: time.Now, Log: zap.NewNop()}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -10,14 +10,19 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
 const (
 	pingEvery    = 250 * time.Millisecond
 	silentAfter  = 800 * time.Millisecond // without a pong, the leader counts as gone
-	suspectFor   = 3 * time.Second        // a member that was gone is not asked again for this long
+	suspectFor   = 3 * time.Second        // a member whose connection broke is not asked again for this long
+	silentFor    = 1 * time.Second        // nor one that was silent, which may only have been busy; doubles up to
+	longestFor   = 8 * time.Second        // this, unless it was followed for
+	soundAfter   = 10 * time.Second       // so long in between
 	leavingFor   = 10 * time.Second       // nor one that is shutting down
 	followsFor   = 2 * time.Second        // nor one that follows another
 	followsLimit = 2                      // pongs that say so, until a leader that follows another one is left
@@ -38,9 +43,15 @@
 	Members func() []crew.Member
 	Blocked func(fingerprints []uint64) // takes over what the leader found of requests that break down upstreams
 	// Confirm takes over what the leader has read from the store.
-	Confirm func(rulesVersion int64, rulesRead time.Time, table *hosts.Table)
+	Confirm     func(rules watch.Sighting, table *hosts.Table)
+	ConfirmCrew func(crew.Roll) // takes over what the leader has read of the entries
 	// Adopt takes over the leader's configuration, as the operator wrote it.
-	Adopt   func(rules []byte)
+	Adopt        func(version int64, rules []byte)
+	RulesVersion func() int64 // of the configuration in force here
+	// Lacks says whether the configuration of a version can't be had from the store.
+	Lacks func(version int64) bool
+	// Notices lists what upstreams have said to this entry and still holds.
+	Notices func() []heed.Notice
 	Leaving func() bool // this entry is shutting down and must not lead others
 	Now     func() time.Time
 	Log     *zap.Logger
@@ -75,8 +86,10 @@
 	settled   bool      // this entry has found a leader, or leads itself; orders wait until then
 
 	// What follows belongs to Run.
-	suspects  map[string]suspect // by host
-	advised   crew.Member        // whom another entry follows
+	suspects  map[string]suspect       // by host
+	silences  map[string]time.Duration // how long members were left out for their last silence, by host
+	looked    time.Time                // at the leader
+	advised   crew.Member              // whom another entry follows
 	advisedAt time.Time
 	patience  int  // questions that are left to a member that follows one that is gone
 	asking    bool // a member is asked to lead
@@ -95,7 +108,7 @@
 
 // New returns a link; orders wait until Run has found a leader, or for settleTime.
 func New(o Options) *Link {
-	return &Link{o: o, requests: map[string]*pending{}, suspects: map[string]suspect{}, patience: maxPatience, asked: make(chan answer, 1)}
+	return &Link{o: o, requests: map[string]*pending{}, suspects: map[string]suspect{}, silences: map[string]time.Duration{}, patience: maxPatience, asked: make(chan answer, 1)}
 }
 
 // Run keeps a connection to the leader until ctx ends.
@@ -158,15 +171,27 @@
 
 // lookAfterCurrent pings the leader and says whether it answers.
 func (l *Link) lookAfterCurrent(current *session, now time.Time) bool {
+	// What a process does not hear while it does not run itself is no silence of the leader.
+	if now.Sub(l.looked) > 2*pingEvery {
+		current.excuse(now)
+	}
+	l.looked = now
 	if reason := current.gone(now); reason != "" {
 		if !current.lost {
 			current.lost = true
 			l.o.Log.Info("leader lost", zap.String("member", current.member.Host), zap.String("reason", reason),
 				zap.Duration("silent", now.Sub(current.heard())))
 		}
-		l.leaveOut(current.member, suspectFor)
+		if reason == goneSilent {
+			l.leaveOutSilent(current.member)
+		} else {
+			l.leaveOut(current.member, suspectFor)
+		}
 		return false
 	}
+	if now.Sub(current.begun) > soundAfter {
+		delete(l.silences, current.member.Host)
+	}
 	current.ping()
 	if current.leaving.Load() {
 		l.leaveOut(current.member, leavingFor)
@@ -181,6 +206,9 @@
 // take makes a member that was asked the leader, unless it can't be; again says whether to ask another one at once.
 func (l *Link) take(a answer) (again bool) {
 	if a.refusal == "" {
+		if l.isSettled() && l.Leads() {
+			l.o.Log.Info("leaders met, this one follows the other", zap.String("member", a.member.Host))
+		}
 		l.change(a.member, a.session)
 		return true
 	}
@@ -195,6 +223,8 @@
 		}
 		l.leaveOutFollower(a.member)
 		l.advise(a.leader)
+	case refusedSilent:
+		l.leaveOutSilent(a.member)
 	default:
 		l.leaveOut(a.member, suspectFor)
 	}
@@ -217,6 +247,13 @@
 	l.suspects[m.Host] = suspect{born: m.Born, until: l.o.Now().Add(d)}
 }
 
+// leaveOutSilent keeps a member that did not answer in time from being asked, each time for longer.
+func (l *Link) leaveOutSilent(m crew.Member) {
+	d := min(longestFor, max(silentFor, 2*l.silences[m.Host]))
+	l.silences[m.Host] = d
+	l.leaveOut(m, d)
+}
+
 // leaveOutFollower keeps a member that follows another from being asked, until somebody follows it.
 func (l *Link) leaveOutFollower(m crew.Member) {
 	l.suspects[m.Host] = suspect{born: m.Born, until: l.o.Now().Add(followsFor), follows: true}
@@ -267,6 +304,11 @@
 		l.replaced = append(l.replaced, before)
 	}
 	l.mu.Unlock()
+	if next != nil {
+		for _, n := range l.o.Notices() {
+			next.post(noticeMessage(n))
+		}
+	}
 	l.patience = maxPatience
 	l.o.Log.Info("leader", zap.String("member", m.Host), zap.Bool("before", alive))
 	if before != nil && !alive {
@@ -490,6 +532,18 @@
 	l.tell(&cellpb.ToLead{Body: &cellpb.ToLead_Served{Served: &cellpb.Served{Fingerprint: fingerprint}}})
 }
 
+// Told tells the leader what an upstream said to this entry.
+func (l *Link) Told(entry string, n heed.Notice) {
+	l.o.Local.Told(entry, n)
+	l.tell(noticeMessage(n))
+}
+
+func noticeMessage(n heed.Notice) *cellpb.ToLead {
+	return &cellpb.ToLead{Body: &cellpb.ToLead_Notice{Notice: &cellpb.Notice{
+		Id: n.Of.ID, Born: n.Of.Born, Leaving: n.Leaving, PauseUs: n.Pause.Microseconds(),
+	}}}
+}
+
 // tell sends a message to the leader, if that is another entry.
 func (l *Link) tell(m *cellpb.ToLead) {
 	l.mu.Lock()
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -20,7 +20,9 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/cell/link"
 	"github.com/ragworthatch/ragworthatch/internal/cell/serve"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/fake/cable"
 	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
@@ -63,6 +65,7 @@
 }
 func (d *fakeDesk) Crashed(uint64, string, time.Time) {}
 func (d *fakeDesk) Served(uint64)                     {}
+func (d *fakeDesk) Told(string, heed.Notice)          {}
 func (d *fakeDesk) Ended(id, _ string, _ bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -110,7 +113,7 @@
 			return crew.Member{}, false
 		},
 		Blocked: func() []uint64 { return nil }, Rules: func() serve.Rules { return serve.Rules{} },
-		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) }, Now: time.Now, Log: log,
+		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) }, Crew: func() crew.Roll { return crew.Roll{} }, Now: time.Now, Log: log,
 	}))
 	go func() { _ = p.server.Serve(listener) }()
 	c.Cleanup(p.server.Stop)
@@ -130,8 +133,9 @@
 func startAmong(c *qt.C, local lead.Leader, members func() []crew.Member) *link.Link {
 	l := link.New(link.Options{
 		Self: "self", Local: local, Members: members,
-		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func([]byte) {},
-		Confirm: func(int64, time.Time, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
+		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func(int64, []byte) {}, Lacks: func(int64) bool { return false },
+		Notices: func() []heed.Notice { return nil }, ConfirmCrew: func(crew.Roll) {}, RulesVersion: func() int64 { return 0 },
+		Confirm: func(watch.Sighting, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
@@ -359,8 +363,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := link.New(link.Options{
 		Self: "self", Local: newDesk("local", false), Members: func() []crew.Member { return []crew.Member{p.Member} },
-		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func([]byte) {},
-		Confirm: func(int64, time.Time, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
+		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func(int64, []byte) {}, Lacks: func(int64) bool { return false },
+		Notices: func() []heed.Notice { return nil }, ConfirmCrew: func(crew.Roll) {}, RulesVersion: func() int64 { return 0 },
+		Confirm: func(watch.Sighting, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
 	go l.Run(ctx)
 	eventually(c, func() bool { return !l.Leads() })
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -1,11 +1,18 @@
 package link
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"fmt"
+	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -14,10 +21,19 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
+	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
-const unackedTimeout = 2 * time.Second // TCP_USER_TIMEOUT towards the leader
+const (
+	unackedTimeout = 2 * time.Second // TCP_USER_TIMEOUT towards the leader
+	pullTimeout    = 2 * time.Second // for the leader's configuration
+	maxPacked      = 4 << 20         // bytes of it, compressed
+	maxUnpacked    = 8 << 20         // and not, as much as one answer of the store
+)
+
+// goneSilent is why a leader that sends nothing can't be used.
+const goneSilent = "silent"
 
 // session is a connection to one leader.
 type session struct {
@@ -35,13 +51,14 @@
 	begun      time.Time
 	sequence   atomic.Int64
 	pinged     atomic.Int64 // when the newest ping was sent, in nanoseconds since begun
-	hosts      *hosts.Table // the leader's list; belongs to the receiving goroutine
+	hosts      *hosts.Table // the leader's list; belongs to the receiving goroutine, as does roll
+	roll       *crew.Roll   // what the leader knows of the entries; nil until it has said so
 	replaced   atomic.Bool  // by another leader
 	replacedAt time.Time    // belongs to the link
 	now        func() time.Time
 	blocked    func([]uint64)
-	confirm    func(int64, time.Time, *hosts.Table)
-	adopt      func([]byte)
+	o          Options
+	pulling    atomic.Bool // the leader's configuration is on its way
 }
 
 // dial connects to a member.
@@ -74,7 +91,7 @@
 	}
 	s := &session{
 		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), begun: o.Now(), now: o.Now, pongs: make(chan *cellpb.Pong, 1),
-		blocked: o.Blocked, confirm: o.Confirm, adopt: o.Adopt,
+		blocked: o.Blocked, o: o,
 	}
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: o.Self}}})
 	go s.sendAll(ctx, stream)
@@ -121,10 +138,18 @@
 			if !s.replaced.Load() {
 				s.takeOver(body.Pong)
 			}
-		case *cellpb.ToEntry_Rules:
-			s.adopt(body.Rules.Body)
 		case *cellpb.ToEntry_Hosts:
-			s.hosts = tableOf(body.Hosts)
+			if s.hosts = withChanges(s.hosts, body.Hosts); s.hosts == nil {
+				s.o.Log.Error("changes of a list of upstreams that is not known", zap.String("member", s.member.Host),
+					zap.Int64("base", body.Hosts.Base))
+				s.broken.Store(true)
+				return
+			}
+		case *cellpb.ToEntry_Crew:
+			s.roll = &crew.Roll{Size: int(body.Crew.Size)}
+			for _, m := range body.Crew.First {
+				s.roll.First = append(s.roll.First, memberOf(m))
+			}
 		case *cellpb.ToEntry_Decision:
 			d := body.Decision
 			decided(d.Id, lead.Decision{
@@ -141,7 +166,12 @@
 	if p.Leader == nil {
 		return nil
 	}
-	return &crew.Member{Host: p.Leader.Host, Address: p.Leader.Address, Born: p.Leader.Born}
+	m := memberOf(p.Leader)
+	return &m
+}
+
+func memberOf(m *cellpb.Member) crew.Member {
+	return crew.Member{Host: m.Host, Address: m.Address, Born: m.Born, Cores: m.Cores}
 }
 
 // takeOver passes on what the leader has read. Its ages count from the ping, which was sent before they were taken, so
@@ -156,17 +186,65 @@
 	if s.hosts != nil && s.hosts.Version() == p.HostsVersion {
 		table = s.hosts.WithRead(ago(p.HostsAgeUs))
 	}
-	s.confirm(p.RulesVersion, ago(p.RulesAgeUs), table)
+	s.o.Confirm(watch.Sighting{Version: p.RulesVersion, Offset: p.RulesOffset, Read: ago(p.RulesAgeUs)}, table)
+	if s.roll != nil {
+		s.o.ConfirmCrew(crew.Roll{First: s.roll.First, Size: s.roll.Size, Read: ago(p.CrewAgeUs)})
+	}
+	if s.o.Lacks(p.RulesVersion) && s.pulling.CompareAndSwap(false, true) {
+		go s.pull()
+	}
+}
+
+// pull takes over the leader's configuration, which this entry could not read from the store.
+func (s *session) pull() {
+	defer s.pulling.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	got, err := cellpb.NewCellClient(s.conn).Rules(ctx, &cellpb.RulesQuery{NewerThan: s.o.RulesVersion()}, grpc.MaxCallRecvMsgSize(maxPacked))
+	if err == nil && len(got.Body) > 0 {
+		var body []byte
+		if body, err = unpack(got.Body); err == nil {
+			s.o.Adopt(got.Version, body)
+		}
+	}
+	if err != nil {
+		s.o.Log.Warn("the leader's configuration can't be had", zap.String("member", s.member.Host), zap.Error(err))
+	}
+}
+
+// unpack decompresses a configuration.
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
+	if err == nil && len(body) > maxUnpacked {
+		err = fmt.Errorf("a configuration of more than %d bytes", maxUnpacked)
+	}
+	return body, err
 }
 
-func tableOf(m *cellpb.Hosts) *hosts.Table {
-	all := make([]hosts.Upstream, 0, len(m.Upstreams))
+// withChanges returns a list of upstreams after what the leader told of it; nil if that is about another list.
+func withChanges(known *hosts.Table, m *cellpb.Hosts) *hosts.Table {
+	byID := map[string]hosts.Upstream{}
+	if m.Base != 0 {
+		if known == nil || known.Version() != m.Base {
+			return nil
+		}
+		for _, u := range known.All() {
+			byID[u.ID] = u
+		}
+	}
+	for _, id := range m.Gone {
+		delete(byID, id)
+	}
 	for _, u := range m.Upstreams {
-		all = append(all, hosts.Upstream{
+		byID[u.Id] = hosts.Upstream{
 			ID: u.Id, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: hosts.State(u.State), Slots: int(u.Slots), Born: u.Born,
-		})
+		}
 	}
-	return hosts.New(all, time.Time{}).WithVersion(m.Version)
+	return hosts.New(slices.Collect(maps.Values(byID)), time.Time{}).WithVersion(m.Version)
 }
 
 // heard is when the leader last sent anything.
@@ -178,11 +256,18 @@
 	case s.broken.Load():
 		return "connection broken"
 	case now.Sub(s.heard()) > silentAfter:
-		return "silent"
+		return goneSilent
 	}
 	return ""
 }
 
+// excuse gives the leader the time of a ping to be heard.
+func (s *session) excuse(now time.Time) {
+	if at := now.Sub(s.begun) - silentAfter + pingEvery; int64(at) > s.lastHeard.Load() {
+		s.lastHeard.Store(int64(at))
+	}
+}
+
 func (s *session) close() {
 	s.broken.Store(true)
 	s.cancel()
--- a/internal/cell/place/place.go
+++ b/internal/cell/place/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -27,6 +28,7 @@
 	firstByteBase   = 15 * time.Millisecond // from sending a request without a prompt to its first token
 	zoneMargin      = 50 * time.Millisecond // by which a zone must be better to be preferred
 	failuresToEject = 2
+	pausedCost      = 300 * time.Millisecond  // of an engine that turned another entry's request away
 	riskCost        = 1 * time.Second         // what a failed request costs its caller
 	riskSmoothing   = 0.2                     // of the share of requests that an engine fails
 	riskHalfLife    = 1500 * time.Millisecond // in which that share counts half, so that the engine is tried again
@@ -38,6 +40,7 @@
 // Order is a request that needs an engine.
 type Order struct {
 	ID           string
+	Entry        string // host that will send it
 	Pool         string
 	Zone         string // of the entry that will send it
 	Model        string
@@ -69,6 +72,8 @@
 	failures int
 	ejected  time.Duration
 	until    time.Time
+	paused   map[string]time.Time // until then it wants nothing from an entry
+	pausedTo time.Time            // the latest of them
 }
 
 // Placer holds what is known of the engines; it is owned by one goroutine.
@@ -107,6 +112,9 @@
 	for _, pass := range []bool{false, true} { // the second pass takes ejected and excluded engines too
 		for _, u := range t.Ready(o.Pool) {
 			e := p.engine(u.ID)
+			if now.Before(e.paused[o.Entry]) {
+				continue
+			}
 			if !pass && (now.Before(e.until) || slices.Contains(o.Exclude, u.ID)) {
 				continue
 			}
@@ -126,6 +134,34 @@
 	return best, true
 }
 
+// Pause keeps the requests of an entry from an engine until a time.
+func (p *Placer) Pause(id, entry string, until time.Time) {
+	e := p.engine(id)
+	if e.paused == nil {
+		e.paused = map[string]time.Time{}
+	}
+	if until.After(e.paused[entry]) {
+		e.paused[entry] = until
+	}
+	if until.After(e.pausedTo) {
+		e.pausedTo = until
+	}
+}
+
+// Opens is the time until the first engine may get a request, if none may now as all want nothing from its entry.
+func (p *Placer) Opens(o Order, t *hosts.Table, now time.Time) (opens time.Duration, paused bool) {
+	for _, u := range t.Ready(o.Pool) {
+		e := p.engines[u.ID]
+		if e == nil || !now.Before(e.paused[o.Entry]) {
+			return 0, false
+		}
+		if d := e.paused[o.Entry].Sub(now); !paused || d < opens {
+			opens, paused = d, true
+		}
+	}
+	return opens, paused
+}
+
 // Zone is the availability zone of the engine that suits a request best, if those of other zones suit it clearly less; the
 // request's results are best made there.
 func (p *Placer) Zone(o Order, t *hosts.Table, spec rule.Engine, now time.Time) string {
@@ -268,6 +304,9 @@
 	cost += time.Duration(len(e.runs)) * runCost
 	cost = time.Duration(max(1, e.speed) * float64(cost))
 	cost += time.Duration(e.riskNow(now) * float64(riskCost))
+	if now.Before(e.pausedTo) {
+		cost += pausedCost
+	}
 	if u.Zone != o.Zone {
 		cost += farZoneCost
 	}
@@ -313,6 +352,7 @@
 // Sweep forgets cached parts that were not used for long.
 func (p *Placer) Sweep(now time.Time) {
 	for _, e := range p.engines {
+		maps.DeleteFunc(e.paused, func(_ string, until time.Time) bool { return !now.Before(until) })
 		for k, used := range e.cached {
 			if now.Sub(used) > cacheFor {
 				delete(e.cached, k)
--- /dev/null
+++ b/internal/cell/serve/changes_test.go
@@ -0,0 +1,37 @@
+package serve
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+)
+
+// table has upstreams from first on, of which every tenth is draining.
+func table(version int64, first, n int) *hosts.Table {
+	var all []hosts.Upstream
+	for i := first; i < first+n; i++ {
+		u := hosts.Upstream{ID: fmt.Sprintf("u%d", i), Pool: "p", State: hosts.Ready, Born: int64(i)}
+		if i%10 == 0 {
+			u.State = hosts.Draining
+		}
+		all = append(all, u)
+	}
+	return hosts.New(all, time.Time{}).WithVersion(version)
+}
+
+func TestOnlyChangesOfAListAreTold(t *testing.T) {
+	c := qt.New(t)
+	var ch changes
+	before, now := table(1, 0, 100), table(2, 2, 100)
+	whole := ch.between(nil, before)
+	c.Check(whole.Base, qt.Equals, int64(0))
+	c.Check(whole.Upstreams, qt.HasLen, 100)
+	d := ch.between(before, now)
+	c.Check([]any{d.Base, d.Version, d.Gone}, qt.DeepEquals, []any{int64(1), int64(2), []string{"u0", "u1"}})
+	c.Check(d.Upstreams, qt.HasLen, 2)
+	c.Check(ch.between(before, now), qt.Equals, d, qt.Commentf("worked out once for all entries"))
+}
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,11 +14,16 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/cell/place"
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
-const outboxSize = 512 // messages to one entry
+const (
+	maxPieces  = 10_000 // of all stages of an order
+	outboxSize = 512    // messages to one entry
+	maxBodies  = 4      // configurations that are sent at once, so that they leave room on the link
+)
 
 // Server is the leader's end of the connections of other entries.
 type Server struct {
@@ -28,8 +35,12 @@
 	blocked func() []uint64
 	rules   func() Rules
 	hosts   func() *hosts.Table
+	crew    func() crew.Roll
 	now     func() time.Time
 	log     *zap.Logger
+	changes changes
+	packed  packed
+	bodies  chan struct{} // one for each configuration that is being sent
 }
 
 // Rules is the configuration in force here.
@@ -37,6 +48,7 @@
 	Version int64
 	Body    []byte    // as the operator wrote it
 	Read    time.Time // when the store last confirmed it
+	Offset  int64     // in the store; -1 if not known
 }
 
 // Options are the dependencies of a Server.
@@ -48,6 +60,7 @@
 	Blocked func() []uint64            // fingerprints of requests that break down upstreams
 	Rules   func() Rules
 	Hosts   func() *hosts.Table
+	Crew    func() crew.Roll // the entries as others may rely on them
 	Now     func() time.Time
 	Log     *zap.Logger
 }
@@ -55,8 +68,8 @@
 // New returns a server of a desk.
 func New(o Options) *Server {
 	return &Server{
-		desk: o.Desk, born: o.Born, leaving: o.Leaving, leader: o.Leader, blocked: o.Blocked, rules: o.Rules, hosts: o.Hosts,
-		now: o.Now, log: o.Log,
+		desk: o.Desk, born: o.Born, leaving: o.Leaving, leader: o.Leader, blocked: o.Blocked, rules: o.Rules, hosts: o.Hosts, crew: o.Crew,
+		now: o.Now, log: o.Log, bodies: make(chan struct{}, maxBodies),
 	}
 }
 
@@ -64,9 +77,10 @@
 type session struct {
 	*Server
 	outbox chan *cellpb.ToEntry
+	entry  string       // host; belongs to the receiving goroutine, as does told
+	told   *hosts.Table // the list of upstreams that was sent
+	roll   crew.Roll    // and what was sent of the entries
 	mu     sync.Mutex
-	told   int64           // version of the list of upstreams that was sent
-	ruled  int64           // version of the configuration that was sent
 	open   map[string]bool // requests that have not ended
 }
 
@@ -100,10 +114,18 @@
 func (ses *session) handle(m *cellpb.ToLead) {
 	switch body := m.Body.(type) {
 	case *cellpb.ToLead_Hello:
+		ses.entry = body.Hello.Host
 		ses.log.Info("entry connected", zap.String("member", body.Hello.Host))
 	case *cellpb.ToLead_Submit:
+		order, err := orderOf(body.Submit, ses.now())
+		if err != nil {
+			ses.log.Error("an order can't be read", zap.String("member", ses.entry), zap.String("order", body.Submit.Id), zap.Error(err))
+			ses.reply(body.Submit.Id)(lead.Decision{Refused: board.Failing, RetryAfter: time.Second})
+			return
+		}
 		ses.track(body.Submit.Id)
-		ses.desk.Submit(orderOf(body.Submit, ses.now()), ses.reply(body.Submit.Id))
+		order.Engine.Entry = ses.entry
+		ses.desk.Submit(order, ses.reply(body.Submit.Id))
 	case *cellpb.ToLead_Again:
 		ses.desk.Again(body.Again.Id, body.Again.Engine, lead.Problem(body.Again.Problem), ses.reply(body.Again.Id))
 	case *cellpb.ToLead_Recall:
@@ -117,46 +139,56 @@
 		ses.desk.Crashed(body.Crashed.Fingerprint, body.Crashed.Lifetime, ses.now().Add(-time.Duration(body.Crashed.AgeUs)*time.Microsecond))
 	case *cellpb.ToLead_Served:
 		ses.desk.Served(body.Served.Fingerprint)
+	case *cellpb.ToLead_Notice:
+		n := body.Notice
+		ses.desk.Told(ses.entry, heed.Notice{
+			Of: hosts.Lifetime{ID: n.Id, Born: n.Born}, Leaving: n.Leaving, Pause: time.Duration(n.PauseUs) * time.Microsecond,
+		})
 	case *cellpb.ToLead_Ping:
 		ses.pong(body.Ping.Sequence)
 	}
 }
 
-// pong answers a ping, after the list of upstreams if that has changed.
+// pong answers a ping, after the list of upstreams if that has changed. The first answer says who leads, and nothing must
+// delay it.
 func (ses *session) pong(sequence int64) {
 	table := ses.hosts()
-	if table.Version() != ses.told {
-		ses.told = table.Version()
-		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: hostsMessage(table)}})
+	if sequence > 1 && (ses.told == nil || table.Version() != ses.told.Version()) {
+		if ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: ses.changes.between(ses.told, table)}}) {
+			ses.told = table
+		}
+	}
+	roll := ses.crew()
+	if sequence > 1 && (roll.Size != ses.roll.Size || !slices.Equal(roll.First, ses.roll.First)) && ses.post(crewMessage(roll)) {
+		ses.roll = roll
 	}
 	now := ses.now()
 	rules := ses.rules()
-	if rules.Version != ses.ruled {
-		ses.ruled = rules.Version
-		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Rules{Rules: &cellpb.Rules{Version: rules.Version, Body: rules.Body}}})
-	}
 	pong := &cellpb.Pong{
 		Sequence: sequence, Born: ses.born, Leaving: ses.leaving(), Blocked: ses.blocked(),
-		RulesVersion: rules.Version, RulesAgeUs: now.Sub(rules.Read).Microseconds(),
+		RulesVersion: rules.Version, RulesAgeUs: now.Sub(rules.Read).Microseconds(), RulesOffset: rules.Offset,
 		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
+		CrewAgeUs: now.Sub(roll.Read).Microseconds(),
 	}
 	if leader, follows := ses.leader(); follows {
 		pong.Follows = true
 		if leader.Host != "" {
-			pong.Leader = &cellpb.Member{Host: leader.Host, Address: leader.Address, Born: leader.Born}
+			pong.Leader = memberMessage(leader)
 		}
 	}
 	ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{Pong: pong}})
 }
 
-func hostsMessage(t *hosts.Table) *cellpb.Hosts {
-	m := &cellpb.Hosts{Version: t.Version()}
-	for _, u := range t.All() {
-		m.Upstreams = append(m.Upstreams, &cellpb.Upstream{
-			Id: u.ID, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: string(u.State), Slots: int32(u.Slots), Born: u.Born,
-		})
+func memberMessage(m crew.Member) *cellpb.Member {
+	return &cellpb.Member{Host: m.Host, Address: m.Address, Born: m.Born, Cores: m.Cores}
+}
+
+func crewMessage(r crew.Roll) *cellpb.ToEntry {
+	m := &cellpb.Crew{Size: int32(r.Size)}
+	for _, member := range r.First {
+		m.First = append(m.First, memberMessage(member))
 	}
-	return m
+	return &cellpb.ToEntry{Body: &cellpb.ToEntry_Crew{Crew: m}}
 }
 
 func (ses *session) track(id string) {
@@ -195,15 +227,18 @@
 }
 
 // post never waits: an entry that does not read loses messages, and its connection by its own pings.
-func (ses *session) post(m *cellpb.ToEntry) {
+func (ses *session) post(m *cellpb.ToEntry) bool {
 	select {
 	case ses.outbox <- m:
+		return true
 	default:
-		ses.log.Warn("an entry does not read its decisions")
+		ses.log.Warn("an entry does not read its decisions", zap.String("member", ses.entry))
+		return false
 	}
 }
 
-func orderOf(s *cellpb.Submit, now time.Time) lead.Order {
+// orderOf reads an order of another entry, which may run another version of the program.
+func orderOf(s *cellpb.Submit, now time.Time) (lead.Order, error) {
 	arrived := now.Add(-time.Duration(s.AgeUs) * time.Microsecond)
 	o := lead.Order{
 		Fingerprint: s.Fingerprint,
@@ -218,9 +253,16 @@
 			OutputTokens: int(s.OutputTokens), Exclude: s.Exclude,
 		},
 	}
-	for _, st := range s.Stages {
+	pieces := 0
+	for i, st := range s.Stages {
+		if pieces += int(st.Pieces); st.Pieces < 0 || pieces > maxPieces {
+			return lead.Order{}, fmt.Errorf("stage %d: %d pieces", i, st.Pieces)
+		}
 		stage := board.Stage{Pool: st.Pool, Pieces: int(st.Pieces), ResultBytes: st.ResultBytes}
 		for _, a := range st.After {
+			if a < 0 || int(a) >= i {
+				return lead.Order{}, fmt.Errorf("stage %d comes after stage %d", i, a)
+			}
 			stage.After = append(stage.After, int(a))
 		}
 		o.Job.Stages = append(o.Job.Stages, stage)
@@ -228,5 +270,5 @@
 	for _, p := range s.Prefix {
 		o.Engine.Prefix = append(o.Engine.Prefix, call.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
-	return o
+	return o, nil
 }
--- a/internal/edge/call/request.go
+++ b/internal/edge/call/request.go
@@ -24,6 +24,17 @@
 	LastEvent    string // where a resumed stream goes on
 }
 
+// ArePiecesFew says whether the stages have at most a number of pieces together.
+func (r Request) ArePiecesFew(most int) bool {
+	for _, n := range r.Pieces {
+		if n > most {
+			return false
+		}
+		most -= n
+	}
+	return true
+}
+
 // Forward is what is added to a request on its way to an upstream.
 type Forward struct {
 	Instance  string // the only lifetime that may run it
@@ -38,6 +49,10 @@
 	RequestID string // echo of the request's ID
 	NotRun    bool   // the upstream states that it did not run the request
 	IdleLimit time.Duration
+	// Leaving says that the upstream is about to end.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests after it turned one away; 0 if it does not say.
+	RetryAfter time.Duration
 }
 
 // Item is one piece of a stage in a batch.
--- a/internal/edge/cursor/cursor.go
+++ b/internal/edge/cursor/cursor.go
@@ -35,6 +35,13 @@
 // Offset is where the next read continues.
 func (c *Cursor) Offset() int64 { return c.next }
 
+// Skip makes the next read begin at an offset, if that comes later than where it would begin.
+func (c *Cursor) Skip(offset int64) {
+	if c.synced {
+		c.next = max(c.next, offset)
+	}
+}
+
 // Read returns the records since the last read, or a whole snapshot. After platform.ErrTrimmed the next read is a snapshot.
 func (c *Cursor) Read(ctx context.Context) (records []platform.Record, whole bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.wait+c.limit)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -19,6 +19,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
@@ -36,6 +37,7 @@
 	defaultRetryAfter = 300 * time.Millisecond
 	minTime           = 20 * time.Millisecond // with less left, no upstream is tried
 	maxBuffered       = 256 << 10             // bytes of an answer that is read whole before the caller gets any
+	maxPieces         = 10_000                // of all stages of a request
 	streamBuffer      = 8 << 10               // bytes of one read of a stream
 )
 
@@ -49,6 +51,7 @@
 
 // Options are the dependencies of a Front.
 type Options struct {
+	Host   string // of this entry
 	Zone   string
 	Codec  Codec
 	Rules  func() *rule.Rules
@@ -56,6 +59,7 @@
 	Desk   lead.Desk
 	Client *xchg.Client
 	Picker *least.Picker
+	Heed   *heed.Record
 	Budget *extra.Budget
 	Stats  *stats.Stats
 	// Blocked says for how long requests with a fingerprint are refused.
@@ -169,6 +173,9 @@
 		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
 	}
 	x.body = body
+	if !x.head.ArePiecesFew(maxPieces) {
+		return fault.New(fault.NotRun, fault.BadRequest, "more than %d pieces", maxPieces)
+	}
 	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
 	if d := x.o.Blocked(x.fingerprint); d > 0 {
 		return fault.New(fault.NotRun, fault.Quarantined, "requests like this one broke down upstreams").WithRetryAfter(d)
@@ -203,6 +210,9 @@
 	if !x.o.Hosts().TakesWork(u.ID) {
 		return nil, fault.New(fault.NotRun, fault.Draining, "upstream %s takes no more work", u.ID)
 	}
+	if d := x.o.Heed.Opens(u.Lifetime()); d > 0 {
+		return nil, fault.New(fault.NotRun, fault.Draining, "upstream %s wants nothing for now", u.ID).WithRetryAfter(d)
+	}
 	x.sends++
 	x.sentAt, x.sentTo = x.o.Now(), fmt.Sprintf("%s/%d", u.ID, u.Born)
 	header := x.o.Codec.ForwardHeader(x.in.Header, call.Forward{
@@ -221,6 +231,7 @@
 		x.noteCrash(failure)
 		return nil, failure
 	}
+	x.o.Heed.Answer(u, answer.Status, answer.Head)
 	if answer.Head.NotRun {
 		answer.Close()
 		code := fault.Overloaded
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -90,7 +90,7 @@
 		output = x.head.OutputLimit / 2
 	}
 	return lead.Order{Fingerprint: x.fingerprint, Job: job, Engine: place.Order{
-		ID: x.key, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
+		ID: x.key, Entry: x.o.Host, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
 		PromptTokens: x.head.PromptTokens, OutputTokens: min(output, max(x.head.OutputLimit, 1)),
 	}}
 }
@@ -165,8 +165,12 @@
 	first := true
 	for {
 		n, err := answer.Read(buffer)
-		if whole := events.Add(buffer[:n]); len(whole) > 0 {
-			if first {
+		whole, bad := events.Add(buffer[:n])
+		if bad != nil {
+			err = bad
+		}
+		if len(whole) > 0 {
+			if first && events.Count() > 0 {
 				first = false
 				x.o.Desk.FirstByte(x.key, x.route.Resumable)
 				x.o.Stats.FirstByte(x.o.Now().Sub(x.arrived))
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -32,9 +32,10 @@
 	var tried []string
 	var kept *complete // a failure of an upstream, given to the caller if nothing better comes
 	for {
-		u, ok := x.o.Picker.Pick(x.o.Hosts().Ready(x.pool), x.o.Zone, tried, len(tried) > 0)
+		open, first := x.o.Heed.Open(x.o.Hosts().Ready(x.pool))
+		u, ok := x.o.Picker.Pick(open, x.o.Zone, tried, len(tried) > 0)
 		if !ok {
-			return x.giveUp(kept, fault.New(fault.NotRun, fault.NoUpstream, "no upstream of pool %s takes work", x.pool))
+			return x.giveUp(kept, fault.New(fault.NotRun, fault.NoUpstream, "no upstream of pool %s takes work", x.pool).WithRetryAfter(first))
 		}
 		tried = append(tried, u.ID)
 		got, failure := x.exchangePlain(u)
--- a/internal/edge/front/sends_test.go
+++ b/internal/edge/front/sends_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/lead"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
@@ -45,7 +46,7 @@
 	f := New(Options{
 		Codec: Codec{ForwardHeader: platform.ForwardHeader},
 		Rules: func() *rule.Rules { return rule.New(0, nil, nil, nil, rule.Limits{}) },
-		Hosts: func() *hosts.Table { return hosts.New([]hosts.Upstream{closed}, time.Now()) }, Now: time.Now,
+		Hosts: func() *hosts.Table { return hosts.New([]hosts.Upstream{closed}, time.Now()) }, Now: time.Now, Heed: heed.New(heed.Options{Now: time.Now}),
 		Client: xchg.New(platform.ReadAnswer, time.Now, func() {}), Log: zap.NewNop(),
 		Stats: stats.New(m, func() stats.State { return stats.State{} }),
 	})
--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -27,6 +27,15 @@
 	Born    int64 // Unix time of the start in ms; 0 if it does not say
 }
 
+// Lifetime names one run of a back end; its ID alone may be used again.
+type Lifetime struct {
+	ID   string
+	Born int64 // Unix time of the start in ms; 0 if it does not say
+}
+
+// Lifetime names the run of the back end that the upstream is.
+func (u Upstream) Lifetime() Lifetime { return Lifetime{ID: u.ID, Born: u.Born} }
+
 // Table is the set of upstreams at one moment; it does not change once made.
 type Table struct {
 	read    time.Time
@@ -72,6 +81,21 @@
 	return &out
 }
 
+// WithLeaving returns a table in which the lifetimes that leave take no new work, whatever the platform says of them.
+func (t *Table) WithLeaving(leaves func(Lifetime) bool) *Table {
+	all := t.All()
+	changed := false
+	for i, u := range all {
+		if u.State == Ready && leaves(u.Lifetime()) {
+			all[i].State, changed = Draining, true
+		}
+	}
+	if !changed {
+		return t
+	}
+	return New(all, t.read).WithVersion(t.version)
+}
+
 // Same says whether two tables hold the same upstreams.
 func (t *Table) Same(other *Table) bool { return maps.Equal(t.byID, other.byID) }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/cell/link"
 	"github.com/ragworthatch/ragworthatch/internal/cell/serve"
 	"github.com/ragworthatch/ragworthatch/internal/edge/front"
+	"github.com/ragworthatch/ragworthatch/internal/edge/heed"
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
@@ -66,6 +67,7 @@
 	crew     *crew.Crew
 	link     *link.Link
 	picker   *least.Picker
+	heed     *heed.Record
 	front    *front.Front
 	leaving  atomic.Bool   // SIGTERM came
 	stopping atomic.Bool   // new requests are refused
@@ -89,14 +91,19 @@
 	n.stats = stats.New(n.meter, n.state)
 	n.client = xchg.New(platform.ReadAnswer, time.Now, func() {})
 	store := platform.NewStore(s.Store, storeClient())
+	n.heed = heed.New(heed.Options{
+		Left: func() { n.watch.Refresh() }, Tell: func(notice heed.Notice) { n.link.Told(s.Name, notice) },
+		Now: time.Now, Log: log.Named("heed"),
+	})
 	n.watch = watch.New(watch.Options{
 		Store: store, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Stats: n.stats,
+		RulesWithin: func() time.Duration { return n.settings.Load().RulesWithin }, Leaves: n.heed.Leaves,
 		Now: time.Now, Log: log.Named("watch"),
 	})
 	n.crash = crash.New(time.Now)
 	n.picker = least.New(time.Now)
 	n.lead = lead.New(lead.Options{
-		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Stats: n.stats, Now: time.Now, Log: log.Named("lead"),
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Heed: n.heed, Stats: n.stats, Now: time.Now, Log: log.Named("lead"),
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, FreePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
 			DecodeBatch: platform.DecodeBatch, EncodeFree: platform.EncodeFree, HeaderFor: platform.StageHeader,
@@ -112,17 +119,18 @@
 	})
 	n.link = link.New(link.Options{
 		Self: s.Name, Local: n.lead, Members: n.crew.Members, Leaving: n.leaving.Load, Blocked: n.crash.Block,
-		Confirm: n.watch.Confirm, Adopt: n.watch.Adopt, Now: time.Now, Log: log.Named("link"),
+		Confirm: n.watch.Confirm, Adopt: n.watch.Adopt, Lacks: n.watch.Lacks, Notices: n.heed.Notices, ConfirmCrew: n.crew.Confirm,
+		RulesVersion: func() int64 { return n.watch.Rules().Version() }, Now: time.Now, Log: log.Named("link"),
 	})
 	n.budget = extra.New(s.RetryWindow, func() int { return max(assumedPeers, n.crew.Size()) }, time.Now)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
 	n.front = front.New(front.Options{
-		Zone: s.Zone,
+		Host: s.Name, Zone: s.Zone,
 		Codec: front.Codec{
 			ReadRequest: platform.ReadRequest, ForwardHeader: platform.ForwardHeader, BackHeader: platform.BackHeader,
 			RetryAfter: platform.RetryAfter,
 		},
-		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.link, Client: n.client, Picker: n.picker,
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Desk: n.link, Client: n.client, Picker: n.picker, Heed: n.heed,
 		Budget:   n.budget,
 		Stats:    n.stats,
 		Blocked:  n.crash.Blocked,
@@ -146,7 +154,7 @@
 // storeClient returns an HTTP client that notices when the store's connection is dead.
 func storeClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: sock.Dialer(storeDialTimeout, storeUnacked).DialContext, DisableCompression: true, IdleConnTimeout: storeIdle, MaxIdleConnsPerHost: 4,
+		DialContext: sock.Dialer(storeDialTimeout, storeUnacked).DialContext, DisableCompression: true, IdleConnTimeout: storeIdle, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
@@ -202,11 +210,11 @@
 	if err != nil {
 		return nil, err
 	}
-	server := grpc.NewServer()
+	server := grpc.NewServer(serve.Recover(n.log.Named("serve"))...)
 	cellpb.RegisterCellServer(server, serve.New(serve.Options{
 		Desk: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Blocked: n.crash.Shared, Hosts: n.watch.SharedHosts,
-		Rules: n.sharedRules,
-		Now:   time.Now, Log: n.log.Named("serve"),
+		Rules: n.sharedRules, Crew: n.crew.Roll,
+		Now: time.Now, Log: n.log.Named("serve"),
 	}))
 	go func() {
 		if err := server.Serve(listener); err != nil {
@@ -218,8 +226,8 @@
 
 // sharedRules is the configuration as other entries may take it over.
 func (n *Node) sharedRules() serve.Rules {
-	version, body := n.watch.Raw()
-	return serve.Rules{Version: version, Body: body, Read: n.watch.RulesRead()}
+	seen, body := n.watch.Raw()
+	return serve.Rules{Version: seen.Version, Body: body, Read: seen.Read, Offset: seen.Offset}
 }
 
 // metricsAddress is the second of the ports for traffic between hosts, unless the command line names another one.
@@ -292,6 +300,7 @@
 		case <-ticker.C:
 			n.client.Sweep()
 			n.picker.Forget(n.watch.Hosts())
+			n.heed.Forget(n.watch.Hosts())
 		}
 	}
 }
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -202,6 +202,84 @@
 	w.c.Check(len(one.Arrivals()), qt.Equals, before)
 }
 
+// What an upstream says in an answer counts at once, whatever the list says, and for the entry that leads too.
+func TestUpstreamsThatSayThatTheyLeaveGetNoMoreRequests(t *testing.T) {
+	leaves := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.URL.Path, "/read/last") {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		return false
+	}
+	one := &cloud.Upstream{ID: "up-1", Act: leaves}
+	w, e := plain(t, one)
+	other := w.start("entry-2")
+	w.waitReady(other, http.StatusOK)
+	w.c.Check(w.do(e, http.MethodGet, "/read/last", "id-1", "").status, qt.Equals, http.StatusOK)
+	before := len(one.Arrivals())
+	got := w.do(e, http.MethodGet, "/read/x", "id-2", "")
+	w.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("the only upstream leaves"))
+	w.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	w.eventually(func() bool {
+		return w.do(other, http.MethodGet, "/read/y", "id-3", "").status == http.StatusServiceUnavailable
+	})
+	for _, status := range []int{http.StatusServiceUnavailable, 0} { // the store is away, and back
+		w.store.Answer(status)
+		w.list("up-1", "plain", "ready")
+		time.Sleep(600 * time.Millisecond)
+		w.c.Check(w.do(e, http.MethodGet, "/read/z", "id-4", "").status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	for _, a := range one.Arrivals()[before:] {
+		w.c.Check(a.Target, qt.Equals, "/read/y", qt.Commentf("of the other entry, before it heard"))
+	}
+}
+
+func TestUpstreamsThatWantAPauseGetOne(t *testing.T) {
+	const pause = 700 * time.Millisecond
+	var turnedAway atomic.Int64 // Unix ns
+	one := &cloud.Upstream{ID: "up-1", Act: func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.URL.Path, "/act/first") {
+			return false
+		}
+		turnedAway.Store(time.Now().UnixNano())
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Retry-After", "0.7")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}}
+	w, e := plain(t, one)
+	w.c.Check(w.do(e, http.MethodPost, "/act/first", "id-0", "x").status, qt.Equals, http.StatusServiceUnavailable)
+	for i := 1; time.Since(time.Unix(0, turnedAway.Load())) < pause-100*time.Millisecond; i++ {
+		begun := time.Now()
+		got := w.do(e, http.MethodPost, "/act/more", fmt.Sprintf("id-%d", i), "x")
+		w.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		w.c.Check(err, qt.IsNil)
+		w.c.Check(after > 0 && after <= pause.Seconds(), qt.IsTrue, qt.Commentf("%v", after))
+		w.c.Check(time.Since(begun) < pause/2, qt.IsTrue, qt.Commentf("refused at once"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.c.Check(one.Arrivals(), qt.HasLen, 2, qt.Commentf("the first request of the test and the one that was turned away"))
+	w.upstream("plain", &cloud.Upstream{ID: "up-2"})
+	w.eventually(func() bool { return w.do(e, http.MethodPost, "/act/other", "id-o", "x").status == http.StatusOK })
+}
+
+// The leader picks no engine that wants nothing from the entry that would send.
+func TestEnginesThatWantAPauseGetOne(t *testing.T) {
+	turnsAway := func(w http.ResponseWriter, _ *http.Request, n int) bool {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Retry-After", "30")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	full, sound := &cloud.Upstream{ID: "engine-1", Act: turnsAway}, &cloud.Upstream{ID: "engine-2", Event: 2}
+	w := staged(t, 1, full, sound)
+	for i := range 12 {
+		got := w.do(w.entries[0], http.MethodPost, "/once/x", fmt.Sprintf("id-%d", i), "x", "Token-Counts", "10,10")
+		w.c.Check(got.status, qt.Equals, http.StatusOK)
+	}
+	w.c.Check(len(full.Arrivals()) <= 1, qt.IsTrue, qt.Commentf("%d", len(full.Arrivals())))
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	w, e := plain(t, &cloud.Upstream{ID: "up-1"})
 	w.configure("/read/", "/moved/")
--- a/internal/edge/relay/events.go
+++ b/internal/edge/relay/events.go
@@ -2,18 +2,29 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 )
 
+// maxWithoutID bounds the bytes of a stream between two events with an ID; a sick upstream may send others without end.
+const maxWithoutID = 256 << 10
+
+// ErrNoEvents says that a stream goes on without events that have an ID.
+var ErrNoEvents = errors.New("the stream goes on without events")
+
 // Events cuts a stream of events into whole ones and remembers the last ID.
 type Events struct {
 	rest   []byte
 	lastID string
 	count  int
+	since  int // bytes since the last event with an ID
 }
 
-// Add takes bytes and returns those that complete events; the slice is valid until the next call.
-func (e *Events) Add(p []byte) []byte {
+// Add takes bytes and returns those that complete events; the error is ErrNoEvents when there were too many without one.
+func (e *Events) Add(p []byte) ([]byte, error) {
+	if e.since += len(p); e.since > maxWithoutID {
+		return nil, ErrNoEvents
+	}
 	e.rest = append(e.rest, p...)
 	end := 0
 	for {
@@ -25,11 +36,11 @@
 		end += size
 	}
 	if end == 0 {
-		return nil
+		return nil, nil
 	}
 	whole := append([]byte(nil), e.rest[:end]...)
 	e.rest = append(e.rest[:0], e.rest[end:]...)
-	return whole
+	return whole, nil
 }
 
 // Rest returns the bytes after the last whole event, and forgets them.
@@ -64,6 +75,7 @@
 		if ok && name == "id" {
 			e.lastID = strings.TrimPrefix(value, " ")
 			e.count++
+			e.since = 0
 		}
 	}
 }
--- a/internal/edge/relay/events_test.go
+++ b/internal/edge/relay/events_test.go
@@ -17,7 +17,9 @@
 		var got strings.Builder
 		for rest := text; rest != ""; {
 			n := min(size, len(rest))
-			got.Write(e.Add([]byte(rest[:n])))
+			whole, err := e.Add([]byte(rest[:n]))
+			c.Check(err, qt.IsNil)
+			got.Write(whole)
 			rest = rest[n:]
 		}
 		c.Check(got.String(), qt.Equals, strings.TrimSuffix(text, "id: 4\nda"))
@@ -38,10 +40,30 @@
 		var got []byte
 		for rest := data; len(rest) > 0; {
 			n := min(size, len(rest))
-			got = append(got, e.Add(rest[:n])...)
+			whole, err := e.Add(rest[:n])
+			if err != nil {
+				return
+			}
+			got = append(got, whole...)
 			rest = rest[n:]
 		}
 		got = append(got, e.Rest()...)
 		qt.Assert(t, string(got), qt.Equals, string(data))
 	})
 }
+
+// Whatever a stream without events sends, little of it is held, and it ends.
+func TestStreamsWithoutEventsEnd(t *testing.T) {
+	for _, line := range []string{": still here\n\n", "data: x\n\n", "\n\n", "x", "id 7\n"} {
+		c := qt.New(t)
+		var e relay.Events
+		chunk, taken := []byte(strings.Repeat(line, 512)), 0
+		var err error
+		for err == nil && taken < 1<<20 {
+			_, err = e.Add(chunk)
+			taken += len(chunk)
+		}
+		c.Check(err, qt.ErrorIs, relay.ErrNoEvents, qt.Commentf("%q", line))
+		c.Check(len(e.Rest()) <= 300<<10, qt.IsTrue)
+	}
+}
--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -1,8 +1,6 @@
 package rule
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 	"time"
 )
@@ -104,24 +102,35 @@
 // Rules is one version of the configuration; it does not change once made.
 type Rules struct {
 	version int64
-	byHost  map[string][]Route
+	byHost  map[string]prefixes
 	pools   map[string]Pool
 	teams   map[string]Team
 	keyed   bool
 	limits  Limits
 }
 
+// prefixes are the routes of a host by their prefix, which ends with a slash.
+type prefixes struct {
+	routes  map[string]Route
+	longest int // bytes of a prefix
+}
+
 // New returns the rules of a version; teams are by key.
 func New(version int64, routes []Route, pools []Pool, teams map[string]Team, limits Limits) *Rules {
 	r := &Rules{
-		version: version, byHost: map[string][]Route{}, pools: make(map[string]Pool, len(pools)), teams: teams, limits: limits,
+		version: version, byHost: map[string]prefixes{}, pools: make(map[string]Pool, len(pools)), teams: teams, limits: limits,
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
-		r.byHost[host] = append(r.byHost[host], route)
-	}
-	for _, list := range r.byHost {
-		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		of := r.byHost[host]
+		if of.routes == nil {
+			of.routes = map[string]Route{}
+		}
+		if _, taken := of.routes[route.Prefix]; !taken {
+			of.routes[route.Prefix] = route
+		}
+		of.longest = max(of.longest, len(route.Prefix))
+		r.byHost[host] = of
 	}
 	for _, p := range pools {
 		r.pools[p.Name] = p
@@ -137,12 +146,16 @@
 
 // Match returns the route with the longest prefix of the path.
 func (r *Rules) Match(host, path string) (Route, bool) {
-	for _, route := range r.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
+	of := r.byHost[strings.ToLower(host)]
+	for path = path[:min(len(path), of.longest)]; ; path = path[:len(path)-1] {
+		path = path[:strings.LastIndexByte(path, '/')+1]
+		if path == "" {
+			return Route{}, false
+		}
+		if route, ok := of.routes[path]; ok {
 			return route, true
 		}
 	}
-	return Route{}, false
 }
 
 // Pool returns a pool by name.
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -20,7 +20,15 @@
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
-const drainWithin = 2 * time.Second
+const (
+	drainWithin = 2 * time.Second
+	rulesWithin = 2 * time.Second
+)
+
+// seen is a configuration that the leader read at a time.
+func seen(version int64, read time.Time) watch.Sighting {
+	return watch.Sighting{Version: version, Offset: -1, Read: read}
+}
 
 // memStore is a store in memory that can be away.
 type memStore struct {
@@ -29,6 +37,9 @@
 	first int64
 	down  bool
 	reads int
+	sent  int // bytes of records
+
+	leaving hosts.Lifetime
 }
 
 func (s *memStore) put(topic platform.Topic, key, value string) {
@@ -77,6 +88,9 @@
 	case topic == platform.TopicUpstreams && from < s.first:
 		return nil, 0, platform.ErrTrimmed
 	}
+	for _, r := range s.logs[topic][from:] {
+		s.sent += len(r.Value)
+	}
 	return slices.Clone(s.logs[topic][from:]), int64(len(s.logs[topic])), nil
 }
 
@@ -112,7 +126,8 @@
 		s.put(platform.TopicUpstreams, "u1", entry("ready"))
 		s.put(platform.TopicUpstreams, "u2", entry("ready"))
 		w := watch.New(watch.Options{
-			Store: s, DrainWithin: func() time.Duration { return drainWithin }, Now: time.Now, Log: zap.NewNop(),
+			Store: s, DrainWithin: func() time.Duration { return drainWithin }, RulesWithin: func() time.Duration { return rulesWithin },
+			Leaves: func(l hosts.Lifetime) bool { return l == s.leaving }, Now: time.Now, Log: zap.NewNop(),
 			Stats: testStats(t),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -211,12 +226,12 @@
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		before := s.looks()
 		for range 40 {
-			w.Confirm(5, time.Now(), w.Hosts().WithRead(time.Now().Add(-500*time.Millisecond)))
+			w.Confirm(seen(5, time.Now()), w.Hosts().WithRead(time.Now().Add(-500*time.Millisecond)))
 			time.Sleep(250 * time.Millisecond)
 		}
 		c.Check(s.looks()-before < 200, qt.IsTrue, qt.Commentf("%d looks at the log", s.looks()-before))
 		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
-		w.Confirm(9, time.Now(), nil)
+		w.Confirm(seen(9, time.Now()), nil)
 		time.Sleep(200 * time.Millisecond)
 		c.Check(w.Rules().Version(), qt.Equals, int64(9), qt.Commentf("another version at the leader is read at once"))
 	})
@@ -225,9 +240,9 @@
 func TestRulesOfTheLeaderCountWhenTheStoreIsAway(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		s.set(true, 0)
-		w.Adopt([]byte(`{"version":9}`))
+		w.Adopt(9, []byte(`{"version":9}`))
 		c.Check(w.Rules().Version(), qt.Equals, int64(9))
-		w.Adopt([]byte(`{"version":8}`))
+		w.Adopt(8, []byte(`{"version":8}`))
 		c.Check(w.Rules().Version(), qt.Equals, int64(9), qt.Commentf("an older one does not"))
 	})
 }
@@ -244,13 +259,13 @@
 func TestSilentLeaderIsNotReliedOnForLong(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		for range 6 { // until this process has stopped reading for itself
-			w.Confirm(5, time.Now(), nil)
+			w.Confirm(seen(5, time.Now()), nil)
 			time.Sleep(250 * time.Millisecond)
 		}
 		read := time.Now() // the leader's last read; what follows it does not see
 		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
 		for range 8 {
-			w.Confirm(5, read, nil)
+			w.Confirm(seen(5, read), nil)
 			time.Sleep(250 * time.Millisecond)
 		}
 		c.Check(w.Rules().Version(), qt.Equals, int64(9), qt.Commentf("2 s after the change"))
@@ -262,9 +277,58 @@
 		old := w.Hosts().WithRead(time.Now())
 		s.put(platform.TopicUpstreams, "u1", entry("draining"))
 		time.Sleep(drainWithin)
-		w.Confirm(5, time.Now(), old)
+		w.Confirm(seen(5, time.Now()), old)
 		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse)
-		w.Confirm(5, time.Now(), hosts.New(nil, time.Now()))
+		w.Confirm(seen(5, time.Now()), hosts.New(nil, time.Now()))
 		c.Check(w.Hosts().TakesWork("u2"), qt.IsFalse, qt.Commentf("a newer list counts"))
 	})
 }
+
+// In a storm of versions a follower reads the newest now and then, and none of those in between.
+func TestFollowersReadOnlyTheNewestOfManyVersions(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		const versions, gap = 40, 100 * time.Millisecond
+		begun, sent := s.looks(), s.sent
+		size := 0
+		for v := range int64(versions) {
+			body := fmt.Sprintf(`{"version":%d}`, 10+v)
+			size = len(body)
+			s.put(platform.TopicRules, platform.RulesKey, body)
+			w.Confirm(watch.Sighting{Version: 10 + v, Offset: 1 + v, Read: time.Now()}, w.Hosts().WithRead(time.Now()))
+			time.Sleep(gap)
+			c.Check(10+v-w.Rules().Version() <= int64(rulesWithin/gap), qt.IsTrue, qt.Commentf("%d at %d", w.Rules().Version(), 10+v))
+		}
+		w.Confirm(watch.Sighting{Version: 9 + versions, Offset: versions, Read: time.Now()}, w.Hosts().WithRead(time.Now()))
+		time.Sleep(rulesWithin / 2)
+		c.Check(w.Rules().Version(), qt.Equals, int64(9+versions))
+		// A read at a quarter of the bound, and one for each before the leader is known.
+		most := 2 + int(versions*gap/(rulesWithin/4))
+		c.Check((s.sent-sent)/size <= most, qt.IsTrue, qt.Commentf("%d bodies in %d looks, %d at most", (s.sent-sent)/size, s.looks()-begun, most))
+	})
+}
+
+func TestVersionsThatTheStoreWithholdsAreLacked(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		s.set(true, 0)
+		c.Check(w.Lacks(5), qt.IsFalse)
+		c.Check(w.Lacks(9), qt.IsFalse, qt.Commentf("the store gets a chance first"))
+		time.Sleep(rulesWithin / 2)
+		c.Check(w.Lacks(9), qt.IsTrue)
+		w.Adopt(9, []byte(`{"version":9}`))
+		c.Check(w.Lacks(9), qt.IsFalse)
+		c.Check(w.Lacks(10), qt.IsFalse)
+	})
+}
+
+func TestUpstreamsThatSayThatTheyLeaveTakeNoWork(t *testing.T) {
+	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
+		s.leaving = hosts.Lifetime{ID: "u1", Born: 1}
+		w.Refresh()
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse, qt.Commentf("at once"))
+		s.put(platform.TopicUpstreams, "u1", entry("ready"))
+		w.Confirm(seen(5, time.Now()), hosts.New([]hosts.Upstream{{ID: "u1", Pool: "p", State: hosts.Ready, Born: 1}}, time.Now()))
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse, qt.Commentf("whatever the leader's list says"))
+		time.Sleep(drainWithin)
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse, qt.Commentf("or the store's"))
+	})
+}
--- a/internal/edge/xchg/client.go
+++ b/internal/edge/xchg/client.go
@@ -79,6 +79,7 @@
 	written chan error // the outcome of the last write
 	idleTo  time.Time
 	since   time.Time
+	newest  uint64 // digest of the answer before, 0 if none was noted
 }
 
 // New returns a client; decode reads the heads of answers, and dialed is called for each new connection.
@@ -278,6 +279,15 @@
 	return n, err
 }
 
+// Repeats notes the digest of a whole body, and says whether the answer before it on the connection had the same one; the
+// connection is not kept then, as the answer itself may still come.
+func (a *Answer) Repeats(digest uint64) bool {
+	same := a.conn.newest == digest && digest != 0
+	a.conn.newest = digest
+	a.closes = a.closes || same
+	return same
+}
+
 // Close ends the exchange; a connection whose answer was read to its end is kept for other requests.
 func (a *Answer) Close() {
 	if a.stop == nil {
--- a/internal/plat/client/client.go
+++ b/internal/plat/client/client.go
@@ -22,6 +22,7 @@
 	MaxBody = 16 << 20
 	// maxErrorBody bounds the answer of a failed call, in bytes.
 	maxErrorBody   = 4 << 10
+	maxHead        = 64 << 10 // bytes of the head of an answer
 	dialTimeout    = 2 * time.Second
 	idleTimeout    = 30 * time.Second
 	idlePerAddress = 64
@@ -70,6 +71,8 @@
 		MaxIdleConnsPerHost: idlePerAddress,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}
 	// The library trips a breaker by name unless told not to.
 	breaker.NoBreakerFor(address)
