Show answers without end, second copies, faults and lasting leaders by tests

Cause: reports of similar systems, and bytes that are no answer, were covered in part. A process that has read the members leads after 0.25 s in place of 0.75 s.

--- a/internal/cell/board/load_test.go
+++ b/internal/cell/board/load_test.go
@@ -11,6 +11,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 )
 
@@ -175,3 +176,31 @@
 	slices.Sort(names)
 	return names
 }
+
+// BenchmarkStep plays a look at a board that has no upstream free, as after most messages.
+func BenchmarkStep(b *testing.B) {
+	for _, size := range []struct{ jobs, upstreams int }{{250, 40}, {1000, 40}, {5000, 40}, {250, 400}, {5000, 400}} {
+		b.Run(fmt.Sprintf("%d jobs %d upstreams", size.jobs, size.upstreams), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			t := board.New()
+			t.SetPool("p", rule.Batch{Size: 8, Call: 200 * time.Millisecond, Piece: 20 * time.Millisecond, Headroom: 18e6, HoldResults: 4 * time.Second})
+			var all []hosts.Upstream
+			for i := range size.upstreams {
+				all = append(all, hosts.Upstream{ID: fmt.Sprint("u", i), Pool: "p", State: hosts.Ready, Zone: fmt.Sprint(i % 5)})
+			}
+			t.SetUpstreams(hosts.New(all, now))
+			for i := range size.jobs {
+				t.Submit(board.Job{
+					ID: fmt.Sprint(i), Arrived: now, Target: now.Add(time.Hour), Deadline: now.Add(2 * time.Hour),
+					Stages: []board.Stage{{Pool: "p", Pieces: 2, ResultBytes: 1000}, {Pool: "p", Pieces: 1, After: []int{0}}},
+				}, now)
+			}
+			t.Step(now)
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Microsecond)
+				t.Step(now)
+			}
+		})
+	}
+}
--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -72,9 +72,10 @@
 	changed time.Time // when an entry came or left
 	read    time.Time // the last read that worked; the leader's counts too
 
-	readAt atomic.Pointer[time.Time] // the last one of this process
-	told   atomic.Pointer[Roll]      // what the leader knows
-	heard  atomic.Pointer[time.Time] // when it said so
+	hasRead atomic.Bool
+	readAt  atomic.Pointer[time.Time] // the last one of this process
+	told    atomic.Pointer[Roll]      // what the leader knows
+	heard   atomic.Pointer[time.Time] // when it said so
 }
 
 // Roll is what a process knows of the entries.
@@ -128,6 +129,9 @@
 // Members lists the known entries, this one among them; those that should lead come first. It must not be changed.
 func (c *Crew) Members() []Member { return *c.members.Load() }
 
+// HasRead says whether the records were read since the process started.
+func (c *Crew) HasRead() bool { return c.hasRead.Load() }
+
 // Size is the number of known entries.
 func (c *Crew) Size() int {
 	if c.isTold() {
@@ -171,6 +175,7 @@
 	away := now.Sub(c.read) - readWait - readPause
 	c.read = now
 	c.readAt.Store(&now)
+	c.hasRead.Store(true)
 	if away <= 0 {
 		return
 	}
--- a/internal/cell/lead/lead_test.go
+++ b/internal/cell/lead/lead_test.go
@@ -63,3 +63,18 @@
 		}
 	})
 }
+
+// A fault in one decision costs the orders that are open, and nothing after it.
+func TestFaultsInDecisionsDoNotEndTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := start(t)
+		got := make(chan lead.Decision, 1)
+		job := board.Job{ID: "bad", Arrived: time.Now(), Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)}
+		job.Stages = []board.Stage{{Pool: "engines", Pieces: 0, After: []int{9}}}
+		l.Submit(lead.Order{Job: job, Engine: place.Order{ID: "bad", Pool: "engines"}}, func(d lead.Decision) { got <- d })
+		qt.Check(t, (<-got).Refused, qt.Equals, board.Failing)
+		job = board.Job{ID: "good", Arrived: time.Now(), Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)}
+		l.Submit(lead.Order{Job: job, Engine: place.Order{ID: "good", Pool: "engines"}}, func(d lead.Decision) { got <- d })
+		qt.Check(t, (<-got).Upstream, qt.Equals, "e")
+	})
+}
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -28,6 +28,7 @@
 	followsLimit = 2                      // pongs that say so, until a leader that follows another one is left
 	maxPatience  = 6                      // questions to a member that follows one that is gone, one in each pingEvery
 	settleTime   = 750 * time.Millisecond // for a process that has started, to find the leader: the members, and one question
+	quickSettle  = 250 * time.Millisecond // instead, after the members were read; others that have just started appear meanwhile
 	adviceFor    = 2 * time.Second        // whom another entry follows counts this long
 	lookEvery    = 25 * time.Millisecond  // until a process that has started knows whom to ask
 	dialTimeout  = 600 * time.Millisecond
@@ -41,6 +42,7 @@
 	Self    string // host name of this entry
 	Local   lead.Leader
 	Members func() []crew.Member
+	HasRead func() bool                 // the members were read, so that one that leads already is among them
 	Blocked func(fingerprints []uint64) // takes over what the leader found of requests that break down upstreams
 	// Confirm takes over what the leader has read from the store.
 	Confirm     func(rules watch.Sighting, table *hosts.Table)
@@ -94,6 +96,7 @@
 	patience  int  // questions that are left to a member that follows one that is gone
 	asking    bool // a member is asked to lead
 	hasAsked  bool // one was asked since the start
+	knows     bool // the members were read
 	asked     chan answer
 }
 
@@ -147,6 +150,7 @@
 // look checks the leader, and asks another member to lead if it is gone or that one comes first.
 func (l *Link) look(ctx context.Context) {
 	now := l.o.Now()
+	l.settleSooner(now)
 	l.lookAfterReplaced(now)
 	l.mu.Lock()
 	current := l.current
@@ -169,6 +173,19 @@
 	}
 }
 
+// settleSooner lets a process that knows the members lead soon after.
+func (l *Link) settleSooner(now time.Time) {
+	if l.knows || !l.o.HasRead() {
+		return
+	}
+	l.knows = true
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from := now.Add(quickSettle); from.Before(l.leadsFrom) {
+		l.leadsFrom = from
+	}
+}
+
 // lookAfterCurrent pings the leader and says whether it answers.
 func (l *Link) lookAfterCurrent(current *session, now time.Time) bool {
 	// What a process does not hear while it does not run itself is no silence of the leader.
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -131,16 +131,24 @@
 }
 
 func startAmong(c *qt.C, local lead.Leader, members func() []crew.Member) *link.Link {
-	l := link.New(link.Options{
-		Self: "self", Local: local, Members: members,
+	l := newLink(local, members, func() bool { return false })
+	runLink(c, l)
+	return l
+}
+
+func runLink(c *qt.C, l *link.Link) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	go l.Run(ctx)
+}
+
+func newLink(local lead.Leader, members func() []crew.Member, hasRead func() bool) *link.Link {
+	return link.New(link.Options{
+		Self: "self", Local: local, Members: members, HasRead: hasRead,
 		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func(int64, []byte) {}, Lacks: func(int64) bool { return false },
 		Notices: func() []heed.Notice { return nil }, ConfirmCrew: func(crew.Roll) {}, RulesVersion: func() int64 { return 0 },
 		Confirm: func(watch.Sighting, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	c.Cleanup(cancel)
-	go l.Run(ctx)
-	return l
 }
 
 // startBehind returns a link that follows first, and second once replaced is set.
@@ -363,7 +371,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := link.New(link.Options{
 		Self: "self", Local: newDesk("local", false), Members: func() []crew.Member { return []crew.Member{p.Member} },
-		Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func(int64, []byte) {}, Lacks: func(int64) bool { return false },
+		HasRead: func() bool { return false }, Leaving: func() bool { return false }, Blocked: func([]uint64) {}, Adopt: func(int64, []byte) {}, Lacks: func(int64) bool { return false },
 		Notices: func() []heed.Notice { return nil }, ConfirmCrew: func(crew.Roll) {}, RulesVersion: func() int64 { return 0 },
 		Confirm: func(watch.Sighting, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
@@ -384,6 +392,39 @@
 	eventually(c, func() bool { _, follows := l.Leader(); return !follows })
 }
 
+// A process that has read who the others are has seen one that leads, too.
+func TestProcessesThatKnowTheOthersLeadSooner(t *testing.T) {
+	c := qt.New(t)
+	l := newLink(newDesk("local", false), func() []crew.Member { return []crew.Member{{Host: "self"}} }, func() bool { return true })
+	begun := time.Now()
+	runLink(c, l)
+	eventually(c, func() bool { _, follows := l.Leader(); return follows })
+	eventually(c, func() bool { _, follows := l.Leader(); return !follows })
+	took := time.Since(begun)
+	c.Check(took > 200*time.Millisecond && took < 600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+// Two that lead, as one could not reach the other for a while, soon have one leader again; without the store, too.
+func TestLeadersMeetAgain(t *testing.T) {
+	c := qt.New(t)
+	p := newPeer(c, "first", newDesk("first", false))
+	line, err := cable.New(p.Address, 0)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(line.Close)
+	first := p.Member
+	first.Address = line.Address()
+	l := start(c, newDesk("local", false), first)
+	eventually(c, func() bool { return !l.Leads() })
+	for range 2 {
+		line.Set(cable.Dead)
+		eventually(c, l.Leads)
+		line.Set(cable.Clear)
+		cleared := time.Now()
+		eventually(c, func() bool { return !l.Leads() })
+		c.Check(time.Since(cleared) < 3500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(cleared)))
+	}
+}
+
 // An order that was handed over may come back on another connection, and must not end with the old one.
 func TestOrdersThatComeBackOutliveTheOldConnection(t *testing.T) {
 	c := qt.New(t)
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -525,3 +526,65 @@
 		t.Fatal("the upstream was not told")
 	}
 }
+
+// A sick engine sends bytes without end; the entry holds little of them, and others are served meanwhile.
+func TestStreamsWithoutEventsEndAndHarmNobody(t *testing.T) {
+	var sent atomic.Int64
+	floods := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.URL.Path, "/once/flood") {
+			return false
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		chunk := []byte(strings.Repeat(": nothing yet\n\n", 1000))
+		for {
+			n, err := w.Write(chunk)
+			sent.Add(int64(n))
+			if err != nil {
+				return true
+			}
+		}
+	}
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 2, Act: floods})
+	begun := time.Now()
+	got := w.do(w.entries[0], http.MethodPost, "/once/flood", "id-1", "x", "Token-Counts", "10,10")
+	w.c.Check(got.err, qt.IsNotNil, qt.Commentf("it does not look complete"))
+	w.c.Check(time.Since(begun) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+	w.eventually(func() bool { before := sent.Load(); time.Sleep(50 * time.Millisecond); return sent.Load() == before })
+	w.c.Check(sent.Load() < 16<<20, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
+	w.c.Check(w.do(w.entries[0], http.MethodPost, "/once/x", "id-2", "x", "Token-Counts", "10,10").status, qt.Equals, http.StatusOK)
+}
+
+// A stream whose events come slowly is passed on to its end; one that sends comments now and then ends with its deadline.
+func TestSlowStreamsAndStalledOnes(t *testing.T) {
+	stalls := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.URL.Path, "/once/stalled") {
+			return false
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		cloud.WriteEvents(w, 1, 1)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, ":\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+		return true
+	}
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 4, Gap: 500 * time.Millisecond, Act: stalls})
+	slow := w.do(w.entries[0], http.MethodPost, "/once/slow", "id-1", "x", "Token-Counts", "10,10")
+	w.c.Check(slow.err, qt.IsNil)
+	w.c.Check(slow.body, qt.Contains, "token 4")
+	begun := time.Now()
+	stalled := w.do(w.entries[0], http.MethodPost, "/once/stalled", "id-2", "x", "Token-Counts", "10,10", "Deadline-Ms", "800")
+	w.c.Check(stalled.err, qt.IsNotNil)
+	took := time.Since(begun)
+	w.c.Check(took > 700*time.Millisecond && took < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+func TestRequestsWithTooManyPiecesAreMalformed(t *testing.T) {
+	w := staged(t, 1, &cloud.Upstream{ID: "engine-1", Event: 2})
+	for _, pieces := range []string{"2000000000,1", "9999,9999"} {
+		got := w.do(w.entries[0], http.MethodPost, "/gen/x", "id-1", "x", "Token-Counts", "10,10", "Pieces", pieces, "Piece-Key", "k")
+		w.c.Check(got.status, qt.Equals, http.StatusBadRequest, qt.Commentf(pieces))
+	}
+	w.c.Check(w.generate(w.entries[0], "id-2").status, qt.Equals, http.StatusOK)
+}
--- a/internal/edge/xchg/client_test.go
+++ b/internal/edge/xchg/client_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
@@ -237,3 +238,79 @@
 		c.Assert(body, qt.Equals, "right")
 	})
 }
+
+// Bytes that are no answer may come without end; each ends by a bound in bytes, or with the time of the request, and the
+// connection is closed.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const most = 1 << 20 // bytes that a client takes, with what the sockets hold
+	for _, test := range []struct {
+		name, first, again string
+		pause              time.Duration
+	}{
+		{name: "no answer", again: "garbage"},
+		{name: "head line", first: "HTTP/1.1 200 OK\r\nId: 1\r\nX: ", again: "xxxxxxxx"},
+		{name: "head lines", first: "HTTP/1.1 200 OK\r\nId: 1\r\n", again: "X: y\r\n"},
+		{name: "informational answers", again: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{name: "answers to others", again: "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n"},
+		{name: "body of an answer to another", first: "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", again: "xxxxxxxx"},
+		{name: "chunk extension", first: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;", again: "x=yyyyyy"},
+		{name: "empty chunks with extensions", first: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", again: "1;xxxxxxxxxxxxxxxxxxxx\r\nb\r\n"},
+		{name: "trailers", first: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", again: "X: y\r\n"},
+		{name: "a byte now and then", first: "HTTP/1.1 200 OK\r\nX: ", again: "x", pause: 20 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var sent atomic.Int64
+			closed := make(chan struct{})
+			address, _ := server(c, func(conn net.Conn, _ string, _ int) bool {
+				defer close(closed)
+				chunk := test.again
+				if test.pause == 0 {
+					chunk = strings.Repeat(chunk, 512)
+				}
+				_, err := io.WriteString(conn, test.first)
+				for n := 0; err == nil; time.Sleep(test.pause) {
+					n, err = io.WriteString(conn, chunk)
+					sent.Add(int64(n))
+				}
+				return false
+			})
+			client := xchg.New(decode, time.Now, func() {})
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			got, failure := client.Do(ctx, address, xchg.Request{Method: http.MethodPost, URI: "/x", Host: "h", ID: "1", Header: http.Header{"Id": {"1"}}})
+			if failure == nil {
+				_, err := io.Copy(io.Discard, got)
+				c.Check(err, qt.IsNotNil, qt.Commentf("no answer is whole"))
+				got.Close()
+			} else {
+				c.Check(failure.Verdict, qt.Equals, fault.MayHaveRun)
+			}
+			select {
+			case <-closed:
+			case <-time.After(5 * time.Second):
+				c.Fatal("the connection stays open")
+			}
+			c.Check(sent.Load() < 8*most, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
+		})
+	}
+}
+
+func TestSecondCopiesOfABodyAreTold(t *testing.T) {
+	c := qt.New(t)
+	address, _ := server(c, func(conn net.Conn, _ string, nth int) bool {
+		_, _ = io.WriteString(conn, answer("", fmt.Sprint("body ", (nth+1)/2))) // each twice
+		return true
+	})
+	client := xchg.New(decode, time.Now, func() {})
+	var told []bool
+	for range 3 {
+		got, failure := client.Do(context.Background(), address, xchg.Request{Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}})
+		c.Assert(failure == nil, qt.IsTrue)
+		body, err := io.ReadAll(got)
+		c.Assert(err, qt.IsNil)
+		told = append(told, got.Repeats(xxhash.Sum64(body)))
+		got.Close()
+	}
+	c.Check(told, qt.DeepEquals, []bool{false, true, false}, qt.Commentf("the third comes on a new connection"))
+}
