Let started processes hear from the leader what it has read

Change: a process that starts waits up to 1 s for the leader, which sends the list on request, compressed once, a few at a time, off the stream; changes go on the stream. A leader that does not reach the store itself is not waited for. Members that have just started are asked every 80 ms, for the 1.0 s.

--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -29,7 +29,9 @@
 	maxPatience  = 6                      // questions to a member that follows one that is gone, one in each pingEvery
 	settleTime   = 750 * time.Millisecond // for a process that has started, to find the leader: the members, and one question
 	quickSettle  = 250 * time.Millisecond // instead, after the members were read; others that have just started appear meanwhile
+	tellTime     = 1 * time.Second        // for a process that has started, to hear from its leader what that has read
 	adviceFor    = 2 * time.Second        // whom another entry follows counts this long
+	askEvery     = 80 * time.Millisecond  // while a process that has started asks one that has started, too
 	lookEvery    = 25 * time.Millisecond  // until a process that has started knows whom to ask
 	dialTimeout  = 600 * time.Millisecond
 	askTimeout   = 400 * time.Millisecond // for the first pong of a member that is asked to lead
@@ -50,8 +52,8 @@
 	// Adopt takes over the leader's configuration, as the operator wrote it.
 	Adopt        func(version int64, rules []byte)
 	RulesVersion func() int64 // of the configuration in force here
-	// Lacks says whether the configuration of a version can't be had from the store.
-	Lacks func(version int64) bool
+	// Lacks says whether a configuration that the leader has can't be had from the store.
+	Lacks func(rules watch.Sighting) bool
 	// Notices lists what upstreams have said to this entry and still holds.
 	Notices func() []heed.Notice
 	Leaving func() bool // this entry is shutting down and must not lead others
@@ -84,6 +86,8 @@
 	replaced []*session // leaders that were replaced and may still decide on what they have
 	requests map[string]*pending
 
+	tellsTill time.Time // until then, a process that has started waits for what its leader tells
+	first     bool      // this entry comes first among the members that were read
 	leadsFrom time.Time // this entry leads no others before
 	settled   bool      // this entry has found a leader, or leads itself; orders wait until then
 
@@ -111,7 +115,9 @@
 
 // New returns a link; orders wait until Run has found a leader, or for settleTime.
 func New(o Options) *Link {
-	return &Link{o: o, requests: map[string]*pending{}, suspects: map[string]suspect{}, silences: map[string]time.Duration{}, patience: maxPatience, asked: make(chan answer, 1)}
+	return &Link{
+		o: o, tellsTill: o.Now().Add(tellTime), requests: map[string]*pending{}, suspects: map[string]suspect{}, silences: map[string]time.Duration{}, patience: maxPatience, asked: make(chan answer, 1),
+	}
 }
 
 // Run keeps a connection to the leader until ctx ends.
@@ -123,8 +129,11 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		l.look(ctx)
-		if l.isSettled() || l.hasAsked {
+		switch {
+		case l.isSettled():
 			ticker.Reset(pingEvery)
+		case l.hasAsked:
+			ticker.Reset(askEvery)
 		}
 		l.await(ctx, ticker.C)
 	}
@@ -157,6 +166,7 @@
 	l.mu.Unlock()
 	sound := current != nil && l.lookAfterCurrent(current, now)
 	wanted := l.wanted(now)
+	l.noteFirst(l.knows && wanted.Host == l.o.Self)
 	switch {
 	case sound && wanted.Same(current.member):
 	case wanted.Host == l.o.Self:
@@ -173,6 +183,20 @@
 	}
 }
 
+func (l *Link) noteFirst(first bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first = first
+}
+
+// Awaits says whether a leader may be about to tell this process, which has just started, what it has read from the store.
+func (l *Link) Awaits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leads := l.first || (l.settled && l.current == nil)
+	return !leads && l.o.Now().Before(l.tellsTill)
+}
+
 // settleSooner lets a process that knows the members lead soon after.
 func (l *Link) settleSooner(now time.Time) {
 	if l.knows || !l.o.HasRead() {
@@ -235,7 +259,9 @@
 		l.leaveOut(a.member, leavingFor)
 	case refusedFollows:
 		if l.patience > 0 && l.isOutdated(a.leader) {
-			l.patience--
+			if a.leader != nil || l.isSettled() {
+				l.patience--
+			}
 			return false
 		}
 		l.leaveOutFollower(a.member)
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/ragworthatch/ragworthatch/internal/cell/board"
 	"github.com/ragworthatch/ragworthatch/internal/cell/crew"
@@ -27,7 +28,8 @@
 
 const (
 	unackedTimeout = 2 * time.Second // TCP_USER_TIMEOUT towards the leader
-	pullTimeout    = 2 * time.Second // for the leader's configuration
+	pullTimeout    = 2 * time.Second // for the leader's configuration or list
+	worthAsking    = 5 * time.Second // a list that the leader read longer ago is not asked for
 	maxPacked      = 4 << 20         // bytes of it, compressed
 	maxUnpacked    = 8 << 20         // and not, as much as one answer of the store
 )
@@ -50,15 +52,16 @@
 	lastHeard  atomic.Int64      // nanoseconds since begun
 	begun      time.Time
 	sequence   atomic.Int64
-	pinged     atomic.Int64 // when the newest ping was sent, in nanoseconds since begun
-	hosts      *hosts.Table // the leader's list; belongs to the receiving goroutine, as does roll
-	roll       *crew.Roll   // what the leader knows of the entries; nil until it has said so
-	replaced   atomic.Bool  // by another leader
-	replacedAt time.Time    // belongs to the link
+	pinged     atomic.Int64                // when the newest ping was sent, in nanoseconds since begun
+	hosts      atomic.Pointer[hosts.Table] // the leader's list; nil until it was asked for
+	roll       *crew.Roll                  // what the leader knows of the entries, nil until it has said so; belongs to the receiving goroutine
+	replaced   atomic.Bool                 // by another leader
+	replacedAt time.Time                   // belongs to the link
 	now        func() time.Time
 	blocked    func([]uint64)
 	o          Options
 	pulling    atomic.Bool // the leader's configuration is on its way
+	listing    atomic.Bool // the leader's list is
 }
 
 // dial connects to a member.
@@ -139,12 +142,12 @@
 				s.takeOver(body.Pong)
 			}
 		case *cellpb.ToEntry_Hosts:
-			if s.hosts = withChanges(s.hosts, body.Hosts); s.hosts == nil {
-				s.o.Log.Error("changes of a list of upstreams that is not known", zap.String("member", s.member.Host),
-					zap.Int64("base", body.Hosts.Base))
-				s.broken.Store(true)
-				return
+			next := withChanges(s.hosts.Load(), body.Hosts)
+			if next == nil {
+				s.o.Log.Warn("changes of a list of upstreams that is not known, it is asked for again",
+					zap.String("member", s.member.Host), zap.Int64("base", body.Hosts.Base))
 			}
+			s.hosts.Store(next)
 		case *cellpb.ToEntry_Crew:
 			s.roll = &crew.Roll{Size: int(body.Crew.Size)}
 			for _, m := range body.Crew.First {
@@ -182,15 +185,21 @@
 	}
 	pinged := s.begun.Add(time.Duration(s.pinged.Load()))
 	ago := func(us int64) time.Time { return pinged.Add(-time.Duration(us) * time.Microsecond) }
-	var table *hosts.Table
-	if s.hosts != nil && s.hosts.Version() == p.HostsVersion {
-		table = s.hosts.WithRead(ago(p.HostsAgeUs))
+	table := s.hosts.Load()
+	switch {
+	case table != nil && table.Version() == p.HostsVersion:
+		table = table.WithRead(ago(p.HostsAgeUs))
+	case table == nil && time.Duration(p.HostsAgeUs)*time.Microsecond < worthAsking && s.listing.CompareAndSwap(false, true):
+		go s.pullList()
+	default:
+		table = nil
 	}
-	s.o.Confirm(watch.Sighting{Version: p.RulesVersion, Offset: p.RulesOffset, Read: ago(p.RulesAgeUs)}, table)
+	rules := watch.Sighting{Version: p.RulesVersion, Offset: p.RulesOffset, Read: ago(p.RulesAgeUs)}
+	s.o.Confirm(rules, table)
 	if s.roll != nil {
 		s.o.ConfirmCrew(crew.Roll{First: s.roll.First, Size: s.roll.Size, Read: ago(p.CrewAgeUs)})
 	}
-	if s.o.Lacks(p.RulesVersion) && s.pulling.CompareAndSwap(false, true) {
+	if s.o.Lacks(rules) && s.pulling.CompareAndSwap(false, true) {
 		go s.pull()
 	}
 }
@@ -212,7 +221,30 @@
 	}
 }
 
-// unpack decompresses a configuration.
+// pullList takes over the leader's whole list of upstreams.
+func (s *session) pullList() {
+	defer s.listing.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	got, err := cellpb.NewCellClient(s.conn).List(ctx, &cellpb.ListQuery{}, grpc.MaxCallRecvMsgSize(maxPacked))
+	m := &cellpb.Hosts{}
+	if err == nil {
+		var body []byte
+		if body, err = unpack(got.Hosts); err == nil {
+			err = proto.Unmarshal(body, m)
+		}
+	}
+	if err != nil {
+		s.o.Log.Warn("the leader's list of upstreams can't be had", zap.String("member", s.member.Host), zap.Error(err))
+		return
+	}
+	m.Base = 0
+	s.hosts.Store(withChanges(nil, m))
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Holds{Holds: &cellpb.Holds{HostsVersion: m.Version}}})
+	s.ping() // the answer says how old the list is
+}
+
+// unpack decompresses a configuration or a list.
 func unpack(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
--- /dev/null
+++ b/internal/cell/serve/bulk.go
@@ -0,0 +1,92 @@
+package serve
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
+)
+
+// packed is the newest version of something large, compressed once for all entries.
+type packed struct {
+	mu      sync.Mutex
+	version int64
+	body    []byte
+}
+
+// of compresses a version, unless that was done before.
+func (p *packed) of(version int64, make func() ([]byte, error)) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == version && p.body != nil {
+		return p.body, nil
+	}
+	body, err := make()
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	p.version, p.body = version, out.Bytes()
+	return p.body, nil
+}
+
+// takeTurn waits until few others are sent something large; done must be called then.
+func (s *Server) takeTurn(ctx context.Context) (done func(), err error) {
+	select {
+	case s.turns <- struct{}{}:
+		return func() { <-s.turns }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Rules returns the configuration in force here, if it is newer than the one that the entry has.
+func (s *Server) Rules(ctx context.Context, q *cellpb.RulesQuery) (*cellpb.RulesAnswer, error) {
+	done, err := s.takeTurn(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	rules := s.rules()
+	if rules.Version <= q.NewerThan {
+		return &cellpb.RulesAnswer{Version: rules.Version}, nil
+	}
+	body, err := s.packedRules.of(rules.Version, func() ([]byte, error) { return rules.Body, nil })
+	if err != nil {
+		s.log.Error("the configuration can't be compressed", zap.Int64("version", rules.Version), zap.Error(err))
+		return nil, err
+	}
+	return &cellpb.RulesAnswer{Version: rules.Version, Body: body}, nil
+}
+
+// List returns the whole list of upstreams.
+func (s *Server) List(ctx context.Context, _ *cellpb.ListQuery) (*cellpb.ListAnswer, error) {
+	done, err := s.takeTurn(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	table := s.hosts()
+	s.changes.keep(table)
+	body, err := s.packedList.of(table.Version(), func() ([]byte, error) { return proto.Marshal(wholeList(table)) })
+	if err != nil {
+		s.log.Error("the list of upstreams can't be compressed", zap.Int64("version", table.Version()), zap.Error(err))
+		return nil, err
+	}
+	return &cellpb.ListAnswer{Version: table.Version(), Hosts: body}, nil
+}
--- a/internal/cell/serve/changes_test.go
+++ b/internal/cell/serve/changes_test.go
@@ -27,11 +27,20 @@
 	c := qt.New(t)
 	var ch changes
 	before, now := table(1, 0, 100), table(2, 2, 100)
-	whole := ch.between(nil, before)
-	c.Check(whole.Base, qt.Equals, int64(0))
-	c.Check(whole.Upstreams, qt.HasLen, 100)
+	c.Check(wholeList(before).Upstreams, qt.HasLen, 100)
 	d := ch.between(before, now)
 	c.Check([]any{d.Base, d.Version, d.Gone}, qt.DeepEquals, []any{int64(1), int64(2), []string{"u0", "u1"}})
 	c.Check(d.Upstreams, qt.HasLen, 2)
 	c.Check(ch.between(before, now), qt.Equals, d, qt.Commentf("worked out once for all entries"))
 }
+
+func TestNewestListsAreKept(t *testing.T) {
+	c := qt.New(t)
+	var ch changes
+	for v := range int64(40) {
+		ch.keep(table(1+v/2, 0, 1))
+	}
+	c.Check(ch.table(20).Version(), qt.Equals, int64(20))
+	c.Check(ch.table(5).Version(), qt.Equals, int64(5))
+	c.Check(ch.table(4) == nil, qt.IsTrue)
+}
--- a/internal/cell/serve/server.go
+++ b/internal/cell/serve/server.go
@@ -22,7 +22,7 @@
 const (
 	maxPieces  = 10_000 // of all stages of an order
 	outboxSize = 512    // messages to one entry
-	maxBodies  = 4      // configurations that are sent at once, so that they leave room on the link
+	maxTurns   = 8      // large answers that are sent at once, so that they leave room on the link
 )
 
 // Server is the leader's end of the connections of other entries.
@@ -39,8 +39,10 @@
 	now     func() time.Time
 	log     *zap.Logger
 	changes changes
-	packed  packed
-	bodies  chan struct{} // one for each configuration that is being sent
+	turns   chan struct{} // one for each large answer that is being sent
+
+	packedRules packed
+	packedList  packed
 }
 
 // Rules is the configuration in force here.
@@ -69,7 +71,7 @@
 func New(o Options) *Server {
 	return &Server{
 		desk: o.Desk, born: o.Born, leaving: o.Leaving, leader: o.Leader, blocked: o.Blocked, rules: o.Rules, hosts: o.Hosts, crew: o.Crew,
-		now: o.Now, log: o.Log, bodies: make(chan struct{}, maxBodies),
+		now: o.Now, log: o.Log, turns: make(chan struct{}, maxTurns),
 	}
 }
 
@@ -78,7 +80,7 @@
 	*Server
 	outbox chan *cellpb.ToEntry
 	entry  string       // host; belongs to the receiving goroutine, as does told
-	told   *hosts.Table // the list of upstreams that was sent
+	told   *hosts.Table // the list of upstreams that the entry has, nil if none
 	roll   crew.Roll    // and what was sent of the entries
 	mu     sync.Mutex
 	open   map[string]bool // requests that have not ended
@@ -144,16 +146,20 @@
 		ses.desk.Told(ses.entry, heed.Notice{
 			Of: hosts.Lifetime{ID: n.Id, Born: n.Born}, Leaving: n.Leaving, Pause: time.Duration(n.PauseUs) * time.Microsecond,
 		})
+	case *cellpb.ToLead_Holds:
+		// A list that is not kept any more is asked for again.
+		ses.told = ses.changes.table(body.Holds.HostsVersion)
 	case *cellpb.ToLead_Ping:
 		ses.pong(body.Ping.Sequence)
 	}
 }
 
-// pong answers a ping, after the list of upstreams if that has changed. The first answer says who leads, and nothing must
-// delay it.
+// pong answers a ping, after what has changed in the list of upstreams and among the entries. The first answer says who
+// leads, and nothing must delay it.
 func (ses *session) pong(sequence int64) {
 	table := ses.hosts()
-	if sequence > 1 && (ses.told == nil || table.Version() != ses.told.Version()) {
+	if ses.told != nil && table.Version() != ses.told.Version() {
+		ses.changes.keep(table)
 		if ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: ses.changes.between(ses.told, table)}}) {
 			ses.told = table
 		}
--- a/internal/cell/serve/server_test.go
+++ b/internal/cell/serve/server_test.go
@@ -72,14 +72,18 @@
 	count, size := ses.drain()
 	c.Check(count, qt.Equals, 1, qt.Commentf("nothing comes before the first answer"))
 	c.Check(size < perPing, qt.IsTrue, qt.Commentf("%d bytes", size))
+	list, err := ses.List(t.Context(), &cellpb.ListQuery{})
+	c.Assert(err, qt.IsNil)
+	ses.handle(&cellpb.ToLead{Body: &cellpb.ToLead_Holds{Holds: &cellpb.Holds{HostsVersion: list.Version}}})
 	ses.handle(ping(2))
-	ses.drain() // the whole list
+	ses.drain()
 	total := 0
 	for i := range int64(pings) {
 		version++
 		ses.handle(ping(3 + i))
 		_, size := ses.drain()
 		total += size
+		c.Check(ses.told.Version(), qt.Equals, version, qt.Commentf("changes are told"))
 	}
 	c.Check(total < pings*perPing, qt.IsTrue, qt.Commentf("%d bytes in %d answers", total, pings))
 }
@@ -121,6 +125,7 @@
 	for _, m := range []*cellpb.ToLead{
 		ping(1),
 		{Body: &cellpb.ToLead_Submit{Submit: &cellpb.Submit{Id: "a", Stages: []*cellpb.Stage{{Pieces: 2}, {Pieces: 1, After: []int32{0}}}}}},
+		{Body: &cellpb.ToLead_Holds{Holds: &cellpb.Holds{HostsVersion: 1}}},
 		{Body: &cellpb.ToLead_Notice{Notice: &cellpb.Notice{Id: "u", PauseUs: 1 << 62}}},
 		{},
 	} {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -97,7 +97,7 @@
 	})
 	n.watch = watch.New(watch.Options{
 		Store: store, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Stats: n.stats,
-		RulesWithin: func() time.Duration { return n.settings.Load().RulesWithin }, Leaves: n.heed.Leaves,
+		RulesWithin: func() time.Duration { return n.settings.Load().RulesWithin }, Leaves: n.heed.Leaves, Awaits: func() bool { return n.link.Awaits() },
 		Now: time.Now, Log: log.Named("watch"),
 	})
 	n.crash = crash.New(time.Now)
@@ -262,7 +262,7 @@
 	switch {
 	case r.URL.Path != platform.ReadinessPath:
 		w.WriteHeader(http.StatusNotFound)
-	case n.leaving.Load() || n.watch.Rules().Version() == 0:
+	case n.leaving.Load() || n.watch.Rules().Version() == 0 || n.watch.Hosts().Read().IsZero():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -43,6 +43,7 @@
 	Store       cursor.Store
 	DrainWithin func() time.Duration      // an upstream's leaving must be known this long after the store knows it
 	RulesWithin func() time.Duration      // a configuration must be in force this long after the store knows it
+	Awaits      func() bool               // the leader is about to tell this process what it has read
 	Leaves      func(hosts.Lifetime) bool // an upstream has said that it leaves
 	Stats       *stats.Stats
 	Now         func() time.Time
@@ -60,7 +61,8 @@
 	confirmed atomic.Pointer[time.Time] // when the leader last read the version in force here
 	unsettled atomic.Bool               // the list holds entries that may have lapsed
 	told      atomic.Pointer[time.Time] // when the leader last told its list of upstreams
-	lead      atomic.Pointer[Sighting]  // what the leader told of the configuration, and when
+	lead      atomic.Pointer[Sighting]  // what the leader told of the configuration
+	heard     atomic.Pointer[time.Time] // when it did
 	mu        sync.Mutex                // orders changes of rules and hosts
 	lacked    lack                      // under mu
 }
@@ -89,12 +91,13 @@
 func New(o Options) *Watch {
 	w := &Watch{o: o}
 	w.rules.Store(rule.New(0, nil, nil, nil, rule.Limits{}))
-	w.hosts.Store(hosts.New(nil, o.Now()).WithVersion(1))
+	w.hosts.Store(hosts.New(nil, time.Time{}).WithVersion(1))
 	w.rulesRead.Store(&time.Time{})
 	w.confirmed.Store(&time.Time{})
 	w.told.Store(&time.Time{})
 	w.raw.Store(&rawRules{offset: -1})
 	w.lead.Store(&Sighting{Offset: -1})
+	w.heard.Store(&time.Time{})
 	return w
 }
 
@@ -129,14 +132,17 @@
 	}
 }
 
-// Lacks says whether a version that the leader has should be asked for there, as it was not read from the store in time.
-func (w *Watch) Lacks(version int64) bool {
-	here, now := w.Rules().Version(), w.o.Now()
+// Lacks says whether a version that the leader has should be asked for there: it was not read from the store in time, or
+// this process has just started and the leader has just read it.
+func (w *Watch) Lacks(rules Sighting) bool {
+	version, here, now := rules.Version, w.Rules().Version(), w.o.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case version <= here:
 		w.lacked = lack{}
+	case here == 0 && now.Sub(rules.Read) < rulesFresh:
+		return true
 	case w.lacked.since.IsZero() || w.lacked.at != here:
 		w.lacked = lack{at: here, since: now}
 	default:
@@ -163,8 +169,8 @@
 		read = time.Time{}
 	}
 	w.confirmed.Store(&read)
-	rules.Read = now
 	w.lead.Store(&rules)
+	w.heard.Store(&now)
 	if table != nil {
 		w.told.Store(&now)
 		w.setHosts(table)
@@ -241,7 +247,7 @@
 	heard := w.o.Now()
 	retry := pause.Growing{First: retryPause, Most: longestWait}
 	for ctx.Err() == nil {
-		if at.Synced() && f.fresh() {
+		if f.fresh() || (!at.Synced() && w.awaits()) {
 			pause.For(ctx, freshPoll)
 			continue
 		}
@@ -288,7 +294,15 @@
 }
 
 // isLed says whether the leader has told of the configuration lately.
-func (w *Watch) isLed() bool { return w.o.Now().Sub(w.lead.Load().Read) < leaderFor }
+func (w *Watch) isLed() bool { return w.o.Now().Sub(*w.heard.Load()) < leaderFor }
+
+// awaits says whether the leader is about to tell this process, which has just started, what it needs; one that does not
+// reach the store itself is not waited for.
+func (w *Watch) awaits() bool {
+	lead := w.lead.Load()
+	isStale := lead.Version > 0 && w.o.Now().Sub(lead.Read) > rulesFresh
+	return w.o.Awaits() && !isStale
+}
 
 // rulesPace keeps versions that follow each other quickly from being read one by one.
 func (w *Watch) rulesPace() time.Duration {
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -40,6 +40,7 @@
 	sent  int // bytes of records
 
 	leaving hosts.Lifetime
+	awaits  bool // a leader may be about to tell
 }
 
 func (s *memStore) put(topic platform.Topic, key, value string) {
@@ -118,22 +119,26 @@
 	return stats.New(m, func() stats.State { return stats.State{} })
 }
 
-// play runs a watch in virtual time.
+// play runs a watch in virtual time, after the store has its first records.
 func play(t *testing.T, f func(c *qt.C, s *memStore, w *watch.Watch)) {
+	playFrom(t, &memStore{logs: map[platform.Topic][]platform.Record{}}, time.Second, f)
+}
+
+// playFrom runs a watch at a store in virtual time, and goes on after a time.
+func playFrom(t *testing.T, s *memStore, after time.Duration, f func(c *qt.C, s *memStore, w *watch.Watch)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &memStore{logs: map[platform.Topic][]platform.Record{}}
 		s.put(platform.TopicRules, platform.RulesKey, `{"version":5}`)
 		s.put(platform.TopicUpstreams, "u1", entry("ready"))
 		s.put(platform.TopicUpstreams, "u2", entry("ready"))
 		w := watch.New(watch.Options{
 			Store: s, DrainWithin: func() time.Duration { return drainWithin }, RulesWithin: func() time.Duration { return rulesWithin },
-			Leaves: func(l hosts.Lifetime) bool { return l == s.leaving }, Now: time.Now, Log: zap.NewNop(),
+			Awaits: func() bool { return s.awaits }, Leaves: func(l hosts.Lifetime) bool { return l == s.leaving }, Now: time.Now, Log: zap.NewNop(),
 			Stats: testStats(t),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); w.Run(ctx) }()
-		time.Sleep(time.Second)
+		time.Sleep(after)
 		f(qt.New(t), s, w)
 		cancel()
 		<-done
@@ -310,13 +315,13 @@
 func TestVersionsThatTheStoreWithholdsAreLacked(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		s.set(true, 0)
-		c.Check(w.Lacks(5), qt.IsFalse)
-		c.Check(w.Lacks(9), qt.IsFalse, qt.Commentf("the store gets a chance first"))
+		c.Check(w.Lacks(seen(5, time.Time{})), qt.IsFalse)
+		c.Check(w.Lacks(seen(9, time.Time{})), qt.IsFalse, qt.Commentf("the store gets a chance first"))
 		time.Sleep(rulesWithin / 2)
-		c.Check(w.Lacks(9), qt.IsTrue)
+		c.Check(w.Lacks(seen(9, time.Time{})), qt.IsTrue)
 		w.Adopt(9, []byte(`{"version":9}`))
-		c.Check(w.Lacks(9), qt.IsFalse)
-		c.Check(w.Lacks(10), qt.IsFalse)
+		c.Check(w.Lacks(seen(9, time.Time{})), qt.IsFalse)
+		c.Check(w.Lacks(seen(10, time.Time{})), qt.IsFalse)
 	})
 }
 
@@ -332,3 +337,33 @@
 		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse, qt.Commentf("or the store's"))
 	})
 }
+
+// A process that starts takes over what the leader has just read, and reads nothing itself.
+func TestStartedProcessesHearFromTheLeader(t *testing.T) {
+	s := &memStore{logs: map[platform.Topic][]platform.Record{}, awaits: true}
+	playFrom(t, s, 100*time.Millisecond, func(c *qt.C, s *memStore, w *watch.Watch) {
+		fresh := seen(5, time.Now())
+		c.Check(w.Lacks(fresh), qt.IsTrue, qt.Commentf("asked for at once"))
+		w.Adopt(5, []byte(`{"version":5}`))
+		for range 8 {
+			w.Confirm(seen(5, time.Now()), hosts.New([]hosts.Upstream{{ID: "u1", Pool: "p", State: hosts.Ready}}, time.Now()))
+			time.Sleep(250 * time.Millisecond)
+		}
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsTrue)
+		c.Check(s.looks(), qt.Equals, 0)
+	})
+}
+
+// A leader that lost the store may know an older configuration, with keys that were withdrawn since.
+func TestStartedProcessesDoNotWaitForAStaleLeader(t *testing.T) {
+	s := &memStore{logs: map[platform.Topic][]platform.Record{}, awaits: true}
+	playFrom(t, s, 100*time.Millisecond, func(c *qt.C, s *memStore, w *watch.Watch) {
+		stale := seen(4, time.Now().Add(-time.Minute))
+		w.Confirm(stale, nil)
+		c.Check(w.Lacks(stale), qt.IsFalse)
+		time.Sleep(200 * time.Millisecond)
+		c.Check(w.Rules().Version(), qt.Equals, int64(5), qt.Commentf("the store's"))
+		w.Adopt(4, []byte(`{"version":4}`))
+		c.Check(w.Rules().Version(), qt.Equals, int64(5))
+	})
+}
