Wait for the leader's word at the start of large fleets only

Change: only from 128 members on is it left to the leader. Second copies of results are told from eight answers before, as calls that release results come in between: a test with a stand-in that sends the copy later had shown that.

--- a/internal/cell/crew/crew_test.go
+++ b/internal/cell/crew/crew_test.go
@@ -24,6 +24,14 @@
 	away    bool
 
 	refused string // host whose writes fail
+	looked  int    // times at the records
+}
+
+// looks is how often the records were looked at.
+func (s *memStore) looks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.looked
 }
 
 const readStep = 10 * time.Millisecond
@@ -46,6 +54,7 @@
 func (s *memStore) from(offset int64) ([]platform.Record, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.looked++
 	if s.away {
 		return nil, 0, errAway
 	}
@@ -204,3 +213,27 @@
 		synctest.Wait()
 	})
 }
+
+// While the leader tells who leads and how many there are, an entry does not read the records itself.
+func TestTheLeaderSavesReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &memStore{}
+		ctx, cancel := context.WithCancel(t.Context())
+		one := crew.New(crew.Options{Self: crew.Member{Host: "a", Cores: 0.3, Born: 5}, Store: s, Now: time.Now, Log: zap.NewNop()})
+		go one.Run(ctx)
+		time.Sleep(20 * time.Second)
+		before := s.looks()
+		for range 80 {
+			one.Confirm(crew.Roll{First: []crew.Member{{Host: "first", Cores: 0.8, Born: 9}}, Size: 300, Read: time.Now().Add(-10 * time.Second)})
+			time.Sleep(250 * time.Millisecond)
+		}
+		c.Check(names(one), qt.DeepEquals, []string{"first", "a"})
+		c.Check(one.Size(), qt.Equals, 300)
+		c.Check(s.looks()-before <= 1+int(12*time.Second/readStep), qt.IsTrue, qt.Commentf("%d looks; the read under way ends", s.looks()-before))
+		time.Sleep(15 * time.Second)
+		c.Check(names(one), qt.DeepEquals, []string{"a"}, qt.Commentf("a leader that is gone is not relied on"))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -456,7 +456,7 @@
 type reply struct {
 	status  int
 	body    []byte
-	repeats bool // it is the same as the one before on its connection
+	repeats bool // it is the same as one before on its connection
 }
 
 // exchange sends a request to a stage upstream and returns the whole answer, which may hold a
@@ -482,7 +482,7 @@
 	case int64(len(data)) > most:
 		return reply{}, fault.New(fault.MayHaveRun, fault.Malformed, "the answer of %s is longer than %d bytes", u.ID, most)
 	}
-	return reply{status: answer.Status, body: data, repeats: answer.Repeats(xxhash.Sum64(data))}, nil
+	return reply{status: answer.Status, body: data, repeats: results > 0 && answer.Repeats(xxhash.Sum64(data))}, nil
 }
 
 // runBatch carries one call to a stage upstream.
@@ -542,7 +542,7 @@
 	if err != nil {
 		return nil, fault.New(fault.MayHaveRun, fault.Malformed, "results from %s can't be read", b.Upstream.ID).WithCause(err)
 	}
-	// Handles are never used twice, so this is the answer to the call before.
+	// Handles are never used twice, so this is the answer to another call.
 	if got.repeats && slices.ContainsFunc(results, func(r call.Result) bool { return r.Handle != "" }) {
 		return nil, fault.New(fault.MayHaveRun, fault.Malformed, "a second copy of an answer of %s", b.Upstream.ID)
 	}
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -29,6 +29,8 @@
 	maxPatience  = 6                      // questions to a member that follows one that is gone, one in each pingEvery
 	settleTime   = 750 * time.Millisecond // for a process that has started, to find the leader: the members, and one question
 	quickSettle  = 250 * time.Millisecond // instead, after the members were read; others that have just started appear meanwhile
+	largeFleet   = 128                    // members, from which on they do not all read the same from the store at once
+	knowTime     = 150 * time.Millisecond // for a process that has started, to read who the members are
 	tellTime     = 1 * time.Second        // for a process that has started, to hear from its leader what that has read
 	adviceFor    = 2 * time.Second        // whom another entry follows counts this long
 	askEvery     = 80 * time.Millisecond  // while a process that has started asks one that has started, too
@@ -44,6 +46,7 @@
 	Self    string // host name of this entry
 	Local   lead.Leader
 	Members func() []crew.Member
+	Size    func() int                  // number of all members
 	HasRead func() bool                 // the members were read, so that one that leads already is among them
 	Blocked func(fingerprints []uint64) // takes over what the leader found of requests that break down upstreams
 	// Confirm takes over what the leader has read from the store.
@@ -85,8 +88,8 @@
 	current  *session   // nil while this entry leads
 	replaced []*session // leaders that were replaced and may still decide on what they have
 	requests map[string]*pending
+	begun    time.Time
 
-	tellsTill time.Time // until then, a process that has started waits for what its leader tells
 	first     bool      // this entry comes first among the members that were read
 	leadsFrom time.Time // this entry leads no others before
 	settled   bool      // this entry has found a leader, or leads itself; orders wait until then
@@ -116,7 +119,7 @@
 // New returns a link; orders wait until Run has found a leader, or for settleTime.
 func New(o Options) *Link {
 	return &Link{
-		o: o, tellsTill: o.Now().Add(tellTime), requests: map[string]*pending{}, suspects: map[string]suspect{}, silences: map[string]time.Duration{}, patience: maxPatience, asked: make(chan answer, 1),
+		o: o, begun: o.Now(), requests: map[string]*pending{}, suspects: map[string]suspect{}, silences: map[string]time.Duration{}, patience: maxPatience, asked: make(chan answer, 1),
 	}
 }
 
@@ -189,12 +192,19 @@
 	l.first = first
 }
 
-// Awaits says whether a leader may be about to tell this process, which has just started, what it has read from the store.
+// Awaits says whether this process, which has just started, should leave it to the leader to read what all need. In a
+// small fleet each reads for itself, which is quicker.
 func (l *Link) Awaits() bool {
+	now := l.o.Now()
+	if !l.o.HasRead() {
+		return now.Sub(l.begun) < knowTime
+	}
+	if l.o.Size() < largeFleet || now.Sub(l.begun) > tellTime {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	leads := l.first || (l.settled && l.current == nil)
-	return !leads && l.o.Now().Before(l.tellsTill)
+	return !l.first && (!l.settled || l.current != nil)
 }
 
 // settleSooner lets a process that knows the members lead soon after.
--- a/internal/cell/place/place_test.go
+++ b/internal/cell/place/place_test.go
@@ -152,3 +152,30 @@
 	}
 	c.Check(running, qt.Equals, 1, qt.Commentf("a request is counted at one engine only"))
 }
+
+func TestPausedEnginesAreLeftToOtherEntries(t *testing.T) {
+	c := qt.New(t)
+	p, table := place.New(), engines()
+	one := order("1", "s", 100)
+	one.Entry = "entry-1"
+	best, _ := p.Pick(one, table, spec, start)
+	p.Ended("1")
+	p.Pause(best.ID, "entry-1", start.Add(time.Second))
+	next, ok := p.Pick(one, table, spec, start)
+	c.Check(ok, qt.IsTrue)
+	c.Check(next.ID, qt.Not(qt.Equals), best.ID)
+	for _, u := range table.Ready("p") {
+		p.Pause(u.ID, "entry-1", start.Add(2*time.Second))
+	}
+	_, ok = p.Pick(one, table, spec, start)
+	c.Check(ok, qt.IsFalse, qt.Commentf("all want nothing from this entry"))
+	opens, paused := p.Opens(one, table, start)
+	c.Check(paused, qt.IsTrue)
+	c.Check(opens, qt.Equals, 2*time.Second)
+	other := one
+	other.ID, other.Entry = "2", "entry-2"
+	_, ok = p.Pick(other, table, spec, start)
+	c.Check(ok, qt.IsTrue)
+	_, ok = p.Pick(one, table, spec, start.Add(2*time.Second))
+	c.Check(ok, qt.IsTrue)
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -118,7 +118,7 @@
 		Store: store, Now: time.Now, Log: log.Named("crew"),
 	})
 	n.link = link.New(link.Options{
-		Self: s.Name, Local: n.lead, Members: n.crew.Members, HasRead: n.crew.HasRead, Leaving: n.leaving.Load, Blocked: n.crash.Block,
+		Self: s.Name, Local: n.lead, Members: n.crew.Members, Size: n.crew.Size, HasRead: n.crew.HasRead, Leaving: n.leaving.Load, Blocked: n.crash.Block,
 		Confirm: n.watch.Confirm, Adopt: n.watch.Adopt, Lacks: n.watch.Lacks, Notices: n.heed.Notices, ConfirmCrew: n.crew.Confirm,
 		RulesVersion: func() int64 { return n.watch.Rules().Version() }, Now: time.Now, Log: log.Named("link"),
 	})
--- a/internal/edge/xchg/client.go
+++ b/internal/edge/xchg/client.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -33,6 +34,7 @@
 	maxExtraBytes   = 64 << 10
 	maxHeadBytes    = 64 << 10
 	readBuffer      = 4 << 10 // bytes
+	maxSeen         = 8       // digests of answers of a connection
 )
 
 // Request is a request to one upstream.
@@ -79,7 +81,7 @@
 	written chan error // the outcome of the last write
 	idleTo  time.Time
 	since   time.Time
-	newest  uint64 // digest of the answer before, 0 if none was noted
+	seen    []uint64 // digests of the newest answers, those that were noted
 }
 
 // New returns a client; decode reads the heads of answers, and dialed is called for each new connection.
@@ -279,11 +281,14 @@
 	return n, err
 }
 
-// Repeats notes the digest of a whole body, and says whether the answer before it on the connection had the same one; the
-// connection is not kept then, as the answer itself may still come.
+// Repeats notes the digest of a whole body, and says whether one of the answers before it on the connection had the same
+// one; the connection is not kept then, as the answer itself may still come.
 func (a *Answer) Repeats(digest uint64) bool {
-	same := a.conn.newest == digest && digest != 0
-	a.conn.newest = digest
+	same := slices.Contains(a.conn.seen, digest)
+	if len(a.conn.seen) >= maxSeen {
+		a.conn.seen = append(a.conn.seen[:0], a.conn.seen[1:]...)
+	}
+	a.conn.seen = append(a.conn.seen, digest)
 	a.closes = a.closes || same
 	return same
 }
