Do not wait long for members that are dark or stand still

Cause: after all hosts had lost power, entries waited 0.6 s for the connection to a member that had not started yet, and left it out for 3 s. A member whose host takes connections but whose process stands still kept the orders of a started process waiting for up to 20 s, as opening the stream had no bound of its own. Change: opening it has 0.4 s; while a process starts, it waits 0.2 s for a connection and asks again after 0.3 s. Measured: TestMembersThatStandStillAreNotWaitedFor fails without the bound.

--- a/internal/cell/link/ask.go
+++ b/internal/cell/link/ask.go
@@ -31,20 +31,20 @@
 	err     error
 }
 
-// ask connects to a member and waits until it has said that it leads.
-func ask(ctx context.Context, m crew.Member, o Options, decided func(string, lead.Decision)) answer {
-	s, err := dial(ctx, m, o, decided)
+// ask connects to a member within a time and waits until it has said that it leads.
+func ask(ctx context.Context, m crew.Member, o Options, limit time.Duration, decided func(string, lead.Decision)) answer {
+	s, err := dial(ctx, m, o, limit, decided)
 	if err != nil {
 		return answer{member: m, refusal: refusedUnreachable, err: err}
 	}
 	a := answer{member: m, session: s}
 	s.ping()
-	limit := time.NewTimer(askTimeout)
-	defer limit.Stop()
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		a.refusal, a.err = refusedSilent, ctx.Err()
-	case <-limit.C:
+	case <-timer.C:
 		a.refusal, a.err = refusedSilent, errNoPong
 	case p := <-s.pongs:
 		switch {
--- a/internal/cell/link/link.go
+++ b/internal/cell/link/link.go
@@ -36,6 +36,8 @@
 	askEvery     = 80 * time.Millisecond  // while a process that has started asks one that has started, too
 	lookEvery    = 25 * time.Millisecond  // until a process that has started knows whom to ask
 	dialTimeout  = 600 * time.Millisecond
+	startTimeout = 200 * time.Millisecond // instead, while this process starts, as others may not have started yet
+	startSuspect = 300 * time.Millisecond // and instead of suspectFor
 	askTimeout   = 400 * time.Millisecond // for the first pong of a member that is asked to lead
 	replacedFor  = 8 * time.Second        // a leader that was replaced may still decide on what it has
 	outboxSize   = 512                    // messages to the leader
@@ -182,7 +184,11 @@
 	case !l.asking:
 		// Connecting may take longer than the leader may be silent, so it must not keep pings from being sent.
 		l.asking, l.hasAsked = true, true
-		go func() { l.asked <- ask(ctx, wanted, l.o, l.decided) }()
+		limit := dialTimeout
+		if !l.isSettled() {
+			limit = startTimeout
+		}
+		go func() { l.asked <- ask(ctx, wanted, l.o, limit, l.decided) }()
 	}
 }
 
@@ -279,11 +285,19 @@
 	case refusedSilent:
 		l.leaveOutSilent(a.member)
 	default:
-		l.leaveOut(a.member, suspectFor)
+		l.leaveOut(a.member, l.suspectTime())
 	}
 	return true
 }
 
+// suspectTime is how long a member that can't be reached is left out. While this process starts, others may start too.
+func (l *Link) suspectTime() time.Duration {
+	if !l.isSettled() {
+		return startSuspect
+	}
+	return suspectFor
+}
+
 // isOutdated says whether a member that follows another may only not have noticed yet that this one is gone or going. A
 // member that has just started names no leader.
 func (l *Link) isOutdated(leader *crew.Member) bool {
--- a/internal/cell/link/link_test.go
+++ b/internal/cell/link/link_test.go
@@ -404,6 +404,21 @@
 	c.Check(took > 200*time.Millisecond && took < 600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
 }
 
+// A member whose host takes connections but whose process stands still must not keep orders from being decided.
+func TestMembersThatStandStillAreNotWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	listener, err := ports.Listen()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	l := start(c, newDesk("local", false), crew.Member{Host: "first", Address: listener.Addr().String(), Born: 1})
+	select {
+	case d := <-ask(l, "1"):
+		c.Check(d.Upstream, qt.Equals, "local")
+	case <-time.After(2 * time.Second):
+		c.Fatal("the order waits")
+	}
+}
+
 // Two that lead, as one could not reach the other for a while, soon have one leader again; without the store, too.
 func TestLeadersMeetAgain(t *testing.T) {
 	c := qt.New(t)
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -64,9 +64,9 @@
 	listing    atomic.Bool // the leader's list is
 }
 
-// dial connects to a member.
-func dial(ctx context.Context, m crew.Member, o Options, decided func(string, lead.Decision)) (*session, error) {
-	raw, err := sock.Dialer(dialTimeout, unackedTimeout).DialContext(ctx, "tcp4", m.Address)
+// dial connects to a member, within a time for the connection and askTimeout for its process to take it up.
+func dial(ctx context.Context, m crew.Member, o Options, limit time.Duration, decided func(string, lead.Decision)) (*session, error) {
+	raw, err := sock.Dialer(limit, unackedTimeout).DialContext(ctx, "tcp4", m.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -86,7 +86,9 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	tooLate := time.AfterFunc(askTimeout, cancel)
 	stream, err := cellpb.NewCellClient(conn).Work(ctx)
+	tooLate.Stop()
 	if err != nil {
 		cancel()
 		_ = conn.Close()
