--- a/internal/oper/story/cause.go
+++ b/internal/oper/story/cause.go
@@ -10,6 +10,7 @@
 var refusals = map[string]string{
 	"overloaded":  "it could not meet its target, and late work for the same stages waited in vain",
 	"expired":     "it waited too long for a place in a stage",
+	"paused":      "all engines had asked its entry for a pause",
 	"noUpstreams": "a pool on its way had no upstream that takes work",
 	"failing":     "the calls of a stage failed too often",
 }
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -27,7 +27,8 @@
 // beliefs are the messages of changes in what a process believes.
 var beliefs = []string{
 	"leader", "leader lost", "store lost", "store regained", "configuration in force", "upstream listed", "upstream gone",
-	"engine ejected", "upstream ejected", "reload", "start", "stop", "shutting down", "member left", "member expired",
+	"engine ejected", "upstream ejected", "upstream said", "upstream leaves, another entry was told",
+	"leaders met, this one follows the other", "decisions failed, all orders are refused", "reload", "start", "stop", "shutting down", "member left", "member expired",
 	"orders waited for a leader", "orders moved to the present leader",
 }
 
