Give prompts homes that outlive the leader

Change: where no engine is known to have the shared parts of a prompt, the one whose ID and parts hash highest is preferred by half of what they would save.

--- a/internal/cell/place/place.go
+++ b/internal/cell/place/place.go
@@ -17,6 +17,7 @@
 const (
 	prefillRate     = 45.0                  // prompt tokens an engine reads in a ms; the engines of the sheets read 44 to 51
 	missWeight      = 3                     // reading a cached part again also costs other requests
+	homeTrust       = 0.5                   // part of what a prompt's shared parts would save if their home has them
 	crossCostPerMB  = 80 * time.Millisecond // what moving results between zones is worth avoiding
 	farZoneCost     = 4 * time.Millisecond  // a round trip to another zone
 	runCost         = 2 * time.Millisecond  // each running request slows the tokens of the others
@@ -61,7 +62,8 @@
 
 // engine is one model engine.
 type engine struct {
-	born     int64 // Unix ms of its start; 0 when not known
+	hash     uint64 // of its ID
+	born     int64  // Unix ms of its start; 0 when not known
 	runs     map[string]run
 	prefill  int
 	tokens   int
@@ -95,7 +97,7 @@
 		case !known && len(e.runs) == 0:
 			delete(p.engines, id)
 		case known && e.born != 0 && e.born != u.Born:
-			p.engines[id] = &engine{born: u.Born, runs: e.runs, prefill: e.prefill, tokens: e.tokens, cached: map[uint64]time.Time{}, speed: 1}
+			p.engines[id] = &engine{hash: e.hash, born: u.Born, runs: e.runs, prefill: e.prefill, tokens: e.tokens, cached: map[uint64]time.Time{}, speed: 1}
 		case known:
 			e.born = u.Born
 		}
@@ -109,6 +111,7 @@
 	var bestCost time.Duration
 	found := false
 	keys := chain(o)
+	home := p.home(o, keys, t, now)
 	for _, pass := range []bool{false, true} { // the second pass takes ejected and excluded engines too
 		for _, u := range t.Ready(o.Pool) {
 			e := p.engine(u.ID)
@@ -119,6 +122,9 @@
 				continue
 			}
 			cost := e.cost(o, keys, u, spec, now)
+			if u.ID == home {
+				cost -= e.homeWorth(o)
+			}
 			if !found || cost < bestCost {
 				best, bestCost, found = u, cost, true
 			}
@@ -167,6 +173,7 @@
 func (p *Placer) Zone(o Order, t *hosts.Table, spec rule.Engine, now time.Time) string {
 	least := map[string]time.Duration{}
 	keys := chain(o)
+	home := p.home(o, keys, t, now)
 	o.ByZone = nil
 	for _, u := range t.Ready(o.Pool) {
 		e := p.engine(u.ID)
@@ -174,6 +181,9 @@
 			continue
 		}
 		cost := e.cost(o, keys, u, spec, now)
+		if u.ID == home {
+			cost -= e.homeWorth(o)
+		}
 		if known, ok := least[u.Zone]; !ok || cost < known {
 			least[u.Zone] = cost
 		}
@@ -192,10 +202,49 @@
 	return best
 }
 
+// home is the engine that another leader would have chosen for the shared parts of a prompt, if none is known here to have
+// them: the one whose ID and parts hash highest. A single shared part is on many engines, so it needs none.
+func (p *Placer) home(o Order, keys []uint64, t *hosts.Table, now time.Time) string {
+	shared := len(keys) - 1 // the last part belongs to the request
+	if shared < 2 {
+		return ""
+	}
+	key := keys[shared-1]
+	best, highest := "", uint64(0)
+	for _, u := range t.Ready(o.Pool) {
+		e := p.engine(u.ID)
+		if used, has := e.cached[key]; has && now.Sub(used) <= cacheFor {
+			return ""
+		}
+		if weight := mix(key ^ e.hash); !now.Before(e.until) && (best == "" || weight > highest) {
+			best, highest = u.ID, weight
+		}
+	}
+	return best
+}
+
+// homeWorth is what it may save to read the shared parts of a prompt at their home, which may have them.
+func (e *engine) homeWorth(o Order) time.Duration {
+	tokens := 0
+	for _, part := range o.Prefix[:len(o.Prefix)-1] {
+		tokens += part.Tokens
+	}
+	return time.Duration(homeTrust * missWeight * float64(e.readTime(tokens)))
+}
+
+// mix spreads the bits of a hash.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
 func (p *Placer) engine(id string) *engine {
 	e := p.engines[id]
 	if e == nil {
-		e = &engine{runs: map[string]run{}, cached: map[uint64]time.Time{}, speed: 1}
+		e = &engine{hash: xxhash.Sum64String(id), runs: map[string]run{}, cached: map[uint64]time.Time{}, speed: 1}
 		p.engines[id] = e
 	}
 	return e
--- a/internal/cell/place/place_test.go
+++ b/internal/cell/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -179,3 +180,38 @@
 	_, ok = p.Pick(one, table, spec, start.Add(2*time.Second))
 	c.Check(ok, qt.IsTrue)
 }
+
+// A new leader does not know what the engines have read. It sends prompts where the one before it has sent them.
+func TestHomesOutliveTheLeader(t *testing.T) {
+	c := qt.New(t)
+	const sessions, rounds = 40, 5
+	var all []hosts.Upstream
+	for i := range 24 {
+		all = append(all, hosts.Upstream{ID: fmt.Sprintf("e%d", i), Pool: "p", Zone: fmt.Sprintf("z%d", i%3), State: hosts.Ready})
+	}
+	table := hosts.New(all, start)
+	read := map[string]bool{} // what engines have, by engine and session
+	now, again := start, 0
+	const running = 30
+	random := rand.New(rand.NewPCG(1, 2))
+	for leader := range 4 {
+		p := place.New()
+		for n := range sessions * rounds {
+			now = now.Add(10 * time.Millisecond)
+			session := fmt.Sprint(random.IntN(sessions))
+			id := fmt.Sprint(leader, "-", n)
+			o := order(id, session, 9000)
+			o.Prefix = append(o.Prefix, call.Part{ID: id, Tokens: 2700})
+			o.Zone = fmt.Sprintf("z%d", random.IntN(3))
+			u, ok := p.Pick(o, table, spec, now)
+			c.Assert(ok, qt.IsTrue)
+			if leader > 0 && !read[u.ID+session] {
+				again++
+			}
+			read[u.ID+session] = true
+			p.FirstByte(id, now.Add(5*time.Millisecond))
+			p.Ended(fmt.Sprint(leader, "-", n-running))
+		}
+	}
+	c.Check(again <= 3*sessions/10, qt.IsTrue, qt.Commentf("%d prompts were read anew after three changes of the leader, of %d sessions", again, sessions))
+}
