Find a store that is back sooner, and let one topic look for it

Change: of three tries of a first read, two end after 0.4 of their limit; nothing else is read before the configuration is known; a success of one topic ends the pauses of the others.

--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/cursor"
+	"github.com/ragworthatch/ragworthatch/internal/edge/wake"
 	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
@@ -58,8 +59,10 @@
 type Options struct {
 	Self  Member
 	Store Store
-	Now   func() time.Time
-	Log   *zap.Logger
+	// Answered tells that the store has answered somebody in this process.
+	Answered *wake.Signal
+	Now      func() time.Time
+	Log      *zap.Logger
 }
 
 // Crew follows the records of the entries.
@@ -151,6 +154,7 @@
 			pause.For(ctx, freshPoll)
 			continue
 		}
+		answered := c.o.Answered.Count()
 		records, whole, err := at.Read(ctx)
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
@@ -159,10 +163,11 @@
 		case err != nil:
 			c.o.Log.Debug("members can't be read", zap.Error(err))
 			c.readAt.Store(&time.Time{}) // others must not rely on this process
-			pause.For(ctx, wait.Next())
+			c.o.Answered.Wait(ctx, answered, retryPause, wait.Next())
 			continue
 		}
 		wait.Reset()
+		c.o.Answered.Succeeded()
 		c.allowForOutage()
 		c.apply(records, whole)
 		pause.For(ctx, c.pause())
@@ -203,17 +208,17 @@
 	}
 	retry := pause.Growing{First: retryPause, Most: longestRetry}
 	for ctx.Err() == nil && !c.leaving.Load() {
+		answered := c.o.Answered.Count()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := c.o.Store.Put(call, topic, platform.Record{Key: c.o.Self.Host, Value: value})
 		cancel()
-		wait := renewEvery
 		if err != nil {
 			c.o.Log.Info("the member record can't be written", zap.Error(err))
-			wait = retry.Next()
-		} else {
-			retry.Reset()
+			c.o.Answered.Wait(ctx, answered, retryPause, retry.Next())
+			continue
 		}
-		pause.For(ctx, wait)
+		retry.Reset()
+		pause.For(ctx, renewEvery)
 	}
 }
 
--- a/internal/edge/cursor/cursor.go
+++ b/internal/edge/cursor/cursor.go
@@ -22,9 +22,18 @@
 	limit  time.Duration
 	next   int64
 	synced bool
+	tries  int // of a snapshot
 }
 
-// New returns a cursor that begins with a snapshot. A read waits up to wait for a new record, and fails after limit more.
+// Of three tries of a snapshot, two are given up early, so that a store that was silent is soon found to be back, and one
+// is not, so that a slow one can answer.
+const (
+	quickTries = 3
+	quickPart  = 0.4 // of the limit
+)
+
+// New returns a cursor that begins with a snapshot, which fails after limit or a part of it. A later read waits up to wait
+// for a new record, and fails after limit more.
 func New(store Store, topic platform.Topic, wait, limit time.Duration) *Cursor {
 	return &Cursor{store: store, topic: topic, wait: wait, limit: limit}
 }
@@ -42,11 +51,21 @@
 	}
 }
 
+func (c *Cursor) timeout() time.Duration {
+	if c.synced {
+		return c.wait + c.limit
+	}
+	if c.tries++; c.tries%quickTries == 0 {
+		return c.limit
+	}
+	return time.Duration(quickPart * float64(c.limit))
+}
+
 // Read returns the records since the last read, or a whole snapshot. After platform.ErrTrimmed the next read is a snapshot.
 func (c *Cursor) Read(ctx context.Context) (records []platform.Record, whole bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.wait+c.limit)
-	defer cancel()
 	whole = !c.synced
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
 	var next int64
 	if whole {
 		records, next, err = c.store.Newest(ctx, c.topic)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/least"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
+	"github.com/ragworthatch/ragworthatch/internal/edge/wake"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/edge/xchg"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
@@ -91,12 +92,13 @@
 	n.stats = stats.New(n.meter, n.state)
 	n.client = xchg.New(platform.ReadAnswer, time.Now, func() {})
 	store := platform.NewStore(s.Store, storeClient())
+	answered := wake.New()
 	n.heed = heed.New(heed.Options{
 		Left: func() { n.watch.Refresh() }, Tell: func(notice heed.Notice) { n.link.Told(s.Name, notice) },
 		Now: time.Now, Log: log.Named("heed"),
 	})
 	n.watch = watch.New(watch.Options{
-		Store: store, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Stats: n.stats,
+		Store: store, Answered: answered, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin }, Stats: n.stats,
 		RulesWithin: func() time.Duration { return n.settings.Load().RulesWithin }, Leaves: n.heed.Leaves, Awaits: func() bool { return n.link.Awaits() },
 		Now: time.Now, Log: log.Named("watch"),
 	})
@@ -115,7 +117,7 @@
 			Host: s.Name, Address: netip.AddrPortFrom(s.IP, uint16(s.PeerPort)).String(), Zone: s.Zone, Cores: s.Cores,
 			Born: n.born,
 		},
-		Store: store, Now: time.Now, Log: log.Named("crew"),
+		Store: store, Answered: answered, Now: time.Now, Log: log.Named("crew"),
 	})
 	n.link = link.New(link.Options{
 		Self: s.Name, Local: n.lead, Members: n.crew.Members, Size: n.crew.Size, HasRead: n.crew.HasRead, Leaving: n.leaving.Load, Blocked: n.crash.Block,
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
+	"github.com/ragworthatch/ragworthatch/internal/edge/wake"
 	"github.com/ragworthatch/ragworthatch/internal/oper/pause"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
@@ -45,6 +46,7 @@
 	RulesWithin func() time.Duration      // a configuration must be in force this long after the store knows it
 	Awaits      func() bool               // the leader is about to tell this process what it has read
 	Leaves      func(hosts.Lifetime) bool // an upstream has said that it leaves
+	Answered    *wake.Signal              // the store has answered somebody in this process
 	Stats       *stats.Stats
 	Now         func() time.Time
 	Log         *zap.Logger
@@ -204,6 +206,7 @@
 	go func() {
 		defer close(done)
 		w.follow(ctx, &follower{
+			waits: func() bool { return false },
 			topic: rulesTopic, wait: rulesWait, apply: w.applyRules, pace: w.rulesPace, skip: w.newestRules,
 			lost:  func() { w.rulesRead.Store(&time.Time{}) }, // others must not rely on this process
 			fresh: func() bool { return w.o.Now().Sub(*w.confirmed.Load()) < rulesFresh },
@@ -218,6 +221,8 @@
 			w.setHosts(list.table())
 		},
 		back: list.storeIsBack,
+		// One topic is enough to find a store that was away.
+		waits: func() bool { return w.Rules().Version() == 0 },
 		fresh: func() bool {
 			now, limit := w.o.Now(), pollPart
 			if now.Sub(*w.told.Load()) < trustFor {
@@ -237,6 +242,7 @@
 	back  func()               // the store answers again after an outage
 	lost  func()               // a read failed
 	fresh func() bool          // the leader has just read the topic
+	waits func() bool          // another topic is read first
 	pace  func() time.Duration // between reads that return records; nil for none
 	skip  func() int64         // an offset before which no record is of use; nil for none
 }
@@ -247,13 +253,14 @@
 	heard := w.o.Now()
 	retry := pause.Growing{First: retryPause, Most: longestWait}
 	for ctx.Err() == nil {
-		if f.fresh() || (!at.Synced() && w.awaits()) {
+		if f.fresh() || (!at.Synced() && (w.awaits() || f.waits())) {
 			pause.For(ctx, freshPoll)
 			continue
 		}
 		if f.skip != nil {
 			at.Skip(f.skip())
 		}
+		answered := w.o.Answered.Count()
 		records, whole, err := at.Read(ctx)
 		if errors.Is(err, platform.ErrTrimmed) {
 			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)), zap.Int64("from", at.Offset()))
@@ -273,10 +280,15 @@
 				lost = true
 				w.o.Log.Warn("store lost", zap.String("topic", string(f.topic)), zap.Error(err))
 			}
-			pause.For(ctx, retry.Next())
+			wait := retryPause // nothing is served before the first answer
+			if at.Synced() {
+				wait = retry.Next()
+			}
+			w.o.Answered.Wait(ctx, answered, retryPause, wait)
 			continue
 		}
 		retry.Reset()
+		w.o.Answered.Succeeded()
 		if lost {
 			lost = false
 			away := now.Sub(heard)
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
+	"github.com/ragworthatch/ragworthatch/internal/edge/wake"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/oper/meter"
 	"github.com/ragworthatch/ragworthatch/platform"
@@ -41,6 +43,8 @@
 
 	leaving hosts.Lifetime
 	awaits  bool // a leader may be about to tell
+
+	silent atomic.Bool // snapshots are not answered
 }
 
 func (s *memStore) put(topic platform.Topic, key, value string) {
@@ -49,7 +53,11 @@
 	s.logs[topic] = append(s.logs[topic], platform.Record{Key: key, Value: []byte(value), Offset: int64(len(s.logs[topic]))})
 }
 
-func (s *memStore) Newest(_ context.Context, topic platform.Topic) ([]platform.Record, int64, error) {
+func (s *memStore) Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -131,7 +139,7 @@
 		s.put(platform.TopicUpstreams, "u1", entry("ready"))
 		s.put(platform.TopicUpstreams, "u2", entry("ready"))
 		w := watch.New(watch.Options{
-			Store: s, DrainWithin: func() time.Duration { return drainWithin }, RulesWithin: func() time.Duration { return rulesWithin },
+			Store: s, Answered: wake.New(), DrainWithin: func() time.Duration { return drainWithin }, RulesWithin: func() time.Duration { return rulesWithin },
 			Awaits: func() bool { return s.awaits }, Leaves: func(l hosts.Lifetime) bool { return l == s.leaving }, Now: time.Now, Log: zap.NewNop(),
 			Stats: testStats(t),
 		})
@@ -367,3 +375,17 @@
 		c.Check(w.Rules().Version(), qt.Equals, int64(5))
 	})
 }
+
+// Processes that start while the store is silent know what they need soon after it is back, whenever that is.
+func TestStartedProcessesSoonSeeThatTheStoreIsBack(t *testing.T) {
+	for away := range 8 {
+		s := &memStore{logs: map[platform.Topic][]platform.Record{}}
+		s.silent.Store(true)
+		playFrom(t, s, 5*time.Second+time.Duration(away)*350*time.Millisecond, func(c *qt.C, s *memStore, w *watch.Watch) {
+			s.silent.Store(false)
+			time.Sleep(1500 * time.Millisecond)
+			c.Check(w.Rules().Version(), qt.Equals, int64(5), qt.Commentf("%d", away))
+			c.Check(w.Hosts().Ready("p"), qt.HasLen, 2, qt.Commentf("%d", away))
+		})
+	}
+}
