Keep the number of members when neither leader nor store is heard

An entry that had its members from the leader knew eight of them afterwards, and limits are shared by their number. A release that waited for the end of a pause could hold up a planned stop. Change: the number that was told stays until the records are read; releases that wait are not waited for. TestTheLeaderSavesReads checks the number with both away.

--- a/internal/cell/crew/crew.go
+++ b/internal/cell/crew/crew.go
@@ -69,6 +69,7 @@
 type Crew struct {
 	o       Options
 	members atomic.Pointer[[]Member]
+	size    atomic.Int64 // of all members, which may be more
 	seen    map[string]sighting
 	left    map[string]int64 // births of the lifetimes that left, by host
 	leaving atomic.Bool
@@ -107,7 +108,7 @@
 // Roll is what other entries may rely on.
 func (c *Crew) Roll() Roll {
 	all := c.Members()
-	return Roll{First: all[:min(len(all), maxFirst)], Size: len(all), Read: *c.readAt.Load()}
+	return Roll{First: all[:min(len(all), maxFirst)], Size: c.Size(), Read: *c.readAt.Load()}
 }
 
 // Confirm takes over what the leader has read, so that this process need not read it too.
@@ -121,6 +122,7 @@
 	out := append([]Member{c.o.Self}, slices.DeleteFunc(slices.Clone(r.First), func(m Member) bool { return m.Host == c.o.Self.Host })...)
 	sortMembers(out)
 	c.members.Store(&out)
+	c.size.Store(int64(max(r.Size, len(out))))
 }
 
 // isTold says whether the leader has read the records lately.
@@ -136,12 +138,7 @@
 func (c *Crew) HasRead() bool { return c.hasRead.Load() }
 
 // Size is the number of known entries.
-func (c *Crew) Size() int {
-	if c.isTold() {
-		return max(c.told.Load().Size, len(c.Members()))
-	}
-	return len(c.Members())
-}
+func (c *Crew) Size() int { return int(c.size.Load()) }
 
 // Run renews this entry's record and follows those of the others until ctx ends.
 func (c *Crew) Run(ctx context.Context) {
@@ -282,6 +279,7 @@
 	}
 	sortMembers(out)
 	c.members.Store(&out)
+	c.size.Store(int64(len(out)))
 }
 
 // sortMembers puts those first that should lead.
--- a/internal/cell/crew/crew_test.go
+++ b/internal/cell/crew/crew_test.go
@@ -231,6 +231,10 @@
 		}
 		c.Check(names(one), qt.DeepEquals, []string{"first", "a"})
 		c.Check(one.Size(), qt.Equals, 300)
+		s.setAway(true)
+		time.Sleep(3 * time.Second)
+		c.Check(one.Size(), qt.Equals, 300, qt.Commentf("limits are shared by as many when neither leader nor store is heard"))
+		s.setAway(false)
 		c.Check(s.looks()-before <= 1+int(12*time.Second/readStep), qt.IsTrue, qt.Commentf("%d looks; the read under way ends", s.looks()-before))
 		time.Sleep(15 * time.Second)
 		c.Check(names(one), qt.DeepEquals, []string{"a"}, qt.Commentf("a leader that is gone is not relied on"))
--- a/internal/cell/lead/lead.go
+++ b/internal/cell/lead/lead.go
@@ -192,8 +192,7 @@
 		l.o.Log.Error("decisions failed, all orders are refused", zap.Any("panic", failed), zap.Stack("stack"), zap.Int("orders", len(l.waiting)))
 		waiting := l.waiting
 		l.board, l.placer, l.waiting = board.New(), place.New(), map[string]*waiter{}
-		l.rules, l.hosts = nil, nil
-		l.refresh()
+		l.rules, l.hosts = nil, nil // taken over again before the next decision
 		for _, w := range waiting {
 			if w.reply != nil {
 				w.reply(Decision{Refused: board.Failing, RetryAfter: time.Second})
@@ -424,6 +423,10 @@
 		go l.runBatch(b)
 	}
 	for _, r := range out.Releases {
+		if d := l.o.Heed.Opens(r.Upstream.Lifetime()); d > 0 {
+			l.releaseLater(r, d)
+			continue
+		}
 		l.releases.Go(func() { l.release(r) })
 	}
 	for _, u := range out.Probes {
@@ -578,11 +581,17 @@
 	return d
 }
 
+// releaseLater gives up results once their upstream takes something again, unless they have expired by then.
+func (l *Lead) releaseLater(r board.Release, d time.Duration) {
+	if d > longestRelease {
+		l.o.Log.Info("results are left to expire", zap.String("upstream", r.Upstream.ID), zap.Int("results", len(r.Handles)))
+		return
+	}
+	time.AfterFunc(d, func() { l.release(r) })
+}
+
 // release gives up results; a release that fails costs only memory until the results expire.
 func (l *Lead) release(r board.Release) {
-	if d := l.o.Heed.Opens(r.Upstream.Lifetime()); d > 0 && d < longestRelease {
-		time.Sleep(d)
-	}
 	body, err := l.o.Codec.EncodeFree(r.Handles)
 	if err != nil {
 		l.o.Log.Warn("a release can't be encoded", zap.Error(err))
--- a/internal/cell/link/session.go
+++ b/internal/cell/link/session.go
@@ -30,8 +30,8 @@
 	unackedTimeout = 2 * time.Second // TCP_USER_TIMEOUT towards the leader
 	pullTimeout    = 2 * time.Second // for the leader's configuration or list
 	worthAsking    = 5 * time.Second // a list that the leader read longer ago is not asked for
-	maxPacked      = 4 << 20         // bytes of it, compressed
-	maxUnpacked    = 8 << 20         // and not, as much as one answer of the store
+	maxPacked      = 4 << 20         // bytes of a configuration or list, compressed
+	maxUnpacked    = 8 << 20         // bytes of one that is not, as many as of an answer of the store
 )
 
 // goneSilent is why a leader that sends nothing can't be used.
@@ -254,7 +254,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
 	if err == nil && len(body) > maxUnpacked {
-		err = fmt.Errorf("a configuration of more than %d bytes", maxUnpacked)
+		err = fmt.Errorf("more than %d bytes", maxUnpacked)
 	}
 	return body, err
 }
