--- a/internal/cell/serve/bulk.go
+++ b/internal/cell/serve/bulk.go
@@ -20,13 +20,13 @@
 }
 
 // of compresses a version, unless that was done before.
-func (p *packed) of(version int64, make func() ([]byte, error)) ([]byte, error) {
+func (p *packed) of(version int64, read func() ([]byte, error)) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.version == version && p.body != nil {
 		return p.body, nil
 	}
-	body, err := make()
+	body, err := read()
 	if err != nil {
 		return nil, err
 	}
