--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -110,6 +110,26 @@
 	s.down, s.first = down, first
 }
 
+// leave makes an upstream say that it leaves.
+func (s *memStore) leave(l hosts.Lifetime) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = l
+}
+
+func (s *memStore) leaves(l hosts.Lifetime) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l == s.leaving
+}
+
+// sentBytes is how much of records was sent.
+func (s *memStore) sentBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
 // looks is how often the log was looked at.
 func (s *memStore) looks() int {
 	s.mu.Lock()
@@ -140,7 +160,7 @@
 		s.put(platform.TopicUpstreams, "u2", entry("ready"))
 		w := watch.New(watch.Options{
 			Store: s, Answered: wake.New(), DrainWithin: func() time.Duration { return drainWithin }, RulesWithin: func() time.Duration { return rulesWithin },
-			Awaits: func() bool { return s.awaits }, Leaves: func(l hosts.Lifetime) bool { return l == s.leaving }, Now: time.Now, Log: zap.NewNop(),
+			Awaits: func() bool { return s.awaits }, Leaves: s.leaves, Now: time.Now, Log: zap.NewNop(),
 			Stats: testStats(t),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -301,7 +321,7 @@
 func TestFollowersReadOnlyTheNewestOfManyVersions(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
 		const versions, gap = 40, 100 * time.Millisecond
-		begun, sent := s.looks(), s.sent
+		begun, sent := s.looks(), s.sentBytes()
 		size := 0
 		for v := range int64(versions) {
 			body := fmt.Sprintf(`{"version":%d}`, 10+v)
@@ -316,7 +336,7 @@
 		c.Check(w.Rules().Version(), qt.Equals, int64(9+versions))
 		// A read at a quarter of the bound, and one for each before the leader is known.
 		most := 2 + int(versions*gap/(rulesWithin/4))
-		c.Check((s.sent-sent)/size <= most, qt.IsTrue, qt.Commentf("%d bodies in %d looks, %d at most", (s.sent-sent)/size, s.looks()-begun, most))
+		c.Check((s.sentBytes()-sent)/size <= most, qt.IsTrue, qt.Commentf("%d bodies in %d looks, %d at most", (s.sentBytes()-sent)/size, s.looks()-begun, most))
 	})
 }
 
@@ -335,7 +355,7 @@
 
 func TestUpstreamsThatSayThatTheyLeaveTakeNoWork(t *testing.T) {
 	play(t, func(c *qt.C, s *memStore, w *watch.Watch) {
-		s.leaving = hosts.Lifetime{ID: "u1", Born: 1}
+		s.leave(hosts.Lifetime{ID: "u1", Born: 1})
 		w.Refresh()
 		c.Check(w.Hosts().TakesWork("u1"), qt.IsFalse, qt.Commentf("at once"))
 		s.put(platform.TopicUpstreams, "u1", entry("ready"))
