Look for a store that was away every 0.7 s at least

Cause: TestUpstreamsThatLeaveAfterAnOutageAreGoneAtOnce failed in 2 of 20 runs under the race detector: the first read after an outage came up to 1 s after its end, as pauses between tries had grown to that; an upstream that leaves in that second is then kept as one that may have lapsed.

--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -32,7 +32,7 @@
 	trustPart   = 0.55                   // of it: age of the leader's list from which on it is read here
 	trustFor    = 700 * time.Millisecond // after the leader's last word
 	retryPause  = 250 * time.Millisecond // after a call that failed; doubles up to
-	longestWait = 1 * time.Second
+	longestWait = 700 * time.Millisecond
 	outageAfter = 3000 * time.Millisecond // without an answer, the store counts as having been away
 	lapseGrace  = 2200 * time.Millisecond // after an outage, entries that are missing may come back
 	rulesTopic  = platform.TopicRules
