--- a/internal/plat/upcl/upcl_test.go
+++ b/internal/plat/upcl/upcl_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,3 +204,32 @@
 		c.Assert(err, qt.IsNil)
 	}
 }
+
+// A sick upstream may send without end: comments in place of events, or a head. Both end, and the connection with them.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const most = 256 << 20 // bytes, more than any bound here
+	for name, first := range map[string]string{
+		"comments": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+		"head":     "HTTP/1.1 200 OK\r\n",
+	} {
+		c := qt.New(t)
+		var sent atomic.Int64
+		closed := make(chan struct{})
+		got := run(c, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer close(closed)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = io.WriteString(conn, first)
+			for chunk := strings.Repeat(": still here\n", 4096); err == nil && sent.Load() < most; {
+				var n int
+				n, err = io.WriteString(conn, chunk)
+				sent.Add(int64(n))
+			}
+		}), upstr.Call{ID: "r/s/1"}, 0)
+		<-closed
+		c.Check(got, qt.Not(qt.Contains), "data=", qt.Commentf(name))
+		c.Check(got, qt.Not(qt.Equals), "notSent", qt.Commentf("%s: it may have run", name))
+		c.Check(sent.Load() < most, qt.IsTrue, qt.Commentf("%s: %d bytes", name, sent.Load()))
+	}
+}
