Log and count answers that break off, so that the hypotheses can be told apart

A broken answer is logged with its upstream, events, prompt parts and fingerprint, and counted by pool and progress; the leader logs and counts each crash that is reported to it. No decision changes.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -230,7 +230,7 @@
 			x.sends-- // no connection
 		}
 		x.mayHaveRun = x.mayHaveRun || failure.Verdict != fault.NotRun
-		x.reportCrash(failure)
+		x.reportCrash(u, failure)
 		return nil, failure
 	}
 	x.o.Notices.AddAnswer(u, answer.Status, answer.Head)
@@ -331,12 +331,30 @@
 }
 
 // reportCrash reports a connection that ended without an answer before the caller left or the deadline passed.
-func (x *exchange) reportCrash(failure *fault.Error) {
+func (x *exchange) reportCrash(u hosts.Upstream, failure *fault.Error) {
 	if failure.Verdict == fault.MayHaveRun && failure.Code == fault.Transport && x.in.Context().Err() == nil {
+		x.logBreak(u, 0, 0, failure)
 		x.o.Leader.Crashed(x.fingerprint, x.sentTo, x.sentAt)
 	}
 }
 
+// logBreak logs and counts an answer that broke off after so many whole events and a rest of bytes. The IDs of the last
+// prompt part and the fingerprint are those of this request alone; other parts are shared.
+func (x *exchange) logBreak(u hosts.Upstream, events, rest int, cause error) {
+	progress := "begun"
+	if events == 0 {
+		progress = "unbegun"
+	}
+	x.o.Stats.AnswerBroken(u.Pool, progress)
+	parts := make([]string, 0, len(x.head.Prefix))
+	for _, p := range x.head.Prefix {
+		parts = append(parts, p.ID)
+	}
+	x.o.Log.Info("answer broke off", zap.String("request", x.logID), zap.String("route", x.route.Name),
+		zap.String("upstream", u.ID), zap.Int("events", events), zap.Int("rest", rest), zap.Strings("parts", parts),
+		zap.Uint64("fingerprint", x.fingerprint), zap.Bool("callerLeft", x.in.Context().Err() != nil), zap.Error(cause))
+}
+
 // reportServed tells the leader that a request suspected of crashing upstreams was answered.
 func (x *exchange) reportServed() {
 	if x.o.Served(x.fingerprint) {
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -170,6 +170,7 @@
 	header := x.o.Codec.AnswerHeader(answer.Header)
 	buffer := make([]byte, streamBufferBytes)
 	beforeFirst := true
+	before := events.Count()
 	for {
 		n, err := answer.Read(buffer)
 		whole, splitErr := events.Add(buffer[:n])
@@ -190,15 +191,18 @@
 		switch {
 		case isEOF(err):
 			x.out.Head(answer.Status, header, -1)
-			if rest := events.Rest(); len(rest) > 0 {
+			rest := events.Rest()
+			if len(rest) > 0 {
 				_ = x.out.Body(rest)
 			}
 			x.reportServed()
 			x.o.Log.Info("served", zap.String("request", x.logID), zap.String("route", x.route.Name),
-				zap.Int("events", events.Count()), zap.Duration("age", x.o.Now().Sub(x.arrived)))
+				zap.Int("events", events.Count()), zap.Int("rest", len(rest)),
+				zap.Duration("age", x.o.Now().Sub(x.arrived)))
 			return "", nil
 		case err != nil:
-			events.Rest()
+			rest := events.Rest()
+			x.logBreak(u, events.Count()-before, len(rest), err)
 			if x.in.Context().Err() == nil {
 				x.o.Leader.Crashed(x.fingerprint, x.sentTo, x.sentAt)
 			}
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -28,6 +28,8 @@
 	s.FailedPieces("pool", "reason", 1)
 	s.Repeat("pool", true)
 	s.Ejected("pool")
+	s.AnswerBroken("pool", "unbegun")
+	s.CrashReport("counted")
 	s.StoreCall("topic", true)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -37,6 +37,8 @@
 	storeCalls   meter.Counter
 	repeats      meter.Counter
 	ejections    meter.Counter
+	broken       meter.Counter
+	crashes      meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -85,6 +87,10 @@
 			Help: "Repeated sends that were asked of the retry budget, by pool and result."}),
 		ejections: m.Counter(meter.Spec{Name: "edge.ejections", Unit: "{ejection}",
 			Help: "Upstreams left out for a while because calls failed, by pool."}),
+		broken: m.Counter(meter.Spec{Name: "edge.brokenAnswers", Unit: "{answer}",
+			Help: "Answers of upstreams that broke off, by pool and whether they had begun."}),
+		crashes: m.Counter(meter.Spec{Name: "edge.crashReports", Unit: "{report}",
+			Help: "Reports of requests under which an upstream crashed, by result."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -138,6 +144,14 @@
 // Ejected counts an upstream that gets no requests for a while because calls to it failed.
 func (s *Stats) Ejected(pool string) { s.ejections.Add(1, label("pool", pool)) }
 
+// AnswerBroken counts an answer of an upstream that broke off; progress says whether it had begun.
+func (s *Stats) AnswerBroken(pool, progress string) {
+	s.broken.Add(1, label("pool", pool), label("progress", progress))
+}
+
+// CrashReport counts a report of a request under which an upstream crashed; result says what came of it.
+func (s *Stats) CrashReport(result string) { s.crashes.Add(1, label("result", result)) }
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -319,7 +319,15 @@
 
 // Crashed counts a crash of an upstream under a request.
 func (c *Coordinator) Crashed(fingerprint uint64, lifetime string, sent time.Time) {
-	if c.opts.Crash.ObserveCrash(fingerprint, lifetime, sent) {
+	blocked := c.opts.Crash.ObserveCrash(fingerprint, lifetime, sent)
+	result := "counted"
+	if blocked {
+		result = "blocked"
+	}
+	c.opts.Stats.CrashReport(result)
+	c.opts.Log.Info("crash reported", zap.Uint64("fingerprint", fingerprint), zap.String("lifetime", lifetime),
+		zap.String("result", result))
+	if blocked {
 		c.opts.Log.Warn("requests with this fingerprint break down upstreams, they are refused for a while",
 			zap.Uint64("fingerprint", fingerprint))
 	}
