Reproduce the crashing prompt parts in two tests that fail

Twelve requests share one part of their prompts and nothing else; each engine that begins to answer one ends. All twelve crash an engine, at one leader and also when the leader is killed after two of them; five are allowed. Sound requests with the same key and the same other parts are served.

--- /dev/null
+++ b/internal/edge/node/crash_test.go
@@ -0,0 +1,120 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/cloud"
+)
+
+const (
+	toleratedCrashes = 5 // of engines, under requests with one part
+	taintedRequests  = 12
+)
+
+// fragileEngines is a pool of engines, each of which crashes when it begins to answer a prompt with the part "bad".
+type fragileEngines struct {
+	*testbed
+	mu      sync.Mutex
+	crashed []string // IDs, in order
+}
+
+// startFragile starts engines and entries, and waits until the entries serve.
+func startFragile(t *testing.T, engines, entries int) *fragileEngines {
+	p := &fragileEngines{testbed: newTestbed(t)}
+	p.configure()
+	for i := range engines {
+		p.startEngine(fmt.Sprintf("engine-%d", i))
+	}
+	for i := range entries {
+		p.startEntry(fmt.Sprintf("entry-%d", i))
+	}
+	for i, e := range p.entries {
+		p.waitReady(e, http.StatusOK)
+		p.eventually(func() bool { return p.prompt(e, fmt.Sprintf("warm-%d", i), "sys").status == http.StatusOK })
+	}
+	time.Sleep(time.Second) // until all entries follow one leader
+	return p
+}
+
+func (p *fragileEngines) startEngine(id string) {
+	p.startUpstream("engines", &cloud.Upstream{ID: id, Events: 2, Intercept: func(w http.ResponseWriter, r *http.Request,
+		_ int) bool {
+		if !strings.Contains(r.Header.Get("Prompt-Prefix"), "bad:") {
+			return false
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		p.mu.Lock()
+		p.crashed = append(p.crashed, id)
+		p.mu.Unlock()
+		go p.crashUpstream(id)
+		panic(http.ErrAbortHandler)
+	}})
+}
+
+func (p *fragileEngines) crashes() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.crashed...)
+}
+
+// prompt sends a request whose prompt has the given parts and a last one of its own.
+func (p *fragileEngines) prompt(e *entry, id string, parts ...string) answer {
+	prefix := strings.Join(append(parts, "own-"+id), ":50,") + ":50"
+	return p.do(e, http.MethodPost, "/once/x", id, "prompt "+id, "Model", "m", "Token-Counts", "200,10",
+		"Prompt-Prefix", prefix)
+}
+
+// sendTainted sends requests with the bad part, no two alike, to the entries in turn, and sound ones between them that
+// share their key and their other parts. It returns the statuses of the tainted ones; stopAfter is called after two.
+func (p *fragileEngines) sendTainted(entries []*entry, stopAfter func()) []int {
+	var statuses []int
+	for i := range taintedRequests {
+		if i == 2 {
+			stopAfter()
+		}
+		before := len(p.crashes())
+		got := p.prompt(entries[i%len(entries)], fmt.Sprintf("tainted-%d", i), "sys", "doc", "bad")
+		statuses = append(statuses, got.status)
+		if got.status == http.StatusServiceUnavailable {
+			p.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		}
+		if list := p.crashes(); len(list) > before {
+			p.store.Put("keyed.servers", list[before], nil)
+			p.startEngine(fmt.Sprintf("next-%d", i))
+			time.Sleep(400 * time.Millisecond) // until the entries list it
+		}
+		for j, e := range entries {
+			for _, parts := range [][]string{{"sys"}, {"sys", "doc"}, {"sys", "doc", "fine"}} {
+				got := p.prompt(e, fmt.Sprintf("sound-%d-%d-%d", i, j, len(parts)), parts...)
+				p.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("sound request after %d tainted ones", i+1))
+			}
+		}
+	}
+	return statuses
+}
+
+func TestAPromptPartThatCrashesEnginesIsBlockedAtAllEntries(t *testing.T) {
+	p := startFragile(t, 4, 3)
+	statuses := p.sendTainted(p.entries, func() {})
+	p.c.Check(len(p.crashes()) <= toleratedCrashes, qt.IsTrue, qt.Commentf("%d engines crashed", len(p.crashes())))
+	p.c.Check(statuses[taintedRequests-1], qt.Equals, http.StatusServiceUnavailable)
+}
+
+func TestAPromptPartThatCrashesEnginesIsBlockedAfterTheLossOfTheLeader(t *testing.T) {
+	p := startFragile(t, 4, 3)
+	statuses := p.sendTainted(p.entries[1:], func() {
+		p.entries[0].kill()
+		time.Sleep(time.Second) // until the others follow another leader
+	})
+	p.c.Check(len(p.crashes()) <= toleratedCrashes, qt.IsTrue, qt.Commentf("%d engines crashed", len(p.crashes())))
+	p.c.Check(statuses[taintedRequests-1], qt.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/edge/node/testbed_test.go
+++ b/internal/edge/node/testbed_test.go
@@ -35,7 +35,8 @@
 	storeURL  string
 	upstreams map[string]*cloud.Upstream
 	addresses map[string]string // of the upstreams, by ID
-	version   int               // of the last configuration that configure wrote
+	servers   map[string]*httptest.Server
+	version   int // of the last configuration that configure wrote
 	entries   []*entry
 }
 
@@ -43,12 +44,13 @@
 type entry struct {
 	front, ready string // addresses for callers and for readiness probes
 	stop         context.CancelFunc
+	kill         context.CancelFunc
 	done         chan error // receives the result of Run
 }
 
 func newTestbed(t *testing.T) *testbed {
 	w := &testbed{c: qt.New(t), store: cloud.NewStore(), upstreams: map[string]*cloud.Upstream{},
-		addresses: map[string]string{}}
+		addresses: map[string]string{}, servers: map[string]*httptest.Server{}}
 	server := httptest.NewServer(w.store)
 	t.Cleanup(server.Close)
 	w.storeURL = server.Listener.Addr().String()
@@ -60,11 +62,18 @@
 	server := httptest.NewServer(u)
 	w.c.Cleanup(server.Close)
 	w.upstreams[u.ID] = u
+	w.servers[u.ID] = server
 	w.addresses[u.ID] = server.Listener.Addr().String()
 	w.listUpstream(u.ID, pool, "ready")
 	return u
 }
 
+// crashUpstream ends the process of an upstream: its connections break off, and it accepts no others.
+func (w *testbed) crashUpstream(id string) {
+	_ = w.servers[id].Listener.Close()
+	w.servers[id].CloseClientConnections()
+}
+
 // listUpstream writes the entry of an upstream to the store's list, with the given state and 4 slots.
 func (w *testbed) listUpstream(id, pool, state string) {
 	w.store.PutServer(id, pool, w.addresses[id], state, 4)
@@ -97,7 +106,7 @@
 	w.c.Assert(err, qt.IsNil)
 	stop, cancel := context.WithCancel(context.Background())
 	kill, end := context.WithCancel(context.Background())
-	e.stop = cancel
+	e.stop, e.kill = cancel, end
 	go func() { e.done <- n.Run(stop, kill) }()
 	w.c.Cleanup(func() { cancel(); end() })
 	w.entries = append(w.entries, e)
