Treat a stream that ends inside an event as broken off

Callers saw a cut stream as a complete one: an engine that sends neither a length nor chunks and ends in the middle of an event, or before its first one, reads as a clean end of the body.

The end of an event stream now counts only between events, and, when the connection alone ends the body, only after the first event. TestAStreamThatEndsInsideAnEventLooksIncomplete failed before in both cases: 200 with the text up to 'da', and 200 with an empty body.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -188,6 +188,9 @@
 				x.abort(fault.Canceled, werr)
 			}
 		}
+		if isEOF(err) && x.endsEarly(answer, events, before) {
+			err = io.ErrUnexpectedEOF
+		}
 		switch {
 		case isEOF(err):
 			x.out.Head(answer.Status, header, -1)
@@ -212,4 +215,13 @@
 	}
 }
 
+// endsEarly reports whether a stream has ended inside an event, or ended with its connection before its first event.
+// before is the count of events at the start of the answer.
+func (x *exchange) endsEarly(answer *uphttp.Answer, events *relay.EventSplitter, before int) bool {
+	if !answer.IsEventStream() {
+		return false
+	}
+	return events.InsideEvent() || (answer.EndsWithConnection() && events.Count() == before)
+}
+
 func isEOF(err error) bool { return errors.Is(err, io.EOF) }
--- a/internal/edge/node/crash_test.go
+++ b/internal/edge/node/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -118,3 +119,33 @@
 	p.c.Check(len(p.crashes()) <= toleratedCrashes, qt.IsTrue, qt.Commentf("%d engines crashed", len(p.crashes())))
 	p.c.Check(statuses[taintedRequests-1], qt.Equals, http.StatusServiceUnavailable)
 }
+
+func TestAStreamThatEndsInsideAnEventLooksIncomplete(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nResponse-Stamp: s\r\nRequest-Id: %s\r\n\r\n%s"
+	for name, body := range map[string]string{
+		"inside an event": "id: 1\ndata: token 1\n\nid: 2\nda", "before its first event": "",
+	} {
+		w := newTestbed(t)
+		w.configure()
+		w.startUpstream("engines", &cloud.Upstream{ID: "engine-1", Events: 1,
+			Intercept: func(rw http.ResponseWriter, r *http.Request, _ int) bool {
+				id := r.Header.Get("Request-Id")
+				if !strings.HasPrefix(id, "broken") {
+					return false
+				}
+				conn, _, err := http.NewResponseController(rw).Hijack()
+				if err == nil {
+					_, _ = io.WriteString(conn, fmt.Sprintf(unframed, id, body))
+					_ = conn.Close()
+				}
+				return true
+			}})
+		p := &fragileEngines{testbed: w}
+		e := w.startEntry("entry-1")
+		w.waitReady(e, http.StatusOK)
+		w.eventually(func() bool { return p.prompt(e, "warm", "sys").status == http.StatusOK })
+		got := p.prompt(e, "broken", "sys")
+		w.c.Check(got.err != nil || got.status == http.StatusBadGateway, qt.IsTrue,
+			qt.Commentf("%s: %d %q", name, got.status, got.body))
+	}
+}
--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"mime"
 	"net"
 	"net/http"
 	"slices"
@@ -60,6 +61,7 @@
 	complete     bool        // the body was read to its end
 	stopWatching func() bool // stops closing the connection at the end of ctx; false if ctx has ended; nil after Close
 	closeConn    bool        // the connection must not be used again
+	unframed     bool        // the body has neither a length nor chunks
 }
 
 // Client sends requests and keeps idle connections to upstreams; it is safe for concurrent use.
@@ -144,6 +146,7 @@
 		return &Answer{
 			Status: got.StatusCode, Header: got.Header, Length: got.ContentLength, Head: head,
 			body: got.Body, conn: cn, client: c, closeConn: got.Close,
+			unframed: got.ContentLength < 0 && len(got.TransferEncoding) == 0,
 		}, nil
 	}
 	return nil, fault.New(fault.MayHaveRun, fault.Malformed, "only answers to other requests from %s", cn.address)
@@ -285,6 +288,15 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether only the end of the connection ends the body.
+func (a *Answer) EndsWithConnection() bool { return a.unframed }
+
+// IsEventStream reports whether the body is a series of server-sent events.
+func (a *Answer) IsEventStream() bool {
+	kind, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
 // CheckDuplicate records the digest of a whole body, and reports whether one of the last answers on the connection had
 // the same. If so, the connection is not used again, as the real answer may still arrive on it.
 func (a *Answer) CheckDuplicate(digest uint64) bool {
