Count events rather than their IDs, and know every line end of the format

And only events with an ID counted, so a stream without IDs never counted as begun: its results were not released, and a crash would be blamed on it.

TestEventsMayEndTheirLinesInAnyWay failed before for texts with CR, mixed line ends and events without an ID; it passes for chunks of one to eight bytes.

--- a/internal/edge/relay/events.go
+++ b/internal/edge/relay/events.go
@@ -16,7 +16,7 @@
 type EventSplitter struct {
 	partial      []byte // start of an event whose end has not been read
 	lastID       string
-	count        int // IDs in the whole events
+	count        int // whole events with data or an ID
 	bytesSinceID int // added since the last ID was found
 }
 
@@ -33,7 +33,7 @@
 		if size == 0 {
 			break
 		}
-		e.recordID(e.partial[end : end+size])
+		e.record(e.partial[end : end+size])
 		end += size
 	}
 	if end == 0 {
@@ -57,30 +57,46 @@
 // LastID is the last ID of a whole event; empty if there was none.
 func (e *EventSplitter) LastID() string { return e.lastID }
 
-// Count is the number of IDs in the whole events.
+// Count is the number of whole events that have data or an ID.
 func (e *EventSplitter) Count() int { return e.count }
 
-// eventEnd returns the length of the first event, including its blank line; 0 if it is not whole.
+// eventEnd returns the length of the first event, including its blank line; 0 if it is not whole. A line ends with LF,
+// CR or both.
 func eventEnd(p []byte) int {
-	lf := bytes.Index(p, []byte("\n\n"))
-	crlf := bytes.Index(p, []byte("\r\n\r\n"))
-	switch {
-	case crlf >= 0 && (lf < 0 || crlf < lf):
-		return crlf + len("\r\n\r\n")
-	case lf >= 0:
-		return lf + len("\n\n")
+	for at := 0; ; {
+		n := bytes.IndexAny(p[at:], "\r\n")
+		if n < 0 {
+			return 0
+		}
+		end := at + n + 1
+		switch {
+		case p[end-1] == '\r' && end < len(p) && p[end] == '\n':
+			end++
+		case p[end-1] == '\r' && end == len(p) && n > 0:
+			return 0 // an LF may follow
+		}
+		if n == 0 {
+			return end
+		}
+		at = end
 	}
-	return 0
 }
 
-// recordID records the IDs of a whole event.
-func (e *EventSplitter) recordID(event []byte) {
-	for line := range strings.Lines(string(event)) {
-		name, value, ok := strings.Cut(strings.TrimRight(line, "\r\n"), ":")
-		if ok && name == "id" {
+// record records the ID of a whole event and counts the event, unless it is only comments and blank lines.
+func (e *EventSplitter) record(event []byte) {
+	counted := false
+	for line := range strings.FieldsFuncSeq(string(event), func(r rune) bool { return r == '\r' || r == '\n' }) {
+		name, value, ok := strings.Cut(line, ":")
+		switch {
+		case ok && name == "id":
 			e.lastID = strings.TrimPrefix(value, " ")
-			e.count++
 			e.bytesSinceID = 0
+			counted = true
+		case name == "data":
+			counted = true
 		}
 	}
+	if counted {
+		e.count++
+	}
 }
--- a/internal/edge/relay/events_test.go
+++ b/internal/edge/relay/events_test.go
@@ -29,6 +29,30 @@
 	}
 }
 
+func TestEventsMayEndTheirLinesInAnyWay(t *testing.T) {
+	for _, text := range []string{
+		"id: 1\ndata: a\n\ndata: b\n\n", "id: 1\rdata: a\r\rdata: b\r\r", "id: 1\r\ndata: a\r\n\r\ndata: b\r\n\r\n",
+		"id: 1\ndata: a\r\n\ndata: b\n\r\n", ": busy\n\nid: 1\ndata: a\n\n: busy\r\n\r\ndata: b\r\n\n",
+	} {
+		for size := 1; size < 9; size++ {
+			c := qt.New(t)
+			var e relay.EventSplitter
+			var got strings.Builder
+			for rest := text; rest != ""; {
+				n := min(size, len(rest))
+				whole, err := e.Add([]byte(rest[:n]))
+				c.Check(err, qt.IsNil)
+				got.Write(whole)
+				rest = rest[n:]
+			}
+			c.Check(got.String(), qt.Equals, text, qt.Commentf("%q by %d", text, size))
+			c.Check(e.Count(), qt.Equals, 2, qt.Commentf("%q by %d", text, size))
+			c.Check(e.InsideEvent(), qt.IsFalse)
+			c.Check(e.LastID(), qt.Equals, "1")
+		}
+	}
+}
+
 // FuzzEvents checks that no bytes are lost or added, however the stream is cut into chunks of up to 64 bytes.
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: x\n\nid: 2\n\n"), 3)
