--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -25,7 +25,9 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
+	"github.com/ragworthatch/ragworthatch/internal/edge/verify"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -62,10 +64,8 @@
 	Notices *notices.Record
 	Budget  *resend.Budget
 	Stats   *stats.Stats
-	// Blocked returns how long requests with the fingerprint are still refused; 0 if they are not.
-	Blocked func(fingerprint uint64) time.Duration
-	// Served records that a request was answered, and reports whether it had crashed upstreams before.
-	Served func(fingerprint uint64) bool
+	Crash   *crash.Tracker
+	Verify  *verify.Verifier
 	// Stopping reports whether new requests are refused because this entry shuts down.
 	Stopping func() bool
 	Leaving  func() bool // reports whether connections are closed after the answer
@@ -109,7 +109,8 @@
 	sentTo     string    // ID and start time of the upstream of the last send
 	mayHaveRun bool      // an upstream may have run the request in one of the sends
 
-	fingerprint uint64 // see fingerprintOf
+	fingerprint uint64   // see fingerprintOf
+	parts       []string // of the prompt, which other requests may share
 }
 
 // ServeHTTP handles one request of a caller.
@@ -178,8 +179,10 @@
 		return fault.New(fault.NotRun, fault.BadRequest, "more than %d pieces", maxPieces)
 	}
 	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
-	if d := x.o.Blocked(x.fingerprint); d > 0 {
-		return fault.New(fault.NotRun, fault.Quarantined, "requests like this one broke down upstreams").WithRetryAfter(d)
+	x.parts = crash.PartsOf(x.head.Model, x.head.Prefix)
+	x.o.Verify.Check()
+	if d := x.o.Crash.BlockedFor(x.fingerprint, x.parts); d > 0 {
+		return quarantined(d)
 	}
 	remaining := x.head.Remaining
 	if !x.head.HasDeadline {
@@ -194,6 +197,12 @@
 	return nil
 }
 
+// quarantined is the refusal of a request like those that crash upstreams.
+func quarantined(retryAfter time.Duration) *fault.Error {
+	return fault.New(fault.NotRun, fault.Quarantined, "requests like this one broke down upstreams").
+		WithRetryAfter(retryAfter)
+}
+
 // run sends the request to upstreams until one answers or no retry is left.
 func (x *exchange) run() *fault.Error {
 	spec, _ := x.rules.Pool(x.pool)
@@ -230,7 +239,7 @@
 			x.sends-- // no connection
 		}
 		x.mayHaveRun = x.mayHaveRun || failure.Verdict != fault.NotRun
-		x.reportCrash(u, failure)
+		x.checkConnection(u, failure)
 		return nil, failure
 	}
 	x.o.Notices.AddAnswer(u, answer.Status, answer.Head)
@@ -330,17 +339,23 @@
 	return http.StatusBadGateway
 }
 
-// reportCrash reports a connection that ended without an answer before the caller left or the deadline passed.
-func (x *exchange) reportCrash(u hosts.Upstream, failure *fault.Error) {
+// crashReport describes the last send as one under which its upstream may have crashed.
+func (x *exchange) crashReport(begun bool) crash.Report {
+	return crash.Report{
+		Fingerprint: x.fingerprint, Parts: x.parts, Lifetime: x.sentTo, Sent: x.sentAt, Broke: x.o.Now(), Begun: begun, Own: true,
+	}
+}
+
+// checkConnection looks into a connection that ended without an answer before the caller left or the deadline passed.
+func (x *exchange) checkConnection(u hosts.Upstream, failure *fault.Error) {
 	if failure.Verdict == fault.MayHaveRun && failure.Code == fault.Transport && x.in.Context().Err() == nil {
-		x.logBreak(u, 0, 0, failure)
-		x.o.Leader.Crashed(x.fingerprint, x.sentTo, x.sentAt)
+		x.answerBroke(u, 0, 0, failure)
 	}
 }
 
-// logBreak logs and counts an answer that broke off after so many whole events and a rest of bytes. The IDs of the last
-// prompt part and the fingerprint are those of this request alone; other parts are shared.
-func (x *exchange) logBreak(u hosts.Upstream, events, rest int, cause error) {
+// answerBroke logs and counts an answer that broke off after so many whole events and a rest of bytes, and has it
+// checked whether the upstream crashed.
+func (x *exchange) answerBroke(u hosts.Upstream, events, rest int, cause error) {
 	progress := "begun"
 	if events == 0 {
 		progress = "unbegun"
@@ -353,11 +368,14 @@
 	x.o.Log.Info("answer broke off", zap.String("request", x.logID), zap.String("route", x.route.Name),
 		zap.String("upstream", u.ID), zap.Int("events", events), zap.Int("rest", rest), zap.Strings("parts", parts),
 		zap.Uint64("fingerprint", x.fingerprint), zap.Bool("callerLeft", x.in.Context().Err() != nil), zap.Error(cause))
+	if x.in.Context().Err() == nil {
+		x.o.Verify.AnswerBroke(u, x.crashReport(events > 0))
+	}
 }
 
 // reportServed tells the leader that a request suspected of crashing upstreams was answered.
 func (x *exchange) reportServed() {
-	if x.o.Served(x.fingerprint) {
+	if x.o.Crash.ObserveAnswer(x.fingerprint) {
 		x.o.Leader.Served(x.fingerprint)
 	}
 }
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -112,6 +112,9 @@
 			zap.String("upstream", d.Upstream), zap.Int("inputs", len(d.Inputs)), zap.Bool("late", d.Late),
 			zap.String("refused", string(d.Refused)), zap.Duration("retryAfter", d.RetryAfter),
 			zap.Duration("age", x.o.Now().Sub(x.arrived)))
+		if d.Refused == sched.Quarantined {
+			return d, quarantined(d.RetryAfter)
+		}
 		if d.Refused != "" {
 			return d, fault.New(fault.NotRun, fault.Overloaded, "the request can't be served in time: %s", d.Refused).
 				WithRetryAfter(d.RetryAfter)
@@ -178,8 +181,9 @@
 			err = splitErr
 		}
 		if len(whole) > 0 {
-			if beforeFirst && events.Count() > 0 {
+			if beforeFirst && events.Count() > before {
 				beforeFirst = false
+				x.o.Crash.ObserveBegun(x.parts)
 				x.o.Leader.FirstByte(x.key, x.route.Resumable)
 				x.o.Stats.FirstByte(x.o.Now().Sub(x.arrived))
 			}
@@ -205,10 +209,7 @@
 			return "", nil
 		case err != nil:
 			rest := events.Rest()
-			x.logBreak(u, events.Count()-before, len(rest), err)
-			if x.in.Context().Err() == nil {
-				x.o.Leader.Crashed(x.fingerprint, x.sentTo, x.sentAt)
-			}
+			x.answerBroke(u, events.Count()-before, len(rest), err)
 			return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Incomplete, "the stream of %s broke off", u.ID).
 				WithCause(err)
 		}
--- a/internal/edge/node/crash_test.go
+++ b/internal/edge/node/crash_test.go
@@ -120,6 +120,28 @@
 	p.c.Check(statuses[taintedRequests-1], qt.Equals, http.StatusServiceUnavailable)
 }
 
+func TestLostAnswersOfLiveEnginesBlockNoPart(t *testing.T) {
+	w := newTestbed(t)
+	w.configure()
+	for i := range 3 {
+		w.startUpstream("engines", &cloud.Upstream{ID: fmt.Sprintf("engine-%d", i), Events: 1,
+			Intercept: func(_ http.ResponseWriter, r *http.Request, _ int) bool {
+				if strings.Contains(r.Header.Get("Prompt-Prefix"), "unlucky:") {
+					panic(http.ErrAbortHandler)
+				}
+				return false
+			}})
+	}
+	p := &fragileEngines{testbed: w}
+	e := w.startEntry("entry-1")
+	w.waitReady(e, http.StatusOK)
+	w.eventually(func() bool { return p.prompt(e, "warm", "sys").status == http.StatusOK })
+	for i := range 8 {
+		got := p.prompt(e, fmt.Sprintf("id-%d", i), "sys", "unlucky")
+		w.c.Check(got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("all engines are still up"))
+	}
+}
+
 func TestAStreamThatEndsInsideAnEventLooksIncomplete(t *testing.T) {
 	const unframed = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nResponse-Stamp: s\r\nRequest-Id: %s\r\n\r\n%s"
 	for name, body := range map[string]string{
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
+	"github.com/ragworthatch/ragworthatch/internal/edge/verify"
 	"github.com/ragworthatch/ragworthatch/internal/edge/wakeup"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
@@ -41,6 +42,7 @@
 	storeDialTimeout    = 1 * time.Second
 	storeIdleTimeout    = 20 * time.Second
 	storeUserTimeout    = 2 * time.Second        // TCP_USER_TIMEOUT towards the store
+	verifyDialTimeout   = 1 * time.Second        // to an upstream that may have crashed
 	serveAfterTerm      = 3 * time.Second        // the balancer may still send new connections this long after SIGTERM
 	exitMargin          = 300 * time.Millisecond // before the end of the grace period, the process exits
 	refuseMargin        = 700 * time.Millisecond // before that end, requests without a decision are refused
@@ -59,6 +61,7 @@
 
 	budget   *resend.Budget
 	crash    *crash.Tracker
+	verify   *verify.Verifier
 	meter    *meter.Meter
 	stats    *stats.Stats
 	log      *zap.Logger
@@ -106,7 +109,11 @@
 		AwaitsLeader: func() bool { return n.link.DefersReads() },
 		Now:          time.Now, Log: log.Named("watch"),
 	})
-	n.crash = crash.New(time.Now)
+	n.crash = crash.New(crash.Options{Now: time.Now, Leads: func() bool { return n.link.Leads() }})
+	n.verify = verify.New(verify.Options{
+		Dial: sock.Dialer(verifyDialTimeout, verifyDialTimeout).DialContext, Hosts: n.watch.Hosts,
+		Report: func(r crash.Report) { n.link.Crashed(r) }, Now: time.Now, Log: log.Named("verify"),
+	})
 	n.picker = balance.New(time.Now)
 	n.lead = lead.New(lead.Options{
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Notices: n.notices, Stats: n.stats,
@@ -126,7 +133,7 @@
 	})
 	n.link = link.New(link.Options{
 		Self: s.Name, Local: n.lead, Members: n.registry.Members, MemberCount: n.registry.Size, MembersRead: n.registry.HasRead,
-		Leaving: n.leaving.Load, SetBlocked: n.crash.Block,
+		Leaving: n.leaving.Load, Crash: n.crash,
 		Confirm: n.watch.Confirm, AdoptRules: n.watch.Adopt, LacksRules: n.watch.ShouldPull, Notices: n.notices.Notices,
 		ConfirmMembers: n.registry.Confirm,
 		RulesVersion:   func() int64 { return n.watch.Rules().Version() }, Now: time.Now, Log: log.Named("link"),
@@ -143,8 +150,8 @@
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Leader: n.link, Client: n.client, Picker: n.picker, Notices: n.notices,
 		Budget:   n.budget,
 		Stats:    n.stats,
-		Blocked:  n.crash.BlockedFor,
-		Served:   n.crash.ObserveAnswer,
+		Crash:    n.crash,
+		Verify:   n.verify,
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Ending: n.ending, Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
@@ -227,7 +234,7 @@
 	}
 	server := grpc.NewServer(serve.Recover(n.log.Named("serve"))...)
 	cellpb.RegisterCellServer(server, serve.New(serve.Options{
-		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Blocked: n.crash.BlockedFingerprints,
+		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash,
 		Hosts: n.watch.SharedHosts,
 		Rules: n.sharedRules, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
@@ -320,6 +327,7 @@
 			return
 		case <-ticker.C:
 			n.client.Sweep()
+			n.verify.Check()
 			n.picker.Forget(n.watch.Hosts())
 			n.notices.Forget(n.watch.Hosts())
 		}
--- a/internal/leader/lead/dispatcher.go
+++ b/internal/leader/lead/dispatcher.go
@@ -6,6 +6,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 )
 
 // Order is a request that needs stages, an engine, or both.
@@ -50,9 +51,8 @@
 	FirstByte(id string, keep bool)
 	// Ended reports that the request is over; failed means that its engine failed.
 	Ended(id, engine string, failed bool)
-	// Crashed reports that an upstream process crashed while it ran a request with this fingerprint, which was sent at
-	// the given time.
-	Crashed(fingerprint uint64, lifetime string, sent time.Time)
+	// Crashed reports a request under which an upstream crashed.
+	Crashed(r crash.Report)
 	// UpstreamNotice reports what an upstream told an entry.
 	UpstreamNotice(entry string, n notices.Notice)
 	// Served reports that an upstream answered a request with this fingerprint.
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -74,6 +74,8 @@
 	order Order
 	reply func(Decision) // nil once called
 	grant sched.Grant    // set once its stages are done
+	parts []string       // of its prompt, which other requests may share
+	trial bool           // its parts are blocked, and it is let through to see whether it still crashes an engine
 }
 
 // Coordinator is the Decider of this process: it schedules the stages of orders and picks their engines.
@@ -164,6 +166,7 @@
 		}
 		c.withRecovery(func() {
 			c.refreshConfig()
+			c.judge()
 			c.execute(c.scheduler.Schedule(now), now)
 		})
 		next = now.Add(stepBackoff * c.opts.Now().Sub(now))
@@ -243,6 +246,16 @@
 func (c *Coordinator) Submit(o Order, reply func(Decision)) {
 	c.inbox <- func(now time.Time) {
 		c.refreshConfig()
+		c.judge()
+		parts := crash.PartsOf(o.Engine.Model, o.Engine.Prefix)
+		wait, trial := c.opts.Crash.Admit(o.Fingerprint, parts)
+		if wait > 0 {
+			reply(Decision{Refused: sched.Quarantined, RetryAfter: wait})
+			return
+		}
+		if trial {
+			c.opts.Log.Info("trial of blocked prompt parts", zap.String("request", o.Job.RequestID), zap.Strings("parts", parts))
+		}
 		if waited := c.firstVisits.Record(o.Fingerprint, o.Job.Arrived, o.Job.Deadline); waited > 0 {
 			o.Job.Target = o.Job.Target.Add(-waited)
 			c.opts.Log.Info("caller comes back", zap.String("request", o.Job.RequestID), zap.Duration("waited", waited))
@@ -255,7 +268,7 @@
 		if o.Job.ReadsLargeResults() {
 			o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
 		}
-		c.orders[o.Job.ID] = &openOrder{order: o, reply: reply}
+		c.orders[o.Job.ID] = &openOrder{order: o, reply: reply, parts: parts, trial: trial}
 		c.scheduler.Submit(o.Job, now)
 	}
 }
@@ -297,6 +310,11 @@
 func (c *Coordinator) FirstByte(id string, keep bool) {
 	c.inbox <- func(now time.Time) {
 		c.placer.FirstByte(id, now)
+		if o := c.orders[id]; o != nil {
+			for _, b := range c.opts.Crash.ObserveBegun(o.parts) {
+				c.opts.Log.Info("prompt parts are no longer blocked, an answer has begun on them", zap.Strings("parts", b.Parts))
+			}
+		}
 		if keep {
 			return
 		}
@@ -318,21 +336,43 @@
 }
 
 // Crashed counts a crash of an upstream under a request.
-func (c *Coordinator) Crashed(fingerprint uint64, lifetime string, sent time.Time) {
-	blocked := c.opts.Crash.ObserveCrash(fingerprint, lifetime, sent)
+func (c *Coordinator) Crashed(r crash.Report) {
+	blocked := c.opts.Crash.ObserveCrash(r)
 	result := "counted"
 	if blocked {
 		result = "blocked"
 	}
 	c.opts.Stats.CrashReport(result)
-	c.opts.Log.Info("crash reported", zap.Uint64("fingerprint", fingerprint), zap.String("lifetime", lifetime),
-		zap.String("result", result))
+	c.opts.Log.Info("crash reported", zap.Uint64("fingerprint", r.Fingerprint), zap.String("lifetime", r.Lifetime),
+		zap.Strings("parts", r.Parts), zap.Bool("begun", r.Begun), zap.String("result", result))
 	if blocked {
 		c.opts.Log.Warn("requests with this fingerprint break down upstreams, they are refused for a while",
-			zap.Uint64("fingerprint", fingerprint))
+			zap.Uint64("fingerprint", r.Fingerprint))
 	}
 }
 
+// judge blocks prompt parts that are to blame for crashes, and refuses the orders with them that are undecided.
+func (c *Coordinator) judge() {
+	for _, b := range c.opts.Crash.Judge() {
+		c.opts.Stats.CrashReport("partBlocked")
+		c.opts.Log.Warn("requests with these prompt parts crash upstreams, they are refused", zap.Strings("parts", b.Parts),
+			zap.Time("until", b.Until))
+		for id, o := range c.orders {
+			if wait := c.blockedFor(o); wait > 0 && o.reply != nil {
+				c.sendDecision(id, o, Decision{Refused: sched.Quarantined, RetryAfter: wait})
+			}
+		}
+	}
+}
+
+// blockedFor returns how long requests like this one are refused; 0 if they are not, or if this one is a trial.
+func (c *Coordinator) blockedFor(o *openOrder) time.Duration {
+	if o.trial {
+		return 0
+	}
+	return c.opts.Crash.BlockedFor(o.order.Fingerprint, o.parts)
+}
+
 // UpstreamNotice applies what an upstream told an entry.
 func (c *Coordinator) UpstreamNotice(entry string, n notices.Notice) {
 	c.opts.Notices.AddRemote(n)
@@ -367,6 +407,10 @@
 // pickEngine picks the engine of a request whose stages are done.
 func (c *Coordinator) pickEngine(o *openOrder, now time.Time) {
 	id := o.order.Job.ID
+	if wait := c.blockedFor(o); wait > 0 {
+		c.sendDecision(id, o, Decision{Refused: sched.Quarantined, RetryAfter: wait})
+		return
+	}
 	up, ok := c.placer.Pick(o.order.Engine, c.hosts, c.engineSpec(o.order.Engine.Pool), now)
 	if !ok {
 		c.sendDecision(id, o, c.refuseNoEngine(o.order.Engine, now))
--- a/internal/leader/lead/lead_test.go
+++ b/internal/leader/lead/lead_test.go
@@ -15,6 +15,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 )
 
 // startCoordinator runs a coordinator with one engine until the test ends.
@@ -25,6 +26,7 @@
 	l := lead.New(lead.Options{
 		Rules: func() *rule.Rules { return rules }, Hosts: func() *hosts.Table { return table }, Now: time.Now,
 		Log:     zap.NewNop(),
+		Crash:   crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true }}),
 		Notices: notices.New(notices.Options{Now: time.Now, Log: zap.NewNop()}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -57,10 +58,10 @@
 type Options struct {
 	Self        string // host name of this entry
 	Local       lead.Decider
-	Members     func() []registry.Member    // known members, best candidate first
-	MemberCount func() int                  // number of all members
-	MembersRead func() bool                 // the members were read, so Members includes a leader that exists
-	SetBlocked  func(fingerprints []uint64) // sets those of requests that crash upstreams, as found by the leader
+	Members     func() []registry.Member // known members, best candidate first
+	MemberCount func() int               // number of all members
+	MembersRead func() bool              // the members were read, so Members includes a leader that exists
+	Crash       *crash.Tracker           // takes on what the leader knows of crashes
 	// Confirm applies what the leader has read from the store: the version of the configuration, and the upstreams.
 	Confirm        func(rules watch.Revision, table *hosts.Table)
 	ConfirmMembers func(registry.View) // applies what the leader has read of the members
@@ -605,11 +606,9 @@
 }
 
 // Crashed tells the leader of a crash, as the leader counts the crashes that all entries see.
-func (l *Link) Crashed(fingerprint uint64, lifetime string, sent time.Time) {
-	l.opts.Local.Crashed(fingerprint, lifetime, sent)
-	l.sendToLeader(&cellpb.ToLead{Body: &cellpb.ToLead_Crashed{Crashed: &cellpb.Crashed{
-		Fingerprint: fingerprint, Lifetime: lifetime, AgeUs: l.opts.Now().Sub(sent).Microseconds(),
-	}}})
+func (l *Link) Crashed(r crash.Report) {
+	l.opts.Local.Crashed(r)
+	l.sendToLeader(&cellpb.ToLead{Body: &cellpb.ToLead_Crashed{Crashed: cellpb.CrashedOf(r, l.opts.Now())}})
 }
 
 // Served tells the leader that a request was answered under which an upstream crashed before.
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -25,6 +25,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -64,7 +65,7 @@
 	d.replies[id](lead.Decision{Moved: true, Progress: []sched.Progress{{Done: true,
 		Results: []sched.HeldResult{{Handle: "h", Producer: "m", ExpiresIn: time.Second}}}}})
 }
-func (d *fakeDispatcher) Crashed(uint64, string, time.Time)     {}
+func (d *fakeDispatcher) Crashed(crash.Report)                  {}
 func (d *fakeDispatcher) Served(uint64)                         {}
 func (d *fakeDispatcher) UpstreamNotice(string, notices.Notice) {}
 func (d *fakeDispatcher) Ended(id, _ string, _ bool) {
@@ -101,6 +102,11 @@
 }
 
 // newPeer serves a dispatcher.
+// newTracker returns a tracker of a process that leads.
+func newTracker() *crash.Tracker {
+	return crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true }})
+}
+
 func newPeer(c *qt.C, host string, dispatcher lead.Decider) *peer {
 	listener, err := ports.Listen()
 	c.Assert(err, qt.IsNil)
@@ -114,7 +120,8 @@
 			}
 			return registry.Member{}, false
 		},
-		Blocked: func() []uint64 { return nil }, Rules: func() serve.Rules { return serve.Rules{} },
+		Crash: newTracker(),
+		Rules: func() serve.Rules { return serve.Rules{} },
 		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) },
 		Crew:  func() registry.View { return registry.View{} }, Now: time.Now, Log: log,
 	}))
@@ -151,7 +158,7 @@
 func newLink(local lead.Decider, members func() []registry.Member, membersRead func() bool) *link.Link {
 	return link.New(link.Options{
 		Self: "self", Local: local, Members: members, MembersRead: membersRead, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, SetBlocked: func([]uint64) {}, AdoptRules: func(int64, []byte) {},
+		Leaving: func() bool { return false }, Crash: newTracker(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 },
@@ -387,7 +394,7 @@
 		Self: "self", Local: newFake("local", false),
 		Members:     func() []registry.Member { return []registry.Member{p.Member} },
 		MembersRead: func() bool { return false }, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, SetBlocked: func([]uint64) {}, AdoptRules: func(int64, []byte) {},
+		Leaving: func() bool { return false }, Crash: newTracker(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 },
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -58,7 +58,6 @@
 	replaced      atomic.Bool                 // another member has become the leader since
 	replacedAt    time.Time                   // used by Link.Run's goroutine only
 	now           func() time.Time
-	setBlocked    func([]uint64)
 	opts          Options
 	fetchingRules atomic.Bool // the leader's configuration is being fetched
 	fetchingHosts atomic.Bool // the leader's list is being fetched
@@ -98,9 +97,10 @@
 	}
 	s := &session{
 		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), startedAt: o.Now(),
-		now: o.Now, firstPong: make(chan *cellpb.Pong, 1), setBlocked: o.SetBlocked, opts: o,
+		now: o.Now, firstPong: make(chan *cellpb.Pong, 1), opts: o,
 	}
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: o.Self}}})
+	s.postCrashes() // before the first ping, so that each pong takes it into account
 	go s.sendAll(ctx, stream)
 	go s.receiveAll(stream, decided)
 	return s, nil
@@ -144,7 +144,10 @@
 			case s.firstPong <- body.Pong:
 			default:
 			}
-			s.setBlocked(body.Pong.Blocked)
+			s.opts.Crash.Block(body.Pong.Blocked)
+			if !s.replaced.Load() && !body.Pong.Follows {
+				s.opts.Crash.SetBlocks(cellpb.CrashBlocks(body.Pong.Blocks, s.now()))
+			}
 			if !s.replaced.Load() {
 				s.applyPong(body.Pong)
 			}
@@ -155,6 +158,8 @@
 					zap.String("member", s.member.Host), zap.Int64("base", body.Hosts.Base))
 			}
 			s.hosts.Store(next)
+		case *cellpb.ToEntry_Crashes:
+			s.opts.Crash.Merge(body.Crashes.Changes(s.now()))
 		case *cellpb.ToEntry_Crew:
 			s.members = &registry.View{Size: int(body.Crew.Size)}
 			for _, m := range body.Crew.First {
@@ -327,6 +332,20 @@
 	}
 }
 
+// postCrashes tells a new leader what it may not know of crashes.
+func (s *session) postCrashes() {
+	reports, blocks := s.opts.Crash.OwnReports(), s.opts.Crash.Blocks()
+	if len(reports)+len(blocks) == 0 {
+		return
+	}
+	now := s.now()
+	m := &cellpb.Crashes{Blocks: cellpb.BlocksOf(blocks, now)}
+	for _, r := range reports {
+		m.Crashed = append(m.Crashed, cellpb.CrashedOf(r, now))
+	}
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Crashes{Crashes: m}})
+}
+
 func (s *session) ping() {
 	s.pingedAt.Store(int64(s.now().Sub(s.startedAt)))
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: &cellpb.Ping{Sequence: s.sequence.Add(1)}}})
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -77,6 +77,7 @@
 	NoUpstreams Reason = "noUpstreams" // a pool has no ready upstream
 	Failing     Reason = "failing"     // its calls failed or its results were lost too often
 	Paused      Reason = "paused"      // all engines have paused requests from its entry
+	Quarantined Reason = "quarantined" // requests like it crash upstreams
 )
 
 // Refusal reports that a job will not run.
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -16,6 +16,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -32,7 +33,7 @@
 	leaving    func() bool
 	leader     func() (registry.Member, bool)
 	born       int64
-	blocked    func() []uint64
+	crash      *crash.Tracker
 	rules      func() Rules
 	hosts      func() *hosts.Table
 	members    func() registry.View
@@ -59,7 +60,7 @@
 	Born       int64                          // Unix ms of the start of this process, as in its member record
 	Leaving    func() bool                    // this process is shutting down
 	Leader     func() (registry.Member, bool) // the leader that this process follows, if any
-	Blocked    func() []uint64                // fingerprints of requests that crash upstreams
+	Crash      *crash.Tracker
 	Rules      func() Rules
 	Hosts      func() *hosts.Table
 	Crew       func() registry.View // the members, as other entries may rely on them
@@ -70,7 +71,7 @@
 // New returns a server that passes the orders of other entries to o.Dispatcher.
 func New(o Options) *Server {
 	return &Server{
-		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, blocked: o.Blocked, rules: o.Rules,
+		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, rules: o.Rules,
 		hosts: o.Hosts, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
@@ -82,6 +83,7 @@
 	entry       string        // host name; entry, sentTable and sentMembers are used by the receiving goroutine only
 	sentTable   *hosts.Table  // list of upstreams that the entry has; nil if none
 	sentMembers registry.View // members that the entry was sent
+	sentChanges int64         // number of the last change of crashes that the entry was sent
 	mu          sync.Mutex
 	open        map[string]bool // IDs of requests that have not ended
 }
@@ -140,8 +142,13 @@
 		ses.untrack(body.Ended.Id)
 		ses.dispatcher.Ended(body.Ended.Id, body.Ended.Engine, body.Ended.Failed)
 	case *cellpb.ToLead_Crashed:
-		ses.dispatcher.Crashed(body.Crashed.Fingerprint, body.Crashed.Lifetime,
-			ses.now().Add(-time.Duration(body.Crashed.AgeUs)*time.Microsecond))
+		ses.dispatcher.Crashed(body.Crashed.Report(ses.now()))
+	case *cellpb.ToLead_Crashes:
+		now := ses.now()
+		ses.crash.AddBlocks(cellpb.CrashBlocks(body.Crashes.Blocks, now))
+		for _, r := range body.Crashes.Crashed {
+			ses.dispatcher.Crashed(r.Report(now))
+		}
 	case *cellpb.ToLead_Served:
 		ses.dispatcher.Served(body.Served.Fingerprint)
 	case *cellpb.ToLead_Notice:
@@ -174,9 +181,13 @@
 		ses.sentMembers = view
 	}
 	now := ses.now()
+	if sequence > 1 {
+		ses.postCrashes(now)
+	}
 	rules := ses.rules()
 	pong := &cellpb.Pong{
-		Sequence: sequence, Born: ses.born, Leaving: ses.leaving(), Blocked: ses.blocked(),
+		Sequence: sequence, Born: ses.born, Leaving: ses.leaving(), Blocked: ses.crash.BlockedFingerprints(),
+		Blocks:       cellpb.BlocksOf(ses.crash.Blocks(), now),
 		RulesVersion: rules.Version, RulesAgeUs: now.Sub(rules.Read).Microseconds(), RulesOffset: rules.Offset,
 		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
 		CrewAgeUs: now.Sub(view.Read).Microseconds(),
@@ -190,6 +201,14 @@
 	ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Pong{Pong: pong}})
 }
 
+// postCrashes sends the entry what was learned of crashes.
+func (ses *session) postCrashes(now time.Time) {
+	changes, last := ses.crash.Changes(ses.sentChanges)
+	if len(changes) == 0 || ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Crashes{Crashes: cellpb.CrashesOf(changes, now)}}) {
+		ses.sentChanges = last
+	}
+}
+
 func memberMessage(m registry.Member) *cellpb.Member {
 	return &cellpb.Member{Host: m.Host, Address: m.Address, Born: m.Born, Cores: m.Cores}
 }
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -32,17 +33,23 @@
 func (nopDispatcher) Retry(string, string, lead.Problem, func(lead.Decision)) {}
 func (nopDispatcher) FirstByte(string, bool)                                  {}
 func (nopDispatcher) Ended(string, string, bool)                              {}
-func (nopDispatcher) Crashed(uint64, string, time.Time)                       {}
+func (nopDispatcher) Crashed(crash.Report)                                    {}
 func (nopDispatcher) UpstreamNotice(string, notices.Notice)                   {}
 func (nopDispatcher) Served(uint64)                                           {}
 func (nopDispatcher) Recall(string)                                           {}
 
+// newTracker returns a tracker of a process that leads.
+func newTracker() *crash.Tracker {
+	return crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true }})
+}
+
 // newSession returns a session without a connection, in a fleet of 300 entries.
 func newSession(dispatcher lead.Decider, rules func() Rules, list func() *hosts.Table) *session {
 	s := New(Options{
 		Dispatcher: dispatcher, Leaving: func() bool { return false },
-		Leader:  func() (registry.Member, bool) { return registry.Member{}, false },
-		Blocked: func() []uint64 { return nil }, Rules: rules, Hosts: list,
+		Leader: func() (registry.Member, bool) { return registry.Member{}, false },
+		Crash:  newTracker(),
+		Rules:  rules, Hosts: list,
 		Crew: func() registry.View { return registry.View{Candidates: []registry.Member{{Host: "a"}}, Size: 300} },
 		Now:  time.Now, Log: zap.NewNop(),
 	})
--- a/internal/limit/crash/tracker.go
+++ b/internal/limit/crash/tracker.go
@@ -1,107 +1,425 @@
 package crash
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	crashesToBlock = 2                // crashes with the same fingerprint
-	crashWindow    = 60 * time.Second // crashes further apart do not add up
-	blockDuration  = 30 * time.Second // after the last crash
-	maxEntries     = 4096             // fingerprints
-	maxListed      = 64               // blocked fingerprints shared with other processes
+	crashesToBlock      = 2 // under the same whole request
+	crashesToBlockPart  = 3 // under different requests with a part on which no answer has begun lately
+	crashesToBlockKnown = 5 // the same for a part on which answers have begun
+
+	crashWindow   = 60 * time.Second       // crashes under the same request that are further apart do not add up
+	partWindow    = 10 * time.Minute       // the same for crashes under requests with the same part
+	settleTime    = 100 * time.Millisecond // for all entries to report a crash
+	blockDuration = 30 * time.Second       // from a crash; doubles for parts with each failed trial
+	maxPause      = time.Hour              // from a failed trial to the next one
+	trialTimeout  = 10 * time.Second       // without a result, after which there is another trial
+
+	maxReports = 2048
+	maxKnown   = 8192 // parts on which answers have begun
+	maxListed  = 64   // blocked fingerprints that other processes hear of, and blocks of parts
 )
 
-// entry holds the crashes of one fingerprint.
-type entry struct {
-	crashes      int
-	lifetime     string    // of the upstream in the last crash
-	last         time.Time // time of the last crash
-	blockedUntil time.Time
+// Options are the dependencies of a Tracker.
+type Options struct {
+	Now func() time.Time
+	// Leads reports whether this process hears the crashes and answers of all entries, so that it may blame requests.
+	Leads func() bool
 }
 
-// Tracker counts crashes by fingerprint; it is safe for concurrent use.
+// Tracker finds what the requests under which upstreams crash have in common: the whole request, or parts of its
+// prompt. It is safe for concurrent use.
 type Tracker struct {
-	now     func() time.Time
-	mu      sync.Mutex
-	entries map[uint64]entry
+	opts Options
+
+	mu            sync.Mutex
+	reports       []Report // in the order of their arrival
+	byFingerprint map[uint64][]Report
+	byPart        map[string][]Report // without those whose answers had begun
+	byLifetime    map[string][]Report
+	answered      map[uint64]time.Time // last whole answer, of requests with reports
+	begun         map[string]time.Time // last answer that began on a part
+	blockedUntil  map[uint64]time.Time // by fingerprint
+	blocks        []Block
+	unjudged      map[string]time.Time // parts with new reports, and when to judge them
+	changes       changeLog
 }
 
 // New returns a tracker without crashes.
-func New(now func() time.Time) *Tracker { return &Tracker{now: now, entries: map[uint64]entry{}} }
+func New(o Options) *Tracker {
+	return &Tracker{
+		opts: o, byFingerprint: map[uint64][]Report{}, byPart: map[string][]Report{}, byLifetime: map[string][]Report{},
+		answered: map[uint64]time.Time{}, begun: map[string]time.Time{}, blockedUntil: map[uint64]time.Time{},
+		unjudged: map[string]time.Time{},
+	}
+}
+
+// ObserveCrash counts a crash of an upstream while it ran a request, and reports whether the request is blocked by its
+// fingerprint. Each lifetime counts once for a request or part, and requests that were sent before the crash counted
+// last don't count, as they may have failed for the same cause.
+func (t *Tracker) ObserveCrash(r Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	if t.add(r, now) {
+		t.extendBlocks(r, now)
+		if t.opts.Leads() && len(t.fingerprintCrashes(r.Fingerprint, now)) >= crashesToBlock {
+			t.blockedUntil[r.Fingerprint] = now.Add(blockDuration)
+		}
+	}
+	return now.Before(t.blockedUntil[r.Fingerprint])
+}
+
+// add stores a report, and reports whether it is new.
+func (t *Tracker) add(r Report, now time.Time) bool {
+	if slices.ContainsFunc(t.byLifetime[r.Lifetime], func(k Report) bool { return k.Fingerprint == r.Fingerprint }) {
+		return false
+	}
+	for len(t.reports) >= maxReports || len(t.reports) > 0 && now.Sub(t.reports[0].Broke) > partWindow {
+		t.dropOldest()
+	}
+	r.heard, r.Parts = now, r.Parts[:min(len(r.Parts), maxParts)]
+	t.changes.add(Change{Report: &r})
+	t.reports = append(t.reports, r)
+	t.byFingerprint[r.Fingerprint] = insert(t.byFingerprint[r.Fingerprint], r)
+	t.byLifetime[r.Lifetime] = append(t.byLifetime[r.Lifetime], r)
+	if r.Begun {
+		return true
+	}
+	judgeAt := t.byLifetime[r.Lifetime][0].heard.Add(settleTime)
+	for _, p := range r.Parts {
+		t.byPart[p] = insert(t.byPart[p], r)
+		t.unjudged[p] = judgeAt
+	}
+	return true
+}
+
+// insert adds a report to a list that is sorted by the time of the crash.
+func insert(list []Report, r Report) []Report {
+	at := len(list)
+	for at > 0 && r.Broke.Before(list[at-1].Broke) {
+		at--
+	}
+	return slices.Insert(list, at, r)
+}
+
+// dropOldest forgets the report that arrived first.
+func (t *Tracker) dropOldest() {
+	r := t.reports[0]
+	t.reports = t.reports[1:]
+	drop(t.byLifetime, r.Lifetime, r)
+	drop(t.byFingerprint, r.Fingerprint, r)
+	if len(t.byFingerprint[r.Fingerprint]) == 0 {
+		delete(t.answered, r.Fingerprint)
+	}
+	for _, p := range r.Parts {
+		drop(t.byPart, p, r)
+		if len(t.byPart[p]) == 0 {
+			delete(t.unjudged, p)
+		}
+	}
+}
+
+// drop removes a report from the list of a key.
+func drop[K comparable](lists map[K][]Report, key K, r Report) {
+	lists[key] = slices.DeleteFunc(lists[key], func(k Report) bool {
+		return k.Fingerprint == r.Fingerprint && k.Lifetime == r.Lifetime
+	})
+	if len(lists[key]) == 0 {
+		delete(lists, key)
+	}
+}
+
+// sequence returns the reports that prove crashes one after the other: each request was sent after the crash before.
+// isRepeat says whether a report adds nothing to another one.
+func sequence(list []Report, counts func(Report) bool, isRepeat func(a, b Report) bool) []Report {
+	var out []Report
+	for _, r := range list {
+		if !counts(r) || (len(out) > 0 && !r.Sent.After(out[len(out)-1].Broke)) {
+			continue
+		}
+		if !slices.ContainsFunc(out, func(k Report) bool { return isRepeat(k, r) }) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// fingerprintCrashes returns the crashes for which a whole request may be to blame.
+func (t *Tracker) fingerprintCrashes(fingerprint uint64, now time.Time) []Report {
+	answered := t.answered[fingerprint]
+	return sequence(t.byFingerprint[fingerprint], func(r Report) bool {
+		return !r.Broke.Before(answered) && now.Sub(r.Broke) <= crashWindow && !t.isExplained(r.Lifetime)
+	}, func(a, b Report) bool { return a.Lifetime == b.Lifetime })
+}
 
-// ObserveCrash counts a crash of an upstream while it ran a request, and reports whether the fingerprint is blocked.
-// The lifetime of the last counted crash is not counted twice, and requests sent before that crash are not counted, as
-// they may have failed for the same cause.
-func (t *Tracker) ObserveCrash(fingerprint uint64, lifetime string, sent time.Time) bool {
+// partCrashes returns the crashes for which a part may be to blame: under requests that differ, since an answer last
+// began on the part.
+func (t *Tracker) partCrashes(part string) []Report {
+	begun := t.begun[part]
+	return sequence(t.byPart[part], func(r Report) bool {
+		return r.Broke.After(begun) && !t.isExplained(r.Lifetime)
+	}, func(a, b Report) bool { return a.Lifetime == b.Lifetime || a.Fingerprint == b.Fingerprint })
+}
+
+// isExplained reports whether a request that is blocked for its parts was in flight when a lifetime ended.
+func (t *Tracker) isExplained(lifetime string) bool {
+	return slices.ContainsFunc(t.byLifetime[lifetime], func(r Report) bool {
+		return !r.Begun && slices.ContainsFunc(t.blocks, func(b Block) bool { return b.covers(r.Parts) })
+	})
+}
+
+// suspect is a part with enough crashes to be blocked.
+type suspect struct {
+	block   Block
+	crashes int
+	excess  int // crashes beyond the number that is needed
+}
+
+// Judge blocks parts that have come under suspicion, and returns the new blocks. Of several suspects the one with most
+// evidence is blocked first, as the others may only have been beside it; two that are alike wait for one more crash.
+func (t *Tracker) Judge() []Block {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
-	e := t.entries[fingerprint]
-	if now.Sub(e.last) > crashWindow {
-		e = entry{}
+	if len(t.unjudged) == 0 || !t.opts.Leads() {
+		return nil
 	}
-	if e.crashes > 0 && (e.lifetime == lifetime || !sent.After(e.last)) {
-		return now.Before(e.blockedUntil)
+	now := t.opts.Now()
+	var due []string
+	for p, at := range t.unjudged {
+		if !now.Before(at) {
+			due = append(due, p)
+			delete(t.unjudged, p)
+		}
 	}
-	e.lifetime = lifetime
-	e.crashes++
-	e.last = now
-	if e.crashes >= crashesToBlock {
-		e.blockedUntil = now.Add(blockDuration)
+	slices.Sort(due)
+	var made []Block
+	for range due {
+		best, found := t.mostSuspect(due, now)
+		if !found {
+			break
+		}
+		t.setBlock(best)
+		made = append(made, best)
 	}
-	t.put(fingerprint, e, now)
-	return e.crashes >= crashesToBlock
+	return made
 }
 
-// ObserveAnswer forgets the crashes of a fingerprint that is not blocked, as a request that crashes upstreams is never
-// answered. It reports whether there were any.
+// mostSuspect returns the block for the most suspect of the parts, if there is one.
+func (t *Tracker) mostSuspect(parts []string, now time.Time) (Block, bool) {
+	var best suspect
+	tie := false
+	for _, p := range parts {
+		s, ok := t.suspicion(p, now)
+		switch {
+		case !ok:
+		case best.crashes == 0 || s.excess > best.excess || s.excess == best.excess && s.crashes > best.crashes:
+			best, tie = s, false
+		case s.excess == best.excess && s.crashes == best.crashes && !slices.Equal(s.block.Parts, best.block.Parts):
+			tie = true
+		}
+	}
+	return best.block, best.crashes > 0 && (!tie || best.excess > 0)
+}
+
+// suspicion returns what speaks against a part, if that is enough to block it. The block also names the parts that
+// were there at each of the crashes, so that it refuses no request without them; it shrinks once answers begin on them.
+func (t *Tracker) suspicion(part string, now time.Time) (suspect, bool) {
+	needed := crashesToBlockPart
+	_, known := t.begun[part]
+	if known {
+		needed = crashesToBlockKnown
+	}
+	crashes := t.partCrashes(part)
+	if len(crashes) < needed {
+		return suspect{}, false
+	}
+	first := crashes[0].Broke
+	common := slices.DeleteFunc(slices.Clone(crashes[0].Parts), func(p string) bool {
+		begun, begunBefore := t.begun[p]
+		return begun.After(first) || begunBefore && !known
+	})
+	for _, r := range t.byPart[part] {
+		if !r.Broke.Before(first) {
+			common = slices.DeleteFunc(common, func(p string) bool { return !slices.Contains(r.Parts, p) })
+		}
+	}
+	slices.Sort(common)
+	b := Block{Parts: common, Made: now, Until: now.Add(blockDuration), Pause: blockDuration}
+	return suspect{block: b, crashes: len(crashes), excess: len(crashes) - needed}, true
+}
+
+// setBlock adds a block, in place of one of the same parts; the block that ends first makes room.
+func (t *Tracker) setBlock(b Block) {
+	t.blocks = slices.DeleteFunc(t.blocks, func(k Block) bool { return slices.Equal(k.Parts, b.Parts) })
+	if len(t.blocks) >= maxListed {
+		t.blocks = slices.Delete(t.blocks, 0, 1)
+	}
+	t.blocks = append(t.blocks, b)
+	slices.SortStableFunc(t.blocks, func(a, b Block) int { return a.Until.Compare(b.Until) })
+}
+
+// extendBlocks puts the next trial off after a crash under a blocked request, and makes the pauses longer if that was a
+// trial.
+func (t *Tracker) extendBlocks(r Report, now time.Time) {
+	if r.Begun {
+		return
+	}
+	for i, b := range t.blocks {
+		if !b.covers(r.Parts) {
+			continue
+		}
+		if !b.trialAt.IsZero() && !r.Sent.Before(b.trialAt) {
+			b.Pause, b.trialAt = min(2*b.Pause, maxPause), time.Time{}
+		}
+		if until := now.Add(b.Pause); until.After(b.Until) {
+			b.Until = until
+		}
+		t.blocks[i] = b
+	}
+}
+
+// Admit returns how long requests with this fingerprint or these parts are still refused; 0 admits this one. A trial is
+// a request that is admitted although its parts are blocked, to see whether they still crash upstreams.
+func (t *Tracker) Admit(fingerprint uint64, parts []string) (wait time.Duration, trial bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	if wait := t.blockedFor(fingerprint, parts, now); wait > 0 {
+		return wait, false
+	}
+	for i, b := range t.blocks {
+		if b.covers(parts) {
+			t.blocks[i].trialAt, t.blocks[i].Until, trial = now, now.Add(trialTimeout), true
+		}
+	}
+	return 0, trial
+}
+
+// BlockedFor returns how long requests with this fingerprint or these parts are still refused; 0 when they are not.
+func (t *Tracker) BlockedFor(fingerprint uint64, parts []string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.blockedFor(fingerprint, parts, t.opts.Now())
+}
+
+func (t *Tracker) blockedFor(fingerprint uint64, parts []string, now time.Time) time.Duration {
+	wait := max(0, t.blockedUntil[fingerprint].Sub(now))
+	for _, b := range t.blocks {
+		if b.covers(parts) {
+			wait = max(wait, b.Until.Sub(now))
+		}
+	}
+	return wait
+}
+
+// IsSuspect reports whether another request with one of these parts crashed another upstream, and no answer has begun
+// on that part since.
+func (t *Tracker) IsSuspect(r Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(r.Parts, func(p string) bool {
+		return slices.ContainsFunc(t.byPart[p], func(k Report) bool {
+			return k.Lifetime != r.Lifetime && k.Fingerprint != r.Fingerprint && k.Broke.After(t.begun[p])
+		})
+	})
+}
+
+// ObserveAnswer forgets the crashes under a request that is not blocked, as one that crashes upstreams is never
+// answered to the end. It reports whether there were any.
 func (t *Tracker) ObserveAnswer(fingerprint uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, known := t.entries[fingerprint]
-	if !known || t.now().Before(e.blockedUntil) {
+	now := t.opts.Now()
+	list := t.byFingerprint[fingerprint]
+	if len(list) == 0 || list[len(list)-1].Broke.Before(t.answered[fingerprint]) ||
+		now.Before(t.blockedUntil[fingerprint]) {
 		return false
 	}
-	delete(t.entries, fingerprint)
+	t.answered[fingerprint] = now
+	t.changes.add(Change{Answered: fingerprint, At: now})
 	return true
 }
 
-// Block blocks fingerprints that another process found.
-func (t *Tracker) Block(fingerprints []uint64) {
-	if len(fingerprints) == 0 {
-		return
-	}
+// ObserveBegun records that an answer has begun on a prompt with these parts, which are not to blame for the crashes
+// before. It returns the blocks that ended by that.
+func (t *Tracker) ObserveBegun(parts []string) []Block {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
-	for _, f := range fingerprints {
-		e := t.entries[f]
-		if now.Before(e.blockedUntil) {
-			continue
+	now := t.opts.Now()
+	for _, p := range parts {
+		if list := t.byPart[p]; len(list) > 0 && list[len(list)-1].Broke.After(t.begun[p]) {
+			t.changes.add(Change{Begun: p, At: now})
 		}
-		e.crashes, e.last, e.blockedUntil = crashesToBlock, now, now.Add(blockDuration)
-		t.put(f, e, now)
+		t.setBegun(p, now)
 	}
+	var ended []Block
+	t.blocks = slices.DeleteFunc(t.blocks, func(b Block) bool {
+		if b.covers(parts) {
+			ended = append(ended, b)
+			return true
+		}
+		return false
+	})
+	t.shrinkBlocks()
+	return ended
 }
 
-// BlockedFor returns how long requests with the fingerprint are still refused; 0 when they are not.
-func (t *Tracker) BlockedFor(fingerprint uint64) time.Duration {
+// setBegun notes the time of the last answer that began on a part.
+func (t *Tracker) setBegun(part string, at time.Time) {
+	if !at.After(t.begun[part]) {
+		return
+	}
+	if len(t.begun) >= maxKnown {
+		oldest := slices.Sorted(func(yield func(int64) bool) {
+			for _, at := range t.begun {
+				if !yield(at.UnixNano()) {
+					return
+				}
+			}
+		})[maxKnown/4]
+		maps.DeleteFunc(t.begun, func(_ string, at time.Time) bool { return at.UnixNano() <= oldest })
+	}
+	t.begun[part] = at
+}
+
+// shrinkBlocks takes the parts out of blocks on which answers have begun since, unless none would be left.
+func (t *Tracker) shrinkBlocks() {
+	for i, b := range t.blocks {
+		left := slices.DeleteFunc(slices.Clone(b.Parts), func(p string) bool { return t.begun[p].After(b.Made) })
+		if len(left) > 0 && len(left) < len(b.Parts) {
+			t.blocks[i].Parts = left
+		}
+	}
+}
+
+// Block blocks fingerprints that another process found.
+func (t *Tracker) Block(fingerprints []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(0, t.entries[fingerprint].blockedUntil.Sub(t.now()))
+	now := t.opts.Now()
+	for _, f := range fingerprints {
+		if !now.Before(t.blockedUntil[f]) {
+			t.blockedUntil[f] = now.Add(blockDuration)
+		}
+	}
+	if len(t.blockedUntil) > maxReports {
+		maps.DeleteFunc(t.blockedUntil, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+	}
 }
 
 // BlockedFingerprints returns up to 64 blocked fingerprints, sorted, for other processes.
 func (t *Tracker) BlockedFingerprints() []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
+	now := t.opts.Now()
 	var out []uint64
-	for f, e := range t.entries {
-		if now.Before(e.blockedUntil) && len(out) < maxListed {
+	for f, until := range t.blockedUntil {
+		if now.Before(until) && len(out) < maxListed {
 			out = append(out, f)
 		}
 	}
@@ -109,14 +427,29 @@
 	return out
 }
 
-// put stores an entry and evicts old ones when there are too many.
-func (t *Tracker) put(fingerprint uint64, e entry, now time.Time) {
-	if len(t.entries) >= maxEntries {
-		for f, old := range t.entries {
-			if now.Sub(old.last) > crashWindow || len(t.entries) > maxEntries/2 {
-				delete(t.entries, f)
-			}
+// Blocks returns the blocks of parts, for other processes and for operators.
+func (t *Tracker) Blocks() []Block {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.blocks)
+}
+
+// SetBlocks replaces the blocks by those of the leader.
+func (t *Tracker) SetBlocks(blocks []Block) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.blocks = slices.Clone(blocks)
+}
+
+// AddBlocks adds the blocks that an entry knows of, but for parts on which answers have begun since they were made.
+func (t *Tracker) AddBlocks(blocks []Block) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range blocks {
+		b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(p string) bool { return t.begun[p].After(b.Made) })
+		known := slices.ContainsFunc(t.blocks, func(k Block) bool { return isSubset(k.Parts, b.Parts) })
+		if len(b.Parts) > 0 && !known {
+			t.setBlock(b)
 		}
 	}
-	t.entries[fingerprint] = e
 }
