Keep blocked prompt parts in the store

After a restart of all entries the blocks were gone, and the same parts crashed engines until they were blocked anew. The leader now writes the blocks when they change and reads them when it begins to lead: one call at each.

TestBlockedPromptPartsOutliveARestartOfAllEntries failed before: the three requests after the restart got 502 and crashed engines; now 503, and sound requests are served.

--- a/internal/edge/node/crash_test.go
+++ b/internal/edge/node/crash_test.go
@@ -171,3 +171,24 @@
 			qt.Commentf("%s: %d %q", name, got.status, got.body))
 	}
 }
+
+func TestBlockedPromptPartsOutliveARestartOfAllEntries(t *testing.T) {
+	p := startFragile(t, 4, 2)
+	statuses := p.sendTainted(p.entries, func() {})
+	p.c.Assert(statuses[taintedRequests-1], qt.Equals, http.StatusServiceUnavailable)
+	time.Sleep(time.Second) // until the block is stored
+	before := len(p.crashes())
+	for _, e := range p.entries {
+		e.kill()
+	}
+	e := p.startEntry("entry-new")
+	p.waitReady(e, http.StatusOK)
+	p.eventually(func() bool { return p.prompt(e, "warm-new", "sys").status == http.StatusOK })
+	time.Sleep(time.Second) // until the entry leads and has read the store
+	for i := range 3 {
+		got := p.prompt(e, fmt.Sprintf("after-%d", i), "sys", "doc", "bad")
+		p.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	p.c.Check(len(p.crashes()), qt.Equals, before)
+	p.c.Check(p.prompt(e, "sound", "sys", "doc").status, qt.Equals, http.StatusOK)
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/wakeup"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/leader/ledger"
 	"github.com/ragworthatch/ragworthatch/internal/leader/link"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
@@ -70,6 +71,7 @@
 	lead     *lead.Coordinator
 	registry *registry.Registry
 	link     *link.Link
+	ledger   *ledger.Ledger
 	picker   *balance.Picker
 	notices  *notices.Record
 	front    *front.Front
@@ -138,6 +140,13 @@
 		ConfirmMembers: n.registry.Confirm,
 		RulesVersion:   func() int64 { return n.watch.Rules().Version() }, Now: time.Now, Log: log.Named("link"),
 	})
+	n.ledger = ledger.New(ledger.Options{
+		Store: store, Crash: n.crash, Now: time.Now, Log: log.Named("ledger"),
+		Leads: func() bool {
+			_, follows := n.link.Leader()
+			return !follows
+		},
+	})
 	n.budget = resend.New(s.RetryWindow, func() int { return max(assumedEntries, n.registry.Size()) }, time.Now)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
 	n.front = front.New(front.Options{
@@ -190,6 +199,7 @@
 	go n.lead.Run(ctx)
 	go n.registry.Run(ctx)
 	go n.link.Run(ctx)
+	go n.ledger.Run(ctx)
 	go n.sweep(ctx)
 	peers, err := n.servePeers(ctx)
 	if err != nil {
--- /dev/null
+++ b/internal/leader/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger keeps the blocked prompt parts in the platform's store, where they outlive all entries.
+package ledger
