Do not send a resumable stream again that may crash another engine

One request with a fatal part went on to engine after engine until its attempts or placements were used up: the retry was sent at once, before anybody had counted the crash. A request whose answer broke off before it began now waits, for 250 ms at most, until its engine was asked whether it runs. It is not sent again after two such breaks, nor if other requests with one of its parts crashed engines and no answer has begun on the part since. A stream that broke off later resumes at once, as before.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -109,8 +109,10 @@
 	sentTo     string    // ID and start time of the upstream of the last send
 	mayHaveRun bool      // an upstream may have run the request in one of the sends
 
-	fingerprint uint64   // see fingerprintOf
-	parts       []string // of the prompt, which other requests may share
+	fingerprint uint64          // see fingerprintOf
+	parts       []string        // of the prompt, which other requests may share
+	breaks      int             // sends that ended before their answer began
+	checked     <-chan struct{} // closed when the upstream of the last of them has been asked whether it runs
 }
 
 // ServeHTTP handles one request of a caller.
@@ -369,7 +371,11 @@
 		zap.String("upstream", u.ID), zap.Int("events", events), zap.Int("rest", rest), zap.Strings("parts", parts),
 		zap.Uint64("fingerprint", x.fingerprint), zap.Bool("callerLeft", x.in.Context().Err() != nil), zap.Error(cause))
 	if x.in.Context().Err() == nil {
-		x.o.Verify.AnswerBroke(u, x.crashReport(events > 0))
+		checked := x.o.Verify.AnswerBroke(u, x.crashReport(events > 0))
+		if events == 0 {
+			x.breaks++
+			x.checked = checked
+		}
 	}
 }
 
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,7 +18,11 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
-const maxPlacements = 4 // engines tried before the request fails
+const (
+	maxPlacements = 4 // engines tried before the request fails
+	maxBreaks     = 2 // sends that end before their answer begins
+	checkWait     = 250 * time.Millisecond
+)
 
 // runPlaced has the leader run the stages of a request and pick an engine, and sends the request there.
 func (x *exchange) runPlaced() *fault.Error {
@@ -70,7 +75,28 @@
 	if !x.route.Resumable || (x.out.Started() && events.LastID() == "") {
 		return false
 	}
-	return x.sends < x.route.Attempts && x.takeRetry()
+	return x.sends < x.route.Attempts && !x.mayCrashAgain() && x.takeRetry()
+}
+
+// mayCrashAgain reports whether the request may be to blame for a crash, so that another engine is not to get it: two
+// sends ended before their answer began, or others like it crashed engines before.
+func (x *exchange) mayCrashAgain() bool {
+	if x.checked == nil {
+		return false
+	}
+	select {
+	case <-x.checked:
+	case <-time.After(checkWait):
+	case <-x.in.Context().Done():
+	}
+	x.checked = nil
+	again := x.breaks >= maxBreaks || x.o.Crash.IsSuspect(x.crashReport(false)) ||
+		x.o.Crash.BlockedFor(x.fingerprint, x.parts) > 0
+	if again {
+		x.o.Log.Info("not sent again, as it may crash another engine", zap.String("request", x.logID),
+			zap.Int("breaks", x.breaks))
+	}
+	return again
 }
 
 // order describes the request to the leader.
--- a/internal/edge/node/crash_test.go
+++ b/internal/edge/node/crash_test.go
@@ -120,6 +120,19 @@
 	p.c.Check(statuses[taintedRequests-1], qt.Equals, http.StatusServiceUnavailable)
 }
 
+func TestAResumableStreamUnderSuspicionIsNotSentAgain(t *testing.T) {
+	p := startFragile(t, 5, 1)
+	const attempts = "5"
+	p.configure(`"priority": 0, "service": "engines", "attempts": 2, "resumable": false`,
+		`"priority": 0, "service": "engines", "attempts": `+attempts+`, "resumable": true`)
+	time.Sleep(500 * time.Millisecond) // until the configuration is in force
+	p.c.Check(p.prompt(p.entries[0], "first", "sys", "bad").status, qt.Equals, http.StatusBadGateway)
+	first := len(p.crashes())
+	p.c.Check(first <= 2, qt.IsTrue, qt.Commentf("%d engines crashed under one request", first))
+	p.c.Check(p.prompt(p.entries[0], "second", "sys", "bad").status, qt.Not(qt.Equals), http.StatusOK)
+	p.c.Check(len(p.crashes())-first <= 1, qt.IsTrue, qt.Commentf("%d engines crashed under it", len(p.crashes())-first))
+}
+
 func TestLostAnswersOfLiveEnginesBlockNoPart(t *testing.T) {
 	w := newTestbed(t)
 	w.configure()
--- a/internal/edge/verify/verifier.go
+++ b/internal/edge/verify/verifier.go
@@ -40,7 +40,13 @@
 
 	mu      sync.Mutex
 	pending []broken
-	dialed  map[string]time.Time // when the last connection to a lifetime was tried
+	checks  map[string]*check // by lifetime
+}
+
+// check is an attempt to connect to an upstream.
+type check struct {
+	begun time.Time
+	done  chan struct{} // closed when the upstream has accepted or refused the connection, or has not answered
 }
 
 // broken is a request whose answer broke off.
@@ -50,30 +56,32 @@
 }
 
 // New returns a verifier.
-func New(o Options) *Verifier { return &Verifier{opts: o, dialed: map[string]time.Time{}} }
+func New(o Options) *Verifier { return &Verifier{opts: o, checks: map[string]*check{}} }
 
-// AnswerBroke takes a request whose answer broke off; it is reported if its upstream has crashed.
-func (v *Verifier) AnswerBroke(u hosts.Upstream, r crash.Report) {
+// AnswerBroke takes a request whose answer broke off; it is reported if its upstream has crashed. The channel is closed
+// when the upstream has been asked.
+func (v *Verifier) AnswerBroke(u hosts.Upstream, r crash.Report) <-chan struct{} {
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	if len(v.pending) >= maxPending {
-		v.mu.Unlock()
 		v.opts.Log.Warn("too many broken answers, a crash may not be reported", zap.String("upstream", u.ID))
-		return
+	} else {
+		v.pending = append(v.pending, broken{u, r})
+		v.waiting.Store(int64(len(v.pending)))
 	}
-	v.pending = append(v.pending, broken{u, r})
-	v.waiting.Store(int64(len(v.pending)))
-	dialing := v.opts.Now().Sub(v.dialed[r.Lifetime]) < dialDelay
-	if !dialing {
-		v.dialed[r.Lifetime] = v.opts.Now()
-	}
-	v.mu.Unlock()
-	if !dialing {
-		go v.dial(u, r.Lifetime)
+	now := v.opts.Now()
+	c := v.checks[r.Lifetime]
+	if c == nil || now.Sub(c.begun) >= dialDelay {
+		c = &check{begun: now, done: make(chan struct{})}
+		v.checks[r.Lifetime] = c
+		go v.dial(u, r.Lifetime, c)
 	}
+	return c.done
 }
 
 // dial tries to connect to an upstream and confirms its crash if that is refused.
-func (v *Verifier) dial(u hosts.Upstream, lifetime string) {
+func (v *Verifier) dial(u hosts.Upstream, lifetime string, c *check) {
+	defer close(c.done)
 	time.Sleep(dialDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -103,9 +111,9 @@
 	defer v.mu.Unlock()
 	v.pending = slices.DeleteFunc(v.pending, func(b broken) bool { return now.Sub(b.report.Broke) > pendingTTL })
 	v.waiting.Store(int64(len(v.pending)))
-	for lifetime, at := range v.dialed {
-		if now.Sub(at) > pendingTTL {
-			delete(v.dialed, lifetime)
+	for lifetime, c := range v.checks {
+		if now.Sub(c.begun) > pendingTTL {
+			delete(v.checks, lifetime)
 		}
 	}
 }
