--- a/internal/limit/crash/tracker_test.go
+++ b/internal/limit/crash/tracker_test.go
@@ -46,6 +46,21 @@
 	c.Check(tracker.BlockedFingerprints(), qt.HasLen, 0)
 }
 
+func TestNoLifetimeCountsTwice(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	tracker := lead(func() time.Time { return now })
+	crashUnder := func(lifetime string) bool {
+		now = now.Add(time.Second)
+		return tracker.ObserveCrash(report(7, lifetime, now, now))
+	}
+	c.Check(crashUnder("a"), qt.IsFalse)
+	now = now.Add(time.Second)
+	tracker.ObserveAnswer(7)
+	c.Check(crashUnder("b"), qt.IsFalse)
+	c.Check(crashUnder("a"), qt.IsFalse, qt.Commentf("another request that was in flight there"))
+}
+
 func TestRequestsThatBreakDownTogetherCountOnce(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
