Tell callers of quarantined requests when the quarantine really ends

Callers were told to come back too early: a crash that was cleared since keeps those before it from expiring, but RetryAfter counted from the last one that was not cleared. TestRetryAfterLastsAsLongAsTheQuarantine failed before: still quarantined at the time it gave.

--- a/internal/fleet/poison/poison_test.go
+++ b/internal/fleet/poison/poison_test.go
@@ -74,6 +74,19 @@
 	c.Assert(again.State("a", at(64*time.Minute)), qt.Equals, Quarantined)
 }
 
+func TestRetryAfterLastsAsLongAsTheQuarantine(t *testing.T) {
+	c := qt.New(t)
+	s := New(Options{}).
+		WithCrash(at(0), Crash{"r1/i1/1", 1}, "a").
+		WithCrash(at(10*time.Minute), Crash{"r2/i1/1", 1}, "a")
+	cleared := New(Options{}).WithCrash(at(30*time.Minute), Crash{"r3/i1/1", 2}, "a", "b").
+		WithCompletion(at(31*time.Minute), "a")
+	s = s.Merge(at(32*time.Minute), cleared)
+	retryAt := at(32 * time.Minute).Add(s.RetryAfter("a", at(32*time.Minute)))
+	c.Check(s.State("a", retryAt.Add(-time.Second)), qt.Equals, Quarantined)
+	c.Check(s.State("a", retryAt), qt.Equals, Clear)
+}
+
 func TestEvictionKeepsQuarantinedFingerprints(t *testing.T) {
 	c := qt.New(t)
 	s := New(Options{MaxFingerprints: 10}).
--- a/internal/fleet/poison/set.go
+++ b/internal/fleet/poison/set.go
@@ -152,11 +152,12 @@
 // happens; 0 for other fingerprints.
 func (s *Set) RetryAfter(fingerprint string, now time.Time) time.Duration {
 	r := s.records[fingerprint]
-	list := r.activeCrashes(now.UnixMilli(), s.ttlMs)
-	if len(list) == 0 {
+	if len(r.activeCrashes(now.UnixMilli(), s.ttlMs)) == 0 {
 		return 0
 	}
-	return time.UnixMilli(list[len(list)-1].atMs + s.ttlMs).Sub(now)
+	// A crash that was cleared still keeps those before it from expiring.
+	all := r.sortedCrashes()
+	return time.UnixMilli(all[len(all)-1].atMs + s.ttlMs).Sub(now)
 }
 
 // Len returns the number of fingerprints held.
