Test what tells crashes from lost answers, and what the next leader learns of crashes

TestLostAnswersOfLiveEnginesBlockNoPart held without its mechanism as its requests came faster than crashes are judged; it waits now.

--- a/internal/edge/node/crash_test.go
+++ b/internal/edge/node/crash_test.go
@@ -152,6 +152,7 @@
 	for i := range 8 {
 		got := p.prompt(e, fmt.Sprintf("id-%d", i), "sys", "unlucky")
 		w.c.Check(got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("all engines are still up"))
+		time.Sleep(150 * time.Millisecond) // in which a crash would be judged
 	}
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -175,6 +175,7 @@
 		ConfigVersion: n.watch.Rules().Version(), ConfigAge: now.Sub(n.watch.RulesReadAt()),
 		ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.registry.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
+		Blocks: int64(len(n.crash.Blocks())),
 	}
 }
 
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -22,6 +22,7 @@
 	InFlight      int64         // requests of callers
 	OpenOrders    int64         // requests that this entry decides on as the leader
 	QueuedPieces  int64         // pieces of those requests that wait for a call
+	Blocks        int64         // sets of prompt parts that are refused
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -65,6 +66,8 @@
 		func(s Gauges) int64 { return s.OpenOrders })
 	gauge("edge.queuedPieces", "{piece}", "Pieces of those requests that wait for a call.",
 		func(s Gauges) int64 { return s.QueuedPieces })
+	gauge("edge.blocks", "{block}", "Sets of prompt parts that are refused, as they crash upstreams.",
+		func(s Gauges) int64 { return s.Blocks })
 	return &Stats{
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -98,20 +98,21 @@
 	server *grpc.Server
 	leader atomic.Pointer[registry.Member] // the leader that it follows; nil if none
 	born   int64                           // of the process
-	hellos atomic.Int64                    // lines that its server logged, which is one for each connection
+	crash  *crash.Tracker
+	hellos atomic.Int64 // lines that its server logged, which is one for each connection
 }
 
-// newPeer serves a dispatcher.
 // newTracker returns a tracker of a process that leads.
 func newTracker() *crash.Tracker {
 	return crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true }})
 }
 
+// newPeer serves a dispatcher.
 func newPeer(c *qt.C, host string, dispatcher lead.Decider) *peer {
 	listener, err := ports.Listen()
 	c.Assert(err, qt.IsNil)
 	p := &peer{Member: registry.Member{Host: host, Address: listener.Addr().String(), Born: 1}, server: grpc.NewServer(),
-		born: 1}
+		born: 1, crash: newTracker()}
 	log := zap.New(logHook(func() { p.hellos.Add(1) }))
 	cellpb.RegisterCellServer(p.server, serve.New(serve.Options{
 		Dispatcher: dispatcher, Born: p.born, Leaving: func() bool { return false }, Leader: func() (registry.Member, bool) {
@@ -120,7 +121,7 @@
 			}
 			return registry.Member{}, false
 		},
-		Crash: newTracker(),
+		Crash: p.crash,
 		Rules: func() serve.Rules { return serve.Rules{} },
 		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) },
 		Crew:  func() registry.View { return registry.View{} }, Now: time.Now, Log: log,
@@ -156,9 +157,14 @@
 
 // newLink returns a link of the entry self, which is not running yet.
 func newLink(local lead.Decider, members func() []registry.Member, membersRead func() bool) *link.Link {
+	return newLinkWith(newTracker(), local, members, membersRead)
+}
+
+func newLinkWith(
+	tracker *crash.Tracker, local lead.Decider, members func() []registry.Member, membersRead func() bool) *link.Link {
 	return link.New(link.Options{
 		Self: "self", Local: local, Members: members, MembersRead: membersRead, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, Crash: newTracker(), AdoptRules: func(int64, []byte) {},
+		Leaving: func() bool { return false }, Crash: tracker, AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 },
@@ -197,6 +203,37 @@
 	return got
 }
 
+// What the leader learns of crashes reaches the entries that follow it, and the blocks that an entry knows reach a
+// leader that knows nothing of them.
+func TestSuspicionReachesTheNextLeader(t *testing.T) {
+	c := qt.New(t)
+	first, second := newPeer(c, "first", newFake("first", false)), newPeer(c, "second", newFake("second", false))
+	var replaced atomic.Bool
+	tracker := newTracker()
+	l := newLinkWith(tracker, newFake("local", false), func() []registry.Member {
+		if replaced.Load() {
+			return []registry.Member{second.Member, {Host: "self"}}
+		}
+		return []registry.Member{first.Member, {Host: "self"}}
+	}, func() bool { return false })
+	runLink(c, l)
+	now := time.Now()
+	crashUnder := func(lifetime string, fingerprint uint64, sent time.Duration) crash.Report {
+		return crash.Report{Fingerprint: fingerprint, Lifetime: lifetime, Parts: []string{"bad"}, Sent: now.Add(sent),
+			Broke: now.Add(sent + time.Millisecond)}
+	}
+	first.crash.ObserveCrash(crashUnder("a", 1, 0))
+	first.crash.ObserveCrash(crashUnder("b", 2, 2*time.Millisecond))
+	eventually(c, func() bool { return tracker.IsSuspect(crashUnder("c", 3, 0)) })
+
+	first.crash.ObserveCrash(crashUnder("c", 3, 4*time.Millisecond))
+	eventually(c, func() bool { return len(first.crash.Judge()) == 1 })
+	eventually(c, func() bool { return tracker.BlockedFor(0, []string{"bad"}) > 0 })
+	replaced.Store(true)
+	eventually(c, func() bool { return second.crash.BlockedFor(0, []string{"bad"}) > 0 })
+	c.Check(tracker.BlockedFor(0, []string{"bad"}) > 0, qt.IsTrue)
+}
+
 func TestOrdersGoToTheLeader(t *testing.T) {
 	c := qt.New(t)
 	remote := newFake("remote", false)
--- a/internal/limit/crash/tracker_test.go
+++ b/internal/limit/crash/tracker_test.go
@@ -285,6 +285,29 @@
 	return got
 }
 
+func TestABlockIsMadeOnce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	tracker := lead(func() time.Time { return now })
+	made := 0
+	for i := range uint64(8) {
+		sent := now
+		now = now.Add(time.Second)
+		for beside := range uint64(2) {
+			parts := []string{"bad", "aside"}[beside:]
+			tracker.ObserveCrash(report(2*i+beside, fmt.Sprint("life-", i), sent, now, parts[0]))
+		}
+		now = now.Add(time.Second)
+		if i == 1 {
+			tracker.ObserveBegun([]string{"aside"})
+		}
+		made += len(tracker.Judge())
+	}
+	c.Check(made, qt.Equals, 1)
+	c.Check(tracker.BlockedFor(0, []string{"bad"}) > 0, qt.IsTrue)
+	c.Check(tracker.BlockedFor(0, []string{"aside"}), qt.Equals, time.Duration(0))
+}
+
 // A process that takes over the lead knows what the one before knew: it blocks at the next crash, and blames no part on
 // which answers have begun in between.
 func TestSuspicionOutlivesTheLeader(t *testing.T) {
