Count answers that came before their crash was reported

They remember their answers now, and tell the leader when it passes a crash on that they have an answer since; a block without enough crashes left ends.

TestAnswersBeforeACrashIsReportedCount failed before (no such messages).

--- a/internal/leader/ledger/ledger.go
+++ b/internal/leader/ledger/ledger.go
@@ -20,7 +20,7 @@
 	callTimeout   = 1500 * time.Millisecond
 	minRetryDelay = 500 * time.Millisecond
 	maxRetryDelay = 4 * time.Second
-	maxRecordTTL  = 24 * time.Hour // since the block was made
+	maxRecordTTL  = 24 * time.Hour // since the first crash
 )
 
 // Store holds the record.
@@ -48,7 +48,7 @@
 // entry is one block in the record.
 type entry struct {
 	Parts       []string `json:"parts"`
-	MadeUnixMs  int64    `json:"madeUnixMs"`
+	FirstUnixMs int64    `json:"firstUnixMs"`
 	UntilUnixMs int64    `json:"untilUnixMs"`
 	PauseMs     int64    `json:"pauseMs"`
 }
@@ -85,7 +85,7 @@
 	now := l.opts.Now()
 	var entries []entry
 	for _, b := range l.opts.Crash.Blocks() {
-		entries = append(entries, entry{b.Parts, b.Made.UnixMilli(), b.Until.UnixMilli(), b.Pause.Milliseconds()})
+		entries = append(entries, entry{b.Parts, b.First.UnixMilli(), b.Until.UnixMilli(), b.Pause.Milliseconds()})
 	}
 	if slices.EqualFunc(entries, l.stored, sameBlock) {
 		return nil
@@ -128,14 +128,14 @@
 		}
 	}
 	for _, e := range l.stored {
-		made := time.UnixMilli(e.MadeUnixMs)
-		if now.Sub(made) > maxRecordTTL || len(e.Parts) == 0 {
+		first := time.UnixMilli(e.FirstUnixMs)
+		if now.Sub(first) > maxRecordTTL || len(e.Parts) == 0 {
 			continue
 		}
 		// Clocks may differ, so the time to the next trial is bounded by its pause.
 		wait := time.Duration(e.PauseMs) * time.Millisecond
 		left := min(time.UnixMilli(e.UntilUnixMs).Sub(now), wait)
-		blocks = append(blocks, crash.Block{Parts: e.Parts, Made: made, Until: now.Add(left), Pause: wait})
+		blocks = append(blocks, crash.Block{Parts: e.Parts, First: first, Until: now.Add(left), Pause: wait})
 	}
 	l.opts.Crash.AddBlocks(blocks)
 	if len(blocks) > 0 {
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -144,8 +144,8 @@
 			case s.firstPong <- body.Pong:
 			default:
 			}
-			s.opts.Crash.Block(body.Pong.Blocked)
 			if !s.replaced.Load() && !body.Pong.Follows {
+				s.opts.Crash.SetBlocked(body.Pong.Blocked)
 				s.opts.Crash.SetBlocks(cellpb.CrashBlocks(body.Pong.Blocks, s.now()))
 			}
 			if !s.replaced.Load() {
@@ -159,7 +159,9 @@
 			}
 			s.hosts.Store(next)
 		case *cellpb.ToEntry_Crashes:
-			s.opts.Crash.Merge(body.Crashes.Changes(s.now()))
+			if known := s.opts.Crash.Merge(body.Crashes.Changes(s.now())); len(known) > 0 {
+				s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Crashes{Crashes: cellpb.CrashesOf(known, s.now())}})
+			}
 		case *cellpb.ToEntry_Crew:
 			s.members = &registry.View{Size: int(body.Crew.Size)}
 			for _, m := range body.Crew.First {
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -149,6 +149,8 @@
 		for _, r := range body.Crashes.Crashed {
 			ses.dispatcher.Crashed(r.Report(now))
 		}
+		answers := &cellpb.Crashes{Answered: body.Crashes.Answered}
+		ses.crash.Merge(answers.Changes(now))
 	case *cellpb.ToLead_Served:
 		ses.dispatcher.Served(body.Served.Fingerprint)
 	case *cellpb.ToLead_Notice:
--- a/internal/limit/crash/change.go
+++ b/internal/limit/crash/change.go
@@ -58,23 +58,49 @@
 	return t.changes.since(since)
 }
 
-// Merge applies what the leader has learned, so that this process can replace it.
-func (t *Tracker) Merge(changes []Change) {
+// Merge applies what another process has learned. It returns answers that were given here after the crashes among it,
+// which that process may not know of.
+func (t *Tracker) Merge(changes []Change) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
+	var known []Change
 	for _, c := range changes {
 		switch {
 		case c.Report != nil:
-			t.add(*c.Report, now)
-			continue
+			if t.add(*c.Report, now) {
+				known = append(known, t.answersSince(*c.Report)...)
+			}
 		case c.Begun != "":
-			t.setBegun(c.Begun, c.At)
-		case len(t.byFingerprint[c.Answered]) > 0 && c.At.After(t.answered[c.Answered]):
-			t.answered[c.Answered] = c.At
+			setLatest(t.begun, c.Begun, c.At)
+			t.changes.add(c)
+		default:
+			setLatest(t.answered, c.Answered, c.At)
+			t.changes.add(c)
+			if len(t.fingerprintCrashes(c.Answered, now)) < crashesToBlock {
+				delete(t.blockedUntil, c.Answered)
+			}
 		}
-		t.changes.add(c)
 	}
+	t.shrinkBlocks()
+	return known
+}
+
+// answersSince returns the answers to the same request, or on the same parts, since a crash.
+func (t *Tracker) answersSince(r Report) []Change {
+	var out []Change
+	if at := t.answered[r.Fingerprint]; at.After(r.Broke) {
+		out = append(out, Change{Answered: r.Fingerprint, At: at})
+	}
+	if r.Begun {
+		return out
+	}
+	for _, p := range r.Parts {
+		if at := t.begun[p]; at.After(r.Broke) {
+			out = append(out, Change{Begun: p, At: at})
+		}
+	}
+	return out
 }
 
 // OwnReports returns the latest crashes that this process saw itself, for a leader that may not know them.
--- a/internal/limit/crash/report.go
+++ b/internal/limit/crash/report.go
@@ -30,8 +30,8 @@
 
 // Block is a set of prompt parts; requests that have all of them crash upstreams and are refused.
 type Block struct {
-	Parts []string // sorted
-	Made  time.Time
+	Parts []string      // sorted
+	First time.Time     // of the crashes that are held against the parts
 	Until time.Time     // when one request is let through as a trial
 	Pause time.Duration // from a crash to the next trial
 
--- a/internal/limit/crash/tracker.go
+++ b/internal/limit/crash/tracker.go
@@ -20,7 +20,7 @@
 	trialTimeout  = 10 * time.Second       // without a result, after which there is another trial
 
 	maxReports = 2048
-	maxKnown   = 8192 // parts on which answers have begun
+	maxAnswers = 8192 // fingerprints that were answered, and parts on which answers have begun
 	maxListed  = 64   // blocked fingerprints that other processes hear of, and blocks of parts
 )
 
@@ -41,7 +41,7 @@
 	byFingerprint map[uint64][]Report
 	byPart        map[string][]Report // without those whose answers had begun
 	byLifetime    map[string][]Report
-	answered      map[uint64]time.Time // last whole answer, of requests with reports
+	answered      map[uint64]time.Time // last whole answer, by fingerprint
 	begun         map[string]time.Time // last answer that began on a part
 	blockedUntil  map[uint64]time.Time // by fingerprint
 	blocks        []Block
@@ -113,9 +113,6 @@
 	t.reports = t.reports[1:]
 	drop(t.byLifetime, r.Lifetime, r)
 	drop(t.byFingerprint, r.Fingerprint, r)
-	if len(t.byFingerprint[r.Fingerprint]) == 0 {
-		delete(t.answered, r.Fingerprint)
-	}
 	for _, p := range r.Parts {
 		drop(t.byPart, p, r)
 		if len(t.byPart[p]) == 0 {
@@ -249,7 +246,7 @@
 		}
 	}
 	slices.Sort(common)
-	b := Block{Parts: common, Made: now, Until: now.Add(blockDuration), Pause: blockDuration}
+	b := Block{Parts: common, First: first, Until: now.Add(blockDuration), Pause: blockDuration}
 	return suspect{block: b, crashes: len(crashes), excess: len(crashes) - needed}, true
 }
 
@@ -335,14 +332,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
-	list := t.byFingerprint[fingerprint]
-	if len(list) == 0 || list[len(list)-1].Broke.Before(t.answered[fingerprint]) ||
-		now.Before(t.blockedUntil[fingerprint]) {
+	if now.Before(t.blockedUntil[fingerprint]) {
 		return false
 	}
-	t.answered[fingerprint] = now
-	t.changes.add(Change{Answered: fingerprint, At: now})
-	return true
+	list := t.byFingerprint[fingerprint]
+	cleared := len(list) > 0 && !list[len(list)-1].Broke.Before(t.answered[fingerprint])
+	setLatest(t.answered, fingerprint, now)
+	if cleared {
+		t.changes.add(Change{Answered: fingerprint, At: now})
+	}
+	return cleared
 }
 
 // ObserveBegun records that an answer has begun on a prompt with these parts, which are not to blame for the crashes
@@ -355,61 +354,61 @@
 		if list := t.byPart[p]; len(list) > 0 && list[len(list)-1].Broke.After(t.begun[p]) {
 			t.changes.add(Change{Begun: p, At: now})
 		}
-		t.setBegun(p, now)
+		setLatest(t.begun, p, now)
 	}
-	var ended []Block
-	t.blocks = slices.DeleteFunc(t.blocks, func(b Block) bool {
-		if b.covers(parts) {
-			ended = append(ended, b)
-			return true
-		}
-		return false
-	})
-	t.shrinkBlocks()
-	return ended
+	return t.shrinkBlocks()
 }
 
-// setBegun notes the time of the last answer that began on a part.
-func (t *Tracker) setBegun(part string, at time.Time) {
-	if !at.After(t.begun[part]) {
+// setLatest notes the time of an answer, unless a later one is known. A quarter of the entries makes room when there
+// are too many.
+func setLatest[K comparable](times map[K]time.Time, key K, at time.Time) {
+	if !at.After(times[key]) {
 		return
 	}
-	if len(t.begun) >= maxKnown {
-		oldest := slices.Sorted(func(yield func(int64) bool) {
-			for _, at := range t.begun {
-				if !yield(at.UnixNano()) {
-					return
-				}
-			}
-		})[maxKnown/4]
-		maps.DeleteFunc(t.begun, func(_ string, at time.Time) bool { return at.UnixNano() <= oldest })
+	if _, known := times[key]; !known && len(times) >= maxAnswers {
+		sorted := slices.SortedFunc(maps.Values(times), time.Time.Compare)
+		oldest := sorted[maxAnswers/4]
+		maps.DeleteFunc(times, func(_ K, at time.Time) bool { return !at.After(oldest) })
 	}
-	t.begun[part] = at
+	times[key] = at
 }
 
-// shrinkBlocks takes the parts out of blocks on which answers have begun since, unless none would be left.
-func (t *Tracker) shrinkBlocks() {
-	for i, b := range t.blocks {
-		left := slices.DeleteFunc(slices.Clone(b.Parts), func(p string) bool { return t.begun[p].After(b.Made) })
-		if len(left) > 0 && len(left) < len(b.Parts) {
-			t.blocks[i].Parts = left
+// shrinkBlocks takes the parts out of the blocks on which answers have begun since the first crash, and returns the
+// blocks of which nothing was left.
+func (t *Tracker) shrinkBlocks() []Block {
+	var ended []Block
+	kept := t.blocks[:0:0]
+	for _, b := range t.blocks {
+		left := t.withoutBegun(b)
+		if len(left) == 0 {
+			ended = append(ended, b)
+			continue
 		}
+		b.Parts = left
+		kept = append(kept, b)
 	}
+	t.blocks = kept
+	return ended
+}
+
+// withoutBegun returns the parts of a block on which no answer has begun since the first crash.
+func (t *Tracker) withoutBegun(b Block) []string {
+	return slices.DeleteFunc(slices.Clone(b.Parts), func(p string) bool { return t.begun[p].After(b.First) })
 }
 
-// Block blocks fingerprints that another process found.
-func (t *Tracker) Block(fingerprints []uint64) {
+// SetBlocked replaces the blocked fingerprints by those of the leader, which lists the first 64.
+func (t *Tracker) SetBlocked(fingerprints []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
+	if len(fingerprints) < maxListed {
+		maps.DeleteFunc(t.blockedUntil, func(f uint64, _ time.Time) bool { return !slices.Contains(fingerprints, f) })
+	}
 	for _, f := range fingerprints {
 		if !now.Before(t.blockedUntil[f]) {
 			t.blockedUntil[f] = now.Add(blockDuration)
 		}
 	}
-	if len(t.blockedUntil) > maxReports {
-		maps.DeleteFunc(t.blockedUntil, func(_ uint64, until time.Time) bool { return !now.Before(until) })
-	}
 }
 
 // BlockedFingerprints returns up to 64 blocked fingerprints, sorted, for other processes.
@@ -446,7 +445,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range blocks {
-		b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(p string) bool { return t.begun[p].After(b.Made) })
+		b.Parts = t.withoutBegun(b)
 		known := slices.ContainsFunc(t.blocks, func(k Block) bool { return isSubset(k.Parts, b.Parts) })
 		if len(b.Parts) > 0 && !known {
 			t.setBlock(b)
--- a/internal/limit/crash/tracker_test.go
+++ b/internal/limit/crash/tracker_test.go
@@ -39,7 +39,7 @@
 	c.Check(tracker.BlockedFor(7, nil) > 0, qt.IsTrue)
 	c.Check(tracker.BlockedFingerprints(), qt.DeepEquals, []uint64{7})
 	other := lead(func() time.Time { return now })
-	other.Block(tracker.BlockedFingerprints())
+	other.SetBlocked(tracker.BlockedFingerprints())
 	c.Check(other.BlockedFor(7, nil) > 0, qt.IsTrue)
 	now = now.Add(time.Minute)
 	c.Check(tracker.BlockedFor(7, nil), qt.Equals, time.Duration(0))
@@ -285,6 +285,33 @@
 	return got
 }
 
+// A crash is reported late, when its upstream has left the list. Answers in the meantime at an entry that did not know
+// of it still clear the request and its parts.
+func TestAnswersBeforeACrashIsReportedCount(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	leader := lead(func() time.Time { return now })
+	follower := crash.New(crash.Options{Now: func() time.Time { return now }, Leads: func() bool { return false }})
+	start := now
+	now = start.Add(5 * time.Second)
+	c.Check(follower.ObserveAnswer(7), qt.IsFalse)
+	follower.ObserveBegun([]string{"sys"})
+	now = start.Add(8 * time.Second)
+	for i, lifetime := range []string{"a", "b", "c"} {
+		broke := start.Add(time.Duration(i+1) * time.Second)
+		leader.ObserveCrash(report(7, lifetime, broke.Add(-time.Millisecond), broke))
+		leader.ObserveCrash(report(uint64(i+10), lifetime, broke.Add(-time.Millisecond), broke, "sys"))
+	}
+	now = now.Add(time.Second)
+	c.Check(leader.Judge(), qt.HasLen, 1)
+	c.Check(leader.BlockedFor(7, nil) > 0, qt.IsTrue)
+	changes, _ := leader.Changes(0)
+	leader.Merge(follower.Merge(changes))
+	c.Check(leader.BlockedFor(7, nil), qt.Equals, time.Duration(0))
+	c.Check(leader.BlockedFor(0, []string{"sys"}), qt.Equals, time.Duration(0))
+	c.Check(leader.Blocks(), qt.HasLen, 0)
+}
+
 func TestABlockIsMadeOnce(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
--- a/internal/wire/cellpb/crashes.go
+++ b/internal/wire/cellpb/crashes.go
@@ -27,7 +27,7 @@
 	var out []*Block
 	for _, b := range blocks {
 		out = append(out, &Block{
-			Parts: b.Parts, AgeUs: now.Sub(b.Made).Microseconds(), LeftUs: b.Until.Sub(now).Microseconds(),
+			Parts: b.Parts, AgeUs: now.Sub(b.First).Microseconds(), LeftUs: b.Until.Sub(now).Microseconds(),
 			PauseUs: b.Pause.Microseconds(),
 		})
 	}
@@ -39,7 +39,7 @@
 	var out []crash.Block
 	for _, m := range blocks {
 		out = append(out, crash.Block{
-			Parts: m.Parts, Made: before(now, m.AgeUs), Until: now.Add(time.Duration(m.LeftUs) * time.Microsecond),
+			Parts: m.Parts, First: before(now, m.AgeUs), Until: now.Add(time.Duration(m.LeftUs) * time.Microsecond),
 			Pause: time.Duration(m.PauseUs) * time.Microsecond,
 		})
 	}
