--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -312,7 +312,7 @@
 		c.placer.FirstByte(id, now)
 		if o := c.orders[id]; o != nil {
 			for _, b := range c.opts.Crash.ObserveBegun(o.parts) {
-				c.opts.Log.Info("prompt parts are no longer blocked, an answer has begun on them", zap.Strings("parts", b.Parts))
+				c.opts.Log.Info("prompt parts unblocked", zap.Strings("parts", b.Parts))
 			}
 		}
 		if keep {
@@ -355,7 +355,7 @@
 func (c *Coordinator) judge() {
 	for _, b := range c.opts.Crash.Judge() {
 		c.opts.Stats.CrashReport("partBlocked")
-		c.opts.Log.Warn("requests with these prompt parts crash upstreams, they are refused", zap.Strings("parts", b.Parts),
+		c.opts.Log.Warn("prompt parts blocked", zap.Strings("parts", b.Parts),
 			zap.Time("until", b.Until))
 		for id, o := range c.orders {
 			if wait := c.blockedFor(o); wait > 0 && o.reply != nil {
--- a/internal/ops/trace/trace.go
+++ b/internal/ops/trace/trace.go
@@ -28,6 +28,7 @@
 var stateChangeMessages = []string{
 	"leader", "leader lost", "store lost", "store regained", "configuration in force", "upstream listed", "upstream gone",
 	"engine ejected", "upstream ejected", "upstream said", "upstream leaves, another entry was told",
+	"upstream checked", "prompt parts blocked", "trial of blocked prompt parts", "prompt parts unblocked",
 	"leaders met, this one follows the other", "decisions failed, all orders are refused", "reload", "start", "stop",
 	"shutting down", "member left", "member expired",
 	"orders waited for a leader", "orders moved to the present leader",
