--- /dev/null
+++ b/internal/leader/ledger/ledger_test.go
@@ -0,0 +1,101 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/leader/ledger"
+	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+// fakeStore holds one record and counts the calls.
+type fakeStore struct {
+	mu     sync.Mutex
+	value  []byte
+	away   bool
+	reads  int
+	writes int
+}
+
+func (s *fakeStore) Newest(context.Context, platform.Topic) ([]platform.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.away {
+		return nil, 0, errors.New("away")
+	}
+	return []platform.Record{{Key: "blocks", Value: s.value}}, 1, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, _ platform.Topic, r platform.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	s.value = r.Value
+	return nil
+}
+
+func (s *fakeStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// run starts a ledger with a tracker of its own, for a process that leads.
+func run(ctx context.Context, s *fakeStore) *crash.Tracker {
+	yes := func() bool { return true }
+	t := crash.New(crash.Options{Now: time.Now, Leads: yes})
+	go ledger.New(ledger.Options{Store: s, Crash: t, Leads: yes, Now: time.Now, Log: zap.NewNop()}).Run(ctx)
+	return t
+}
+
+func TestBlocksAreReadOnceAndWrittenWhenTheyChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := &fakeStore{away: true}
+		first := run(ctx, store)
+		first.AddBlocks([]crash.Block{{Parts: []string{"bad"}, First: time.Now(), Until: time.Now().Add(time.Hour),
+			Pause: 30 * time.Second}})
+		time.Sleep(20 * time.Second)
+		c.Check(store.writes, qt.Equals, 0, qt.Commentf("a record that was not read must not be replaced"))
+		store.setAway(false)
+		time.Sleep(20 * time.Second)
+		c.Check(store.writes, qt.Equals, 1)
+
+		store.reads = 0
+		next := run(ctx, store)
+		time.Sleep(20 * time.Second)
+		c.Check(store.reads, qt.Equals, 1)
+		c.Check(store.writes, qt.Equals, 1, qt.Commentf("nothing has changed"))
+		wait := next.BlockedFor(0, []string{"bad"})
+		c.Check(wait > 0 && wait <= 30*time.Second, qt.IsTrue, qt.Commentf("%v to the next trial, at most its pause", wait))
+
+		next.ObserveBegun([]string{"bad"})
+		time.Sleep(time.Second)
+		c.Check(string(store.value), qt.Equals, "")
+	})
+}
+
+func TestUnreadableBlocksAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := &fakeStore{value: []byte(`{"parts":`)}
+		tracker := run(ctx, store)
+		time.Sleep(time.Second)
+		qt.Check(t, tracker.Blocks(), qt.HasLen, 0)
+		tracker.AddBlocks([]crash.Block{{Parts: []string{"bad"}, First: time.Now()}})
+		time.Sleep(time.Second)
+		qt.Check(t, string(store.value), qt.Contains, "bad")
+	})
+}
