Need more crashes to block a part where other entries are not heard

An entry that no other follows, though there are others, now needs five crashes.

TestAnEntryAloneBlocksAPartLater failed before: blocked after three.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -72,6 +72,7 @@
 	registry *registry.Registry
 	link     *link.Link
 	ledger   *ledger.Ledger
+	service  atomic.Pointer[serve.Server] // for other entries
 	picker   *balance.Picker
 	notices  *notices.Record
 	front    *front.Front
@@ -111,7 +112,9 @@
 		AwaitsLeader: func() bool { return n.link.DefersReads() },
 		Now:          time.Now, Log: log.Named("watch"),
 	})
-	n.crash = crash.New(crash.Options{Now: time.Now, Leads: func() bool { return n.link.Leads() }})
+	n.crash = crash.New(crash.Options{
+		Now: time.Now, Leads: func() bool { return n.link.Leads() }, HearsOthers: n.hearsOthers,
+	})
 	n.verify = verify.New(verify.Options{
 		Dial: sock.Dialer(verifyDialTimeout, verifyDialTimeout).DialContext, Hosts: n.watch.Hosts,
 		Report: func(r crash.Report) { n.link.Crashed(r) }, Now: time.Now, Log: log.Named("verify"),
@@ -244,12 +247,14 @@
 		return nil, err
 	}
 	server := grpc.NewServer(serve.Recover(n.log.Named("serve"))...)
-	cellpb.RegisterCellServer(server, serve.New(serve.Options{
+	service := serve.New(serve.Options{
 		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash,
 		Hosts: n.watch.SharedHosts,
 		Rules: n.sharedRules, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
-	}))
+	})
+	n.service.Store(service)
+	cellpb.RegisterCellServer(server, service)
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			n.log.Error("peer server failed, other entries can't reach this one", zap.Error(err))
@@ -258,6 +263,12 @@
 	return server, nil
 }
 
+// hearsOthers reports whether other entries follow this one, or there are none.
+func (n *Node) hearsOthers() bool {
+	service := n.service.Load()
+	return n.registry.Size() <= 1 || (service != nil && service.Entries() > 0)
+}
+
 // sharedRules returns the configuration that other entries may adopt.
 func (n *Node) sharedRules() serve.Rules {
 	seen, body := n.watch.RawRules()
--- a/internal/leader/lead/lead_test.go
+++ b/internal/leader/lead/lead_test.go
@@ -25,8 +25,9 @@
 	table := hosts.New([]hosts.Upstream{{ID: "e", Pool: "engines", State: hosts.Ready}}, time.Now())
 	l := lead.New(lead.Options{
 		Rules: func() *rule.Rules { return rules }, Hosts: func() *hosts.Table { return table }, Now: time.Now,
-		Log:     zap.NewNop(),
-		Crash:   crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true }}),
+		Log: zap.NewNop(),
+		Crash: crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true },
+			HearsOthers: func() bool { return true }}),
 		Notices: notices.New(notices.Options{Now: time.Now, Log: zap.NewNop()}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/leader/ledger/ledger_test.go
+++ b/internal/leader/ledger/ledger_test.go
@@ -52,7 +52,7 @@
 // run starts a ledger with a tracker of its own, for a process that leads.
 func run(ctx context.Context, s *fakeStore) *crash.Tracker {
 	yes := func() bool { return true }
-	t := crash.New(crash.Options{Now: time.Now, Leads: yes})
+	t := crash.New(crash.Options{Now: time.Now, Leads: yes, HearsOthers: yes})
 	go ledger.New(ledger.Options{Store: s, Crash: t, Leads: yes, Now: time.Now, Log: zap.NewNop()}).Run(ctx)
 	return t
 }
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -104,7 +104,8 @@
 
 // newTracker returns a tracker of a process that leads.
 func newTracker() *crash.Tracker {
-	return crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true }})
+	return crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true },
+		HearsOthers: func() bool { return true }})
 }
 
 // newPeer serves a dispatcher.
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +42,7 @@
 	log        *zap.Logger
 	history    tableHistory
 	transfers  chan struct{} // holds one value for each large answer that is being sent
+	entries    atomic.Int64  // connected
 
 	compressedRules compressed
 	compressedHosts compressed
@@ -76,6 +78,9 @@
 	}
 }
 
+// Entries returns the number of entries that are connected.
+func (s *Server) Entries() int { return int(s.entries.Load()) }
+
 // session is the connection of one entry.
 type session struct {
 	*Server
@@ -90,6 +95,8 @@
 
 // Work serves one entry until its connection ends; its requests end with it.
 func (s *Server) Work(stream grpc.BidiStreamingServer[cellpb.ToLead, cellpb.ToEntry]) error {
+	s.entries.Add(1)
+	defer s.entries.Add(-1)
 	ses := &session{Server: s, outbox: make(chan *cellpb.ToEntry, outboxSize), open: map[string]bool{}}
 	done := make(chan struct{})
 	defer close(done)
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -40,7 +40,8 @@
 
 // newTracker returns a tracker of a process that leads.
 func newTracker() *crash.Tracker {
-	return crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true }})
+	return crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true },
+		HearsOthers: func() bool { return true }})
 }
 
 // newSession returns a session without a connection, in a fleet of 300 entries.
--- a/internal/limit/crash/judge.go
+++ b/internal/limit/crash/judge.go
@@ -102,7 +102,7 @@
 func (t *Tracker) suspicion(part string, now time.Time) (suspect, bool) {
 	needed := crashesToBlockPart
 	_, known := t.begun[part]
-	if known {
+	if known || !t.opts.HearsOthers() {
 		needed = crashesToBlockKnown
 	}
 	crashes := t.partCrashes(part)
--- a/internal/limit/crash/tracker.go
+++ b/internal/limit/crash/tracker.go
@@ -10,7 +10,7 @@
 const (
 	crashesToBlock      = 2 // under the same whole request
 	crashesToBlockPart  = 3 // under different requests with a part on which no answer has begun lately
-	crashesToBlockKnown = 5 // the same for a part on which answers have begun
+	crashesToBlockKnown = 5 // the same for a part on which answers have begun, or if other entries are not heard
 
 	crashWindow   = 60 * time.Second       // crashes under the same request that are further apart do not add up
 	partWindow    = 10 * time.Minute       // the same for crashes under requests with the same part
@@ -29,6 +29,8 @@
 	Now func() time.Time
 	// Leads reports whether this process hears the crashes and answers of all entries, so that it may blame requests.
 	Leads func() bool
+	// HearsOthers reports whether the other entries, if there are any, do report to this process.
+	HearsOthers func() bool
 }
 
 // Tracker finds what the requests under which upstreams crash have in common: the whole request, or parts of its
--- a/internal/limit/crash/tracker_test.go
+++ b/internal/limit/crash/tracker_test.go
@@ -16,7 +16,8 @@
 
 // lead returns a tracker of a process that leads.
 func lead(now func() time.Time) *crash.Tracker {
-	return crash.New(crash.Options{Now: now, Leads: func() bool { return true }})
+	yes := func() bool { return true }
+	return crash.New(crash.Options{Now: now, Leads: yes, HearsOthers: yes})
 }
 
 // report returns a crash at the given time.
@@ -312,6 +313,23 @@
 	c.Check(leader.Blocks(), qt.HasLen, 0)
 }
 
+// An entry that is cut off from the others sees only some of the requests at a crash.
+func TestAnEntryAloneBlocksAPartLater(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	tracker := crash.New(crash.Options{Now: func() time.Time { return now }, Leads: func() bool { return true },
+		HearsOthers: func() bool { return false }})
+	for i := range uint64(5) {
+		c.Check(tracker.BlockedFor(0, []string{"sys"}), qt.Equals, time.Duration(0))
+		sent := now
+		now = now.Add(time.Second)
+		tracker.ObserveCrash(report(i, fmt.Sprint("life-", i), sent, now, "sys"))
+		now = now.Add(time.Second)
+		tracker.Judge()
+	}
+	c.Check(tracker.BlockedFor(0, []string{"sys"}) > 0, qt.IsTrue)
+}
+
 func TestABlockIsMadeOnce(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
@@ -342,7 +360,8 @@
 	now := time.Unix(1000, 0)
 	leads := false
 	first := lead(func() time.Time { return now })
-	next := crash.New(crash.Options{Now: func() time.Time { return now }, Leads: func() bool { return leads }})
+	next := crash.New(crash.Options{Now: func() time.Time { return now }, Leads: func() bool { return leads },
+		HearsOthers: func() bool { return leads }})
 	after := int64(0)
 	for i, lifetime := range []string{"a", "b"} {
 		sent := now
