Read the stored blocks again before they are written

Two entries that both lead for a while would overwrite each other's blocks. TestTwoThatLeadKeepEachOthersBlocks failed before: only the last one was left.

--- a/internal/leader/ledger/ledger.go
+++ b/internal/leader/ledger/ledger.go
@@ -82,14 +82,14 @@
 			return err
 		}
 	}
-	now := l.opts.Now()
-	var entries []entry
-	for _, b := range l.opts.Crash.Blocks() {
-		entries = append(entries, entry{b.Parts, b.First.UnixMilli(), b.Until.UnixMilli(), b.Pause.Milliseconds()})
-	}
-	if slices.EqualFunc(entries, l.stored, sameBlock) {
+	if slices.EqualFunc(l.current(), l.stored, sameBlock) {
 		return nil
 	}
+	// Another entry may have led and written meanwhile.
+	if err := l.load(ctx); err != nil {
+		return err
+	}
+	now, entries := l.opts.Now(), l.current()
 	record := platform.Record{Key: key}
 	if len(entries) > 0 {
 		value, err := json.Marshal(entries)
@@ -106,6 +106,15 @@
 	return nil
 }
 
+// current returns the tracker's blocks.
+func (l *Ledger) current() []entry {
+	var out []entry
+	for _, b := range l.opts.Crash.Blocks() {
+		out = append(out, entry{b.Parts, b.First.UnixMilli(), b.Until.UnixMilli(), b.Pause.Milliseconds()})
+	}
+	return out
+}
+
 // sameBlock compares what must not be lost; the next trial may come early after a restart.
 func sameBlock(a, b entry) bool { return slices.Equal(a.Parts, b.Parts) && a.PauseMs == b.PauseMs }
 
--- a/internal/leader/ledger/ledger_test.go
+++ b/internal/leader/ledger/ledger_test.go
@@ -86,6 +86,22 @@
 	})
 }
 
+func TestTwoThatLeadKeepEachOthersBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := &fakeStore{}
+		one, two := run(ctx, store), run(ctx, store)
+		time.Sleep(time.Second)
+		for part, tracker := range map[string]*crash.Tracker{"bad": one, "worse": two} {
+			tracker.AddBlocks([]crash.Block{{Parts: []string{part}, First: time.Now()}})
+			time.Sleep(time.Second)
+		}
+		qt.Check(t, string(store.value), qt.Contains, "bad")
+		qt.Check(t, string(store.value), qt.Contains, "worse")
+	})
+}
+
 func TestUnreadableBlocksAreReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
