Count crashes in the middle of an answer that is no stream

The same cause elsewhere: a request that crashes upstreams after the head of a plain answer, or of an engine's answer that is no stream, was not reported, so it was never blocked. Such breaks were left out as many are lost answers; now the upstream is asked.

TestRequestsThatCrashUpstreamsInTheirAnswerAreBlocked failed before: 502 four times, where the third and fourth are to be refused.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -351,16 +351,16 @@
 // checkConnection looks into a connection that ended without an answer before the caller left or the deadline passed.
 func (x *exchange) checkConnection(u hosts.Upstream, failure *fault.Error) {
 	if failure.Verdict == fault.MayHaveRun && failure.Code == fault.Transport && x.in.Context().Err() == nil {
-		x.answerBroke(u, 0, 0, failure)
+		x.answerBroke(u, false, 0, 0, failure)
 	}
 }
 
 // answerBroke logs and counts an answer that broke off after so many whole events and a rest of bytes, and has it
-// checked whether the upstream crashed.
-func (x *exchange) answerBroke(u hosts.Upstream, events, rest int, cause error) {
-	progress := "begun"
-	if events == 0 {
-		progress = "unbegun"
+// checked whether the upstream crashed. A stream has begun with its first event, another answer with its head.
+func (x *exchange) answerBroke(u hosts.Upstream, begun bool, events, rest int, cause error) {
+	progress := "unbegun"
+	if begun {
+		progress = "begun"
 	}
 	x.o.Stats.AnswerBroken(u.Pool, progress)
 	parts := make([]string, 0, len(x.head.Prefix))
@@ -371,8 +371,8 @@
 		zap.String("upstream", u.ID), zap.Int("events", events), zap.Int("rest", rest), zap.Strings("parts", parts),
 		zap.Uint64("fingerprint", x.fingerprint), zap.Bool("callerLeft", x.in.Context().Err() != nil), zap.Error(cause))
 	if x.in.Context().Err() == nil {
-		checked := x.o.Verify.AnswerBroke(u, x.crashReport(events > 0))
-		if events == 0 {
+		checked := x.o.Verify.AnswerBroke(u, x.crashReport(begun))
+		if !begun {
 			x.breaks++
 			x.checked = checked
 		}
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -180,6 +180,9 @@
 func (x *exchange) relayFailure(u hosts.Upstream, answer *uphttp.Answer) (lead.Problem, *bufferedAnswer, *fault.Error) {
 	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes)
 	failure := fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
+	if err != nil {
+		x.answerBroke(u, true, 0, len(body), err)
+	}
 	if err != nil || !whole || x.out.Started() {
 		return lead.ProblemFailed, nil, failure
 	}
@@ -235,7 +238,7 @@
 			return "", nil
 		case err != nil:
 			rest := events.Rest()
-			x.answerBroke(u, events.Count()-before, len(rest), err)
+			x.answerBroke(u, events.Count() > before, events.Count()-before, len(rest), err)
 			return lead.ProblemFailed, fault.New(fault.MayHaveRun, fault.Incomplete, "the stream of %s broke off", u.ID).
 				WithCause(err)
 		}
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -67,6 +67,7 @@
 	defer answer.Close()
 	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes)
 	if err != nil {
+		x.answerBroke(u, true, 0, len(body), err)
 		failure := fault.New(fault.MayHaveRun, fault.Incomplete, "the answer of %s broke off", u.ID).WithCause(err)
 		x.reportToPicker(u, failure)
 		return nil, failure
@@ -75,7 +76,7 @@
 	x.o.Picker.Answered(u.ID, x.o.Now().Sub(started), answer.Status < http.StatusInternalServerError)
 	header := x.o.Codec.AnswerHeader(answer.Header)
 	if !whole {
-		x.stream(answer, header, body)
+		x.stream(u, answer, header, body)
 		return nil, nil
 	}
 	return &bufferedAnswer{status: answer.Status, header: header, body: body, length: x.lengthOf(answer, body)}, nil
@@ -156,7 +157,7 @@
 }
 
 // stream relays an answer that is too long to buffer; first is what was read of it.
-func (x *exchange) stream(answer *uphttp.Answer, header http.Header, first []byte) {
+func (x *exchange) stream(u hosts.Upstream, answer *uphttp.Answer, header http.Header, first []byte) {
 	x.out.Head(answer.Status, header, answer.Length)
 	if err := x.out.Body(first); err != nil {
 		x.abort(fault.Canceled, err)
@@ -171,6 +172,7 @@
 		}
 		if err != nil {
 			if !isEOF(err) {
+				x.answerBroke(u, true, 0, 0, err)
 				x.abort(fault.Incomplete, err)
 			}
 			return
--- a/internal/edge/node/crash_test.go
+++ b/internal/edge/node/crash_test.go
@@ -133,6 +133,37 @@
 	p.c.Check(len(p.crashes())-first <= 1, qt.IsTrue, qt.Commentf("%d engines crashed under it", len(p.crashes())-first))
 }
 
+func TestRequestsThatCrashUpstreamsInTheirAnswerAreBlocked(t *testing.T) {
+	w := newTestbed(t)
+	w.configure()
+	start := func(id string) {
+		w.startUpstream("plain", &cloud.Upstream{ID: id, Intercept: func(rw http.ResponseWriter, r *http.Request, _ int) bool {
+			if !strings.HasPrefix(r.URL.Path, "/act/poison") {
+				return false
+			}
+			rw.Header().Set("Content-Length", "100")
+			_, _ = rw.Write([]byte("only this"))
+			_ = http.NewResponseController(rw).Flush()
+			go w.crashUpstream(id)
+			panic(http.ErrAbortHandler)
+		}})
+	}
+	start("up-0")
+	e := w.startEntry("entry-1")
+	w.waitReady(e, http.StatusOK)
+	var statuses []int
+	for i := range 4 {
+		w.eventually(func() bool {
+			return w.do(e, http.MethodPost, "/act/fine", fmt.Sprintf("fine-%d", i), "same").status == http.StatusOK
+		})
+		statuses = append(statuses, w.do(e, http.MethodPost, "/act/poison", fmt.Sprintf("id-%d", i), "same").status)
+		w.store.Put("keyed.servers", fmt.Sprintf("up-%d", i), nil)
+		start(fmt.Sprintf("up-%d", i+1))
+		time.Sleep(400 * time.Millisecond) // until the entry lists it
+	}
+	w.c.Check(statuses, qt.DeepEquals, []int{502, 502, 503, 503})
+}
+
 func TestLostAnswersOfLiveEnginesBlockNoPart(t *testing.T) {
 	w := newTestbed(t)
 	w.configure()
