Let only the leader read the stored blocks when all processes start

Not proved to be the cause: each process that starts leads itself until it finds the leader, and each asked the store for the blocks every 250 ms, though at that size only the leader is to read what all need. It now has to lead for 1.5 s first.

TestProcessesThatSoonFollowDoNotReadTheStore failed before.

--- a/internal/leader/ledger/ledger.go
+++ b/internal/leader/ledger/ledger.go
@@ -17,6 +17,7 @@
 	topic         = platform.TopicBlocks
 	key           = "blocks" // of the only record
 	checkInterval = 250 * time.Millisecond
+	leadTime      = 1500 * time.Millisecond // processes that start together lead only themselves until they find each other
 	callTimeout   = 1500 * time.Millisecond
 	minRetryDelay = 500 * time.Millisecond
 	maxRetryDelay = 4 * time.Second
@@ -59,9 +60,14 @@
 // Run keeps the record and the tracker in step until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	retry := pause.Backoff{Min: minRetryDelay, Max: maxRetryDelay}
+	leadsSince := l.opts.Now()
 	for pause.For(ctx, checkInterval) {
+		now := l.opts.Now()
 		if !l.opts.Leads() {
-			l.read = false
+			l.read, leadsSince = false, now
+			continue
+		}
+		if now.Sub(leadsSince) < leadTime {
 			continue
 		}
 		if err := l.sync(ctx); err != nil {
