Log and count the limits that upstreams name

Lines "sent" carry the limit that an answer named, calls to stage upstreams log it, and edge_limitedAnswers_total counts such answers.

--- a/internal/edge/call/request.go
+++ b/internal/edge/call/request.go
@@ -53,6 +53,9 @@
 	Leaving bool
 	// RetryAfter is how long the upstream, which refused this request, wants no others; 0 if it does not say.
 	RetryAfter time.Duration
+	// Limit is the number of requests per second that the upstream accepts from all entries together; see HasLimit.
+	Limit    float64
+	HasLimit bool // the upstream states a limit
 }
 
 // Item is one piece of a stage in a batch.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -280,6 +280,10 @@
 		fields = append(fields, zap.String("verdict", string(failure.Verdict)), zap.Error(failure))
 	} else {
 		fields = append(fields, zap.Int("status", answer.Status), zap.Bool("notRun", answer.Head.NotRun))
+		if answer.Head.HasLimit {
+			x.o.Stats.LimitNamed(x.pool)
+			fields = append(fields, zap.Float64("limit", answer.Head.Limit))
+		}
 	}
 	x.o.Log.Info("sent", fields...)
 }
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -40,6 +40,7 @@
 	ejections    meter.Counter
 	broken       meter.Counter
 	crashes      meter.Counter
+	limited      meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -94,6 +95,8 @@
 			Help: "Answers of upstreams that broke off, by pool and whether they had begun."}),
 		crashes: m.Counter(meter.Spec{Name: "edge.crashReports", Unit: "{report}",
 			Help: "Reports of requests under which an upstream crashed, by result."}),
+		limited: m.Counter(meter.Spec{Name: "edge.limitedAnswers", Unit: "{answer}",
+			Help: "Answers in which an upstream named a limit, by pool."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -155,6 +158,9 @@
 // CrashReport counts a report of a request under which an upstream crashed; result says what came of it.
 func (s *Stats) CrashReport(result string) { s.crashes.Add(1, label("result", result)) }
 
+// LimitNamed counts an answer in which an upstream named a limit.
+func (s *Stats) LimitNamed(pool string) { s.limited.Add(1, label("pool", pool)) }
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -542,6 +542,11 @@
 	}
 	defer answer.Close()
 	c.opts.Notices.AddAnswer(u, answer.Status, answer.Head)
+	if answer.Head.HasLimit {
+		c.opts.Stats.LimitNamed(u.Pool)
+		c.opts.Log.Info("stage upstream named a limit", zap.String("upstream", u.ID), zap.String("path", r.URI),
+			zap.Float64("limit", answer.Head.Limit))
+	}
 	maxBytes := int64(maxAnswerBytes + results*maxResultBytes)
 	data, err := io.ReadAll(io.LimitReader(answer, maxBytes+1))
 	switch {
