--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -62,10 +62,13 @@
 	Client  *uphttp.Client
 	Picker  *balance.Picker
 	Notices *notices.Record
-	Budget  *resend.Budget
-	Stats   *stats.Stats
-	Crash   *crash.Tracker
-	Verify  *verify.Verifier
+	// Permit asks for permission to send one request to an upstream; it returns the time until the upstream accepts one,
+	// 0 if the request may be sent.
+	Permit func(context.Context, hosts.Lifetime) time.Duration
+	Budget *resend.Budget
+	Stats  *stats.Stats
+	Crash  *crash.Tracker
+	Verify *verify.Verifier
 	// Stopping reports whether new requests are refused because this entry shuts down.
 	Stopping func() bool
 	Leaving  func() bool // reports whether connections are closed after the answer
@@ -244,7 +247,7 @@
 		x.checkConnection(u, failure)
 		return nil, failure
 	}
-	x.o.Notices.AddAnswer(u, answer.Status, answer.Head)
+	x.o.Notices.AddAnswer(u, x.sentAt, answer.Status, answer.Head)
 	if answer.Head.NotRun {
 		answer.Close()
 		code := fault.Overloaded
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,14 +30,24 @@
 	ctx, cancel := context.WithDeadline(x.caller, x.deadline.Add(answerGrace))
 	defer cancel()
 	x.in = x.in.WithContext(ctx)
-	var tried []string
-	var fallback *bufferedAnswer // an upstream's error answer, passed on if no other upstream does better
+	var tried, exhausted []string
+	var untilPermitted time.Duration // shortest time until one of the exhausted upstreams accepts a request
+	var fallback *bufferedAnswer     // an upstream's error answer, passed on if no other upstream does better
 	for {
 		candidates, retryAfter := x.o.Notices.NotPaused(x.o.Hosts().Ready(x.pool))
+		candidates = without(candidates, exhausted)
 		u, ok := x.o.Picker.Pick(candidates, x.o.Zone, tried, len(tried) > 0)
 		if !ok {
 			return x.giveUp(fallback, fault.New(fault.NotRun, fault.NoUpstream,
-				"no upstream of pool %s takes work", x.pool).WithRetryAfter(retryAfter))
+				"no upstream of pool %s takes work", x.pool).WithRetryAfter(max(retryAfter, untilPermitted)))
+		}
+		if wait := x.o.Permit(ctx, u.Lifetime()); wait > 0 {
+			x.o.Picker.Dropped(u.ID)
+			exhausted = append(exhausted, u.ID)
+			if untilPermitted == 0 || wait < untilPermitted {
+				untilPermitted = wait
+			}
+			continue
 		}
 		tried = append(tried, u.ID)
 		got, failure := x.tryUpstream(u)
@@ -55,6 +66,20 @@
 	}
 }
 
+// without returns the upstreams whose IDs are not in a list. The upstreams given must not be changed.
+func without(all []hosts.Upstream, ids []string) []hosts.Upstream {
+	if len(ids) == 0 {
+		return all
+	}
+	var out []hosts.Upstream
+	for _, u := range all {
+		if !slices.Contains(ids, u.ID) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // tryUpstream sends the request once and reads the whole answer. It returns nil and no error for a long answer, which
 // it streams to the caller.
 func (x *exchange) tryUpstream(u hosts.Upstream) (*bufferedAnswer, *fault.Error) {
--- a/internal/edge/front/sends_test.go
+++ b/internal/edge/front/sends_test.go
@@ -18,6 +18,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
 	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 	"github.com/ragworthatch/ragworthatch/platform"
@@ -51,8 +52,9 @@
 		Codec: Codec{ForwardHeader: platform.ForwardHeader},
 		Rules: func() *rule.Rules { return rule.New(0, nil, nil, nil, rule.Limits{}) },
 		Hosts: func() *hosts.Table { return hosts.New([]hosts.Upstream{closed}, time.Now()) }, Now: time.Now,
-		Notices: notices.New(notices.Options{Now: time.Now}),
-		Client:  uphttp.New(platform.ReadAnswer, time.Now, func() {}), Log: zap.NewNop(),
+		Notices: notices.New(notices.Options{
+			OnLimit: func(pace.Statement[hosts.Lifetime]) bool { return false }, Now: time.Now}),
+		Client: uphttp.New(platform.ReadAnswer, time.Now, func() {}), Log: zap.NewNop(),
 		Stats: stats.New(m, func() stats.Gauges { return stats.Gauges{} }),
 	})
 	x := &exchange{
--- a/internal/edge/node/limit_test.go
+++ b/internal/edge/node/limit_test.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	limitWindow  = 4 * time.Second
-	limitNotice  = 1 * time.Second // after an upstream first named its limit
-	namedLimit   = 2.0             // requests per second
-	callerPause  = 10 * time.Millisecond
-	upstreamWork = 20 * time.Millisecond
+	limitWindow     = 4 * time.Second
+	limitNotice     = 1 * time.Second // after an upstream first named its limit
+	namedLimit      = 2.0             // requests per second
+	callerPause     = 10 * time.Millisecond
+	callersPerEntry = 8
+	upstreamWork    = 20 * time.Millisecond
 )
 
 // mostAllowed is the greatest number of requests in a window to an upstream that names namedLimit: one and a half times
@@ -73,14 +74,14 @@
 		"sys:50,own-"+id+":50")
 }
 
-// load sends requests to all given entries for a time, one after the other with pauses.
+// load sends requests to the given entries for a time, from callersPerEntry callers each.
 func (p *limitedPool) load(name string, d time.Duration, entries ...*entry) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
-	for i, e := range entries {
+	for i := range callersPerEntry * len(entries) {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				switch got := p.send(e, fmt.Sprintf("%s-%d-%d", name, i, n)); {
+				switch got := p.send(entries[i%len(entries)], fmt.Sprintf("%s-%d-%d", name, i, n)); {
 				case got.status == http.StatusOK:
 					p.served.Add(1)
 				case got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "":
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/balance"
 	"github.com/ragworthatch/ragworthatch/internal/edge/front"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
@@ -27,6 +28,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 	"github.com/ragworthatch/ragworthatch/internal/ops/pause"
@@ -75,6 +77,7 @@
 	service  atomic.Pointer[serve.Server] // for other entries
 	picker   *balance.Picker
 	notices  *notices.Record
+	limits   *pace.Limiter[hosts.Lifetime]
 	front    *front.Front
 	leaving  atomic.Bool   // after SIGTERM
 	stopping atomic.Bool   // set serveAfterTerm after SIGTERM: new requests are refused
@@ -101,9 +104,11 @@
 	n.client = uphttp.New(platform.ReadAnswer, time.Now, func() {})
 	store := platform.NewStore(s.StoreAddress, storeClient())
 	answered := wakeup.New()
+	n.limits = pace.New[hosts.Lifetime](pace.Options{Share: n.limitShare, Now: time.Now})
 	n.notices = notices.New(notices.Options{
 		OnLeaving: func() { n.watch.RefreshLeaving() }, OnNotice: func(notice notices.Notice) { n.link.UpstreamNotice(s.Name, notice) },
-		Now: time.Now, Log: log.Named("heed"),
+		OnLimit: func(s pace.Statement[hosts.Lifetime]) bool { return n.link.ObserveLimit(s) },
+		Now:     time.Now, Log: log.Named("heed"),
 	})
 	n.watch = watch.New(watch.Options{
 		Store: store, Answered: answered, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin },
@@ -121,7 +126,8 @@
 	})
 	n.picker = balance.New(time.Now)
 	n.lead = lead.New(lead.Options{
-		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Notices: n.notices, Stats: n.stats,
+		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Notices: n.notices,
+		Limits: n.limits, Stats: n.stats,
 		Now: time.Now, Log: log.Named("lead"),
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, ReleasePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
@@ -138,7 +144,7 @@
 	})
 	n.link = link.New(link.Options{
 		Self: s.Name, Local: n.lead, Members: n.registry.Members, MemberCount: n.registry.Size, MembersRead: n.registry.HasRead,
-		Leaving: n.leaving.Load, Crash: n.crash,
+		Leaving: n.leaving.Load, Crash: n.crash, Limits: n.limits,
 		Confirm: n.watch.Confirm, AdoptRules: n.watch.Adopt, LacksRules: n.watch.ShouldPull, Notices: n.notices.Notices,
 		ConfirmMembers: n.registry.Confirm,
 		RulesVersion:   func() int64 { return n.watch.Rules().Version() }, Now: time.Now, Log: log.Named("link"),
@@ -160,6 +166,7 @@
 			RetryAfter:   platform.FormatRetryAfter,
 		},
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Leader: n.link, Client: n.client, Picker: n.picker, Notices: n.notices,
+		Permit:   n.link.Permit,
 		Budget:   n.budget,
 		Stats:    n.stats,
 		Crash:    n.crash,
@@ -178,7 +185,7 @@
 		ConfigVersion: n.watch.Rules().Version(), ConfigAge: now.Sub(n.watch.RulesReadAt()),
 		ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.registry.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
-		Blocks: int64(len(n.crash.Blocks())),
+		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited()),
 	}
 }
 
@@ -248,7 +255,7 @@
 	}
 	server := grpc.NewServer(serve.Recover(n.log.Named("serve"))...)
 	service := serve.New(serve.Options{
-		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash,
+		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash, Limits: n.limits,
 		Hosts: n.watch.SharedHosts,
 		Rules: n.sharedRules, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
@@ -269,6 +276,20 @@
 	return n.registry.Size() <= 1 || (service != nil && service.Entries() > 0)
 }
 
+// limitShare returns the part of the limits of upstreams that this process may use for itself and the entries that
+// follow it: none if it follows another one, and all if most entries follow it, so that others can't use as much.
+func (n *Node) limitShare() float64 {
+	service := n.service.Load()
+	if _, follows := n.link.Leader(); follows || service == nil {
+		return 0
+	}
+	served, all := service.Entries()+1, n.registry.Size()
+	if 2*served > all {
+		return 1
+	}
+	return float64(served) / float64(all)
+}
+
 // sharedRules returns the configuration that other entries may adopt.
 func (n *Node) sharedRules() serve.Rules {
 	seen, body := n.watch.RawRules()
@@ -352,6 +373,13 @@
 			n.verify.Check()
 			n.picker.Forget(n.watch.Hosts())
 			n.notices.Forget(n.watch.Hosts())
+			n.limits.Forget(n.isListed)
 		}
 	}
 }
+
+// isListed reports whether a lifetime of an upstream is in the list.
+func (n *Node) isListed(l hosts.Lifetime) bool {
+	u, ok := n.watch.Hosts().Get(l.ID)
+	return ok && u.Lifetime() == l
+}
--- a/internal/edge/notices/record.go
+++ b/internal/edge/notices/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
 const (
@@ -28,8 +29,10 @@
 type Options struct {
 	OnLeaving func()       // called when a lifetime is first known to shut down
 	OnNotice  func(Notice) // called with what an answer to this process announced, if it is new
-	Now       func() time.Time
-	Log       *zap.Logger
+	// OnLimit is called with what each answer to this process said of a limit; it reports whether that is new.
+	OnLimit func(pace.Statement[hosts.Lifetime]) bool
+	Now     func() time.Time
+	Log     *zap.Logger
 }
 
 // state is what is known of one lifetime.
@@ -50,8 +53,10 @@
 // New returns an empty record.
 func New(o Options) *Record { return &Record{o: o, byLifetime: map[hosts.Lifetime]state{}} }
 
-// AddAnswer records what the header of an answer announces about its upstream, and reports what is new to OnNotice.
-func (r *Record) AddAnswer(u hosts.Upstream, status int, head call.Answer) {
+// AddAnswer records what the header of an answer announces about its upstream, and reports what is new to OnNotice. The
+// request was sent at the given time.
+func (r *Record) AddAnswer(u hosts.Upstream, sent time.Time, status int, head call.Answer) {
+	r.addLimit(u, sent, status, head)
 	n := Notice{Lifetime: u.Lifetime(), Leaving: head.Leaving}
 	if status == http.StatusServiceUnavailable {
 		n.Pause = min(head.RetryAfter, maxPause)
@@ -65,6 +70,22 @@
 	r.o.OnNotice(n)
 }
 
+// addLimit passes on what an answer said of a limit. An answer without a limit ends only one that was named before its
+// request was sent, as answers on different connections may overtake each other.
+func (r *Record) addLimit(u hosts.Upstream, sent time.Time, status int, head call.Answer) {
+	if status == http.StatusMisdirectedRequest {
+		return // the answer of another upstream
+	}
+	s := pace.Statement[hosts.Lifetime]{Key: u.Lifetime(), Limited: head.HasLimit, Rate: head.Limit, At: sent}
+	if s.Limited {
+		s.At = r.o.Now()
+	}
+	if r.o.OnLimit(s) {
+		r.o.Log.Info("limit changed", zap.String("upstream", u.ID), zap.String("pool", u.Pool), zap.Int64("born", u.StartedMs),
+			zap.Bool("limited", s.Limited), zap.Float64("rate", s.Rate))
+	}
+}
+
 // AddRemote records from another process's notice that a lifetime shuts down. A pause in it is ignored, as it holds
 // only between the process that was asked for it and the upstream.
 func (r *Record) AddRemote(n Notice) {
--- a/internal/edge/notices/record_test.go
+++ b/internal/edge/notices/record_test.go
@@ -11,6 +11,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
 // testRecord is a record with a fake clock, and what it reported to its callbacks.
@@ -24,6 +25,7 @@
 func newTestRecord() *testRecord {
 	w := &testRecord{now: time.Unix(1000, 0)}
 	w.Record = notices.New(notices.Options{
+		OnLimit:   func(pace.Statement[hosts.Lifetime]) bool { return false },
 		OnLeaving: func() { w.leavings++ }, OnNotice: func(n notices.Notice) { w.reported = append(w.reported, n) },
 		Now: func() time.Time { return w.now }, Log: zap.NewNop(),
 	})
@@ -34,12 +36,12 @@
 
 func TestPausesHoldForTheirTime(t *testing.T) {
 	c, w := qt.New(t), newTestRecord()
-	w.AddAnswer(up, http.StatusOK, call.Answer{RetryAfter: time.Second})
+	w.AddAnswer(up, w.now, http.StatusOK, call.Answer{RetryAfter: time.Second})
 	c.Check(w.PauseRemaining(up.Lifetime()), qt.Equals, time.Duration(0),
 		qt.Commentf("Retry-After counts only if an upstream turns requests away"))
-	w.AddAnswer(up, http.StatusServiceUnavailable, call.Answer{RetryAfter: 2 * time.Second})
-	w.AddAnswer(up, http.StatusServiceUnavailable, call.Answer{RetryAfter: time.Second})
-	w.AddAnswer(up, http.StatusServiceUnavailable, call.Answer{})
+	w.AddAnswer(up, w.now, http.StatusServiceUnavailable, call.Answer{RetryAfter: 2 * time.Second})
+	w.AddAnswer(up, w.now, http.StatusServiceUnavailable, call.Answer{RetryAfter: time.Second})
+	w.AddAnswer(up, w.now, http.StatusServiceUnavailable, call.Answer{})
 	c.Check(w.PauseRemaining(up.Lifetime()), qt.Equals, 2*time.Second, qt.Commentf("a shorter pause does not end it"))
 	c.Check(w.PauseRemaining(hosts.Lifetime{ID: "u", StartedMs: 8}), qt.Equals, time.Duration(0),
 		qt.Commentf("a new lifetime has no pause"))
@@ -52,7 +54,7 @@
 	c.Check(first, qt.Equals, 2*time.Second)
 	w.now = w.now.Add(2 * time.Second)
 	c.Check(w.PauseRemaining(up.Lifetime()), qt.Equals, time.Duration(0))
-	w.AddAnswer(up, http.StatusServiceUnavailable, call.Answer{RetryAfter: 1000 * time.Hour})
+	w.AddAnswer(up, w.now, http.StatusServiceUnavailable, call.Answer{RetryAfter: 1000 * time.Hour})
 	c.Check(w.PauseRemaining(up.Lifetime()), qt.Equals, time.Hour)
 }
 
@@ -60,7 +62,7 @@
 	c, w := qt.New(t), newTestRecord()
 	table := hosts.New([]hosts.Upstream{up}, w.now)
 	for range 2 {
-		w.AddAnswer(up, http.StatusInternalServerError, call.Answer{Leaving: true})
+		w.AddAnswer(up, w.now, http.StatusInternalServerError, call.Answer{Leaving: true})
 	}
 	c.Check(w.leavings, qt.Equals, 1)
 	c.Check(w.reported, qt.DeepEquals, []notices.Notice{{Lifetime: up.Lifetime(), Leaving: true}})
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -30,6 +30,7 @@
 	s.Ejected("pool")
 	s.AnswerBroken("pool", "unbegun")
 	s.CrashReport("counted")
+	s.LimitNamed("pool")
 	s.StoreCall("topic", true)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -23,6 +23,7 @@
 	OpenOrders    int64         // requests that this entry decides on as the leader
 	QueuedPieces  int64         // pieces of those requests that wait for a call
 	Blocks        int64         // sets of prompt parts that are refused
+	Limited       int64         // upstreams that named a limit
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -69,6 +70,8 @@
 		func(s Gauges) int64 { return s.QueuedPieces })
 	gauge("edge.blocks", "{block}", "Sets of prompt parts that are refused, as they crash upstreams.",
 		func(s Gauges) int64 { return s.Blocks })
+	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
+		func(s Gauges) int64 { return s.Limited })
 	return &Stats{
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -22,6 +23,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/repeat"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -34,6 +36,8 @@
 	stepBackoff = 2
 	maxStepGap  = 10 * time.Millisecond
 
+	limitedRetryAfter = 1 * time.Second // least Retry-After while upstreams accept no more requests
+
 	sweepInterval      = 5 * time.Second        // between sweeps, and at most between scheduling steps
 	maxAnswerBytes     = 64 << 10               // of an answer of a stage upstream, without the results in it
 	maxResultBytes     = 1 << 10                // added to maxAnswerBytes for each result
@@ -64,6 +68,7 @@
 	Codec   Codec
 	Crash   *crash.Tracker
 	Notices *notices.Record
+	Limits  *pace.Limiter[hosts.Lifetime]
 	Stats   *stats.Stats
 	Now     func() time.Time
 	Log     *zap.Logger
@@ -86,6 +91,7 @@
 	placer      *place.Placer
 	firstVisits *repeat.Tracker
 	orders      map[string]*openOrder
+	waiting     []*openOrder // whose engines all accept no more requests for now
 	rules       *rule.Rules
 	hosts       *hosts.Table
 	openCount   atomic.Int64
@@ -99,7 +105,7 @@
 // New returns a coordinator, which does nothing until Run is called.
 func New(o Options) *Coordinator {
 	return &Coordinator{
-		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(), placer: place.New(),
+		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits), placer: place.New(o.Limits),
 		firstVisits: repeat.New(), orders: map[string]*openOrder{},
 	}
 }
@@ -167,6 +173,7 @@
 		c.withRecovery(func() {
 			c.refreshConfig()
 			c.judge()
+			c.pickForWaiting(now)
 			c.execute(c.scheduler.Schedule(now), now)
 		})
 		next = now.Add(stepBackoff * c.opts.Now().Sub(now))
@@ -201,7 +208,8 @@
 		c.opts.Log.Error("decisions failed, all orders are refused", zap.Any("panic", panicked), zap.Stack("stack"),
 			zap.Int("orders", len(c.orders)))
 		waiting := c.orders
-		c.scheduler, c.placer, c.orders = sched.New(), place.New(), map[string]*openOrder{}
+		c.scheduler, c.placer, c.orders = sched.New(c.opts.Limits), place.New(c.opts.Limits), map[string]*openOrder{}
+		c.waiting = nil
 		c.rules, c.hosts = nil, nil // reloaded before the next decision
 		for _, o := range waiting {
 			if o.reply != nil {
@@ -264,6 +272,10 @@
 			reply(c.refuseNoEngine(o.Engine, now))
 			return
 		}
+		if wait, exceeds := c.exceedsLimits(o, now); exceeds {
+			reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
+			return
+		}
 		o.Job.TimeToFirstToken = c.placer.TimeToFirstToken(o.Engine, c.hosts, now)
 		if o.Job.ReadsLargeResults() {
 			o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
@@ -301,6 +313,10 @@
 func (c *Coordinator) Recall(id string) {
 	c.inbox <- func(time.Time) {
 		if o := c.orders[id]; o != nil && o.reply != nil {
+			if i := slices.Index(c.waiting, o); i >= 0 {
+				c.waiting = slices.Delete(c.waiting, i, i+1)
+				c.scheduler.Ungrant(id)
+			}
 			c.scheduler.Recall(id)
 		}
 	}
@@ -412,6 +428,9 @@
 		return
 	}
 	up, ok := c.placer.Pick(o.order.Engine, c.hosts, c.engineSpec(o.order.Engine.Pool), now)
+	if !ok && c.awaitEngine(o, now) {
+		return
+	}
 	if !ok {
 		c.sendDecision(id, o, c.refuseNoEngine(o.order.Engine, now))
 		return
@@ -419,12 +438,80 @@
 	c.sendDecision(id, o, Decision{Upstream: up.ID, Inputs: o.grant.Inputs, Late: o.grant.Late})
 }
 
+// awaitEngine keeps an order until an engine accepts it, if all engines have named limits and one is expected to accept
+// it in time.
+func (c *Coordinator) awaitEngine(o *openOrder, now time.Time) bool {
+	left := timeLeft(o.order, now)
+	capacity, wait, limited := c.placer.LimitedCapacity(o.order.Engine.Pool, c.hosts, left)
+	if !limited || wait > left {
+		return false
+	}
+	ahead := 0
+	for _, other := range c.waiting {
+		if other.order.Engine.Pool == o.order.Engine.Pool && compareOrders(other, o) < 0 {
+			ahead++
+		}
+	}
+	if float64(ahead+1) > capacity {
+		return false
+	}
+	c.waiting = append(c.waiting, o)
+	return true
+}
+
+// pickForWaiting picks engines for the orders that wait for one, the most urgent first.
+func (c *Coordinator) pickForWaiting(now time.Time) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	waiting := c.waiting
+	c.waiting = nil
+	slices.SortStableFunc(waiting, compareOrders)
+	for _, o := range waiting {
+		if c.orders[o.order.Job.ID] == o && o.reply != nil {
+			c.pickEngine(o, now)
+		}
+	}
+}
+
+// compareOrders sorts orders by rank, then by target.
+func compareOrders(a, b *openOrder) int {
+	return cmp.Or(cmp.Compare(a.order.Job.Rank, b.order.Job.Rank), a.order.Job.Target.Compare(b.order.Job.Target))
+}
+
+// timeLeft returns the time until the target of an order, or until its deadline if it is late.
+func timeLeft(o Order, now time.Time) time.Duration {
+	if left := o.Job.Target.Sub(now); left > 0 {
+		return left
+	}
+	return o.Job.Deadline.Sub(now)
+}
+
+// exceedsLimits reports whether all engines that an order may use have named limits, and other orders need all that they
+// accept in time. wait is the time until one of them accepts a request.
+func (c *Coordinator) exceedsLimits(o Order, now time.Time) (wait time.Duration, exceeds bool) {
+	capacity, wait, limited := c.placer.LimitedCapacity(o.Engine.Pool, c.hosts, timeLeft(o, now))
+	if !limited {
+		return 0, false
+	}
+	ahead := 0
+	for _, other := range c.orders {
+		if other.reply != nil && other.order.Engine.Pool == o.Engine.Pool {
+			ahead++
+		}
+	}
+	return wait, float64(ahead+1) > capacity
+}
+
 // refuseNoEngine returns the refusal of an order that no engine can take now. If all engines have paused its entry, the
 // caller may retry when the first pause ends.
 func (c *Coordinator) refuseNoEngine(o place.Order, now time.Time) Decision {
 	if opens, paused := c.placer.PauseLeft(o, c.hosts, now); paused {
 		return Decision{Refused: sched.Paused, RetryAfter: opens}
 	}
+	if _, wait, limited := c.placer.LimitedCapacity(o.Pool, c.hosts, 0); limited {
+		return Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)}
+	}
 	return Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second}
 }
 
@@ -536,12 +623,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	r.Host = u.Address
+	if r.URI != c.opts.Codec.RunPath { // calls were counted when they were scheduled
+		c.opts.Limits.Spend(u.Lifetime())
+	}
+	sent := c.opts.Now()
 	answer, failure := c.opts.Client.Do(ctx, u.Address, r)
 	if failure != nil {
 		return stageAnswer{}, failure
 	}
 	defer answer.Close()
-	c.opts.Notices.AddAnswer(u, answer.Status, answer.Head)
+	c.opts.Notices.AddAnswer(u, sent, answer.Status, answer.Head)
 	if answer.Head.HasLimit {
 		c.opts.Stats.LimitNamed(u.Pool)
 		c.opts.Log.Info("stage upstream named a limit", zap.String("upstream", u.ID), zap.String("path", r.URI),
--- a/internal/leader/lead/lead_test.go
+++ b/internal/leader/lead/lead_test.go
@@ -16,6 +16,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
 // startCoordinator runs a coordinator with one engine until the test ends.
@@ -28,6 +29,7 @@
 		Log: zap.NewNop(),
 		Crash: crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true },
 			HearsOthers: func() bool { return true }}),
+		Limits:  pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now}),
 		Notices: notices.New(notices.Options{Now: time.Now, Log: zap.NewNop()}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -51,6 +52,8 @@
 	startupDialTimeout   = 200 * time.Millisecond // instead of dialTimeout, as other members may not have started yet
 	startupBrokenBackoff = 300 * time.Millisecond // instead of brokenBackoff
 
+	permitTimeout = 150 * time.Millisecond // for the leader's answer to a permit query
+
 	largeFleetSize = 128 // members; from this size on, entries that start don't all read the same from the store
 )
 
@@ -62,6 +65,7 @@
 	MemberCount func() int               // number of all members
 	MembersRead func() bool              // the members were read, so Members includes a leader that exists
 	Crash       *crash.Tracker           // takes on what the leader knows of crashes
+	Limits      *pace.Limiter[hosts.Lifetime]
 	// Confirm applies what the leader has read from the store: the version of the configuration, and the upstreams.
 	Confirm        func(rules watch.Revision, table *hosts.Table)
 	ConfirmMembers func(registry.View) // applies what the leader has read of the members
@@ -393,6 +397,7 @@
 		for _, n := range l.opts.Notices() {
 			next.post(noticeMessage(n))
 		}
+		next.postLimits()
 	}
 	l.staleProbesLeft = maxStaleProbes
 	l.opts.Log.Info("leader", zap.String("member", m.Host), zap.Bool("before", alive))
@@ -629,6 +634,35 @@
 	}}}
 }
 
+// ObserveLimit applies what an upstream said of its limit in an answer to this entry, and tells the leader if that is
+// new.
+func (l *Link) ObserveLimit(s pace.Statement[hosts.Lifetime]) (changed bool) {
+	changed = l.opts.Limits.Observe(s)
+	if changed {
+		l.sendToLeader(limitsMessage([]pace.Statement[hosts.Lifetime]{s}, l.opts.Now()))
+	}
+	return changed
+}
+
+// Permit asks the leader for permission to send one request to an upstream that named a limit. It returns the time until
+// the upstream accepts one, 0 if the request may be sent. A leader that doesn't answer counts as a refusal.
+func (l *Link) Permit(ctx context.Context, to hosts.Lifetime) (wait time.Duration) {
+	if !l.opts.Limits.IsLimited(to) {
+		return 0
+	}
+	l.mu.Lock()
+	current := l.current
+	l.mu.Unlock()
+	if current == nil {
+		return l.opts.Limits.Take(to)
+	}
+	return current.permit(ctx, to)
+}
+
+func limitsMessage(statements []pace.Statement[hosts.Lifetime], now time.Time) *cellpb.ToLead {
+	return &cellpb.ToLead{Body: &cellpb.ToLead_Limits{Limits: cellpb.LimitsOf(statements, now)}}
+}
+
 // sendToLeader sends a message to the leader, if that is another entry.
 func (l *Link) sendToLeader(m *cellpb.ToLead) {
 	l.mu.Lock()
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -26,6 +26,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -99,6 +100,7 @@
 	leader atomic.Pointer[registry.Member] // the leader that it follows; nil if none
 	born   int64                           // of the process
 	crash  *crash.Tracker
+	limits *pace.Limiter[hosts.Lifetime]
 	hellos atomic.Int64 // lines that its server logged, which is one for each connection
 }
 
@@ -113,10 +115,10 @@
 	listener, err := ports.Listen()
 	c.Assert(err, qt.IsNil)
 	p := &peer{Member: registry.Member{Host: host, Address: listener.Addr().String(), Born: 1}, server: grpc.NewServer(),
-		born: 1, crash: newTracker()}
+		born: 1, crash: newTracker(), limits: newLimits()}
 	log := zap.New(logHook(func() { p.hellos.Add(1) }))
 	cellpb.RegisterCellServer(p.server, serve.New(serve.Options{
-		Dispatcher: dispatcher, Born: p.born, Leaving: func() bool { return false }, Leader: func() (registry.Member, bool) {
+		Dispatcher: dispatcher, Limits: p.limits, Born: p.born, Leaving: func() bool { return false }, Leader: func() (registry.Member, bool) {
 			if m := p.leader.Load(); m != nil {
 				return *m, true
 			}
@@ -156,6 +158,11 @@
 	go l.Run(ctx)
 }
 
+// newLimits returns a limiter of a process that may use all of each limit.
+func newLimits() *pace.Limiter[hosts.Lifetime] {
+	return pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now})
+}
+
 // newLink returns a link of the entry self, which is not running yet.
 func newLink(local lead.Decider, members func() []registry.Member, membersRead func() bool) *link.Link {
 	return newLinkWith(newTracker(), local, members, membersRead)
@@ -165,7 +172,7 @@
 	tracker *crash.Tracker, local lead.Decider, members func() []registry.Member, membersRead func() bool) *link.Link {
 	return link.New(link.Options{
 		Self: "self", Local: local, Members: members, MembersRead: membersRead, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, Crash: tracker, AdoptRules: func(int64, []byte) {},
+		Leaving: func() bool { return false }, Crash: tracker, Limits: newLimits(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 },
@@ -432,7 +439,7 @@
 		Self: "self", Local: newFake("local", false),
 		Members:     func() []registry.Member { return []registry.Member{p.Member} },
 		MembersRead: func() bool { return false }, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, Crash: newTracker(), AdoptRules: func(int64, []byte) {},
+		Leaving: func() bool { return false }, Crash: newTracker(), Limits: newLimits(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 },
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -34,6 +36,9 @@
 	maxDecompressedBytes = 8 << 20         // the same limit as for an answer of the store
 )
 
+// maxExhausted is the longest time without another permit query after a refusal.
+const maxExhausted = 1 * time.Second
+
 // lostSilent is the loss reason of a leader that sends nothing.
 const lostSilent = "silent"
 
@@ -61,6 +66,11 @@
 	opts          Options
 	fetchingRules atomic.Bool // the leader's configuration is being fetched
 	fetchingHosts atomic.Bool // the leader's list is being fetched
+
+	permitsMu   sync.Mutex
+	permitCount int64                        // number of the last permit query
+	permits     map[int64]chan time.Duration // of the queries without an answer, by number
+	exhausted   map[hosts.Lifetime]time.Time // when upstreams accept a request again, as the leader said
 }
 
 // dial connects to a member within limit. Its process then has probeTimeout to accept the stream. The session passes
@@ -98,6 +108,7 @@
 	s := &session{
 		member: m, conn: conn, cancel: cancel, outbox: make(chan *cellpb.ToLead, outboxSize), startedAt: o.Now(),
 		now: o.Now, firstPong: make(chan *cellpb.Pong, 1), opts: o,
+		permits: map[int64]chan time.Duration{}, exhausted: map[hosts.Lifetime]time.Time{},
 	}
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Hello{Hello: &cellpb.Hello{Host: o.Self}}})
 	s.postCrashes() // before the first ping, so that each pong takes it into account
@@ -162,6 +173,18 @@
 			if known := s.opts.Crash.Merge(body.Crashes.Changes(s.now())); len(known) > 0 {
 				s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Crashes{Crashes: cellpb.CrashesOf(known, s.now())}})
 			}
+		case *cellpb.ToEntry_Limits:
+			for _, statement := range body.Limits.Statements(s.now()) {
+				s.opts.Limits.Observe(statement)
+			}
+		case *cellpb.ToEntry_Permit:
+			s.permitsMu.Lock()
+			answer := s.permits[body.Permit.Number]
+			delete(s.permits, body.Permit.Number)
+			s.permitsMu.Unlock()
+			if answer != nil {
+				answer <- time.Duration(body.Permit.WaitUs) * time.Microsecond
+			}
 		case *cellpb.ToEntry_Crew:
 			s.members = &registry.View{Size: int(body.Crew.Size)}
 			for _, m := range body.Crew.First {
@@ -348,6 +371,48 @@
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Crashes{Crashes: m}})
 }
 
+// postLimits tells a new leader which upstreams named limits.
+func (s *session) postLimits() {
+	statements, _ := s.opts.Limits.Changes(0)
+	statements = slices.DeleteFunc(statements, func(s pace.Statement[hosts.Lifetime]) bool { return !s.Limited })
+	if len(statements) > 0 {
+		s.post(limitsMessage(statements, s.now()))
+	}
+}
+
+// permit asks the leader for permission to send one request to an upstream, unless it has said that the upstream accepts
+// none yet. It returns the time until the upstream accepts one, 0 if the request may be sent.
+func (s *session) permit(ctx context.Context, to hosts.Lifetime) time.Duration {
+	answer := make(chan time.Duration, 1)
+	s.permitsMu.Lock()
+	if wait := s.exhausted[to].Sub(s.now()); wait > 0 {
+		s.permitsMu.Unlock()
+		return wait
+	}
+	delete(s.exhausted, to)
+	s.permitCount++
+	number := s.permitCount
+	s.permits[number] = answer
+	s.permitsMu.Unlock()
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_PermitQuery{
+		PermitQuery: &cellpb.PermitQuery{Number: number, Id: to.ID, Born: to.StartedMs}}})
+	timeout := time.NewTimer(permitTimeout)
+	defer timeout.Stop()
+	wait := permitTimeout
+	select {
+	case wait = <-answer:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	s.permitsMu.Lock()
+	defer s.permitsMu.Unlock()
+	delete(s.permits, number)
+	if wait > 0 {
+		s.exhausted[to] = s.now().Add(min(wait, maxExhausted))
+	}
+	return wait
+}
+
 func (s *session) ping() {
 	s.pingedAt.Store(int64(s.now().Sub(s.startedAt)))
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: &cellpb.Ping{Sequence: s.sequence.Add(1)}}})
--- /dev/null
+++ b/internal/leader/place/limit_test.go
@@ -0,0 +1,51 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/leader/place"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
+)
+
+// limitsAt returns a limiter with a fake clock, for a process that may use all of each limit.
+func limitsAt(now *time.Time) *pace.Limiter[hosts.Lifetime] {
+	return pace.New[hosts.Lifetime](pace.Options{
+		Share: func() float64 { return 1 }, Now: func() time.Time { return *now },
+	})
+}
+
+func noLimits() *pace.Limiter[hosts.Lifetime] { return limitsAt(&start) }
+
+// Two thirds of the engines name limits: they get what they named, and the others get the rest.
+func TestWorkGoesToEnginesThatAreNotLimited(t *testing.T) {
+	const seconds, perSecond, rate = 10, 40, 2
+	c := qt.New(t)
+	now := start
+	limits := limitsAt(&now)
+	p := place.New(limits)
+	for i := range 4 {
+		limits.Observe(pace.Statement[hosts.Lifetime]{
+			Key: hosts.Lifetime{ID: fmt.Sprintf("e%d", i)}, Limited: true, Rate: rate, At: now})
+	}
+	used := map[string]int{}
+	for i := range seconds * perSecond {
+		now = start.Add(time.Duration(i) * time.Second / perSecond)
+		id := fmt.Sprint(i)
+		u, ok := p.Pick(order(id, id, 7000), engines(), spec, now)
+		c.Assert(ok, qt.IsTrue)
+		used[u.ID]++
+		if i >= perSecond {
+			p.FirstByte(fmt.Sprint(i-perSecond/2), now)
+			p.Ended(fmt.Sprint(i - perSecond))
+		}
+	}
+	for i := range 4 {
+		n := used[fmt.Sprintf("e%d", i)]
+		c.Check(n >= rate*seconds/2 && n <= rate*seconds+1, qt.IsTrue, qt.Commentf("%d requests to e%d", n, i))
+	}
+}
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
 const (
@@ -80,13 +81,14 @@
 
 // Placer assigns requests to engines. It tracks their load, prompt caches and failures. One goroutine owns it.
 type Placer struct {
+	limits   *pace.Limiter[hosts.Lifetime]
 	engines  map[string]*engine
 	engineOf map[string]string // engine ID by request ID
 }
 
-// New returns a Placer without engines.
-func New() *Placer {
-	return &Placer{engines: map[string]*engine{}, engineOf: map[string]string{}}
+// New returns a Placer without engines, which assigns no more requests than limits allows.
+func New(limits *pace.Limiter[hosts.Lifetime]) *Placer {
+	return &Placer{limits: limits, engines: map[string]*engine{}, engineOf: map[string]string{}}
 }
 
 // SetUpstreams removes engines that are gone and idle, and resets the state of engines that have restarted, except for
@@ -107,8 +109,8 @@
 	}
 }
 
-// Pick assigns a request to the engine with the lowest cost. It returns false if no engine is ready or all have paused
-// the request's entry.
+// Pick assigns a request to the engine with the lowest cost. It returns false if no engine is ready, or if each has
+// paused the request's entry or accepts no more requests for now.
 func (p *Placer) Pick(o Order, t *hosts.Table, spec rule.Engine, now time.Time) (hosts.Upstream, bool) {
 	p.Ended(o.ID)
 	var best hosts.Upstream
@@ -119,7 +121,7 @@
 	for _, lastResort := range []bool{false, true} { // the second pass admits ejected and excluded engines
 		for _, u := range t.Ready(o.Pool) {
 			e := p.engine(u.ID)
-			if now.Before(e.pausedUntil[o.Entry]) {
+			if now.Before(e.pausedUntil[o.Entry]) || p.limits.Wait(u.Lifetime()) > 0 {
 				continue
 			}
 			if !lastResort && (now.Before(e.ejectedUntil) || slices.Contains(o.Exclude, u.ID)) {
@@ -140,10 +142,28 @@
 	if !found {
 		return best, false
 	}
+	p.limits.Take(best.Lifetime())
 	p.assign(o, keys, best.ID, now)
 	return best, true
 }
 
+// LimitedCapacity returns the number of requests that the engines of a pool accept within d, and the time until one
+// accepts a request, if all that are ready have named a limit. Otherwise limited is false.
+func (p *Placer) LimitedCapacity(
+	pool string, t *hosts.Table, d time.Duration) (requests float64, wait time.Duration, limited bool) {
+	for i, u := range t.Ready(pool) {
+		n, limited := p.limits.Capacity(u.Lifetime(), d)
+		if !limited {
+			return 0, 0, false
+		}
+		requests += n
+		if w := p.limits.Wait(u.Lifetime()); i == 0 || w < wait {
+			wait = w
+		}
+	}
+	return requests, wait, len(t.Ready(pool)) > 0
+}
+
 // Pause keeps requests of an entry from an engine until the given time.
 func (p *Placer) Pause(id, entry string, until time.Time) {
 	e := p.engine(id)
--- a/internal/leader/place/place_test.go
+++ b/internal/leader/place/place_test.go
@@ -39,7 +39,7 @@
 
 func TestSessionsReturnToTheEngineThatHasTheirPrefix(t *testing.T) {
 	c := qt.New(t)
-	p := place.New()
+	p := place.New(noLimits())
 	first, ok := p.Pick(order("1", "s", 9000), engines(), spec, start)
 	c.Assert(ok, qt.IsTrue)
 	p.FirstByte("1", start.Add(200*time.Millisecond))
@@ -56,7 +56,7 @@
 
 func TestPreferredZoneFollowsTheCachedPrompt(t *testing.T) {
 	c := qt.New(t)
-	p := place.New()
+	p := place.New(noLimits())
 	c.Check(p.PreferredZone(order("1", "s", 9000), engines(), spec, start), qt.Equals, "",
 		qt.Commentf("no engine has cached the prompt"))
 	first, ok := p.Pick(order("1", "s", 9000), engines(), spec, start)
@@ -72,7 +72,7 @@
 
 func TestLoadOutweighsThePrefix(t *testing.T) {
 	c := qt.New(t)
-	p := place.New()
+	p := place.New(noLimits())
 	used := map[string]int{}
 	for i := range 30 {
 		u, _ := p.Pick(order(fmt.Sprint(i), "s", 9000), engines(), spec, start)
@@ -85,13 +85,13 @@
 	c := qt.New(t)
 	o := order("1", "s", 500)
 	o.ByZone = map[string]int64{"z2": 4_000_000}
-	u, _ := place.New().Pick(o, engines(), spec, start)
+	u, _ := place.New(noLimits()).Pick(o, engines(), spec, start)
 	c.Check(u.Zone, qt.Equals, "z2")
 }
 
 func TestFailingEnginesAreEjected(t *testing.T) {
 	c := qt.New(t)
-	p := place.New()
+	p := place.New(noLimits())
 	first, _ := p.Pick(order("1", "s", 9000), engines(), spec, start)
 	p.EngineFailed(first.ID, start)
 	c.Check(p.EngineFailed(first.ID, start) > 0, qt.IsTrue)
@@ -103,7 +103,7 @@
 // has to keep requests away.
 func TestPartlyFailingEnginesGetFewRequests(t *testing.T) {
 	c := qt.New(t)
-	p := place.New()
+	p := place.New(noLimits())
 	now, sent := start, map[string]int{}
 	for i := range 120 {
 		now = now.Add(100 * time.Millisecond)
@@ -124,7 +124,7 @@
 
 func TestRestartedEnginesHaveEmptyCaches(t *testing.T) {
 	c := qt.New(t)
-	p := place.New()
+	p := place.New(noLimits())
 	table := func(born int64) *hosts.Table {
 		return hosts.New([]hosts.Upstream{
 			{ID: "old", Pool: "p", Zone: "z0", State: hosts.Ready, StartedMs: born},
@@ -146,7 +146,7 @@
 
 func TestExcludedEnginesAreAvoided(t *testing.T) {
 	c := qt.New(t)
-	p := place.New()
+	p := place.New(noLimits())
 	o := order("1", "s", 9000)
 	first, _ := p.Pick(o, engines(), spec, start)
 	o.Exclude = []string{first.ID}
@@ -162,7 +162,7 @@
 
 func TestPausesApplyToOneEntry(t *testing.T) {
 	c := qt.New(t)
-	p, table := place.New(), engines()
+	p, table := place.New(noLimits()), engines()
 	one := order("1", "s", 100)
 	one.Entry = "entry-1"
 	best, _ := p.Pick(one, table, spec, start)
@@ -203,7 +203,7 @@
 	const running = 30 // requests that are open at a time
 	random := rand.New(rand.NewPCG(1, 2))
 	for leader := range 4 {
-		p := place.New()
+		p := place.New(noLimits())
 		for n := range sessions * rounds {
 			now = now.Add(10 * time.Millisecond)
 			session := fmt.Sprint(random.IntN(sessions))
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -18,7 +18,7 @@
 			s.job.late = true
 		}
 	}
-	free := p.freeWorkers(now)
+	free := sc.freeWorkers(p, now)
 	if len(free) == 0 {
 		return
 	}
@@ -135,13 +135,14 @@
 
 // freeWorkers returns the upstreams that can take a call: fast ones before slow ones, then those with less used memory
 // first.
-func (p *pool) freeWorkers(now time.Time) []*worker {
+func (sc *Scheduler) freeWorkers(p *pool, now time.Time) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
 		switch {
 		case !w.present || w.running != nil:
 		case now.Before(w.pausedUntil) || now.Before(w.fullUntil):
 		case w.slow() && now.Before(w.retestAt):
+		case sc.limits.Wait(w.up.Lifetime()) > 0:
 		default:
 			out = append(out, w)
 		}
@@ -204,6 +205,7 @@
 	if len(items) == 0 {
 		return
 	}
+	sc.limits.Take(w.up.Lifetime())
 	sc.nextID++
 	r.id = sc.nextID
 	r.expected = p.callTime(len(items)) + overheadPerCall
--- a/internal/leader/sched/handover.go
+++ b/internal/leader/sched/handover.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// Ungrant takes back the grant of a job whose request was not sent, so that the job can be recalled.
+func (sc *Scheduler) Ungrant(id string) {
+	if j := sc.jobs[id]; j != nil {
+		j.granted = false
+	}
+}
+
 // handOverRecalled hands over the recalled jobs that have no piece in a call.
 func (sc *Scheduler) handOverRecalled(now time.Time) {
 	for _, j := range sc.order {
--- a/internal/leader/sched/load_test.go
+++ b/internal/leader/sched/load_test.go
@@ -188,7 +188,7 @@
 	for _, size := range []struct{ jobs, upstreams int }{{250, 40}, {1000, 40}, {5000, 40}, {250, 400}, {5000, 400}} {
 		b.Run(fmt.Sprintf("%d jobs %d upstreams", size.jobs, size.upstreams), func(b *testing.B) {
 			now := time.Unix(1000, 0)
-			s := sched.New()
+			s := sched.New(noLimits())
 			s.SetPool("p", rule.Batch{
 				Size: 8, Call: 200 * time.Millisecond, Piece: 20 * time.Millisecond,
 				Headroom: 18e6, ResultRetention: 4 * time.Second})
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -8,6 +8,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
 const (
@@ -76,6 +77,7 @@
 	Expired     Reason = "expired"     // it waited too long for a call
 	NoUpstreams Reason = "noUpstreams" // a pool has no ready upstream
 	Failing     Reason = "failing"     // its calls failed or its results were lost too often
+	Limited     Reason = "limited"     // all upstreams have named limits, which other requests use up
 	Paused      Reason = "paused"      // all engines have paused requests from its entry
 	Quarantined Reason = "quarantined" // requests like it crash upstreams
 )
@@ -170,6 +172,7 @@
 
 // Scheduler assigns the pieces of jobs to stage upstreams. It is not safe for concurrent use; one goroutine owns it.
 type Scheduler struct {
+	limits      *pace.Limiter[hosts.Lifetime]
 	pools       map[string]*pool
 	jobs        map[string]*job
 	order       []*job // in order of submission; may contain jobs that are gone
@@ -181,10 +184,11 @@
 	overloads   map[string]*overload // by pool names, joined by spaces
 }
 
-// New returns a scheduler without pools.
-func New() *Scheduler {
+// New returns a scheduler without pools, which starts no more calls than limits allows.
+func New(limits *pace.Limiter[hosts.Lifetime]) *Scheduler {
 	return &Scheduler{
-		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
+		limits: limits,
+		pools:  map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
 		toRelease: map[string][]string{}, workersByID: map[string]*worker{},
 		overloads: map[string]*overload{},
 	}
--- a/internal/leader/sched/sched_test.go
+++ b/internal/leader/sched/sched_test.go
@@ -20,7 +20,7 @@
 
 // twoPools returns a scheduler with upstreams a-0 and a-1 of pool a, and b-0 and b-1 of pool b, in two zones.
 func twoPools() *sched.Scheduler {
-	s := sched.New()
+	s := sched.New(noLimits())
 	var all []hosts.Upstream
 	for _, pool := range []string{"a", "b"} {
 		s.SetPool(pool, spec)
@@ -179,7 +179,7 @@
 	c := qt.New(t)
 	small := spec
 	small.Headroom = 4_200_000
-	s := sched.New()
+	s := sched.New(noLimits())
 	s.SetPool("a", small)
 	s.SetUpstreams(hosts.New([]hosts.Upstream{{ID: "a-0", Pool: "a", State: hosts.Ready}}, start))
 	s.Submit(chain1("one", 60_000), start)
@@ -280,7 +280,7 @@
 
 func TestJobsWithoutUpstreamsAreRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
-	s := sched.New()
+	s := sched.New(noLimits())
 	s.SetPool("a", spec)
 	s.Submit(chain("one", 1000), start)
 	out := s.Schedule(start)
--- a/internal/leader/sched/simulation_test.go
+++ b/internal/leader/sched/simulation_test.go
@@ -64,7 +64,7 @@
 
 func newSimulation(pools map[string]rule.Batch, count int, seed uint64) *simulation {
 	sim := &simulation{
-		scheduler: sched.New(), now: start, upstreams: map[string]*upstream{}, pools: pools, jobs: map[string]*outcome{},
+		scheduler: sched.New(noLimits()), now: start, upstreams: map[string]*upstream{}, pools: pools, jobs: map[string]*outcome{},
 		random: rand.New(rand.NewPCG(seed, 1)), work: func(string, int) float64 { return 1 },
 	}
 	for name, spec := range pools {
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -18,6 +18,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -35,6 +36,7 @@
 	leader     func() (registry.Member, bool)
 	born       int64
 	crash      *crash.Tracker
+	limits     *pace.Limiter[hosts.Lifetime]
 	rules      func() Rules
 	hosts      func() *hosts.Table
 	members    func() registry.View
@@ -63,6 +65,7 @@
 	Leaving    func() bool                    // this process is shutting down
 	Leader     func() (registry.Member, bool) // the leader that this process follows, if any
 	Crash      *crash.Tracker
+	Limits     *pace.Limiter[hosts.Lifetime]
 	Rules      func() Rules
 	Hosts      func() *hosts.Table
 	Crew       func() registry.View // the members, as other entries may rely on them
@@ -73,7 +76,7 @@
 // New returns a server that passes the orders of other entries to o.Dispatcher.
 func New(o Options) *Server {
 	return &Server{
-		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, rules: o.Rules,
+		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits, rules: o.Rules,
 		hosts: o.Hosts, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
@@ -89,6 +92,7 @@
 	sentTable   *hosts.Table  // list of upstreams that the entry has; nil if none
 	sentMembers registry.View // members that the entry was sent
 	sentChanges int64         // number of the last change of crashes that the entry was sent
+	sentLimits  int64         // number of the last change of limits that the entry was sent
 	mu          sync.Mutex
 	open        map[string]bool // IDs of requests that have not ended
 }
@@ -166,6 +170,19 @@
 			Lifetime: hosts.Lifetime{ID: n.Id, StartedMs: n.Born}, Leaving: n.Leaving,
 			Pause: time.Duration(n.PauseUs) * time.Microsecond,
 		})
+	case *cellpb.ToLead_Limits:
+		for _, statement := range body.Limits.Statements(ses.now()) {
+			if ses.limits.Observe(statement) {
+				ses.log.Info("limit changed, another entry was told", zap.String("upstream", statement.Key.ID),
+					zap.Bool("limited", statement.Limited), zap.Float64("rate", statement.Rate),
+					zap.String("member", ses.entry))
+			}
+		}
+	case *cellpb.ToLead_PermitQuery:
+		q := body.PermitQuery
+		wait := ses.limits.Take(hosts.Lifetime{ID: q.Id, StartedMs: q.Born})
+		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Permit{
+			Permit: &cellpb.Permit{Number: q.Number, WaitUs: wait.Microseconds()}}})
 	case *cellpb.ToLead_Holds:
 		// The list may not be kept any more. No changes are sent then, and the entry reads the list from the store itself.
 		ses.sentTable = ses.history.get(body.Holds.HostsVersion)
@@ -192,6 +209,7 @@
 	now := ses.now()
 	if sequence > 1 {
 		ses.postCrashes(now)
+		ses.postLimits(now)
 	}
 	rules := ses.rules()
 	pong := &cellpb.Pong{
@@ -218,6 +236,14 @@
 	}
 }
 
+// postLimits sends the entry what was learned of limits.
+func (ses *session) postLimits(now time.Time) {
+	statements, last := ses.limits.Changes(ses.sentLimits)
+	if len(statements) == 0 || ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Limits{Limits: cellpb.LimitsOf(statements, now)}}) {
+		ses.sentLimits = last
+	}
+}
+
 func memberMessage(m registry.Member) *cellpb.Member {
 	return &cellpb.Member{Host: m.Host, Address: m.Address, Born: m.Born, Cores: m.Cores}
 }
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -15,6 +15,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
 )
 
@@ -44,13 +45,18 @@
 		HearsOthers: func() bool { return true }})
 }
 
+// newLimits returns a limiter of a process that may use all of each limit.
+func newLimits() *pace.Limiter[hosts.Lifetime] {
+	return pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now})
+}
+
 // newSession returns a session without a connection, in a fleet of 300 entries.
 func newSession(dispatcher lead.Decider, rules func() Rules, list func() *hosts.Table) *session {
 	s := New(Options{
 		Dispatcher: dispatcher, Leaving: func() bool { return false },
 		Leader: func() (registry.Member, bool) { return registry.Member{}, false },
-		Crash:  newTracker(),
-		Rules:  rules, Hosts: list,
+		Crash:  newTracker(), Limits: newLimits(),
+		Rules: rules, Hosts: list,
 		Crew: func() registry.View { return registry.View{Candidates: []registry.Member{{Host: "a"}}, Size: 300} },
 		Now:  time.Now, Log: zap.NewNop(),
 	})
--- /dev/null
+++ b/internal/limit/pace/doc.go
@@ -0,0 +1,2 @@
+// Package pace keeps the requests to upstreams within the limits that these name in their answers.
+package pace
