Give engines without a limit only what they can begin in time

The forecast of the first token saw idle engines that were only idle because their limits were used up. While some engines of a pool have named limits, requests are admitted by what all of its engines are expected to begin before the target, others wait for their turn or are refused at once.

--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -427,6 +427,7 @@
 		c.sendDecision(id, o, Decision{Refused: sched.Quarantined, RetryAfter: wait})
 		return
 	}
+	o.order.Engine.Within = timeLeft(o.order, now)
 	up, ok := c.placer.Pick(o.order.Engine, c.hosts, c.engineSpec(o.order.Engine.Pool), now)
 	if !ok && c.awaitEngine(o, now) {
 		return
@@ -438,12 +439,12 @@
 	c.sendDecision(id, o, Decision{Upstream: up.ID, Inputs: o.grant.Inputs, Late: o.grant.Late})
 }
 
-// awaitEngine keeps an order until an engine accepts it, if all engines have named limits and one is expected to accept
+// awaitEngine keeps an order until an engine accepts it, if some engines have named limits and one is expected to accept
 // it in time.
 func (c *Coordinator) awaitEngine(o *openOrder, now time.Time) bool {
 	left := timeLeft(o.order, now)
-	capacity, wait, limited := c.placer.LimitedCapacity(o.order.Engine.Pool, c.hosts, left)
-	if !limited || wait > left {
+	capacity, wait, known := c.placer.Capacity(o.order.Engine.Pool, c.hosts, left, now)
+	if !known || wait >= left {
 		return false
 	}
 	ahead := 0
@@ -487,11 +488,11 @@
 	return o.Job.Deadline.Sub(now)
 }
 
-// exceedsLimits reports whether all engines that an order may use have named limits, and other orders need all that they
-// accept in time. wait is the time until one of them accepts a request.
+// exceedsLimits reports whether some engines that an order may use have named limits, and other orders need all that the
+// engines accept in time. wait is the time until one of them accepts a request.
 func (c *Coordinator) exceedsLimits(o Order, now time.Time) (wait time.Duration, exceeds bool) {
-	capacity, wait, limited := c.placer.LimitedCapacity(o.Engine.Pool, c.hosts, timeLeft(o, now))
-	if !limited {
+	capacity, wait, known := c.placer.Capacity(o.Engine.Pool, c.hosts, timeLeft(o, now), now)
+	if !known {
 		return 0, false
 	}
 	ahead := 0
@@ -509,7 +510,7 @@
 	if opens, paused := c.placer.PauseLeft(o, c.hosts, now); paused {
 		return Decision{Refused: sched.Paused, RetryAfter: opens}
 	}
-	if _, wait, limited := c.placer.LimitedCapacity(o.Pool, c.hosts, 0); limited {
+	if _, wait, known := c.placer.Capacity(o.Pool, c.hosts, limitedRetryAfter, now); known {
 		return Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)}
 	}
 	return Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second}
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -26,6 +26,8 @@
 	maxMemoryFraction    = 0.85                  // of the engine's memory that running requests may take
 	cacheTTL             = 30 * time.Second      // a part unused for longer is assumed to be evicted
 	slownessSmoothing    = 0.2
+	uncachedSmoothing    = 0.02
+	initialUncached      = 2000 // tokens
 	maxSlowness          = 8.0
 	firstTokenOverhead   = 15 * time.Millisecond  // time to the first token of a request with an empty prompt
 	zoneMargin           = 50 * time.Millisecond  // by which a zone must be better than all others to be preferred
@@ -51,6 +53,7 @@
 	OutputTokens int              // expected
 	ByZone       map[string]int64 // bytes of the stage results that it reads, by zone
 	Exclude      []string         // IDs of engines that have refused or failed it
+	Within       time.Duration    // its first token is of use
 }
 
 // runningRequest is a request that runs on an engine.
@@ -81,14 +84,15 @@
 
 // Placer assigns requests to engines. It tracks their load, prompt caches and failures. One goroutine owns it.
 type Placer struct {
-	limits   *pace.Limiter[hosts.Lifetime]
-	engines  map[string]*engine
-	engineOf map[string]string // engine ID by request ID
+	limits      *pace.Limiter[hosts.Lifetime]
+	engines     map[string]*engine
+	engineOf    map[string]string // engine ID by request ID
+	avgUncached float64           // moving average of the prompt tokens that an engine has to read for a request
 }
 
 // New returns a Placer without engines, which assigns no more requests than limits allows.
 func New(limits *pace.Limiter[hosts.Lifetime]) *Placer {
-	return &Placer{limits: limits, engines: map[string]*engine{}, engineOf: map[string]string{}}
+	return &Placer{limits: limits, avgUncached: initialUncached, engines: map[string]*engine{}, engineOf: map[string]string{}}
 }
 
 // SetUpstreams removes engines that are gone and idle, and resets the state of engines that have restarted, except for
@@ -110,7 +114,8 @@
 }
 
 // Pick assigns a request to the engine with the lowest cost. It returns false if no engine is ready, or if each has
-// paused the request's entry or accepts no more requests for now.
+// paused the request's entry or accepts no more requests for now. While some name limits, the others get only what they
+// are expected to begin in time.
 func (p *Placer) Pick(o Order, t *hosts.Table, spec rule.Engine, now time.Time) (hosts.Upstream, bool) {
 	p.Ended(o.ID)
 	var best hosts.Upstream
@@ -118,6 +123,7 @@
 	found := false
 	keys := prefixKeys(o)
 	home := p.homeEngine(o, keys, t, now)
+	limited := p.isLimited(o.Pool, t)
 	for _, lastResort := range []bool{false, true} { // the second pass admits ejected and excluded engines
 		for _, u := range t.Ready(o.Pool) {
 			e := p.engine(u.ID)
@@ -127,6 +133,9 @@
 			if !lastResort && (now.Before(e.ejectedUntil) || slices.Contains(o.Exclude, u.ID)) {
 				continue
 			}
+			if limited && e.startTime(o.PromptTokens-e.cachedTokens(o, keys, now)) > o.Within {
+				continue
+			}
 			cost := e.cost(o, keys, u, spec, now)
 			if u.ID == home {
 				cost -= e.homeDiscount(o)
@@ -147,21 +156,40 @@
 	return best, true
 }
 
-// LimitedCapacity returns the number of requests that the engines of a pool accept within d, and the time until one
-// accepts a request, if all that are ready have named a limit. Otherwise limited is false.
-func (p *Placer) LimitedCapacity(
-	pool string, t *hosts.Table, d time.Duration) (requests float64, wait time.Duration, limited bool) {
-	for i, u := range t.Ready(pool) {
+// isLimited reports whether an engine of a pool has named a limit. The others may then get more than they can begin in
+// time.
+func (p *Placer) isLimited(pool string, t *hosts.Table) bool {
+	return p.limits.Limited() > 0 &&
+		slices.ContainsFunc(t.Ready(pool), func(u hosts.Upstream) bool { return p.limits.IsLimited(u.Lifetime()) })
+}
+
+// Capacity returns the number of requests that the engines of a pool are expected to begin within d, and the time until
+// one of them accepts a request. It is known only while one of them has named a limit.
+func (p *Placer) Capacity(
+	pool string, t *hosts.Table, d time.Duration, now time.Time) (requests float64, wait time.Duration, known bool) {
+	wait = d
+	for _, u := range t.Ready(pool) {
+		e := p.engine(u.ID)
 		n, limited := p.limits.Capacity(u.Lifetime(), d)
-		if !limited {
-			return 0, 0, false
-		}
-		requests += n
-		if w := p.limits.Wait(u.Lifetime()); i == 0 || w < wait {
-			wait = w
+		switch {
+		case limited:
+			known = true
+			requests += n
+			wait = min(wait, p.limits.Wait(u.Lifetime()))
+		case now.Before(e.ejectedUntil):
+			wait = min(wait, e.ejectedUntil.Sub(now))
+		default:
+			next := e.startTime(int(p.avgUncached))
+			requests += float64(max(0, d-e.startTime(0))) / float64(next-e.startTime(0))
+			wait = min(wait, max(0, next-d))
 		}
 	}
-	return requests, wait, len(t.Ready(pool)) > 0
+	return requests, wait, known
+}
+
+// startTime returns the expected time until the engine has read so many more prompt tokens.
+func (e *engine) startTime(tokens int) time.Duration {
+	return time.Duration(max(1, e.slowness) * float64(e.prefillTime(e.pendingPrefill+tokens)+firstTokenOverhead))
 }
 
 // Pause keeps requests of an entry from an engine until the given time.
@@ -286,6 +314,7 @@
 		reservedTokens: o.PromptTokens + o.OutputTokens, pendingPrefill: uncached, started: now,
 		expected: e.prefillTime(e.pendingPrefill+uncached) + firstTokenOverhead,
 	}
+	p.avgUncached += uncachedSmoothing * (float64(uncached) - p.avgUncached)
 	e.running[o.ID] = req
 	e.pendingPrefill += req.pendingPrefill
 	e.reservedTokens += req.reservedTokens
