Log the era and the offset at which reads of the store go on

Positions in the store carry the era of the answer that they come from. Lines "store regained" and "records trimmed" name both, and "older configuration ignored" tells a version that was read but not taken. Nothing is decided by the era yet: this tells the hypotheses of docs/incidents/store-restored.md apart.

--- a/internal/edge/cursor/cursor.go
+++ b/internal/edge/cursor/cursor.go
@@ -8,22 +8,23 @@
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
-// Store reads topics, each from a snapshot or from an offset. Both methods also return the offset at which the next
+// Store reads topics, each from a snapshot or from a position. Both methods also return the position at which the next
 // read continues.
 type Store interface {
-	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error)
-	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) ([]platform.Record, int64, error)
+	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, platform.Position, error)
+	Read(ctx context.Context, topic platform.Topic, from platform.Position, wait time.Duration) (
+		[]platform.Record, platform.Position, error)
 }
 
 // Cursor is a position in a topic; it must be used by one goroutine at a time.
 type Cursor struct {
 	store         Store
 	topic         platform.Topic
-	wait          time.Duration // a read after the snapshot waits this long for a new record
-	limit         time.Duration // timeout of a call, beyond its wait
-	next          int64         // offset at which the next read continues
-	synced        bool          // a snapshot was read and no record after it is missing
-	snapshotTries int           // reads of a snapshot so far
+	wait          time.Duration     // a read after the snapshot waits this long for a new record
+	limit         time.Duration     // timeout of a call, beyond its wait
+	next          platform.Position // at which the next read continues
+	synced        bool              // a snapshot was read and no record after it is missing
+	snapshotTries int               // reads of a snapshot so far
 }
 
 // Of three tries of a snapshot, two have a short timeout, so that the recovery of a silent store is soon noticed, and
@@ -42,13 +43,13 @@
 // Synced reports whether the next read continues the last one; if not, it reads a snapshot.
 func (c *Cursor) Synced() bool { return c.synced }
 
-// Offset is the offset at which the next read continues.
-func (c *Cursor) Offset() int64 { return c.next }
+// Position is where the next read continues.
+func (c *Cursor) Position() platform.Position { return c.next }
 
 // Skip moves the next read forward to an offset; it does nothing if the cursor is past it or not synced.
 func (c *Cursor) Skip(offset int64) {
 	if c.synced {
-		c.next = max(c.next, offset)
+		c.next.Offset = max(c.next.Offset, offset)
 	}
 }
 
@@ -69,7 +70,7 @@
 	whole = !c.synced
 	ctx, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
-	var next int64
+	var next platform.Position
 	if whole {
 		records, next, err = c.store.Newest(ctx, c.topic)
 	} else {
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -269,7 +269,7 @@
 		records, snapshot, err := cur.Read(ctx)
 		if errors.Is(err, platform.ErrTrimmed) {
 			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)),
-				zap.Int64("from", cur.Offset()))
+				zap.Int64("from", cur.Position().Offset), zap.Int64("era", cur.Position().Era))
 			pause.For(ctx, recheckInterval)
 			continue
 		}
@@ -298,7 +298,8 @@
 		if inOutage {
 			inOutage = false
 			outage := now.Sub(answeredAt)
-			w.o.Log.Info("store regained", zap.String("topic", string(f.topic)), zap.Duration("away", outage))
+			w.o.Log.Info("store regained", zap.String("topic", string(f.topic)), zap.Duration("away", outage),
+				zap.Int64("offset", cur.Position().Offset), zap.Int64("era", cur.Position().Era))
 			if outage > outageAfter && f.recovered != nil {
 				f.recovered()
 			}
@@ -361,6 +362,10 @@
 	defer w.mu.Unlock()
 	before := w.rules.Load().Version()
 	if rules.Version() <= before {
+		if rules.Version() < before {
+			w.o.Log.Info("older configuration ignored", zap.Int64("version", rules.Version()), zap.Int64("inForce", before),
+				zap.Int64("offset", offset), zap.String("source", source))
+		}
 		return true
 	}
 	w.raw.Store(&rawRules{version: rules.Version(), offset: offset, body: body})
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -37,6 +37,7 @@
 type memStore struct {
 	mu    sync.Mutex
 	logs  map[platform.Topic][]platform.Record
+	era   int64
 	first int64 // offset of the first record of the upstreams topic that is not trimmed
 	down  bool  // every call fails
 	reads int   // calls of readFrom, for any topic
@@ -55,15 +56,15 @@
 		Offset: int64(len(s.logs[topic]))})
 }
 
-func (s *memStore) Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error) {
+func (s *memStore) Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, platform.Position, error) {
 	if s.silent.Load() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, platform.Position{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, context.DeadlineExceeded
+		return nil, platform.Position{}, context.DeadlineExceeded
 	}
 	newest := map[string]platform.Record{}
 	for _, r := range s.logs[topic] {
@@ -75,11 +76,11 @@
 			out = append(out, r)
 		}
 	}
-	return out, int64(len(s.logs[topic])), nil
+	return out, s.end(topic), nil
 }
 
-func (s *memStore) Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (
-	[]platform.Record, int64, error) {
+func (s *memStore) Read(ctx context.Context, topic platform.Topic, from platform.Position, wait time.Duration) (
+	[]platform.Record, platform.Position, error) {
 	const step = 20 * time.Millisecond
 	for begun := time.Now(); ; time.Sleep(step) {
 		records, end, err := s.readFrom(topic, from)
@@ -89,21 +90,26 @@
 	}
 }
 
+// end returns the position after the last record of a topic. The caller holds mu.
+func (s *memStore) end(topic platform.Topic) platform.Position {
+	return platform.Position{Era: s.era, Offset: int64(len(s.logs[topic]))}
+}
+
 // readFrom returns the records from an offset on.
-func (s *memStore) readFrom(topic platform.Topic, from int64) ([]platform.Record, int64, error) {
+func (s *memStore) readFrom(topic platform.Topic, from platform.Position) ([]platform.Record, platform.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	switch {
 	case s.down:
-		return nil, 0, context.DeadlineExceeded
-	case topic == platform.TopicUpstreams && from < s.first:
-		return nil, 0, platform.ErrTrimmed
+		return nil, platform.Position{}, context.DeadlineExceeded
+	case topic == platform.TopicUpstreams && from.Offset < s.first:
+		return nil, platform.Position{}, platform.ErrTrimmed
 	}
-	for _, r := range s.logs[topic][from:] {
+	for _, r := range s.logs[topic][from.Offset:] {
 		s.sent += len(r.Value)
 	}
-	return slices.Clone(s.logs[topic][from:]), int64(len(s.logs[topic])), nil
+	return slices.Clone(s.logs[topic][from.Offset:]), s.end(topic), nil
 }
 
 // setState sets whether reads fail, and the first offset of the upstreams topic that is not trimmed.
--- a/internal/leader/ledger/ledger.go
+++ b/internal/leader/ledger/ledger.go
@@ -26,7 +26,7 @@
 
 // Store holds the record.
 type Store interface {
-	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, int64, error)
+	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, platform.Position, error)
 	Put(ctx context.Context, topic platform.Topic, r platform.Record) error
 }
 
--- a/internal/leader/ledger/ledger_test.go
+++ b/internal/leader/ledger/ledger_test.go
@@ -25,14 +25,14 @@
 	writes int
 }
 
-func (s *fakeStore) Newest(context.Context, platform.Topic) ([]platform.Record, int64, error) {
+func (s *fakeStore) Newest(context.Context, platform.Topic) ([]platform.Record, platform.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.away {
-		return nil, 0, errors.New("away")
+		return nil, platform.Position{}, errors.New("away")
 	}
-	return []platform.Record{{Key: "blocks", Value: s.value}}, 1, nil
+	return []platform.Record{{Key: "blocks", Value: s.value}}, platform.Position{Offset: 1}, nil
 }
 
 func (s *fakeStore) Put(_ context.Context, _ platform.Topic, r platform.Record) error {
--- a/internal/leader/registry/registry_test.go
+++ b/internal/leader/registry/registry_test.go
@@ -20,6 +20,7 @@
 
 // memStore holds the member records of several entries.
 type memStore struct {
+	era         int64
 	mu          sync.Mutex
 	records     []platform.Record
 	unreachable bool
@@ -54,30 +55,30 @@
 }
 
 // from returns the records from an offset.
-func (s *memStore) from(offset int64) ([]platform.Record, int64, error) {
+func (s *memStore) from(offset int64) ([]platform.Record, platform.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.unreachable {
-		return nil, 0, errUnreachable
+		return nil, platform.Position{}, errUnreachable
 	}
-	return slices.Clone(s.records[offset:]), int64(len(s.records)), nil
+	return slices.Clone(s.records[offset:]), platform.Position{Era: s.era, Offset: int64(len(s.records))}, nil
 }
 
-func (s *memStore) Newest(context.Context, platform.Topic) ([]platform.Record, int64, error) {
+func (s *memStore) Newest(context.Context, platform.Topic) ([]platform.Record, platform.Position, error) {
 	return s.from(0)
 }
 
-func (s *memStore) Read(ctx context.Context, _ platform.Topic, from int64, wait time.Duration) ([]platform.Record,
-	int64, error) {
+func (s *memStore) Read(ctx context.Context, _ platform.Topic, from platform.Position, wait time.Duration) ([]platform.Record,
+	platform.Position, error) {
 	for waited := time.Duration(0); ; waited += readPoll {
-		records, next, err := s.from(from)
+		records, next, err := s.from(from.Offset)
 		if err != nil || len(records) > 0 || waited >= wait {
 			return records, next, err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, platform.Position{}, ctx.Err()
 		case <-time.After(readPoll):
 		}
 	}
