--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -103,7 +103,7 @@
 	switch {
 	case s.down:
 		return nil, platform.Position{}, context.DeadlineExceeded
-	case topic == platform.TopicUpstreams && from.Offset < s.first:
+	case topic == platform.TopicUpstreams && from.Offset < s.first, from.Offset > int64(len(s.logs[topic])):
 		return nil, platform.Position{}, platform.ErrTrimmed
 	}
 	for _, r := range s.logs[topic][from.Offset:] {
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -26,6 +26,7 @@
 	mu     sync.Mutex
 	topics map[string]*topic
 	status int            // HTTP status of every answer; 0 while the store works
+	era    int            // rises when the store comes back from a copy
 	calls  map[string]int // by operation
 }
 
@@ -82,6 +83,28 @@
 	s.status = status
 }
 
+// Copy returns a copy of all topics, for Restore.
+func (s *Store) Copy() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for name, t := range s.topics {
+		out[name] = len(t.records)
+	}
+	return out
+}
+
+// Restore brings the store back from a copy: records written since are gone, and the era rises.
+func (s *Store) Restore(ends map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for name, t := range s.topics {
+		t.records = t.records[:ends[name]]
+		t.first = min(t.first, len(t.records))
+	}
+}
+
 // Calls returns the number of calls of an operation, such as log-read.
 func (s *Store) Calls(name string) int {
 	s.mu.Lock()
@@ -113,6 +136,7 @@
 	s.mu.Lock()
 	status := s.status
 	s.calls[name]++
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	s.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
@@ -184,7 +208,7 @@
 			}
 		}
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
--- a/internal/leader/ledger/ledger_test.go
+++ b/internal/leader/ledger/ledger_test.go
@@ -21,6 +21,7 @@
 	mu     sync.Mutex
 	value  []byte
 	away   bool
+	era    int64
 	reads  int
 	writes int
 }
@@ -49,6 +50,20 @@
 	s.away = away
 }
 
+// restore brings the record of a copy back.
+func (s *fakeStore) restore(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.value = []byte(value)
+}
+
+func (s *fakeStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // state returns the record, and how often it was read and written.
 func (s *fakeStore) state() (value string, reads, writes int) {
 	s.mu.Lock()
@@ -96,6 +111,33 @@
 	})
 }
 
+// A store that comes back from a copy is told of the blocks again, and brings none back that has ended.
+func TestBlocksAreWrittenAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := &fakeStore{}
+		tracker := run(ctx, store)
+		time.Sleep(2 * time.Second)
+		empty, _, _ := store.state()
+		tracker.AddBlocks([]crash.Block{{Parts: []string{"bad"}, First: time.Now()}})
+		time.Sleep(2 * time.Second)
+		full, _, _ := store.state()
+		store.restore(empty)
+		time.Sleep(2 * time.Second)
+		again, _, _ := store.state()
+		c.Check(again, qt.Contains, "bad")
+		tracker.ObserveBegun([]string{"bad"})
+		time.Sleep(2 * time.Second)
+		store.restore(full)
+		time.Sleep(2 * time.Second)
+		c.Check(tracker.Blocks(), qt.HasLen, 0)
+		again, _, _ = store.state()
+		c.Check(again, qt.Equals, "")
+	})
+}
+
 func TestTwoThatLeadKeepEachOthersBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/leader/registry/registry_test.go
+++ b/internal/leader/registry/registry_test.go
@@ -47,6 +47,20 @@
 	s.unreachable = away
 }
 
+// restore brings the store back from a copy with so many records; the era rises.
+func (s *memStore) restore(records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.records = s.records[:records]
+}
+
+func (s *memStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // refuse makes the writes of a host fail, of none if it is empty.
 func (s *memStore) refuse(host string) {
 	s.mu.Lock()
@@ -62,6 +76,9 @@
 	if s.unreachable {
 		return nil, platform.Position{}, errUnreachable
 	}
+	if offset > int64(len(s.records)) {
+		return nil, platform.Position{}, platform.ErrTrimmed
+	}
 	return slices.Clone(s.records[offset:]), platform.Position{Era: s.era, Offset: int64(len(s.records))}, nil
 }
 
@@ -129,6 +146,37 @@
 	})
 }
 
+// A store that comes back from a copy without the records of members is told of them again, and they stay listed.
+func TestMembersOutliveARestoreOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &memStore{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var registries []*registry.Registry
+		for i, host := range []string{"a", "b", "c"} {
+			r := registry.New(registry.Options{Self: registry.Member{Host: host, Born: int64(i)}, Store: s,
+				Answered: wakeup.New(), Now: time.Now, Log: zap.NewNop()})
+			registries = append(registries, r)
+			go r.Run(ctx)
+		}
+		time.Sleep(15 * time.Second)
+		s.restore(0)
+		for range 10 {
+			time.Sleep(300 * time.Millisecond)
+			for _, r := range registries {
+				c.Check(names(r), qt.DeepEquals, []string{"a", "b", "c"})
+			}
+		}
+		late := registry.New(registry.Options{Self: registry.Member{Host: "late", Born: 9}, Store: s, Answered: wakeup.New(),
+			Now: time.Now, Log: zap.NewNop()})
+		go late.Run(ctx)
+		time.Sleep(10 * time.Second)
+		c.Check(names(late), qt.DeepEquals, []string{"a", "b", "c", "late"})
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestRecordsThatAreNotRenewedExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
