Read the store anew when it comes back from an older copy

Cause: a position in a topic was a bare offset. Offsets are given out again after such a restore, so an entry went on from offset 2 of a log whose new record stood at 1, and waited for the next one. Only an entry that stood past the new end noticed. The leader had missed the version too, so nobody handed it on.

Versions are never lowered. The list of the copy is older than what is known: it brings no lifetime back that has left or is draining until that writes its entry again, and entries that it lacks are kept for a moment as after an outage. Leaders name the era of the offset that they tell, and the highest era that they know.

--- a/internal/edge/cursor/cursor.go
+++ b/internal/edge/cursor/cursor.go
@@ -24,7 +24,9 @@
 	limit         time.Duration     // timeout of a call, beyond its wait
 	next          platform.Position // at which the next read continues
 	synced        bool              // a snapshot was read and no record after it is missing
+	read          bool              // a snapshot was read
 	snapshotTries int               // reads of a snapshot so far
+	restored      bool              // the last read began a new era
 }
 
 // Of three tries of a snapshot, two have a short timeout, so that the recovery of a silent store is soon noticed, and
@@ -46,10 +48,13 @@
 // Position is where the next read continues.
 func (c *Cursor) Position() platform.Position { return c.next }
 
-// Skip moves the next read forward to an offset; it does nothing if the cursor is past it or not synced.
-func (c *Cursor) Skip(offset int64) {
-	if c.synced {
-		c.next.Offset = max(c.next.Offset, offset)
+// Restored reports whether the last read was the first snapshot since the store came back from an older copy.
+func (c *Cursor) Restored() bool { return c.restored }
+
+// Skip moves the next read forward to a position; it does nothing if the cursor is past it, in another era or not synced.
+func (c *Cursor) Skip(to platform.Position) {
+	if c.synced && to.Era == c.next.Era {
+		c.next.Offset = max(c.next.Offset, to.Offset)
 	}
 }
 
@@ -64,8 +69,8 @@
 	return time.Duration(quickFraction * float64(c.limit))
 }
 
-// Read returns the records since the last read, or if whole is true, a snapshot. After platform.ErrTrimmed the next
-// read is a snapshot.
+// Read returns the records since the last read, or if whole is true, a snapshot. After platform.ErrTrimmed and
+// platform.ErrRestored the next read is a snapshot.
 func (c *Cursor) Read(ctx context.Context) (records []platform.Record, whole bool, err error) {
 	whole = !c.synced
 	ctx, cancel := context.WithTimeout(ctx, c.timeout())
@@ -77,10 +82,11 @@
 		records, next, err = c.store.Read(ctx, c.topic, c.next, c.wait)
 	}
 	switch {
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, platform.ErrTrimmed), errors.Is(err, platform.ErrRestored):
 		c.synced = false
 	case err == nil:
-		c.next, c.synced = next, true
+		c.restored = c.read && next.Era != c.next.Era
+		c.next, c.synced, c.read = next, true, true
 	}
 	return records, whole, err
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -69,6 +69,7 @@
 	stats    *stats.Stats
 	log      *zap.Logger
 	client   *uphttp.Client
+	store    *platform.Store
 	watch    *watch.Watcher
 	lead     *lead.Coordinator
 	registry *registry.Registry
@@ -103,6 +104,7 @@
 	n.stats = stats.New(n.meter, n.state)
 	n.client = uphttp.New(platform.ReadAnswer, time.Now, func() {})
 	store := platform.NewStore(s.StoreAddress, storeClient())
+	n.store = store
 	answered := wakeup.New()
 	n.limits = pace.New[hosts.Lifetime](pace.Options{Share: n.limitShare, Now: time.Now})
 	n.notices = notices.New(notices.Options{
@@ -147,7 +149,7 @@
 		Leaving: n.leaving.Load, Crash: n.crash, Limits: n.limits,
 		Confirm: n.watch.Confirm, AdoptRules: n.watch.Adopt, LacksRules: n.watch.ShouldPull, Notices: n.notices.Notices,
 		ConfirmMembers: n.registry.Confirm,
-		RulesVersion:   func() int64 { return n.watch.Rules().Version() }, Now: time.Now, Log: log.Named("link"),
+		RulesVersion:   func() int64 { return n.watch.Rules().Version() }, ObserveEra: store.ObserveEra, Now: time.Now, Log: log.Named("link"),
 	})
 	n.ledger = ledger.New(ledger.Options{
 		Store: store, Crash: n.crash, Now: time.Now, Log: log.Named("ledger"),
@@ -257,7 +259,7 @@
 	service := serve.New(serve.Options{
 		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash, Limits: n.limits,
 		Hosts: n.watch.SharedHosts,
-		Rules: n.sharedRules, Crew: n.registry.View,
+		Rules: n.sharedRules, Era: n.store.Era, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
 	})
 	n.service.Store(service)
@@ -293,7 +295,8 @@
 // sharedRules returns the configuration that other entries may adopt.
 func (n *Node) sharedRules() serve.Rules {
 	seen, body := n.watch.RawRules()
-	return serve.Rules{Version: seen.Version, Body: body, Read: seen.ConfirmedAt, Offset: seen.Offset}
+	return serve.Rules{Version: seen.Version, Body: body, Read: seen.ConfirmedAt, Offset: seen.Offset,
+		Era: seen.Era}
 }
 
 // metricsAddress returns the address that serves the metrics. Its port is MetricsPort of the settings, unless the
--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -9,6 +9,9 @@
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
+// restoreDoubt is how long snapshots may show what was true before, after the store came back from an older copy.
+const restoreDoubt = 10 * time.Second
+
 // hostList folds records of the upstreams topic into the current list of upstreams.
 type hostList struct {
 	now         func() time.Time
@@ -16,16 +19,27 @@
 	byID        map[string]hosts.Upstream
 	missing     map[string]time.Time // removed by the first read after an outage; each is kept until this time
 	afterOutage bool                 // the next records are the first ones read after an outage
+	// lastState returns the last known state of a lifetime, empty if it is not listed, and whether it has left.
+	lastState    func(hosts.Lifetime) (state hosts.State, left bool)
+	doubtedUntil time.Time // snapshots may show what was true before
 }
 
-func newHostList(now func() time.Time, log *zap.Logger) *hostList {
-	return &hostList{now: now, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{}}
+func newHostList(
+	now func() time.Time, lastState func(hosts.Lifetime) (hosts.State, bool), log *zap.Logger) *hostList {
+	return &hostList{now: now, lastState: lastState, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{}}
 }
 
 // storeRecovered keeps the entries that the next read shows as removed for lapseGrace, as they may have expired only
 // because the store was unavailable. An entry removed by a later read has really left and is dropped at once.
 func (l *hostList) storeRecovered() { l.afterOutage = true }
 
+// storeRestored keeps the entries that the next read lacks as storeRecovered does, as they were written after the copy
+// that the store came back from. For restoreDoubt, snapshots bring no lifetime back that has left or is draining; an
+// upstream that is there writes its entry again.
+func (l *hostList) storeRestored() {
+	l.afterOutage, l.doubtedUntil = true, l.now().Add(restoreDoubt)
+}
+
 // settled reports whether no removed entry is kept for a grace period.
 func (l *hostList) settled() bool { return len(l.missing) == 0 }
 
@@ -38,7 +52,7 @@
 			continue
 		}
 		seen[r.Key] = true
-		l.update(r)
+		l.update(r, snapshot && l.now().Before(l.doubtedUntil))
 	}
 	if snapshot {
 		for id := range l.byID {
@@ -56,8 +70,9 @@
 	}
 }
 
-// update adds or replaces the entry of a record. An entry that cannot be decoded is dropped.
-func (l *hostList) update(r platform.Record) {
+// update adds or replaces the entry of a record. An entry that cannot be decoded is dropped. A doubtful one does not
+// replace what is known since.
+func (l *hostList) update(r platform.Record, doubtful bool) {
 	delete(l.missing, r.Key)
 	u, err := platform.DecodeUpstream(r.Key, r.Value)
 	if err != nil {
@@ -66,6 +81,15 @@
 		return
 	}
 	before, known := l.byID[u.ID]
+	if doubtful {
+		switch state, left := l.lastState(u.Lifetime()); {
+		case left, known && before.StartedMs > u.StartedMs:
+			l.log.Info("upstream of an older copy ignored", zap.String("upstream", u.ID), zap.Int64("born", u.StartedMs))
+			return
+		case state == hosts.Draining:
+			u.State = state
+		}
+	}
 	if !known || before.State != u.State || before.Address != u.Address || before.StartedMs != u.StartedMs || before.Pool != u.Pool {
 		l.log.Info("upstream listed", zap.String("upstream", u.ID), zap.String("pool", u.Pool),
 			zap.String("address", u.Address),
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -34,6 +34,7 @@
 	minBackoff          = 250 * time.Millisecond  // after a failed call; doubles up to maxBackoff
 	maxBackoff          = 700 * time.Millisecond
 	outageAfter         = 3000 * time.Millisecond // without an answer, the store counts as having been unavailable
+	departedRetention   = 2 * time.Minute         // of lifetimes that left, which an older copy of the store may still show
 	lapseGrace          = 2200 * time.Millisecond // after an outage, entries that are missing are kept this long
 	rulesTopic          = platform.TopicRules
 	hostsTopic          = platform.TopicUpstreams
@@ -59,20 +60,22 @@
 	hosts atomic.Pointer[hosts.Table]
 	raw   atomic.Pointer[rawRules]
 
-	rulesReadAt   atomic.Pointer[time.Time] // last answer of the store on the configuration; zero after a failure
-	confirmedAt   atomic.Pointer[time.Time] // when the leader last read the version in force here; zero for another
-	unsettled     atomic.Bool               // the list holds entries that may have expired
-	leaderHostsAt atomic.Pointer[time.Time] // time of the last list of upstreams from the leader
-	leaderRules   atomic.Pointer[Revision]  // the leader's version of the configuration
-	leaderRulesAt atomic.Pointer[time.Time] // time of the last update of leaderRules
-	mu            sync.Mutex                // serializes changes of rules and hosts
-	lag           versionLag                // guarded by mu
+	rulesReadAt   atomic.Pointer[time.Time]    // last answer of the store on the configuration; zero after a failure
+	confirmedAt   atomic.Pointer[time.Time]    // when the leader last read the version in force here; zero for another
+	unsettled     atomic.Bool                  // the list holds entries that may have expired
+	leaderHostsAt atomic.Pointer[time.Time]    // time of the last list of upstreams from the leader
+	leaderRules   atomic.Pointer[Revision]     // the leader's version of the configuration
+	leaderRulesAt atomic.Pointer[time.Time]    // time of the last update of leaderRules
+	mu            sync.Mutex                   // serializes changes of rules and hosts
+	lag           versionLag                   // guarded by mu
+	departed      map[hosts.Lifetime]time.Time // when lifetimes left the list; guarded by mu
 }
 
 // Revision is a version of the configuration, the offset of its record, and when a process last read it.
 type Revision struct {
 	Version     int64
 	Offset      int64     // of its record in the store; -1 if unknown
+	Era         int64     // of the store, in which Offset is valid
 	ConfirmedAt time.Time // when the store last confirmed it
 }
 
@@ -87,12 +90,13 @@
 type rawRules struct {
 	version int64
 	offset  int64
+	era     int64
 	body    []byte
 }
 
 // New returns a watcher with an empty configuration and list; Run fills them.
 func New(o Options) *Watcher {
-	w := &Watcher{o: o}
+	w := &Watcher{o: o, departed: map[hosts.Lifetime]time.Time{}}
 	w.rules.Store(rule.New(0, nil, nil, nil, rule.Limits{}))
 	w.hosts.Store(hosts.New(nil, time.Time{}).WithVersion(1))
 	w.rulesReadAt.Store(&time.Time{})
@@ -125,13 +129,13 @@
 // RawRules returns the newest configuration undecoded, with its version, offset and the time of the last read.
 func (w *Watcher) RawRules() (Revision, []byte) {
 	raw := w.raw.Load()
-	return Revision{Version: raw.version, Offset: raw.offset, ConfirmedAt: w.RulesReadAt()}, raw.body
+	return Revision{Version: raw.version, Offset: raw.offset, Era: raw.era, ConfirmedAt: w.RulesReadAt()}, raw.body
 }
 
 // Adopt puts the leader's configuration in force if it is newer than the one here.
 func (w *Watcher) Adopt(version int64, body []byte) {
 	if version > w.Rules().Version() {
-		w.updateRules(body, -1, "leader")
+		w.updateRules(body, platform.Position{Offset: -1}, "leader")
 	}
 }
 
@@ -201,6 +205,33 @@
 		version++
 	}
 	w.hosts.Store(t.WithVersion(version))
+	w.noteDepartures(before, t)
+}
+
+// noteDepartures remembers the lifetimes that are in the list before but not in the next one. The caller holds mu.
+func (w *Watcher) noteDepartures(before, next *hosts.Table) {
+	now := w.o.Now()
+	for _, u := range before.All() {
+		if n, listed := next.Get(u.ID); !listed || n.Lifetime() != u.Lifetime() {
+			w.departed[u.Lifetime()] = now
+		}
+	}
+	for l, at := range w.departed {
+		if u, listed := next.Get(l.ID); (listed && u.Lifetime() == l) || now.Sub(at) > departedRetention {
+			delete(w.departed, l)
+		}
+	}
+}
+
+// lastState returns the last known state of a lifetime, empty if it is not listed, and whether it has left the list.
+func (w *Watcher) lastState(l hosts.Lifetime) (state hosts.State, left bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if u, listed := w.hosts.Load().Get(l.ID); listed && u.Lifetime() == l {
+		return u.State, false
+	}
+	_, left = w.departed[l]
+	return "", left
 }
 
 // Run follows the store until ctx ends.
@@ -211,20 +242,21 @@
 		w.follow(ctx, &topicReader{
 			blocked: func() bool { return false },
 			topic:   rulesTopic, wait: rulesPollWait, apply: w.applyRules, interval: w.rulesInterval,
-			skipTo: w.newestRulesOffset,
+			skipTo: w.newestRulesPosition,
 			failed: func() { w.rulesReadAt.Store(&time.Time{}) }, // other entries must not rely on this process
 			fresh:  func() bool { return w.o.Now().Sub(*w.confirmedAt.Load()) < rulesFreshFor },
 		})
 	}()
-	list := newHostList(w.o.Now, w.o.Log)
+	list := newHostList(w.o.Now, w.lastState, w.o.Log)
 	w.follow(ctx, &topicReader{
 		topic: hostsTopic,
-		apply: func(records []platform.Record, snapshot bool) {
+		apply: func(records []platform.Record, snapshot bool, _ int64) {
 			list.apply(records, snapshot)
 			w.unsettled.Store(!list.settled())
 			w.updateHosts(list.table())
 		},
 		recovered: list.storeRecovered,
+		restored:  list.storeRestored,
 		// Until the first configuration is read, one reader is enough to detect that the store is back.
 		blocked: func() bool { return w.Rules().Version() == 0 },
 		fresh: func() bool {
@@ -242,13 +274,15 @@
 type topicReader struct {
 	topic     platform.Topic
 	wait      time.Duration // a read waits this long for a new record
-	apply     func(records []platform.Record, snapshot bool)
+	apply     func(records []platform.Record, snapshot bool, era int64)
 	recovered func()               // called when the store answers again after an outage
+	restored  func()               // called before the first snapshot after the store came back from a copy; nil for none
 	failed    func()               // called after a failed read; nil for none
 	fresh     func() bool          // reports whether the current state is recent enough to skip the read
 	blocked   func() bool          // reports whether the first snapshot must wait for that of another topic
 	interval  func() time.Duration // pause after a read that returned records; nil for none
-	skipTo    func() int64         // offset before which records are not needed, -1 if unknown; nil for none
+	// skipTo returns the position before which records are not needed, with offset -1 if it is unknown; nil for none.
+	skipTo func() platform.Position
 }
 
 // follow reads a topic until ctx ends: a snapshot first, then the records after it. When records that were not read yet
@@ -267,6 +301,11 @@
 		}
 		answered := w.o.Answered.Count()
 		records, snapshot, err := cur.Read(ctx)
+		if errors.Is(err, platform.ErrRestored) {
+			w.o.Log.Warn("store restored from an older copy, reading a snapshot", zap.String("topic", string(f.topic)),
+				zap.Int64("from", cur.Position().Offset), zap.Int64("era", cur.Position().Era))
+			continue
+		}
 		if errors.Is(err, platform.ErrTrimmed) {
 			w.o.Log.Info("records trimmed, reading a snapshot", zap.String("topic", string(f.topic)),
 				zap.Int64("from", cur.Position().Offset), zap.Int64("era", cur.Position().Era))
@@ -305,7 +344,10 @@
 			}
 		}
 		answeredAt = now
-		f.apply(records, snapshot)
+		if cur.Restored() && f.restored != nil {
+			f.restored()
+		}
+		f.apply(records, snapshot, cur.Position().Era)
 		if f.interval != nil && len(records) > 0 {
 			pause.For(ctx, f.interval())
 		}
@@ -332,27 +374,28 @@
 	return scale(readIntervalPart, w.o.RulesWithin())
 }
 
-// newestRulesOffset returns the offset of the leader's configuration if that is newer than the one here, else -1.
-func (w *Watcher) newestRulesOffset() int64 {
+// newestRulesPosition returns the position of the leader's configuration if that is newer than the one here, else an
+// offset of -1.
+func (w *Watcher) newestRulesPosition() platform.Position {
 	if lead := w.leaderRules.Load(); lead.Version > w.Rules().Version() {
-		return lead.Offset
+		return platform.Position{Era: lead.Era, Offset: lead.Offset}
 	}
-	return -1
+	return platform.Position{Offset: -1}
 }
 
 // applyRules puts the newest valid configuration of the records in force.
-func (w *Watcher) applyRules(records []platform.Record, _ bool) {
+func (w *Watcher) applyRules(records []platform.Record, _ bool, era int64) {
 	now := w.o.Now()
 	w.rulesReadAt.Store(&now)
 	for _, r := range slices.Backward(records) {
-		if r.Key == platform.RulesKey && len(r.Value) > 0 && w.updateRules(r.Value, r.Offset, "store") {
+		if r.Key == platform.RulesKey && len(r.Value) > 0 && w.updateRules(r.Value, platform.Position{Era: era, Offset: r.Offset}, "store") {
 			return
 		}
 	}
 }
 
 // updateRules puts a configuration in force if it is newer than the current one, and reports whether it is valid.
-func (w *Watcher) updateRules(body []byte, offset int64, source string) bool {
+func (w *Watcher) updateRules(body []byte, at platform.Position, source string) bool {
 	rules, err := platform.DecodeRules(body)
 	if err != nil {
 		w.o.Log.Error("invalid configuration, the one before stays", zap.String("source", source), zap.Error(err))
@@ -364,11 +407,11 @@
 	if rules.Version() <= before {
 		if rules.Version() < before {
 			w.o.Log.Info("older configuration ignored", zap.Int64("version", rules.Version()), zap.Int64("inForce", before),
-				zap.Int64("offset", offset), zap.String("source", source))
+				zap.Int64("offset", at.Offset), zap.String("source", source))
 		}
 		return true
 	}
-	w.raw.Store(&rawRules{version: rules.Version(), offset: offset, body: body})
+	w.raw.Store(&rawRules{version: rules.Version(), offset: at.Offset, era: at.Era, body: body})
 	w.rules.Store(rules)
 	w.o.Log.Info("configuration in force", zap.Int64("version", rules.Version()), zap.Int64("before", before),
 		zap.String("source", source))
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -103,6 +103,8 @@
 	switch {
 	case s.down:
 		return nil, platform.Position{}, context.DeadlineExceeded
+	case from.Era != s.era:
+		return nil, platform.Position{}, platform.ErrRestored
 	case topic == platform.TopicUpstreams && from.Offset < s.first, from.Offset > int64(len(s.logs[topic])):
 		return nil, platform.Position{}, platform.ErrTrimmed
 	}
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -72,6 +72,7 @@
 	// AdoptRules applies the leader's configuration, as the operator wrote it.
 	AdoptRules   func(version int64, rules []byte)
 	RulesVersion func() int64 // of the configuration in force in this process
+	ObserveEra   func(int64)  // applies the highest era of the store that the leader knows
 	// LacksRules reports whether this process can't get from the store a configuration that the leader has.
 	LacksRules func(rules watch.Revision) bool
 	// Notices lists what upstreams told this entry and still holds.
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -125,7 +125,7 @@
 			return registry.Member{}, false
 		},
 		Crash: p.crash,
-		Rules: func() serve.Rules { return serve.Rules{} },
+		Rules: func() serve.Rules { return serve.Rules{} }, Era: func() int64 { return 0 },
 		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) },
 		Crew:  func() registry.View { return registry.View{} }, Now: time.Now, Log: log,
 	}))
@@ -175,8 +175,8 @@
 		Leaving: func() bool { return false }, Crash: tracker, Limits: newLimits(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
-		RulesVersion: func() int64 { return 0 },
-		Confirm:      func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
+		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {},
+		Confirm: func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
 }
 
@@ -442,8 +442,8 @@
 		Leaving: func() bool { return false }, Crash: newTracker(), Limits: newLimits(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
-		RulesVersion: func() int64 { return 0 },
-		Confirm:      func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
+		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {},
+		Confirm: func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
 	go l.Run(ctx)
 	eventually(c, func() bool { return !l.Leads() })
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -233,7 +233,8 @@
 	default:
 		table = nil
 	}
-	rules := watch.Revision{Version: p.RulesVersion, Offset: p.RulesOffset, ConfirmedAt: timeBefore(p.RulesAgeUs)}
+	s.opts.ObserveEra(p.StoreEra)
+	rules := watch.Revision{Version: p.RulesVersion, Offset: p.RulesOffset, Era: p.RulesEra, ConfirmedAt: timeBefore(p.RulesAgeUs)}
 	s.opts.Confirm(rules, table)
 	if s.members != nil {
 		s.opts.ConfirmMembers(registry.View{Candidates: s.members.Candidates, Size: s.members.Size,
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -38,6 +38,7 @@
 	crash      *crash.Tracker
 	limits     *pace.Limiter[hosts.Lifetime]
 	rules      func() Rules
+	era        func() int64
 	hosts      func() *hosts.Table
 	members    func() registry.View
 	now        func() time.Time
@@ -56,6 +57,7 @@
 	Body    []byte    // as the operator wrote it
 	Read    time.Time // when the store last confirmed it
 	Offset  int64     // in the store; -1 if unknown
+	Era     int64     // of the store, in which Offset is valid
 }
 
 // Options are the dependencies of a Server.
@@ -67,6 +69,7 @@
 	Crash      *crash.Tracker
 	Limits     *pace.Limiter[hosts.Lifetime]
 	Rules      func() Rules
+	Era        func() int64 // highest era of the store that is known
 	Hosts      func() *hosts.Table
 	Crew       func() registry.View // the members, as other entries may rely on them
 	Now        func() time.Time
@@ -76,7 +79,7 @@
 // New returns a server that passes the orders of other entries to o.Dispatcher.
 func New(o Options) *Server {
 	return &Server{
-		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits, rules: o.Rules,
+		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits, rules: o.Rules, era: o.Era,
 		hosts: o.Hosts, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
@@ -216,6 +219,7 @@
 		Sequence: sequence, Born: ses.born, Leaving: ses.leaving(), Blocked: ses.crash.BlockedFingerprints(),
 		Blocks:       cellpb.BlocksOf(ses.crash.Blocks(), now),
 		RulesVersion: rules.Version, RulesAgeUs: now.Sub(rules.Read).Microseconds(), RulesOffset: rules.Offset,
+		RulesEra: rules.Era, StoreEra: ses.era(),
 		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
 		CrewAgeUs: now.Sub(view.Read).Microseconds(),
 	}
