Write member records again when the store comes back from an older copy

Entries that had joined since the copy was made were no longer listed for up to 30 s, until they renewed their record. A process that started then knew a part of the members only.

--- a/internal/leader/registry/registry.go
+++ b/internal/leader/registry/registry.go
@@ -19,11 +19,12 @@
 )
 
 const (
-	topic         = platform.TopicMembers
-	renewInterval = 30 * time.Second        // between writes of this entry's record
-	recordTTL     = 95 * time.Second        // a record that was not renewed for this long is dropped
-	callTimeout   = 1500 * time.Millisecond // of a call to the store
-	leaveTimeout  = 500 * time.Millisecond  // of the call that deletes this entry's record
+	topic            = platform.TopicMembers
+	renewInterval    = 30 * time.Second        // between writes of this entry's record
+	eraCheckInterval = 250 * time.Millisecond  // between checks whether the record must be written again
+	recordTTL        = 95 * time.Second        // a record that was not renewed for this long is dropped
+	callTimeout      = 1500 * time.Millisecond // of a call to the store
+	leaveTimeout     = 500 * time.Millisecond  // of the call that deletes this entry's record
 
 	readWait     = 10 * time.Second       // a read of the records waits this long for a new one
 	readPause    = 2 * time.Second        // between reads, so that one read returns several records
@@ -59,6 +60,7 @@
 type Store interface {
 	cursor.Store
 	Put(ctx context.Context, topic platform.Topic, r platform.Record) error
+	Era() int64
 }
 
 // Options are the dependencies of a Registry.
@@ -162,6 +164,9 @@
 		answered := reg.opts.Answered.Count()
 		records, snapshot, err := at.Read(ctx)
 		switch {
+		case errors.Is(err, platform.ErrRestored):
+			reg.opts.Log.Info("store restored from an older copy, members are kept")
+			continue
 		case errors.Is(err, platform.ErrTrimmed):
 			pause.For(ctx, minRetryDelay)
 			continue
@@ -174,7 +179,7 @@
 		wait.Reset()
 		reg.opts.Answered.Succeeded()
 		reg.extendForOutage()
-		reg.apply(records, snapshot)
+		reg.apply(records, snapshot && !at.Restored())
 		pause.For(ctx, reg.pause())
 	}
 }
@@ -206,7 +211,8 @@
 	return readPause
 }
 
-// renew writes this entry's record every renewInterval until it leaves.
+// renew writes this entry's record every renewInterval, and when the store has come back from an older copy, until this
+// entry leaves.
 func (reg *Registry) renew(ctx context.Context) {
 	value, err := json.Marshal(reg.opts.Self)
 	if err != nil {
@@ -217,6 +223,7 @@
 	for ctx.Err() == nil && !reg.leaving.Load() {
 		answered := reg.opts.Answered.Count()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
+		era := reg.opts.Store.Era()
 		err := reg.opts.Store.Put(call, topic, platform.Record{Key: reg.opts.Self.Host, Value: value})
 		cancel()
 		if err != nil {
@@ -225,7 +232,9 @@
 			continue
 		}
 		retry.Reset()
-		pause.For(ctx, renewInterval)
+		due := reg.opts.Now().Add(renewInterval)
+		for reg.opts.Now().Before(due) && reg.opts.Store.Era() == era && pause.For(ctx, eraCheckInterval) {
+		}
 	}
 }
 
@@ -239,7 +248,8 @@
 	}
 }
 
-// apply applies records. A snapshot replaces all records, as it lacks the members that have left.
+// apply applies records. A snapshot replaces all records, as it lacks the members that have left, unless it is one of a
+// store that came back from an older copy.
 func (reg *Registry) apply(records []platform.Record, snapshot bool) {
 	if snapshot {
 		clear(reg.byHost)
@@ -266,7 +276,11 @@
 				zap.Int64("born", m.Born))
 			continue
 		}
-		if before, known := reg.byHost[r.Key]; !known || before.member.Born != m.Born {
+		before, known := reg.byHost[r.Key]
+		if known && before.member.Born > m.Born {
+			continue // an older process of the host
+		}
+		if !known || before.member.Born != m.Born {
 			reg.changedAt = reg.opts.Now()
 			reg.opts.Log.Info("member listed", zap.String("member", m.Host), zap.String("address", m.Address),
 				zap.Int64("born", m.Born))
--- a/internal/leader/registry/registry_test.go
+++ b/internal/leader/registry/registry_test.go
@@ -89,6 +89,9 @@
 func (s *memStore) Read(ctx context.Context, _ platform.Topic, from platform.Position, wait time.Duration) ([]platform.Record,
 	platform.Position, error) {
 	for waited := time.Duration(0); ; waited += readPoll {
+		if from.Era != s.Era() {
+			return nil, platform.Position{}, platform.ErrRestored
+		}
 		records, next, err := s.from(from.Offset)
 		if err != nil || len(records) > 0 || waited >= wait {
 			return records, next, err
