Write blocked prompt parts again when the store comes back from an older copy

The leader believed its record to be in the store and wrote it only when the blocks changed, so a restart of all entries after the restore would have forgotten them.

--- a/internal/leader/ledger/ledger.go
+++ b/internal/leader/ledger/ledger.go
@@ -28,6 +28,7 @@
 type Store interface {
 	Newest(ctx context.Context, topic platform.Topic) ([]platform.Record, platform.Position, error)
 	Put(ctx context.Context, topic platform.Topic, r platform.Record) error
+	Era() int64
 }
 
 // Options are the dependencies of a Ledger.
@@ -43,7 +44,8 @@
 type Ledger struct {
 	opts   Options
 	stored []entry // as last read or written
-	read   bool    // since this entry began to lead
+	read   bool    // since this entry began to lead, in the present era of the store
+	era    int64   // of the store when the record was read
 }
 
 // entry is one block in the record.
@@ -83,6 +85,9 @@
 func (l *Ledger) sync(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if era := l.opts.Store.Era(); era != l.era {
+		l.read, l.era = false, era
+	}
 	if !l.read {
 		if err := l.load(ctx); err != nil {
 			return err
