Don't take a repeated refusal for the answer to a later request

A faulty upstream that writes an earlier refusal once more on a kept connection could make us tell a caller 'not run' of a request that was running, or send it to a second upstream: answers are told apart by the ID of their request, and a request that is sent again on the same connection, or one without an ID, has none of its own. Such requests take another connection now.

--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -35,6 +35,7 @@
 	maxSkippedBytes = 64 << 10               // of the body of an answer to another request
 	maxHeadBytes    = 64 << 10               // of the header of an answer
 	bufferBytes     = 4 << 10                // of the read buffer of a connection, and of the write buffer of a request
+	maxRefused      = 64                     // refusals on a connection, after which it is closed
 	maxDigests      = 8                      // of answers, remembered for each connection; see CheckDuplicate
 )
 
@@ -84,6 +85,7 @@
 	idleUntil time.Time
 	idleSince time.Time
 	digests   []uint64 // of the last bodies that were given to CheckDuplicate
+	refused   []string // IDs of the requests that were refused on it
 }
 
 // New returns a client; decode parses the headers of answers, and dialed is called for each new connection.
@@ -97,7 +99,7 @@
 // Do sends a request and returns its answer with the header read. The error's verdict is NotRun only if nothing was
 // sent. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Answer, *fault.Error) {
-	cn, err := c.get(ctx, address, r.NoRetry)
+	cn, err := c.get(ctx, address, r.ID, r.NoRetry)
 	if err != nil {
 		return nil, fault.New(fault.NotRun, fault.NoUpstream, "can't connect to %s", address).WithCause(err)
 	}
@@ -143,9 +145,12 @@
 		if got.Header.Get("Content-Encoding") != "" {
 			return nil, fault.New(fault.MayHaveRun, fault.Malformed, "encoded answer from %s", cn.address)
 		}
+		if head.NotRun {
+			cn.refused = append(cn.refused, r.ID)
+		}
 		return &Answer{
 			Status: got.StatusCode, Header: got.Header, Length: got.ContentLength, Head: head,
-			body: got.Body, conn: cn, client: c, closeConn: got.Close,
+			body: got.Body, conn: cn, client: c, closeConn: got.Close || len(cn.refused) >= maxRefused || (head.NotRun && r.ID == ""),
 			unframed: got.ContentLength < 0 && len(got.TransferEncoding) == 0,
 		}, nil
 	}
@@ -173,11 +178,11 @@
 	return w.Flush()
 }
 
-// get returns an idle connection that is still usable, or a new one. For a NoRetry request, a connection that was idle
+// get returns an idle connection that is still usable for the request with an ID, or a new one. For a NoRetry request, a connection that was idle
 // for longer than maxIdleNoRetry is closed instead.
-func (c *Client) get(ctx context.Context, address string, noRetry bool) (*conn, error) {
+func (c *Client) get(ctx context.Context, address, id string, noRetry bool) (*conn, error) {
 	for {
-		cn := c.takeIdle(address)
+		cn := c.takeIdle(address, id)
 		if cn == nil {
 			break
 		}
@@ -197,17 +202,28 @@
 	return &conn{Conn: raw, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes)}, nil
 }
 
-// takeIdle removes and returns the idle connection to an address that was used last; nil if there is none.
-func (c *Client) takeIdle(address string) *conn {
+// takeIdle removes and returns the idle connection to an address that was used last and may carry the request with an
+// ID; nil if there is none.
+func (c *Client) takeIdle(address, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if cn := list[i]; !cn.mayRepeatRefusal(id) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
+// mayRepeatRefusal reports whether a refusal that the upstream writes once more on the connection could be taken for the
+// answer to the request with an ID.
+func (cn *conn) mayRepeatRefusal(id string) bool {
+	if id == "" {
+		return len(cn.refused) > 0
 	}
-	cn := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return cn
+	return slices.Contains(cn.refused, id)
 }
 
 // isQuiet reports whether the upstream has neither closed the idle connection nor sent anything on it.
