Let a begun stream go on only with a stream

A stream had begun and broke off; the next engine answered 200 with the text of an error and no event stream. Callers found that text in the middle of their stream, which then ended as if it were complete. Answers with another status were broken off already. The test failed before for answers of type text/plain and without a type.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -169,7 +169,7 @@
 		return lead.ProblemFailed, nil, failure
 	}
 	defer answer.Close()
-	if answer.Status != http.StatusOK {
+	if answer.Status != http.StatusOK || (x.out.Started() && !answer.IsEventStream()) {
 		return x.relayFailure(u, answer)
 	}
 	problem, failure := x.relayEvents(u, answer, events)
