--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -80,6 +80,7 @@
 	reply func(Decision) // nil once called
 	grant sched.Grant    // set once its stages are done
 	parts []string       // of its prompt, which other requests may share
+	waits bool           // it waits, or has waited, for its turn at an engine with a limit
 	trial bool           // its parts are blocked, and it is let through to see whether it still crashes an engine
 }
 
@@ -443,6 +444,9 @@
 // it in time.
 func (c *Coordinator) awaitEngine(o *openOrder, now time.Time) bool {
 	left := timeLeft(o.order, now)
+	if o.waits {
+		left = o.order.Job.Deadline.Sub(now) // its turn was expected in time, and may come a little later
+	}
 	capacity, wait, known := c.placer.Capacity(o.order.Engine.Pool, c.hosts, left, now)
 	if !known || wait >= left {
 		return false
@@ -453,9 +457,10 @@
 			ahead++
 		}
 	}
-	if float64(ahead+1) > capacity {
+	if !o.waits && float64(ahead+1) > capacity {
 		return false
 	}
+	o.waits = true
 	c.waiting = append(c.waiting, o)
 	return true
 }
--- a/internal/leader/lead/lead_test.go
+++ b/internal/leader/lead/lead_test.go
@@ -20,27 +20,28 @@
 )
 
 // startCoordinator runs a coordinator with one engine until the test ends.
-func startCoordinator(t *testing.T) *lead.Coordinator {
+func startCoordinator(t *testing.T) (*lead.Coordinator, *pace.Limiter[hosts.Lifetime]) {
 	pools := []rule.Pool{{Name: "engines", Engine: &rule.Engine{Slots: 64, Tokens: 100_000}}}
 	rules := rule.New(1, nil, pools, nil, rule.Limits{})
 	table := hosts.New([]hosts.Upstream{{ID: "e", Pool: "engines", State: hosts.Ready}}, time.Now())
+	limits := pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now})
 	l := lead.New(lead.Options{
 		Rules: func() *rule.Rules { return rules }, Hosts: func() *hosts.Table { return table }, Now: time.Now,
 		Log: zap.NewNop(),
 		Crash: crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true },
 			HearsOthers: func() bool { return true }}),
-		Limits:  pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now}),
+		Limits:  limits,
 		Notices: notices.New(notices.Options{Now: time.Now, Log: zap.NewNop()}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go l.Run(ctx)
-	return l
+	return l, limits
 }
 
 func TestTargetsCountFromTheFirstVisit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := startCoordinator(t)
+		l, _ := startCoordinator(t)
 		first := time.Now()
 		deadline := first.Add(6 * time.Second)
 		for _, test := range []struct {
@@ -74,7 +75,7 @@
 // does not exist.
 func TestPanicsInDecisionsDoNotEndTheProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := startCoordinator(t)
+		l, _ := startCoordinator(t)
 		got := make(chan lead.Decision, 1)
 		job := sched.Job{ID: "bad", Arrived: time.Now(), Target: time.Now().Add(time.Second),
 			Deadline: time.Now().Add(time.Second)}
