Admit orders at limited engines by rank, and guard the forecast against empty prompts

Orders that are less urgent no longer keep more urgent ones out while engines are limited. The mean of uncached tokens could reach 0, and the capacity then not be a number.

--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -26,7 +26,9 @@
 
 func newHostList(
 	now func() time.Time, lastState func(hosts.Lifetime) (hosts.State, bool), log *zap.Logger) *hostList {
-	return &hostList{now: now, lastState: lastState, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{}}
+	return &hostList{
+		now: now, lastState: lastState, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{},
+	}
 }
 
 // storeRecovered keeps the entries that the next read shows as removed for lapseGrace, as they may have expired only
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -388,7 +388,8 @@
 	now := w.o.Now()
 	w.rulesReadAt.Store(&now)
 	for _, r := range slices.Backward(records) {
-		if r.Key == platform.RulesKey && len(r.Value) > 0 && w.updateRules(r.Value, platform.Position{Era: era, Offset: r.Offset}, "store") {
+		at := platform.Position{Era: era, Offset: r.Offset}
+		if r.Key == platform.RulesKey && len(r.Value) > 0 && w.updateRules(r.Value, at, "store") {
 			return
 		}
 	}
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -493,8 +493,8 @@
 	return o.Job.Deadline.Sub(now)
 }
 
-// exceedsLimits reports whether some engines that an order may use have named limits, and other orders need all that the
-// engines accept in time. wait is the time until one of them accepts a request.
+// exceedsLimits reports whether some engines that an order may use have named limits, and orders that are no less urgent
+// need all that the engines accept in time. wait is the time until one of them accepts a request.
 func (c *Coordinator) exceedsLimits(o Order, now time.Time) (wait time.Duration, exceeds bool) {
 	capacity, wait, known := c.placer.Capacity(o.Engine.Pool, c.hosts, timeLeft(o, now), now)
 	if !known {
@@ -502,7 +502,7 @@
 	}
 	ahead := 0
 	for _, other := range c.orders {
-		if other.reply != nil && other.order.Engine.Pool == o.Engine.Pool {
+		if other.reply != nil && other.order.Engine.Pool == o.Engine.Pool && other.order.Job.Rank <= o.Job.Rank {
 			ahead++
 		}
 	}
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -26,7 +26,7 @@
 	maxMemoryFraction    = 0.85                  // of the engine's memory that running requests may take
 	cacheTTL             = 30 * time.Second      // a part unused for longer is assumed to be evicted
 	slownessSmoothing    = 0.2
-	uncachedSmoothing    = 0.02
+	uncachedSmoothing    = 0.02 // for avgUncached
 	initialUncached      = 2000 // tokens
 	maxSlowness          = 8.0
 	firstTokenOverhead   = 15 * time.Millisecond  // time to the first token of a request with an empty prompt
@@ -53,7 +53,7 @@
 	OutputTokens int              // expected
 	ByZone       map[string]int64 // bytes of the stage results that it reads, by zone
 	Exclude      []string         // IDs of engines that have refused or failed it
-	Within       time.Duration    // its first token is of use
+	Within       time.Duration    // longest useful time to its first token
 }
 
 // runningRequest is a request that runs on an engine.
@@ -92,7 +92,9 @@
 
 // New returns a Placer without engines, which assigns no more requests than limits allows.
 func New(limits *pace.Limiter[hosts.Lifetime]) *Placer {
-	return &Placer{limits: limits, avgUncached: initialUncached, engines: map[string]*engine{}, engineOf: map[string]string{}}
+	return &Placer{
+		limits: limits, avgUncached: initialUncached, engines: map[string]*engine{}, engineOf: map[string]string{},
+	}
 }
 
 // SetUpstreams removes engines that are gone and idle, and resets the state of engines that have restarted, except for
@@ -179,7 +181,7 @@
 		case now.Before(e.ejectedUntil):
 			wait = min(wait, e.ejectedUntil.Sub(now))
 		default:
-			next := e.startTime(int(p.avgUncached))
+			next := e.startTime(max(1, int(p.avgUncached)))
 			requests += float64(max(0, d-e.startTime(0))) / float64(next-e.startTime(0))
 			wait = min(wait, max(0, next-d))
 		}
@@ -187,7 +189,7 @@
 	return requests, wait, known
 }
 
-// startTime returns the expected time until the engine has read so many more prompt tokens.
+// startTime returns the expected time until the engine has read its pending prompts and so many more tokens.
 func (e *engine) startTime(tokens int) time.Duration {
 	return time.Duration(max(1, e.slowness) * float64(e.prefillTime(e.pendingPrefill+tokens)+firstTokenOverhead))
 }
