Release the results of a resumable stream when it begins

With limits heeded, the engines without one carry more streams, which last longer.

Results are released at the first event, as for other streams. The order is kept, and if the stream breaks off, its stages run again before it goes on. The test failed before.

--- a/internal/edge/node/stream_test.go
+++ b/internal/edge/node/stream_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -51,3 +52,21 @@
 		})
 	}
 }
+
+// Results that a stream has read take up memory that other requests need, also if the stream may be resumed.
+func TestResultsAreReleasedWhenAResumableStreamBegins(t *testing.T) {
+	w := startStaged(t, 1, &cloud.Upstream{ID: "engine-1", Events: 5, Gap: 300 * time.Millisecond})
+	begun := time.Now()
+	got := w.generate(w.entries[0], "id-1")
+	w.c.Assert(got.err, qt.IsNil)
+	ended := time.Now()
+	released := 0
+	for _, id := range []string{"second-0", "second-1"} {
+		for _, a := range w.upstreams[id].Arrivals() {
+			if a.Target == "/ragworthatch/stage-free" && a.At.After(begun) && a.At.Before(ended.Add(-500*time.Millisecond)) {
+				released++
+			}
+		}
+	}
+	w.c.Check(released > 0, qt.IsTrue)
+}
--- a/internal/leader/lead/dispatcher.go
+++ b/internal/leader/lead/dispatcher.go
@@ -47,7 +47,8 @@
 	Submit(o Order, reply func(Decision))
 	// Retry asks for another decision after a problem with the engine that was picked.
 	Retry(id, engine string, why Problem, reply func(Decision))
-	// FirstByte reports that the answer has begun. Unless keep is set, the results of its stages are released.
+	// FirstByte reports that the answer has begun. The results of its stages are released. With keep, the request may still
+	// need another decision.
 	FirstByte(id string, keep bool)
 	// Ended reports that the request is over; failed means that its engine failed.
 	Ended(id, engine string, failed bool)
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -76,12 +76,13 @@
 
 // openOrder is an order that is undecided, or that may still need another decision.
 type openOrder struct {
-	order Order
-	reply func(Decision) // nil once called
-	grant sched.Grant    // set once its stages are done
-	parts []string       // of its prompt, which other requests may share
-	waits bool           // it waits, or has waited, for its turn at an engine with a limit
-	trial bool           // its parts are blocked, and it is let through to see whether it still crashes an engine
+	order    Order
+	reply    func(Decision) // nil once called
+	grant    sched.Grant    // set once its stages are done
+	parts    []string       // of its prompt, which other requests may share
+	released bool           // the results of its stages are gone, so another engine needs new ones
+	waits    bool           // it waits, or has waited, for its turn at an engine with a limit
+	trial    bool           // its parts are blocked, and it is let through to see whether it still crashes an engine
 }
 
 // Coordinator is the Decider of this process: it schedules the stages of orders and picks their engines.
@@ -300,6 +301,10 @@
 		case ProblemFailed:
 			c.recordFailure(engine, now)
 		case ProblemInputLost:
+			o.released = true
+		}
+		if o.released {
+			o.released = false
 			c.placer.Ended(id)
 			if !c.scheduler.Restart(id, now) {
 				c.sendDecision(id, o, Decision{Refused: sched.Failing, RetryAfter: time.Second})
@@ -323,7 +328,8 @@
 	}
 }
 
-// FirstByte releases the results that the request has read, unless it may resume at another engine.
+// FirstByte releases the results that the request has read. Its order is kept if it may resume at another engine, which
+// runs its stages again.
 func (c *Coordinator) FirstByte(id string, keep bool) {
 	c.inbox <- func(now time.Time) {
 		c.placer.FirstByte(id, now)
@@ -333,6 +339,10 @@
 			}
 		}
 		if keep {
+			if o := c.orders[id]; o != nil {
+				o.released = len(o.grant.Inputs) > 0
+				c.scheduler.ReleaseResults(id)
+			}
 			return
 		}
 		c.scheduler.Release(id)
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -285,6 +285,15 @@
 // Release releases all results of a job whose request has read them.
 func (sc *Scheduler) Release(id string) { sc.Cancel(id) }
 
+// ReleaseResults releases the results of a job whose request has read them. The job stays, so that it can be restarted.
+func (sc *Scheduler) ReleaseResults(id string) {
+	if j := sc.jobs[id]; j != nil {
+		for _, s := range j.steps {
+			sc.releaseStep(s)
+		}
+	}
+}
+
 // Restart runs all stages of a job again after results of it were lost. It reports false if the job is unknown or was
 // restarted too often.
 func (sc *Scheduler) Restart(id string, now time.Time) bool {
