--- a/internal/edge/node/stream_test.go
+++ b/internal/edge/node/stream_test.go
@@ -56,6 +56,7 @@
 // Results that a stream has read take up memory that other requests need, also if the stream may be resumed.
 func TestResultsAreReleasedWhenAResumableStreamBegins(t *testing.T) {
 	w := startStaged(t, 1, &cloud.Upstream{ID: "engine-1", Events: 5, Gap: 300 * time.Millisecond})
+	time.Sleep(500 * time.Millisecond) // until the results of earlier requests are released
 	begun := time.Now()
 	got := w.generate(w.entries[0], "id-1")
 	w.c.Assert(got.err, qt.IsNil)
@@ -70,3 +71,28 @@
 	}
 	w.c.Check(released > 0, qt.IsTrue)
 }
+
+// The results that a stream had read are gone when it breaks off, so the engine that goes on is given new ones.
+func TestAStreamThatGoesOnReadsNewResults(t *testing.T) {
+	broken := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id") != "id-1" || r.Header.Get("Last-Event-Id") != "" {
+			return false
+		}
+		cloud.WriteEvents(w, 1, 2)
+		panic(http.ErrAbortHandler)
+	}
+	w := startStaged(t, 1, &cloud.Upstream{ID: "engine-1", Events: 4, Intercept: broken},
+		&cloud.Upstream{ID: "engine-2", Events: 4, Intercept: broken})
+	got := w.generate(w.entries[0], "id-1")
+	w.c.Assert(got.err, qt.IsNil)
+	var inputs []string
+	for _, id := range []string{"engine-1", "engine-2"} {
+		for _, a := range w.upstreams[id].Arrivals() {
+			if a.Header.Get("Request-Id") == "id-1" {
+				inputs = append(inputs, a.Header.Get("Inputs"))
+			}
+		}
+	}
+	w.c.Assert(inputs, qt.HasLen, 2)
+	w.c.Check(inputs[0], qt.Not(qt.Equals), inputs[1])
+}
