Wait for the leftover in the test of connections with leftovers

The test gave its stand-in 50 ms to write a second answer after 20 ms; when that takes longer, nothing has arrived yet and the connection may be used again (the late answer is then told apart by its ID). With 120 ms in place of 20 ms the test fails in the same way each time. It now waits until the second answer is written; what it checks is the same. 50 of 50 runs pass.

--- a/internal/edge/uphttp/client_test.go
+++ b/internal/edge/uphttp/client_test.go
@@ -90,10 +90,12 @@
 func TestConnectionsWithLeftoversAreNotUsedAgain(t *testing.T) {
 	c := qt.New(t)
 	dialed := 0
+	written := make(chan struct{}, 3) // receives a value for each second answer that was written
 	address, _ := server(c, func(conn net.Conn, id string, _ int) bool {
 		_, _ = io.WriteString(conn, answer(id, "body"))
 		time.Sleep(20 * time.Millisecond)
 		_, _ = io.WriteString(conn, answer(id, "again"))
+		written <- struct{}{}
 		return true
 	})
 	client := uphttp.New(decode, time.Now, func() { dialed++ })
@@ -101,7 +103,7 @@
 		body, err := send(client, address, http.MethodGet, id)
 		c.Assert(err, qt.IsNil)
 		c.Check(body, qt.Equals, "body")
-		time.Sleep(50 * time.Millisecond)
+		<-written
 	}
 	c.Check(dialed, qt.Equals, 3)
 }
