Take an order's leader and state under the lock when it is submitted

The race detector found it beside load, in the test of limits across a change of the leader: an order was read without the lock while the loss of its leader moved it to the next one. It could have been submitted with the progress of another moment. What is submitted is now copied under the lock; a submission to a leader that was dropped meanwhile goes to a closed connection, and the move submits it anew.

--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -413,12 +413,12 @@
 // finishElection submits the orders that waited for a leader.
 func (l *Link) finishElection() {
 	l.mu.Lock()
-	var waiting []*pending
+	var waiting []submission
 	if !l.elected {
 		for _, p := range l.requests {
 			if p.queued {
 				p.queued, p.session = false, l.current
-				waiting = append(waiting, p)
+				waiting = append(waiting, p.submission())
 			}
 		}
 	}
@@ -427,8 +427,8 @@
 	if len(waiting) > 0 {
 		l.opts.Log.Info("orders waited for a leader", zap.Int("orders", len(waiting)))
 	}
-	for _, p := range waiting {
-		l.submit(p)
+	for _, s := range waiting {
+		l.submit(s)
 	}
 }
 
@@ -485,7 +485,7 @@
 	s.close()
 	l.mu.Lock()
 	now, resumed := l.opts.Now(), 0
-	var moved []*pending
+	var moved []submission
 	for _, p := range l.requests {
 		if p.session == s && p.reply != nil {
 			p.session = l.current
@@ -493,7 +493,7 @@
 			if len(p.order.Job.Progress) > 0 {
 				resumed++
 			}
-			moved = append(moved, p)
+			moved = append(moved, p.submission())
 		}
 	}
 	l.mu.Unlock()
@@ -501,8 +501,8 @@
 		l.opts.Log.Info("orders moved to the present leader", zap.String("from", s.member.Host),
 			zap.Int("orders", len(moved)), zap.Int("resumed", resumed))
 	}
-	for _, p := range moved {
-		l.submit(p)
+	for _, m := range moved {
+		l.submit(m)
 	}
 }
 
@@ -512,20 +512,30 @@
 	queued := !l.elected
 	p := &pending{order: o, reply: reply, session: l.current, queued: queued}
 	l.requests[o.Job.ID] = p
+	first := p.submission()
 	l.mu.Unlock()
 	if !queued {
-		l.submit(p)
+		l.submit(first)
 	}
 }
 
+// submission is an order on its way to a leader, or to the local decider if session is nil.
+type submission struct {
+	order   lead.Order
+	session *session
+}
+
+// submission returns the order as it is to be submitted now. The caller holds the link's mu, as the order may move on.
+func (p *pending) submission() submission { return submission{order: p.order, session: p.session} }
+
 // submit sends an order to the leader or the local decider, as its session says.
-func (l *Link) submit(p *pending) {
-	id := p.order.Job.ID
-	if p.session == nil {
-		l.opts.Local.Submit(p.order, func(d lead.Decision) { l.decided(id, d) })
+func (l *Link) submit(s submission) {
+	id := s.order.Job.ID
+	if s.session == nil {
+		l.opts.Local.Submit(s.order, func(d lead.Decision) { l.decided(id, d) })
 		return
 	}
-	p.session.submit(p.order)
+	s.session.submit(s.order)
 }
 
 // decided handles a decision: it is passed to its request, or its progress is kept or submitted to the present leader.
@@ -541,8 +551,9 @@
 	if p != nil && d.Moved {
 		p.order.Job.Progress, p.progress = d.Progress, nil
 		p.session = l.current
+		next := p.submission()
 		l.mu.Unlock()
-		l.submit(p)
+		l.submit(next)
 		return
 	}
 	if p != nil {
@@ -572,11 +583,11 @@
 			p.session = nil
 		}
 	}
-	ses := p.session
+	ses, next := p.session, p.submission()
 	l.mu.Unlock()
 	switch {
 	case moved:
-		l.submit(p)
+		l.submit(next)
 	case ses == nil:
 		l.opts.Local.Retry(id, engine, why, func(d lead.Decision) { l.decided(id, d) })
 	default:
