Name the software of engines and the streams that are taken up in the logs

Lines now name the version of an engine's software and the attempt that a request takes up; a counter tells streams that went on within one answer at the same version from others.

--- a/internal/edge/call/request.go
+++ b/internal/edge/call/request.go
@@ -22,6 +22,7 @@
 	Pieces       []int  // number of pieces of each stage
 	PieceKey     string // input of the stages that depend on no other
 	LastEventID  string // the last one that the caller of a resumed stream has
+	Resumes      string // ID of the attempt that brought the first event of that stream
 }
 
 // HasAtMostPieces reports whether all stages together have at most that many pieces; it can't overflow.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -110,6 +110,7 @@
 	sends      int       // attempts; a failed connection or lost stage results don't count
 	sentAt     time.Time // of the last send
 	sentTo     string    // ID and start time of the upstream of the last send
+	begunAt    string    // version of the engine whose events the caller has; empty before the first one
 	mayHaveRun bool      // an upstream may have run the request in one of the sends
 
 	fingerprint uint64          // see fingerprintOf
@@ -271,7 +272,7 @@
 func (x *exchange) logSend(u hosts.Upstream, answer *uphttp.Answer, failure *fault.Error) {
 	fields := []zap.Field{
 		zap.String("request", x.logID), zap.String("route", x.route.Name), zap.String("upstream", u.ID),
-		zap.Int("send", x.sends), zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
+		zap.Int("send", x.sends), zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()), zap.String("software", u.Version),
 		zap.Duration("listAge", x.o.Now().Sub(x.o.Hosts().Read())),
 	}
 	result := "answered"
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -135,7 +135,7 @@
 			WithRetryAfter(defaultRetryAfter)
 	case d := <-answer:
 		x.o.Log.Info("decided", zap.String("request", x.logID), zap.String("route", x.route.Name),
-			zap.String("upstream", d.Upstream), zap.Int("inputs", len(d.Inputs)), zap.Bool("late", d.Late),
+			zap.String("resumes", x.head.Resumes), zap.String("upstream", d.Upstream), zap.Int("inputs", len(d.Inputs)), zap.Bool("late", d.Late),
 			zap.String("refused", string(d.Refused)), zap.Duration("retryAfter", d.RetryAfter),
 			zap.Duration("age", x.o.Now().Sub(x.arrived)))
 		if d.Refused == sched.Quarantined {
@@ -203,6 +203,9 @@
 	buffer := make([]byte, streamBufferBytes)
 	beforeFirst := true
 	before := events.Count()
+	if x.out.Started() {
+		x.o.Stats.StreamContinued(u.Pool, u.Version == x.begunAt)
+	}
 	for {
 		n, err := answer.Read(buffer)
 		whole, splitErr := events.Add(buffer[:n])
@@ -216,6 +219,9 @@
 				x.o.Leader.FirstByte(x.key, x.route.Resumable)
 				x.o.Stats.FirstByte(x.o.Now().Sub(x.arrived))
 			}
+			if !x.out.Started() {
+				x.begunAt = u.Version
+			}
 			x.out.Head(answer.Status, header, -1)
 			if werr := x.out.Body(whole); werr != nil {
 				x.abort(fault.Canceled, werr)
--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -22,6 +22,7 @@
 	Pool      string
 	Address   string // IP:port, which another upstream may get later
 	Zone      string
+	Version   string // of its software; several may serve a pool side by side
 	State     State
 	Slots     int
 	StartedMs int64 // Unix time of the start in ms; 0 if unknown
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -31,6 +31,7 @@
 	s.AnswerBroken("pool", "unbegun")
 	s.CrashReport("counted")
 	s.LimitNamed("pool")
+	s.StreamContinued("pool", true)
 	s.StoreCall("topic", true)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -42,6 +42,7 @@
 	broken       meter.Counter
 	crashes      meter.Counter
 	limited      meter.Counter
+	continued    meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -100,6 +101,8 @@
 			Help: "Reports of requests under which an upstream crashed, by result."}),
 		limited: m.Counter(meter.Spec{Name: "edge.limitedAnswers", Unit: "{answer}",
 			Help: "Answers in which an upstream named a limit, by pool."}),
+		continued: m.Counter(meter.Spec{Name: "edge.continuedStreams", Unit: "{stream}",
+			Help: "Streams that another engine went on with in the same answer, by pool and whether its software has the same version."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -164,6 +167,16 @@
 // LimitNamed counts an answer in which an upstream named a limit.
 func (s *Stats) LimitNamed(pool string) { s.limited.Add(1, label("pool", pool)) }
 
+// StreamContinued counts a stream that another engine goes on with in the same answer; same says whether that engine runs
+// the version that began the stream.
+func (s *Stats) StreamContinued(pool string, same bool) {
+	software := "same"
+	if !same {
+		software = "other"
+	}
+	s.continued.Add(1, label("pool", pool), label("software", software))
+}
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -316,7 +316,7 @@
 	for _, u := range m.Upstreams {
 		byID[u.Id] = hosts.Upstream{
 			ID: u.Id, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: hosts.State(u.State), Slots: int(u.Slots),
-			StartedMs: u.Born,
+			StartedMs: u.Born, Version: u.Version,
 		}
 	}
 	return hosts.New(slices.Collect(maps.Values(byID)), time.Time{}).WithVersion(m.Version)
--- a/internal/leader/serve/history.go
+++ b/internal/leader/serve/history.go
@@ -81,6 +81,6 @@
 func upstreamMessage(u hosts.Upstream) *cellpb.Upstream {
 	return &cellpb.Upstream{
 		Id: u.ID, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: string(u.State), Slots: int32(u.Slots),
-		Born: u.StartedMs,
+		Born: u.StartedMs, Version: u.Version,
 	}
 }
