Show that streams go on at another software version (known red)

Four tests on the present code, all failing: within one answer, taken up at another entry, and after the loss of all entries, with both versions in service and with the old one just gone. The stand-in of the store takes several records in one call and appends under a condition, as the platform's does.

--- a/internal/edge/node/testbed_test.go
+++ b/internal/edge/node/testbed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -79,7 +80,7 @@
 
 // listUpstream writes the entry of an upstream to the store's list, with the given state and 4 slots.
 func (w *testbed) listUpstream(id, pool, state string) {
-	w.store.PutServer(id, pool, w.addresses[id], state, 4)
+	w.store.PutServer(id, pool, cmp.Or(w.upstreams[id].Version, "v1"), w.addresses[id], state, 4)
 }
 
 // configure publishes the configuration of testdata with a new version; changes are pairs of old and new texts.
--- /dev/null
+++ b/internal/edge/node/version_test.go
@@ -0,0 +1,156 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/ragworthatch/ragworthatch/internal/fake/cloud"
+)
+
+// oldAndNew returns engines of two versions, each with four events.
+func oldAndNew(old, next int, act func(http.ResponseWriter, *http.Request, int) bool) []*cloud.Upstream {
+	var out []*cloud.Upstream
+	for version, n := range map[string]int{"v1": old, "v2": next} {
+		for i := range n {
+			out = append(out, &cloud.Upstream{ID: fmt.Sprintf("%s-%d", version, i), Version: version, Events: 4,
+				Gap: 50 * time.Millisecond, Intercept: act})
+		}
+	}
+	return out
+}
+
+// versionsOf returns the versions of the engines that ran a request, sorted, once for each engine.
+func (w *testbed) versionsOf(id string) []string {
+	var out []string
+	for _, u := range w.upstreams {
+		for _, a := range u.Arrivals() {
+			if u.Version != "" && a.Header.Get("Request-Id") == id {
+				out = append(out, u.Version)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// beginStream sends a request and leaves after two events of its stream. It returns the version that began it.
+func (w *testbed) beginStream(e *entry, id string) string {
+	w.c.Helper()
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.front+"/gen/x", strings.NewReader("prompt"))
+	w.c.Assert(err, qt.IsNil)
+	r.Host = "svc.example"
+	for name, value := range map[string]string{"Request-Id": id, "Credential": "key-one", "Deadline-Ms": "3000",
+		"Model": "m", "Token-Counts": "100,10", "Prompt-Prefix": "a:50,b:50", "Pieces": "2,1", "Piece-Key": "piece-key"} {
+		r.Header.Set(name, value)
+	}
+	got, err := http.DefaultClient.Do(r)
+	w.c.Assert(err, qt.IsNil)
+	defer got.Body.Close()
+	w.c.Assert(got.StatusCode, qt.Equals, http.StatusOK)
+	var text strings.Builder
+	for buffer := make([]byte, 256); !strings.Contains(text.String(), "token 2\n\n"); {
+		n, err := got.Body.Read(buffer)
+		text.Write(buffer[:n])
+		if err == io.EOF {
+			break
+		}
+		w.c.Assert(err, qt.IsNil)
+	}
+	versions := w.versionsOf(id)
+	w.c.Assert(versions, qt.HasLen, 1)
+	return versions[0]
+}
+
+// takeUp takes up a stream after its second event.
+func (w *testbed) takeUp(e *entry, id, first string) answer {
+	return w.do(e, http.MethodPost, "/gen/x", id, "prompt", "Model", "m", "Token-Counts", "100,10", "Prompt-Prefix",
+		"a:50,b:50", "Pieces", "2,1", "Piece-Key", "piece-key", "Resumes", first, "Last-Event-Id", "2")
+}
+
+const streams = 8
+
+// Each stream breaks off after two events, and another engine goes on with it in the same answer.
+func TestAStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	w := startStaged(t, 1, oldAndNew(3, 3, func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasPrefix(r.Header.Get("Request-Id"), "id-") || r.Header.Get("Last-Event-Id") != "" {
+			return false
+		}
+		cloud.WriteEvents(w, 1, 2)
+		panic(http.ErrAbortHandler)
+	})...)
+	for i := range streams {
+		id := fmt.Sprint("id-", i)
+		got := w.generate(w.entries[0], id)
+		w.c.Check(got.err, qt.IsNil)
+		w.c.Check(strings.Count(got.body, "id: "), qt.Equals, 4)
+		versions := w.versionsOf(id)
+		w.c.Assert(versions, qt.HasLen, 2)
+		w.c.Check(versions[0], qt.Equals, versions[1], qt.Commentf("stream %s", id))
+	}
+}
+
+// Callers take streams up at another entry than the one that passed their first events on.
+func TestATakenUpStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	w := startStaged(t, 2, oldAndNew(2, 4, nil)...)
+	for i := range streams {
+		first, again := fmt.Sprint("first-", i), fmt.Sprint("again-", i)
+		began := w.beginStream(w.entries[i%2], first)
+		got := w.takeUp(w.entries[(i+1)%2], again, first)
+		w.c.Check(got.status, qt.Equals, http.StatusOK)
+		w.c.Check(w.versionsOf(again), qt.DeepEquals, []string{began})
+	}
+}
+
+// All entries are lost while two versions serve, and others take their place.
+func TestAStreamGoesOnOnlyAtTheVersionThatBeganItAfterAllEntriesWereLost(t *testing.T) {
+	w := startStaged(t, 2, oldAndNew(2, 4, nil)...)
+	began := map[string]string{}
+	for i := range streams {
+		first := fmt.Sprint("first-", i)
+		began[first] = w.beginStream(w.entries[i%2], first)
+	}
+	for _, e := range w.entries {
+		e.kill()
+	}
+	e := w.startEntry("entry-9")
+	w.waitReady(e, http.StatusOK)
+	for first, version := range began {
+		got := w.takeUp(e, "again-"+first, first)
+		w.c.Check(got.status, qt.Equals, http.StatusOK)
+		w.c.Check(w.versionsOf("again-"+first), qt.DeepEquals, []string{version})
+	}
+}
+
+// The last engines of the old version leave, and all entries are lost right after that.
+func TestAStreamWhoseVersionHasLeftIsRefusedAfterAllEntriesWereLost(t *testing.T) {
+	w := startStaged(t, 1, oldAndNew(2, 0, nil)...)
+	for i := range streams {
+		w.c.Check(w.beginStream(w.entries[0], fmt.Sprint("old-", i)), qt.Equals, "v1")
+	}
+	w.startUpstream("engines", &cloud.Upstream{ID: "v2-0", Version: "v2", Events: 4})
+	w.listUpstream("v1-0", "engines", "draining")
+	w.store.Put("keyed.servers", "v1-1", nil)
+	time.Sleep(time.Second)
+	w.c.Check(w.beginStream(w.entries[0], "new"), qt.Equals, "v2")
+	w.store.Put("keyed.servers", "v1-0", nil)
+	w.entries[0].kill()
+	e := w.startEntry("entry-9")
+	w.waitReady(e, http.StatusOK)
+	w.c.Check(w.takeUp(e, "again", "new").status, qt.Equals, http.StatusOK)
+	for i := range streams {
+		got := w.takeUp(e, fmt.Sprint("again-", i), fmt.Sprint("old-", i))
+		w.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+		w.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		w.c.Check(w.versionsOf(fmt.Sprint("again-", i)), qt.HasLen, 0)
+	}
+}
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -56,12 +56,14 @@
 	State    string `json:"state"`
 	Sequence int    `json:"sequence"`
 	Born     int    `json:"born"`
+	Version  string `json:"version"`
 }
 
-// PutServer puts an upstream in zone-a on the list of servers, as the upstream itself would.
-func (s *Store) PutServer(id, pool, address, state string, slots int) {
+// PutServer puts an upstream in zone-a on the list of servers, as the upstream itself would; version is that of its
+// software.
+func (s *Store) PutServer(id, pool, version, address, state string, slots int) {
 	value, err := json.Marshal(serverEntry{Service: pool, Address: address, Zone: "zone-a", Slots: slots, State: state,
-		Sequence: 1, Born: 1})
+		Sequence: 1, Born: 1, Version: version})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
@@ -235,11 +237,28 @@
 
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(r.Body)
-	if err != nil || len(data) < 5 {
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	keyEnd := 5 + int(data[4])
-	s.Put(r.URL.Query().Get("topic"), string(data[5:keyEnd]), data[keyEnd:])
+	var records []record
+	for len(data) > 0 {
+		if len(data) < 5 || len(data) < 4+int(binary.BigEndian.Uint32(data)) {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		content := data[4 : 4+binary.BigEndian.Uint32(data)]
+		keyEnd := 1 + int(content[0])
+		records = append(records, record{string(content[1:keyEnd]), content[keyEnd:]})
+		data = data[4+len(content):]
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(len(t.records)) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	t.records = append(t.records, records...)
 	_, _ = w.Write([]byte("{}"))
 }
--- a/internal/fake/cloud/upstream.go
+++ b/internal/fake/cloud/upstream.go
@@ -24,10 +24,12 @@
 
 // Upstream is a stand-in for an upstream of any kind; its fields must be set before it serves.
 type Upstream struct {
-	ID     string
-	Work   time.Duration // that each call takes
-	Events int           // number of events of a stream; 0 makes it a plain service
-	Gap    time.Duration // between two events
+	ID string
+	// Version is that of its software; empty stands for v1.
+	Version string
+	Work    time.Duration // that each call takes
+	Events  int           // number of events of a stream; 0 makes it a plain service
+	Gap     time.Duration // between two events
 	// Intercept, if set, may answer the n-th request in place of the upstream; it reports whether it did.
 	Intercept func(w http.ResponseWriter, r *http.Request, n int) bool
 
--- a/internal/proof/soak/environment_test.go
+++ b/internal/proof/soak/environment_test.go
@@ -148,7 +148,7 @@
 
 // list writes the record of a service's current lifetime to the store.
 func (env *environment) list(s *service, state string) {
-	env.store.PutServer(s.current.Load().ID, s.pool, s.proxy.Address(), state, 8)
+	env.store.PutServer(s.current.Load().ID, s.pool, "v1", s.proxy.Address(), state, 8)
 }
 
 func (env *environment) unlist(s *service) { env.store.Put(topicHosts, s.current.Load().ID, nil) }
