--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
 	"github.com/ragworthatch/ragworthatch/internal/edge/verify"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -69,6 +70,8 @@
 	Stats  *stats.Stats
 	Crash  *crash.Tracker
 	Verify *verify.Verifier
+	// Origins remembers the streams that this entry has passed on.
+	Origins *origin.Keeper
 	// Stopping reports whether new requests are refused because this entry shuts down.
 	Stopping func() bool
 	Leaving  func() bool // reports whether connections are closed after the answer
@@ -113,6 +116,7 @@
 	begunAt    string    // version of the engine whose events the caller has; empty before the first one
 	mayHaveRun bool      // an upstream may have run the request in one of the sends
 
+	resumable   lead.Stream     // that the caller may take up
 	fingerprint uint64          // see fingerprintOf
 	parts       []string        // of the prompt, which other requests may share
 	breaks      int             // sends that ended before their answer began
@@ -199,10 +203,27 @@
 	}
 	x.deadline = x.arrived.Add(remaining)
 	x.pool = route.PickPool(rand.Float64())
+	if route.Resumable {
+		x.pickStream()
+	}
 	x.o.Budget.CountRequest(x.pool)
 	return nil
 }
 
+// pickStream identifies the stream that the request begins or takes up. The pool follows from that, so that the caller
+// finds the stream in the same pool.
+func (x *exchange) pickStream() {
+	x.resumable = lead.Stream{Key: origin.Key(x.team, x.logID), TakenUp: x.head.LastEventID != ""}
+	if x.resumable.TakenUp {
+		if x.head.Resumes == "" {
+			x.resumable.Key = 0
+			return
+		}
+		x.resumable.Key = origin.Key(x.team, x.head.Resumes)
+	}
+	x.pool = x.route.PickPool(float64(x.resumable.Key>>11) / (1 << 53))
+}
+
 // quarantined is the refusal of a request like those that crash upstreams.
 func quarantined(retryAfter time.Duration) *fault.Error {
 	return fault.New(fault.NotRun, fault.Quarantined, "requests like this one broke down upstreams").
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -56,7 +58,7 @@
 			return x.giveUp(fallback, failure)
 		}
 		decision, failure = x.awaitDecision(
-			func(reply func(lead.Decision)) { x.o.Leader.Retry(x.key, engine, problem, reply) })
+			func(reply func(lead.Decision)) { x.o.Leader.Retry(x.key, engine, problem, x.begunAt, reply) })
 		failed = false
 	}
 }
@@ -116,7 +118,7 @@
 	if output == 0 {
 		output = x.head.OutputLimit / 2
 	}
-	return lead.Order{Fingerprint: x.fingerprint, Job: job, Engine: place.Order{
+	return lead.Order{Fingerprint: x.fingerprint, Job: job, Stream: x.resumable, Engine: place.Order{
 		ID: x.key, Entry: x.o.Host, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
 		PromptTokens: x.head.PromptTokens, OutputTokens: min(output, max(x.head.OutputLimit, 1)),
 	}}
@@ -156,7 +158,12 @@
 	d lead.Decision, events *relay.EventSplitter) (lead.Problem, *bufferedAnswer, *fault.Error) {
 	u, known := x.o.Hosts().Get(d.Upstream)
 	if !known {
-		u = hosts.Upstream{ID: d.Upstream}
+		u = hosts.Upstream{ID: d.Upstream, Version: d.Version}
+	}
+	version := cmp.Or(d.Version, u.Version)
+	if u.Version != version || (x.begunAt != "" && x.begunAt != version) {
+		return lead.ProblemRefused, nil, fault.New(fault.NotRun, fault.Draining, "upstream %s runs %q, the leader picked %q, "+
+			"and the stream began at %q", u.ID, u.Version, d.Version, x.begunAt)
 	}
 	answer, failure := x.send(u, d.Inputs, events.LastID())
 	if failure != nil {
@@ -219,9 +226,7 @@
 				x.o.Leader.FirstByte(x.key, x.route.Resumable)
 				x.o.Stats.FirstByte(x.o.Now().Sub(x.arrived))
 			}
-			if !x.out.Started() {
-				x.begunAt = u.Version
-			}
+			x.recordBegun(u)
 			x.out.Head(answer.Status, header, -1)
 			if werr := x.out.Body(whole); werr != nil {
 				x.abort(fault.Canceled, werr)
@@ -251,6 +256,17 @@
 	}
 }
 
+// recordBegun remembers the version of the engine whose events are the first that the caller gets.
+func (x *exchange) recordBegun(u hosts.Upstream) {
+	if x.out.Started() {
+		return
+	}
+	x.begunAt = u.Version
+	if x.resumable.Key != 0 {
+		x.o.Origins.Begun(x.resumable.Key, origin.Origin{Pool: u.Pool, Version: u.Version})
+	}
+}
+
 // endsEarly reports whether a stream has ended inside an event, or ended with its connection before its first event.
 // before is the count of events at the start of the answer.
 func (x *exchange) endsEarly(answer *uphttp.Answer, events *relay.EventSplitter, before int) bool {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +27,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/ledger"
 	"github.com/ragworthatch/ragworthatch/internal/leader/link"
+	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
@@ -75,6 +78,7 @@
 	registry *registry.Registry
 	link     *link.Link
 	ledger   *ledger.Ledger
+	origins  *origin.Keeper
 	service  atomic.Pointer[serve.Server] // for other entries
 	picker   *balance.Picker
 	notices  *notices.Record
@@ -127,9 +131,17 @@
 		Report: func(r crash.Report) { n.link.Crashed(r) }, Now: time.Now, Log: log.Named("verify"),
 	})
 	n.picker = balance.New(time.Now)
+	leads := func() bool {
+		_, follows := n.link.Leader()
+		return !follows
+	}
+	n.origins = origin.New(strconv.FormatUint(rand.Uint64(), 36), origin.Options{
+		Store: store, Hosts: n.watch.Hosts, Leads: leads, Stats: n.stats, Now: time.Now, Log: log.Named("origin"),
+		Pools: func() map[string]time.Duration { return n.watch.Rules().ResumablePools() },
+	})
 	n.lead = lead.New(lead.Options{
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Notices: n.notices,
-		Limits: n.limits, Stats: n.stats,
+		Limits: n.limits, Origins: n.origins, Stats: n.stats,
 		Now: time.Now, Log: log.Named("lead"),
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, ReleasePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
@@ -146,17 +158,14 @@
 	})
 	n.link = link.New(link.Options{
 		Self: s.Name, Local: n.lead, Members: n.registry.Members, MemberCount: n.registry.Size, MembersRead: n.registry.HasRead,
-		Leaving: n.leaving.Load, Crash: n.crash, Limits: n.limits,
+		Leaving: n.leaving.Load, Crash: n.crash, Limits: n.limits, Origins: n.origins,
 		Confirm: n.watch.Confirm, AdoptRules: n.watch.Adopt, LacksRules: n.watch.ShouldPull, Notices: n.notices.Notices,
 		ConfirmMembers: n.registry.Confirm,
 		RulesVersion:   func() int64 { return n.watch.Rules().Version() }, ObserveEra: store.ObserveEra, Now: time.Now, Log: log.Named("link"),
 	})
 	n.ledger = ledger.New(ledger.Options{
 		Store: store, Crash: n.crash, Now: time.Now, Log: log.Named("ledger"),
-		Leads: func() bool {
-			_, follows := n.link.Leader()
-			return !follows
-		},
+		Leads: leads,
 	})
 	n.budget = resend.New(s.RetryWindow, func() int { return max(assumedEntries, n.registry.Size()) }, time.Now)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
@@ -173,6 +182,7 @@
 		Stats:    n.stats,
 		Crash:    n.crash,
 		Verify:   n.verify,
+		Origins:  n.origins,
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Ending: n.ending, Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
@@ -213,6 +223,7 @@
 	go n.registry.Run(ctx)
 	go n.link.Run(ctx)
 	go n.ledger.Run(ctx)
+	go n.origins.Run(ctx)
 	go n.sweep(ctx)
 	peers, err := n.servePeers(ctx)
 	if err != nil {
@@ -258,7 +269,7 @@
 	server := grpc.NewServer(serve.Recover(n.log.Named("serve"))...)
 	service := serve.New(serve.Options{
 		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash, Limits: n.limits,
-		Hosts: n.watch.SharedHosts,
+		Origins: n.origins, Hosts: n.watch.SharedHosts,
 		Rules: n.sharedRules, Era: n.store.Era, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
 	})
--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -108,6 +108,8 @@
 	teams    map[string]Team // by API key
 	needsKey bool
 	limits   Limits
+	// resumable holds the pools of resumable routes, with their longest timeout.
+	resumable map[string]time.Duration
 }
 
 // prefixes holds the routes of one host by their prefix, which ends with a slash.
@@ -121,7 +123,7 @@
 func New(version int64, routes []Route, pools []Pool, teams map[string]Team, limits Limits) *Rules {
 	r := &Rules{
 		version: version, byHost: map[string]prefixes{}, pools: make(map[string]Pool, len(pools)), teams: teams,
-		limits: limits,
+		limits: limits, resumable: map[string]time.Duration{},
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
@@ -138,12 +140,23 @@
 	for _, p := range pools {
 		r.pools[p.Name] = p
 	}
+	for _, route := range routes {
+		for _, s := range route.Split {
+			if route.Resumable {
+				r.resumable[s.Pool] = max(r.resumable[s.Pool], route.Timeout)
+			}
+		}
+	}
 	return r
 }
 
 // Version is the version of the configuration; a newer one has a higher number.
 func (r *Rules) Version() int64 { return r.version }
 
+// ResumablePools returns the pools whose streams may be taken up, with the longest timeout of their routes. It must not
+// be changed.
+func (r *Rules) ResumablePools() map[string]time.Duration { return r.resumable }
+
 // Limits returns the bounds on what callers may send.
 func (r *Rules) Limits() Limits { return r.limits }
 
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -32,6 +32,7 @@
 	s.CrashReport("counted")
 	s.LimitNamed("pool")
 	s.StreamContinued("pool", true)
+	s.OriginLookedUp("memory")
 	s.StoreCall("topic", true)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -43,6 +43,7 @@
 	crashes      meter.Counter
 	limited      meter.Counter
 	continued    meter.Counter
+	origins      meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -103,6 +104,8 @@
 			Help: "Answers in which an upstream named a limit, by pool."}),
 		continued: m.Counter(meter.Spec{Name: "edge.continuedStreams", Unit: "{stream}",
 			Help: "Streams that another engine went on with in the same answer, by pool and whether its software has the same version."}),
+		origins: m.Counter(meter.Spec{Name: "edge.originLookups", Unit: "{lookup}",
+			Help: "Lookups of the version that began a stream, by where it was found."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -177,6 +180,9 @@
 	s.continued.Add(1, label("pool", pool), label("software", software))
 }
 
+// OriginLookedUp counts a lookup of the version that began a stream; source says where it was found.
+func (s *Stats) OriginLookedUp(source string) { s.origins.Add(1, label("source", source)) }
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/leader/lead/dispatcher.go
+++ b/internal/leader/lead/dispatcher.go
@@ -12,13 +12,22 @@
 // Order is a request that needs stages, an engine, or both.
 type Order struct {
 	Fingerprint uint64 // the same whenever a caller sends the request again
+	Stream      Stream
 	Job         sched.Job
 	Engine      place.Order
 }
 
+// Stream is the part of an order whose answer is a stream that the caller may take up; it is empty for any other.
+type Stream struct {
+	Key      uint64 // of the attempt that brings, or brought, its first event; see origin.Key; 0 if that is not known
+	TakenUp  bool   // the caller has events of it
+	Repeated bool   // a lost leader may have decided on the order
+}
+
 // Decision says where a request runs, or why it is refused.
 type Decision struct {
 	Upstream   string   // ID of the engine; empty when refused
+	Version    string   // of the engine's software
 	Inputs     []string // handles of the results that the request reads
 	Late       bool     // the request will miss its target
 	Refused    sched.Reason
@@ -45,8 +54,9 @@
 	// Submit asks for a decision. Reply is called once with it, unless Ended comes first, and before that once for each
 	// pending decision.
 	Submit(o Order, reply func(Decision))
-	// Retry asks for another decision after a problem with the engine that was picked.
-	Retry(id, engine string, why Problem, reply func(Decision))
+	// Retry asks for another decision after a problem with the engine that was picked. begunAt is the version at which the
+	// stream goes on, empty if the caller has no events yet.
+	Retry(id, engine string, why Problem, begunAt string, reply func(Decision))
 	// FirstByte reports that the answer has begun. The results of its stages are released. With keep, the request may still
 	// need another decision.
 	FirstByte(id string, keep bool)
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -19,6 +19,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
+	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/repeat"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
@@ -36,7 +37,8 @@
 	stepBackoff = 2
 	maxStepGap  = 10 * time.Millisecond
 
-	limitedRetryAfter = 1 * time.Second // least Retry-After while upstreams accept no more requests
+	limitedRetryAfter    = 1 * time.Second // least Retry-After while upstreams accept no more requests
+	unrecordedRetryAfter = 300 * time.Millisecond
 
 	sweepInterval      = 5 * time.Second        // between sweeps, and at most between scheduling steps
 	maxAnswerBytes     = 64 << 10               // of an answer of a stage upstream, without the results in it
@@ -69,6 +71,7 @@
 	Crash   *crash.Tracker
 	Notices *notices.Record
 	Limits  *pace.Limiter[hosts.Lifetime]
+	Origins *origin.Keeper
 	Stats   *stats.Stats
 	Now     func() time.Time
 	Log     *zap.Logger
@@ -83,6 +86,7 @@
 	released bool           // the results of its stages are gone, so another engine needs new ones
 	waits    bool           // it waits, or has waited, for its turn at an engine with a limit
 	trial    bool           // its parts are blocked, and it is let through to see whether it still crashes an engine
+	picked   hosts.Upstream // the engine that was last picked for it
 }
 
 // Coordinator is the Decider of this process: it schedules the stages of orders and picks their engines.
@@ -93,7 +97,8 @@
 	placer      *place.Placer
 	firstVisits *repeat.Tracker
 	orders      map[string]*openOrder
-	waiting     []*openOrder // whose engines all accept no more requests for now
+	waiting     []*openOrder    // whose engines all accept no more requests for now
+	lookups     map[string]bool // IDs of orders for which the version that began their stream is looked up
 	rules       *rule.Rules
 	hosts       *hosts.Table
 	openCount   atomic.Int64
@@ -108,7 +113,7 @@
 func New(o Options) *Coordinator {
 	return &Coordinator{
 		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits), placer: place.New(o.Limits),
-		firstVisits: repeat.New(), orders: map[string]*openOrder{},
+		firstVisits: repeat.New(), orders: map[string]*openOrder{}, lookups: map[string]bool{},
 	}
 }
 
@@ -257,39 +262,87 @@
 	c.inbox <- func(now time.Time) {
 		c.refreshConfig()
 		c.judge()
-		parts := crash.PartsOf(o.Engine.Model, o.Engine.Prefix)
-		wait, trial := c.opts.Crash.Admit(o.Fingerprint, parts)
-		if wait > 0 {
-			reply(Decision{Refused: sched.Quarantined, RetryAfter: wait})
+		if o.Stream.TakenUp && o.Engine.Version == "" {
+			c.findOrigin(o, reply, now)
 			return
 		}
-		if trial {
-			c.opts.Log.Info("trial of blocked prompt parts", zap.String("request", o.Job.RequestID), zap.Strings("parts", parts))
-		}
-		if waited := c.firstVisits.Record(o.Fingerprint, o.Job.Arrived, o.Job.Deadline); waited > 0 {
-			o.Job.Target = o.Job.Target.Add(-waited)
-			c.opts.Log.Info("caller comes back", zap.String("request", o.Job.RequestID), zap.Duration("waited", waited))
-		}
-		if _, paused := c.placer.PauseLeft(o.Engine, c.hosts, now); paused {
-			reply(c.refuseNoEngine(o.Engine, now))
-			return
-		}
-		if wait, exceeds := c.exceedsLimits(o, now); exceeds {
-			reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
-			return
-		}
-		o.Job.TimeToFirstToken = c.placer.TimeToFirstToken(o.Engine, c.hosts, now)
-		if o.Job.ReadsLargeResults() {
-			o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
-		}
-		c.orders[o.Job.ID] = &openOrder{order: o, reply: reply, parts: parts, trial: trial}
-		c.scheduler.Submit(o.Job, now)
+		c.admit(o, reply, now)
+	}
+}
+
+// findOrigin looks up the version at which the stream of an order began, and then admits the order.
+func (c *Coordinator) findOrigin(o Order, reply func(Decision), now time.Time) {
+	id := o.Job.ID
+	c.lookups[id] = true
+	found, atOnce := c.opts.Origins.Find(o.Stream.Key, o.Engine.Pool, func(f origin.Found) {
+		c.inbox <- func(now time.Time) { c.admitTakenUp(o, f, reply, now) }
+	})
+	if atOnce {
+		c.admitTakenUp(o, found, reply, now)
+	}
+}
+
+// admitTakenUp admits an order whose stream goes on at the version that began it, or refuses it if there is no engine of
+// that version. The order may have ended meanwhile.
+func (c *Coordinator) admitTakenUp(o Order, f origin.Found, reply func(Decision), now time.Time) {
+	if !c.lookups[o.Job.ID] {
+		return
+	}
+	delete(c.lookups, o.Job.ID)
+	c.refreshConfig()
+	o.Engine.Version = f.Version
+	refused := sched.Reason("")
+	switch {
+	case f.Source == origin.SourceUnknown:
+		refused = sched.NoOrigin
+	case f.Pool != o.Engine.Pool || len(o.Engine.Ready(c.hosts)) == 0:
+		refused = sched.NoVersion
+	}
+	c.opts.Log.Info("stream taken up", zap.String("request", o.Job.RequestID), zap.String("software", f.Version),
+		zap.String("source", string(f.Source)), zap.String("refused", string(refused)))
+	if refused != "" {
+		reply(Decision{Refused: refused, RetryAfter: time.Second})
+		return
 	}
+	c.admit(o, reply, now)
+}
+
+// admit schedules an order, or refuses it.
+func (c *Coordinator) admit(o Order, reply func(Decision), now time.Time) {
+	parts := crash.PartsOf(o.Engine.Model, o.Engine.Prefix)
+	wait, trial := c.opts.Crash.Admit(o.Fingerprint, parts)
+	if wait > 0 {
+		reply(Decision{Refused: sched.Quarantined, RetryAfter: wait})
+		return
+	}
+	if trial {
+		c.opts.Log.Info("trial of blocked prompt parts", zap.String("request", o.Job.RequestID), zap.Strings("parts", parts))
+	}
+	waited := c.firstVisits.Record(o.Fingerprint, o.Job.Arrived, o.Job.Deadline)
+	if waited > 0 && !o.Stream.TakenUp { // the first event of a stream that is taken up came long before
+		o.Job.Target = o.Job.Target.Add(-waited)
+		c.opts.Log.Info("caller comes back", zap.String("request", o.Job.RequestID), zap.Duration("waited", waited))
+	}
+	if _, paused := c.placer.PauseLeft(o.Engine, c.hosts, now); paused {
+		reply(c.refuseNoEngine(o.Engine, now))
+		return
+	}
+	if wait, exceeds := c.exceedsLimits(o, now); exceeds {
+		reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
+		return
+	}
+	o.Job.TimeToFirstToken = c.placer.TimeToFirstToken(o.Engine, c.hosts, now)
+	if o.Job.ReadsLargeResults() {
+		o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
+	}
+	c.orders[o.Job.ID] = &openOrder{order: o, reply: reply, parts: parts, trial: trial}
+	c.scheduler.Submit(o.Job, now)
 }
 
 // Retry asks for another decision after a problem with an engine.
-func (c *Coordinator) Retry(id, engine string, why Problem, reply func(Decision)) {
+func (c *Coordinator) Retry(id, engine string, why Problem, begunAt string, reply func(Decision)) {
 	c.inbox <- func(now time.Time) {
+		c.refreshConfig()
 		o := c.orders[id]
 		if o == nil {
 			reply(Decision{Refused: sched.Failing, RetryAfter: time.Second})
@@ -297,12 +350,19 @@
 		}
 		o.reply = reply
 		o.order.Engine.Exclude = append(o.order.Engine.Exclude, engine)
+		if begunAt != "" {
+			o.order.Engine.Version = begunAt
+		}
 		switch why {
 		case ProblemFailed:
 			c.recordFailure(engine, now)
 		case ProblemInputLost:
 			o.released = true
 		}
+		if len(o.order.Engine.Ready(c.hosts)) == 0 && o.order.Engine.Version != "" {
+			c.sendDecision(id, o, Decision{Refused: sched.NoVersion, RetryAfter: time.Second})
+			return
+		}
 		if o.released {
 			o.released = false
 			c.placer.Ended(id)
@@ -337,6 +397,9 @@
 			for _, b := range c.opts.Crash.ObserveBegun(o.parts) {
 				c.opts.Log.Info("prompt parts unblocked", zap.Strings("parts", b.Parts))
 			}
+			if o.order.Stream.Key != 0 {
+				c.opts.Origins.Learn(map[uint64]origin.Origin{o.order.Stream.Key: {Pool: o.picked.Pool, Version: o.picked.Version}})
+			}
 		}
 		if keep {
 			if o := c.orders[id]; o != nil {
@@ -359,6 +422,7 @@
 		c.placer.Ended(id)
 		c.scheduler.Cancel(id)
 		delete(c.orders, id)
+		delete(c.lookups, id)
 	}
 }
 
@@ -439,15 +503,58 @@
 		return
 	}
 	o.order.Engine.Within = timeLeft(o.order, now)
-	up, ok := c.placer.Pick(o.order.Engine, c.hosts, c.engineSpec(o.order.Engine.Pool), now)
+	order := o.order.Engine
+	if o.begins() {
+		placement := c.opts.Origins.Placement(o.order.Stream.Key, order.Pool)
+		order.Version, order.InTime = placement.Version, placement.Version != ""
+		order.Base, order.RecordTime = placement.Base, placement.RecordTime
+		if len(order.Ready(c.hosts)) == 0 {
+			order.Version, order.InTime = "", false // Begin decides whether it may begin elsewhere
+		}
+	}
+	up, ok := c.placer.Pick(order, c.hosts, c.engineSpec(order.Pool), now)
 	if !ok && c.awaitEngine(o, now) {
 		return
 	}
 	if !ok {
-		c.sendDecision(id, o, c.refuseNoEngine(o.order.Engine, now))
+		c.sendDecision(id, o, c.refuseNoEngine(order, now))
 		return
 	}
-	c.sendDecision(id, o, Decision{Upstream: up.ID, Inputs: o.grant.Inputs, Late: o.grant.Late})
+	o.picked = up
+	if !o.begins() || c.opts.Origins.Begin(o.order.Stream.Key, origin.Origin{Pool: up.Pool, Version: up.Version},
+		o.order.Stream.Repeated, func(recorded bool) {
+			c.inbox <- func(now time.Time) { c.originRecorded(o, up, recorded, now) }
+		}) {
+		c.sendEngine(o)
+	}
+}
+
+// begins reports whether the order's stream may be taken up later and has no event yet, so that it may begin at any
+// version.
+func (o *openOrder) begins() bool { return o.order.Stream.Key != 0 && o.order.Engine.Version == "" }
+
+// sendEngine replies with the engine that was picked.
+func (c *Coordinator) sendEngine(o *openOrder) {
+	c.sendDecision(o.order.Job.ID, o, Decision{Upstream: o.picked.ID, Version: o.picked.Version, Inputs: o.grant.Inputs,
+		Late: o.grant.Late})
+}
+
+// originRecorded sends the order to the engine that was picked, once the store has the record of its stream.
+func (c *Coordinator) originRecorded(o *openOrder, up hosts.Upstream, recorded bool, now time.Time) {
+	id := o.order.Job.ID
+	if c.orders[id] != o || o.reply == nil || o.picked != up {
+		return
+	}
+	c.refreshConfig()
+	if !recorded {
+		c.sendDecision(id, o, Decision{Refused: sched.Unrecorded, RetryAfter: unrecordedRetryAfter})
+		return
+	}
+	if u, listed := c.hosts.Get(up.ID); !listed || u.Lifetime() != up.Lifetime() || !c.hosts.TakesWork(up.ID) {
+		c.pickEngine(o, now)
+		return
+	}
+	c.sendEngine(o)
 }
 
 // awaitEngine keeps an order until an engine accepts it, if some engines have named limits and one is expected to accept
@@ -457,13 +564,13 @@
 	if o.waits {
 		left = o.order.Job.Deadline.Sub(now) // its turn was expected in time, and may come a little later
 	}
-	capacity, wait, known := c.placer.Capacity(o.order.Engine.Pool, c.hosts, left, now)
+	capacity, wait, known := c.placer.Capacity(o.order.Engine, c.hosts, left, now)
 	if !known || wait >= left {
 		return false
 	}
 	ahead := 0
 	for _, other := range c.waiting {
-		if other.order.Engine.Pool == o.order.Engine.Pool && compareOrders(other, o) < 0 {
+		if competes(other.order, o.order) && compareOrders(other, o) < 0 {
 			ahead++
 		}
 	}
@@ -490,9 +597,22 @@
 	}
 }
 
-// compareOrders sorts orders by rank, then by target.
+// competes reports whether an order takes engines from another one. If that one needs a version, only orders that need it
+// too do, as all others may use other engines.
+func competes(a, with Order) bool {
+	return a.Engine.Pool == with.Engine.Pool && (with.Engine.Version == "" || a.Engine.Version == with.Engine.Version)
+}
+
+// compareOrders sorts orders by rank, those that need a version first, then by target.
 func compareOrders(a, b *openOrder) int {
-	return cmp.Or(cmp.Compare(a.order.Job.Rank, b.order.Job.Rank), a.order.Job.Target.Compare(b.order.Job.Target))
+	anyVersion := func(o *openOrder) int {
+		if o.order.Engine.Version == "" {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.order.Job.Rank, b.order.Job.Rank), cmp.Compare(anyVersion(a), anyVersion(b)),
+		a.order.Job.Target.Compare(b.order.Job.Target))
 }
 
 // timeLeft returns the time until the target of an order, or until its deadline if it is late.
@@ -506,13 +626,13 @@
 // exceedsLimits reports whether some engines that an order may use have named limits, and orders that are no less urgent
 // need all that the engines accept in time. wait is the time until one of them accepts a request.
 func (c *Coordinator) exceedsLimits(o Order, now time.Time) (wait time.Duration, exceeds bool) {
-	capacity, wait, known := c.placer.Capacity(o.Engine.Pool, c.hosts, timeLeft(o, now), now)
+	capacity, wait, known := c.placer.Capacity(o.Engine, c.hosts, timeLeft(o, now), now)
 	if !known {
 		return 0, false
 	}
 	ahead := 0
 	for _, other := range c.orders {
-		if other.reply != nil && other.order.Engine.Pool == o.Engine.Pool && other.order.Job.Rank <= o.Job.Rank {
+		if other.reply != nil && competes(other.order, o) && other.order.Job.Rank <= o.Job.Rank {
 			ahead++
 		}
 	}
@@ -525,7 +645,7 @@
 	if opens, paused := c.placer.PauseLeft(o, c.hosts, now); paused {
 		return Decision{Refused: sched.Paused, RetryAfter: opens}
 	}
-	if _, wait, known := c.placer.Capacity(o.Pool, c.hosts, limitedRetryAfter, now); known {
+	if _, wait, known := c.placer.Capacity(o, c.hosts, limitedRetryAfter, now); known {
 		return Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)}
 	}
 	return Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second}
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -11,6 +11,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
@@ -66,6 +67,7 @@
 	MembersRead func() bool              // the members were read, so Members includes a leader that exists
 	Crash       *crash.Tracker           // takes on what the leader knows of crashes
 	Limits      *pace.Limiter[hosts.Lifetime]
+	Origins     *origin.Keeper // of the streams that this entry passes on
 	// Confirm applies what the leader has read from the store: the version of the configuration, and the upstreams.
 	Confirm        func(rules watch.Revision, table *hosts.Table)
 	ConfirmMembers func(registry.View) // applies what the leader has read of the members
@@ -399,6 +401,7 @@
 			next.post(noticeMessage(n))
 		}
 		next.postLimits()
+		next.postStreams()
 	}
 	l.staleProbesLeft = maxStaleProbes
 	l.opts.Log.Info("leader", zap.String("member", m.Host), zap.Bool("before", alive))
@@ -490,6 +493,7 @@
 		if p.session == s && p.reply != nil {
 			p.session = l.current
 			p.setResumePoint(now)
+			p.order.Stream.Repeated = true
 			if len(p.order.Job.Progress) > 0 {
 				resumed++
 			}
@@ -566,7 +570,7 @@
 }
 
 // Retry asks for another decision, from the present leader if the one that decided is lost.
-func (l *Link) Retry(id, engine string, why lead.Problem, reply func(lead.Decision)) {
+func (l *Link) Retry(id, engine string, why lead.Problem, begunAt string, reply func(lead.Decision)) {
 	l.mu.Lock()
 	p := l.requests[id]
 	if p == nil {
@@ -576,9 +580,12 @@
 	}
 	p.reply = reply
 	p.order.Engine.Exclude = append(p.order.Engine.Exclude, engine)
+	if begunAt != "" {
+		p.order.Engine.Version = begunAt
+	}
 	moved := p.session != nil && p.session.lossReason(l.opts.Now()) != ""
 	if moved {
-		p.session, p.order.Job.Progress = l.current, nil
+		p.session, p.order.Job.Progress, p.order.Stream.Repeated = l.current, nil, true
 		if p.session != nil && p.session.lossReason(l.opts.Now()) != "" {
 			p.session = nil
 		}
@@ -589,9 +596,9 @@
 	case moved:
 		l.submit(next)
 	case ses == nil:
-		l.opts.Local.Retry(id, engine, why, func(d lead.Decision) { l.decided(id, d) })
+		l.opts.Local.Retry(id, engine, why, begunAt, func(d lead.Decision) { l.decided(id, d) })
 	default:
-		ses.retry(id, engine, why)
+		ses.retry(id, engine, why, begunAt)
 	}
 }
 
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -22,6 +22,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/proxy"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/link"
+	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
@@ -52,7 +53,7 @@
 		reply(lead.Decision{Upstream: d.name})
 	}
 }
-func (d *fakeDispatcher) Retry(_, _ string, _ lead.Problem, reply func(lead.Decision)) {
+func (d *fakeDispatcher) Retry(_, _ string, _ lead.Problem, _ string, reply func(lead.Decision)) {
 	reply(lead.Decision{Upstream: d.name + " again"})
 }
 func (d *fakeDispatcher) FirstByte(string, bool) {}
@@ -168,11 +169,16 @@
 	return newLinkWith(newTracker(), local, members, membersRead)
 }
 
+// newOrigins returns a keeper that knows no streams.
+func newOrigins() *origin.Keeper {
+	return origin.New("self", origin.Options{Now: time.Now, Pools: func() map[string]time.Duration { return nil }})
+}
+
 func newLinkWith(
 	tracker *crash.Tracker, local lead.Decider, members func() []registry.Member, membersRead func() bool) *link.Link {
 	return link.New(link.Options{
 		Self: "self", Local: local, Members: members, MembersRead: membersRead, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, Crash: tracker, Limits: newLimits(), AdoptRules: func(int64, []byte) {},
+		Leaving: func() bool { return false }, Crash: tracker, Limits: newLimits(), Origins: newOrigins(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {},
@@ -439,7 +445,7 @@
 		Self: "self", Local: newFake("local", false),
 		Members:     func() []registry.Member { return []registry.Member{p.Member} },
 		MembersRead: func() bool { return false }, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, Crash: newTracker(), Limits: newLimits(), AdoptRules: func(int64, []byte) {},
+		Leaving: func() bool { return false }, Crash: newTracker(), Limits: newLimits(), Origins: newOrigins(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {},
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -193,7 +193,7 @@
 		case *cellpb.ToEntry_Decision:
 			d := body.Decision
 			decided(d.Id, lead.Decision{
-				Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: sched.Reason(d.Refused),
+				Upstream: d.Upstream, Version: d.Version, Inputs: d.Inputs, Late: d.Late, Refused: sched.Reason(d.Refused),
 				RetryAfter: time.Duration(d.RetryAfterUs) * time.Microsecond,
 				Moved:      d.Moved, Pending: d.Pending, Progress: cellpb.BoardProgress(d.Progress),
 			})
@@ -381,6 +381,17 @@
 	}
 }
 
+// postStreams tells a new leader of the streams that this entry has passed on.
+func (s *session) postStreams() {
+	m := &cellpb.Streams{}
+	for key, o := range s.opts.Origins.Own() {
+		m.Streams = append(m.Streams, &cellpb.Stream{Key: key, Pool: o.Pool, Version: o.Version})
+	}
+	if len(m.Streams) > 0 {
+		s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Streams{Streams: m}})
+	}
+}
+
 // permit asks the leader for permission to send one request to an upstream, unless it has said that the upstream accepts
 // none yet. It returns the time until the upstream accepts one, 0 if the request may be sent.
 func (s *session) permit(ctx context.Context, to hosts.Lifetime) time.Duration {
@@ -428,7 +439,8 @@
 		DeadlineUs: o.Job.Deadline.Sub(o.Job.Arrived).Microseconds(),
 		Pool:       o.Engine.Pool, Zone: o.Engine.Zone, Model: o.Engine.Model,
 		PromptTokens: int32(o.Engine.PromptTokens), OutputTokens: int32(o.Engine.OutputTokens), Exclude: o.Engine.Exclude,
-		Fingerprint: o.Fingerprint,
+		Fingerprint: o.Fingerprint, Stream: o.Stream.Key, TakenUp: o.Stream.TakenUp, Repeated: o.Stream.Repeated,
+		Version: o.Engine.Version,
 	}
 	for _, st := range o.Job.Stages {
 		stage := &cellpb.Stage{Pool: st.Pool, Pieces: int32(st.Pieces), ResultBytes: st.ResultBytes}
@@ -444,8 +456,9 @@
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Submit{Submit: m}})
 }
 
-func (s *session) retry(id, engine string, why lead.Problem) {
-	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Again{Again: &cellpb.Again{Id: id, Engine: engine, Problem: string(why)}}})
+func (s *session) retry(id, engine string, why lead.Problem, begunAt string) {
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Again{Again: &cellpb.Again{
+		Id: id, Engine: engine, Problem: string(why), BegunAt: begunAt}}})
 }
 
 func (s *session) recall(id string) {
--- /dev/null
+++ b/internal/leader/origin/store.go
@@ -0,0 +1,419 @@
+package origin
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/cursor"
+	"github.com/ragworthatch/ragworthatch/internal/ops/pause"
+	"github.com/ragworthatch/ragworthatch/platform"
+)
+
+// Run reads and writes the records until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.writeAll(ctx)
+	}()
+	cur := cursor.New(k.o.Store, topic, 0, callTimeout)
+	retry := pause.Backoff{Min: minRetryDelay, Max: maxRetryDelay}
+	var retryAt time.Time
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-k.reading:
+		case <-ticker.C:
+		}
+		k.observe()
+		k.expire()
+		if waiting, stale := k.readsNeeded(); !waiting && (!stale || k.o.Now().Before(retryAt)) {
+			continue
+		}
+		if err := k.sync(ctx, cur); err != nil {
+			retryAt = k.o.Now().Add(retry.Next())
+			continue
+		}
+		retry.Reset()
+		if err := k.moveBases(ctx, cur.Position()); err != nil {
+			k.o.Log.Warn("can't write the base versions", zap.Error(err))
+			retryAt = k.o.Now().Add(retry.Next())
+		}
+	}
+	<-done
+}
+
+// observe records which versions are listed.
+func (k *Keeper) observe() {
+	table, now := k.o.Hosts(), k.o.Now()
+	counts := map[string]map[string]int{}
+	for _, u := range table.All() {
+		if counts[u.Pool] == nil {
+			counts[u.Pool] = map[string]int{}
+		}
+		counts[u.Pool][u.Version]++
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for pool := range k.o.Pools() {
+		if k.policy.Observe(pool, counts[pool], now) {
+			k.synced = false // another process may have moved the base
+			k.o.Log.Info("versions in service", zap.String("pool", pool), zap.Any("engines", counts[pool]),
+				zap.String("base", k.bases[pool].version))
+		}
+		b := k.bases[pool]
+		if _, due := k.nextBase(pool, b, now); due || (b.version == "" && now.After(k.pollAt)) {
+			k.synced = false
+		}
+	}
+	if k.o.Store.Era() != k.era {
+		k.synced = false
+	}
+}
+
+// nextBase returns the base version that this entry should write for a pool. The caller holds mu.
+func (k *Keeper) nextBase(pool string, b base, now time.Time) (version string, due bool) {
+	if !k.o.Leads() || now.Before(k.doubtedTo) || now.Sub(k.o.Hosts().Read()) > maxListAge {
+		return "", false
+	}
+	if version, moves := k.policy.Next(pool, b.version, now); moves {
+		return version, true
+	}
+	return b.version, b.version != "" && !b.current
+}
+
+// expire forgets streams that can't be taken up any more, and ends what has waited too long.
+func (k *Keeper) expire() {
+	k.mu.Lock()
+	now := k.o.Now()
+	maps.DeleteFunc(k.streams, func(_ uint64, s stream) bool { return now.After(s.expires) })
+	var late []func()
+	k.lookups = slices.DeleteFunc(k.lookups, func(l lookup) bool {
+		if now.Before(l.until) {
+			return false
+		}
+		found := k.counted(k.sole(l.pool, now))
+		late = append(late, func() { l.done(found) })
+		return true
+	})
+	k.unwritten = slices.DeleteFunc(k.unwritten, func(r *record) bool {
+		if now.Sub(r.at) < recordTimeout {
+			return false
+		}
+		if r.done != nil {
+			late = append(late, func() { r.done(false) })
+		}
+		return true
+	})
+	if len(k.stored) > 0 && k.o.Leads() {
+		wake(k.writing)
+	}
+	k.mu.Unlock()
+	for _, f := range late {
+		f()
+	}
+}
+
+// readsNeeded reports whether lookups wait for a read, and whether the topic should be read anyway.
+func (k *Keeper) readsNeeded() (waiting, stale bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.lookups) > 0, !k.synced && len(k.o.Pools()) > 0
+}
+
+// sync reads the topic up to its end and answers the lookups that came before.
+func (k *Keeper) sync(ctx context.Context, cur *cursor.Cursor) error {
+	k.mu.Lock()
+	lookups := len(k.lookups)
+	k.mu.Unlock()
+	for read := true; read && ctx.Err() == nil; {
+		isSnapshot := !cur.Synced()
+		records, snapshot, err := cur.Read(ctx)
+		if errors.Is(err, platform.ErrTrimmed) || errors.Is(err, platform.ErrRestored) {
+			k.o.Log.Info("origins of streams are read anew", zap.Error(err))
+			continue
+		}
+		k.o.Stats.StoreCall(string(topic), err == nil)
+		k.mu.Lock()
+		if err != nil {
+			if k.readFail.IsZero() {
+				k.o.Log.Warn("can't read the origins of streams", zap.Error(err))
+			}
+			k.readFail = k.o.Now()
+			k.mu.Unlock()
+			return err
+		}
+		k.apply(records, snapshot, cur.Position().Era, snapshot && cur.Restored())
+		k.mu.Unlock()
+		// A read returns a part of many records; a snapshot misses those that were written meanwhile.
+		read = isSnapshot || len(records) > 0
+	}
+	k.answer(lookups)
+	return ctx.Err()
+}
+
+// answer answers the first n lookups after a read.
+func (k *Keeper) answer(n int) {
+	k.mu.Lock()
+	now := k.o.Now()
+	k.synced, k.readFail, k.pollAt = true, time.Time{}, now.Add(pollInterval)
+	ready := slices.Clone(k.lookups[:min(n, len(k.lookups))])
+	k.lookups = slices.Delete(k.lookups, 0, len(ready))
+	found := make([]Found, len(ready))
+	for i, l := range ready {
+		s, known := k.streams[l.key]
+		b, hasBase := k.bases[l.pool]
+		switch {
+		case known:
+			found[i] = Found{s.Origin, SourceRecord}
+		case hasBase && !now.Before(k.doubtedTo):
+			found[i] = Found{Origin{l.pool, b.version}, SourceBase}
+		default:
+			found[i] = k.sole(l.pool, now)
+		}
+		k.counted(found[i])
+	}
+	k.mu.Unlock()
+	for i, l := range ready {
+		l.done(found[i])
+	}
+}
+
+// apply takes records on. The first snapshot after the store came back from an older copy may lack records, and hold base
+// versions of before. The caller holds mu.
+func (k *Keeper) apply(records []platform.Record, snapshot bool, era int64, restored bool) {
+	now := k.o.Now()
+	doubtful := restored
+	if snapshot {
+		k.stored = map[string]time.Time{}
+		slices.SortFunc(records, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	}
+	for _, r := range records {
+		if pool, ok := poolOf(r.Key); ok {
+			doubtful = k.applyBase(pool, r, era, restored) || doubtful
+			continue
+		}
+		if !strings.HasPrefix(r.Key, streamsPrefix) {
+			continue
+		}
+		if len(r.Value) == 0 {
+			delete(k.stored, r.Key)
+			continue
+		}
+		if _, seen := k.stored[r.Key]; !seen {
+			k.stored[r.Key] = now
+		}
+		streams, err := decodeStreams(r.Value)
+		if err != nil {
+			k.o.Log.Warn("can't decode the origins of streams", zap.Int64("offset", r.Offset), zap.Error(err))
+			continue
+		}
+		for key, o := range streams {
+			if !k.streams[key].certain {
+				k.remember(key, stream{Origin: o, recorded: true, stored: true}, now)
+			}
+		}
+	}
+	if snapshot && len(records) == 0 && era > 0 {
+		doubtful = true
+	}
+	k.era = era
+	if !doubtful {
+		return
+	}
+	k.doubtedTo = now.Add(k.longestRetention())
+	k.o.Log.Warn("store lacks origins of streams", zap.Int64("era", era), zap.Time("until", k.doubtedTo))
+	for pool, b := range k.bases {
+		k.bases[pool] = base{version: b.version}
+	}
+	if restored && k.o.Leads() {
+		for key, s := range k.streams {
+			if s.recorded {
+				k.unwritten = append(k.unwritten, &record{key: key, origin: s.Origin, at: now})
+			}
+		}
+		wake(k.writing)
+	}
+}
+
+// applyBase takes the record of a base version on. It reports whether the record is older than the store's era, so that
+// records may have been lost since. The caller holds mu.
+func (k *Keeper) applyBase(pool string, r platform.Record, era int64, restored bool) (old bool) {
+	value, err := decodeBase(r.Value)
+	if err != nil {
+		k.o.Log.Warn("can't decode a base version", zap.String("pool", pool), zap.Int64("offset", r.Offset), zap.Error(err))
+		return false
+	}
+	if _, known := k.bases[pool]; known && restored {
+		return true
+	}
+	if before := k.bases[pool].version; before != value.Version {
+		k.o.Log.Info("base version", zap.String("pool", pool), zap.String("software", value.Version),
+			zap.String("before", before), zap.Int64("offset", r.Offset), zap.Int64("era", value.Era))
+	}
+	k.bases[pool] = base{version: value.Version, current: value.Era == era}
+	return value.Era != era
+}
+
+// moveBases writes the base versions that are new, provided that nothing was appended since the last read.
+func (k *Keeper) moveBases(ctx context.Context, end platform.Position) error {
+	k.mu.Lock()
+	now := k.o.Now()
+	var records []platform.Record
+	next := map[string]string{}
+	for pool := range k.o.Pools() {
+		version, due := k.nextBase(pool, k.bases[pool], now)
+		if !due {
+			continue
+		}
+		value, err := encodeBase(baseValue{Version: version, Era: end.Era})
+		if err != nil {
+			k.mu.Unlock()
+			return err
+		}
+		next[pool] = version
+		records = append(records, platform.Record{Key: basePrefix + pool, Value: value})
+	}
+	k.mu.Unlock()
+	if len(records) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := k.o.Store.AppendAt(ctx, topic, end, records...)
+	k.o.Stats.StoreCall(string(topic), err == nil)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.synced = false // after an error the records may have been written
+	if err != nil {
+		return err
+	}
+	for pool, version := range next {
+		k.o.Log.Info("base version moved", zap.String("pool", pool), zap.String("software", version),
+			zap.String("before", k.bases[pool].version))
+		k.bases[pool] = base{version: version, current: true}
+	}
+	return nil
+}
+
+// writeAll writes records of streams until ctx ends, many in one call, and deletes those that have expired.
+func (k *Keeper) writeAll(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.writing:
+		}
+		begun := k.o.Now()
+		more, err := k.write(ctx)
+		wait := writeInterval - k.o.Now().Sub(begun)
+		if err != nil {
+			wait = max(wait, retryDelay)
+		}
+		if !pause.For(ctx, wait) && ctx.Err() != nil {
+			return
+		}
+		if more || err != nil {
+			wake(k.writing)
+		}
+	}
+}
+
+// write makes one call for the records that wait, and reports whether there are more.
+func (k *Keeper) write(ctx context.Context) (more bool, err error) {
+	k.mu.Lock()
+	now := k.o.Now()
+	batch := slices.Clone(k.unwritten[:min(maxPerRecord, len(k.unwritten))])
+	streams := map[uint64]Origin{}
+	for _, r := range batch {
+		streams[r.key] = r.origin
+	}
+	var deleted []string
+	if k.o.Leads() {
+		retention := k.longestRetention()
+		for key, at := range k.stored {
+			if now.Sub(at) > retention && len(deleted) < maxDeletions {
+				deleted = append(deleted, key)
+			}
+		}
+	}
+	k.mu.Unlock()
+	var records []platform.Record
+	key := ""
+	if len(streams) > 0 {
+		value, err := encodeStreams(streams)
+		if err != nil {
+			return false, err
+		}
+		k.count++
+		key = fmt.Sprintf("%s%s/%d", streamsPrefix, k.name, k.count)
+		records = append(records, platform.Record{Key: key, Value: value})
+	}
+	for _, key := range deleted {
+		records = append(records, platform.Record{Key: key})
+	}
+	if len(records) == 0 {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = k.o.Store.Append(ctx, topic, records...)
+	k.o.Stats.StoreCall(string(topic), err == nil)
+	return k.written(batch, key, deleted, k.o.Now().Sub(now), err), err
+}
+
+// written notes the result of a call that wrote a batch, and reports whether there is more to write.
+func (k *Keeper) written(batch []*record, key string, deleted []string, took time.Duration, err error) (more bool) {
+	k.mu.Lock()
+	now := k.o.Now()
+	if len(batch) > 0 {
+		k.latency += time.Duration(latencySmoothing * float64(took-k.latency))
+	}
+	if failing := err != nil; failing != k.failing {
+		k.failing = failing
+		k.o.Log.Info("records of streams", zap.Bool("written", !failing), zap.Int("streams", len(batch)),
+			zap.Duration("took", took), zap.Error(err))
+	}
+	if err != nil {
+		defer k.mu.Unlock()
+		return len(k.unwritten) > 0
+	}
+	if key != "" {
+		k.stored[key] = now
+	}
+	for _, key := range deleted {
+		delete(k.stored, key)
+	}
+	// Records whose time ran out meanwhile are not in the list any more; their orders were refused.
+	isWritten := make(map[*record]bool, len(batch))
+	for _, r := range batch {
+		isWritten[r] = true
+		if s, known := k.streams[r.key]; known && s.Origin == r.origin {
+			s.stored = true
+			k.streams[r.key] = s
+		}
+	}
+	var done []func(bool)
+	k.unwritten = slices.DeleteFunc(k.unwritten, func(r *record) bool {
+		if isWritten[r] && r.done != nil {
+			done = append(done, r.done)
+		}
+		return isWritten[r]
+	})
+	more = len(k.unwritten) > 0
+	k.mu.Unlock()
+	for _, f := range done {
+		f(true)
+	}
+	return more
+}
--- a/internal/leader/place/limit_test.go
+++ b/internal/leader/place/limit_test.go
@@ -63,7 +63,7 @@
 			Key: hosts.Lifetime{ID: fmt.Sprintf("e%d", i)}, Limited: true, Rate: 1, At: now})
 	}
 	const within = time.Second
-	expected, _, known := p.Capacity("p", engines(), within, now)
+	expected, _, known := p.Capacity(place.Order{Pool: "p"}, engines(), within, now)
 	c.Check(known, qt.IsTrue)
 	picked := 0
 	for i := range 200 {
@@ -76,7 +76,7 @@
 	}
 	c.Check(picked > 5 && picked < 15, qt.IsTrue, qt.Commentf("%d requests in a second", picked))
 	c.Check(expected > 5 && expected < 30, qt.IsTrue, qt.Commentf("%v expected", expected))
-	left, wait, _ := p.Capacity("p", engines(), within, now)
+	left, wait, _ := p.Capacity(place.Order{Pool: "p"}, engines(), within, now)
 	c.Check(left < 6, qt.IsTrue, qt.Commentf("%v left", left))
 	c.Check(wait > 0, qt.IsTrue)
 }
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -54,6 +54,10 @@
 	ByZone       map[string]int64 // bytes of the stage results that it reads, by zone
 	Exclude      []string         // IDs of engines that have refused or failed it
 	Within       time.Duration    // longest useful time to its first token
+	Version      string           // the only version of engines that it may use; empty for any
+	InTime       bool             // only engines that are expected to begin it within Within
+	Base         string           // using an engine of another version costs RecordTime; empty for no such cost
+	RecordTime   time.Duration
 }
 
 // runningRequest is a request that runs on an engine.
@@ -115,6 +119,15 @@
 	}
 }
 
+// Ready returns the engines that an order may use and that accept new work, sorted by ID.
+func (o Order) Ready(t *hosts.Table) []hosts.Upstream {
+	ready := t.Ready(o.Pool)
+	if o.Version == "" {
+		return ready
+	}
+	return slices.DeleteFunc(slices.Clone(ready), func(u hosts.Upstream) bool { return u.Version != o.Version })
+}
+
 // Pick assigns a request to the engine with the lowest cost. It returns false if no engine is ready, or if each has
 // paused the request's entry or accepts no more requests for now. While some name limits, the others get only what they
 // are expected to begin in time.
@@ -125,9 +138,10 @@
 	found := false
 	keys := prefixKeys(o)
 	home := p.homeEngine(o, keys, t, now)
-	limited := p.isLimited(o.Pool, t)
+	inTime := o.InTime || p.isLimited(o, t)
+	ready := o.Ready(t)
 	for _, lastResort := range []bool{false, true} { // the second pass admits ejected and excluded engines
-		for _, u := range t.Ready(o.Pool) {
+		for _, u := range ready {
 			e := p.engine(u.ID)
 			if now.Before(e.pausedUntil[o.Entry]) || p.limits.Wait(u.Lifetime()) > 0 {
 				continue
@@ -135,7 +149,7 @@
 			if !lastResort && (now.Before(e.ejectedUntil) || slices.Contains(o.Exclude, u.ID)) {
 				continue
 			}
-			if limited && e.startTime(o.PromptTokens-e.cachedTokens(o, keys, now)) > o.Within {
+			if inTime && e.startTime(o.PromptTokens-e.cachedTokens(o, keys, now)) > o.Within {
 				continue
 			}
 			cost := e.cost(o, keys, u, spec, now)
@@ -158,19 +172,19 @@
 	return best, true
 }
 
-// isLimited reports whether an engine of a pool has named a limit. The others may then get more than they can begin in
-// time.
-func (p *Placer) isLimited(pool string, t *hosts.Table) bool {
+// isLimited reports whether an engine that an order may use has named a limit. The others may then get more than they can
+// begin in time.
+func (p *Placer) isLimited(o Order, t *hosts.Table) bool {
 	return p.limits.Limited() > 0 &&
-		slices.ContainsFunc(t.Ready(pool), func(u hosts.Upstream) bool { return p.limits.IsLimited(u.Lifetime()) })
+		slices.ContainsFunc(o.Ready(t), func(u hosts.Upstream) bool { return p.limits.IsLimited(u.Lifetime()) })
 }
 
-// Capacity returns the number of requests that the engines of a pool are expected to begin within d, and the time until
-// one of them accepts a request. It is known only while one of them has named a limit.
+// Capacity returns the number of requests that the engines which an order may use are expected to begin within d, and the
+// time until one of them accepts a request. It is known only while one of them has named a limit.
 func (p *Placer) Capacity(
-	pool string, t *hosts.Table, d time.Duration, now time.Time) (requests float64, wait time.Duration, known bool) {
+	o Order, t *hosts.Table, d time.Duration, now time.Time) (requests float64, wait time.Duration, known bool) {
 	wait = d
-	for _, u := range t.Ready(pool) {
+	for _, u := range o.Ready(t) {
 		e := p.engine(u.ID)
 		n, limited := p.limits.Capacity(u.Lifetime(), d)
 		switch {
@@ -211,7 +225,7 @@
 // PauseLeft returns the time until one of the engines accepts requests of the order's entry again, if all have paused
 // them. paused is false if an engine accepts them now, or none is ready.
 func (p *Placer) PauseLeft(o Order, t *hosts.Table, now time.Time) (opens time.Duration, paused bool) {
-	for _, u := range t.Ready(o.Pool) {
+	for _, u := range o.Ready(t) {
 		e := p.engines[u.ID]
 		if e == nil || !now.Before(e.pausedUntil[o.Entry]) {
 			return 0, false
@@ -230,7 +244,7 @@
 	keys := prefixKeys(o)
 	home := p.homeEngine(o, keys, t, now)
 	o.ByZone = nil
-	for _, u := range t.Ready(o.Pool) {
+	for _, u := range o.Ready(t) {
 		e := p.engine(u.ID)
 		if now.Before(e.ejectedUntil) {
 			continue
@@ -267,7 +281,7 @@
 	}
 	key := keys[shared-1]
 	best, bestScore := "", uint64(0)
-	for _, u := range t.Ready(o.Pool) {
+	for _, u := range o.Ready(t) {
 		e := p.engine(u.ID)
 		if used, has := e.lastUsed[key]; has && now.Sub(used) <= cacheTTL {
 			return ""
@@ -377,7 +391,7 @@
 func (p *Placer) TimeToFirstToken(o Order, t *hosts.Table, now time.Time) time.Duration {
 	var best time.Duration
 	keys := prefixKeys(o)
-	for i, u := range t.Ready(o.Pool) {
+	for i, u := range o.Ready(t) {
 		e := p.engine(u.ID)
 		expected := firstTokenOverhead + e.prefillTime(e.pendingPrefill+o.PromptTokens-e.cachedTokens(o, keys, now))
 		if i == 0 || expected < best {
@@ -420,6 +434,9 @@
 	if u.Zone != o.Zone {
 		cost += crossZoneLatency
 	}
+	if o.Base != "" && u.Version != o.Base {
+		cost += o.RecordTime
+	}
 	for zone, bytes := range o.ByZone {
 		if zone != u.Zone {
 			cost += time.Duration(float64(bytes) / 1e6 * float64(crossZoneCostPerMB))
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -80,6 +80,9 @@
 	Limited     Reason = "limited"     // all upstreams have named limits, which other requests use up
 	Paused      Reason = "paused"      // all engines have paused requests from its entry
 	Quarantined Reason = "quarantined" // requests like it crash upstreams
+	Unrecorded  Reason = "unrecorded"  // the store does not acknowledge the record that its stream needs
+	NoVersion   Reason = "noVersion"   // no engine of the version that began its stream is ready
+	NoOrigin    Reason = "noOrigin"    // the version that began its stream is not known
 )
 
 // Refusal reports that a job will not run.
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
@@ -37,6 +38,7 @@
 	born       int64
 	crash      *crash.Tracker
 	limits     *pace.Limiter[hosts.Lifetime]
+	origins    *origin.Keeper
 	rules      func() Rules
 	era        func() int64
 	hosts      func() *hosts.Table
@@ -68,6 +70,7 @@
 	Leader     func() (registry.Member, bool) // the leader that this process follows, if any
 	Crash      *crash.Tracker
 	Limits     *pace.Limiter[hosts.Lifetime]
+	Origins    *origin.Keeper
 	Rules      func() Rules
 	Era        func() int64 // highest era of the store that is known
 	Hosts      func() *hosts.Table
@@ -79,7 +82,7 @@
 // New returns a server that passes the orders of other entries to o.Dispatcher.
 func New(o Options) *Server {
 	return &Server{
-		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits, rules: o.Rules, era: o.Era,
+		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits, origins: o.Origins, rules: o.Rules, era: o.Era,
 		hosts: o.Hosts, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
@@ -147,7 +150,14 @@
 		order.Engine.Entry = ses.entry
 		ses.dispatcher.Submit(order, ses.replyTo(body.Submit.Id))
 	case *cellpb.ToLead_Again:
-		ses.dispatcher.Retry(body.Again.Id, body.Again.Engine, lead.Problem(body.Again.Problem), ses.replyTo(body.Again.Id))
+		ses.dispatcher.Retry(body.Again.Id, body.Again.Engine, lead.Problem(body.Again.Problem), body.Again.BegunAt,
+			ses.replyTo(body.Again.Id))
+	case *cellpb.ToLead_Streams:
+		streams := make(map[uint64]origin.Origin, len(body.Streams.Streams))
+		for _, s := range body.Streams.Streams {
+			streams[s.Key] = origin.Origin{Pool: s.Pool, Version: s.Version}
+		}
+		ses.origins.Learn(streams)
 	case *cellpb.ToLead_Recall:
 		ses.dispatcher.Recall(body.Recall.Id)
 	case *cellpb.ToLead_FirstByte:
@@ -291,7 +301,7 @@
 			ses.untrack(id) // the entry may submit it again on another connection
 		}
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Decision{Decision: &cellpb.Decision{
-			Id: id, Upstream: d.Upstream, Inputs: d.Inputs, Late: d.Late, Refused: string(d.Refused),
+			Id: id, Upstream: d.Upstream, Version: d.Version, Inputs: d.Inputs, Late: d.Late, Refused: string(d.Refused),
 			RetryAfterUs: d.RetryAfter.Microseconds(), Moved: d.Moved, Pending: d.Pending,
 			Progress: cellpb.ProgressOf(d.Progress),
 		}}})
@@ -315,6 +325,7 @@
 	arrived := now.Add(-time.Duration(s.AgeUs) * time.Microsecond)
 	o := lead.Order{
 		Fingerprint: s.Fingerprint,
+		Stream:      lead.Stream{Key: s.Stream, TakenUp: s.TakenUp, Repeated: s.Repeated},
 		Job: sched.Job{
 			ID: s.Id, RequestID: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
 			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
@@ -323,7 +334,7 @@
 		},
 		Engine: place.Order{
 			ID: s.Id, Pool: s.Pool, Zone: s.Zone, Model: s.Model, PromptTokens: int(s.PromptTokens),
-			OutputTokens: int(s.OutputTokens), Exclude: s.Exclude,
+			OutputTokens: int(s.OutputTokens), Exclude: s.Exclude, Version: s.Version,
 		},
 	}
 	pieces := 0
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -30,14 +30,14 @@
 // nopDispatcher ignores all orders and messages.
 type nopDispatcher struct{}
 
-func (nopDispatcher) Submit(lead.Order, func(lead.Decision))                  {}
-func (nopDispatcher) Retry(string, string, lead.Problem, func(lead.Decision)) {}
-func (nopDispatcher) FirstByte(string, bool)                                  {}
-func (nopDispatcher) Ended(string, string, bool)                              {}
-func (nopDispatcher) Crashed(crash.Report)                                    {}
-func (nopDispatcher) UpstreamNotice(string, notices.Notice)                   {}
-func (nopDispatcher) Served(uint64)                                           {}
-func (nopDispatcher) Recall(string)                                           {}
+func (nopDispatcher) Submit(lead.Order, func(lead.Decision))                          {}
+func (nopDispatcher) Retry(string, string, lead.Problem, string, func(lead.Decision)) {}
+func (nopDispatcher) FirstByte(string, bool)                                          {}
+func (nopDispatcher) Ended(string, string, bool)                                      {}
+func (nopDispatcher) Crashed(crash.Report)                                            {}
+func (nopDispatcher) UpstreamNotice(string, notices.Notice)                           {}
+func (nopDispatcher) Served(uint64)                                                   {}
+func (nopDispatcher) Recall(string)                                                   {}
 
 // newTracker returns a tracker of a process that leads.
 func newTracker() *crash.Tracker {
