Give a stream that is taken up a target of its own

Take-ups were refused far more often than new streams: the target of a request counts from its caller's first attempt, so one that takes a stream up is late on arrival, and late requests yield. Its first event came long before, though; what counts is that the stream goes on. Its target is now half of the time left, twice the route's target at most.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -24,6 +24,11 @@
 	maxPlacements = 4 // engines tried before the request fails
 	maxBreaks     = 2 // sends that end before their answer begins
 	checkWait     = 250 * time.Millisecond
+
+	// A stream that is taken up is to go on within this part of the time left, which leaves the rest for its events. The
+	// target of its route is for first events.
+	takeUpTargetPart = 0.5
+	takeUpTargets    = 2
 )
 
 // runPlaced has the leader run the stages of a request and pick an engine, and sends the request there.
@@ -107,6 +112,10 @@
 		ID: x.key, RequestID: x.logID, PieceKey: x.head.PieceKey, Rank: x.priority,
 		Arrived: x.arrived, Target: x.arrived.Add(x.route.Target), Deadline: x.deadline,
 	}
+	if x.resumable.TakenUp {
+		left := time.Duration(takeUpTargetPart * float64(x.deadline.Sub(x.arrived)))
+		job.Target = x.arrived.Add(min(left, takeUpTargets*x.route.Target))
+	}
 	for i, s := range x.route.Stages {
 		pieces := 0
 		if i < len(x.head.Pieces) {
