Look up the origin of a stream at the entry that takes it up

Each entry now looks the stream up itself, and a leader that knows better uses what it knows. The test fails without that. If the weights of a route have changed since, the stream goes on in the pool where it began.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -6,12 +6,14 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
@@ -38,6 +40,9 @@
 	x.in = x.in.WithContext(ctx)
 	engine, failed := "", false
 	defer func() { x.o.Leader.Ended(x.key, engine, failed) }()
+	if x.resumable.TakenUp {
+		x.findOrigin()
+	}
 	decision, failure := x.awaitDecision(func(reply func(lead.Decision)) { x.o.Leader.Submit(x.order(), reply) })
 	events := &relay.EventSplitter{}
 	var fallback *bufferedAnswer // an engine's error answer, passed on if no other engine does better
@@ -68,6 +73,23 @@
 	}
 }
 
+// findOrigin looks up where the stream began that the request takes up. If the pool of its route has changed since, it
+// goes on in the one where it began.
+func (x *exchange) findOrigin() {
+	answer := make(chan origin.Found, 1)
+	found, atOnce := x.o.Origins.Find(x.resumable.Key, x.pool, func(f origin.Found) { answer <- f })
+	if !atOnce {
+		select {
+		case found = <-answer:
+		case <-x.in.Context().Done():
+		}
+	}
+	x.resumable.Found = found
+	if slices.ContainsFunc(x.route.Split, func(s rule.Share) bool { return s.Pool == found.Pool }) {
+		x.pool = found.Pool
+	}
+}
+
 // shouldRetryPlaced reports whether to try another engine, and takes a retry from the budget if that counts as one.
 func (x *exchange) shouldRetryPlaced(failure *fault.Error, events *relay.EventSplitter) bool {
 	if x.in.Context().Err() != nil || x.remaining() < minRemaining {
--- a/internal/edge/node/version_test.go
+++ b/internal/edge/node/version_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,3 +156,38 @@
 		w.c.Check(w.versionsOf(fmt.Sprint("again-", i)), qt.HasLen, 0)
 	}
 }
+
+// The leader can't reach the store, and the entry that began the streams is lost.
+func TestAStreamIsTakenUpWhileTheLeaderIsCutFromTheStore(t *testing.T) {
+	w := startStaged(t, 1, oldAndNew(2, 4, nil)...)
+	whole := w.storeURL
+	var cut atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.store.ServeHTTP(rw, r)
+	}))
+	defer server.Close()
+	w.storeURL = server.Listener.Addr().String()
+	w.startEntry("entry-1")
+	w.waitReady(w.entries[1], http.StatusOK)
+	w.storeURL = whole
+	time.Sleep(500 * time.Millisecond) // the oldest process leads
+	e := w.startEntry("entry-2")
+	w.waitReady(e, http.StatusOK)
+	began := map[string]string{}
+	for i := range streams {
+		first := fmt.Sprint("first-", i)
+		began[first] = w.beginStream(w.entries[0], first)
+	}
+	w.entries[0].kill()
+	cut.Store(true)
+	time.Sleep(2 * time.Second)
+	for first, version := range began {
+		got := w.takeUp(e, "again-"+first, first)
+		w.c.Check(got.status, qt.Equals, http.StatusOK)
+		w.c.Check(w.versionsOf("again-"+first), qt.DeepEquals, []string{version})
+	}
+}
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -270,10 +270,19 @@
 	}
 }
 
-// findOrigin looks up the version at which the stream of an order began, and then admits the order.
+// findOrigin finds the version at which the stream of an order began, and then admits the order. The entries tell the
+// leader which streams they have passed on; else what the order's entry has found holds, or this one looks it up.
 func (c *Coordinator) findOrigin(o Order, reply func(Decision), now time.Time) {
 	id := o.Job.ID
 	c.lookups[id] = true
+	if began, known := c.opts.Origins.Remembered(o.Stream.Key); known {
+		c.admitTakenUp(o, origin.Found{Origin: began, Source: origin.SourceMemory}, reply, now)
+		return
+	}
+	if o.Stream.Found.IsKnown() {
+		c.admitTakenUp(o, o.Stream.Found, reply, now)
+		return
+	}
 	found, atOnce := c.opts.Origins.Find(o.Stream.Key, o.Engine.Pool, func(f origin.Found) {
 		c.inbox <- func(now time.Time) { c.admitTakenUp(o, f, reply, now) }
 	})
@@ -293,7 +302,7 @@
 	o.Engine.Version = f.Version
 	refused := sched.Reason("")
 	switch {
-	case f.Source == origin.SourceUnknown:
+	case !f.IsKnown():
 		refused = sched.NoOrigin
 	case f.Pool != o.Engine.Pool || len(o.Engine.Ready(c.hosts)) == 0:
 		refused = sched.NoVersion
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -449,6 +449,9 @@
 		}
 		m.Stages = append(m.Stages, stage)
 	}
+	if f := o.Stream.Found; f.IsKnown() {
+		m.Origin, m.OriginSource = &cellpb.Stream{Pool: f.Pool, Version: f.Version}, string(f.Source)
+	}
 	m.Progress = cellpb.ProgressOf(o.Job.Progress)
 	for _, p := range o.Engine.Prefix {
 		m.Prefix = append(m.Prefix, &cellpb.Part{Id: p.ID, Tokens: int32(p.Tokens)})
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -60,6 +60,9 @@
 	Source Source
 }
 
+// IsKnown reports whether the origin was found.
+func (f Found) IsKnown() bool { return f.Version != "" }
+
 // Key identifies the stream of a team's attempt; teams don't share IDs.
 func Key(team, attempt string) uint64 {
 	d := xxhash.New()
@@ -268,6 +271,14 @@
 	return out
 }
 
+// Remembered returns where a stream began that this entry or another one has passed on, if this process knows.
+func (k *Keeper) Remembered(key uint64) (o Origin, known bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.streams[key]
+	return s.Origin, s.certain && k.o.Now().Before(s.expires)
+}
+
 // Find looks up where a stream of a pool began; a key of 0 stands for an unknown stream. If it must read the store for
 // that, it returns false and calls done with the result.
 func (k *Keeper) Find(key uint64, pool string, done func(Found)) (found Found, atOnce bool) {
--- a/internal/leader/origin/store.go
+++ b/internal/leader/origin/store.go
@@ -171,10 +171,10 @@
 	k.lookups = slices.Delete(k.lookups, 0, len(ready))
 	found := make([]Found, len(ready))
 	for i, l := range ready {
-		s, known := k.streams[l.key]
+		s := k.streams[l.key]
 		b, hasBase := k.bases[l.pool]
 		switch {
-		case known:
+		case s.certain || s.recorded:
 			found[i] = Found{s.Origin, SourceRecord}
 		case hasBase && !now.Before(k.doubtedTo):
 			found[i] = Found{Origin{l.pool, b.version}, SourceBase}
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -325,7 +325,10 @@
 	arrived := now.Add(-time.Duration(s.AgeUs) * time.Microsecond)
 	o := lead.Order{
 		Fingerprint: s.Fingerprint,
-		Stream:      lead.Stream{Key: s.Stream, TakenUp: s.TakenUp, Repeated: s.Repeated},
+		Stream: lead.Stream{Key: s.Stream, TakenUp: s.TakenUp, Repeated: s.Repeated, Found: origin.Found{
+			Origin: origin.Origin{Pool: s.GetOrigin().GetPool(), Version: s.GetOrigin().GetVersion()},
+			Source: origin.Source(s.OriginSource),
+		}},
 		Job: sched.Job{
 			ID: s.Id, RequestID: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
 			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
