Take no upstream from an odd entry of the list, and read on after one

Another writer may leave odd entries among those of the upstreams. A deeply nested one, numbers too large and ports out of range never stopped the reader or ended a process here: their entries were dropped, as tests now show. But a record without a whole key, or a value that is no base64, failed the whole read, again and again, so that the list was not followed any more; port 0, 10^11 slots, a start at 10^300 ms, missing fields and an ID with a line break or no UTF-8, which the protocol between entries rejects, named an upstream.

Reads return such records with an error, and the list goes on without them.

--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -49,6 +49,11 @@
 func (l *hostList) apply(records []platform.Record, snapshot bool) {
 	seen := map[string]bool{}
 	for _, r := range records {
+		if r.Err != nil {
+			l.log.Warn("entry can't be read", zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(r.Err))
+			l.drop(r.Key)
+			continue
+		}
 		if len(r.Value) == 0 {
 			l.remove(r.Key)
 			continue
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -150,7 +151,7 @@
 
 // upstreamEntry returns the list's entry of an upstream of pool p in the given state.
 func upstreamEntry(state string) string {
-	return fmt.Sprintf(`{"service":"p","address":"10.0.0.1:80","zone":"z","slots":1,"state":%q,"born":1}`, state)
+	return fmt.Sprintf(`{"service":"p","address":"10.0.0.1:80","zone":"z","version":"v1","slots":1,"state":%q,"born":1}`, state)
 }
 
 func testStats(t *testing.T) *stats.Stats {
@@ -211,15 +212,35 @@
 	})
 }
 
-func TestInvalidUpstreamEntriesAreIgnored(t *testing.T) {
-	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
-		for i, bad := range []string{`{}`, `nonsense`, `{"service":"p","address":7}`,
-			`{"service":"p","address":"10.0.0.1:80","state":"odd"}`} {
-			s.put(platform.TopicUpstreams, fmt.Sprint("bad", i), bad)
-		}
-		time.Sleep(drainWithin)
-		c.Check(w.Hosts().Ready("p"), qt.HasLen, 2)
-	})
+// Another writer leaves odd entries among those of the upstreams, also in place of one of them. The others hold, and the
+// list is followed on.
+func TestOddEntriesDoNotStopTheList(t *testing.T) {
+	good := upstreamEntry("ready")
+	odd := []string{`{}`, `nonsense`, `{"service":"p","address":7}`, "\xff\xfe", strings.Repeat("[", 100_000),
+		strings.Replace(good, `"ready"`, `"odd"`, 1), strings.Replace(good, ":80", ":65536", 1),
+		strings.Replace(good, `"slots":1`, `"slots":1e999`, 1), strings.Replace(good, `"born":1`, `"born":1e308`, 1),
+		strings.Replace(good, `{`, `{"models":`+strings.Repeat("[", 50_000)+strings.Repeat("]", 50_000)+`,`, 1)}
+	for _, trimmed := range []bool{false, true} { // read as records and as a snapshot
+		runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
+			s.setState(trimmed, 0)
+			for i, value := range odd {
+				s.put(platform.TopicUpstreams, fmt.Sprint("odd", i), value)
+				s.put(platform.TopicUpstreams, "u1", value)
+			}
+			s.put(platform.TopicUpstreams, "\xff", good)
+			s.put(platform.TopicUpstreams, "u3", good)
+			if trimmed {
+				time.Sleep(time.Second)
+				s.setState(false, 4)
+			}
+			time.Sleep(2 * drainWithin)
+			c.Check(w.Hosts().All(), qt.HasLen, 2)
+			c.Check(w.Hosts().TakesWork("u2") && w.Hosts().TakesWork("u3"), qt.IsTrue)
+			s.put(platform.TopicUpstreams, "u1", good)
+			time.Sleep(drainWithin)
+			c.Check(w.Hosts().Ready("p"), qt.HasLen, 3)
+		})
+	}
 }
 
 func TestTrimmedTopicIsReadAsASnapshot(t *testing.T) {
