Take no request in a planned stop that can't be answered before its end

In a planned stop new requests were taken for 3 s after the signal, whatever they need, and passed on until the process ended: one that takes 0.9 s of a grace of 4 s, one whose body came late, and one whose stages were done late were cut off without an answer while an upstream ran them, also if they must not be repeated.

A plain request is taken after the signal only if its deadline is before the exit, a stream if twice its target is, and both are checked again before each send; what can't be answered is refused as not run. Connections that are left are closed explicitly at the exit.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -42,6 +42,10 @@
 	maxBufferedBytes    = 256 << 10             // bytes; a longer answer is streamed to the caller
 	maxPieces           = 10_000                // in all stages of a request
 	streamBufferBytes   = 8 << 10               // bytes
+
+	// A stream takes a few times the target of its first event, which counts from its arrival.
+	streamTargets     = 2 // expected from its arrival on, while this process is about to exit
+	sentStreamTargets = 1 // expected from its send on
 )
 
 // Codec converts between HTTP headers and the fields of requests and answers.
@@ -75,6 +79,8 @@
 	// Stopping reports whether new requests are refused because this entry shuts down.
 	Stopping func() bool
 	Leaving  func() bool // reports whether connections are closed after the answer
+	// ExitAt returns when this process exits; zero while that is not planned.
+	ExitAt func() time.Time
 	// Ending is closed when the shutdown leaves no more time to wait for the leader's decisions.
 	Ending <-chan struct{}
 	Now    func() time.Time
@@ -170,7 +176,7 @@
 		}
 	}
 	if x.o.Stopping() {
-		return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(defaultRetryAfter)
+		return stopping()
 	}
 	limit := x.rules.Limits().BodyBytes
 	if limit <= 0 {
@@ -207,9 +213,30 @@
 		x.pickStream()
 	}
 	x.o.Budget.CountRequest(x.pool)
+	if x.o.Stopping() || !x.endsBeforeExit(streamTargets) {
+		return stopping()
+	}
 	return nil
 }
 
+// stopping is the refusal of a request that this entry can't finish before it exits.
+func stopping() *fault.Error {
+	return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(defaultRetryAfter)
+}
+
+// endsBeforeExit reports whether the request is expected to end before this process exits: a plain one at its deadline,
+// a stream after so many times its target.
+func (x *exchange) endsBeforeExit(targets time.Duration) bool {
+	exit := x.o.ExitAt()
+	if exit.IsZero() {
+		return true
+	}
+	if x.route.Kind == rule.Streaming {
+		return !x.o.Now().Add(targets * x.route.Target).After(exit)
+	}
+	return !x.deadline.Add(answerGrace).After(exit)
+}
+
 // pickStream identifies the stream that the request begins or takes up. The pool follows from that, so that the caller
 // finds the stream in the same pool.
 func (x *exchange) pickStream() {
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -50,6 +50,9 @@
 		if failure != nil {
 			return x.giveUp(fallback, failure)
 		}
+		if !x.endsBeforeExit(sentStreamTargets) {
+			return x.giveUp(fallback, stopping())
+		}
 		engine, failed = decision.Upstream, false
 		var problem lead.Problem
 		var got *bufferedAnswer
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -34,6 +34,9 @@
 	var untilPermitted time.Duration // shortest time until one of the exhausted upstreams accepts a request
 	var fallback *bufferedAnswer     // an upstream's error answer, passed on if no other upstream does better
 	for {
+		if !x.endsBeforeExit(sentStreamTargets) {
+			return x.giveUp(fallback, stopping())
+		}
 		candidates, retryAfter := x.o.Notices.NotPaused(x.o.Hosts().Ready(x.pool))
 		candidates = without(candidates, exhausted)
 		u, ok := x.o.Picker.Pick(candidates, x.o.Zone, tried, len(tried) > 0)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -84,9 +84,10 @@
 	notices  *notices.Record
 	limits   *pace.Limiter[hosts.Lifetime]
 	front    *front.Front
-	leaving  atomic.Bool   // after SIGTERM
-	stopping atomic.Bool   // set serveAfterTerm after SIGTERM: new requests are refused
-	ending   chan struct{} // closed when requests without the leader's decision are to be refused
+	leaving  atomic.Bool               // after SIGTERM
+	exitAt   atomic.Pointer[time.Time] // nil before SIGTERM
+	stopping atomic.Bool               // set serveAfterTerm after SIGTERM: new requests are refused
+	ending   chan struct{}             // closed when requests without the leader's decision are to be refused
 	inFlight atomic.Int64
 }
 
@@ -183,7 +184,7 @@
 		Crash:    n.crash,
 		Verify:   n.verify,
 		Origins:  n.origins,
-		Stopping: n.stopping.Load, Leaving: n.leaving.Load, Ending: n.ending, Now: time.Now, Log: log.Named("front"),
+		Stopping: n.stopping.Load, Leaving: n.leaving.Load, ExitAt: n.plannedExit, Ending: n.ending, Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
 }
@@ -355,25 +356,36 @@
 // drain serves on for serveAfterTerm, so that the balancer can stop sending, and then waits for the requests in flight
 // until shortly before the end of the grace period.
 func (n *Node) drain(kill context.Context, callers *http.Server) {
-	n.leaving.Store(true)
 	grace := n.settings.Load().Grace
+	exit := time.Now().Add(grace - exitMargin)
+	n.exitAt.Store(&exit)
+	n.leaving.Store(true)
 	n.log.Info("shutting down", zap.Int64("inFlight", n.inFlight.Load()), zap.Duration("grace", grace))
 	begun := time.Now()
 	go n.registry.Leave(kill)
 	pause.For(kill, serveAfterTerm)
 	n.stopping.Store(true)
-	ctx, cancel := context.WithDeadline(kill, begun.Add(grace-exitMargin))
+	ctx, cancel := context.WithDeadline(kill, exit)
 	defer cancel()
 	refuse := time.AfterFunc(time.Until(begun.Add(grace-refuseMargin)), func() { close(n.ending) })
 	defer refuse.Stop()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests are cut off at the end of the grace period", zap.Int64("inFlight", n.inFlight.Load()),
 			zap.Error(err))
+		_ = callers.Close()
 	}
 	n.lead.Finish(ctx)
 	n.link.Close()
 }
 
+// plannedExit returns when this process exits; zero before SIGTERM.
+func (n *Node) plannedExit() time.Time {
+	if at := n.exitAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // sweep regularly closes idle connections and drops the state of upstreams that are gone.
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
