Resume a generation only at the version of the weights that began it

The host list names no software version, but sides list the version that is loaded. The attempt that resumes now asks for that version; a stream whose version is gone ends with an error, and a generation whose tokens nobody has seen starts over.

TestResumeAtTheSameVersion fails without it in the two cases in which the version is gone.

--- a/internal/entry/exec/exec_test.go
+++ b/internal/entry/exec/exec_test.go
@@ -128,6 +128,7 @@
 // fakeRouter returns its sides in order and records all reports.
 type fakeRouter struct {
 	sides     []*fakeSide
+	versions  []string // of the sides' weights; nil for unknown ones
 	next      int
 	avoided   [][]string
 	suspected []string
@@ -139,14 +140,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := r.next % len(r.sides)
-	r.next++
+	for ; q.Version != "" && i < len(r.versions) && r.versions[i] != q.Version; i++ {
+	}
+	if i == len(r.sides) {
+		return target.Target{}, fault.New(fault.NotRun, fault.NoUpstream, "no upstream with version %q", q.Version)
+	}
+	r.next = i + 1
 	r.avoided = append(r.avoided, slices.Clone(q.Avoid))
 	done := func(rep target.Report) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.reports = append(r.reports, rep)
 	}
-	return target.Target{Name: string(rune('a' + i)), Side: r.sides[i], Done: done}, nil
+	t := target.Target{Name: string(rune('a' + i)), Side: r.sides[i], Done: done}
+	if r.versions != nil {
+		t.Version = r.versions[i]
+	}
+	return t, nil
 }
 
 func (r *fakeRouter) Side(name string) (sidepb.SideClient, bool) {
@@ -351,6 +361,48 @@
 	})
 }
 
+// TestResumeAtTheSameVersion checks that a stream whose tokens the caller has seen resumes only at the version of the
+// weights that made them, and that a generation which nobody has seen starts over at another one.
+func TestResumeAtTheSameVersion(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		versions []string
+		streamed bool
+		tokens   []string // of the answer; nil if there is none
+		held     int      // tokens that the last attempt was given
+	}{
+		{"the version is there", []string{"1", "2", "1"}, true, []string{"a", "b"}, 1},
+		{"the version is gone", []string{"1", "2", "2"}, true, nil, 0},
+		{"the version is gone, and no token was streamed", []string{"1", "2", "2"}, false, []string{"x", "b"}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFixture(
+					[]line{chunk(0, "a"), failed(fault.MayHaveRun, fault.Crashed)},
+					[]line{chunk(0, "x"), chunk(1, "b"), whole("x", "b")},
+					[]line{chunk(1, "b"), whole("a", "b")})
+				f.router.versions = test.versions
+				var s exec.Sink
+				if test.streamed {
+					s = &sink{}
+				}
+				ans, fail := f.run(t.Context(), request(stage.Generate), s)
+				c.Check(fail == nil, qt.Equals, test.tokens != nil)
+				var tokens []string
+				for _, chunk := range ans.Chunks {
+					tokens = append(tokens, string(chunk))
+				}
+				c.Check(tokens, qt.DeepEquals, test.tokens)
+				last := f.router.sides[min(f.router.next, len(f.router.sides))-1]
+				if test.tokens != nil {
+					c.Check(last.calls[0].GetHeld(), qt.HasLen, test.held)
+				}
+			})
+		})
+	}
+}
+
 // TestNoResume checks that a stream from an engine which can't resume ends with an error and does not start over.
 func TestNoResume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/exec/stage.go
+++ b/internal/entry/exec/stage.go
@@ -20,6 +20,7 @@
 	spec         stage.Spec
 	body         []byte
 	resumeTokens [][]byte // tokens of earlier attempts to resume from
+	begunAt      string   // version of the weights that made them; empty if unknown
 	attempts     uint32
 	avoid        []string // upstreams tried before
 	// freeRetries counts the retries after a refusal by an upstream that is draining or was replaced.
@@ -149,10 +150,21 @@
 		Hedge:    hedge,
 		Expected: s.run.executor.policy.Estimate(s.info()),
 	}
+	if len(s.resumeTokens) > 0 {
+		q.Version = s.begunAt
+	}
 	t, err := s.run.executor.router.Route(q)
+	if err != nil && q.Version != "" && !s.streamsToCaller() {
+		// Nobody has seen the tokens, so the generation can start over at another version.
+		s.resumeTokens, q.Version = nil, ""
+		t, err = s.run.executor.router.Route(q)
+	}
 	if err != nil {
 		return target.Target{}, fault.From(err)
 	}
+	if len(s.resumeTokens) == 0 {
+		s.begunAt = t.Version
+	}
 	s.avoid = append(s.avoid, t.Name)
 	return t, nil
 }
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -186,6 +187,9 @@
 			break
 		}
 		side, ok := r.opts.Links.Client(choice.Name)
+		if version := weightVersion(p.set.At(choice.Index).Models, q.Model); q.Version != "" && version != q.Version {
+			ok = false
+		}
 		if !ok {
 			query.Avoid = append(slices.Clip(query.Avoid), choice.Name)
 			continue
@@ -205,10 +209,25 @@
 		Zone:        u.Zone,
 		Incarnation: p.incarnations[c.Index],
 		Side:        side,
+		Version:     weightVersion(u.Models, q.Model),
 		Done:        func(rep target.Report) { r.attemptDone(q, p, c.Index, rep) },
 	}
 }
 
+// weightVersion returns the version of a model's weights among the names that an upstream lists; empty if it lists none.
+// The name of the model may be followed by a version or an adapter.
+func weightVersion(listed []string, model string) string {
+	if i := strings.IndexAny(model, "@+"); i >= 0 {
+		model = model[:i]
+	}
+	for _, name := range listed {
+		if base, version, ok := strings.Cut(name, "@"); ok && (base == model || model == "") {
+			return version
+		}
+	}
+	return ""
+}
+
 // attemptDone updates the state of the upstream from the report of an attempt.
 func (r *Router) attemptDone(q target.Query, p *pool, index int, rep target.Report) {
 	now := r.opts.Now()
--- a/internal/entry/target/target.go
+++ b/internal/entry/target/target.go
@@ -24,6 +24,7 @@
 	Stage    string
 	Pool     string
 	Model    string
+	Version  string // the only version of the model's weights that may be used; empty for any
 	Class    pipe.SizeClass
 	Prefix   string   // digest of the prompt's prefix
 	Avoid    []string // upstreams tried before
@@ -38,6 +39,7 @@
 	Zone        string
 	Incarnation string
 	Side        sidepb.SideClient
+	Version     string // of the loaded weights; empty if unknown
 	// Done reports the end of the attempt; it must be called once.
 	Done func(Report)
 }
