--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -260,7 +260,7 @@
 // run sends the request to upstreams until one answers or no retry is left.
 func (x *exchange) run() *fault.Error {
 	spec, _ := x.rules.Pool(x.pool)
-	if spec.Engine != nil || len(x.route.Stages) > 0 {
+	if spec.Engine != nil || len(x.route.Stages) > 0 || x.route.Resumable {
 		return x.runPlaced()
 	}
 	return x.runPlain()
--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -110,6 +110,17 @@
 	return u, ok
 }
 
+// Versions counts the upstreams of a pool, ready or draining, by the version of their software.
+func (t *Table) Versions(pool string) map[string]int {
+	counts := map[string]int{}
+	for _, u := range t.byID {
+		if u.Pool == pool {
+			counts[u.Version]++
+		}
+	}
+	return counts
+}
+
 // TakesWork reports whether an upstream is listed and ready.
 func (t *Table) TakesWork(id string) bool { return t.byID[id].State == Ready }
 
--- a/internal/leader/origin/store.go
+++ b/internal/leader/origin/store.go
@@ -56,19 +56,13 @@
 // observe records which versions are listed.
 func (k *Keeper) observe() {
 	table, now := k.o.Hosts(), k.o.Now()
-	counts := map[string]map[string]int{}
-	for _, u := range table.All() {
-		if counts[u.Pool] == nil {
-			counts[u.Pool] = map[string]int{}
-		}
-		counts[u.Pool][u.Version]++
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for pool := range k.o.Pools() {
-		if k.policy.Observe(pool, counts[pool], now) {
+		counts := table.Versions(pool)
+		if k.policy.Observe(pool, counts, now) {
 			k.synced = false // another process may have moved the base
-			k.o.Log.Info("versions in service", zap.String("pool", pool), zap.Any("engines", counts[pool]),
+			k.o.Log.Info("versions in service", zap.String("pool", pool), zap.Any("engines", counts),
 				zap.String("base", k.bases[pool].version))
 		}
 		b := k.bases[pool]
