--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -213,7 +213,7 @@
 		x.pickStream()
 	}
 	x.o.Budget.CountRequest(x.pool)
-	if x.o.Stopping() || !x.endsBeforeExit(streamTargets) {
+	if !x.endsBeforeExit(streamTargets) {
 		return stopping()
 	}
 	return nil
--- a/internal/edge/node/version_test.go
+++ b/internal/edge/node/version_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -191,3 +192,31 @@
 		w.c.Check(w.versionsOf("again-"+first), qt.DeepEquals, []string{version})
 	}
 }
+
+// The store is silent and the leader is lost. What the entries that are left have passed on goes on; nobody knows where
+// the streams of the lost entry began.
+func TestStreamsAreTakenUpWhileTheStoreIsSilent(t *testing.T) {
+	w := startStaged(t, 3, oldAndNew(2, 4, nil)...)
+	began := map[string]string{}
+	for i := range streams {
+		first := fmt.Sprint("first-", i)
+		began[first] = w.beginStream(w.entries[1+i%2], first)
+	}
+	lost := w.beginStream(w.entries[0], "lost")
+	w.c.Assert(lost, qt.Not(qt.Equals), "")
+	w.store.SetStatus(http.StatusServiceUnavailable)
+	w.entries[0].kill() // the leader, as it is the oldest entry
+	time.Sleep(2 * time.Second)
+	for first, version := range began {
+		i, _ := strconv.Atoi(strings.TrimPrefix(first, "first-"))
+		got := w.takeUp(w.entries[1+(i+1)%2], "again-"+first, first)
+		w.c.Check(got.status, qt.Equals, http.StatusOK)
+		w.c.Check(w.versionsOf("again-"+first), qt.DeepEquals, []string{version})
+	}
+	asked := time.Now()
+	got := w.takeUp(w.entries[1], "again-lost", "lost")
+	w.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	w.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	w.c.Check(w.versionsOf("again-lost"), qt.HasLen, 0)
+	w.c.Check(time.Since(asked) < 2*time.Second, qt.IsTrue)
+}
