Find out that the store takes records again

After a failed write new streams began at the base version only, until another record happened to be written; while all went to the base, none was. A failed call is now repeated, with nothing to write if need be, until one succeeds. Records that are written again after a restore of the store wait as long as their streams may be taken up. The case of the silent store fails without it.

Reads and writes are in files of their own.

--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -23,7 +23,8 @@
 	recordTimeout = 900 * time.Millisecond // for the store to acknowledge a record
 	failureTTL    = 1 * time.Second        // after a failed read, lookups that need the store fail at once
 	writeInterval = 25 * time.Millisecond  // between the starts of two calls that write
-	retryDelay    = 50 * time.Millisecond  // after a failed write
+	minWriteRetry = 50 * time.Millisecond  // after a failed write; doubles up to maxWriteRetry
+	maxWriteRetry = 800 * time.Millisecond
 	minRetryDelay = 250 * time.Millisecond // after a failed read that no lookup waits for
 	maxRetryDelay = 2 * time.Second
 	pollInterval  = 2 * time.Second // between reads by entries that don't lead, until the base versions are known
@@ -95,33 +96,33 @@
 // Keeper finds the version at which a stream began, and records it before a stream begins at a version that can't be
 // told otherwise. It is safe for concurrent use; nothing is read or written before Run.
 type Keeper struct {
-	o       Options
-	reading chan struct{} // holds a value while there are lookups to read for
-	writing chan struct{} // holds a value while there are records to write
-
-	mu        sync.Mutex
-	policy    *basis.Policy
-	streams   map[uint64]stream
-	bases     map[string]base
-	lookups   []lookup
-	unwritten []*record
-	stored    map[string]time.Time // keys of records of streams in the store, and when this process first saw each
-	synced    bool                 // the topic was read since the versions changed
-	era       int64                // of the store, as of the last read
-	doubtedTo time.Time            // until then, the store may lack records of streams
-	pollAt    time.Time            // when base versions that are unknown are read again
-	readFail  time.Time            // time of the last failed read; zero after a success
-	failing   bool                 // the last write failed
-	latency   time.Duration        // of writes, smoothed
-	name      string               // prefix of the keys of records of this process
-	count     int                  // records so far
+	o          Options
+	wakeReader chan struct{} // holds a value while there are lookups to read for
+	wakeWriter chan struct{} // holds a value while there are records to write
+
+	mu         sync.Mutex
+	policy     *basis.Policy
+	streams    map[uint64]stream
+	bases      map[string]base
+	lookups    []lookup
+	unwritten  []*record
+	recordKeys map[string]time.Time // keys of records of streams in the store, and when this process first saw each
+	synced     bool                 // the topic was read since the versions changed
+	era        int64                // of the store, as of the last read
+	doubtedTo  time.Time            // until then, the store may lack records of streams
+	pollAt     time.Time            // when base versions that are unknown are read again
+	readFail   time.Time            // time of the last failed read; zero after a success
+	writeFails bool                 // the last call that writes failed
+	latency    time.Duration        // of writes, smoothed
+	name       string               // prefix of the keys of records of this process
+	count      int                  // records so far
 }
 
 // stream is what is known of one stream.
 type stream struct {
 	Origin
 	expires  time.Time
-	certain  bool // an entry passed its first event on; else it was only placed
+	passedOn bool // an entry passed its first event on; else it was only placed
 	own      bool // that was this entry
 	recorded bool // the store may have a record of it
 	stored   bool // the store has acknowledged the record
@@ -152,8 +153,8 @@
 // New returns a Keeper that knows nothing; name is unique among all processes.
 func New(name string, o Options) *Keeper {
 	k := &Keeper{
-		o: o, name: name, reading: make(chan struct{}, 1), writing: make(chan struct{}, 1), streams: map[uint64]stream{},
-		bases: map[string]base{}, stored: map[string]time.Time{},
+		o: o, name: name, wakeReader: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), streams: map[uint64]stream{},
+		bases: map[string]base{}, recordKeys: map[string]time.Time{},
 	}
 	k.policy = basis.New(k.retention, o.Now())
 	return k
@@ -189,7 +190,7 @@
 	defer k.mu.Unlock()
 	b, known := k.bases[pool]
 	p := Placement{Base: b.version, RecordTime: k.latency}
-	if !k.failing {
+	if !k.writeFails {
 		return p
 	}
 	if s := k.streams[key]; s.recorded && s.Pool == pool {
@@ -214,14 +215,14 @@
 	switch {
 	case has && before.stored && before.Origin == o:
 		return true
-	case isBase && !elsewhere && (!repeated || k.failing),
-		k.failing && !elsewhere && !(known && k.policy.IsListed(o.Pool, b.version)):
+	case isBase && !elsewhere && (!repeated || k.writeFails),
+		k.writeFails && !elsewhere && !(known && k.policy.IsListed(o.Pool, b.version)):
 		k.remember(key, stream{Origin: o}, now)
 		return true
 	}
 	k.remember(key, stream{Origin: o, recorded: true}, now)
 	k.unwritten = append(k.unwritten, &record{key: key, origin: o, at: now, done: done})
-	wake(k.writing)
+	wake(k.wakeWriter)
 	return false
 }
 
@@ -253,7 +254,7 @@
 	if s.Origin != o {
 		s.recorded, s.stored = false, false
 	}
-	s.Origin, s.certain, s.own = o, true, s.own || own
+	s.Origin, s.passedOn, s.own = o, true, s.own || own
 	k.remember(key, s, k.o.Now())
 }
 
@@ -276,7 +277,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.streams[key]
-	return s.Origin, s.certain && k.o.Now().Before(s.expires)
+	return s.Origin, s.passedOn && k.o.Now().Before(s.expires)
 }
 
 // Find looks up where a stream of a pool began; a key of 0 stands for an unknown stream. If it must read the store for
@@ -285,14 +286,14 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.o.Now()
-	if s := k.streams[key]; s.certain && now.Before(s.expires) {
+	if s := k.streams[key]; s.passedOn && now.Before(s.expires) {
 		return k.counted(Found{s.Origin, SourceMemory}), true
 	}
 	if key == 0 || now.Sub(k.readFail) < failureTTL {
 		return k.counted(k.sole(pool, now)), true
 	}
 	k.lookups = append(k.lookups, lookup{key: key, pool: pool, until: now.Add(findTimeout), done: done})
-	wake(k.reading)
+	wake(k.wakeReader)
 	return Found{}, false
 }
 
--- a/internal/leader/origin/store.go
+++ b/internal/leader/origin/read.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -32,7 +31,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-k.reading:
+		case <-k.wakeReader:
 		case <-ticker.C:
 		}
 		k.observe()
@@ -101,16 +100,18 @@
 		return true
 	})
 	k.unwritten = slices.DeleteFunc(k.unwritten, func(r *record) bool {
+		if r.done == nil {
+			_, known := k.streams[r.key]
+			return !known
+		}
 		if now.Sub(r.at) < recordTimeout {
 			return false
 		}
-		if r.done != nil {
-			late = append(late, func() { r.done(false) })
-		}
+		late = append(late, func() { r.done(false) })
 		return true
 	})
-	if len(k.stored) > 0 && k.o.Leads() {
-		wake(k.writing)
+	if len(k.recordKeys) > 0 && k.o.Leads() {
+		wake(k.wakeWriter)
 	}
 	k.mu.Unlock()
 	for _, f := range late {
@@ -168,7 +169,7 @@
 		s := k.streams[l.key]
 		b, hasBase := k.bases[l.pool]
 		switch {
-		case s.certain || s.recorded:
+		case s.passedOn || s.recorded:
 			found[i] = Found{s.Origin, SourceRecord}
 		case hasBase && !now.Before(k.doubtedTo):
 			found[i] = Found{Origin{l.pool, b.version}, SourceBase}
@@ -189,7 +190,7 @@
 	now := k.o.Now()
 	doubtful := restored
 	if snapshot {
-		k.stored = map[string]time.Time{}
+		k.recordKeys = map[string]time.Time{}
 		slices.SortFunc(records, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	}
 	for _, r := range records {
@@ -201,11 +202,11 @@
 			continue
 		}
 		if len(r.Value) == 0 {
-			delete(k.stored, r.Key)
+			delete(k.recordKeys, r.Key)
 			continue
 		}
-		if _, seen := k.stored[r.Key]; !seen {
-			k.stored[r.Key] = now
+		if _, seen := k.recordKeys[r.Key]; !seen {
+			k.recordKeys[r.Key] = now
 		}
 		streams, err := decodeStreams(r.Value)
 		if err != nil {
@@ -213,7 +214,7 @@
 			continue
 		}
 		for key, o := range streams {
-			if !k.streams[key].certain {
+			if !k.streams[key].passedOn {
 				k.remember(key, stream{Origin: o, recorded: true, stored: true}, now)
 			}
 		}
@@ -236,7 +237,7 @@
 				k.unwritten = append(k.unwritten, &record{key: key, origin: s.Origin, at: now})
 			}
 		}
-		wake(k.writing)
+		wake(k.wakeWriter)
 	}
 }
 
@@ -258,156 +259,3 @@
 	k.bases[pool] = base{version: value.Version, current: value.Era == era}
 	return value.Era != era
 }
-
-// moveBases writes the base versions that are new, provided that nothing was appended since the last read.
-func (k *Keeper) moveBases(ctx context.Context, end platform.Position) error {
-	k.mu.Lock()
-	now := k.o.Now()
-	var records []platform.Record
-	next := map[string]string{}
-	for pool := range k.o.Pools() {
-		version, due := k.nextBase(pool, k.bases[pool], now)
-		if !due {
-			continue
-		}
-		value, err := encodeBase(baseValue{Version: version, Era: end.Era})
-		if err != nil {
-			k.mu.Unlock()
-			return err
-		}
-		next[pool] = version
-		records = append(records, platform.Record{Key: basePrefix + pool, Value: value})
-	}
-	k.mu.Unlock()
-	if len(records) == 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := k.o.Store.AppendAt(ctx, topic, end, records...)
-	k.o.Stats.StoreCall(string(topic), err == nil)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.synced = false // after an error the records may have been written
-	if err != nil {
-		return err
-	}
-	for pool, version := range next {
-		k.o.Log.Info("base version moved", zap.String("pool", pool), zap.String("software", version),
-			zap.String("before", k.bases[pool].version))
-		k.bases[pool] = base{version: version, current: true}
-	}
-	return nil
-}
-
-// writeAll writes records of streams until ctx ends, many in one call, and deletes those that have expired.
-func (k *Keeper) writeAll(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.writing:
-		}
-		begun := k.o.Now()
-		more, err := k.write(ctx)
-		wait := writeInterval - k.o.Now().Sub(begun)
-		if err != nil {
-			wait = max(wait, retryDelay)
-		}
-		if !pause.For(ctx, wait) && ctx.Err() != nil {
-			return
-		}
-		if more || err != nil {
-			wake(k.writing)
-		}
-	}
-}
-
-// write makes one call for the records that wait, and reports whether there are more.
-func (k *Keeper) write(ctx context.Context) (more bool, err error) {
-	k.mu.Lock()
-	now := k.o.Now()
-	batch := slices.Clone(k.unwritten[:min(maxPerRecord, len(k.unwritten))])
-	streams := map[uint64]Origin{}
-	for _, r := range batch {
-		streams[r.key] = r.origin
-	}
-	var deleted []string
-	if k.o.Leads() {
-		retention := k.longestRetention()
-		for key, at := range k.stored {
-			if now.Sub(at) > retention && len(deleted) < maxDeletions {
-				deleted = append(deleted, key)
-			}
-		}
-	}
-	k.mu.Unlock()
-	var records []platform.Record
-	key := ""
-	if len(streams) > 0 {
-		value, err := encodeStreams(streams)
-		if err != nil {
-			return false, err
-		}
-		k.count++
-		key = fmt.Sprintf("%s%s/%d", streamsPrefix, k.name, k.count)
-		records = append(records, platform.Record{Key: key, Value: value})
-	}
-	for _, key := range deleted {
-		records = append(records, platform.Record{Key: key})
-	}
-	if len(records) == 0 {
-		return false, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err = k.o.Store.Append(ctx, topic, records...)
-	k.o.Stats.StoreCall(string(topic), err == nil)
-	return k.written(batch, key, deleted, k.o.Now().Sub(now), err), err
-}
-
-// written notes the result of a call that wrote a batch, and reports whether there is more to write.
-func (k *Keeper) written(batch []*record, key string, deleted []string, took time.Duration, err error) (more bool) {
-	k.mu.Lock()
-	now := k.o.Now()
-	if len(batch) > 0 {
-		k.latency += time.Duration(latencySmoothing * float64(took-k.latency))
-	}
-	if failing := err != nil; failing != k.failing {
-		k.failing = failing
-		k.o.Log.Info("records of streams", zap.Bool("written", !failing), zap.Int("streams", len(batch)),
-			zap.Duration("took", took), zap.Error(err))
-	}
-	if err != nil {
-		defer k.mu.Unlock()
-		return len(k.unwritten) > 0
-	}
-	if key != "" {
-		k.stored[key] = now
-	}
-	for _, key := range deleted {
-		delete(k.stored, key)
-	}
-	// Records whose time ran out meanwhile are not in the list any more; their orders were refused.
-	isWritten := make(map[*record]bool, len(batch))
-	for _, r := range batch {
-		isWritten[r] = true
-		if s, known := k.streams[r.key]; known && s.Origin == r.origin {
-			s.stored = true
-			k.streams[r.key] = s
-		}
-	}
-	var done []func(bool)
-	k.unwritten = slices.DeleteFunc(k.unwritten, func(r *record) bool {
-		if isWritten[r] && r.done != nil {
-			done = append(done, r.done)
-		}
-		return isWritten[r]
-	})
-	more = len(k.unwritten) > 0
-	k.mu.Unlock()
-	for _, f := range done {
-		f(true)
-	}
-	return more
-}
