Write records of streams again when the store comes back, and know when they are whole

After the restore the doubt lasted 40 s for all, though the leader had written all records again at once.

An empty store lacks nothing when the whole system starts for the first time (bootstrap). A leader that has led since it read the store knows all records; it writes them and then the base versions in the new era, which ends the doubt of all.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -137,7 +137,8 @@
 		return !follows
 	}
 	n.origins = origin.New(strconv.FormatUint(rand.Uint64(), 36), origin.Options{
-		Store: store, Hosts: n.watch.Hosts, Leads: leads, Stats: n.stats, Now: time.Now, Log: log.Named("origin"),
+		Store: store, Hosts: n.watch.Hosts, Leads: leads, FirstStart: s.FirstStart, Stats: n.stats, Now: time.Now,
+		Log:   log.Named("origin"),
 		Pools: func() map[string]time.Duration { return n.watch.Rules().ResumablePools() },
 	})
 	n.lead = lead.New(lead.Options{
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -88,9 +88,11 @@
 	// Pools returns the pools whose streams may be taken up, with the longest timeout of their routes.
 	Pools func() map[string]time.Duration
 	Leads func() bool // reports whether this entry leads others or is alone
-	Stats *stats.Stats
-	Now   func() time.Time
-	Log   *zap.Logger
+	// FirstStart says that the whole system starts for the first time, so that a store without records lacks none.
+	FirstStart bool
+	Stats      *stats.Stats
+	Now        func() time.Time
+	Log        *zap.Logger
 }
 
 // Keeper finds the version at which a stream began, and records it before a stream begins at a version that can't be
@@ -110,12 +112,14 @@
 	synced     bool                 // the topic was read since the versions changed
 	era        int64                // of the store, as of the last read
 	doubtedTo  time.Time            // until then, the store may lack records of streams
-	pollAt     time.Time            // when base versions that are unknown are read again
-	readFail   time.Time            // time of the last failed read; zero after a success
-	writeFails bool                 // the last call that writes failed
-	latency    time.Duration        // of writes, smoothed
-	name       string               // prefix of the keys of records of this process
-	count      int                  // records so far
+	// complete says that this entry has led since it read the store, so that it knows all records.
+	complete   bool
+	pollAt     time.Time     // when base versions that are unknown are read again
+	readFail   time.Time     // time of the last failed read; zero after a success
+	writeFails bool          // the last call that writes failed
+	latency    time.Duration // of writes, smoothed
+	name       string        // prefix of the keys of records of this process
+	count      int           // records so far
 }
 
 // stream is what is known of one stream.
@@ -131,7 +135,7 @@
 // base is the base version of a pool.
 type base struct {
 	version string
-	current bool // the store has it, with the present era
+	current bool // the store has it, with the present era, and all records
 }
 
 // lookup is a call of Find that waits for a read.
@@ -150,6 +154,12 @@
 	done   func(bool) // nil if nobody waits
 }
 
+// isOld reports whether the store may lack records of the pool.
+func (b base) isOld() bool { return !b.current }
+
+// isRewrite reports whether the record is written again, and nobody waits for it.
+func (r *record) isRewrite() bool { return r.done == nil }
+
 // New returns a Keeper that knows nothing; name is unique among all processes.
 func New(name string, o Options) *Keeper {
 	k := &Keeper{
--- a/internal/leader/origin/keeper_test.go
+++ b/internal/leader/origin/keeper_test.go
@@ -123,12 +123,47 @@
 	return nil
 }
 
+// view is the store as one keeper reaches it.
+type view struct {
+	*memStore
+	cut atomic.Bool
+}
+
+// reach fails while the keeper is cut from the store.
+func (v *view) reach(ctx context.Context) error {
+	if v.cut.Load() {
+		<-ctx.Done()
+		return errDown
+	}
+	return nil
+}
+
+func (v *view) Newest(ctx context.Context, t platform.Topic) ([]platform.Record, platform.Position, error) {
+	if err := v.reach(ctx); err != nil {
+		return nil, platform.Position{}, err
+	}
+	return v.memStore.Newest(ctx, t)
+}
+
+func (v *view) Read(ctx context.Context, t platform.Topic, from platform.Position, wait time.Duration) (
+	[]platform.Record, platform.Position, error) {
+	if err := v.reach(ctx); err != nil {
+		return nil, platform.Position{}, err
+	}
+	return v.memStore.Read(ctx, t, from, wait)
+}
+
+func (v *view) Append(ctx context.Context, t platform.Topic, records ...platform.Record) error {
+	return errors.Join(v.reach(ctx), v.memStore.Append(ctx, t, records...))
+}
+
 // scene is the state of one case.
 type scene struct {
 	*qt.C
 	store   *memStore
 	table   atomic.Pointer[hosts.Table]
 	keepers map[string]*origin.Keeper
+	views   map[string]*view
 	leads   sync.Map // true by name of the keeper
 	kill    map[string]context.CancelFunc
 }
@@ -142,7 +177,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &scene{C: qt.New(t), store: &memStore{latency: time.Millisecond}, keepers: map[string]*origin.Keeper{},
-					kill: map[string]context.CancelFunc{}}
+					views: map[string]*view{},
+					kill:  map[string]context.CancelFunc{}}
 				s.table.Store(hosts.New(nil, time.Now()))
 				for step := range strings.Lines(steps) {
 					if fields := strings.Fields(step); len(fields) > 0 {
@@ -159,12 +195,14 @@
 }
 
 // start starts a keeper.
-func (s *scene) start(name string) {
+func (s *scene) start(name string, first bool) {
 	m, err := meter.New(meter.Process{Role: "edge"})
 	s.Assert(err, qt.IsNil)
+	s.views[name] = &view{memStore: s.store}
 	k := origin.New(name, origin.Options{
-		Store: s.store, Hosts: func() *hosts.Table { return s.table.Load().WithRead(time.Now()) },
-		Pools: func() map[string]time.Duration { return map[string]time.Duration{"pool": time.Second} },
+		Store: s.views[name], Hosts: func() *hosts.Table { return s.table.Load().WithRead(time.Now()) },
+		Pools:      func() map[string]time.Duration { return map[string]time.Duration{"pool": time.Second} },
+		FirstStart: first,
 		Leads: func() bool {
 			leads, _ := s.leads.Load(name)
 			return leads == true
@@ -214,7 +252,11 @@
 		s.table.Store(hosts.New(all, time.Now()))
 	case "start":
 		s.leads.Store(step[1], step[2] == "leads")
-		s.start(step[1])
+		s.start(step[1], len(step) > 3)
+	case "cut":
+		s.views[step[1]].cut.Store(true)
+	case "heal":
+		s.views[step[1]].cut.Store(false)
 	case "lead":
 		s.leads.Store(step[1], true)
 	case "kill":
--- a/internal/leader/origin/read.go
+++ b/internal/leader/origin/read.go
@@ -57,6 +57,7 @@
 	table, now := k.o.Hosts(), k.o.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.complete = k.complete && k.o.Leads()
 	for pool := range k.o.Pools() {
 		counts := table.Versions(pool)
 		if k.policy.Observe(pool, counts, now) {
@@ -79,6 +80,9 @@
 	if !k.o.Leads() || now.Before(k.doubtedTo) || now.Sub(k.o.Hosts().Read()) > maxListAge {
 		return "", false
 	}
+	if !b.current && slices.ContainsFunc(k.unwritten, (*record).isRewrite) {
+		return "", false // the base says that the store has all records
+	}
 	if version, moves := k.policy.Next(pool, b.version, now); moves {
 		return version, true
 	}
@@ -100,7 +104,7 @@
 		return true
 	})
 	k.unwritten = slices.DeleteFunc(k.unwritten, func(r *record) bool {
-		if r.done == nil {
+		if r.isRewrite() {
 			_, known := k.streams[r.key]
 			return !known
 		}
@@ -162,6 +166,7 @@
 	k.mu.Lock()
 	now := k.o.Now()
 	k.synced, k.readFail, k.pollAt = true, time.Time{}, now.Add(pollInterval)
+	k.complete = k.o.Leads() && !now.Before(k.doubtedTo)
 	ready := slices.Clone(k.lookups[:min(n, len(k.lookups))])
 	k.lookups = slices.Delete(k.lookups, 0, len(ready))
 	found := make([]Found, len(ready))
@@ -185,17 +190,23 @@
 }
 
 // apply takes records on. The first snapshot after the store came back from an older copy may lack records, and hold base
-// versions of before. The caller holds mu.
+// versions of before. An entry that knows all records writes them again, then the base versions, which tells the others
+// that the store has them; without such an entry, absent records prove nothing until streams of before are over. The
+// caller holds mu.
 func (k *Keeper) apply(records []platform.Record, snapshot bool, era int64, restored bool) {
 	now := k.o.Now()
-	doubtful := restored
+	if restored {
+		for pool, b := range k.bases {
+			k.bases[pool] = base{version: b.version}
+		}
+	}
 	if snapshot {
 		k.recordKeys = map[string]time.Time{}
 		slices.SortFunc(records, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	}
 	for _, r := range records {
 		if pool, ok := poolOf(r.Key); ok {
-			doubtful = k.applyBase(pool, r, era, restored) || doubtful
+			k.applyBase(pool, r, era, restored)
 			continue
 		}
 		if !strings.HasPrefix(r.Key, streamsPrefix) {
@@ -219,43 +230,50 @@
 			}
 		}
 	}
-	if snapshot && len(records) == 0 && era > 0 {
-		doubtful = true
-	}
 	k.era = era
-	if !doubtful {
-		return
+	if restored {
+		k.rewrite(now)
 	}
-	k.doubtedTo = now.Add(k.longestRetention())
-	k.o.Log.Warn("store lacks origins of streams", zap.Int64("era", era), zap.Time("until", k.doubtedTo))
-	for pool, b := range k.bases {
-		k.bases[pool] = base{version: b.version}
+	isOld := slices.ContainsFunc(slices.Collect(maps.Values(k.bases)), base.isOld)
+	if len(k.bases) == 0 {
+		isOld = era > 0 && !k.o.FirstStart
 	}
-	if restored && k.o.Leads() {
-		for key, s := range k.streams {
-			if s.recorded {
-				k.unwritten = append(k.unwritten, &record{key: key, origin: s.Origin, at: now})
-			}
+	switch {
+	case !isOld:
+		k.doubtedTo = time.Time{}
+	case snapshot && !k.complete && (restored || k.doubtedTo.IsZero()):
+		k.doubtedTo = now.Add(k.longestRetention())
+		k.o.Log.Warn("store lacks origins of streams", zap.Int64("era", era), zap.Time("until", k.doubtedTo))
+	}
+}
+
+// rewrite has what this entry knows written again, if it leads. The caller holds mu.
+func (k *Keeper) rewrite(now time.Time) {
+	if !k.o.Leads() {
+		return
+	}
+	for key, s := range k.streams {
+		if s.recorded {
+			k.unwritten = append(k.unwritten, &record{key: key, origin: s.Origin, at: now})
 		}
-		wake(k.wakeWriter)
 	}
+	wake(k.wakeWriter)
 }
 
-// applyBase takes the record of a base version on. It reports whether the record is older than the store's era, so that
-// records may have been lost since. The caller holds mu.
-func (k *Keeper) applyBase(pool string, r platform.Record, era int64, restored bool) (old bool) {
+// applyBase takes the record of a base version on, unless it is older than what is known. The caller holds mu.
+func (k *Keeper) applyBase(pool string, r platform.Record, era int64, restored bool) {
 	value, err := decodeBase(r.Value)
 	if err != nil {
 		k.o.Log.Warn("can't decode a base version", zap.String("pool", pool), zap.Int64("offset", r.Offset), zap.Error(err))
-		return false
+		return
 	}
-	if _, known := k.bases[pool]; known && restored {
-		return true
+	before, known := k.bases[pool]
+	if known && restored && value.Era != era {
+		return
 	}
-	if before := k.bases[pool].version; before != value.Version {
+	if before.version != value.Version {
 		k.o.Log.Info("base version", zap.String("pool", pool), zap.String("software", value.Version),
-			zap.String("before", before), zap.Int64("offset", r.Offset), zap.Int64("era", value.Era))
+			zap.String("before", before.version), zap.Int64("offset", r.Offset), zap.Int64("era", value.Era))
 	}
 	k.bases[pool] = base{version: value.Version, current: value.Era == era}
-	return value.Era != era
 }
--- a/internal/proof/soak/check_test.go
+++ b/internal/proof/soak/check_test.go
@@ -14,6 +14,7 @@
 	retrySlack     = 56  // bounds.budget_slack
 	retryWindow    = 10 * time.Second
 	maxProblems    = 20
+	versions       = 2    // of the upstreams' software, side by side
 	minServedRatio = 0.99 // of the requests, after recovery
 )
 
@@ -39,9 +40,40 @@
 		s.problem("%s", b)
 	}
 	s.checkDrains()
+	s.checkVersions()
 	s.checkRetryBudget(outcomes)
 }
 
+// checkVersions checks that streams went on only at the version that began them, which is that of the last engine that got
+// them without an event.
+func (s *soak) checkVersions() {
+	type start struct {
+		at      time.Time
+		version string
+	}
+	starts := map[string]start{} // by ID of the request
+	for _, goesOn := range []bool{false, true} {
+		for _, v := range s.env.services {
+			if v.pool != "engines" {
+				continue
+			}
+			for _, u := range v.allLifetimes() {
+				for _, a := range u.Arrivals() {
+					id := a.Header.Get("Request-Id")
+					began := starts[id]
+					switch {
+					case (a.Header.Get("Last-Event-Id") != "") != goesOn:
+					case !goesOn && a.At.After(began.at):
+						starts[id] = start{a.At, u.Version}
+					case goesOn && u.Version != began.version:
+						s.problem("stream %s began at %s and went on at %s of %s", id, began.version, u.ID, u.Version)
+					}
+				}
+			}
+		}
+	}
+}
+
 // checkOne checks the answer to one request, given how often it ran.
 func (s *soak) checkOne(o outcome, ran int) {
 	disturbed := o.entry.wasDown(o.began, o.ended)
--- a/internal/proof/soak/environment_test.go
+++ b/internal/proof/soak/environment_test.go
@@ -40,6 +40,7 @@
 	pool      string
 	name      string
 	shape     shape
+	version   int // of the software of all its lifetimes
 	proxy     *proxy.Proxy
 	current   atomic.Pointer[cloud.Upstream]
 	override  atomic.Pointer[override]
@@ -123,7 +124,7 @@
 }
 
 func (env *environment) addService(pool string, i int, template shape) {
-	s := &service{pool: pool, name: fmt.Sprintf("%s-%d", pool, i), shape: template}
+	s := &service{pool: pool, name: fmt.Sprintf("%s-%d", pool, i), shape: template, version: i % versions}
 	s.startLifetime(0)
 	server := httptest.NewServer(s)
 	s.proxy = env.newProxy(server.Listener.Addr().String())
@@ -134,7 +135,7 @@
 
 // startLifetime replaces the current lifetime by a new one.
 func (s *service) startLifetime(number int) {
-	u := &cloud.Upstream{ID: fmt.Sprintf("%s.%d", s.name, number),
+	u := &cloud.Upstream{ID: fmt.Sprintf("%s.%d", s.name, number), Version: fmt.Sprint("v", s.version),
 		Work: s.shape.work, Events: s.shape.events, Gap: s.shape.gap}
 	u.Intercept = func(w http.ResponseWriter, r *http.Request, _ int) bool {
 		o := s.override.Load()
@@ -148,7 +149,7 @@
 
 // list writes the record of a service's current lifetime to the store.
 func (env *environment) list(s *service, state string) {
-	env.store.PutServer(s.current.Load().ID, s.pool, "v1", s.proxy.Address(), state, 8)
+	env.store.PutServer(s.current.Load().ID, s.pool, s.current.Load().Version, s.proxy.Address(), state, 8)
 }
 
 func (env *environment) unlist(s *service) { env.store.Put(topicHosts, s.current.Load().ID, nil) }
