--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -320,7 +320,8 @@
 func (x *exchange) logSend(u hosts.Upstream, answer *uphttp.Answer, failure *fault.Error) {
 	fields := []zap.Field{
 		zap.String("request", x.logID), zap.String("route", x.route.Name), zap.String("upstream", u.ID),
-		zap.Int("send", x.sends), zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()), zap.String("software", u.Version),
+		zap.Int("send", x.sends), zap.Duration("age", x.o.Now().Sub(x.arrived)), zap.Int64("version", x.rules.Version()),
+		zap.String("software", u.Version),
 		zap.Duration("listAge", x.o.Now().Sub(x.o.Hosts().Read())),
 	}
 	result := "answered"
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -185,7 +185,8 @@
 		Crash:    n.crash,
 		Verify:   n.verify,
 		Origins:  n.origins,
-		Stopping: n.stopping.Load, Leaving: n.leaving.Load, ExitAt: n.plannedExit, Ending: n.ending, Now: time.Now, Log: log.Named("front"),
+		Stopping: n.stopping.Load, Leaving: n.leaving.Load, ExitAt: n.plannedExit, Ending: n.ending,
+		Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
 }
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -103,7 +103,8 @@
 		limited: m.Counter(meter.Spec{Name: "edge.limitedAnswers", Unit: "{answer}",
 			Help: "Answers in which an upstream named a limit, by pool."}),
 		continued: m.Counter(meter.Spec{Name: "edge.continuedStreams", Unit: "{stream}",
-			Help: "Streams that another engine went on with in the same answer, by pool and whether its software has the same version."}),
+			Help: "Streams that another engine went on with in the same answer, by pool and whether its software " +
+				"has the same version."}),
 		origins: m.Counter(meter.Spec{Name: "edge.originLookups", Unit: "{lookup}",
 			Help: "Lookups of the version that began a stream, by where it was found."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -82,7 +82,8 @@
 // New returns a server that passes the orders of other entries to o.Dispatcher.
 func New(o Options) *Server {
 	return &Server{
-		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits, origins: o.Origins, rules: o.Rules, era: o.Era,
+		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits,
+		origins: o.Origins, rules: o.Rules, era: o.Era,
 		hosts: o.Hosts, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
