--- a/internal/edge/node/stop_test.go
+++ b/internal/edge/node/stop_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -92,13 +91,22 @@
 	})
 }
 
+// slowEngine returns an engine that takes a second for the request id-1.
+func slowEngine() *cloud.Upstream {
+	return &cloud.Upstream{ID: "engine-1", Events: 2, Intercept: func(_ http.ResponseWriter, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id") == "id-1" {
+			time.Sleep(time.Second)
+		}
+		return false
+	}}
+}
+
 // The body of a request is whole only shortly before the end of the grace.
 func TestARequestWhoseBodyComesLateInTheGraceIsNotRun(t *testing.T) {
-	engine := &cloud.Upstream{ID: "engine-1", Events: 2}
+	engine := slowEngine()
 	w := startStaged(t, 1, engine)
 	w.configure(`"timeout_ms": 3000`, `"timeout_ms": 20000`)
 	time.Sleep(time.Second)
-	engine.Work = time.Second
 	k := w.keepConnection(w.entries[0])
 	_, _ = io.WriteString(k, head("/once/x", "id-1"))
 	time.Sleep(100 * time.Millisecond)
@@ -111,21 +119,13 @@
 
 // The stages of a request are done only shortly before the end of the grace, and its engine needs longer.
 func TestARequestThatIsDecidedLateInTheGraceIsNotRun(t *testing.T) {
-	engine := &cloud.Upstream{ID: "engine-1", Events: 2}
+	engine := slowEngine()
 	w := startStaged(t, 1, engine)
 	w.configure(`"timeout_ms": 3000`, `"timeout_ms": 20000`, `"call_ms": 20`, `"call_ms": 2800`)
+	w.startUpstream("second", &cloud.Upstream{ID: "slow", Work: 2800 * time.Millisecond})
+	w.store.Put("keyed.servers", "second-0", nil)
+	w.store.Put("keyed.servers", "second-1", nil)
 	time.Sleep(time.Second)
-	for id, u := range w.upstreams {
-		if strings.HasPrefix(id, "second") {
-			u.Intercept = func(_ http.ResponseWriter, r *http.Request, _ int) bool {
-				if r.URL.Path == "/ragworthatch/stage-run" {
-					time.Sleep(2800 * time.Millisecond)
-				}
-				return false
-			}
-		}
-	}
-	engine.Work = time.Second
 	go func() {
 		time.Sleep(100 * time.Millisecond)
 		w.entries[0].stop()
