--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -22,11 +22,16 @@
 	"github.com/ragworthatch/ragworthatch/internal/state/record"
 )
 
-// startFeed returns a running feed, which stops at the end of the test.
-func startFeed(t *testing.T, log logs.Service, seed uint64, opt Options) *Feed {
+// newFeed returns a feed that does not run yet.
+func newFeed(log logs.Service, seed uint64, opt Options) *Feed {
 	opt.Rand = rand.New(rand.NewPCG(seed, 0))
 	opt.Author = fmt.Sprint("p", seed)
-	f := New(log, opt, zap.NewNop())
+	return New(log, opt, zap.NewNop())
+}
+
+// startFeed returns a running feed, which stops at the end of the test.
+func startFeed(t *testing.T, log logs.Service, seed uint64, opt Options) *Feed {
+	f := newFeed(log, seed, opt)
 	go func() { _ = f.Run(t.Context()) }()
 	return f
 }
@@ -67,8 +72,9 @@
 func TestReaderSeesAChangeWithinItsInterval(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, c *qt.C) {
 		log := memlog.New()
-		f := startFeed(t, log, 1, Options{})
+		f := newFeed(log, 1, Options{})
 		c.Assert(f.Ready(), qt.ErrorIs, errStarting)
+		go func() { _ = f.Run(t.Context()) }()
 		time.Sleep(time.Millisecond)
 		c.Assert(f.Ready(), qt.IsNil)
 		offset := appendChange(c, log, f.Current(), 1)
