Record what began while the store was silent, and move no base before that

When the base version has left and records can't be written, streams begin at any version without a record. If the host that passed one on was lost, it was taken for one of the base: refused for as long as the old base stood, though its version served, and joined at another version once the base had moved, which a leader that had just taken over did at once. An entry that knew no base version began streams at any version while the store was silent.

Such streams are recorded when the store takes records again, the base moves after that and never within the retention after a change of the leader, and without a known base streams begin only if one version is listed. Five cases of streams.txt failed before: v2 found as base v1, a base moved over a stream of v3, and streams at two versions under an unknown base.

--- a/internal/leader/basis/policy.go
+++ b/internal/leader/basis/policy.go
@@ -46,13 +46,14 @@
 }
 
 // Next returns the version that is to become the base in place of the present one, which is empty if there is none. It
-// is the most frequent one, once no stream that began at the present base can be taken up.
-func (p *Policy) Next(pool, base string, now time.Time) (next string, moves bool) {
+// is the most frequent one, once no stream that began at the present base can be taken up, and none that another process
+// may have begun before since without a record.
+func (p *Policy) Next(pool, base string, since, now time.Time) (next string, moves bool) {
 	v := p.pools[pool]
 	if v == nil || len(v.counts) == 0 {
 		return "", false
 	}
-	if _, recent := v.lastListed[base]; base != "" && (recent || now.Sub(p.started) <= p.retention(pool)) {
+	if _, recent := v.lastListed[base]; base != "" && (recent || now.Sub(since) <= p.retention(pool)) {
 		return "", false
 	}
 	for _, version := range slices.Sorted(maps.Keys(v.counts)) {
@@ -80,3 +81,11 @@
 	v := p.pools[pool]
 	return v != nil && v.counts[version] > 0
 }
+
+// Listed returns how many versions are listed in a pool.
+func (p *Policy) Listed(pool string) int {
+	if v := p.pools[pool]; v != nil {
+		return len(v.counts)
+	}
+	return 0
+}
--- a/internal/leader/basis/policy_test.go
+++ b/internal/leader/basis/policy_test.go
@@ -32,28 +32,36 @@
 
 // play carries out one step of a case.
 func play(c *qt.C, p *basis.Policy, start time.Time, step []string) {
-	seconds, err := strconv.Atoi(step[1])
-	c.Assert(err, qt.IsNil)
-	now := start.Add(time.Duration(seconds) * time.Second)
 	version := func(got string, ok bool) string {
 		if !ok {
 			return "-"
 		}
 		return got
 	}
+	at := func(seconds string) time.Time {
+		n, err := strconv.Atoi(seconds)
+		c.Assert(err, qt.IsNil)
+		return start.Add(time.Duration(n) * time.Second)
+	}
 	switch step[0] {
 	case "list":
 		counts := map[string]int{}
 		for _, field := range step[2:] {
 			name, n, _ := strings.Cut(field, "=")
-			counts[name], err = strconv.Atoi(n)
+			count, err := strconv.Atoi(n)
 			c.Assert(err, qt.IsNil)
+			counts[name] = count
 		}
-		p.Observe("pool", counts, now)
+		p.Observe("pool", counts, at(step[1]))
 	case "next":
-		c.Check(version(p.Next("pool", strings.Trim(step[2], "-"), now)), qt.Equals, step[3], qt.Commentf("%v", step))
+		since := "0"
+		if len(step) > 4 {
+			since = step[4]
+		}
+		next, moves := p.Next("pool", strings.Trim(step[2], "-"), at(since), at(step[1]))
+		c.Check(version(next, moves), qt.Equals, step[3], qt.Commentf("%v", step))
 	case "sole":
-		c.Check(version(p.Sole("pool", now)), qt.Equals, step[2], qt.Commentf("%v", step))
+		c.Check(version(p.Sole("pool", at(step[1]))), qt.Equals, step[2], qt.Commentf("%v", step))
 	default:
 		c.Fatalf("unknown step %v", step)
 	}
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,6 +115,7 @@
 	doubtedTo  time.Time            // until then, the store may lack records of streams
 	// complete says that this entry has led since it read the store, so that it knows all records.
 	complete   bool
+	ledSince   time.Time     // when this entry took the lead; zero while it has not
 	pollAt     time.Time     // when base versions that are unknown are read again
 	readFail   time.Time     // time of the last failed read; zero after a success
 	writeFails bool          // the last call that writes failed
@@ -128,7 +130,7 @@
 	expires  time.Time
 	passedOn bool // an entry passed its first event on; else it was only placed
 	own      bool // that was this entry
-	recorded bool // the store may have a record of it
+	recorded bool // the store may have a record of it, or will before it begins
 	stored   bool // the store has acknowledged the record
 }
 
@@ -157,8 +159,9 @@
 // isOld reports whether the store may lack records of the pool.
 func (b base) isOld() bool { return !b.current }
 
-// isRewrite reports whether the record is written again, and nobody waits for it.
-func (r *record) isRewrite() bool { return r.done == nil }
+// isDeferred reports whether the stream does not wait for the record: it began while records could not be written, or its
+// record is written again.
+func (r *record) isDeferred() bool { return r.done == nil }
 
 // New returns a Keeper that knows nothing; name is unique among all processes.
 func New(name string, o Options) *Keeper {
@@ -222,20 +225,40 @@
 	before, has := k.streams[key]
 	isBase := known && b.version == o.Version
 	elsewhere := has && before.recorded && before.Origin != o
+	if has && before.Origin != o {
+		k.unwritten = slices.DeleteFunc(k.unwritten, func(r *record) bool { return r.key == key && r.isDeferred() })
+	}
 	switch {
 	case has && before.stored && before.Origin == o:
 		return true
-	case isBase && !elsewhere && (!repeated || k.writeFails),
-		k.writeFails && !elsewhere && !(known && k.policy.IsListed(o.Pool, b.version)):
+	case isBase && !repeated && !elsewhere:
+		k.remember(key, stream{Origin: o}, now)
+		return true
+	case k.writeFails && !elsewhere && (isBase || k.mayBeginAnywhere(o.Pool)):
 		k.remember(key, stream{Origin: o}, now)
+		k.record(&record{key: key, origin: o, at: now})
 		return true
 	}
 	k.remember(key, stream{Origin: o, recorded: true}, now)
-	k.unwritten = append(k.unwritten, &record{key: key, origin: o, at: now, done: done})
-	wake(k.wakeWriter)
+	k.record(&record{key: key, origin: o, at: now, done: done})
 	return false
 }
 
+// mayBeginAnywhere reports whether streams of a pool may begin at any version while records can't be written: a stream
+// without a record is then taken for one of a base that has left. The caller holds mu.
+func (k *Keeper) mayBeginAnywhere(pool string) bool {
+	if b, known := k.bases[pool]; known {
+		return !k.policy.IsListed(pool, b.version)
+	}
+	return k.o.FirstStart || k.policy.Listed(pool) <= 1
+}
+
+// record has a record written. The caller holds mu.
+func (k *Keeper) record(r *record) {
+	k.unwritten = append(k.unwritten, r)
+	wake(k.wakeWriter)
+}
+
 // remember keeps in memory what is known of a stream. The caller holds mu.
 func (k *Keeper) remember(key uint64, s stream, now time.Time) {
 	s.expires = now.Add(k.retention(s.Pool))
--- a/internal/leader/origin/read.go
+++ b/internal/leader/origin/read.go
@@ -57,7 +57,14 @@
 	table, now := k.o.Hosts(), k.o.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.complete = k.complete && k.o.Leads()
+	leads := k.o.Leads()
+	k.complete = k.complete && leads
+	switch {
+	case !leads:
+		k.ledSince = time.Time{}
+	case k.ledSince.IsZero():
+		k.ledSince = now
+	}
 	for pool := range k.o.Pools() {
 		counts := table.Versions(pool)
 		if k.policy.Observe(pool, counts, now) {
@@ -77,13 +84,13 @@
 
 // nextBase returns the base version that this entry should write for a pool. The caller holds mu.
 func (k *Keeper) nextBase(pool string, b base, now time.Time) (version string, due bool) {
-	if !k.o.Leads() || now.Before(k.doubtedTo) || now.Sub(k.o.Hosts().Read()) > maxListAge {
+	if k.ledSince.IsZero() || now.Before(k.doubtedTo) || now.Sub(k.o.Hosts().Read()) > maxListAge {
 		return "", false
 	}
-	if !b.current && slices.ContainsFunc(k.unwritten, (*record).isRewrite) {
+	if slices.ContainsFunc(k.unwritten, (*record).isDeferred) {
 		return "", false // the base says that the store has all records
 	}
-	if version, moves := k.policy.Next(pool, b.version, now); moves {
+	if version, moves := k.policy.Next(pool, b.version, k.ledSince, now); moves {
 		return version, true
 	}
 	return b.version, b.version != "" && !b.current
@@ -104,7 +111,7 @@
 		return true
 	})
 	k.unwritten = slices.DeleteFunc(k.unwritten, func(r *record) bool {
-		if r.isRewrite() {
+		if r.isDeferred() {
 			_, known := k.streams[r.key]
 			return !known
 		}
@@ -254,10 +261,9 @@
 	}
 	for key, s := range k.streams {
 		if s.recorded {
-			k.unwritten = append(k.unwritten, &record{key: key, origin: s.Origin, at: now})
+			k.record(&record{key: key, origin: s.Origin, at: now})
 		}
 	}
-	wake(k.wakeWriter)
 }
 
 // applyBase takes the record of a base version on, unless it is older than what is known. The caller holds mu.
--- a/internal/leader/origin/write.go
+++ b/internal/leader/origin/write.go
@@ -86,6 +86,10 @@
 	streams := map[uint64]Origin{}
 	for _, r := range batch {
 		streams[r.key] = r.origin
+		if s := k.streams[r.key]; s.Origin == r.origin {
+			s.recorded = true
+			k.streams[r.key] = s
+		}
 	}
 	var deleted []string
 	if k.o.Leads() {
