Tell the last record of a stream from one that the store writes late

A write without an answer may be executed seconds later, after the stream has begun at another version under a record of the same or of the next leader.

Records carry the number of decisions on the order before, and those of one writer are numbered; the highest counts, wherever it stands. Orders that a leader hands back after it had decided on them once count as well.

--- a/internal/leader/lead/dispatcher.go
+++ b/internal/leader/lead/dispatcher.go
@@ -20,10 +20,10 @@
 
 // Stream is the part of an order whose answer is a stream that the caller may take up; it is empty for any other.
 type Stream struct {
-	Key      uint64       // of the attempt that brings, or brought, its first event; see origin.Key; 0 if that is not known
-	TakenUp  bool         // the caller has events of it
-	Repeated bool         // a lost leader may have decided on the order
-	Found    origin.Found // where it began, as its entry has looked it up; empty if it has not
+	Key     uint64       // of the attempt that brings, or brought, its first event; see origin.Key; 0 if that is not known
+	TakenUp bool         // the caller has events of it
+	Repeats int          // decisions on the order before this submission that may be recorded
+	Found   origin.Found // where it began, as its entry has looked it up; empty if it has not
 }
 
 // Decision says where a request runs, or why it is refused.
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -531,7 +531,7 @@
 	}
 	o.picked = up
 	if !o.begins() || c.opts.Origins.Begin(o.order.Stream.Key, origin.Origin{Pool: up.Pool, Version: up.Version},
-		o.order.Stream.Repeated, func(recorded bool) {
+		o.order.Stream.Repeats, func(recorded bool) {
 			c.inbox <- func(now time.Time) { c.originRecorded(o, up, recorded, now) }
 		}) {
 		c.sendEngine(o)
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -493,7 +493,7 @@
 		if p.session == s && p.reply != nil {
 			p.session = l.current
 			p.setResumePoint(now)
-			p.order.Stream.Repeated = true
+			p.order.Stream.Repeats++
 			if len(p.order.Job.Progress) > 0 {
 				resumed++
 			}
@@ -583,9 +583,10 @@
 	if begunAt != "" {
 		p.order.Engine.Version = begunAt
 	}
+	p.order.Stream.Repeats++
 	moved := p.session != nil && p.session.lossReason(l.opts.Now()) != ""
 	if moved {
-		p.session, p.order.Job.Progress, p.order.Stream.Repeated = l.current, nil, true
+		p.session, p.order.Job.Progress = l.current, nil
 		if p.session != nil && p.session.lossReason(l.opts.Now()) != "" {
 			p.session = nil
 		}
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -41,13 +41,14 @@
 
 	recalls  bool             // hands an order over when it is recalled
 	progress []sched.Progress // of the newest order
+	repeats  int              // of the newest order
 }
 
 func (d *fakeDispatcher) Submit(o lead.Order, reply func(lead.Decision)) {
 	d.mu.Lock()
 	d.open[o.Job.ID] = true
 	d.replies[o.Job.ID] = reply
-	d.progress = o.Job.Progress
+	d.progress, d.repeats = o.Job.Progress, o.Stream.Repeats
 	d.mu.Unlock()
 	if !d.silent {
 		reply(lead.Decision{Upstream: d.name})
@@ -362,6 +363,24 @@
 		Results: []sched.HeldResult{{Handle: "h", Producer: "m", ExpiresIn: time.Second}}}})
 }
 
+func TestOrdersCountTheDecisionsThatMayBeRecorded(t *testing.T) {
+	c := qt.New(t)
+	remote, local := newFake("remote", false), newFake("local", false)
+	p := newPeer(c, "leader", remote)
+	l := startLink(c, local, p.Member)
+	eventually(c, func() bool { return !l.Leads() })
+	c.Check((<-submit(l, "1")).Upstream, qt.Equals, "remote")
+	c.Check(remote.repeats, qt.Equals, 0)
+	reply := make(chan lead.Decision, 1)
+	l.Retry("1", "remote", lead.ProblemFailed, "", func(d lead.Decision) { reply <- d })
+	c.Check((<-reply).Upstream, qt.Equals, "remote again")
+	p.server.Stop()
+	eventually(c, l.Leads)
+	l.Retry("1", "remote", lead.ProblemFailed, "", func(d lead.Decision) { reply <- d })
+	c.Check((<-reply).Upstream, qt.Equals, "local")
+	c.Check(local.repeats, qt.Equals, 2)
+}
+
 // If its leader follows another member, an entry follows that one too, even if it is not among the members that it
 // knows.
 func TestEntriesFollowTheLeaderOfTheirLeader(t *testing.T) {
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -439,7 +439,7 @@
 		DeadlineUs: o.Job.Deadline.Sub(o.Job.Arrived).Microseconds(),
 		Pool:       o.Engine.Pool, Zone: o.Engine.Zone, Model: o.Engine.Model,
 		PromptTokens: int32(o.Engine.PromptTokens), OutputTokens: int32(o.Engine.OutputTokens), Exclude: o.Engine.Exclude,
-		Fingerprint: o.Fingerprint, Stream: o.Stream.Key, TakenUp: o.Stream.TakenUp, Repeated: o.Stream.Repeated,
+		Fingerprint: o.Fingerprint, Stream: o.Stream.Key, TakenUp: o.Stream.TakenUp, Repeats: int32(o.Stream.Repeats),
 		Version: o.Engine.Version,
 	}
 	for _, st := range o.Job.Stages {
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -128,10 +128,24 @@
 type stream struct {
 	Origin
 	expires  time.Time
-	passedOn bool // an entry passed its first event on; else it was only placed
-	own      bool // that was this entry
-	recorded bool // the store may have a record of it, or will before it begins
-	stored   bool // the store has acknowledged the record
+	passedOn bool        // an entry passed its first event on; else it was only placed
+	own      bool        // that was this entry
+	recorded bool        // the store may have a record of it, or will before it begins
+	stored   bool        // the store has acknowledged the record
+	place    recordPlace // of the record; zero if it was not read or written yet
+}
+
+// recordPlace tells which of several records of a stream is the last one. The store may execute a write late, so their
+// order in the store does not.
+type recordPlace struct {
+	repeats int // see lead.Stream
+	writer  string
+	number  int // among the records of its writer
+}
+
+// isBefore reports whether a later record replaces this one.
+func (p recordPlace) isBefore(other recordPlace) bool {
+	return p.repeats < other.repeats || (p.repeats == other.repeats && p.writer == other.writer && p.number < other.number)
 }
 
 // base is the base version of a pool.
@@ -150,10 +164,11 @@
 
 // record is a stream that is to be recorded.
 type record struct {
-	key    uint64
-	origin Origin
-	at     time.Time  // of its call of Begin
-	done   func(bool) // nil if nobody waits
+	key     uint64
+	origin  Origin
+	repeats int
+	at      time.Time  // of its call of Begin
+	done    func(bool) // nil if nobody waits
 }
 
 // isOld reports whether the store may lack records of the pool.
@@ -215,9 +230,9 @@
 }
 
 // Begin records that a stream is to begin. It returns true if it may begin at once. If not, done is called once the
-// store has the record, with false if it does not acknowledge it in time; the stream must not begin then. A repeated
-// order may have a record from another leader.
-func (k *Keeper) Begin(key uint64, o Origin, repeated bool, done func(recorded bool)) (atOnce bool) {
+// store has the record, with false if it does not acknowledge it in time; the stream must not begin then. Other leaders may
+// have recorded it before, as its order is decided on after so many repeats.
+func (k *Keeper) Begin(key uint64, o Origin, repeats int, done func(recorded bool)) (atOnce bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.o.Now()
@@ -231,16 +246,16 @@
 	switch {
 	case has && before.stored && before.Origin == o:
 		return true
-	case isBase && !repeated && !elsewhere:
+	case isBase && repeats == 0 && !elsewhere:
 		k.remember(key, stream{Origin: o}, now)
 		return true
 	case k.writeFails && !elsewhere && (isBase || k.mayBeginAnywhere(o.Pool)):
 		k.remember(key, stream{Origin: o}, now)
-		k.record(&record{key: key, origin: o, at: now})
+		k.record(&record{key: key, origin: o, repeats: repeats, at: now})
 		return true
 	}
 	k.remember(key, stream{Origin: o, recorded: true}, now)
-	k.record(&record{key: key, origin: o, at: now, done: done})
+	k.record(&record{key: key, origin: o, repeats: repeats, at: now, done: done})
 	return false
 }
 
--- a/internal/leader/origin/keeper_test.go
+++ b/internal/leader/origin/keeper_test.go
@@ -34,7 +34,9 @@
 	copied  int // records in the copy
 	writes  int
 	down    bool
-	lost    bool // answers to writes are lost
+	lost    bool                // answers to writes are lost
+	delayed bool                // writes get no answer, and are executed later
+	late    [][]platform.Record // what is to be executed later
 	latency time.Duration
 }
 
@@ -106,15 +108,16 @@
 		return err
 	}
 	s.mu.Lock()
-	lost := s.lost
+	lost := s.lost || s.delayed
+	if s.delayed {
+		s.late = append(s.late, records)
+		records = nil
+	}
 	if s.writes++; at >= 0 && at != int64(len(s.records)) {
 		s.mu.Unlock()
 		return platform.ErrConflict
 	}
-	for _, r := range records {
-		r.Offset = int64(len(s.records))
-		s.records = append(s.records, r)
-	}
+	s.add(records)
 	s.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -123,6 +126,14 @@
 	return nil
 }
 
+// add appends records. The caller holds mu.
+func (s *memStore) add(records []platform.Record) {
+	for _, r := range records {
+		r.Offset = int64(len(s.records))
+		s.records = append(s.records, r)
+	}
+}
+
 // view is the store as one keeper reaches it.
 type view struct {
 	*memStore
@@ -223,10 +234,10 @@
 }
 
 // begin begins a stream and returns when that was allowed.
-func (s *scene) begin(step []string, repeated bool) string {
+func (s *scene) begin(step []string, repeats int) string {
 	done := make(chan bool, 1)
 	k := s.keepers[step[1]]
-	if k.Begin(s.streamKey(step[2]), origin.Origin{Pool: "pool", Version: step[3]}, repeated, func(ok bool) { done <- ok }) {
+	if k.Begin(s.streamKey(step[2]), origin.Origin{Pool: "pool", Version: step[3]}, repeats, func(ok bool) { done <- ok }) {
 		return "now"
 	}
 	if <-done {
@@ -266,9 +277,9 @@
 		s.Assert(err, qt.IsNil)
 		time.Sleep(d)
 	case "begin":
-		s.Check(s.begin(step, false), qt.Equals, step[4], comment)
+		s.Check(s.begin(step, 0), qt.Equals, step[4], comment)
 	case "again":
-		s.Check(s.begin(step, true), qt.Equals, step[4], comment)
+		s.Check(s.begin(step, 1), qt.Equals, step[4], comment)
 	case "passed":
 		s.keepers[step[1]].Begun(s.streamKey(step[2]), origin.Origin{Pool: "pool", Version: step[3]})
 	case "learn":
@@ -297,9 +308,15 @@
 	switch step[0] {
 	case "store":
 		s.store.down, s.store.lost, s.store.latency = step[1] == "down", step[1] == "lost", time.Millisecond
+		s.store.delayed = step[1] == "delayed"
 		if d, err := time.ParseDuration(step[1]); err == nil {
 			s.store.latency = d
 		}
+	case "late":
+		for _, records := range s.store.late {
+			s.store.add(records)
+		}
+		s.store.late = nil
 	case "writes":
 		most, err := strconv.Atoi(step[1])
 		s.Assert(err, qt.IsNil)
--- a/internal/leader/origin/read.go
+++ b/internal/leader/origin/read.go
@@ -226,16 +226,7 @@
 		if _, seen := k.recordKeys[r.Key]; !seen {
 			k.recordKeys[r.Key] = now
 		}
-		streams, err := decodeStreams(r.Value)
-		if err != nil {
-			k.o.Log.Warn("can't decode the origins of streams", zap.Int64("offset", r.Offset), zap.Error(err))
-			continue
-		}
-		for key, o := range streams {
-			if !k.streams[key].passedOn {
-				k.remember(key, stream{Origin: o, recorded: true, stored: true}, now)
-			}
-		}
+		k.applyStreams(r, now)
 	}
 	k.era = era
 	if restored {
@@ -254,6 +245,22 @@
 	}
 }
 
+// applyStreams takes a record of streams on. The caller holds mu.
+func (k *Keeper) applyStreams(r platform.Record, now time.Time) {
+	streams, err := decodeStreams(r.Value)
+	writer, number, keyErr := writerOf(r.Key)
+	if err = cmp.Or(err, keyErr); err != nil {
+		k.o.Log.Warn("can't decode the origins of streams", zap.Int64("offset", r.Offset), zap.Error(err))
+		return
+	}
+	for key, rec := range streams {
+		s, p := k.streams[key], recordPlace{rec.repeats, writer, number}
+		if !s.passedOn && !p.isBefore(s.place) {
+			k.remember(key, stream{Origin: rec.Origin, recorded: true, stored: true, place: p}, now)
+		}
+	}
+}
+
 // rewrite has what this entry knows written again, if it leads. The caller holds mu.
 func (k *Keeper) rewrite(now time.Time) {
 	if !k.o.Leads() {
@@ -261,7 +268,7 @@
 	}
 	for key, s := range k.streams {
 		if s.recorded {
-			k.record(&record{key: key, origin: s.Origin, at: now})
+			k.record(&record{key: key, origin: s.Origin, repeats: s.place.repeats, at: now})
 		}
 	}
 }
--- a/internal/leader/origin/record.go
+++ b/internal/leader/origin/record.go
@@ -29,41 +29,60 @@
 type streamGroup struct {
 	Pool    string   `json:"pool"`
 	Version string   `json:"version"`
+	Repeats int      `json:"repeats,omitempty"`
 	Keys    []string `json:"keys"` // in hexadecimal
 }
 
+// recorded is what a record says of a stream.
+type recorded struct {
+	Origin
+	repeats int // see lead.Stream
+}
+
 // encodeStreams encodes the value of a record of streams.
-func encodeStreams(streams map[uint64]Origin) ([]byte, error) {
-	keys := map[Origin][]string{}
-	for key, o := range streams {
-		keys[o] = append(keys[o], strconv.FormatUint(key, 16))
+func encodeStreams(streams map[uint64]recorded) ([]byte, error) {
+	keys := map[recorded][]string{}
+	for key, r := range streams {
+		keys[r] = append(keys[r], strconv.FormatUint(key, 16))
 	}
 	var value streamsValue
-	for o, list := range keys {
-		value.Streams = append(value.Streams, streamGroup{Pool: o.Pool, Version: o.Version, Keys: list})
+	for r, list := range keys {
+		value.Streams = append(value.Streams, streamGroup{Pool: r.Pool, Version: r.Version, Repeats: r.repeats, Keys: list})
 	}
 	return json.Marshal(value)
 }
 
 // decodeStreams decodes the value of a record of streams. It fails on malformed JSON and keys.
-func decodeStreams(data []byte) (map[uint64]Origin, error) {
+func decodeStreams(data []byte) (map[uint64]recorded, error) {
 	var value streamsValue
 	if err := json.Unmarshal(data, &value); err != nil {
 		return nil, err
 	}
-	out := map[uint64]Origin{}
+	out := map[uint64]recorded{}
 	for _, group := range value.Streams {
 		for _, text := range group.Keys {
 			key, err := strconv.ParseUint(text, 16, 64)
 			if err != nil {
 				return nil, fmt.Errorf("key of a stream: %w", err)
 			}
-			out[key] = Origin{Pool: group.Pool, Version: group.Version}
+			out[key] = recorded{Origin{group.Pool, group.Version}, group.Repeats}
 		}
 	}
 	return out, nil
 }
 
+// recordKey returns the key of a record of streams; number counts those of its writer.
+func recordKey(writer string, number int) string {
+	return fmt.Sprintf("%s%s/%d", streamsPrefix, writer, number)
+}
+
+// writerOf returns the writer of a record of streams, and its number.
+func writerOf(key string) (writer string, number int, err error) {
+	name, text, _ := strings.Cut(strings.TrimPrefix(key, streamsPrefix), "/")
+	number, err = strconv.Atoi(text)
+	return name, number, err
+}
+
 // poolOf returns the pool of a record of a base version.
 func poolOf(key string) (pool string, ok bool) { return strings.CutPrefix(key, basePrefix) }
 
--- a/internal/leader/origin/write.go
+++ b/internal/leader/origin/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -83,9 +82,9 @@
 	k.mu.Lock()
 	now, failing := k.o.Now(), k.writeFails
 	batch := slices.Clone(k.unwritten[:min(maxPerRecord, len(k.unwritten))])
-	streams := map[uint64]Origin{}
+	streams := map[uint64]recorded{}
 	for _, r := range batch {
-		streams[r.key] = r.origin
+		streams[r.key] = recorded{r.origin, r.repeats}
 		if s := k.streams[r.key]; s.Origin == r.origin {
 			s.recorded = true
 			k.streams[r.key] = s
@@ -102,15 +101,15 @@
 	}
 	k.mu.Unlock()
 	var records []platform.Record
-	key := ""
+	number := 0
 	if len(streams) > 0 {
 		value, err := encodeStreams(streams)
 		if err != nil {
 			return false, err
 		}
 		k.count++
-		key = fmt.Sprintf("%s%s/%d", streamsPrefix, k.name, k.count)
-		records = append(records, platform.Record{Key: key, Value: value})
+		number = k.count
+		records = append(records, platform.Record{Key: recordKey(k.name, number), Value: value})
 	}
 	for _, key := range deleted {
 		records = append(records, platform.Record{Key: key})
@@ -119,18 +118,18 @@
 		return false, nil
 	}
 	if len(records) == 0 { // streams stay at the base version until a call succeeds
-		records = append(records, platform.Record{Key: fmt.Sprintf("%s%s/0", streamsPrefix, k.name)})
+		records = append(records, platform.Record{Key: recordKey(k.name, 0)})
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err = k.o.Store.Append(ctx, topic, records...)
 	k.o.Stats.StoreCall(string(topic), err == nil)
-	k.written(batch, key, deleted, k.o.Now().Sub(now), err)
+	k.written(batch, number, deleted, k.o.Now().Sub(now), err)
 	return true, err
 }
 
-// written notes the result of a call that wrote a batch and deleted records.
-func (k *Keeper) written(batch []*record, key string, deleted []string, took time.Duration, err error) {
+// written notes the result of a call that wrote a batch, as a record of this number, and deleted records.
+func (k *Keeper) written(batch []*record, number int, deleted []string, took time.Duration, err error) {
 	k.mu.Lock()
 	now := k.o.Now()
 	if len(batch) > 0 {
@@ -145,8 +144,8 @@
 		k.mu.Unlock()
 		return
 	}
-	if key != "" {
-		k.recordKeys[key] = now
+	if number > 0 {
+		k.recordKeys[recordKey(k.name, number)] = now
 	}
 	for _, key := range deleted {
 		delete(k.recordKeys, key)
@@ -156,7 +155,7 @@
 	for _, r := range batch {
 		isWritten[r] = true
 		if s, known := k.streams[r.key]; known && s.Origin == r.origin {
-			s.stored = true
+			s.stored, s.place = true, recordPlace{r.repeats, k.name, number}
 			k.streams[r.key] = s
 		}
 	}
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -326,7 +326,7 @@
 	arrived := now.Add(-time.Duration(s.AgeUs) * time.Microsecond)
 	o := lead.Order{
 		Fingerprint: s.Fingerprint,
-		Stream: lead.Stream{Key: s.Stream, TakenUp: s.TakenUp, Repeated: s.Repeated, Found: origin.Found{
+		Stream: lead.Stream{Key: s.Stream, TakenUp: s.TakenUp, Repeats: int(s.Repeats), Found: origin.Found{
 			Origin: origin.Origin{Pool: s.GetOrigin().GetPool(), Version: s.GetOrigin().GetVersion()},
 			Source: origin.Source(s.OriginSource),
 		}},
