Have entries fetch the list again whose list the leader does not keep

An entry that had fetched a list while it changed more than 16 times got no changes, and fetched none while it had one; cut from the store, it went on with an old list, also of versions. The leader now answers with changes to no list, after which entries fetch it again. TestEntriesWhoseListIsNotKeptFetchItAgain failed before.

--- a/internal/leader/serve/history.go
+++ b/internal/leader/serve/history.go
@@ -10,6 +10,9 @@
 // maxKeptTables is the number of newest lists that are kept, as entries may have one of them.
 const maxKeptTables = 16
 
+// unknownTable is the version of a list that no entry has.
+const unknownTable = -1
+
 // tableHistory keeps the newest lists of upstreams and computes the changes between two of them, once for all entries
 // that have the same list. Tables of the same version hold the same upstreams.
 type tableHistory struct {
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -198,8 +198,10 @@
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Permit{
 			Permit: &cellpb.Permit{Number: q.Number, WaitUs: wait.Microseconds()}}})
 	case *cellpb.ToLead_Holds:
-		// The list may not be kept any more. No changes are sent then, and the entry reads the list from the store itself.
-		ses.sentTable = ses.history.get(body.Holds.HostsVersion)
+		if ses.sentTable = ses.history.get(body.Holds.HostsVersion); ses.sentTable == nil {
+			// The list is not kept any more. After changes to one that it does not have, the entry fetches the list again.
+			ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: &cellpb.Hosts{Base: unknownTable}}})
+		}
 	case *cellpb.ToLead_Ping:
 		ses.pong(body.Ping.Sequence)
 	}
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -106,6 +106,24 @@
 	c.Check(total < pings*perPing, qt.IsTrue, qt.Commentf("%d bytes in %d answers", total, pings))
 }
 
+func TestEntriesWhoseListIsNotKeptFetchItAgain(t *testing.T) {
+	c := qt.New(t)
+	var version int64 = 1
+	ses := newSession(nil, func() Rules { return Rules{} }, func() *hosts.Table { return table(version, int(version), 10) })
+	list, err := ses.List(t.Context(), &cellpb.ListQuery{})
+	c.Assert(err, qt.IsNil)
+	for range maxKeptTables + 1 {
+		version++
+		_, err := ses.List(t.Context(), &cellpb.ListQuery{})
+		c.Assert(err, qt.IsNil)
+	}
+	ses.handle(&cellpb.ToLead{Body: &cellpb.ToLead_Holds{Holds: &cellpb.Holds{HostsVersion: list.Version}}})
+	c.Assert(ses.outbox, qt.HasLen, 1)
+	m := (<-ses.outbox).GetHosts()
+	c.Assert(m, qt.IsNotNil)
+	c.Check(m.Base != 0 && m.Base != list.Version, qt.IsTrue, qt.Commentf("changes to a list that the entry does not have"))
+}
+
 func TestConfigurationsAreSentOnRequest(t *testing.T) {
 	c := qt.New(t)
 	body := bytes.Repeat([]byte(`{"name":"r","host":"h.example"},`), 1500)
