Ignore a hangup that comes before the process can handle it

A SIGHUP within some 13 ms of the start ended the process: Go's default action holds until the program asks for the signal, after 250 packages are initialized. A package that imports only os/signal asks first, 1.5 ms after the start; the settings are read later anyway. Other commands restore the default action.

--- a/cmd/ragworthatch/constants.go
+++ b/cmd/ragworthatch/constants.go
@@ -4,6 +4,7 @@
 
 const (
 	programName          = "ragworthatch"
+	edgeName             = "edge"               // the command
 	libraryShutdownDelay = 365 * 24 * time.Hour // keeps go-zero from ending the process during a drain
 	callTimeout          = 15 * time.Second     // of all calls of one command together
 	demoPause            = 2 * time.Second      // between two events of the demo
--- a/cmd/ragworthatch/edge.go
+++ b/cmd/ragworthatch/edge.go
@@ -12,7 +12,7 @@
 func edgeCommand(s *streams) *command {
 	var o edgeOptions
 	return &command{
-		name:     "edge",
+		name:     edgeName,
 		group:    groupServe,
 		synopsis: "serve callers on the operators' platform",
 		usage: `edge [--settings FILE]
--- a/cmd/ragworthatch/main.go
+++ b/cmd/ragworthatch/main.go
@@ -38,6 +38,7 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"go.uber.org/zap"
 
+	"github.com/ragworthatch/ragworthatch/internal/ops/hangup"
 	"github.com/ragworthatch/ragworthatch/internal/ops/logger"
 )
 
@@ -70,5 +71,8 @@
 		fmt.Fprintf(stderr, "%s: unknown command %q; %s help lists them\n", programName, name, programName)
 		return exitUsage
 	}
+	if top.Arg(0) != edgeName {
+		hangup.Reset() // only this command reloads its settings
+	}
 	return int(commander.Execute(context.Background()))
 }
