--- a/internal/fake/child/child.go
+++ b/internal/fake/child/child.go
@@ -1,15 +1,21 @@
 package child
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 )
 
-const commandPackage = "github.com/ragworthatch/ragworthatch/cmd/ragworthatch"
+const (
+	commandPackage = "github.com/ragworthatch/ragworthatch/cmd/ragworthatch"
+	traceBytes     = 64 << 10 // of the trace of package initializations, at most
+	tracePoll      = time.Millisecond
+)
 
 // Build compiles the program once for all tests of a package and returns its path.
 var Build = sync.OnceValues(func() (string, error) {
@@ -43,6 +49,7 @@
 // run is one run of the process.
 type run struct {
 	cmd   *exec.Cmd
+	from  int64 // offset of its output in the log
 	ended chan struct{}
 }
 
@@ -59,6 +66,12 @@
 	}
 	r := &run{cmd: exec.Command(program, c.args...), ended: make(chan struct{})}
 	r.cmd.Stdout, r.cmd.Stderr = c.log, c.log
+	r.cmd.Env = append(os.Environ(), "GODEBUG=inittrace=1") // for AwaitStart
+	info, err := c.log.Stat()
+	if err != nil {
+		return err
+	}
+	r.from = info.Size()
 	if err := r.cmd.Start(); err != nil {
 		return err
 	}
@@ -79,6 +92,19 @@
 	return c.latest
 }
 
+// AwaitStart waits until the process handles SIGHUP, for d at most. Before that, while Go's runtime starts, no program can
+// keep one from ending it.
+func (c *Child) AwaitStart(d time.Duration) {
+	r := c.latestRun()
+	trace := make([]byte, traceBytes)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tracePoll) {
+		n, _ := c.log.ReadAt(trace, r.from)
+		if bytes.Contains(trace[:n], []byte("/internal/ops/hangup @")) {
+			return
+		}
+	}
+}
+
 // Signal sends a signal; it does nothing if the process has ended.
 func (c *Child) Signal(s syscall.Signal) { _ = c.latestRun().cmd.Process.Signal(s) }
 
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -188,6 +188,7 @@
 				if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 					s.problem("settings: %v", err)
 				}
+				e.AwaitStart(startLimit)
 				e.Signal(syscall.SIGHUP)
 				time.Sleep(duration / 2)
 			}
