Tell an outage of the store that only the leader had from one of all

The other entries had read the store all the while and knew.

Pings now say when an entry has read the list from the store.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -162,8 +162,8 @@
 		Self: s.Name, Local: n.lead, Members: n.registry.Members, MemberCount: n.registry.Size, MembersRead: n.registry.HasRead,
 		Leaving: n.leaving.Load, Crash: n.crash, Limits: n.limits, Origins: n.origins,
 		Confirm: n.watch.Confirm, AdoptRules: n.watch.Adopt, LacksRules: n.watch.ShouldPull, Notices: n.notices.Notices,
-		ConfirmMembers: n.registry.Confirm,
-		RulesVersion:   func() int64 { return n.watch.Rules().Version() }, ObserveEra: store.ObserveEra, Now: time.Now, Log: log.Named("link"),
+		ConfirmMembers: n.registry.Confirm, ListReadAt: n.watch.ListReadAt,
+		RulesVersion: func() int64 { return n.watch.Rules().Version() }, ObserveEra: store.ObserveEra, Now: time.Now, Log: log.Named("link"),
 	})
 	n.ledger = ledger.New(ledger.Options{
 		Store: store, Crash: n.crash, Now: time.Now, Log: log.Named("ledger"),
@@ -272,7 +272,7 @@
 	server := grpc.NewServer(serve.Recover(n.log.Named("serve"))...)
 	service := serve.New(serve.Options{
 		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash, Limits: n.limits,
-		Origins: n.origins, Hosts: n.watch.SharedHosts,
+		Origins: n.origins, Hosts: n.watch.SharedHosts, ObserveRead: n.watch.ObserveRead,
 		Rules: n.sharedRules, Era: n.store.Era, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
 	})
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -66,9 +66,11 @@
 	leaderHostsAt atomic.Pointer[time.Time]    // time of the last list of upstreams from the leader
 	leaderRules   atomic.Pointer[Revision]     // the leader's version of the configuration
 	leaderRulesAt atomic.Pointer[time.Time]    // time of the last update of leaderRules
+	listReadAt    atomic.Pointer[time.Time]    // when this process last read the list of upstreams from the store
 	mu            sync.Mutex                   // serializes changes of rules and hosts
 	lag           versionLag                   // guarded by mu
 	departed      map[hosts.Lifetime]time.Time // when lifetimes left the list; guarded by mu
+	others        otherReads                   // guarded by mu
 }
 
 // Revision is a version of the configuration, the offset of its record, and when a process last read it.
@@ -102,6 +104,7 @@
 	w.rulesReadAt.Store(&time.Time{})
 	w.confirmedAt.Store(&time.Time{})
 	w.leaderHostsAt.Store(&time.Time{})
+	w.listReadAt.Store(&time.Time{})
 	w.raw.Store(&rawRules{offset: -1})
 	w.leaderRules.Store(&Revision{Offset: -1})
 	w.leaderRulesAt.Store(&time.Time{})
@@ -123,6 +126,25 @@
 	return w.Hosts()
 }
 
+// ListReadAt returns when this process last read the list of upstreams from the store; zero if it has not.
+func (w *Watcher) ListReadAt() time.Time { return *w.listReadAt.Load() }
+
+// ObserveRead records that another entry has read the list of upstreams from the store. After an outage that only this
+// process had, entries that are missing have not expired because of it.
+func (w *Watcher) ObserveRead(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.others.add(at)
+}
+
+// othersRead reports whether other entries have read the list of upstreams for long enough that those which expired in an
+// outage of the store are back.
+func (w *Watcher) othersRead(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.others.cover(now.Add(-lapseGrace), now)
+}
+
 // RulesReadAt returns when the configuration was last read from the store; zero if the last read failed.
 func (w *Watcher) RulesReadAt() time.Time { return *w.rulesReadAt.Load() }
 
@@ -181,6 +203,7 @@
 	w.leaderRulesAt.Store(&now)
 	if table != nil {
 		w.leaderHostsAt.Store(&now)
+		w.ObserveRead(table.Read())
 		w.updateHosts(table)
 	}
 }
@@ -251,12 +274,20 @@
 	w.follow(ctx, &topicReader{
 		topic: hostsTopic,
 		apply: func(records []platform.Record, snapshot bool, _ int64) {
+			now := w.o.Now()
+			w.listReadAt.Store(&now)
 			list.apply(records, snapshot)
 			w.unsettled.Store(!list.settled())
 			w.updateHosts(list.table())
 		},
-		recovered: list.storeRecovered,
-		restored:  list.storeRestored,
+		recovered: func() {
+			if now := w.o.Now(); w.othersRead(now) {
+				w.o.Log.Info("other entries have read the list of upstreams meanwhile")
+				return
+			}
+			list.storeRecovered()
+		},
+		restored: list.storeRestored,
 		// Until the first configuration is read, one reader is enough to detect that the store is back.
 		blocked: func() bool { return w.Rules().Version() == 0 },
 		fresh: func() bool {
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -273,6 +273,35 @@
 	})
 }
 
+// Only the outage of the store itself lets entries expire, and others that read it all the while show that it had none.
+func TestUpstreamsThatLeftInAnOutageOfOneEntryAreDroppedAtOnce(t *testing.T) {
+	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
+		s.setState(true, 0)
+		for range 12 {
+			time.Sleep(500 * time.Millisecond)
+			w.ObserveRead(time.Now())
+		}
+		s.put(platform.TopicUpstreams, "u2", "")
+		s.setState(false, 0)
+		time.Sleep(time.Second)
+		c.Check(w.Hosts().TakesWork("u1"), qt.IsTrue)
+		c.Check(w.Hosts().TakesWork("u2"), qt.IsFalse)
+		c.Check(w.SharedHosts().Read().IsZero(), qt.IsFalse)
+	})
+}
+
+func TestExpiredEntriesAreKeptIfOtherEntriesHadAnOutageToo(t *testing.T) {
+	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
+		s.setState(true, 0)
+		time.Sleep(6 * time.Second)
+		w.ObserveRead(time.Now())
+		s.put(platform.TopicUpstreams, "u2", "")
+		s.setState(false, 0)
+		time.Sleep(time.Second)
+		c.Check(w.Hosts().TakesWork("u2"), qt.IsTrue, qt.Commentf("others read the store for less than the grace"))
+	})
+}
+
 func TestUpstreamsRemovedAfterAnOutageAreDroppedAtOnce(t *testing.T) {
 	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
 		s.setState(true, 0)
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -70,6 +70,7 @@
 	Origins     *origin.Keeper // of the streams that this entry passes on
 	// Confirm applies what the leader has read from the store: the version of the configuration, and the upstreams.
 	Confirm        func(rules watch.Revision, table *hosts.Table)
+	ListReadAt     func() time.Time    // when this entry last read the upstreams from the store; zero if it has not
 	ConfirmMembers func(registry.View) // applies what the leader has read of the members
 	// AdoptRules applies the leader's configuration, as the operator wrote it.
 	AdoptRules   func(version int64, rules []byte)
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -103,7 +103,8 @@
 	born   int64                           // of the process
 	crash  *crash.Tracker
 	limits *pace.Limiter[hosts.Lifetime]
-	hellos atomic.Int64 // lines that its server logged, which is one for each connection
+	readAt atomic.Pointer[time.Time] // of the list of upstreams by an entry
+	hellos atomic.Int64              // lines that its server logged, which is one for each connection
 }
 
 // newTracker returns a tracker of a process that leads.
@@ -112,6 +113,9 @@
 		HearsOthers: func() bool { return true }})
 }
 
+// listReadAt is when the entry self has last read the list of upstreams.
+var listReadAt = time.Now().Add(-time.Second)
+
 // newPeer serves a dispatcher.
 func newPeer(c *qt.C, host string, dispatcher lead.Decider) *peer {
 	listener, err := ports.Listen()
@@ -128,8 +132,8 @@
 		},
 		Crash: p.crash,
 		Rules: func() serve.Rules { return serve.Rules{} }, Era: func() int64 { return 0 },
-		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) },
-		Crew:  func() registry.View { return registry.View{} }, Now: time.Now, Log: log,
+		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) }, ObserveRead: func(at time.Time) { p.readAt.Store(&at) },
+		Crew: func() registry.View { return registry.View{} }, Now: time.Now, Log: log,
 	}))
 	go func() { _ = p.server.Serve(listener) }()
 	c.Cleanup(p.server.Stop)
@@ -182,7 +186,7 @@
 		Leaving: func() bool { return false }, Crash: tracker, Limits: newLimits(), Origins: newOrigins(), AdoptRules: func(int64, []byte) {},
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
-		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {},
+		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {}, ListReadAt: func() time.Time { return listReadAt },
 		Confirm: func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
 }
@@ -260,6 +264,14 @@
 	eventually(c, func() bool { return remote.openCount() == 0 })
 }
 
+func TestLeadersHearWhenEntriesReadTheStore(t *testing.T) {
+	c := qt.New(t)
+	p := newPeer(c, "leader", newFake("remote", false))
+	startLink(c, newFake("local", false), p.Member)
+	eventually(c, func() bool { return p.readAt.Load() != nil })
+	c.Check(p.readAt.Load().Sub(listReadAt).Abs() < 500*time.Millisecond, qt.IsTrue)
+}
+
 func TestUndecidedOrdersOutliveTheLeader(t *testing.T) {
 	c := qt.New(t)
 	p := newPeer(c, "leader", newFake("remote", true))
@@ -460,16 +472,8 @@
 	remote := newFake("remote", true)
 	p := newPeer(c, "leader", remote)
 	ctx, cancel := context.WithCancel(context.Background())
-	l := link.New(link.Options{
-		Self: "self", Local: newFake("local", false),
-		Members:     func() []registry.Member { return []registry.Member{p.Member} },
-		MembersRead: func() bool { return false }, MemberCount: func() int { return 2 },
-		Leaving: func() bool { return false }, Crash: newTracker(), Limits: newLimits(), Origins: newOrigins(), AdoptRules: func(int64, []byte) {},
-		LacksRules: func(watch.Revision) bool { return false },
-		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
-		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {},
-		Confirm: func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
-	})
+	l := newLink(newFake("local", false), func() []registry.Member { return []registry.Member{p.Member} },
+		func() bool { return false })
 	go l.Run(ctx)
 	eventually(c, func() bool { return !l.Leads() })
 	submit(l, "1")
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -427,7 +427,11 @@
 
 func (s *session) ping() {
 	s.pingedAt.Store(int64(s.now().Sub(s.startedAt)))
-	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: &cellpb.Ping{Sequence: s.sequence.Add(1)}}})
+	ping := &cellpb.Ping{Sequence: s.sequence.Add(1)}
+	if at := s.opts.ListReadAt(); !at.IsZero() {
+		ping.ListAgeUs = s.now().Sub(at).Microseconds()
+	}
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: ping}})
 }
 
 // submit sends an order. Its times are sent as durations: its age, and target and deadline from its arrival.
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -32,22 +32,23 @@
 // Server serves the connections of other entries, which follow this one.
 type Server struct {
 	cellpb.UnimplementedCellServer
-	dispatcher lead.Decider
-	leaving    func() bool
-	leader     func() (registry.Member, bool)
-	born       int64
-	crash      *crash.Tracker
-	limits     *pace.Limiter[hosts.Lifetime]
-	origins    *origin.Keeper
-	rules      func() Rules
-	era        func() int64
-	hosts      func() *hosts.Table
-	members    func() registry.View
-	now        func() time.Time
-	log        *zap.Logger
-	history    tableHistory
-	transfers  chan struct{} // holds one value for each large answer that is being sent
-	entries    atomic.Int64  // connected
+	dispatcher  lead.Decider
+	leaving     func() bool
+	leader      func() (registry.Member, bool)
+	born        int64
+	crash       *crash.Tracker
+	limits      *pace.Limiter[hosts.Lifetime]
+	origins     *origin.Keeper
+	rules       func() Rules
+	era         func() int64
+	hosts       func() *hosts.Table
+	observeRead func(time.Time)
+	members     func() registry.View
+	now         func() time.Time
+	log         *zap.Logger
+	history     tableHistory
+	transfers   chan struct{} // holds one value for each large answer that is being sent
+	entries     atomic.Int64  // connected
 
 	compressedRules compressed
 	compressedHosts compressed
@@ -74,9 +75,11 @@
 	Rules      func() Rules
 	Era        func() int64 // highest era of the store that is known
 	Hosts      func() *hosts.Table
-	Crew       func() registry.View // the members, as other entries may rely on them
-	Now        func() time.Time
-	Log        *zap.Logger
+	// ObserveRead takes the times at which entries have read the upstreams from the store.
+	ObserveRead func(time.Time)
+	Crew        func() registry.View // the members, as other entries may rely on them
+	Now         func() time.Time
+	Log         *zap.Logger
 }
 
 // New returns a server that passes the orders of other entries to o.Dispatcher.
@@ -84,7 +87,7 @@
 	return &Server{
 		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits,
 		origins: o.Origins, rules: o.Rules, era: o.Era,
-		hosts: o.Hosts, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
+		hosts: o.Hosts, observeRead: o.ObserveRead, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
 
@@ -203,6 +206,9 @@
 			ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: &cellpb.Hosts{Base: unknownTable}}})
 		}
 	case *cellpb.ToLead_Ping:
+		if age := body.Ping.ListAgeUs; age > 0 {
+			ses.observeRead(ses.now().Add(-time.Duration(age) * time.Microsecond))
+		}
 		ses.pong(body.Ping.Sequence)
 	}
 }
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -56,7 +56,7 @@
 		Dispatcher: dispatcher, Leaving: func() bool { return false },
 		Leader: func() (registry.Member, bool) { return registry.Member{}, false },
 		Crash:  newTracker(), Limits: newLimits(),
-		Rules: rules, Hosts: list, Era: func() int64 { return 0 },
+		Rules: rules, Hosts: list, Era: func() int64 { return 0 }, ObserveRead: func(time.Time) {},
 		Crew: func() registry.View { return registry.View{Candidates: []registry.Member{{Host: "a"}}, Size: 300} },
 		Now:  time.Now, Log: zap.NewNop(),
 	})
