Let no stream go on at another version under a leader that names none

While ragworthatch itself is upgraded, a leader of the release before places a stream that is taken up at any version. The entry has looked its version up and refuses such a pick, and the leader picks again. Two cases of the table fail without that.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -195,10 +195,9 @@
 	if !known {
 		u = hosts.Upstream{ID: d.Upstream, Version: d.Version}
 	}
-	version := cmp.Or(d.Version, u.Version)
-	if u.Version != version || (x.begunAt != "" && x.begunAt != version) {
+	if !x.fitsVersion(d, u) {
 		return lead.ProblemRefused, nil, fault.New(fault.NotRun, fault.Draining, "upstream %s runs %q, the leader picked %q, "+
-			"and the stream began at %q", u.ID, u.Version, d.Version, x.begunAt)
+			"and the stream began at %q", u.ID, u.Version, d.Version, cmp.Or(x.begunAt, x.resumable.Found.Version))
 	}
 	answer, failure := x.send(u, d.Inputs, events.LastID())
 	if failure != nil {
@@ -238,6 +237,18 @@
 	return "", nil, x.deliver(got)
 }
 
+// fitsVersion reports whether the request may run at the upstream that the leader has picked. A leader of an earlier
+// release names no version; what this entry has found of a stream that is taken up counts then.
+func (x *exchange) fitsVersion(d lead.Decision, u hosts.Upstream) bool {
+	switch {
+	case d.Version != "" && d.Version != u.Version:
+		return false
+	case d.Version == "" && x.resumable.TakenUp && u.Version != x.resumable.Found.Version:
+		return false
+	}
+	return x.begunAt == "" || x.begunAt == u.Version
+}
+
 // relayEvents relays the events of an answer as they arrive.
 func (x *exchange) relayEvents(
 	u hosts.Upstream, answer *uphttp.Answer, events *relay.EventSplitter) (lead.Problem, *fault.Error) {
