--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -251,11 +251,11 @@
 		return true
 	case k.writeFails && !elsewhere && (isBase || k.mayBeginAnywhere(o.Pool)):
 		k.remember(key, stream{Origin: o}, now)
-		k.record(&record{key: key, origin: o, repeats: repeats, at: now})
+		k.enqueue(&record{key: key, origin: o, repeats: repeats, at: now})
 		return true
 	}
 	k.remember(key, stream{Origin: o, recorded: true}, now)
-	k.record(&record{key: key, origin: o, repeats: repeats, at: now, done: done})
+	k.enqueue(&record{key: key, origin: o, repeats: repeats, at: now, done: done})
 	return false
 }
 
@@ -268,8 +268,8 @@
 	return k.o.FirstStart || k.policy.Listed(pool) <= 1
 }
 
-// record has a record written. The caller holds mu.
-func (k *Keeper) record(r *record) {
+// enqueue has a record written. The caller holds mu.
+func (k *Keeper) enqueue(r *record) {
 	k.unwritten = append(k.unwritten, r)
 	wake(k.wakeWriter)
 }
--- a/internal/leader/origin/read.go
+++ b/internal/leader/origin/read.go
@@ -268,7 +268,7 @@
 	}
 	for key, s := range k.streams {
 		if s.recorded {
-			k.record(&record{key: key, origin: s.Origin, repeats: s.place.repeats, at: now})
+			k.enqueue(&record{key: key, origin: s.Origin, repeats: s.place.repeats, at: now})
 		}
 	}
 }
--- a/internal/leader/origin/record.go
+++ b/internal/leader/origin/record.go
@@ -33,15 +33,15 @@
 	Keys    []string `json:"keys"` // in hexadecimal
 }
 
-// recorded is what a record says of a stream.
-type recorded struct {
+// recordedStream is what a record says of a stream.
+type recordedStream struct {
 	Origin
 	repeats int // see lead.Stream
 }
 
 // encodeStreams encodes the value of a record of streams.
-func encodeStreams(streams map[uint64]recorded) ([]byte, error) {
-	keys := map[recorded][]string{}
+func encodeStreams(streams map[uint64]recordedStream) ([]byte, error) {
+	keys := map[recordedStream][]string{}
 	for key, r := range streams {
 		keys[r] = append(keys[r], strconv.FormatUint(key, 16))
 	}
@@ -53,19 +53,19 @@
 }
 
 // decodeStreams decodes the value of a record of streams. It fails on malformed JSON and keys.
-func decodeStreams(data []byte) (map[uint64]recorded, error) {
+func decodeStreams(data []byte) (map[uint64]recordedStream, error) {
 	var value streamsValue
 	if err := json.Unmarshal(data, &value); err != nil {
 		return nil, err
 	}
-	out := map[uint64]recorded{}
+	out := map[uint64]recordedStream{}
 	for _, group := range value.Streams {
 		for _, text := range group.Keys {
 			key, err := strconv.ParseUint(text, 16, 64)
 			if err != nil {
 				return nil, fmt.Errorf("key of a stream: %w", err)
 			}
-			out[key] = recorded{Origin{group.Pool, group.Version}, group.Repeats}
+			out[key] = recordedStream{Origin{group.Pool, group.Version}, group.Repeats}
 		}
 	}
 	return out, nil
--- a/internal/leader/origin/write.go
+++ b/internal/leader/origin/write.go
@@ -82,9 +82,9 @@
 	k.mu.Lock()
 	now, failing := k.o.Now(), k.writeFails
 	batch := slices.Clone(k.unwritten[:min(maxPerRecord, len(k.unwritten))])
-	streams := map[uint64]recorded{}
+	streams := map[uint64]recordedStream{}
 	for _, r := range batch {
-		streams[r.key] = recorded{r.origin, r.repeats}
+		streams[r.key] = recordedStream{r.origin, r.repeats}
 		if s := k.streams[r.key]; s.Origin == r.origin {
 			s.recorded = true
 			k.streams[r.key] = s
