review: the next leader sends work to a runner that drains, by a list of a minute ago

Entries that follow a leader don't read the log of the list; when it goes they read on from where they were, and take the first 1,024 kB of records for the list of now.

Tried: 99 runners that write each 1.2 s, three entries; 70 s after the start a runner drains, 5 s later the leader gets SIGTERM.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,6 +26,7 @@
 type play func(d *deployment, trouble bool) (breaks int, err error)
 
 var plays = map[string]play{
+	"list":   playList,
 	"resume": playResume,
 }
 
