review: a request that crashes runners is let through again every 30 s

A block of a fingerprint lasts 30 s after the last crash, however many there were.

Tried: the same unsafe request every 0.25 s at each of three entries for 98 s, three runners that crash when they begin to run it and are back after 4 s.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,8 +26,9 @@
 type play func(d *deployment, trouble bool) (breaks int, err error)
 
 var plays = map[string]play{
-	"list":   playList,
-	"resume": playResume,
+	"list":       playList,
+	"quarantine": playQuarantine,
+	"resume":     playResume,
 }
 
 func main() {
