--- a/review/standins/entry.go
+++ b/review/standins/entry.go
@@ -121,6 +121,13 @@
 	return nil
 }
 
+// pid returns the ID of the process.
+func (e *entry) pid() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cmd.Process.Pid
+}
+
 // signal sends a signal to the process.
 func (e *entry) signal(s syscall.Signal) {
 	e.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -27,6 +27,7 @@
 
 var plays = map[string]play{
 	"list":       playList,
+	"memory":     playMemory,
 	"quarantine": playQuarantine,
 	"resume":     playResume,
 }
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -201,7 +201,8 @@
 	id     string
 	entry  string
 	at     time.Time
-	status int // 0 if the connection ended without a whole answer
+	status int  // 0 if the connection ended without a whole answer
+	begun  bool // the head of an answer came
 	body   string
 }
 
@@ -221,6 +222,7 @@
 		c.rec.printf("%s gets no answer: %v", id, err)
 		return s
 	}
+	s.begun = true
 	body, err := io.ReadAll(answer.Body)
 	_ = answer.Body.Close()
 	if err != nil {
