review: in the case quarantine each lifetime of a runner crashes once

Two requests that came to one lifetime were counted as two crashes, so the bound began early, and the second began another start. A request that came at that moment could get 200 without a proof from the stand-in; it gets no answer now.

--- a/review/standins/case_quarantine.go
+++ b/review/standins/case_quarantine.go
@@ -41,16 +41,19 @@
 			if id := q.Header.Get("Request-Id"); arrivals[id].IsZero() {
 				arrivals[id] = now
 			}
-			if trouble {
-				crashes = append(crashes, now)
-			}
 			mu.Unlock()
 			d.rec.printf("%s begins to run the request that crashes runners", r.name())
 			if !trouble {
 				plain(w, q)
 				return
 			}
-			r.end()
+			defer panic(http.ErrAbortHandler) // no answer, also if another request ends the lifetime at this moment
+			if !r.end() {
+				return
+			}
+			mu.Lock()
+			crashes = append(crashes, now)
+			mu.Unlock()
 			go func() { // it is back after some seconds, with a new ID
 				time.Sleep(4 * time.Second)
 				if err := r.startAnew(); err != nil {
