review: entries end with their case, and their settings are those of the site

A case that was interrupted while an entry was to start again could leave that entry behind; a kill of the case left all. They end with it now: tried with SIGTERM (exit 2) and SIGKILL five seconds into case 1, no process was left. Zones and region are those of the site that the claim names; bootstrap is true for the first start only.

--- a/review/standins/case_list.go
+++ b/review/standins/case_list.go
@@ -16,7 +16,7 @@
 // DRAIN: no request reaches the runner later than drain_ms after the store has acknowledged that it drains. Counted are
 // those that the two entries which are not stopped have taken from clients.
 func playList(d *deployment, trouble bool) (int, error) {
-	zones := []string{"burgos-a", "bilbao-b", "santander-c"}
+	zones := grown.zones
 	counts := []struct {
 		service string
 		runners int
--- a/review/standins/case_memory.go
+++ b/review/standins/case_memory.go
@@ -70,7 +70,7 @@
 	)
 	var mu sync.Mutex
 	passedOn := map[string]bool{}
-	zones := []string{"uy-sur-a", "uy-sur-b", "uy-sur-c"}
+	zones := frasco.zones
 	for i := range 12 {
 		r, err := d.addRunner("ragworthatch-pool", zones[i%3], 64, true)
 		if err != nil {
@@ -104,7 +104,7 @@
 		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000,
 			"idle_timeout_ms": 15000},
 	})
-	if err := d.startEntries(3, remanentes); err != nil {
+	if err := d.startEntries(3, frasco); err != nil {
 		return 0, err
 	}
 	time.Sleep(2 * time.Second)
--- a/review/standins/case_proof.go
+++ b/review/standins/case_proof.go
@@ -24,7 +24,7 @@
 	var begun time.Time
 	var mu sync.Mutex
 	spoils := 0
-	zones := []string{"burgos-a", "bilbao-b", "santander-c"}
+	zones := remanentes.zones
 	for i := range 3 {
 		r, err := d.addRunner("tesoreria", zones[i], 6, false)
 		if err != nil {
--- a/review/standins/case_quarantine.go
+++ b/review/standins/case_quarantine.go
@@ -23,7 +23,7 @@
 	var mu sync.Mutex
 	var crashes []time.Time
 	arrivals := map[string]time.Time{} // first arrival of each client attempt with the path
-	zones := []string{"burgos-a", "bilbao-b", "santander-c"}
+	zones := remanentes.zones
 	for i := range 3 {
 		r, err := d.addRunner("tesoreria", zones[i], 6, false)
 		if err != nil {
--- a/review/standins/case_resume.go
+++ b/review/standins/case_resume.go
@@ -17,7 +17,7 @@
 // MIXED: each piece and each request is given one result of each piece of the stage before, and nothing else.
 func playResume(d *deployment, trouble bool) (int, error) {
 	all := newResults()
-	zones := []string{"uy-sur-a", "uy-sur-b", "uy-sur-c"}
+	zones := frasco.zones
 	var first []*runner // of the first stage
 	for i := range 5 {
 		r, err := d.addRunner("facturas", zones[i%3], 1, false)
@@ -60,7 +60,7 @@
 		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000,
 			"idle_timeout_ms": 15000},
 	})
-	if err := d.startEntries(3, remanentes); err != nil {
+	if err := d.startEntries(3, frasco); err != nil {
 		return 0, err
 	}
 	time.Sleep(2 * time.Second)
@@ -106,7 +106,7 @@
 		}
 		clients.Wait()
 		if trouble {
-			leader.awaitEnd(time.Duration(remanentes.graceS) * time.Second)
+			leader.awaitEnd(time.Duration(frasco.graceS) * time.Second)
 			if err := leader.start(); err != nil {
 				return 0, err
 			}
--- a/review/standins/entry.go
+++ b/review/standins/entry.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,40 +27,49 @@
 	zone     string
 	root     string // of the repository, in which the program starts
 	settings string // path of the settings file
+	text     string // of the settings at the first start
 	log      *os.File
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	started time.Time
+	closed  bool // the case is over, so the process must not start again
 }
 
 // bounds are the figures of a site's sheet that the scripts use.
 type bounds struct {
 	drainMs, contactMs, configMs, graceS, budgetSlack int
 	cpuShare                                          float64
+	region                                            string
+	zones                                             []string
 }
 
 // The bounds of the sheets of remanentes-norte and frasco-mvd, which are the same, and of remanentes-norte-grown.
 var (
-	remanentes = bounds{drainMs: 2000, contactMs: 3000, configMs: 2000, graceS: 8, budgetSlack: 56, cpuShare: 0.304}
-	grown      = bounds{drainMs: 3000, contactMs: 4000, configMs: 3000, graceS: 8, budgetSlack: 90, cpuShare: 0.304}
+	remanentes = bounds{drainMs: 2000, contactMs: 3000, configMs: 2000, graceS: 8, budgetSlack: 56, cpuShare: 0.304,
+		region: "norte-es", zones: []string{"burgos-a", "bilbao-b", "santander-c"}}
+	frasco = bounds{drainMs: 2000, contactMs: 3000, configMs: 2000, graceS: 8, budgetSlack: 56, cpuShare: 0.304,
+		region: "uy-sur", zones: []string{"uy-sur-a", "uy-sur-b", "uy-sur-c"}}
+	grown = bounds{drainMs: 3000, contactMs: 4000, configMs: 3000, graceS: 8, budgetSlack: 90, cpuShare: 0.304,
+		region: "norte-es", zones: []string{"burgos-a", "bilbao-b", "santander-c"}}
 )
 
 // newEntry writes the settings of an entry. seeds holds the control addresses of the first three.
 func newEntry(root, dir, name, ip, zone, storeAddress, seeds string, b bounds) (*entry, error) {
 	e := &entry{name: name, ip: ip, zone: zone, root: root, settings: filepath.Join(dir, name+".conf")}
-	text := fmt.Sprintf(`node_name=%s
+	var zones strings.Builder
+	for _, z := range b.zones {
+		fmt.Fprintf(&zones, "zones.%s=%s\n", z, b.region)
+	}
+	e.text = fmt.Sprintf(`node_name=%s
 role=edge
 machine_class=front
 serves=front,control
 ip=%s
 zone=%s
-region=norte-es
-zones.burgos-a=norte-es
-zones.bilbao-b=norte-es
-zones.santander-c=norte-es
-listen.front=%s:%d
+region=%s
+%slisten.front=%s:%d
 listen.ready=%s:%d
 listen.control=%s:%d
 internal_ports=7740,7755
@@ -88,11 +99,8 @@
 platform.call_bytes=2097152
 platform.keep_s=300
 platform.part_mb=200
-`, name, ip, zone, ip, frontPort, ip, readyPort, ip, controlPort, seeds, b.cpuShare, b.contactMs, b.drainMs, b.graceS,
+`, name, ip, zone, b.region, zones.String(), ip, frontPort, ip, readyPort, ip, controlPort, seeds, b.cpuShare, b.contactMs, b.drainMs, b.graceS,
 		b.configMs, b.budgetSlack, storeAddress)
-	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
 	var err error
 	e.log, err = os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	return e, err
@@ -101,12 +109,25 @@
 // front is the address for callers.
 func (e *entry) front() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
 
-// start starts the process with the command of the deploy file.
+// start starts the process with the command of the deploy file. It ends with this one, however this one ends.
 func (e *entry) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return errors.New("the case is over")
+	}
+	text := e.text
+	if e.cmd != nil { // only the first start is one of the whole system
+		text = strings.Replace(text, "bootstrap=true", "bootstrap=false", 1)
+	}
+	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
 	cmd := exec.Command("target/ragworthatch", "edge", "--metricsPort", "9464")
 	cmd.Dir = e.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RAGWORTHATCH_NODE_FILE=" + e.settings}
 	cmd.Stdout, cmd.Stderr = e.log, e.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -115,8 +136,6 @@
 		_ = cmd.Wait()
 		close(ended)
 	}()
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.cmd, e.ended, e.started = cmd, ended, time.Now()
 	return nil
 }
@@ -128,6 +147,14 @@
 	return e.cmd.Process.Pid
 }
 
+// close kills the process for good.
+func (e *entry) close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	e.signal(syscall.SIGKILL)
+}
+
 // signal sends a signal to the process.
 func (e *entry) signal(s syscall.Signal) {
 	e.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -61,7 +61,7 @@
 	}
 	defer d.end(keep)
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		select {
 		case <-stop:
--- a/review/standins/platform.go
+++ b/review/standins/platform.go
@@ -68,13 +68,12 @@
 
 // startEntries starts entries one after the other, so that the first one is the oldest, and waits until each is ready.
 func (d *deployment) startEntries(n int, b bounds) error {
-	zones := []string{"burgos-a", "bilbao-b", "santander-c"}
 	var seeds []string
 	for i := range min(n, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", d.block, 1+i, controlPort))
 	}
 	for i := range n {
-		e, err := newEntry(d.root, d.dir, fmt.Sprintf("front-%d", i+1), fmt.Sprintf("%s.%d", d.block, 1+i), zones[i%3],
+		e, err := newEntry(d.root, d.dir, fmt.Sprintf("front-%d", i+1), fmt.Sprintf("%s.%d", d.block, 1+i), b.zones[i%3],
 			d.store.address, strings.Join(seeds, ","), b)
 		if err != nil {
 			return err
@@ -94,7 +93,7 @@
 // end ends all processes and servers of the deployment and removes its files.
 func (d *deployment) end(keep bool) {
 	for _, e := range d.entries {
-		e.signal(9)
+		e.close()
 	}
 	for _, e := range d.entries {
 		e.awaitEnd(5 * time.Second)
