Log what a moved order says of its results

The logs could not tell why a stage is given no inputs after a change of the leader: whether the old leader names no results, they expire, are lost on the way, or are dropped by the next leader. "order handed over" and the new "order resumes" now list the stages that are done, those of them that name no results, and who holds the others; "stage call" counts pieces with an empty input, and "upstream listed" names the start of the upstream.

--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -100,7 +100,7 @@
 	if !known || before.State != u.State || before.Address != u.Address || before.StartedMs != u.StartedMs ||
 		before.Pool != u.Pool || before.Version != u.Version {
 		l.log.Info("upstream listed", zap.String("upstream", u.ID), zap.String("pool", u.Pool),
-			zap.String("address", u.Address), zap.String("software", u.Version),
+			zap.String("address", u.Address), zap.String("software", u.Version), zap.Int64("born", u.StartedMs),
 			zap.String("zone", u.Zone), zap.String("state", string(u.State)), zap.Int64("offset", r.Offset))
 	}
 	l.byID[u.ID] = u
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -344,6 +344,9 @@
 	if o.Job.ReadsLargeResults() {
 		o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
 	}
+	if len(o.Job.Progress) > 0 {
+		c.opts.Log.Info("order resumes", append(progressFields(o.Job.Progress), zap.String("request", o.Job.RequestID))...)
+	}
 	c.orders[o.Job.ID] = &openOrder{order: o, reply: reply, parts: parts, trial: trial}
 	c.scheduler.Submit(o.Job, now)
 }
@@ -701,8 +704,7 @@
 	for _, h := range out.Handovers {
 		if o := c.orders[h.Job]; o != nil {
 			delete(c.orders, h.Job)
-			c.opts.Log.Info("order handed over", zap.String("request", o.order.Job.RequestID),
-				zap.Int("stagesDone", stagesDone(h.Stages)))
+			c.opts.Log.Info("order handed over", append(progressFields(h.Stages), zap.String("request", o.order.Job.RequestID))...)
 			c.sendDecision(h.Job, o, Decision{Moved: true, Progress: h.Stages})
 		}
 	}
@@ -715,7 +717,8 @@
 		c.opts.Log.Info("stage call", zap.Int64("call", b.ID), zap.String("upstream", b.Upstream.ID),
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
 			zap.Int("waitInTime", b.QueuedInTime), zap.Int("waitLate", b.QueuedLate), zap.Int64("room", b.FreeBytes),
-			zap.Duration("listAge", now.Sub(c.hosts.Read())), zap.Strings("requests", requestsOf(b.Items)))
+			zap.Int("emptyInputs", emptyInputs(b.Items)), zap.Duration("listAge", now.Sub(c.hosts.Read())),
+			zap.Strings("requests", requestsOf(b.Items)))
 		go c.runBatch(b)
 	}
 	for _, r := range out.Releases {
@@ -866,10 +869,40 @@
 	return results, nil
 }
 
-func stagesDone(stages []sched.Progress) int {
-	n := 0
-	for _, s := range stages {
+// progressFields describes the progress of an order: which stages are done, which of them name no results, and which
+// upstreams hold those that are named.
+func progressFields(stages []sched.Progress) []zap.Field {
+	var done, bare []int
+	var producers []string
+	results := 0
+	for i, s := range stages {
+		named := 0
+		for _, r := range s.Results {
+			if r.Handle == "" {
+				continue
+			}
+			named++
+			if !slices.Contains(producers, r.Producer) {
+				producers = append(producers, r.Producer)
+			}
+		}
+		results += named
 		if s.Done {
+			done = append(done, i)
+			if named == 0 {
+				bare = append(bare, i)
+			}
+		}
+	}
+	return []zap.Field{zap.Ints("stagesDone", done), zap.Ints("doneWithoutResults", bare), zap.Int("results", results),
+		zap.Strings("producers", producers)}
+}
+
+// emptyInputs counts the pieces of a call that name an input without a handle.
+func emptyInputs(items []call.Item) int {
+	n := 0
+	for _, it := range items {
+		if slices.Contains(it.Inputs, "") {
 			n++
 		}
 	}
