Know results by the lifetime of their upstream

Callers saw: nothing wrong in an answer, but requests refused or late whose work was done twice. Upstreams of a second stage were asked for pieces with the input "" (MIXED), whole calls of them, after an upstream of the first stage had restarted under its ID and the leader had changed; each such call was answered "gone", and its requests started over.

Cause: a result was known by the ID of its producer. A restarted upstream got a worker that holds nothing, so the old leader handed orders over as "stage 0 done, no results", which says the same as a stage whose results nobody needs any more; the next leader took it for that and named an empty handle for each result.

Change: producers are lifetimes, in the scheduler and in what moves between leaders. When a lifetime ends or a result expires, the pieces whose results are still to be read run again at once, and steps that read them wait. A hand-over or checkpoint is checked against the stages of the job: a stage counts as done without results only if all that read it are done. Calls in flight keep their outcome, as their upstream has read the inputs or says that they are gone. Answers and reports of a lifetime that has ended are not credited to the next one, releases are not sent to it. A request that waits for an engine checks that its results are held before one is picked. A piece with an empty handle is not sent, whatever caused it.

--- a/internal/edge/node/testbed_test.go
+++ b/internal/edge/node/testbed_test.go
@@ -80,7 +80,12 @@
 
 // listUpstream writes the entry of an upstream to the store's list, with the given state and 4 slots.
 func (w *testbed) listUpstream(id, pool, state string) {
-	w.store.PutServer(id, pool, cmp.Or(w.upstreams[id].Version, "v1"), w.addresses[id], state, 4)
+	w.listLifetime(id, pool, state, 1)
+}
+
+// listLifetime does the same for an upstream whose process started at born, in Unix ms.
+func (w *testbed) listLifetime(id, pool, state string, born int64) {
+	w.store.PutServer(id, pool, cmp.Or(w.upstreams[id].Version, "v1"), w.addresses[id], state, 4, born)
 }
 
 // configure publishes the configuration of testdata with a new version; changes are pairs of old and new texts.
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -55,15 +55,15 @@
 	Slots    int    `json:"slots"`
 	State    string `json:"state"`
 	Sequence int    `json:"sequence"`
-	Born     int    `json:"born"`
+	Born     int64  `json:"born"`
 	Version  string `json:"version"`
 }
 
 // PutServer puts an upstream in zone-a on the list of servers, as the upstream itself would; version is that of its
-// software.
-func (s *Store) PutServer(id, pool, version, address, state string, slots int) {
+// software, and born the start of its process in Unix ms.
+func (s *Store) PutServer(id, pool, version, address, state string, slots int, born int64) {
 	value, err := json.Marshal(serverEntry{Service: pool, Address: address, Zone: "zone-a", Slots: slots, State: state,
-		Sequence: 1, Born: 1, Version: version})
+		Sequence: 1, Born: born, Version: version})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -377,16 +377,22 @@
 		}
 		if o.released {
 			o.released = false
-			c.placer.Ended(id)
-			if !c.scheduler.Restart(id, now) {
-				c.sendDecision(id, o, Decision{Refused: sched.Failing, RetryAfter: time.Second})
-			}
+			c.restartStages(o, now)
 			return
 		}
 		c.pickEngine(o, now)
 	}
 }
 
+// restartStages runs the stages of an order again, whose results are lost, or refuses it after too many restarts.
+func (c *Coordinator) restartStages(o *openOrder, now time.Time) {
+	id := o.order.Job.ID
+	c.placer.Ended(id)
+	if !c.scheduler.Restart(id, now) {
+		c.sendDecision(id, o, Decision{Refused: sched.Failing, RetryAfter: time.Second})
+	}
+}
+
 // Recall gives an undecided order back as soon as none of its pieces is in a call.
 func (c *Coordinator) Recall(id string) {
 	c.inbox <- func(time.Time) {
@@ -489,7 +495,7 @@
 			if p, ok := c.rules.Pool(u.Pool); ok && p.Engine != nil {
 				c.placer.Pause(u.ID, entry, until)
 			}
-			c.scheduler.Pause(u.ID, until)
+			c.scheduler.Pause(u.Lifetime(), until)
 		}
 	}
 }
@@ -514,6 +520,11 @@
 		c.sendDecision(id, o, Decision{Refused: sched.Quarantined, RetryAfter: wait})
 		return
 	}
+	if !c.scheduler.HoldsOutputs(id) {
+		c.opts.Log.Info("results lost before they were read", zap.String("request", o.order.Job.RequestID))
+		c.restartStages(o, now)
+		return
+	}
 	o.order.Engine.Within = timeLeft(o.order, now)
 	order := o.order.Engine
 	if o.begins() {
@@ -741,7 +752,7 @@
 		return
 	}
 	c.opts.Log.Info("report", zap.String("upstream", u.ID), zap.Int64("freeBytes", free))
-	c.inbox <- func(now time.Time) { c.scheduler.SetFreeMemory(u.ID, free, now) }
+	c.inbox <- func(now time.Time) { c.scheduler.SetFreeMemory(u.Lifetime(), free, now) }
 }
 
 func (c *Coordinator) fetchFreeBytes(u hosts.Upstream) (int64, error) {
@@ -841,6 +852,9 @@
 
 // callBatch calls a stage upstream with a batch and returns a result for each of its pieces.
 func (c *Coordinator) callBatch(b sched.Batch) ([]call.Result, *fault.Error) {
+	if n := emptyInputs(b.Items); n > 0 {
+		return nil, fault.New(fault.NotRun, fault.Internal, "%d pieces name an input without a handle", n)
+	}
 	body, err := c.opts.Codec.EncodeBatch(b.Items)
 	if err != nil {
 		return nil, fault.New(fault.NotRun, fault.Internal, "a batch can't be encoded").WithCause(err)
@@ -882,8 +896,8 @@
 				continue
 			}
 			named++
-			if !slices.Contains(producers, r.Producer) {
-				producers = append(producers, r.Producer)
+			if !slices.Contains(producers, r.Producer.ID) {
+				producers = append(producers, r.Producer.ID)
 			}
 		}
 		results += named
--- a/internal/leader/sched/handover.go
+++ b/internal/leader/sched/handover.go
@@ -1,18 +1,22 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+)
 
 // HeldResult is the result of a piece that an upstream holds. It is empty for a piece without a result.
 type HeldResult struct {
 	Handle    string
-	Producer  string        // ID of the upstream that produced it
-	ExpiresIn time.Duration // until the upstream drops it
+	Producer  hosts.Lifetime // of the upstream that produced it, with which the result ends
+	ExpiresIn time.Duration  // until the upstream drops it
 }
 
 // Progress describes what another scheduler has completed of a stage.
 type Progress struct {
 	Done    bool
-	Results []HeldResult // by piece; nil once all stages that read them are done
+	Results []HeldResult // by piece; nil if none is held, as once all stages that read them are done
 }
 
 // Handover is a job that another scheduler takes over. Its results stay on the upstreams that produced them.
@@ -81,9 +85,7 @@
 func (j *job) piecesInCalls() int {
 	n := 0
 	for _, s := range j.steps {
-		if s.state == stepReady || s.state == stepRunning {
-			n += s.missing - len(s.pending)
-		}
+		n += s.missing - len(s.pending)
 	}
 	return n
 }
@@ -133,60 +135,46 @@
 func (sc *Scheduler) forgetResults(j *job) {
 	for _, s := range j.steps {
 		for _, r := range s.results {
-			if w := sc.workersByID[r.producer]; w != nil {
+			if w := sc.worker(r.producer); w != nil {
 				w.removeResult(r.handle)
 			}
 		}
 	}
 }
 
-// findResult returns the entry of a result at its producer, and false if the producer is gone or the result has
-// expired.
-func (sc *Scheduler) findResult(r result) (held, bool) {
-	w := sc.workersByID[r.producer]
-	if r.handle == "" || w == nil {
-		return held{}, false
-	}
-	h, known := w.held[r.handle]
-	return h, known
-}
-
-// resume takes over the progress that another scheduler made with a job. The job starts over if a producer of its
-// results is not known here.
+// resume takes over the progress that another scheduler made with a job. Results whose producers are not known here are
+// lost.
 func (sc *Scheduler) resume(j *job, now time.Time) {
-	if len(j.Progress) != len(j.steps) || !sc.knowsProducers(j) {
+	if !j.progressFits() {
 		return
 	}
 	for i, p := range j.Progress {
 		s := j.steps[i]
 		for piece, h := range p.Results {
-			if h.Handle == "" {
+			w := sc.worker(h.Producer)
+			if h.Handle == "" || w == nil {
 				continue
 			}
-			w := sc.workersByID[h.Producer]
-			w.addResult(h.Handle, s.spec.ResultBytes, now.Add(h.ExpiresIn))
+			w.addResult(h.Handle, j, s.spec.ResultBytes, now.Add(h.ExpiresIn))
 			s.results[piece] = result{handle: h.Handle, producer: h.Producer, zone: w.up.Zone, bytes: s.spec.ResultBytes}
-			s.markDone(piece)
 		}
 		if p.Done {
 			s.state, s.missing, s.pending = stepDone, 0, nil
 			j.started = true
 		}
 	}
+	sc.reopenLost(j)
 }
 
-// knowsProducers reports whether no stage has more results than pieces, and all upstreams that hold the results are
-// known here.
-func (sc *Scheduler) knowsProducers(j *job) bool {
+// progressFits reports whether the job's progress is that of its stages.
+func (j *job) progressFits() bool {
+	if len(j.Progress) != len(j.steps) {
+		return false
+	}
 	for i, p := range j.Progress {
 		if len(p.Results) > j.steps[i].spec.Pieces {
 			return false
 		}
-		for _, h := range p.Results {
-			if h.Handle != "" && sc.workersByID[h.Producer] == nil {
-				return false
-			}
-		}
 	}
 	return true
 }
--- a/internal/leader/sched/hedge.go
+++ b/internal/leader/sched/hedge.go
@@ -24,6 +24,9 @@
 		r.worker.recordSlowness(float64(elapsed) / float64(r.expected))
 		sc.pools[r.worker.up.Pool].countsValid = false
 		for _, p := range r.parts {
+			if p.detached {
+				continue
+			}
 			for _, piece := range p.pieces {
 				sc.requeue(p.step, piece)
 			}
--- a/internal/leader/sched/job.go
+++ b/internal/leader/sched/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 )
 
 // Stage is one stage of a job.
@@ -33,7 +34,7 @@
 // result is the result of one piece, held by the upstream that produced it.
 type result struct {
 	handle   string
-	producer string
+	producer hosts.Lifetime
 	zone     string
 	bytes    int64
 }
--- a/internal/leader/sched/memory.go
+++ b/internal/leader/sched/memory.go
@@ -33,15 +33,15 @@
 		if r.handle == "" {
 			continue
 		}
-		if w := sc.workersByID[r.producer]; w != nil {
+		if w := sc.worker(r.producer); w != nil {
 			sc.releaseResult(w, r.handle)
 		}
 		s.results[i] = result{}
 	}
 }
 
-func (w *worker) addResult(handle string, bytes int64, expires time.Time) {
-	w.held[handle] = held{bytes: bytes, expires: expires}
+func (w *worker) addResult(handle string, j *job, bytes int64, expires time.Time) {
+	w.held[handle] = held{job: j, bytes: bytes, expires: expires}
 	w.usedBytes += bytes
 }
 
@@ -80,9 +80,10 @@
 	sc.output.Probes = append(sc.output.Probes, due...)
 }
 
-// SetFreeMemory records the free memory for results, in bytes, that an upstream reports.
-func (sc *Scheduler) SetFreeMemory(id string, free int64, now time.Time) {
-	w := sc.workersByID[id]
+// SetFreeMemory records the free memory for results, in bytes, that an upstream reports. Reports of lifetimes that have
+// ended are ignored.
+func (sc *Scheduler) SetFreeMemory(l hosts.Lifetime, free int64, now time.Time) {
+	w := sc.worker(l)
 	if w == nil {
 		return
 	}
@@ -101,7 +102,7 @@
 }
 
 // expireResults stops tracking results that their upstreams have dropped after their lifetime.
-func (p *pool) expireResults(now time.Time) {
+func (sc *Scheduler) expireResults(p *pool, now time.Time) {
 	if now.Sub(p.lastExpired) < expiryInterval {
 		return
 	}
@@ -110,6 +111,7 @@
 		for handle, h := range w.held {
 			if now.After(h.expires) {
 				w.removeResult(handle)
+				sc.affected[h.job] = true
 			}
 		}
 	}
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -129,14 +129,16 @@
 
 // held is a result that occupies memory of the upstream that produced it.
 type held struct {
+	job     *job // that the result belongs to
 	bytes   int64
 	expires time.Time
 }
 
 // part lists the pieces of one step in a call.
 type part struct {
-	step   *step
-	pieces []int
+	step     *step
+	pieces   []int
+	detached bool // the job has started over since, so the outcome doesn't count
 }
 
 // activeCall is a call in flight.
@@ -182,8 +184,9 @@
 	calls       map[int64]*activeCall
 	nextID      int64
 	output      Output
-	toRelease   map[string][]string // handles by upstream
-	workersByID map[string]*worker
+	toRelease   map[string][]string  // handles by upstream
+	workersByID map[string]*worker   // their present lifetimes
+	affected    map[*job]bool        // jobs that may have lost results
 	overloads   map[string]*overload // by pool names, joined by spaces
 }
 
@@ -192,7 +195,7 @@
 	return &Scheduler{
 		limits: limits,
 		pools:  map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
-		toRelease: map[string][]string{}, workersByID: map[string]*worker{},
+		toRelease: map[string][]string{}, workersByID: map[string]*worker{}, affected: map[*job]bool{},
 		overloads: map[string]*overload{},
 	}
 }
@@ -210,15 +213,20 @@
 	}
 }
 
-// SetUpstreams replaces the known upstreams of all pools.
+// SetUpstreams replaces the known upstreams of all pools. The results of an upstream that has restarted are lost.
 func (sc *Scheduler) SetUpstreams(t *hosts.Table) {
+	for id, w := range sc.workersByID {
+		if u, listed := t.Get(id); listed && (u.Lifetime() != w.up.Lifetime() || u.Pool != w.up.Pool) {
+			sc.endLifetime(w)
+		}
+	}
 	for name, p := range sc.pools {
 		for _, w := range p.workers {
 			w.present = false
 		}
 		for _, u := range t.Ready(name) {
 			w := p.workers[u.ID]
-			if w == nil || w.up.StartedMs != u.StartedMs {
+			if w == nil {
 				w = &worker{slowness: 1, held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
 				p.workers[u.ID] = w
 				sc.workersByID[u.ID] = w
@@ -235,6 +243,16 @@
 	}
 }
 
+// endLifetime forgets an upstream that has restarted, and marks the jobs that it held results of.
+func (sc *Scheduler) endLifetime(w *worker) {
+	for _, h := range w.held {
+		sc.affected[h.job] = true
+	}
+	delete(sc.workersByID, w.up.ID)
+	delete(sc.toRelease, w.up.ID)
+	delete(sc.pools[w.up.Pool].workers, w.up.ID)
+}
+
 // Submit adds a job or refuses it at once. A job whose ID is known is ignored.
 func (sc *Scheduler) Submit(spec Job, now time.Time) {
 	if sc.jobs[spec.ID] != nil {
@@ -309,6 +327,9 @@
 	for _, s := range j.steps {
 		sc.unqueue(s)
 		sc.releaseStep(s)
+		if len(s.spec.After) > 0 {
+			sc.detach(s)
+		}
 		s.reset()
 	}
 	sc.enqueue(j.unblock(now))
@@ -328,17 +349,26 @@
 	at := 0
 	for _, p := range r.parts {
 		for _, piece := range p.pieces {
-			sc.recordResult(r, p.step, piece, results[at], now)
+			sc.recordResult(r, p, piece, results[at], now)
 			at++
 		}
+		if p.detached {
+			continue
+		}
 		sc.advanceJob(p.step, now)
 		p.step.job.hasNewProgress = true
 	}
 }
 
-// Pause keeps calls from an upstream until the given time; unknown upstreams are ignored.
-func (sc *Scheduler) Pause(id string, until time.Time) {
-	if w := sc.workersByID[id]; w != nil && until.After(w.pausedUntil) {
+// Pause keeps calls from an upstream until the given time; unknown lifetimes are ignored.
+func (sc *Scheduler) Pause(l hosts.Lifetime, until time.Time) {
+	if w := sc.worker(l); w != nil {
+		w.pause(until)
+	}
+}
+
+func (w *worker) pause(until time.Time) {
+	if until.After(w.pausedUntil) {
 		w.pausedUntil = until
 	}
 }
@@ -355,8 +385,11 @@
 	if busy {
 		w.backoff = noMemoryPause
 	}
-	sc.Pause(w.up.ID, now.Add(w.backoff))
+	w.pause(now.Add(w.backoff))
 	for _, p := range r.parts {
+		if p.detached {
+			continue
+		}
 		if !busy {
 			p.step.failures++
 		}
@@ -376,20 +409,13 @@
 	r.worker.usedBytes -= r.bytes
 }
 
-// recordResult records the outcome of one piece.
-func (sc *Scheduler) recordResult(r *activeCall, s *step, piece int, got call.Result, now time.Time) {
-	w := r.worker
-	if got.Failure == "" {
-		w.addResult(got.Handle, s.spec.ResultBytes, now.Add(sc.pools[s.spec.Pool].spec.ResultRetention))
-		if sc.jobs[s.job.ID] != s.job || s.results[piece].handle != "" || s.state == stepBlocked {
-			sc.releaseResult(w, got.Handle)
-			return
-		}
-		s.results[piece] = result{handle: got.Handle, producer: w.up.ID, zone: w.up.Zone, bytes: s.spec.ResultBytes}
-		s.markDone(piece)
-		return
-	}
+// recordResult records the outcome of one piece of a part.
+func (sc *Scheduler) recordResult(r *activeCall, p part, piece int, got call.Result, now time.Time) {
+	w, s := r.worker, p.step
 	switch got.Failure {
+	case "":
+		sc.addResult(w, p, piece, got.Handle, now)
+		return
 	case call.FailedNoMemory:
 		w.fullUntil = now.Add(noMemoryPause)
 		w.mayHoldUntracked = sc.pools[s.spec.Pool].spec.Headroom >= minProbedHeadroom
@@ -397,21 +423,46 @@
 		w.untracked += s.spec.ResultBytes
 		w.untrackedUntil = now.Add(untrackedPeriod)
 	case call.FailedInputGone:
-		// If a hedge of the call finished first, the inputs may have been released since; this is no loss.
-		if sc.needsResult(s, piece) && !sc.Restart(s.job.ID, now) {
-			sc.refuse(s.job, Failing, now)
+		// Which input is lost is not known, unless this scheduler knows it, too. If a hedge of the call finished first, the
+		// inputs may have been released since; this is no loss.
+		if !p.detached && sc.needsResult(s, piece) && sc.holdsInputs(s) {
+			if !sc.Restart(s.job.ID, now) {
+				sc.refuse(s.job, Failing, now)
+			}
+			return
 		}
-		return
 	default:
-		s.failures++
+		if !p.detached {
+			s.failures++
+		}
+	}
+	if !p.detached {
+		sc.requeue(s, piece)
 	}
-	sc.requeue(s, piece)
+}
+
+// addResult records the result of one piece of a part. It is released if it is not needed, and lost if its producer has
+// restarted since the call began.
+func (sc *Scheduler) addResult(w *worker, p part, piece int, handle string, now time.Time) {
+	s := p.step
+	if sc.worker(w.up.Lifetime()) != w {
+		if !p.detached {
+			sc.requeue(s, piece)
+		}
+		return
+	}
+	w.addResult(handle, s.job, s.spec.ResultBytes, now.Add(sc.pools[s.spec.Pool].spec.ResultRetention))
+	if p.detached || !sc.needsResult(s, piece) {
+		sc.releaseResult(w, handle)
+		return
+	}
+	s.results[piece] = result{handle: handle, producer: w.up.Lifetime(), zone: w.up.Zone, bytes: s.spec.ResultBytes}
+	s.markDone(piece)
 }
 
 // needsResult reports whether a step still needs the result of a piece.
 func (sc *Scheduler) needsResult(s *step, piece int) bool {
-	return sc.jobs[s.job.ID] == s.job && s.results[piece].handle == "" &&
-		(s.state == stepRunning || s.state == stepReady)
+	return sc.jobs[s.job.ID] == s.job && s.results[piece].handle == "" && s.state != stepDone
 }
 
 // requeue makes a piece pending, unless it has a result or is pending already.
@@ -420,6 +471,9 @@
 		return
 	}
 	s.pending = append(s.pending, piece)
+	if !sc.holdsInputs(s) {
+		sc.affected[s.job] = true
+	}
 	if s.state == stepRunning {
 		s.state = stepReady
 		sc.enqueue([]*step{s})
@@ -430,7 +484,7 @@
 // job if the step has failed too often.
 func (sc *Scheduler) advanceJob(s *step, now time.Time) {
 	j := s.job
-	if sc.jobs[j.ID] != j || (s.state != stepReady && s.state != stepRunning) {
+	if sc.jobs[j.ID] != j || s.state == stepDone {
 		return
 	}
 	if s.failures > maxFailures {
@@ -482,8 +536,9 @@
 // Schedule assigns ready pieces to free upstreams and returns the actions to carry out.
 func (sc *Scheduler) Schedule(now time.Time) Output {
 	for _, p := range sc.pools {
-		p.expireResults(now)
+		sc.expireResults(p, now)
 	}
+	sc.reopenAffected(now)
 	sc.hedge(now)
 	sc.order = slices.DeleteFunc(sc.order, func(j *job) bool { return sc.jobs[j.ID] != j })
 	sc.refuseExpired(now)
--- a/internal/leader/sched/sched_test.go
+++ b/internal/leader/sched/sched_test.go
@@ -167,8 +167,8 @@
 	s.Submit(chain("1", 9_000_000), start)
 	probes := s.Schedule(start).Probes
 	c.Assert(len(probes) > 0, qt.IsTrue, qt.Commentf("a new leader asks what others have left behind"))
-	s.SetFreeMemory("a-0", 1_000_000, start)
-	s.SetFreeMemory("a-1", 1_000_000, start)
+	s.SetFreeMemory(hosts.Lifetime{ID: "a-0"}, 1_000_000, start)
+	s.SetFreeMemory(hosts.Lifetime{ID: "a-1"}, 1_000_000, start)
 	s.Submit(chain("2", 9_000_000), atMs(10))
 	c.Check(s.Schedule(atMs(10)).Batches, qt.HasLen, 0)
 }
@@ -186,9 +186,9 @@
 	first := s.Schedule(start).Batches
 	c.Assert(first, qt.HasLen, 1)
 	s.CallFinished(first[0].ID, []call.Result{{Failure: call.FailedNoMemory}}, atMs(210))
-	s.SetFreeMemory("a-0", 0, atMs(220))
+	s.SetFreeMemory(hosts.Lifetime{ID: "a-0"}, 0, atMs(220))
 	c.Check(s.Schedule(atMs(400)).Batches, qt.HasLen, 0)
-	s.SetFreeMemory("a-0", 1_000_000, atMs(900))
+	s.SetFreeMemory(hosts.Lifetime{ID: "a-0"}, 1_000_000, atMs(900))
 	c.Check(s.Schedule(atMs(900)).Batches, qt.HasLen, 1)
 }
 
@@ -351,7 +351,7 @@
 
 func TestProgressExpiresWithItsResults(t *testing.T) {
 	progress := []sched.Progress{
-		{Done: true}, {Results: []sched.HeldResult{{Handle: "h1", Producer: "a-0", ExpiresIn: time.Second}, {}}}, {}}
+		{Done: true}, {Results: []sched.HeldResult{{Handle: "h1", Producer: hosts.Lifetime{ID: "a-0"}, ExpiresIn: time.Second}, {}}}, {}}
 	for _, test := range []struct {
 		age  time.Duration
 		want []sched.Progress
@@ -359,7 +359,7 @@
 		{0, progress},
 		{900 * time.Millisecond, []sched.Progress{
 			{Done: true},
-			{Results: []sched.HeldResult{{Handle: "h1", Producer: "a-0", ExpiresIn: 100 * time.Millisecond}, {}}}, {},
+			{Results: []sched.HeldResult{{Handle: "h1", Producer: hosts.Lifetime{ID: "a-0"}, ExpiresIn: 100 * time.Millisecond}, {}}}, {},
 		}},
 		{time.Second, nil},
 	} {
@@ -373,7 +373,7 @@
 	s := twoPools()
 	job := chain("one", 1000)
 	job.Progress = []sched.Progress{
-		{Done: true, Results: []sched.HeldResult{{Handle: "h1", Producer: "elsewhere", ExpiresIn: time.Second}}}, {}}
+		{Done: true, Results: []sched.HeldResult{{Handle: "h1", Producer: hosts.Lifetime{ID: "elsewhere"}, ExpiresIn: time.Second}}}, {}}
 	s.Submit(job, start)
 	batches := s.Schedule(start).Batches
 	c.Assert(batches, qt.HasLen, 1)
--- a/internal/proof/soak/environment_test.go
+++ b/internal/proof/soak/environment_test.go
@@ -149,7 +149,7 @@
 
 // list writes the record of a service's current lifetime to the store.
 func (env *environment) list(s *service, state string) {
-	env.store.PutServer(s.current.Load().ID, s.pool, s.current.Load().Version, s.proxy.Address(), state, 8)
+	env.store.PutServer(s.current.Load().ID, s.pool, s.current.Load().Version, s.proxy.Address(), state, 8, 1)
 }
 
 func (env *environment) unlist(s *service) { env.store.Put(topicHosts, s.current.Load().ID, nil) }
--- a/internal/wire/cellpb/progress.go
+++ b/internal/wire/cellpb/progress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 )
 
@@ -12,7 +13,9 @@
 	for _, s := range stages {
 		p := &Progress{Done: s.Done}
 		for _, h := range s.Results {
-			p.Results = append(p.Results, &Held{Handle: h.Handle, Maker: h.Producer, LeftUs: h.ExpiresIn.Microseconds()})
+			p.Results = append(p.Results, &Held{
+				Handle: h.Handle, Maker: h.Producer.ID, Born: h.Producer.StartedMs, LeftUs: h.ExpiresIn.Microseconds(),
+			})
 		}
 		out = append(out, p)
 	}
@@ -26,7 +29,8 @@
 		p := sched.Progress{Done: s.Done}
 		for _, h := range s.Results {
 			p.Results = append(p.Results, sched.HeldResult{
-				Handle: h.Handle, Producer: h.Maker, ExpiresIn: time.Duration(h.LeftUs) * time.Microsecond,
+				Handle: h.Handle, Producer: hosts.Lifetime{ID: h.Maker, StartedMs: h.Born},
+				ExpiresIn: time.Duration(h.LeftUs) * time.Microsecond,
 			})
 		}
 		out = append(out, p)
