Keep what is known of an engine from outliving its lifetime

An engine that a leader picked had no known start until the next list; if that list showed it restarted, the leader took the prompts that the ended lifetime had cached, its slowness and its pauses for those of the new one. And requests that a crash had failed ejected the engine when they were reported after its restart, for 1 to 4 s.

Now an engine's start is known from its first request on, each request remembers to which lifetime it went, and a failure or first byte counts for that one only. The new case of TestRestartedEnginesHaveEmptyCaches and TestRestartedEnginesAreNotEjectedForRequestsBefore failed before.

--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -367,7 +367,7 @@
 		}
 		switch why {
 		case ProblemFailed:
-			c.recordFailure(engine, now)
+			c.recordFailure(engine, id, now)
 		case ProblemInputLost:
 			o.released = true
 		}
@@ -435,7 +435,7 @@
 func (c *Coordinator) Ended(id, engine string, failed bool) {
 	c.inbox <- func(now time.Time) {
 		if failed {
-			c.recordFailure(engine, now)
+			c.recordFailure(engine, id, now)
 		}
 		c.placer.Ended(id)
 		c.scheduler.Cancel(id)
@@ -493,7 +493,7 @@
 		until := now.Add(n.Pause)
 		if u, known := c.hosts.Get(n.Lifetime.ID); known && u.StartedMs == n.Lifetime.StartedMs {
 			if p, ok := c.rules.Pool(u.Pool); ok && p.Engine != nil {
-				c.placer.Pause(u.ID, entry, until)
+				c.placer.Pause(u, entry, until)
 			}
 			c.scheduler.Pause(u.Lifetime(), until)
 		}
@@ -503,12 +503,15 @@
 // Served clears the crashes that were counted under a request, as it was answered.
 func (c *Coordinator) Served(fingerprint uint64) { c.opts.Crash.ObserveAnswer(fingerprint) }
 
-// recordFailure counts a failure of an engine, and logs its ejection if that is the consequence.
-func (c *Coordinator) recordFailure(engine string, now time.Time) {
-	if ejection := c.placer.EngineFailed(engine, now); ejection > 0 {
-		if u, known := c.opts.Hosts().Get(engine); known {
-			c.opts.Stats.Ejected(u.Pool)
-		}
+// recordFailure counts a failure of an engine under an order, and logs its ejection if that is the consequence.
+func (c *Coordinator) recordFailure(engine, order string, now time.Time) {
+	c.refreshConfig()
+	u, listed := c.hosts.Get(engine)
+	if !listed {
+		return
+	}
+	if ejection := c.placer.EngineFailed(u, order, now); ejection > 0 {
+		c.opts.Stats.Ejected(u.Pool)
 		c.opts.Log.Info("engine ejected", zap.String("upstream", engine), zap.Duration("for", ejection))
 	}
 }
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -62,6 +62,7 @@
 
 // runningRequest is a request that runs on an engine.
 type runningRequest struct {
+	born           int64         // of the engine that it was assigned to
 	reservedTokens int           // memory that it is expected to take, in tokens
 	pendingPrefill int           // uncached prompt tokens that are not read yet
 	expected       time.Duration // time to the first token
@@ -109,12 +110,10 @@
 		switch {
 		case !known && len(e.running) == 0:
 			delete(p.engines, id)
-		case known && e.born != 0 && e.born != u.StartedMs:
+		case known && e.born != u.StartedMs:
 			p.engines[id] = &engine{
 				hash: e.hash, born: u.StartedMs, running: e.running, pendingPrefill: e.pendingPrefill,
 				reservedTokens: e.reservedTokens, lastUsed: map[uint64]time.Time{}, slowness: 1}
-		case known:
-			e.born = u.StartedMs
 		}
 	}
 }
@@ -142,7 +141,7 @@
 	ready := o.Ready(t)
 	for _, lastResort := range []bool{false, true} { // the second pass admits ejected and excluded engines
 		for _, u := range ready {
-			e := p.engine(u.ID)
+			e := p.engine(u)
 			if now.Before(e.pausedUntil[o.Entry]) || p.limits.Wait(u.Lifetime()) > 0 {
 				continue
 			}
@@ -168,7 +167,7 @@
 		return best, false
 	}
 	p.limits.Take(best.Lifetime())
-	p.assign(o, keys, best.ID, now)
+	p.assign(o, keys, best, now)
 	return best, true
 }
 
@@ -185,7 +184,7 @@
 	o Order, t *hosts.Table, d time.Duration, now time.Time) (requests float64, wait time.Duration, known bool) {
 	wait = d
 	for _, u := range o.Ready(t) {
-		e := p.engine(u.ID)
+		e := p.engine(u)
 		n, limited := p.limits.Capacity(u.Lifetime(), d)
 		switch {
 		case limited:
@@ -209,8 +208,8 @@
 }
 
 // Pause keeps requests of an entry from an engine until the given time.
-func (p *Placer) Pause(id, entry string, until time.Time) {
-	e := p.engine(id)
+func (p *Placer) Pause(u hosts.Upstream, entry string, until time.Time) {
+	e := p.engine(u)
 	if e.pausedUntil == nil {
 		e.pausedUntil = map[string]time.Time{}
 	}
@@ -245,7 +244,7 @@
 	home := p.homeEngine(o, keys, t, now)
 	o.ByZone = nil
 	for _, u := range o.Ready(t) {
-		e := p.engine(u.ID)
+		e := p.engine(u)
 		if now.Before(e.ejectedUntil) {
 			continue
 		}
@@ -282,7 +281,7 @@
 	key := keys[shared-1]
 	best, bestScore := "", uint64(0)
 	for _, u := range o.Ready(t) {
-		e := p.engine(u.ID)
+		e := p.engine(u)
 		if used, has := e.lastUsed[key]; has && now.Sub(used) <= cacheTTL {
 			return ""
 		}
@@ -312,22 +311,23 @@
 	return h ^ h>>33
 }
 
-func (p *Placer) engine(id string) *engine {
-	e := p.engines[id]
+func (p *Placer) engine(u hosts.Upstream) *engine {
+	e := p.engines[u.ID]
 	if e == nil {
 		e = &engine{
-			hash: xxhash.Sum64String(id), running: map[string]runningRequest{}, lastUsed: map[uint64]time.Time{}, slowness: 1}
-		p.engines[id] = e
+			hash: xxhash.Sum64String(u.ID), born: u.StartedMs, running: map[string]runningRequest{},
+			lastUsed: map[uint64]time.Time{}, slowness: 1}
+		p.engines[u.ID] = e
 	}
 	return e
 }
 
 // assign counts a request as running on an engine, which will have its prompt cached.
-func (p *Placer) assign(o Order, keys []uint64, id string, now time.Time) {
-	e := p.engine(id)
+func (p *Placer) assign(o Order, keys []uint64, u hosts.Upstream, now time.Time) {
+	e := p.engine(u)
 	uncached := o.PromptTokens - e.cachedTokens(o, keys, now)
 	req := runningRequest{
-		reservedTokens: o.PromptTokens + o.OutputTokens, pendingPrefill: uncached, started: now,
+		born: e.born, reservedTokens: o.PromptTokens + o.OutputTokens, pendingPrefill: uncached, started: now,
 		expected: e.prefillTime(e.pendingPrefill+uncached) + firstTokenOverhead,
 	}
 	p.avgUncached += uncachedSmoothing * (float64(uncached) - p.avgUncached)
@@ -337,7 +337,7 @@
 	for _, k := range keys {
 		e.lastUsed[k] = now
 	}
-	p.engineOf[o.ID] = id
+	p.engineOf[o.ID] = u.ID
 }
 
 // FirstByte records that the engine has read the prompt of a request.
@@ -347,6 +347,9 @@
 		return
 	}
 	req := e.running[id]
+	if req.born != e.born {
+		return // it says nothing of the present lifetime
+	}
 	ratio := min(maxSlowness, max(0.5, float64(now.Sub(req.started))/float64(req.expected)))
 	e.slowness += slownessSmoothing * (ratio - e.slowness)
 	e.consecutiveFailures, e.ejectionTime = 0, 0
@@ -370,9 +373,12 @@
 }
 
 // EngineFailed records that an engine failed a request. After failuresToEject failures in a row it ejects the engine
-// and returns for how long, otherwise it returns 0.
-func (p *Placer) EngineFailed(engineID string, now time.Time) (ejected time.Duration) {
-	e := p.engine(engineID)
+// and returns for how long, otherwise it returns 0. An engine that has restarted since it got the request is not blamed.
+func (p *Placer) EngineFailed(u hosts.Upstream, request string, now time.Time) (ejected time.Duration) {
+	e := p.engine(u)
+	if req, running := e.running[request]; running && req.born != e.born {
+		return 0
+	}
 	if now.Before(e.ejectedUntil) {
 		return 0
 	}
@@ -392,7 +398,7 @@
 	var best time.Duration
 	keys := prefixKeys(o)
 	for i, u := range o.Ready(t) {
-		e := p.engine(u.ID)
+		e := p.engine(u)
 		expected := firstTokenOverhead + e.prefillTime(e.pendingPrefill+o.PromptTokens-e.cachedTokens(o, keys, now))
 		if i == 0 || expected < best {
 			best = expected
--- a/internal/leader/place/place_test.go
+++ b/internal/leader/place/place_test.go
@@ -93,8 +93,8 @@
 	c := qt.New(t)
 	p := place.New(noLimits())
 	first, _ := p.Pick(order("1", "s", 9000), engines(), spec, start)
-	p.EngineFailed(first.ID, start)
-	c.Check(p.EngineFailed(first.ID, start) > 0, qt.IsTrue)
+	p.EngineFailed(first, "", start)
+	c.Check(p.EngineFailed(first, "", start) > 0, qt.IsTrue)
 	u, _ := p.Pick(order("2", "s", 9000), engines(), spec, start)
 	c.Check(u.ID, qt.Not(qt.Equals), first.ID)
 }
@@ -112,7 +112,7 @@
 		u, _ := p.Pick(o, engines(), spec, now)
 		sent[u.ID]++
 		if u.ID == "e0" && sent["e0"]%2 == 0 {
-			p.EngineFailed("e0", now)
+			p.EngineFailed(u, "", now)
 		} else {
 			p.FirstByte(o.ID, now.Add(20*time.Millisecond))
 		}
@@ -122,26 +122,50 @@
 	c.Check(sent["e0"] > 2, qt.IsTrue, qt.Commentf("it is tried again: %v", sent))
 }
 
+// restarted returns a table of two engines, the first of which started at born.
+func restarted(born int64) *hosts.Table {
+	return hosts.New([]hosts.Upstream{
+		{ID: "old", Pool: "p", Zone: "z0", State: hosts.Ready, StartedMs: born},
+		{ID: "other", Pool: "p", Zone: "z0", State: hosts.Ready, StartedMs: 1},
+	}, start)
+}
+
+// The restart may be in the first list that a new leader reads after it has picked the engine.
 func TestRestartedEnginesHaveEmptyCaches(t *testing.T) {
+	for _, lists := range []int{0, 1} {
+		c := qt.New(t)
+		p := place.New(noLimits())
+		first, _ := p.Pick(order("1", "s", 9000), restarted(1), spec, start)
+		c.Assert(first.ID, qt.Equals, "old")
+		for range lists {
+			p.SetUpstreams(restarted(1))
+		}
+		p.FirstByte("1", start)
+		p.Ended("1")
+		p.SetUpstreams(restarted(2))
+		small := order("2", "", 100)
+		small.Prefix = nil
+		_, _ = p.Pick(small, restarted(2), spec, start)
+		again, _ := p.Pick(order("3", "s", 9000), restarted(2), spec, start)
+		c.Check(again.ID, qt.Equals, "other", qt.Commentf("the prompt is cached nowhere, and old is busy; %d lists", lists))
+	}
+}
+
+// A crash fails the requests of a lifetime, which may be reported after the engine has restarted.
+func TestRestartedEnginesAreNotEjectedForRequestsBefore(t *testing.T) {
 	c := qt.New(t)
 	p := place.New(noLimits())
-	table := func(born int64) *hosts.Table {
-		return hosts.New([]hosts.Upstream{
-			{ID: "old", Pool: "p", Zone: "z0", State: hosts.Ready, StartedMs: born},
-			{ID: "other", Pool: "p", Zone: "z0", State: hosts.Ready, StartedMs: 1},
-		}, start)
+	var requests []string
+	for i := range 6 {
+		requests = append(requests, fmt.Sprint(i))
+		_, _ = p.Pick(order(requests[i], requests[i], 300), restarted(1), spec, start)
+	}
+	p.SetUpstreams(restarted(2))
+	old := restarted(2).Ready("p")[0]
+	for _, id := range requests {
+		c.Check(p.EngineFailed(old, id, start), qt.Equals, time.Duration(0))
+		p.Ended(id)
 	}
-	first, _ := p.Pick(order("1", "s", 9000), table(1), spec, start)
-	c.Assert(first.ID, qt.Equals, "old")
-	p.SetUpstreams(table(1))
-	p.FirstByte("1", start)
-	p.Ended("1")
-	p.SetUpstreams(table(2))
-	small := order("2", "", 100)
-	small.Prefix = nil
-	_, _ = p.Pick(small, table(2), spec, start)
-	again, _ := p.Pick(order("3", "s", 9000), table(2), spec, start)
-	c.Check(again.ID, qt.Equals, "other", qt.Commentf("the prompt is cached nowhere, and old is busy"))
 }
 
 func TestExcludedEnginesAreAvoided(t *testing.T) {
@@ -167,12 +191,12 @@
 	one.Entry = "entry-1"
 	best, _ := p.Pick(one, table, spec, start)
 	p.Ended("1")
-	p.Pause(best.ID, "entry-1", start.Add(time.Second))
+	p.Pause(best, "entry-1", start.Add(time.Second))
 	next, ok := p.Pick(one, table, spec, start)
 	c.Check(ok, qt.IsTrue)
 	c.Check(next.ID, qt.Not(qt.Equals), best.ID)
 	for _, u := range table.Ready("p") {
-		p.Pause(u.ID, "entry-1", start.Add(2*time.Second))
+		p.Pause(u, "entry-1", start.Add(2*time.Second))
 	}
 	_, ok = p.Pick(one, table, spec, start)
 	c.Check(ok, qt.IsFalse, qt.Commentf("nothing is accepted from this entry"))
--- a/internal/leader/place/version_test.go
+++ b/internal/leader/place/version_test.go
@@ -25,8 +25,9 @@
 	c := qt.New(t)
 	p := place.New(noLimits())
 	table := versions("v1", "v2", "v2")
-	p.EngineFailed("e0", start)
-	p.EngineFailed("e0", start) // ejected, and still the only one
+	old := table.Ready("p")[0]
+	p.EngineFailed(old, "", start)
+	p.EngineFailed(old, "", start) // ejected, and still the only one
 	placed := map[string]int{}
 	for i := range 40 {
 		o := order(fmt.Sprint("again", i), "s", 2000)
