--- a/internal/edge/balance/picker.go
+++ b/internal/edge/balance/picker.go
@@ -30,13 +30,15 @@
 
 // Picker picks upstreams by their measured latency, errors and calls in flight; it is safe for concurrent use.
 type Picker struct {
-	now  func() time.Time
-	mu   sync.Mutex
-	byID map[string]*upstreamState
+	now        func() time.Time
+	mu         sync.Mutex
+	byLifetime map[hosts.Lifetime]*upstreamState
 }
 
 // New returns a picker without measurements.
-func New(now func() time.Time) *Picker { return &Picker{now: now, byID: map[string]*upstreamState{}} }
+func New(now func() time.Time) *Picker {
+	return &Picker{now: now, byLifetime: map[hosts.Lifetime]*upstreamState{}}
+}
 
 // Pick returns the upstream with the lowest expected delay, as seen from a zone, and counts a call in flight there.
 // Ejected upstreams and those already tried are picked only if there is no other; with excludeTried, the tried ones are
@@ -51,7 +53,7 @@
 	found := false
 	for _, relaxed := range []bool{false, true} {
 		for _, u := range candidates {
-			s := p.state(u.ID)
+			s := p.state(u.Lifetime())
 			excluded := slices.Contains(tried, u.ID)
 			if (excluded && (excludeTried || !relaxed)) || (!relaxed && now.Before(s.ejectedUntil)) {
 				continue
@@ -69,26 +71,26 @@
 		}
 	}
 	if found {
-		p.state(best.ID).inFlight++
+		p.state(best.Lifetime()).inFlight++
 	}
 	return best, found
 }
 
-// state returns the measurements of an upstream, which begin with initialLatency. The caller holds mu.
-func (p *Picker) state(id string) *upstreamState {
-	s := p.byID[id]
+// state returns the measurements of a lifetime, which begin with initialLatency. The caller holds mu.
+func (p *Picker) state(l hosts.Lifetime) *upstreamState {
+	s := p.byLifetime[l]
 	if s == nil {
 		s = &upstreamState{latency: initialLatency}
-		p.byID[id] = s
+		p.byLifetime[l] = s
 	}
 	return s
 }
 
 // Answered records an answer and its latency; ok says whether it was a success.
-func (p *Picker) Answered(id string, took time.Duration, ok bool) {
+func (p *Picker) Answered(l hosts.Lifetime, took time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(id)
+	s := p.state(l)
 	s.inFlight--
 	s.failuresInRow, s.ejection = 0, 0
 	s.latency += time.Duration(sampleWeight * float64(took-s.latency))
@@ -100,17 +102,17 @@
 }
 
 // Dropped records the end of a call that says nothing about the health of the upstream.
-func (p *Picker) Dropped(id string) {
+func (p *Picker) Dropped(l hosts.Lifetime) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(id).inFlight--
+	p.state(l).inFlight--
 }
 
 // Failed records a call without an answer and returns how long the upstream is ejected for; 0 if it is not.
-func (p *Picker) Failed(id string) time.Duration {
+func (p *Picker) Failed(l hosts.Lifetime) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(id)
+	s := p.state(l)
 	s.inFlight--
 	s.failuresInRow++
 	if s.failuresInRow < failuresToEject {
@@ -121,13 +123,13 @@
 	return s.ejection
 }
 
-// Forget drops the measurements of upstreams that are not in a table and have no calls in flight.
+// Forget drops the measurements of lifetimes that are not in a table and have no calls in flight.
 func (p *Picker) Forget(t *hosts.Table) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.byID {
-		if _, known := t.Get(id); !known && s.inFlight == 0 {
-			delete(p.byID, id)
+	for l, s := range p.byLifetime {
+		if u, known := t.Get(l.ID); (!known || u.Lifetime() != l) && s.inFlight == 0 {
+			delete(p.byLifetime, l)
 		}
 	}
 }
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -45,7 +45,7 @@
 				"no upstream of pool %s takes work", x.pool).WithRetryAfter(max(retryAfter, untilPermitted)))
 		}
 		if wait := x.o.Permit(ctx, u.Lifetime()); wait > 0 {
-			x.o.Picker.Dropped(u.ID)
+			x.o.Picker.Dropped(u.Lifetime())
 			exhausted = append(exhausted, u.ID)
 			if untilPermitted == 0 || wait < untilPermitted {
 				untilPermitted = wait
@@ -101,7 +101,7 @@
 		return nil, failure
 	}
 	x.reportServed()
-	x.o.Picker.Answered(u.ID, x.o.Now().Sub(started), answer.Status < http.StatusInternalServerError)
+	x.o.Picker.Answered(u.Lifetime(), x.o.Now().Sub(started), answer.Status < http.StatusInternalServerError)
 	header := x.o.Codec.AnswerHeader(answer.Header)
 	if !whole {
 		x.stream(u, answer, header, body)
@@ -125,11 +125,11 @@
 func (x *exchange) reportToPicker(u hosts.Upstream, failure *fault.Error) {
 	switch {
 	case x.in.Context().Err() != nil || failure.Code == fault.Draining:
-		x.o.Picker.Dropped(u.ID)
+		x.o.Picker.Dropped(u.Lifetime())
 	case failure.Code == fault.Overloaded || failure.Code == fault.Conflict || failure.Code == fault.BadRequest:
-		x.o.Picker.Dropped(u.ID)
+		x.o.Picker.Dropped(u.Lifetime())
 	default:
-		if ejected := x.o.Picker.Failed(u.ID); ejected > 0 {
+		if ejected := x.o.Picker.Failed(u.Lifetime()); ejected > 0 {
 			x.o.Stats.Ejected(u.Pool)
 			x.o.Log.Info("upstream ejected", zap.String("request", x.logID), zap.String("upstream", u.ID),
 				zap.String("pool", u.Pool), zap.String("code", string(failure.Code)), zap.Duration("for", ejected))
