--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -66,7 +66,7 @@
 	}
 	delete(d.open, id)
 	d.replies[id](lead.Decision{Moved: true, Progress: []sched.Progress{{Done: true,
-		Results: []sched.HeldResult{{Handle: "h", Producer: hosts.Lifetime{ID: "m"}, ExpiresIn: time.Second}}}}})
+		Results: []sched.HeldResult{{Handle: "h", Producer: hosts.Lifetime{ID: "m", StartedMs: 7}, ExpiresIn: time.Second}}}}})
 }
 func (d *fakeDispatcher) Crashed(crash.Report)                  {}
 func (d *fakeDispatcher) Served(uint64)                         {}
@@ -372,7 +372,7 @@
 	c.Check((<-got).Upstream, qt.Equals, "second")
 	c.Check(old.openCount(), qt.Equals, 0)
 	c.Check(next.progress, qt.DeepEquals, []sched.Progress{{Done: true,
-		Results: []sched.HeldResult{{Handle: "h", Producer: hosts.Lifetime{ID: "m"}, ExpiresIn: time.Second}}}})
+		Results: []sched.HeldResult{{Handle: "h", Producer: hosts.Lifetime{ID: "m", StartedMs: 7}, ExpiresIn: time.Second}}}})
 }
 
 func TestOrdersCountTheDecisionsThatMayBeRecorded(t *testing.T) {
