Show that answers without end exhaust no process

A report of other operators: a faulty upstream sent bytes without end, and the process that had called it kept them all, ran out of memory and took the requests of other callers along.

Nothing was changed in the product.

--- a/internal/fake/child/child.go
+++ b/internal/fake/child/child.go
@@ -110,6 +110,18 @@
 	return bytes.Contains(output[:n], []byte(text))
 }
 
+// PeakMemoryMB returns the most memory that the process has used since its start, in MB; 0 if it is not known.
+func (c *Child) PeakMemoryMB() float64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.latestRun().cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := bytes.Cut(status, []byte("VmHWM:"))
+	var kb float64
+	_, _ = fmt.Sscan(string(after), &kb)
+	return kb / 1000
+}
+
 // Signal sends a signal; it does nothing if the process has ended.
 func (c *Child) Signal(s syscall.Signal) { _ = c.latestRun().cmd.Process.Signal(s) }
 
--- a/internal/proof/procs/fleet_test.go
+++ b/internal/proof/procs/fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/fake/base"
 	"github.com/ragworthatch/ragworthatch/internal/fake/child"
 	"github.com/ragworthatch/ragworthatch/internal/fake/engine"
+	"github.com/ragworthatch/ragworthatch/internal/fake/flood"
 	"github.com/ragworthatch/ragworthatch/internal/fake/httpd"
 	"github.com/ragworthatch/ragworthatch/internal/fake/member"
 	"github.com/ragworthatch/ragworthatch/internal/fake/memlog"
@@ -77,11 +79,14 @@
 	entries []*process
 	servers map[string]*httpd.Server // of the upstreams
 	proxies map[string]*proxy.Proxy  // in front of the sides
+	flood   *flood.Flood
+	flooded atomic.Bool // all upstreams answer as flood does
 }
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), log: memlog.New(), list: roster.New(hostListLag), units: map[string]*base.Upstream{},
-		sides: map[string]*process{}, servers: map[string]*httpd.Server{}, proxies: map[string]*proxy.Proxy{}}
+		sides: map[string]*process{}, servers: map[string]*httpd.Server{}, proxies: map[string]*proxy.Proxy{},
+		flood: flood.New()}
 	f.logHTTP = f.serve(httpd.Log(f.log))
 	f.hosts = f.serve(httpd.Hosts(f.list))
 	f.weights = f.serve(httpd.Weights(store.New(map[string]int64{"atlas": 1 << 30, "boreas": 1 << 30}, 1<<30)))
@@ -120,7 +125,13 @@
 }
 
 func (f *fleet) addSide(pool, name, zone string, u *base.Upstream, h http.Handler) {
-	server := f.serve(h)
+	server := f.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.flooded.Load() {
+			f.flood.ServeHTTP(w, r)
+			return
+		}
+		h.ServeHTTP(w, r)
+	}))
 	server.Follow(u.Proc)
 	f.units[name] = u
 	f.servers[name] = server
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -22,6 +22,8 @@
 // faultDuration is how long a fault lasts. The tests assert nothing about time.
 const faultDuration = 1500 * time.Millisecond
 
+const memoryLimitMB = 216 // of a process, as the smallest side machine of the operators grants it
+
 // TestRollingReplacement stops and restarts every process under load and checks that no request is cut.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
@@ -154,6 +156,34 @@
 	c.Check(counts.Whole, qt.Equals, counts.Requests, qt.Commentf("another request was held back"))
 }
 
+// TestAnswersWithoutEnd has all upstreams answer calls, reports and control with bytes without end, and checks that no
+// process runs out of memory and that requests are served afterwards.
+func TestAnswersWithoutEnd(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFleet(t)
+	f.publish()
+	tr := f.startTraffic()
+	f.flooded.Store(true)
+	time.Sleep(3 * faultDuration)
+	f.flooded.Store(false)
+	time.Sleep(faultDuration)
+	c.Check(tr.finish(t).HasViolations(), qt.IsFalse)
+	var peak float64
+	for _, p := range f.processes() {
+		select {
+		case <-p.Ended():
+			c.Errorf("%s has ended", p.name)
+		default:
+			peak = max(peak, p.PeakMemoryMB())
+		}
+	}
+	t.Logf("%d answers without end, peak %.0f MB", f.flood.Count(), peak)
+	c.Check(f.flood.Count() > callers, qt.IsTrue)
+	c.Check(peak > 0 && peak < memoryLimitMB, qt.IsTrue, qt.Commentf("peak %.0f MB", peak))
+	f.warmUp()
+}
+
 // TestPlacement asks for a second model: the planner moves one runner, its side requests the load, and requests are
 // served throughout.
 func TestPlacement(t *testing.T) {
