Let no list of before say that a stream began at the only version

A report of other operators, ORDER: during a release one entry was out of step for a few seconds, while engines of a new version joined; streams that had begun on these through other entries were taken up there and went on at the old version. It happens here.

Cause: an entry that can't look up where a stream began (it is cut from the store, and nobody it reaches remembers) takes the only version that was listed for the retention, if its list is less than 3 s old. In these 3 s engines of another version may have joined and begun the stream.

Shown by TestAStreamIsNotTakenUpByAListOfBefore: an entry that leads itself and is cut from the store, real nodes and connections.

Change: only a list that was asked for after the stream was taken up counts, as it names all versions that may have begun it. Versions that come and go between two lists are not seen, so after a gap of more than 2 s the retention begins anew.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -80,7 +80,7 @@
 // goes on in the one where it began.
 func (x *exchange) findOrigin() {
 	answer := make(chan origin.Found, 1)
-	found, atOnce := x.o.Origins.Find(x.resumable.Key, x.pool, func(f origin.Found) { answer <- f })
+	found, atOnce := x.o.Origins.Find(x.resumable.Key, x.pool, x.arrived, func(f origin.Found) { answer <- f })
 	if !atOnce {
 		select {
 		case found = <-answer:
--- a/internal/edge/node/version_test.go
+++ b/internal/edge/node/version_test.go
@@ -218,3 +218,54 @@
 	w.c.Check(w.versionsOf("again-lost"), qt.HasLen, 0)
 	w.c.Check(time.Since(asked) < 2*time.Second, qt.IsTrue)
 }
+
+// An entry leads itself and is cut off from the store while the first engines of a new version join. Streams that begin
+// there at other entries break, and are taken up at this one, whose list names the old version only.
+func TestAStreamIsNotTakenUpByAListOfBefore(t *testing.T) {
+	w := startStaged(t, 1, oldAndNew(2, 0, nil)...)
+	var cut atomic.Bool
+	alone := w.store.View(func(topic, _ string, value []byte) []byte {
+		if topic == "keyed.members" {
+			return nil
+		}
+		return value
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		alone.ServeHTTP(rw, r)
+	}))
+	defer server.Close()
+	w.storeURL = server.Listener.Addr().String()
+	e := w.startEntry("entry-9")
+	w.waitReady(e, http.StatusOK)
+	time.Sleep(17 * time.Second) // until the entry would know of other versions whose streams may be taken up
+	w.c.Assert(w.generate(e, "alone").status, qt.Equals, http.StatusOK)
+	cut.Store(true)
+	w.startUpstream("engines", &cloud.Upstream{ID: "v2-0", Version: "v2", Events: 4, Gap: 50 * time.Millisecond})
+	w.startUpstream("engines", &cloud.Upstream{ID: "v2-1", Version: "v2", Events: 4, Gap: 50 * time.Millisecond})
+	for i := range 2 {
+		w.listUpstream(fmt.Sprint("v1-", i), "engines", "draining")
+	}
+	w.eventually(func() bool { return w.beginStream(w.entries[0], fmt.Sprint("probe-", time.Now().UnixNano())) == "v2" })
+	went, refused := 0, 0
+	for i := range streams {
+		first, again := fmt.Sprint("first-", i), fmt.Sprint("again-", i)
+		w.c.Assert(w.beginStream(w.entries[0], first), qt.Equals, "v2")
+		asked := time.Now()
+		got := w.takeUp(e, again, first)
+		w.c.Check(time.Since(asked) < 2*time.Second, qt.IsTrue)
+		versions := w.versionsOf(again)
+		if len(versions) > 0 {
+			went++
+			w.c.Check(versions, qt.DeepEquals, []string{"v2"}, qt.Commentf("%s: %d", again, got.status))
+			continue
+		}
+		refused++
+		w.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	t.Logf("%d went on, %d were refused", went, refused)
+	w.c.Check(refused > 0, qt.IsTrue)
+}
--- a/internal/leader/basis/policy.go
+++ b/internal/leader/basis/policy.go
@@ -26,6 +26,9 @@
 	return &Policy{retention: retention, started: now, pools: map[string]*versions{}}
 }
 
+// Restart begins to watch now: versions may have been listed before that were not observed.
+func (p *Policy) Restart(now time.Time) { p.started = now }
+
 // Observe records how many engines of each version are listed in a pool. It reports whether the versions are others
 // than before.
 func (p *Policy) Observe(pool string, counts map[string]int, now time.Time) (changed bool) {
--- a/internal/leader/basis/policy_test.go
+++ b/internal/leader/basis/policy_test.go
@@ -60,6 +60,8 @@
 		}
 		next, moves := p.Next("pool", strings.Trim(step[2], "-"), at(since), at(step[1]))
 		c.Check(version(next, moves), qt.Equals, step[3], qt.Commentf("%v", step))
+	case "restart":
+		p.Restart(at(step[1]))
 	case "sole":
 		c.Check(version(p.Sole("pool", at(step[1]))), qt.Equals, step[2], qt.Commentf("%v", step))
 	default:
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -283,7 +283,7 @@
 		c.admitTakenUp(o, o.Stream.Found, reply, now)
 		return
 	}
-	found, atOnce := c.opts.Origins.Find(o.Stream.Key, o.Engine.Pool, func(f origin.Found) {
+	found, atOnce := c.opts.Origins.Find(o.Stream.Key, o.Engine.Pool, o.Job.Arrived, func(f origin.Found) {
 		c.inbox <- func(now time.Time) { c.admitTakenUp(o, f, reply, now) }
 	})
 	if atOnce {
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -33,6 +33,7 @@
 	minRetention      = 15 * time.Second
 	retentionTimeouts = 2               // the retention in timeouts of a route
 	maxListAge        = 3 * time.Second // of a list that says which versions serve
+	maxListGap        = 2 * time.Second // between two lists, in which no engine joins, begins a stream and leaves
 	maxPerRecord      = 4000            // streams
 	maxDeletions      = 500             // records in one call
 	latencySmoothing  = 0.2
@@ -52,7 +53,7 @@
 	SourceMemory  Source = "memory"  // an entry that passed it on remembers it, or told this one
 	SourceRecord  Source = "record"  // of the stream in the store
 	SourceBase    Source = "base"    // there is no record, so it is the base version
-	SourceSole    Source = "sole"    // no other version has been listed for long
+	SourceSole    Source = "sole"    // no other version has been listed for long, nor since it was taken up
 	SourceUnknown Source = "unknown" // it was not found
 )
 
@@ -116,6 +117,7 @@
 	// complete says that this entry has led since it read the store, so that it knows all records.
 	complete   bool
 	ledSince   time.Time     // when this entry took the lead; zero while it has not
+	listReadAt time.Time     // of the last list whose versions were observed
 	pollAt     time.Time     // when base versions that are unknown are read again
 	readFail   time.Time     // time of the last failed read; zero after a success
 	writeFails bool          // the last call that writes failed
@@ -154,12 +156,14 @@
 	current bool // the store has it, with the present era, and all records
 }
 
-// lookup is a call of Find that waits for a read.
+// lookup is a call of Find that waits for a read of the records, of the list, or both.
 type lookup struct {
-	key   uint64
-	pool  string
-	until time.Time
-	done  func(Found)
+	key        uint64
+	pool       string
+	since      time.Time // when the stream was taken up
+	until      time.Time
+	needsStore bool // waits for a read of the records
+	done       func(Found)
 }
 
 // record is a stream that is to be recorded.
@@ -333,26 +337,33 @@
 	return s.Origin, s.passedOn && now.Before(s.expires)
 }
 
-// Find looks up where a stream of a pool began; a key of 0 stands for an unknown stream. If it must read the store for
-// that, it returns false and calls done with the result.
-func (k *Keeper) Find(key uint64, pool string, done func(Found)) (found Found, atOnce bool) {
+// Find looks up where a stream of a pool began that was taken up at since; a key of 0 stands for an unknown stream. If it
+// must wait for a read of the records or of the list, it returns false and calls done with the result.
+func (k *Keeper) Find(key uint64, pool string, since time.Time, done func(Found)) (found Found, atOnce bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.o.Now()
 	if o, known := k.remembered(key, now); known {
 		return k.counted(Found{o, SourceMemory}), true
 	}
-	if key == 0 || now.Sub(k.readFail) < failureTTL {
-		return k.counted(k.sole(pool, now)), true
+	if key != 0 && now.Sub(k.readFail) >= failureTTL {
+		k.lookups = append(k.lookups, lookup{key: key, pool: pool, since: since, until: now.Add(findTimeout), needsStore: true,
+			done: done})
+		wake(k.wakeReader)
+		return Found{}, false
 	}
-	k.lookups = append(k.lookups, lookup{key: key, pool: pool, until: now.Add(findTimeout), done: done})
-	wake(k.wakeReader)
-	return Found{}, false
+	found = k.sole(pool, since, now)
+	if until := since.Add(findTimeout); !found.IsKnown() && now.Before(until) && k.maySoonBeSole(pool, now) {
+		k.lookups = append(k.lookups, lookup{key: key, pool: pool, since: since, until: until, done: done})
+		return Found{}, false
+	}
+	return k.counted(found), true
 }
 
-// sole returns the only version that a stream can have begun at, if there is one. The caller holds mu.
-func (k *Keeper) sole(pool string, now time.Time) Found {
-	if now.Sub(k.o.Hosts().Read()) < maxListAge {
+// sole returns the only version that a stream can have begun at which was taken up at since, if there is one. Only a list
+// that was read later names all versions that it may have begun at. The caller holds mu.
+func (k *Keeper) sole(pool string, since, now time.Time) Found {
+	if k.listReadAt.After(since) {
 		if version, ok := k.policy.Sole(pool, now); ok {
 			return Found{Origin{pool, version}, SourceSole}
 		}
@@ -360,6 +371,12 @@
 	return Found{Source: SourceUnknown}
 }
 
+// maySoonBeSole reports whether the next list may say that a pool has had only one version. The caller holds mu.
+func (k *Keeper) maySoonBeSole(pool string, now time.Time) bool {
+	_, ok := k.policy.Sole(pool, now)
+	return ok && now.Sub(k.listReadAt) < maxListAge
+}
+
 // counted counts a lookup and returns it.
 func (k *Keeper) counted(f Found) Found {
 	k.o.Stats.OriginLookedUp(string(f.Source))
--- a/internal/leader/origin/keeper_test.go
+++ b/internal/leader/origin/keeper_test.go
@@ -173,6 +173,7 @@
 	*qt.C
 	store   *memStore
 	table   atomic.Pointer[hosts.Table]
+	unread  atomic.Bool // nobody reads the list
 	keepers map[string]*origin.Keeper
 	views   map[string]*view
 	leads   sync.Map // true by name of the keeper
@@ -211,7 +212,12 @@
 	s.Assert(err, qt.IsNil)
 	s.views[name] = &view{memStore: s.store}
 	k := origin.New(name, origin.Options{
-		Store: s.views[name], Hosts: func() *hosts.Table { return s.table.Load().WithRead(time.Now()) },
+		Store: s.views[name], Hosts: func() *hosts.Table {
+			if s.unread.Load() {
+				return s.table.Load()
+			}
+			return s.table.Load().WithRead(time.Now())
+		},
 		Pools:      func() map[string]time.Duration { return map[string]time.Duration{"pool": time.Second} },
 		FirstStart: first,
 		Leads: func() bool {
@@ -264,6 +270,11 @@
 	case "start":
 		s.leads.Store(step[1], step[2] == "leads")
 		s.start(step[1], len(step) > 3)
+	case "unread":
+		s.table.Store(s.table.Load().WithRead(time.Now()))
+		s.unread.Store(true)
+	case "read":
+		s.unread.Store(false)
 	case "cut":
 		s.views[step[1]].cut.Store(true)
 	case "heal":
@@ -286,7 +297,7 @@
 		s.keepers[step[1]].Learn(s.keepers[step[2]].Own())
 	case "find":
 		done := make(chan origin.Found, 1)
-		found, atOnce := s.keepers[step[1]].Find(s.streamKey(step[2]), "pool", func(f origin.Found) { done <- f })
+		found, atOnce := s.keepers[step[1]].Find(s.streamKey(step[2]), "pool", time.Now(), func(f origin.Found) { done <- f })
 		if !atOnce {
 			found = <-done
 		}
--- a/internal/leader/origin/read.go
+++ b/internal/leader/origin/read.go
@@ -65,6 +65,12 @@
 	case k.ledSince.IsZero():
 		k.ledSince = now
 	}
+	if read := table.Read(); read.After(k.listReadAt) {
+		if read.Sub(k.listReadAt) > maxListGap {
+			k.policy.Restart(now)
+		}
+		k.listReadAt = read
+	}
 	for pool := range k.o.Pools() {
 		counts := table.Versions(pool)
 		if k.policy.Observe(pool, counts, now) {
@@ -103,10 +109,11 @@
 	maps.DeleteFunc(k.streams, func(_ uint64, s stream) bool { return now.After(s.expires) })
 	var late []func()
 	k.lookups = slices.DeleteFunc(k.lookups, func(l lookup) bool {
-		if now.Before(l.until) {
+		found := k.sole(l.pool, l.since, now)
+		if now.Before(l.until) && (l.needsStore || !found.IsKnown()) {
 			return false
 		}
-		found := k.counted(k.sole(l.pool, now))
+		k.counted(found)
 		late = append(late, func() { l.done(found) })
 		return true
 	})
@@ -134,7 +141,8 @@
 func (k *Keeper) readsNeeded() (waiting, stale bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.lookups) > 0, !k.synced && len(k.o.Pools()) > 0
+	waiting = slices.ContainsFunc(k.lookups, func(l lookup) bool { return l.needsStore })
+	return waiting, !k.synced && len(k.o.Pools()) > 0
 }
 
 // sync reads the topic up to its end and answers the lookups that came before.
@@ -168,31 +176,40 @@
 	return ctx.Err()
 }
 
-// answer answers the first n lookups after a read.
+// answer answers those of the first n lookups that a read has decided. The others wait for a list.
 func (k *Keeper) answer(n int) {
 	k.mu.Lock()
 	now := k.o.Now()
 	k.synced, k.readFail, k.pollAt = true, time.Time{}, now.Add(pollInterval)
 	k.complete = k.o.Leads() && !now.Before(k.doubtedTo)
-	ready := slices.Clone(k.lookups[:min(n, len(k.lookups))])
-	k.lookups = slices.Delete(k.lookups, 0, len(ready))
-	found := make([]Found, len(ready))
-	for i, l := range ready {
+	var answers []func()
+	rest := k.lookups[:0]
+	for i, l := range k.lookups {
 		s := k.streams[l.key]
 		b, hasBase := k.bases[l.pool]
+		var found Found
 		switch {
+		case i >= n || l.key == 0:
+			rest = append(rest, l)
+			continue
 		case s.passedOn || s.recorded:
-			found[i] = Found{s.Origin, SourceRecord}
+			found = Found{s.Origin, SourceRecord}
 		case hasBase && !now.Before(k.doubtedTo):
-			found[i] = Found{Origin{l.pool, b.version}, SourceBase}
+			found = Found{Origin{l.pool, b.version}, SourceBase}
 		default:
-			found[i] = k.sole(l.pool, now)
+			if found = k.sole(l.pool, l.since, now); !found.IsKnown() && k.maySoonBeSole(l.pool, now) {
+				l.needsStore = false
+				rest = append(rest, l)
+				continue
+			}
 		}
-		k.counted(found[i])
+		k.counted(found)
+		answers = append(answers, func() { l.done(found) })
 	}
+	k.lookups = rest
 	k.mu.Unlock()
-	for i, l := range ready {
-		l.done(found[i])
+	for _, f := range answers {
+		f()
 	}
 }
 
--- a/internal/proof/soak/endless_test.go
+++ b/internal/proof/soak/endless_test.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	endlessCallers  = 300 // that wait or read at the same time, as in a burst
+	endlessCallers  = 300             // that wait or read at the same time, as in a burst
 	endlessDuration = 2 * time.Second // of each kind of request
 	memoryLimitMB   = 284             // of a process, as the smallest site of the operators grants it
 	slowRead        = 1 << 10         // bytes that a slow caller reads at a time,
