Date a list of upstreams by the request for it

A list was dated by when its answer was handled.

Lists are as old as the request for them now; how often they are read follows the answers, as before. TestListsNameAllThatWasListedWhenTheyWereRead failed before.

--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -45,7 +45,7 @@
 	byPool  map[string][]Upstream // the ready ones, sorted by ID
 }
 
-// New returns a table of the upstreams that were read from the platform at the given time.
+// New returns a table of the upstreams that the platform was asked for at the given time.
 func New(upstreams []Upstream, read time.Time) *Table {
 	t := &Table{read: read, byID: make(map[string]Upstream, len(upstreams)), byPool: map[string][]Upstream{}}
 	for _, u := range upstreams {
@@ -62,7 +62,7 @@
 	return t
 }
 
-// Read is when the table was read from the platform.
+// Read is when the platform was asked for the table: it has all that was listed then.
 func (t *Table) Read() time.Time { return t.read }
 
 // Version changes with the upstreams; it can be compared only within the process that set it.
--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -130,11 +130,11 @@
 	l.log.Info("upstream gone", zap.String("upstream", id))
 }
 
-// table returns the list, read at the current time.
-func (l *hostList) table() *hosts.Table {
+// table returns the list as of the last answer, which was asked for at the given time.
+func (l *hostList) table(asked time.Time) *hosts.Table {
 	all := make([]hosts.Upstream, 0, len(l.byID))
 	for _, u := range l.byID {
 		all = append(all, u)
 	}
-	return hosts.New(all, l.now())
+	return hosts.New(all, asked)
 }
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -273,12 +273,12 @@
 	list := newHostList(w.o.Now, w.lastState, w.o.Log)
 	w.follow(ctx, &topicReader{
 		topic: hostsTopic,
-		apply: func(records []platform.Record, snapshot bool, _ int64) {
+		apply: func(r reading) {
 			now := w.o.Now()
 			w.listReadAt.Store(&now)
-			list.apply(records, snapshot)
+			list.apply(r.records, r.snapshot)
 			w.unsettled.Store(!list.settled())
-			w.updateHosts(list.table())
+			w.updateHosts(list.table(r.asked))
 		},
 		recovered: func() {
 			if now := w.o.Now(); w.othersRead(now) {
@@ -295,17 +295,29 @@
 			if now.Sub(*w.leaderHostsAt.Load()) < leaderHostsTimeout {
 				limit = ledPollPart
 			}
-			return now.Sub(w.Hosts().Read()) < time.Duration(limit*float64(w.o.DrainWithin()))
+			read := w.Hosts().Read()
+			if own := w.ListReadAt(); own.After(read) {
+				read = own
+			}
+			return now.Sub(read) < time.Duration(limit*float64(w.o.DrainWithin()))
 		},
 	})
 	<-done
 }
 
+// reading is one answer of the store.
+type reading struct {
+	records  []platform.Record
+	snapshot bool
+	era      int64
+	asked    time.Time // the answer may have waited for this process since, which may have stood still
+}
+
 // topicReader describes how one topic is read.
 type topicReader struct {
 	topic     platform.Topic
 	wait      time.Duration // a read waits this long for a new record
-	apply     func(records []platform.Record, snapshot bool, era int64)
+	apply     func(reading)
 	recovered func()               // called when the store answers again after an outage
 	restored  func()               // called before the first snapshot after the store came back from a copy; nil for none
 	failed    func()               // called after a failed read; nil for none
@@ -330,7 +342,7 @@
 		if f.skipTo != nil {
 			cur.Skip(f.skipTo())
 		}
-		answered := w.o.Answered.Count()
+		answered, asked := w.o.Answered.Count(), w.o.Now()
 		records, snapshot, err := cur.Read(ctx)
 		if errors.Is(err, platform.ErrRestored) {
 			w.o.Log.Warn("store restored from an older copy, reading a snapshot", zap.String("topic", string(f.topic)),
@@ -378,7 +390,7 @@
 		if cur.Restored() && f.restored != nil {
 			f.restored()
 		}
-		f.apply(records, snapshot, cur.Position().Era)
+		f.apply(reading{records, snapshot, cur.Position().Era, asked})
 		if f.interval != nil && len(records) > 0 {
 			pause.For(ctx, f.interval())
 		}
@@ -415,11 +427,11 @@
 }
 
 // applyRules puts the newest valid configuration of the records in force.
-func (w *Watcher) applyRules(records []platform.Record, _ bool, era int64) {
+func (w *Watcher) applyRules(read reading) {
 	now := w.o.Now()
 	w.rulesReadAt.Store(&now)
-	for _, r := range slices.Backward(records) {
-		at := platform.Position{Era: era, Offset: r.Offset}
+	for _, r := range slices.Backward(read.records) {
+		at := platform.Position{Era: read.era, Offset: r.Offset}
 		if r.Key == platform.RulesKey && len(r.Value) > 0 && w.updateRules(r.Value, at, "store") {
 			return
 		}
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -47,7 +47,8 @@
 	leaving hosts.Lifetime // the upstream that has announced that it is leaving
 	awaits  bool           // the leader is about to send its state
 
-	silent atomic.Bool // snapshots time out
+	silent atomic.Bool  // snapshots time out
+	delay  atomic.Int64 // ns that each answer takes after the store has read what is in it
 }
 
 func (s *memStore) put(topic platform.Topic, key, value string) {
@@ -85,6 +86,7 @@
 	const step = 20 * time.Millisecond
 	for begun := time.Now(); ; time.Sleep(step) {
 		records, end, err := s.readFrom(topic, from)
+		time.Sleep(time.Duration(s.delay.Load()))
 		if err != nil || len(records) > 0 || time.Since(begun) >= wait || ctx.Err() != nil {
 			return records, end, errors.Join(err, ctx.Err())
 		}
@@ -319,6 +321,23 @@
 	})
 }
 
+// An answer that has waited, as for a process that stood still, says nothing of the time in which it waited.
+func TestListsNameAllThatWasListedWhenTheyWereRead(t *testing.T) {
+	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
+		s.delay.Store(int64(700 * time.Millisecond))
+		time.Sleep(2 * time.Second)
+		s.put(platform.TopicUpstreams, "u3", upstreamEntry("ready"))
+		listed, known := time.Now(), false
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			table := w.Hosts()
+			_, known = table.Get("u3")
+			c.Assert(known || !table.Read().After(listed), qt.IsTrue, qt.Commentf("%v after it was listed", time.Since(listed)))
+		}
+		c.Check(known, qt.IsTrue)
+	})
+}
+
 func TestLeaderUpdatesReplaceReads(t *testing.T) {
 	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
 		before := s.readCount()
