--- a/internal/proof/soak/environment_test.go
+++ b/internal/proof/soak/environment_test.go
@@ -174,6 +174,7 @@
 	*child.Child
 	name          string
 	front, ready  string
+	peer          string // address for the other entries
 	settings      string // path of the settings file
 	text          string // of the settings file
 	log           *os.File
@@ -203,6 +204,7 @@
 	e := &entry{name: fmt.Sprintf("entry-%d", i), front: ports.Next(), ready: ports.Next()}
 	e.storeFault.Store(storeWorks)
 	peer := netip.MustParseAddrPort(ports.Range(internalPorts))
+	e.peer = peer.String()
 	view := env.store.View(func(topic, _ string, value []byte) []byte { return env.rewriteMember(e, topic, value) })
 	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		switch e.storeFault.Load() {
