--- a/internal/proof/soak/check_test.go
+++ b/internal/proof/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -41,9 +42,37 @@
 	}
 	s.checkDrains()
 	s.checkVersions()
+	s.checkInputs()
 	s.checkRetryBudget(outcomes)
 }
 
+// checkInputs checks that no piece of a later stage was asked for without inputs, or with one that has no handle.
+func (s *soak) checkInputs() {
+	for _, v := range s.env.services {
+		if v.pool != "second" {
+			continue
+		}
+		for _, u := range v.allLifetimes() {
+			for _, a := range u.Arrivals() {
+				var call struct {
+					Items []struct {
+						ID     string   `json:"id"`
+						Inputs []string `json:"inputs"`
+					} `json:"items"`
+				}
+				if json.Unmarshal([]byte(a.Body), &call) != nil {
+					continue
+				}
+				for _, it := range call.Items {
+					if len(it.Inputs) == 0 || slices.Contains(it.Inputs, "") {
+						s.problem("a piece of %s was asked for at %s with inputs %q", it.ID, u.ID, it.Inputs)
+					}
+				}
+			}
+		}
+	}
+}
+
 // checkVersions checks that streams went on only at the version that began them, which is that of the last engine that got
 // them without an event.
 func (s *soak) checkVersions() {
