--- a/internal/proof/soak/environment_test.go
+++ b/internal/proof/soak/environment_test.go
@@ -83,7 +83,7 @@
 	version  atomic.Int64
 	mu       sync.Mutex
 	peers    map[string]*proxy.Proxy // between entries, by name of the caller and address
-	closers  []func()
+	closers  []func()                // guarded by mu: the store's handlers add proxies while entries are still added
 }
 
 func newEnvironment(c *qt.C, entries int) *environment {
@@ -128,7 +128,7 @@
 	s.startLifetime(0)
 	server := httptest.NewServer(s)
 	s.proxy = env.newProxy(server.Listener.Addr().String())
-	env.closers = append(env.closers, server.CloseClientConnections)
+	env.addCloser(server.CloseClientConnections)
 	env.services = append(env.services, s)
 	env.list(s, "ready")
 }
@@ -165,10 +165,16 @@
 func (env *environment) newProxy(target string) *proxy.Proxy {
 	p, err := proxy.New(target, slowDelay)
 	env.c.Assert(err, qt.IsNil)
-	env.closers = append(env.closers, p.Close)
+	env.addCloser(p.Close)
 	return p
 }
 
+func (env *environment) addCloser(f func()) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.closers = append(env.closers, f)
+}
+
 // entry is one entry process, which reaches the store and the other entries through proxies.
 type entry struct {
 	*child.Child
@@ -217,7 +223,7 @@
 			view.ServeHTTP(rw, r)
 		}
 	}))
-	env.closers = append(env.closers, server.CloseClientConnections)
+	env.addCloser(server.CloseClientConnections)
 	e.store = env.newProxy(server.Listener.Addr().String())
 	e.settings = filepath.Join(env.dir, e.name+".conf")
 	e.text = strings.Join([]string{
