Evacuate zones by the operator's records

Cause: the operator's platform evacuates an availability zone by a record evacuate/ZONE in keyed.op, and nothing read it.

Change: edge/zones folds the records; the newest by era and offset holds, so that records can be merged in any order. edge/watch reads them before the configuration of the same answer, takes them from the leader's pongs, and publishes a table whose Ready and TakesWork leave evacuated zones out. Entries whose leader shares no zones read the topic themselves and skip no records. Stage calls, releases, reports and checks for crashes test the zone again when they are sent. The scheduler keeps track of evacuated upstreams for the results that they hold, and refuses jobs whose pools have no zone left.

--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -42,26 +42,36 @@
 	read    time.Time
 	version int64
 	byID    map[string]Upstream
-	byPool  map[string][]Upstream // the ready ones, sorted by ID
+	byPool  map[string][]Upstream // those that take work, sorted by ID
+
+	evacuated []string // zones whose upstreams take no work, sorted
 }
 
 // New returns a table of the upstreams that the platform was asked for at the given time.
 func New(upstreams []Upstream, read time.Time) *Table {
-	t := &Table{read: read, byID: make(map[string]Upstream, len(upstreams)), byPool: map[string][]Upstream{}}
+	t := &Table{read: read, byID: make(map[string]Upstream, len(upstreams))}
 	for _, u := range upstreams {
 		t.byID[u.ID] = u
 	}
+	t.indexPools()
+	return t
+}
+
+// indexPools lists the upstreams of each pool that take work.
+func (t *Table) indexPools() {
+	t.byPool = map[string][]Upstream{}
 	for _, u := range t.byID {
-		if u.State == Ready {
+		if t.takesWork(u) {
 			t.byPool[u.Pool] = append(t.byPool[u.Pool], u)
 		}
 	}
 	for _, list := range t.byPool {
 		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	return t
 }
 
+func (t *Table) takesWork(u Upstream) bool { return u.State == Ready && !t.IsEvacuated(u.Zone) }
+
 // Read is when the platform was asked for the table: it has all that was listed then.
 func (t *Table) Read() time.Time { return t.read }
 
@@ -95,13 +105,41 @@
 	if !changed {
 		return t
 	}
-	return New(all, t.read).WithVersion(t.version)
+	return New(all, t.read).WithVersion(t.version).WithEvacuated(t.evacuated)
+}
+
+// WithEvacuated returns a table in which exactly the given zones, which are sorted, are evacuated. Their upstreams stay
+// listed, as what runs there goes on and results that they hold can be read.
+func (t *Table) WithEvacuated(zones []string) *Table {
+	if slices.Equal(zones, t.evacuated) {
+		return t
+	}
+	out := *t
+	out.evacuated = zones
+	out.indexPools()
+	return &out
+}
+
+// IsEvacuated reports whether the upstreams of a zone get no requests.
+func (t *Table) IsEvacuated(zone string) bool { return slices.Contains(t.evacuated, zone) }
+
+// Evacuated lists the evacuated zones, sorted. The list must not be changed.
+func (t *Table) Evacuated() []string { return t.evacuated }
+
+// Withheld lists the upstreams of a pool that would take work if their zone were not evacuated, sorted by ID.
+func (t *Table) Withheld(pool string) []Upstream {
+	if len(t.evacuated) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(t.All(), func(u Upstream) bool {
+		return u.Pool != pool || u.State != Ready || !t.IsEvacuated(u.Zone)
+	})
 }
 
 // Same reports whether two tables hold the same upstreams.
 func (t *Table) Same(other *Table) bool { return maps.Equal(t.byID, other.byID) }
 
-// Ready lists the upstreams of a pool that accept new work, sorted by ID. The list must not be changed.
+// Ready lists the upstreams of a pool that accept new work and whose zone is not evacuated, sorted by ID. The list must not be changed.
 func (t *Table) Ready(pool string) []Upstream { return t.byPool[pool] }
 
 // Get returns an upstream by ID, ready or draining.
@@ -121,8 +159,11 @@
 	return counts
 }
 
-// TakesWork reports whether an upstream is listed and ready.
-func (t *Table) TakesWork(id string) bool { return t.byID[id].State == Ready }
+// TakesWork reports whether an upstream is listed and ready and its zone is not evacuated.
+func (t *Table) TakesWork(id string) bool {
+	u, listed := t.byID[id]
+	return listed && t.takesWork(u)
+}
 
 // All lists all upstreams, sorted by ID.
 func (t *Table) All() []Upstream {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -162,7 +162,7 @@
 		Self: s.Name, Local: n.lead, Members: n.registry.Members, MemberCount: n.registry.Size, MembersRead: n.registry.HasRead,
 		Leaving: n.leaving.Load, Crash: n.crash, Limits: n.limits, Origins: n.origins,
 		Confirm: n.watch.Confirm, AdoptRules: n.watch.Adopt, LacksRules: n.watch.ShouldPull, Notices: n.notices.Notices,
-		ConfirmMembers: n.registry.Confirm, ListReadAt: n.watch.ListReadAt,
+		ConfirmMembers: n.registry.Confirm, Zones: n.watch.Zones, ListReadAt: n.watch.ListReadAt,
 		RulesVersion: func() int64 { return n.watch.Rules().Version() }, ObserveEra: store.ObserveEra, Now: time.Now, Log: log.Named("link"),
 	})
 	n.ledger = ledger.New(ledger.Options{
@@ -201,6 +201,7 @@
 		ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.registry.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
 		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited()),
+		EvacuatedZones: int64(len(n.watch.Hosts().Evacuated())),
 	}
 }
 
@@ -273,6 +274,7 @@
 	service := serve.New(serve.Options{
 		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash, Limits: n.limits,
 		Origins: n.origins, Hosts: n.watch.SharedHosts, ObserveRead: n.watch.ObserveRead,
+		Zones: n.watch.Zones, ObserveZones: n.watch.ObserveZones,
 		Rules: n.sharedRules, Era: n.store.Era, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
 	})
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -24,6 +24,8 @@
 	QueuedPieces  int64         // pieces of those requests that wait for a call
 	Blocks        int64         // sets of prompt parts that are refused
 	Limited       int64         // upstreams that named a limit
+
+	EvacuatedZones int64 // zones that get no requests from this entry
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -74,6 +76,8 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
+	gauge("edge.evacuatedZones", "{zone}", "Zones whose upstreams get no requests from this entry.",
+		func(s Gauges) int64 { return s.EvacuatedZones })
 	return &Stats{
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
--- a/internal/edge/verify/verifier.go
+++ b/internal/edge/verify/verifier.go
@@ -83,6 +83,9 @@
 func (v *Verifier) dial(u hosts.Upstream, lifetime string, c *check) {
 	defer close(c.done)
 	time.Sleep(dialDelay)
+	if v.opts.Hosts().IsEvacuated(u.Zone) {
+		return // an upstream there gets no connections; Check still notices when it leaves the list
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := v.opts.Dial(ctx, "tcp4", u.Address)
--- a/internal/edge/verify/verifier_test.go
+++ b/internal/edge/verify/verifier_test.go
@@ -78,3 +78,17 @@
 		})
 	}
 }
+
+// The check is a connection, which upstreams in evacuated zones don't get.
+func TestUpstreamsInEvacuatedZonesAreNotDialed(t *testing.T) {
+	up := hosts.Upstream{ID: "e", Address: "127.0.0.1:1", Zone: "z", StartedMs: 1}
+	v := verify.New(verify.Options{
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			t.Error("dialed")
+			return nil, syscall.ECONNREFUSED
+		},
+		Hosts: func() *hosts.Table { return hosts.New([]hosts.Upstream{up}, time.Now()).WithEvacuated([]string{"z"}) },
+		Now:   time.Now, Log: zap.NewNop(), Report: func(crash.Report) { t.Error("reported") },
+	})
+	<-v.AnswerBroke(up, crash.Report{Lifetime: "e/1", Broke: time.Now()})
+}
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -15,6 +15,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/wakeup"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/ops/pause"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
@@ -71,6 +72,7 @@
 	lag           versionLag                   // guarded by mu
 	departed      map[hosts.Lifetime]time.Time // when lifetimes left the list; guarded by mu
 	others        otherReads                   // guarded by mu
+	zones         atomic.Pointer[zones.Set]    // changed under mu
 }
 
 // Revision is a version of the configuration, the offset of its record, and when a process last read it.
@@ -79,6 +81,13 @@
 	Offset      int64     // of its record in the store; -1 if unknown
 	Era         int64     // of the store, in which Offset is valid
 	ConfirmedAt time.Time // when the store last confirmed it
+
+	// Zones are the records of evacuated zones that the process knows, complete before the position ZonesEra, ZonesEnd,
+	// which is behind Offset. LacksZones means that it does not share them.
+	Zones      []zones.Record
+	ZonesEra   int64
+	ZonesEnd   int64
+	LacksZones bool
 }
 
 // versionLag says since when this process has had the same version, older than the leader's; it is zero if the version
@@ -101,6 +110,7 @@
 	w := &Watcher{o: o, departed: map[hosts.Lifetime]time.Time{}}
 	w.rules.Store(rule.New(0, nil, nil, nil, rule.Limits{}))
 	w.hosts.Store(hosts.New(nil, time.Time{}).WithVersion(1))
+	w.zones.Store(zones.New())
 	w.rulesReadAt.Store(&time.Time{})
 	w.confirmedAt.Store(&time.Time{})
 	w.leaderHostsAt.Store(&time.Time{})
@@ -195,9 +205,12 @@
 // ignored.
 func (w *Watcher) Confirm(rules Revision, table *hosts.Table) {
 	now, read := w.o.Now(), rules.ConfirmedAt
-	if rules.Version != w.Rules().Version() {
+	if rules.Version != w.Rules().Version() || rules.LacksZones {
 		read = time.Time{}
 	}
+	if !rules.LacksZones { // before the configuration is skipped to, as that skips records of zones
+		w.updateZones(func(s *zones.Set) *zones.Set { return s.WithAll(rules.Zones, rules.ZonesEra, rules.ZonesEnd) }, "leader")
+	}
 	w.confirmedAt.Store(&read)
 	w.leaderRules.Store(&rules)
 	w.leaderRulesAt.Store(&now)
@@ -222,7 +235,7 @@
 // caller holds mu.
 func (w *Watcher) publishHosts(t *hosts.Table) {
 	before := w.hosts.Load()
-	t = t.WithLeaving(w.o.IsLeaving)
+	t = t.WithLeaving(w.o.IsLeaving).WithEvacuated(w.zones.Load().Evacuated())
 	version := before.Version()
 	if !t.Same(before) {
 		version++
@@ -310,6 +323,7 @@
 	records  []platform.Record
 	snapshot bool
 	era      int64
+	end      int64     // offset after the last record
 	asked    time.Time // the answer may have waited for this process since, which may have stood still
 }
 
@@ -390,7 +404,7 @@
 		if cur.Restored() && f.restored != nil {
 			f.restored()
 		}
-		f.apply(reading{records, snapshot, cur.Position().Era, asked})
+		f.apply(reading{records, snapshot, cur.Position().Era, cur.Position().Offset, asked})
 		if f.interval != nil && len(records) > 0 {
 			pause.For(ctx, f.interval())
 		}
@@ -418,17 +432,19 @@
 }
 
 // newestRulesPosition returns the position of the leader's configuration if that is newer than the one here, else an
-// offset of -1.
+// offset of -1. It is -1 also if the leader does not share the records of evacuated zones, which may be before it.
 func (w *Watcher) newestRulesPosition() platform.Position {
-	if lead := w.leaderRules.Load(); lead.Version > w.Rules().Version() {
+	if lead := w.leaderRules.Load(); lead.Version > w.Rules().Version() && !lead.LacksZones {
 		return platform.Position{Era: lead.Era, Offset: lead.Offset}
 	}
 	return platform.Position{Offset: -1}
 }
 
-// applyRules puts the newest valid configuration of the records in force.
+// applyRules puts the newest valid configuration of the records in force. The records of evacuated zones come first, so
+// that a process that starts knows them before it can serve.
 func (w *Watcher) applyRules(read reading) {
 	now := w.o.Now()
+	w.applyZones(read)
 	w.rulesReadAt.Store(&now)
 	for _, r := range slices.Backward(read.records) {
 		at := platform.Position{Era: read.era, Offset: r.Offset}
--- /dev/null
+++ b/internal/edge/zones/doc.go
@@ -0,0 +1,2 @@
+// Package zones folds the operator's records of evacuated availability zones.
+package zones
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -62,7 +62,12 @@
 // PutServer puts an upstream in zone-a on the list of servers, as the upstream itself would; version is that of its
 // software, and born the start of its process in Unix ms.
 func (s *Store) PutServer(id, pool, version, address, state string, slots int, born int64) {
-	value, err := json.Marshal(serverEntry{Service: pool, Address: address, Zone: "zone-a", Slots: slots, State: state,
+	s.PutServerIn("zone-a", id, pool, version, address, state, slots, born)
+}
+
+// PutServerIn does the same for an upstream in the given zone.
+func (s *Store) PutServerIn(zone, id, pool, version, address, state string, slots int, born int64) {
+	value, err := json.Marshal(serverEntry{Service: pool, Address: address, Zone: zone, Slots: slots, State: state,
 		Sequence: 1, Born: born, Version: version})
 	if err != nil {
 		panic(err) // strings and numbers always encode
@@ -70,6 +75,12 @@
 	s.Put("keyed.servers", id, value)
 }
 
+// Evacuate evacuates a zone, as the operator would.
+func (s *Store) Evacuate(zone string) { s.Put("keyed.op", "evacuate/"+zone, []byte("{}")) }
+
+// Revoke revokes the evacuation of a zone, as the operator would.
+func (s *Store) Revoke(zone string) { s.Put("keyed.op", "evacuate/"+zone, nil) }
+
 // Trim makes all present records unreadable by offset, as a compaction does; the newest value of each key remains.
 func (s *Store) Trim(name string) {
 	s.mu.Lock()
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -336,6 +336,10 @@
 		reply(c.refuseNoEngine(o.Engine, now))
 		return
 	}
+	if len(c.hosts.Evacuated()) > 0 && len(o.Engine.Ready(c.hosts)) == 0 {
+		reply(Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second})
+		return
+	}
 	if wait, exceeds := c.exceedsLimits(o, now); exceeds {
 		reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
 		return
@@ -736,6 +740,9 @@
 		go c.runBatch(b)
 	}
 	for _, r := range out.Releases {
+		if c.hosts.IsEvacuated(r.Upstream.Zone) {
+			continue // the results expire
+		}
 		if wait := c.opts.Notices.PauseRemaining(r.Upstream.Lifetime()); wait > 0 {
 			c.releaseLater(r, wait)
 			continue
@@ -779,6 +786,9 @@
 // its maximum size.
 func (c *Coordinator) roundTrip(u hosts.Upstream, timeout time.Duration, results int,
 	r uphttp.Request) (stageAnswer, *fault.Error) {
+	if c.opts.Hosts().IsEvacuated(u.Zone) {
+		return stageAnswer{}, fault.New(fault.NotRun, fault.Draining, "the zone of %s is evacuated", u.ID)
+	}
 	if wait := c.opts.Notices.PauseRemaining(u.Lifetime()); wait > 0 {
 		return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s wants nothing for now", u.ID).WithRetryAfter(wait)
 	}
@@ -817,7 +827,8 @@
 // runBatch calls a stage upstream with a batch and passes the outcome to the scheduler.
 func (c *Coordinator) runBatch(b sched.Batch) {
 	results, failure := c.callBatch(b)
-	busy := failure != nil && failure.Code == fault.Overloaded
+	// A call that was not sent as its zone is evacuated is no failure of its pieces either.
+	busy := failure != nil && (failure.Code == fault.Overloaded || failure.Code == fault.Draining)
 	outcome := "answered"
 	if failure != nil {
 		outcome = string(failure.Code)
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -10,6 +10,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
@@ -70,6 +71,7 @@
 	Origins     *origin.Keeper // of the streams that this entry passes on
 	// Confirm applies what the leader has read from the store: the version of the configuration, and the upstreams.
 	Confirm        func(rules watch.Revision, table *hosts.Table)
+	Zones          func() *zones.Set   // the records of evacuated zones that this entry knows
 	ListReadAt     func() time.Time    // when this entry last read the upstreams from the store; zero if it has not
 	ConfirmMembers func(registry.View) // applies what the leader has read of the members
 	// AdoptRules applies the leader's configuration, as the operator wrote it.
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -18,6 +18,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/proxy"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
@@ -104,6 +105,7 @@
 	crash  *crash.Tracker
 	limits *pace.Limiter[hosts.Lifetime]
 	readAt atomic.Pointer[time.Time] // of the list of upstreams by an entry
+	zones  atomic.Pointer[zones.Set] // that it knows to be evacuated
 	hellos atomic.Int64              // lines that its server logged, which is one for each connection
 }
 
@@ -122,6 +124,7 @@
 	c.Assert(err, qt.IsNil)
 	p := &peer{Member: registry.Member{Host: host, Address: listener.Addr().String(), Born: 1}, server: grpc.NewServer(),
 		born: 1, crash: newTracker(), limits: newLimits()}
+	p.zones.Store(zones.New())
 	log := zap.New(logHook(func() { p.hellos.Add(1) }))
 	cellpb.RegisterCellServer(p.server, serve.New(serve.Options{
 		Dispatcher: dispatcher, Limits: p.limits, Born: p.born, Leaving: func() bool { return false }, Leader: func() (registry.Member, bool) {
@@ -131,6 +134,7 @@
 			return registry.Member{}, false
 		},
 		Crash: p.crash,
+		Zones: p.zones.Load, ObserveZones: func(r []zones.Record) { p.zones.Store(p.zones.Load().WithRecords(r)) },
 		Rules: func() serve.Rules { return serve.Rules{} }, Era: func() int64 { return 0 },
 		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) }, ObserveRead: func(at time.Time) { p.readAt.Store(&at) },
 		Crew: func() registry.View { return registry.View{} }, Now: time.Now, Log: log,
@@ -187,6 +191,7 @@
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {}, ListReadAt: func() time.Time { return listReadAt },
+		Zones:   zones.New,
 		Confirm: func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
 }
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -21,6 +21,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
@@ -64,8 +65,9 @@
 	replacedAt    time.Time                   // used by Link.Run's goroutine only
 	now           func() time.Time
 	opts          Options
-	fetchingRules atomic.Bool // the leader's configuration is being fetched
-	fetchingHosts atomic.Bool // the leader's list is being fetched
+	fetchingRules atomic.Bool                    // the leader's configuration is being fetched
+	fetchingHosts atomic.Bool                    // the leader's list is being fetched
+	sharedZones   atomic.Pointer[[]zones.Record] // records of evacuated zones in the last pong; nil before
 
 	permitsMu   sync.Mutex
 	permitCount int64                        // number of the last permit query
@@ -234,7 +236,9 @@
 		table = nil
 	}
 	s.opts.ObserveEra(p.StoreEra)
-	rules := watch.Revision{Version: p.RulesVersion, Offset: p.RulesOffset, Era: p.RulesEra, ConfirmedAt: timeBefore(p.RulesAgeUs)}
+	rules := watch.Revision{Version: p.RulesVersion, Offset: p.RulesOffset, Era: p.RulesEra, ConfirmedAt: timeBefore(p.RulesAgeUs),
+		Zones: cellpb.ZoneRecords(p.Zones), ZonesEra: p.ZonesEra, ZonesEnd: p.ZonesEnd, LacksZones: !p.SharesZones}
+	s.sharedZones.Store(&rules.Zones)
 	s.opts.Confirm(rules, table)
 	if s.members != nil {
 		s.opts.ConfirmMembers(registry.View{Candidates: s.members.Candidates, Size: s.members.Size,
@@ -431,6 +435,9 @@
 	if at := s.opts.ListReadAt(); !at.IsZero() {
 		ping.ListAgeUs = s.now().Sub(at).Microseconds()
 	}
+	if shared := s.sharedZones.Load(); shared != nil {
+		ping.Zones = cellpb.ZonesOf(s.opts.Zones().NewerThan(*shared))
+	}
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: ping}})
 }
 
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -112,7 +112,8 @@
 // worker is a stage upstream with its scheduling state.
 type worker struct {
 	up               hosts.Upstream
-	present          bool // listed and ready
+	present          bool // takes work
+	withheld         bool // would take work if its zone were not evacuated
 	running          *activeCall
 	usedBytes        int64         // by tracked results and those of the call in flight
 	slowness         float64       // ratio of call durations to the expected ones, smoothed
@@ -222,7 +223,7 @@
 	}
 	for name, p := range sc.pools {
 		for _, w := range p.workers {
-			w.present = false
+			w.present, w.withheld = false, false
 		}
 		for _, u := range t.Ready(name) {
 			w := p.workers[u.ID]
@@ -233,9 +234,10 @@
 			}
 			w.up, w.present = u, true
 		}
+		sc.keepWithheld(p, t.Withheld(name))
 		p.countsValid = false
 		for id, w := range p.workers {
-			if !w.present && w.running == nil && len(w.held) == 0 {
+			if !w.present && !w.withheld && w.running == nil && len(w.held) == 0 {
 				delete(p.workers, id)
 				delete(sc.workersByID, id)
 			}
@@ -542,6 +544,7 @@
 	sc.hedge(now)
 	sc.order = slices.DeleteFunc(sc.order, func(j *job) bool { return sc.jobs[j.ID] != j })
 	sc.refuseExpired(now)
+	sc.refuseWithheld(now)
 	sc.handOverRecalled(now)
 	sc.reportCheckpoints(now)
 	sc.markLate(now)
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
@@ -24,9 +25,10 @@
 )
 
 const (
-	maxPieces    = 10_000 // of all stages of an order
-	outboxSize   = 512    // messages to one entry
-	maxTransfers = 8      // large answers sent at the same time, which leaves bandwidth for the other messages
+	maxPieces      = 10_000 // of all stages of an order
+	outboxSize     = 512    // messages to one entry
+	maxSharedZones = 64     // sent in each pong
+	maxTransfers   = 8      // large answers sent at the same time, which leaves bandwidth for the other messages
 )
 
 // Server serves the connections of other entries, which follow this one.
@@ -43,6 +45,8 @@
 	era         func() int64
 	hosts       func() *hosts.Table
 	observeRead func(time.Time)
+	zones       func() *zones.Set
+	observe     func([]zones.Record)
 	members     func() registry.View
 	now         func() time.Time
 	log         *zap.Logger
@@ -77,9 +81,12 @@
 	Hosts      func() *hosts.Table
 	// ObserveRead takes the times at which entries have read the upstreams from the store.
 	ObserveRead func(time.Time)
-	Crew        func() registry.View // the members, as other entries may rely on them
-	Now         func() time.Time
-	Log         *zap.Logger
+	// Zones are the records of evacuated zones; ObserveZones takes those that an entry knows.
+	Zones        func() *zones.Set
+	ObserveZones func([]zones.Record)
+	Crew         func() registry.View // the members, as other entries may rely on them
+	Now          func() time.Time
+	Log          *zap.Logger
 }
 
 // New returns a server that passes the orders of other entries to o.Dispatcher.
@@ -87,6 +94,7 @@
 	return &Server{
 		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits,
 		origins: o.Origins, rules: o.Rules, era: o.Era,
+		zones: o.Zones, observe: o.ObserveZones,
 		hosts: o.Hosts, observeRead: o.ObserveRead, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
@@ -209,6 +217,7 @@
 		if age := body.Ping.ListAgeUs; age > 0 {
 			ses.observeRead(ses.now().Add(-time.Duration(age) * time.Microsecond))
 		}
+		ses.observe(cellpb.ZoneRecords(body.Ping.Zones))
 		ses.pong(body.Ping.Sequence)
 	}
 }
@@ -242,6 +251,11 @@
 		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
 		CrewAgeUs: now.Sub(view.Read).Microseconds(),
 	}
+	// More zones would make pongs large; entries read the records from the store then.
+	if known := ses.zones(); len(known.Records()) <= maxSharedZones {
+		pong.SharesZones, pong.Zones = true, cellpb.ZonesOf(known.Records())
+		pong.ZonesEra, pong.ZonesEnd = known.End()
+	}
 	if leader, follows := ses.leader(); follows {
 		pong.Follows = true
 		if leader.Host != "" {
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
@@ -57,8 +58,9 @@
 		Leader: func() (registry.Member, bool) { return registry.Member{}, false },
 		Crash:  newTracker(), Limits: newLimits(),
 		Rules: rules, Hosts: list, Era: func() int64 { return 0 }, ObserveRead: func(time.Time) {},
-		Crew: func() registry.View { return registry.View{Candidates: []registry.Member{{Host: "a"}}, Size: 300} },
-		Now:  time.Now, Log: zap.NewNop(),
+		Crew:  func() registry.View { return registry.View{Candidates: []registry.Member{{Host: "a"}}, Size: 300} },
+		Zones: zones.New, ObserveZones: func([]zones.Record) {},
+		Now: time.Now, Log: zap.NewNop(),
 	})
 	return &session{Server: s, outbox: make(chan *cellpb.ToEntry, outboxSize), open: map[string]bool{}}
 }
