Bound the requests to cold upstreams over all entries

Cause: an upstream crashes when it gets well more than cold_per_s requests a second after its start, or when it comes back after an evacuation. Entries did not read its cold_remaining_ms.

Change: platform decodes cold_start_s, cold_per_s and cold_remaining_ms, and edge/watch dates how long each upstream is cold; one that is new without saying, or whose zone came back, is cold for cold_start_s until a later entry of it says otherwise. limit/pace counts requests to cold upstreams beside named limits, with shares whose sum over all groups of entries stays within cold_overshoot and cold_slack, and none for a group of less than 0.3 of the entries. Releases and reports to cold upstreams count and wait. A permit query names the rate. A process whose share grows, or that shuts down, holds back. The new setting evacuation_ms shortens how long a leader's confirmation replaces a read.

--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -26,6 +26,8 @@
 	State     State
 	Slots     int
 	StartedMs int64 // Unix time of the start in ms; 0 if unknown
+
+	ColdUntilMs int64 // Unix time in ms until which it accepts only a few requests; 0 if it is not known to be cold
 }
 
 // Lifetime identifies one run of a back end; its ID alone may be used again.
@@ -108,6 +110,22 @@
 	return New(all, t.read).WithVersion(t.version).WithEvacuated(t.evacuated)
 }
 
+// WithCold returns a table in which upstreams are cold until the later of the Unix times that the table and until name for
+// them, in ms.
+func (t *Table) WithCold(until func(Upstream) int64) *Table {
+	all := t.All()
+	changed := false
+	for i, u := range all {
+		if at := until(u); at > u.ColdUntilMs {
+			all[i].ColdUntilMs, changed = at, true
+		}
+	}
+	if !changed {
+		return t
+	}
+	return New(all, t.read).WithVersion(t.version).WithEvacuated(t.evacuated)
+}
+
 // WithEvacuated returns a table in which exactly the given zones, which are sorted, are evacuated. Their upstreams stay
 // listed, as what runs there goes on and results that they hold can be read.
 func (t *Table) WithEvacuated(zones []string) *Table {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -112,6 +112,10 @@
 	n.store = store
 	answered := wakeup.New()
 	n.limits = pace.New[hosts.Lifetime](pace.Options{Share: n.limitShare, Now: time.Now})
+	n.limits.LimitCold(pace.Cold[hosts.Lifetime]{Rate: n.coldRate, Share: n.coldShare, Bound: func() (overshoot, slack float64) {
+		s := n.settings.Load()
+		return s.ColdOvershoot, s.ColdSlack
+	}})
 	n.notices = notices.New(notices.Options{
 		OnLeaving: func() { n.watch.RefreshLeaving() }, OnNotice: func(notice notices.Notice) { n.link.UpstreamNotice(s.Name, notice) },
 		OnLimit: func(s pace.Statement[hosts.Lifetime]) bool { return n.link.ObserveLimit(s) },
@@ -119,8 +123,9 @@
 	})
 	n.watch = watch.New(watch.Options{
 		Store: store, Answered: answered, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin },
-		Stats:       n.stats,
-		RulesWithin: func() time.Duration { return n.settings.Load().RulesWithin }, IsLeaving: n.notices.IsLeaving,
+		Stats:          n.stats,
+		EvacuateWithin: func() time.Duration { return n.settings.Load().EvacuateWithin },
+		RulesWithin:    func() time.Duration { return n.settings.Load().RulesWithin }, IsLeaving: n.notices.IsLeaving,
 		AwaitsLeader: func() bool { return n.link.DefersReads() },
 		Now:          time.Now, Log: log.Named("watch"),
 	})
@@ -200,7 +205,8 @@
 		ConfigVersion: n.watch.Rules().Version(), ConfigAge: now.Sub(n.watch.RulesReadAt()),
 		ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.registry.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
-		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited()),
+		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited() - n.limits.Cold()),
+		Cold:           n.coldUpstreams(),
 		EvacuatedZones: int64(len(n.watch.Hosts().Evacuated())),
 	}
 }
@@ -301,11 +307,26 @@
 	if _, follows := n.link.Leader(); follows || service == nil {
 		return 0
 	}
-	served, all := service.Entries()+1, n.registry.Size()
-	if 2*served > all {
-		return 1
+	return pace.Part(service.Entries()+1, n.registry.Size())
+}
+
+// coldShare returns the part of the limits of cold upstreams that this process may use: none once it leaves, as the next
+// leader may have the whole by then.
+func (n *Node) coldShare() float64 {
+	if n.leaving.Load() {
+		return 0
+	}
+	return n.limitShare()
+}
+
+// coldRate returns the requests per second that an upstream accepts from all entries together while it is cold.
+func (n *Node) coldRate(l hosts.Lifetime) (rate float64, cold bool) {
+	u, listed := n.watch.Hosts().Get(l.ID)
+	if !listed || u.ColdUntilMs == 0 || u.Lifetime() != l || time.Now().UnixMilli() >= u.ColdUntilMs {
+		return 0, false
 	}
-	return float64(served) / float64(all)
+	p, _ := n.watch.Rules().Pool(u.Pool)
+	return p.Cold.PerSecond, p.Cold.PerSecond > 0
 }
 
 // sharedRules returns the configuration that other entries may adopt.
@@ -408,6 +429,17 @@
 	}
 }
 
+// coldUpstreams counts the upstreams that are known to be cold.
+func (n *Node) coldUpstreams() int64 {
+	count := int64(0)
+	for _, u := range n.watch.Hosts().All() {
+		if _, cold := n.coldRate(u.Lifetime()); cold {
+			count++
+		}
+	}
+	return count
+}
+
 // isListed reports whether a lifetime of an upstream is in the list.
 func (n *Node) isListed(l hosts.Lifetime) bool {
 	u, ok := n.watch.Hosts().Get(l.ID)
--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -80,10 +80,17 @@
 	Tokens int // tokens that fit in the memory of one upstream
 }
 
+// Cold describes the upstreams of a pool after their start, and whenever they say that they are cold.
+type Cold struct {
+	Start     time.Duration // for which an upstream is cold after its start
+	PerSecond float64       // requests per second that a cold one accepts from all callers; 0 if the pool has no cold ones
+}
+
 // Pool is a group of upstreams that offer the same service.
 type Pool struct {
 	Name        string
 	Connections int // most that one upstream accepts from all callers
+	Cold        Cold
 	Batch       *Batch
 	Engine      *Engine
 }
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -25,6 +25,7 @@
 	Blocks        int64         // sets of prompt parts that are refused
 	Limited       int64         // upstreams that named a limit
 
+	Cold           int64 // upstreams that are known to be cold
 	EvacuatedZones int64 // zones that get no requests from this entry
 }
 
@@ -76,6 +77,8 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
+	gauge("edge.coldUpstreams", "{upstream}", "Upstreams that are cold and accept only a few requests.",
+		func(s Gauges) int64 { return s.Cold })
 	gauge("edge.evacuatedZones", "{zone}", "Zones whose upstreams get no requests from this entry.",
 		func(s Gauges) int64 { return s.EvacuatedZones })
 	return &Stats{
--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -22,12 +22,20 @@
 	// lastState returns the last known state of a lifetime, empty if it is not listed, and whether it has left.
 	lastState    func(hosts.Lifetime) (state hosts.State, left bool)
 	doubtedUntil time.Time // snapshots may show what was true before
+
+	// coldStart returns for how long upstreams of a pool are cold after their start; 0 if the pool has no cold ones.
+	coldStart func(pool string) time.Duration
+	// coldNamed is told that an upstream has written whether it is cold, which was read at a time.
+	coldNamed func(l hosts.Lifetime, asked time.Time)
+	offsets   map[string]int64 // of the entries of pools with cold upstreams
+	asked     time.Time        // when the store was asked for the records that are applied
 }
 
 func newHostList(
 	now func() time.Time, lastState func(hosts.Lifetime) (hosts.State, bool), log *zap.Logger) *hostList {
 	return &hostList{
 		now: now, lastState: lastState, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{},
+		offsets: map[string]int64{}, coldStart: func(string) time.Duration { return 0 },
 	}
 }
 
@@ -103,9 +111,36 @@
 			zap.String("address", u.Address), zap.String("software", u.Version), zap.Int64("born", u.StartedMs),
 			zap.String("zone", u.Zone), zap.String("state", string(u.State)), zap.Int64("offset", r.Offset))
 	}
+	u.ColdUntilMs = l.coldUntil(before, known, u, r)
 	l.byID[u.ID] = u
 }
 
+// coldUntil returns the time in Unix ms until which an upstream is cold by the record of its entry. One that does not say
+// is cold from when it is new in the list on.
+func (l *hostList) coldUntil(before hosts.Upstream, known bool, u hosts.Upstream, r platform.Record) int64 {
+	start := l.coldStart(u.Pool)
+	if start <= 0 {
+		return 0
+	}
+	known = known && before.Lifetime() == u.Lifetime()
+	if offset, read := l.offsets[u.ID]; known && read && offset == r.Offset {
+		return before.ColdUntilMs // the record was read before, and what it says counts from then on
+	}
+	l.offsets[u.ID] = r.Offset
+	left, named := platform.DecodeCold(r.Value)
+	switch {
+	case named:
+		l.coldNamed(u.Lifetime(), l.asked)
+		if left == 0 {
+			return 0
+		}
+		return l.now().Add(left).UnixMilli()
+	case known:
+		return before.ColdUntilMs
+	}
+	return l.now().Add(start).UnixMilli()
+}
+
 // remove drops an entry, after lapseGrace if it may have expired only because the store was unavailable.
 func (l *hostList) remove(id string) {
 	if _, known := l.byID[id]; !known {
@@ -127,6 +162,7 @@
 		return
 	}
 	delete(l.byID, id)
+	delete(l.offsets, id)
 	l.log.Info("upstream gone", zap.String("upstream", id))
 }
 
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -24,6 +24,7 @@
 	rulesPollWait       = 700 * time.Millisecond  // a read of the configuration waits this long for a change
 	callTimeout         = 1200 * time.Millisecond // of a call, beyond its wait
 	rulesFreshFor       = 1300 * time.Millisecond // a configuration that the leader read this recently is not read here
+	evacuationFreshPart = 0.26                    // of EvacuateWithin: instead of rulesFreshFor if that is longer
 	recheckInterval     = 50 * time.Millisecond   // between checks while reads are skipped, and after a trim
 	readIntervalPart    = 0.1                     // of RulesWithin: pause after a read that returned versions
 	ledReadIntervalPart = 0.25                    // of RulesWithin: the same pause while the leader sends updates
@@ -43,15 +44,17 @@
 
 // Options are the dependencies of a Watcher.
 type Options struct {
-	Store        cursor.Store
-	DrainWithin  func() time.Duration      // longest time until a record that an upstream leaves has effect here
-	RulesWithin  func() time.Duration      // longest time until a record of a configuration has effect here
-	AwaitsLeader func() bool               // reports whether the leader is about to send its state to this process
-	IsLeaving    func(hosts.Lifetime) bool // reports whether an upstream has announced that it is leaving
-	Answered     *wakeup.Signal            // fires when the store has answered any reader in this process
-	Stats        *stats.Stats
-	Now          func() time.Time
-	Log          *zap.Logger
+	Store       cursor.Store
+	DrainWithin func() time.Duration // longest time until a record that an upstream leaves has effect here
+	RulesWithin func() time.Duration // longest time until a record of a configuration has effect here
+	// EvacuateWithin is the longest time until a record of an evacuation has effect here.
+	EvacuateWithin func() time.Duration
+	AwaitsLeader   func() bool               // reports whether the leader is about to send its state to this process
+	IsLeaving      func(hosts.Lifetime) bool // reports whether an upstream has announced that it is leaving
+	Answered       *wakeup.Signal            // fires when the store has answered any reader in this process
+	Stats          *stats.Stats
+	Now            func() time.Time
+	Log            *zap.Logger
 }
 
 // Watcher publishes the newest configuration and list of upstreams; it is safe for concurrent use.
@@ -73,6 +76,7 @@
 	departed      map[hosts.Lifetime]time.Time // when lifetimes left the list; guarded by mu
 	others        otherReads                   // guarded by mu
 	zones         atomic.Pointer[zones.Set]    // changed under mu
+	returned      map[hosts.Lifetime]coldTerm  // of upstreams whose zone is no longer evacuated; guarded by mu
 }
 
 // Revision is a version of the configuration, the offset of its record, and when a process last read it.
@@ -118,6 +122,7 @@
 	w.raw.Store(&rawRules{offset: -1})
 	w.leaderRules.Store(&Revision{Offset: -1})
 	w.leaderRulesAt.Store(&time.Time{})
+	w.returned = map[hosts.Lifetime]coldTerm{}
 	return w
 }
 
@@ -236,6 +241,9 @@
 func (w *Watcher) publishHosts(t *hosts.Table) {
 	before := w.hosts.Load()
 	t = t.WithLeaving(w.o.IsLeaving).WithEvacuated(w.zones.Load().Evacuated())
+	if len(w.returned) > 0 {
+		t = t.WithCold(w.returnedCold)
+	}
 	version := before.Version()
 	if !t.Same(before) {
 		version++
@@ -280,15 +288,20 @@
 			topic:   rulesTopic, wait: rulesPollWait, apply: w.applyRules, interval: w.rulesInterval,
 			skipTo: w.newestRulesPosition,
 			failed: func() { w.rulesReadAt.Store(&time.Time{}) }, // other entries must not rely on this process
-			fresh:  func() bool { return w.o.Now().Sub(*w.confirmedAt.Load()) < rulesFreshFor },
+			fresh: func() bool {
+				limit := min(rulesFreshFor, scale(evacuationFreshPart, w.o.EvacuateWithin()))
+				return w.o.Now().Sub(*w.confirmedAt.Load()) < limit
+			},
 		})
 	}()
 	list := newHostList(w.o.Now, w.lastState, w.o.Log)
+	list.coldStart, list.coldNamed = w.coldStart, w.coldNamed
 	w.follow(ctx, &topicReader{
 		topic: hostsTopic,
 		apply: func(r reading) {
 			now := w.o.Now()
 			w.listReadAt.Store(&now)
+			list.asked = r.asked
 			list.apply(r.records, r.snapshot)
 			w.unsettled.Store(!list.settled())
 			w.updateHosts(list.table(r.asked))
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -175,8 +175,9 @@
 		s.put(platform.TopicUpstreams, "u2", upstreamEntry("ready"))
 		w := watch.New(watch.Options{
 			Store: s, Answered: wakeup.New(), DrainWithin: func() time.Duration { return drainWithin },
-			RulesWithin:  func() time.Duration { return rulesWithin },
-			AwaitsLeader: func() bool { return s.awaits }, IsLeaving: s.isLeaving, Now: time.Now, Log: zap.NewNop(),
+			RulesWithin:    func() time.Duration { return rulesWithin },
+			EvacuateWithin: func() time.Duration { return 5 * time.Second },
+			AwaitsLeader:   func() bool { return s.awaits }, IsLeaving: s.isLeaving, Now: time.Now, Log: zap.NewNop(),
 			Stats: testStats(t),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/edge/watch/zones.go
+++ b/internal/edge/watch/zones.go
@@ -62,5 +62,6 @@
 				zap.Int64("offset", r.Offset), zap.Int64("era", r.Era), zap.String("source", source))
 		}
 	}
+	w.addReturned(was, now)
 	w.publishHosts(w.hosts.Load())
 }
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -57,6 +57,7 @@
 	Sequence int    `json:"sequence"`
 	Born     int64  `json:"born"`
 	Version  string `json:"version"`
+	Cold     *int64 `json:"cold_remaining_ms,omitempty"`
 }
 
 // PutServer puts an upstream in zone-a on the list of servers, as the upstream itself would; version is that of its
@@ -67,8 +68,18 @@
 
 // PutServerIn does the same for an upstream in the given zone.
 func (s *Store) PutServerIn(zone, id, pool, version, address, state string, slots int, born int64) {
-	value, err := json.Marshal(serverEntry{Service: pool, Address: address, Zone: zone, Slots: slots, State: state,
-		Sequence: 1, Born: born, Version: version})
+	s.putServer(id, serverEntry{Service: pool, Address: address, Zone: zone, Slots: slots, State: state, Sequence: 1,
+		Born: born, Version: version})
+}
+
+// PutWarm puts an upstream in zone-a on the list that says that it is not cold.
+func (s *Store) PutWarm(id, pool, address string) {
+	s.putServer(id, serverEntry{Service: pool, Address: address, Zone: "zone-a", Slots: 4, State: "ready", Sequence: 1,
+		Born: 1, Version: "v1", Cold: new(int64)})
+}
+
+func (s *Store) putServer(id string, entry serverEntry) {
+	value, err := json.Marshal(entry)
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -744,10 +744,10 @@
 			continue // the results expire
 		}
 		if wait := c.opts.Notices.PauseRemaining(r.Upstream.Lifetime()); wait > 0 {
-			c.releaseLater(r, wait)
+			c.releaseLater(r, wait, now.Add(maxReleaseDelay))
 			continue
 		}
-		c.releases.Go(func() { c.release(r) })
+		c.releases.Go(func() { c.release(r, now.Add(maxReleaseDelay)) })
 	}
 	for _, u := range out.Probes {
 		go c.updateFreeBytes(u)
@@ -796,7 +796,11 @@
 	defer cancel()
 	r.Host = u.Address
 	if r.URI != c.opts.Codec.RunPath { // calls were counted when they were scheduled
-		c.opts.Limits.Spend(u.Lifetime())
+		if c.opts.Limits.ColdRate(u.Lifetime()) == 0 {
+			c.opts.Limits.Spend(u.Lifetime())
+		} else if wait := c.opts.Limits.Take(u.Lifetime()); wait > 0 {
+			return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s is cold", u.ID).WithRetryAfter(wait)
+		}
 	}
 	sent := c.opts.Now()
 	answer, failure := c.opts.Client.Do(ctx, u.Address, r)
@@ -957,18 +961,19 @@
 	return d
 }
 
-// releaseLater releases results once the pause of their upstream ends, unless they have expired by then.
-func (c *Coordinator) releaseLater(r sched.Release, wait time.Duration) {
-	if wait > maxReleaseDelay {
+// releaseLater releases results once the pause of their upstream ends, unless that is after last, when they have expired.
+func (c *Coordinator) releaseLater(r sched.Release, wait time.Duration, last time.Time) {
+	if c.opts.Now().Add(wait).After(last) {
 		c.opts.Log.Info("results are left to expire", zap.String("upstream", r.Upstream.ID),
 			zap.Int("results", len(r.Handles)))
 		return
 	}
-	time.AfterFunc(wait, func() { c.release(r) })
+	time.AfterFunc(wait, func() { c.release(r, last) })
 }
 
-// release tells an upstream to drop results. If that fails, they take up memory until they expire.
-func (c *Coordinator) release(r sched.Release) {
+// release tells an upstream to drop results, later if it is cold and accepts no request now. If that fails, they take up
+// memory until they expire.
+func (c *Coordinator) release(r sched.Release, last time.Time) {
 	body, err := c.opts.Codec.EncodeRelease(r.Handles)
 	if err != nil {
 		c.opts.Log.Warn("can't encode a release", zap.Error(err))
@@ -977,6 +982,10 @@
 	_, failure := c.roundTrip(r.Upstream, releaseTimeout, 0, uphttp.Request{
 		Method: http.MethodPost, URI: c.opts.Codec.ReleasePath, Body: body, Header: c.opts.Codec.HeaderFor(r.Upstream.ID, 0),
 	})
+	if failure != nil && failure.Verdict == fault.NotRun && failure.RetryAfter > 0 {
+		c.releaseLater(r, failure.RetryAfter, last)
+		return
+	}
 	if failure != nil {
 		c.opts.Log.Info("release failed", zap.String("upstream", r.Upstream.ID), zap.Error(failure))
 	}
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -165,7 +165,7 @@
 				s.applyPong(body.Pong)
 			}
 		case *cellpb.ToEntry_Hosts:
-			next := applyChanges(s.hosts.Load(), body.Hosts)
+			next := applyChanges(s.hosts.Load(), body.Hosts, s.now())
 			if next == nil {
 				s.opts.Log.Warn("changes of an unknown list of upstreams, asking for it again",
 					zap.String("member", s.member.Host), zap.Int64("base", body.Hosts.Base))
@@ -285,7 +285,7 @@
 		return
 	}
 	m.Base = 0 // it is a whole list
-	s.hosts.Store(applyChanges(nil, m))
+	s.hosts.Store(applyChanges(nil, m, s.now()))
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Holds{Holds: &cellpb.Holds{HostsVersion: m.Version}}})
 	s.ping() // the pong says how old the list is
 }
@@ -303,8 +303,9 @@
 	return body, err
 }
 
-// applyChanges applies the leader's changes to a list of upstreams. It returns nil if they are changes to another list.
-func applyChanges(known *hosts.Table, m *cellpb.Hosts) *hosts.Table {
+// applyChanges applies the leader's changes, which have arrived at a time, to a list of upstreams. It returns nil if they
+// are changes to another list.
+func applyChanges(known *hosts.Table, m *cellpb.Hosts, at time.Time) *hosts.Table {
 	byID := map[string]hosts.Upstream{}
 	if m.Base != 0 {
 		if known == nil || known.Version() != m.Base {
@@ -318,10 +319,14 @@
 		delete(byID, id)
 	}
 	for _, u := range m.Upstreams {
-		byID[u.Id] = hosts.Upstream{
+		up := hosts.Upstream{
 			ID: u.Id, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: hosts.State(u.State), Slots: int(u.Slots),
 			StartedMs: u.Born, Version: u.Version,
 		}
+		if u.ColdLeftUs > 0 {
+			up.ColdUntilMs = at.UnixMilli() + u.ColdLeftUs/1000
+		}
+		byID[u.Id] = up
 	}
 	return hosts.New(slices.Collect(maps.Values(byID)), time.Time{}).WithVersion(m.Version)
 }
@@ -411,7 +416,8 @@
 	s.permits[number] = answer
 	s.permitsMu.Unlock()
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_PermitQuery{
-		PermitQuery: &cellpb.PermitQuery{Number: number, Id: to.ID, Born: to.StartedMs}}})
+		PermitQuery: &cellpb.PermitQuery{Number: number, Id: to.ID, Born: to.StartedMs,
+			ColdRate: s.opts.Limits.ColdRate(to)}}})
 	timeout := time.NewTimer(permitTimeout)
 	defer timeout.Stop()
 	wait := permitTimeout
--- a/internal/leader/serve/history.go
+++ b/internal/leader/serve/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
@@ -47,17 +48,17 @@
 }
 
 // changes returns the message that brings an entry from the list that it has to the present one.
-func (c *tableHistory) changes(known, now *hosts.Table) *cellpb.Hosts {
+func (c *tableHistory) changes(known, now *hosts.Table, at time.Time) *cellpb.Hosts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.message == nil || c.from != known.Version() || c.to != now.Version() {
-		c.from, c.to, c.message = known.Version(), now.Version(), diffTables(known, now)
+		c.from, c.to, c.message = known.Version(), now.Version(), diffTables(known, now, at)
 	}
 	return c.message
 }
 
-// diffTables returns the changes from the list known to the list now.
-func diffTables(known, now *hosts.Table) *cellpb.Hosts {
+// diffTables returns the changes from the list known to the list now, at a time from which terms count.
+func diffTables(known, now *hosts.Table, at time.Time) *cellpb.Hosts {
 	m := &cellpb.Hosts{Version: now.Version(), Base: known.Version()}
 	for _, u := range known.All() {
 		if _, still := now.Get(u.ID); !still {
@@ -66,24 +67,28 @@
 	}
 	for _, u := range now.All() {
 		if before, ok := known.Get(u.ID); !ok || before != u {
-			m.Upstreams = append(m.Upstreams, upstreamMessage(u))
+			m.Upstreams = append(m.Upstreams, upstreamMessage(u, at))
 		}
 	}
 	return m
 }
 
-// tableMessage returns a whole list, for an entry that has none.
-func tableMessage(t *hosts.Table) *cellpb.Hosts {
+// tableMessage returns a whole list, for an entry that has none, at a time from which terms count.
+func tableMessage(t *hosts.Table, at time.Time) *cellpb.Hosts {
 	m := &cellpb.Hosts{Version: t.Version()}
 	for _, u := range t.All() {
-		m.Upstreams = append(m.Upstreams, upstreamMessage(u))
+		m.Upstreams = append(m.Upstreams, upstreamMessage(u, at))
 	}
 	return m
 }
 
-func upstreamMessage(u hosts.Upstream) *cellpb.Upstream {
-	return &cellpb.Upstream{
+func upstreamMessage(u hosts.Upstream, at time.Time) *cellpb.Upstream {
+	m := &cellpb.Upstream{
 		Id: u.ID, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: string(u.State), Slots: int32(u.Slots),
 		Born: u.StartedMs, Version: u.Version,
 	}
+	if left := u.ColdUntilMs - at.UnixMilli(); left > 0 {
+		m.ColdLeftUs = left * 1000
+	}
+	return m
 }
--- a/internal/leader/serve/history_test.go
+++ b/internal/leader/serve/history_test.go
@@ -27,11 +27,11 @@
 	c := qt.New(t)
 	var ch tableHistory
 	before, now := table(1, 0, 100), table(2, 2, 100)
-	c.Check(tableMessage(before).Upstreams, qt.HasLen, 100)
-	d := ch.changes(before, now)
+	c.Check(tableMessage(before, time.Now()).Upstreams, qt.HasLen, 100)
+	d := ch.changes(before, now, time.Now())
 	c.Check([]any{d.Base, d.Version, d.Gone}, qt.DeepEquals, []any{int64(1), int64(2), []string{"u0", "u1"}})
 	c.Check(d.Upstreams, qt.HasLen, 2)
-	c.Check(ch.changes(before, now), qt.Equals, d, qt.Commentf("computed once for all entries"))
+	c.Check(ch.changes(before, now, time.Now()), qt.Equals, d, qt.Commentf("computed once for all entries"))
 }
 
 func TestNewestListsAreKept(t *testing.T) {
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -205,7 +205,7 @@
 		}
 	case *cellpb.ToLead_PermitQuery:
 		q := body.PermitQuery
-		wait := ses.limits.Take(hosts.Lifetime{ID: q.Id, StartedMs: q.Born})
+		wait := ses.limits.TakeCold(hosts.Lifetime{ID: q.Id, StartedMs: q.Born}, q.ColdRate)
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Permit{
 			Permit: &cellpb.Permit{Number: q.Number, WaitUs: wait.Microseconds()}}})
 	case *cellpb.ToLead_Holds:
@@ -228,7 +228,7 @@
 	table := ses.hosts()
 	if ses.sentTable != nil && table.Version() != ses.sentTable.Version() {
 		ses.history.add(table)
-		if ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: ses.history.changes(ses.sentTable, table)}}) {
+		if ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: ses.history.changes(ses.sentTable, table, ses.now())}}) {
 			ses.sentTable = table
 		}
 	}
--- a/internal/leader/serve/transfer.go
+++ b/internal/leader/serve/transfer.go
@@ -84,7 +84,7 @@
 	table := s.hosts()
 	s.history.add(table)
 	body, err := s.compressedHosts.get(table.Version(),
-		func() ([]byte, error) { return proto.Marshal(tableMessage(table)) })
+		func() ([]byte, error) { return proto.Marshal(tableMessage(table, s.now())) })
 	if err != nil {
 		s.log.Error("the list of upstreams can't be compressed", zap.Int64("version", table.Version()), zap.Error(err))
 		return nil, err
--- a/internal/limit/pace/limiter.go
+++ b/internal/limit/pace/limiter.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -43,11 +44,16 @@
 	buckets map[K]*bucket[K]
 	limited int   // number of buckets with a limit
 	changes int64 // number of changes of limits
+
+	cold        Cold[K]
+	coldBuckets map[K]*coldBucket
+	lastShare   float64   // as last used for cold upstreams
+	shareSince  time.Time // from which requests to cold upstreams are earned
 }
 
 // New returns a limiter that knows of no limits.
 func New[K comparable](o Options) *Limiter[K] {
-	return &Limiter[K]{opts: o, buckets: map[K]*bucket[K]{}}
+	return &Limiter[K]{opts: o, buckets: map[K]*bucket[K]{}, coldBuckets: map[K]*coldBucket{}}
 }
 
 // Observe applies a statement unless a newer one is known, and reports whether it changes a limit. A new limit begins
@@ -94,12 +100,12 @@
 	b.updated = now
 }
 
-// IsLimited reports whether an upstream named a limit in its last answer.
+// IsLimited reports whether an upstream named a limit in its last answer, or is cold.
 func (l *Limiter[K]) IsLimited(key K) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[key]
-	return b != nil && b.last.Limited
+	return (b != nil && b.last.Limited) || l.ColdRate(key) > 0
 }
 
 // Wait returns the time until a request may be sent to an upstream; 0 if it may be now.
@@ -116,23 +122,51 @@
 		l.refill(b)
 		b.tokens--
 	}
+	if b := l.coldBucket(key, l.ColdRate(key)); b != nil {
+		b.tokens--
+	}
 }
 
 func (l *Limiter[K]) wait(key K, take bool) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limited == 0 {
+	return l.waitFor(key, l.ColdRate(key), take)
+}
+
+// waitFor returns the time until a request may be sent to an upstream with a rate while it is cold, 0 if it is not. It
+// counts the request if take is true and the request may be sent now. The caller holds mu.
+func (l *Limiter[K]) waitFor(key K, coldRate float64, take bool) time.Duration {
+	cold := l.coldBucket(key, coldRate)
+	if l.limited == 0 && cold == nil {
 		return 0
 	}
 	b := l.buckets[key]
-	if b == nil || !b.last.Limited {
-		return 0
+	if b != nil && !b.last.Limited {
+		b = nil
+	}
+	var wait time.Duration
+	if b != nil {
+		wait = l.until(b)
+	}
+	if cold != nil {
+		wait = max(wait, l.untilCold(cold))
+	}
+	if wait > 0 || !take {
+		return wait
+	}
+	if b != nil {
+		b.tokens--
+	}
+	if cold != nil {
+		cold.tokens--
 	}
+	return 0
+}
+
+// until returns the time until an upstream that named a limit accepts a request; 0 if it does now. The caller holds mu.
+func (l *Limiter[K]) until(b *bucket[K]) time.Duration {
 	l.refill(b)
 	if b.tokens >= 1 {
-		if take {
-			b.tokens--
-		}
 		return 0
 	}
 	rate := l.rate(b)
@@ -143,16 +177,26 @@
 }
 
 // Capacity returns the number of requests that an upstream accepts from this process within d; limited is false if it
-// named no limit.
+// named no limit and is not cold.
 func (l *Limiter[K]) Capacity(key K, d time.Duration) (requests float64, limited bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.buckets[key]
-	if b == nil || !b.last.Limited {
+	requests = math.Inf(1)
+	if b := l.buckets[key]; b != nil && b.last.Limited {
+		l.refill(b)
+		requests, limited = b.tokens+l.rate(b)*d.Seconds(), true
+	}
+	if b := l.coldBucket(key, l.ColdRate(key)); b != nil {
+		accepted := b.tokens
+		if l.coldBurst()*l.lastShare >= 1 {
+			accepted += l.coldPerSecond(b.rate) * l.lastShare * d.Seconds()
+		}
+		requests, limited = min(requests, accepted), true
+	}
+	if !limited {
 		return 0, false
 	}
-	l.refill(b)
-	return b.tokens + l.rate(b)*d.Seconds(), true
+	return requests, true
 }
 
 // Changes returns the last statements of the upstreams whose limits have changed since a number that was returned
@@ -172,11 +216,11 @@
 	return out, l.changes
 }
 
-// Limited returns the number of upstreams that named a limit.
+// Limited returns the number of upstreams that named a limit, and of cold ones whose requests are counted.
 func (l *Limiter[K]) Limited() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limited
+	return l.limited + len(l.coldBuckets)
 }
 
 // Forget drops the upstreams for which keep returns false and that have said nothing for retention.
@@ -184,6 +228,11 @@
 	now := l.opts.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for key := range l.coldBuckets {
+		if l.ColdRate(key) == 0 && !now.Before(l.coldBuckets[key].updated.Add(maxWait)) {
+			delete(l.coldBuckets, key)
+		}
+	}
 	for key, b := range l.buckets {
 		if keep(key) || now.Sub(b.last.At) < retention {
 			continue
