--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -21,6 +21,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
@@ -64,8 +65,9 @@
 	replacedAt    time.Time                   // used by Link.Run's goroutine only
 	now           func() time.Time
 	opts          Options
-	fetchingRules atomic.Bool // the leader's configuration is being fetched
-	fetchingHosts atomic.Bool // the leader's list is being fetched
+	fetchingRules atomic.Bool                    // the leader's configuration is being fetched
+	fetchingHosts atomic.Bool                    // the leader's list is being fetched
+	sharedZones   atomic.Pointer[[]zones.Record] // records of evacuated zones in the last pong; nil before
 
 	permitsMu   sync.Mutex
 	permitCount int64                        // number of the last permit query
@@ -163,7 +165,7 @@
 				s.applyPong(body.Pong)
 			}
 		case *cellpb.ToEntry_Hosts:
-			next := applyChanges(s.hosts.Load(), body.Hosts)
+			next := applyChanges(s.hosts.Load(), body.Hosts, s.now())
 			if next == nil {
 				s.opts.Log.Warn("changes of an unknown list of upstreams, asking for it again",
 					zap.String("member", s.member.Host), zap.Int64("base", body.Hosts.Base))
@@ -234,7 +236,9 @@
 		table = nil
 	}
 	s.opts.ObserveEra(p.StoreEra)
-	rules := watch.Revision{Version: p.RulesVersion, Offset: p.RulesOffset, Era: p.RulesEra, ConfirmedAt: timeBefore(p.RulesAgeUs)}
+	rules := watch.Revision{Version: p.RulesVersion, Offset: p.RulesOffset, Era: p.RulesEra, ConfirmedAt: timeBefore(p.RulesAgeUs),
+		Zones: cellpb.ZoneRecords(p.Zones), ZonesEra: p.ZonesEra, ZonesEnd: p.ZonesEnd, LacksZones: !p.SharesZones}
+	s.sharedZones.Store(&rules.Zones)
 	s.opts.Confirm(rules, table)
 	if s.members != nil {
 		s.opts.ConfirmMembers(registry.View{Candidates: s.members.Candidates, Size: s.members.Size,
@@ -281,7 +285,7 @@
 		return
 	}
 	m.Base = 0 // it is a whole list
-	s.hosts.Store(applyChanges(nil, m))
+	s.hosts.Store(applyChanges(nil, m, s.now()))
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Holds{Holds: &cellpb.Holds{HostsVersion: m.Version}}})
 	s.ping() // the pong says how old the list is
 }
@@ -299,8 +303,9 @@
 	return body, err
 }
 
-// applyChanges applies the leader's changes to a list of upstreams. It returns nil if they are changes to another list.
-func applyChanges(known *hosts.Table, m *cellpb.Hosts) *hosts.Table {
+// applyChanges applies the leader's changes, which have arrived at a time, to a list of upstreams. It returns nil if they
+// are changes to another list.
+func applyChanges(known *hosts.Table, m *cellpb.Hosts, at time.Time) *hosts.Table {
 	byID := map[string]hosts.Upstream{}
 	if m.Base != 0 {
 		if known == nil || known.Version() != m.Base {
@@ -314,10 +319,14 @@
 		delete(byID, id)
 	}
 	for _, u := range m.Upstreams {
-		byID[u.Id] = hosts.Upstream{
+		up := hosts.Upstream{
 			ID: u.Id, Pool: u.Pool, Address: u.Address, Zone: u.Zone, State: hosts.State(u.State), Slots: int(u.Slots),
 			StartedMs: u.Born, Version: u.Version,
 		}
+		if u.ColdLeftUs > 0 {
+			up.ColdUntilMs = at.UnixMilli() + u.ColdLeftUs/1000
+		}
+		byID[u.Id] = up
 	}
 	return hosts.New(slices.Collect(maps.Values(byID)), time.Time{}).WithVersion(m.Version)
 }
@@ -407,7 +416,8 @@
 	s.permits[number] = answer
 	s.permitsMu.Unlock()
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_PermitQuery{
-		PermitQuery: &cellpb.PermitQuery{Number: number, Id: to.ID, Born: to.StartedMs}}})
+		PermitQuery: &cellpb.PermitQuery{Number: number, Id: to.ID, Born: to.StartedMs,
+			ColdRate: s.opts.Limits.ColdRate(to)}}})
 	timeout := time.NewTimer(permitTimeout)
 	defer timeout.Stop()
 	wait := permitTimeout
@@ -431,6 +441,9 @@
 	if at := s.opts.ListReadAt(); !at.IsZero() {
 		ping.ListAgeUs = s.now().Sub(at).Microseconds()
 	}
+	if shared := s.sharedZones.Load(); shared != nil {
+		ping.Zones = cellpb.ZonesOf(s.opts.Zones().NewerThan(*shared))
+	}
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Ping{Ping: ping}})
 }
 
