Release results once the calls that read them have fetched them

Its upstreams hold 43 results, and each was kept until the call of the next stage ended, 0.7 s after it was made, though that call fetches its inputs when it begins. Change: once all calls of the only step that reads results have run for 100 ms, the results are released if their producer has no memory for another full call. If a call fails after that, the stage before it runs again.

--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -160,7 +160,7 @@
 func (sc *Scheduler) buildBatch(p *pool, w *worker, queue []queuedStep, now time.Time) {
 	r := &activeCall{worker: w, startedAt: now}
 	var items []call.Item
-	freeBytes := int64(usableFraction*float64(p.spec.Headroom)) - w.usedBytes - w.untracked
+	freeBytes := p.freeBytes(w)
 	queueCache := map[*pool]bool{}
 	backlog := 0
 	for _, q := range queue {
@@ -228,6 +228,11 @@
 	})
 }
 
+// freeBytes returns the memory that an upstream has left for results, in bytes.
+func (p *pool) freeBytes(w *worker) int64 {
+	return int64(usableFraction*float64(p.spec.Headroom)) - w.usedBytes - w.untracked
+}
+
 // maySplit reports whether a step that fits into one call may be split between calls when its pool has a backlog. Steps
 // that other stages read stay whole because those stages need all pieces, and steps with large results because their
 // results belong in one zone.
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -542,6 +542,7 @@
 	}
 	sc.reopenAffected(now)
 	sc.hedge(now)
+	sc.releaseRead(now)
 	sc.order = slices.DeleteFunc(sc.order, func(j *job) bool { return sc.jobs[j.ID] != j })
 	sc.refuseExpired(now)
 	sc.refuseWithheld(now)
