Read the load that stage upstreams state, and schedule by it

Cause: upstreams of stage pools say in Server-Load how many requests they hold and how long work takes on their host now. Nothing read it, so calls went to upstreams that other work had slowed.

Change: platform decodes the header into call.Answer. leader/lead dates it with the arrival of each answer of a stage upstream and passes it to leader/sched. The new package route/speed lets samples fade to the usual within some hundred ms, keeps them apart from the learned slowness, and answers expected duration, class and size. The scheduler uses it for the choice among free upstreams, sizes, time-outs, hedging and forecasts. Pools without the header are scheduled as before.

--- a/internal/edge/call/request.go
+++ b/internal/edge/call/request.go
@@ -57,6 +57,17 @@
 	// Limit is the number of requests per second that the upstream accepts from all entries together; see HasLimit.
 	Limit    float64
 	HasLimit bool // the upstream states a limit
+	// Load is what the upstream says of its load; see HasLoad.
+	Load    Load
+	HasLoad bool // the upstream states its load
+}
+
+// Load is what an upstream says of its load in an answer.
+type Load struct {
+	Running     int // requests
+	Waiting     int // requests
+	Slots       int // requests that run at once
+	TimePercent int // how long work takes now, 100 being as usual; 0 if the upstream does not say
 }
 
 // Item is one piece of a stage in a batch.
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -795,6 +795,10 @@
 	}
 	defer answer.Close()
 	c.opts.Notices.AddAnswer(u, sent, answer.Status, answer.Head)
+	if answer.Head.HasLoad {
+		load, at := answer.Head.Load, c.opts.Now()
+		c.inbox <- func(time.Time) { c.scheduler.ObserveLoad(u.Lifetime(), load, at) }
+	}
 	if answer.Head.HasLimit {
 		c.opts.Stats.LimitNamed(u.Pool)
 		c.opts.Log.Info("stage upstream named a limit", zap.String("upstream", u.ID), zap.String("path", r.URI),
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 // assign builds calls for the free upstreams of a pool, from the most urgent steps first.
@@ -128,13 +129,19 @@
 	return max(sc.minCallTime(s), sc.pools[s.spec.Pool].avgCallTime)
 }
 
-// callTime returns the processing time of a call with the given number of pieces.
+// callTime returns the processing time of a call with the given number of pieces at the mean speed of the upstreams.
 func (p *pool) callTime(pieces int) time.Duration {
+	return p.speed.scale(p.usualCallTime(pieces))
+}
+
+// usualCallTime returns the processing time of a call with the given number of pieces by the configuration.
+func (p *pool) usualCallTime(pieces int) time.Duration {
 	return p.spec.Call + time.Duration(pieces)*p.spec.Piece
 }
 
 // freeWorkers returns the upstreams that can take a call: fast ones before slow ones, then those with less used memory
-// first.
+// first. Where upstreams state their load, those that are slower than most now come later, and those that are alike in a
+// random order, so that entries that decide alone do not all begin with the same one.
 func (sc *Scheduler) freeWorkers(p *pool, now time.Time) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
@@ -144,13 +151,18 @@
 		case w.slow() && now.Before(w.retestAt):
 		case sc.limits.Wait(w.up.Lifetime()) > 0:
 		default:
+			if p.speed.known {
+				w.tie = sc.random()
+			}
 			out = append(out, w)
 		}
 	}
 	slices.SortFunc(out, func(a, c *worker) int {
 		return cmp.Or(
 			falseFirst(a.slow(), c.slow()),
+			cmp.Compare(a.class, c.class),
 			cmp.Compare(a.usedBytes+a.untracked, c.usedBytes+c.untracked),
+			cmp.Compare(a.tie, c.tie),
 			cmp.Compare(a.up.ID, c.up.ID))
 	})
 	return out
@@ -159,6 +171,7 @@
 // buildBatch fills one call to a free upstream from the queue, which is sorted by urgency.
 func (sc *Scheduler) buildBatch(p *pool, w *worker, queue []queuedStep, now time.Time) {
 	r := &activeCall{worker: w, startedAt: now}
+	most := p.sizeAt(w, now) // pieces of a call that holds more than one step
 	var items []call.Item
 	freeBytes := int64(usableFraction*float64(p.spec.Headroom)) - w.usedBytes - w.untracked
 	queueCache := map[*pool]bool{}
@@ -170,6 +183,9 @@
 	for _, q := range queue {
 		s := q.step
 		capacity := p.spec.Size - len(items)
+		if len(items) > 0 {
+			capacity = min(capacity, max(0, most-len(items)))
+		}
 		if capacity == 0 || (w.slow() && len(items) > 0) {
 			break
 		}
@@ -208,7 +224,8 @@
 	sc.limits.Take(w.up.Lifetime())
 	sc.nextID++
 	r.id = sc.nextID
-	r.expected = p.callTime(len(items)) + overheadPerCall
+	r.usual = p.usualCallTime(len(items)) + overheadPerCall
+	r.reference, r.expected = w.speed.Reference(r.usual, now), w.speed.Duration(r.usual, now)
 	r.timeout = max(minTimeout, timeoutFactor*r.expected)
 	updateAverage(&p.avgCallTime, r.expected)
 	w.running = r
@@ -243,7 +260,7 @@
 	}
 	for _, other := range p.workers {
 		if other.present && other.up.Zone == s.preferredZone && !now.Before(other.pausedUntil) &&
-			other.slowness < slowFactor {
+			other.speed.Slowness() < speed.SlowFactor {
 			return false
 		}
 	}
--- a/internal/leader/sched/hedge.go
+++ b/internal/leader/sched/hedge.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 // hedge requeues the pieces of calls that take too long, and fails calls that exceed their timeout.
@@ -17,11 +19,13 @@
 		if p := sc.pools[r.worker.up.Pool]; p != nil && len(p.ready) > 0 {
 			factor = hedgeQueuedFactor
 		}
-		if r.hedged || elapsed < time.Duration(factor*float64(r.expected))+hedgeSlack {
+		// A call at an upstream that is known to be slow is hedged no later than one at the limit of slow ones.
+		expected := min(r.expected, time.Duration(speed.SlowFactor*float64(r.usual)))
+		if r.hedged || elapsed < time.Duration(factor*float64(expected))+hedgeSlack {
 			continue
 		}
 		r.hedged = true
-		r.worker.recordSlowness(float64(elapsed) / float64(r.expected))
+		r.worker.speed = r.worker.speed.WithCall(elapsed, r.reference, now)
 		sc.pools[r.worker.up.Pool].countsValid = false
 		for _, p := range r.parts {
 			if p.detached {
@@ -34,13 +38,5 @@
 	}
 }
 
-func (w *worker) slow() bool { return w.slowness > slowFactor }
-
-// recordSlowness records the ratio of a call's duration to its expected duration. A single call of normal duration
-// clears a slow upstream, because a slow call may just have waited behind calls of another client.
-func (w *worker) recordSlowness(ratio float64) {
-	if ratio < slowFactor {
-		w.slowness = min(w.slowness, slowFactor)
-	}
-	w.slowness += slownessSmoothing * (ratio - w.slowness)
-}
+// slow reports whether the upstream gets single steps, to test whether it has recovered.
+func (w *worker) slow() bool { return w.speed.Slow() }
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
+	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 const (
@@ -29,8 +31,6 @@
 	hedgeFactor          = 1.5 // a call is hedged after this multiple of its expected duration,
 	hedgeQueuedFactor    = 3.0 // or after this one while other steps wait for the pool
 	hedgeSlack           = 60 * time.Millisecond
-	slownessSmoothing    = 0.4
-	slowFactor           = 1.7 // slower upstreams get single steps to test whether they have recovered
 	retestInterval       = 700 * time.Millisecond
 	averageSmoothing     = 0.15                   // weight of a new value in the averages of a pool
 	minProbedHeadroom    = 4_000_000              // bytes; reports are in whole MB, too coarse for less memory
@@ -114,8 +114,10 @@
 	up               hosts.Upstream
 	present          bool // listed and ready
 	running          *activeCall
-	usedBytes        int64         // by tracked results and those of the call in flight
-	slowness         float64       // ratio of call durations to the expected ones, smoothed
+	usedBytes        int64 // by tracked results and those of the call in flight
+	speed            speed.Estimate
+	class            int           // by its speed now, among those of its pool; the lowest is preferred
+	tie              uint64        // random; orders upstreams that are alike
 	backoff          time.Duration // length of the last pause after a failed call
 	pausedUntil      time.Time     // no calls until then, after failures or at the upstream's request
 	fullUntil        time.Time     // no calls until then, after a piece found no memory for its result
@@ -147,6 +149,8 @@
 	worker    *worker
 	parts     []part
 	startedAt time.Time
+	usual     time.Duration // on an upstream of usual speed that others leave alone
+	reference time.Duration // expected if the upstream were as fast as the others of its pool
 	expected  time.Duration
 	timeout   time.Duration
 	bytes     int64
@@ -166,6 +170,7 @@
 	lastExpired  time.Time // when results were last scanned for expiry
 	countsValid  bool      // counts is up to date
 	counts       workerCounts
+	speed        poolSpeed
 }
 
 // workerCounts counts the upstreams of a pool that are listed and ready.
@@ -188,6 +193,7 @@
 	workersByID map[string]*worker   // their present lifetimes
 	affected    map[*job]bool        // jobs that may have lost results
 	overloads   map[string]*overload // by pool names, joined by spaces
+	random      func() uint64        // orders upstreams that are alike
 }
 
 // New returns a scheduler without pools, which starts no more calls than limits allows.
@@ -196,7 +202,7 @@
 		limits: limits,
 		pools:  map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
 		toRelease: map[string][]string{}, workersByID: map[string]*worker{}, affected: map[*job]bool{},
-		overloads: map[string]*overload{},
+		overloads: map[string]*overload{}, random: rand.Uint64,
 	}
 }
 
@@ -227,7 +233,7 @@
 		for _, u := range t.Ready(name) {
 			w := p.workers[u.ID]
 			if w == nil {
-				w = &worker{slowness: 1, held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
+				w = &worker{speed: speed.New(), held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
 				p.workers[u.ID] = w
 				sc.workersByID[u.ID] = w
 			}
@@ -345,7 +351,7 @@
 	sc.endCall(r)
 	w := r.worker
 	w.backoff = 0
-	w.recordSlowness(float64(now.Sub(r.startedAt)) / float64(r.expected))
+	w.speed = w.speed.WithCall(now.Sub(r.startedAt), r.reference, now)
 	at := 0
 	for _, p := range r.parts {
 		for _, piece := range p.pieces {
@@ -536,6 +542,7 @@
 // Schedule assigns ready pieces to free upstreams and returns the actions to carry out.
 func (sc *Scheduler) Schedule(now time.Time) Output {
 	for _, p := range sc.pools {
+		p.updateSpeed(now)
 		sc.expireResults(p, now)
 	}
 	sc.reopenAffected(now)
--- a/internal/leader/sched/simulation_test.go
+++ b/internal/leader/sched/simulation_test.go
@@ -58,8 +58,10 @@
 	jobs       map[string]*outcome
 	random     *rand.Rand
 	handles    int
-	violations []string                            // violated guarantees of the scheduler
-	work       func(job string, stage int) float64 // run time of a piece, as a multiple of its pool's
+	violations []string                              // violated guarantees of the scheduler
+	work       func(job string, stage int) float64   // run time of a piece, as a multiple of its pool's
+	disturbed  func(id string, at time.Time) float64 // if set, the factor by which work takes longer at an upstream
+	statesLoad bool                                  // answers state the load of their upstream
 }
 
 func newSimulation(pools map[string]rule.Batch, count int, seed uint64) *simulation {
@@ -176,16 +178,32 @@
 	if u.busyUntil.After(callStart) {
 		callStart = u.busyUntil
 	}
-	u.busyUntil = callStart.Add(time.Duration(u.slowdown * float64(callTime)))
+	u.busyUntil = callStart.Add(sim.durationAt(b.Upstream.ID, callStart, time.Duration(u.slowdown*float64(callTime))))
 	sim.after(u.busyUntil.Sub(sim.now), func(now time.Time) {
 		results := make([]call.Result, len(b.Items))
 		for i, it := range b.Items {
 			results[i] = sim.result(u, it, sim.sizeOf(it))
 		}
+		if sim.statesLoad {
+			percent := int(100 * sim.disturbed(b.Upstream.ID, now))
+			sim.scheduler.ObserveLoad(b.Upstream.Lifetime(), call.Load{Running: 1, Slots: 1, TimePercent: percent}, now)
+		}
 		sim.scheduler.CallFinished(b.ID, results, now)
 	})
 }
 
+// durationAt returns how long work takes that begins at an upstream at the given time.
+func (sim *simulation) durationAt(id string, from time.Time, work time.Duration) time.Duration {
+	if sim.disturbed == nil {
+		return work
+	}
+	at := from
+	for ; work > 0; at = at.Add(tick) {
+		work -= time.Duration(float64(tick) / sim.disturbed(id, at))
+	}
+	return at.Sub(from)
+}
+
 func (sim *simulation) sizeOf(it call.Item) int64 {
 	return resultBytes[sim.jobs[it.RequestID].kind][it.Stage]
 }
