--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
@@ -732,7 +733,7 @@
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
 			zap.Int("waitInTime", b.QueuedInTime), zap.Int("waitLate", b.QueuedLate), zap.Int64("room", b.FreeBytes),
 			zap.Int("emptyInputs", emptyInputs(b.Items)), zap.Duration("listAge", now.Sub(c.hosts.Read())),
-			zap.Strings("requests", requestsOf(b.Items)))
+			zap.Strings("requests", requestsOf(b.Items)), zap.Inline(speedFields{b, now}))
 		go c.runBatch(b)
 	}
 	for _, r := range out.Releases {
@@ -919,6 +920,28 @@
 		zap.Strings("producers", producers)}
 }
 
+// speedFields describes how the expected duration of a call follows from the usual one, for upstreams that state their load.
+type speedFields struct {
+	sched.Batch
+	now time.Time
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (f speedFields) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	age, known := f.Speed.Age(f.now)
+	if !known {
+		return nil
+	}
+	load := f.Speed.Load()
+	e.AddDuration("usual", f.Usual)
+	e.AddFloat64("slowness", f.Speed.Slowness())
+	e.AddDuration("loadAge", age)
+	e.AddInt("upstreamRunning", load.Running)
+	e.AddInt("upstreamWaiting", load.Waiting)
+	e.AddInt("timePercent", load.TimePercent)
+	return nil
+}
+
 // emptyInputs counts the pieces of a call that name an input without a handle.
 func emptyInputs(items []call.Item) int {
 	n := 0
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -151,12 +151,12 @@
 		case w.slow() && now.Before(w.retestAt):
 		case sc.limits.Wait(w.up.Lifetime()) > 0:
 		default:
-			if p.speed.known {
-				w.tie = sc.random()
-			}
 			out = append(out, w)
 		}
 	}
+	if p.speed.known {
+		sc.drawTies(out)
+	}
 	slices.SortFunc(out, func(a, c *worker) int {
 		return cmp.Or(
 			falseFirst(a.slow(), c.slow()),
@@ -240,7 +240,7 @@
 		updateAverage(&p.avgBatchSize, float64(len(items)))
 	}
 	sc.output.Batches = append(sc.output.Batches, Batch{
-		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, Timeout: r.timeout,
+		ID: r.id, Upstream: w.up, Items: items, Usual: r.usual, Expected: r.expected, Timeout: r.timeout, Speed: w.speed,
 		QueuedInTime: inTime, QueuedLate: late, FreeBytes: freeBytes,
 	})
 }
--- a/internal/leader/sched/hedge.go
+++ b/internal/leader/sched/hedge.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		r.hedged = true
-		r.worker.speed = r.worker.speed.WithCall(elapsed, r.reference, now)
+		r.worker.speed = r.worker.speed.WithCall(elapsed, r.usual, r.reference, now)
 		sc.pools[r.worker.up.Pool].countsValid = false
 		for _, p := range r.parts {
 			if p.detached {
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -53,11 +53,13 @@
 	ID           int64
 	Upstream     hosts.Upstream
 	Items        []call.Item
+	Usual        time.Duration // of such a call, by the configuration
 	Expected     time.Duration
-	Timeout      time.Duration // timeout of the call
-	QueuedInTime int           // pieces of jobs that can meet their target, still queued in the pool
-	QueuedLate   int           // pieces of late jobs, still queued in the pool
-	FreeBytes    int64         // free bytes for results on the upstream after this call
+	Timeout      time.Duration  // timeout of the call
+	Speed        speed.Estimate // of the upstream when the call was scheduled
+	QueuedInTime int            // pieces of jobs that can meet their target, still queued in the pool
+	QueuedLate   int            // pieces of late jobs, still queued in the pool
+	FreeBytes    int64          // free bytes for results on the upstream after this call
 }
 
 // Grant reports that all stages of a job are done and the request can run.
@@ -351,7 +353,7 @@
 	sc.endCall(r)
 	w := r.worker
 	w.backoff = 0
-	w.speed = w.speed.WithCall(now.Sub(r.startedAt), r.reference, now)
+	w.speed = w.speed.WithCall(now.Sub(r.startedAt), r.usual, r.reference, now)
 	at := 0
 	for _, p := range r.parts {
 		for _, piece := range p.pieces {
--- a/internal/leader/sched/speed.go
+++ b/internal/leader/sched/speed.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
@@ -52,17 +54,17 @@
 	}
 	usual := p.referenceCall()
 	var durations []time.Duration
-	rate := 0.0 // calls in the usual duration of one, by all upstreams
+	var rate int64 // millionths of calls in the usual duration of one, by all upstreams; whole, so that the order is irrelevant
 	for _, w := range p.workers {
 		if w.present {
 			d := w.speed.Duration(usual, now)
 			durations = append(durations, d)
-			rate += float64(usual) / float64(d)
+			rate += int64(usual) * 1e6 / int64(max(1, d))
 		}
 	}
 	p.speed.typical, p.speed.mean = speed.Typical(durations), 1
 	if rate > 0 {
-		p.speed.mean = float64(len(durations)) / rate
+		p.speed.mean = 1e6 * float64(len(durations)) / float64(rate)
 	}
 	for _, w := range p.workers {
 		w.class = speed.Class(w.speed.Duration(usual, now), p.speed.typical)
@@ -77,3 +79,12 @@
 	factor := float64(w.speed.Duration(p.referenceCall(), now)) / float64(p.speed.typical)
 	return speed.Size(p.spec.Size, p.spec.Call+overheadPerCall, p.spec.Piece, factor)
 }
+
+// drawTies draws the random order of upstreams that are alike. It goes by their IDs, so that the random source alone
+// determines the outcome.
+func (sc *Scheduler) drawTies(free []*worker) {
+	slices.SortFunc(free, func(a, c *worker) int { return cmp.Compare(a.up.ID, c.up.ID) })
+	for _, w := range free {
+		w.tie = sc.random()
+	}
+}
--- a/internal/route/speed/estimate.go
+++ b/internal/route/speed/estimate.go
@@ -62,13 +62,16 @@
 	return e
 }
 
-// WithCall returns the estimate after a call that has taken elapsed until now, and whose reference was the given one when
-// it began. A single call of normal duration clears a slow upstream, because a slow call may just have waited behind
+// WithCall returns the estimate after a call of the given usual duration that has taken elapsed until now, and whose
+// reference was the given one when it began. A single call of normal duration clears a slow upstream, because a slow call may just have waited behind
 // calls of another client.
-func (e Estimate) WithCall(elapsed, reference time.Duration, now time.Time) Estimate {
+func (e Estimate) WithCall(elapsed, usual, reference time.Duration, now time.Time) Estimate {
 	if e.hasLoad && e.sampled.After(now.Add(-elapsed)) {
-		// The sample came during the call, so it explains a part of the duration too.
-		reference = time.Duration(float64(reference) * e.deviation(elapsed, now))
+		// The sample came during the call, so it explains a part of the duration too. During a short call it and the one
+		// before say the same.
+		before, after := float64(reference)/float64(usual)-1, e.deviation(elapsed, now)-1
+		factor := 1 + (before+after)/max(1, 2*meanFade(elapsed))
+		reference = time.Duration(max(minFactor, factor) * float64(usual))
 	}
 	ratio := float64(elapsed) / float64(reference)
 	if ratio < SlowFactor {
@@ -107,9 +110,13 @@
 		return 1
 	}
 	ratio := min(maxFactor, max(minFactor, float64(e.load.TimePercent)/e.average))
-	length := float64(duration) / float64(fadeTime)
-	mean := (1 - math.Exp(-length)) / length
-	return 1 + (ratio-1)*mean*fade(now.Sub(e.sampled))
+	return 1 + (ratio-1)*meanFade(duration)*fade(now.Sub(e.sampled))
+}
+
+// meanFade returns the mean part of a new sample that is left during the given time, from 0 to 1.
+func meanFade(during time.Duration) float64 {
+	length := float64(during) / float64(fadeTime)
+	return (1 - math.Exp(-length)) / length
 }
 
 // fade returns the part of a sample that is left at the given age, from 0 to 1.
