Refuse requests early on a host that is short of processor, memory or descriptors

Cause: entries have 0.1 to 0.8 of a core. One that gets more than it can handle accepted all of it and answered late.

Change: limit/shed refuses requests as not run, before their body is read, where about ten waits for the processor exceed their target, the least urgent first, and when memory or descriptors run out. It is on where the settings name the share of the processor.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
+	"github.com/ragworthatch/ragworthatch/internal/limit/shed"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -42,6 +43,7 @@
 	maxBufferedBytes    = 256 << 10             // bytes; a longer answer is streamed to the caller
 	maxPieces           = 10_000                // in all stages of a request
 	streamBufferBytes   = 8 << 10               // bytes
+	maxUnreadBytes      = 128 << 10             // of a body; the server reads as much after a refusal
 
 	// A stream takes a few times the target of its first event, which counts from its arrival.
 	streamTargets     = 2 // expected from its arrival on, while this process is about to exit
@@ -70,6 +72,9 @@
 	// Permit asks for permission to send one request to an upstream; it returns the time until the upstream accepts one,
 	// 0 if the request may be sent.
 	Permit func(context.Context, hosts.Lifetime) time.Duration
+	// Short reports what this process is too short of to serve a request with the given rank and target, and when its
+	// caller may come back; empty if it is to be served.
+	Short  func(rank int, target time.Duration) (shed.Resource, time.Duration)
 	Budget *resend.Budget
 	Stats  *stats.Stats
 	Crash  *crash.Tracker
@@ -125,6 +130,7 @@
 	resumable   lead.Stream     // that the caller may take up
 	fingerprint uint64          // see fingerprintOf
 	parts       []string        // of the prompt, which other requests may share
+	short       shed.Resource   // that it was refused for
 	breaks      int             // sends that ended before their answer began
 	checked     <-chan struct{} // closed when the upstream of the last of them has been asked whether it runs
 }
@@ -178,6 +184,13 @@
 	if x.o.Stopping() {
 		return stopping()
 	}
+	// An unread body up to this size does not keep the caller from reading the refusal.
+	readFirst := x.in.ContentLength < 0 || x.in.ContentLength > maxUnreadBytes
+	if !readFirst {
+		if failure := x.checkShortage(); failure != nil {
+			return failure
+		}
+	}
 	limit := x.rules.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -191,6 +204,11 @@
 		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
 	}
 	x.body = body
+	if readFirst {
+		if failure := x.checkShortage(); failure != nil {
+			return failure
+		}
+	}
 	if !x.head.HasAtMostPieces(maxPieces) {
 		return fault.New(fault.NotRun, fault.BadRequest, "more than %d pieces", maxPieces)
 	}
@@ -219,6 +237,20 @@
 	return nil
 }
 
+// checkShortage refuses a request that this process is too short of some resource to serve in time, unless it takes up a
+// stream, which was begun before.
+func (x *exchange) checkShortage() *fault.Error {
+	if x.head.LastEventID != "" {
+		return nil
+	}
+	short, wait := x.o.Short(x.priority, x.route.Target)
+	if short == shed.None {
+		return nil
+	}
+	x.short = short
+	return fault.New(fault.NotRun, fault.Overloaded, "this entry is short of %s", short).WithRetryAfter(wait)
+}
+
 // stopping is the refusal of a request that this entry can't finish before it exits.
 func stopping() *fault.Error {
 	return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(defaultRetryAfter)
@@ -367,7 +399,7 @@
 	age := x.o.Now().Sub(x.arrived)
 	x.o.Log.Info("failed", append(extra, zap.String("request", x.logID), zap.String("route", x.route.Name),
 		zap.Int("sends", x.sends), zap.Duration("age", age), zap.Int64("version", x.rules.Version()),
-		zap.String("code", string(code)), zap.String("verdict", string(verdict)), zap.Error(cause))...)
+		zap.String("code", string(code)), zap.String("verdict", string(verdict)), zap.String("short", string(x.short)), zap.Error(cause))...)
 	x.o.Stats.Finished(x.route.Name, string(code), age)
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
+	"github.com/ragworthatch/ragworthatch/internal/limit/shed"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 	"github.com/ragworthatch/ragworthatch/internal/ops/pause"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
@@ -83,6 +84,7 @@
 	picker   *balance.Picker
 	notices  *notices.Record
 	limits   *pace.Limiter[hosts.Lifetime]
+	shed     *shed.Policy
 	front    *front.Front
 	leaving  atomic.Bool               // after SIGTERM
 	exitAt   atomic.Pointer[time.Time] // nil before SIGTERM
@@ -132,6 +134,7 @@
 		Report: func(r crash.Report) { n.link.Crashed(r) }, Now: time.Now, Log: log.Named("verify"),
 	})
 	n.picker = balance.New(time.Now)
+	n.shed = shed.New(shed.Options{Leads: n.leadsOthers, Random: rand.Float64, Now: time.Now})
 	leads := func() bool {
 		_, follows := n.link.Leader()
 		return !follows
@@ -180,6 +183,7 @@
 		},
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Leader: n.link, Client: n.client, Picker: n.picker, Notices: n.notices,
 		Permit:   n.link.Permit,
+		Short:    n.shed.Refuse,
 		Budget:   n.budget,
 		Stats:    n.stats,
 		Crash:    n.crash,
@@ -228,6 +232,9 @@
 	go n.ledger.Run(ctx)
 	go n.origins.Run(ctx)
 	go n.sweep(ctx)
+	if settings.CoresNamed {
+		go n.measure(ctx)
+	}
 	peers, err := n.servePeers(ctx)
 	if err != nil {
 		return err
--- a/internal/edge/node/testbed_test.go
+++ b/internal/edge/node/testbed_test.go
@@ -98,18 +98,18 @@
 		fmt.Sprintf(`"version": %d`, w.version), 1)))
 }
 
-// startEntry runs an entry, without waiting until it is ready.
-func (w *testbed) startEntry(name string) *entry {
+// startEntry runs an entry, with additional lines of settings, without waiting until it is ready.
+func (w *testbed) startEntry(name string, more ...string) *entry {
 	e := &entry{front: ports.Next(), ready: ports.Next(), done: make(chan error, 1)}
 	peers := netip.MustParseAddrPort(ports.Range(internalPorts))
 	path := filepath.Join(w.c.TempDir(), "settings.conf")
-	settings := strings.Join([]string{
+	settings := strings.Join(append([]string{
 		"node_name=" + name, "zone=zone-a", "ip=" + peers.Addr().String(), "listen.front=" + e.front,
 		"listen.ready=" + e.ready,
 		fmt.Sprintf("internal_ports=%d,%d", peers.Port(), peers.Port()+1), "platform.address=" + w.storeURL,
 		"bounds.drain_ms=600", "bounds.grace_s=4", "bounds.budget_ratio=0.2", "bounds.budget_slack=80",
 		"bounds.budget_window_s=10",
-	}, "\n")
+	}, more...), "\n")
 	w.c.Assert(os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
 	n, err := node.New(path, 0, zap.NewNop())
 	w.c.Assert(err, qt.IsNil)
--- /dev/null
+++ b/internal/limit/shed/policy.go
@@ -0,0 +1,142 @@
+package shed
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	window           = 1 * time.Second // of the waits for the processor that count
+	waitsPerRequest  = 10              // times that a request waits for the processor on its way through a process
+	firstRatio       = 0.75            // of these waits to the target of a request, from which on some are refused
+	fullRatio        = 1.5             // from which on maxRefused are refused
+	maxRefused       = 0.9             // so that some pass and show when the process can serve again
+	rankWeight       = 0.5             // by which each rank adds to the ratio, so that less urgent requests go first
+	leaderWeight     = 2               // the waits of a leader are added to the requests of all entries
+	maxMemory        = 0.9             // of the limit
+	minDescriptors   = 64              // left
+	spareDescriptors = 30              // one in so many descriptors is left
+	shortTarget      = 1 * time.Second // for which Short reports
+	minRetryAfter    = 300 * time.Millisecond
+	maxRetryAfter    = 1 * time.Second
+)
+
+// Resource is what the process is short of.
+type Resource string
+
+// The resources of a process; None if it is not short of any.
+const (
+	None        Resource = ""
+	Processor   Resource = "processor"
+	Memory      Resource = "memory"
+	Descriptors Resource = "descriptors"
+)
+
+// Usage is a measurement of a resource; a Limit of 0 stands for none.
+type Usage struct{ Used, Limit int64 }
+
+// Options are the dependencies of a Policy.
+type Options struct {
+	// Leads reports whether other processes wait for this one.
+	Leads  func() bool
+	Random func() float64 // from 0 to 1
+	Now    func() time.Time
+}
+
+// wait is one measured wait for the processor.
+type wait struct {
+	at   time.Time
+	took time.Duration
+}
+
+// Policy decides which requests are refused; it is safe for concurrent use.
+type Policy struct {
+	opts        Options
+	mu          sync.Mutex
+	waits       []wait // of the window, by time
+	median      time.Duration
+	memory      Usage
+	descriptors Usage
+}
+
+// New returns a policy that refuses nothing until it is told of a shortage.
+func New(o Options) *Policy { return &Policy{opts: o} }
+
+// ObserveWait records how long the process waited for the processor.
+func (p *Policy) ObserveWait(took time.Duration) {
+	now := p.opts.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waits = append(p.waits, wait{now, max(0, took)})
+	p.waits = slices.DeleteFunc(p.waits, func(w wait) bool { return now.Sub(w.at) > window })
+	sorted := make([]time.Duration, 0, len(p.waits))
+	for _, w := range p.waits {
+		sorted = append(sorted, w.took)
+	}
+	slices.Sort(sorted)
+	p.median = sorted[(len(sorted)-1)/2]
+}
+
+// ObserveUsage records the memory, in bytes, and the descriptors that the process uses.
+func (p *Policy) ObserveUsage(memory, descriptors Usage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.memory, p.descriptors = memory, descriptors
+}
+
+// Wait returns the median of the waits for the processor in the last second.
+func (p *Policy) Wait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.median
+}
+
+// Short returns what the process is short of for requests with rank 0 and a target of shortTarget; None if of nothing.
+func (p *Policy) Short() Resource {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if short := p.exhausted(); short != None {
+		return short
+	}
+	if p.refusedPart(0, shortTarget, p.median) > 0 {
+		return Processor
+	}
+	return None
+}
+
+// exhausted returns memory or descriptors if there is not enough of them for any request.
+func (p *Policy) exhausted() Resource {
+	switch {
+	case p.descriptors.Limit > 0 &&
+		p.descriptors.Limit-p.descriptors.Used < max(minDescriptors, p.descriptors.Limit/spareDescriptors):
+		return Descriptors
+	case p.memory.Limit > 0 && float64(p.memory.Used) > maxMemory*float64(p.memory.Limit):
+		return Memory
+	}
+	return None
+}
+
+// Refuse reports what the process is too short of to serve a request with the given rank and target, and when its caller
+// may come back; None if it is to be served. A target of 0 stands for none.
+func (p *Policy) Refuse(rank int, target time.Duration) (Resource, time.Duration) {
+	p.mu.Lock()
+	short, median := p.exhausted(), p.median
+	p.mu.Unlock()
+	if short == None && target > 0 && p.opts.Random() < p.refusedPart(rank, target, median) {
+		short = Processor
+	}
+	if short == None {
+		return None, 0
+	}
+	return short, minRetryAfter + time.Duration(p.opts.Random()*float64(maxRetryAfter-minRetryAfter))
+}
+
+// refusedPart returns the part of the requests with a rank and a target that is refused for want of the processor.
+func (p *Policy) refusedPart(rank int, target, median time.Duration) float64 {
+	ratio := float64(waitsPerRequest*median) / float64(target) * (1 + rankWeight*float64(max(0, rank)))
+	if p.opts.Leads() {
+		ratio *= leaderWeight
+	}
+	return maxRefused * min(1, max(0, (ratio-firstRatio)/(fullRatio-firstRatio)))
+}
