Show operators who waits, who was refused and for whom

Cause: metrics named neither teams, ranks nor single pools and engines, and a refusal did not say what it gave way to.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -154,6 +154,7 @@
 		return
 	}
 	x.o.Stats.Finished(x.route.Name, "served", x.o.Now().Sub(x.arrived))
+	x.o.Stats.TeamFinished(x.team, x.priority, "served")
 }
 
 // prepare finds the route, team and pool, reads the body and sets the deadline. It returns a failure for a request that
@@ -248,6 +249,7 @@
 		return nil
 	}
 	x.short = short
+	x.o.Stats.Shed(string(short), x.priority)
 	return fault.New(fault.NotRun, fault.Overloaded, "this entry is short of %s", short).WithRetryAfter(wait)
 }
 
@@ -398,9 +400,15 @@
 func (x *exchange) recordFailure(code fault.Code, verdict fault.Verdict, cause error, extra ...zap.Field) {
 	age := x.o.Now().Sub(x.arrived)
 	x.o.Log.Info("failed", append(extra, zap.String("request", x.logID), zap.String("route", x.route.Name),
+		zap.String("team", x.team), zap.Int("rank", x.priority),
 		zap.Int("sends", x.sends), zap.Duration("age", age), zap.Int64("version", x.rules.Version()),
 		zap.String("code", string(code)), zap.String("verdict", string(verdict)), zap.String("short", string(x.short)), zap.Error(cause))...)
 	x.o.Stats.Finished(x.route.Name, string(code), age)
+	outcome := "failed"
+	if verdict == fault.NotRun {
+		outcome = "refused"
+	}
+	x.o.Stats.TeamFinished(x.team, x.priority, outcome)
 }
 
 // abort records the failure of a partly written answer and cuts the caller's connection.
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -171,7 +171,7 @@
 			WithRetryAfter(defaultRetryAfter)
 	case d := <-answer:
 		x.o.Log.Info("decided", zap.String("request", x.logID), zap.String("route", x.route.Name),
-			zap.String("resumes", x.head.Resumes), zap.String("upstream", d.Upstream),
+			zap.String("team", x.team), zap.Int("rank", x.priority), zap.String("resumes", x.head.Resumes), zap.String("upstream", d.Upstream),
 			zap.Int("inputs", len(d.Inputs)), zap.Bool("late", d.Late),
 			zap.String("refused", string(d.Refused)), zap.Duration("retryAfter", d.RetryAfter),
 			zap.Duration("age", x.o.Now().Sub(x.arrived)))
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -199,7 +199,9 @@
 func (n *Node) state() stats.Gauges {
 	now := time.Now()
 	open, queued := n.lead.Load()
+	use := n.lead.Occupancy()
 	return stats.Gauges{
+		ProcessorWait: n.shed.Wait(), Pools: use.Pools, Engines: use.Engines,
 		OpenOrders: open, QueuedPieces: queued,
 		ConfigVersion: n.watch.Rules().Version(), ConfigAge: now.Sub(n.watch.RulesReadAt()),
 		ListAge: now.Sub(n.watch.Hosts().Read()),
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -19,7 +19,13 @@
 	c := qt.New(t)
 	m, err := meter.New(meter.Process{Role: "edge"})
 	c.Assert(err, qt.IsNil)
-	s := stats.New(m, func() stats.Gauges { return stats.Gauges{} })
+	s := stats.New(m, func() stats.Gauges {
+		return stats.Gauges{
+			Pools: []stats.PoolUse{{Pool: "pool", Upstreams: map[string]int{"free": 1}, Waiting: map[int]int{0: 1},
+				Running: map[int]int{0: 1}}},
+			Engines: []stats.EngineUse{{Pool: "pool", Engine: "engine"}},
+		}
+	})
 	s.Finished("route", "served", time.Second)
 	s.FirstByte(time.Second)
 	s.Sent("pool", false, "answered")
@@ -34,6 +40,8 @@
 	s.StreamContinued("pool", true)
 	s.OriginLookedUp("memory")
 	s.StoreCall("topic", true)
+	s.TeamFinished("team", 0, "served")
+	s.Shed("processor", 0)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -1,6 +1,7 @@
 package stats
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
@@ -24,6 +25,24 @@
 	QueuedPieces  int64         // pieces of those requests that wait for a call
 	Blocks        int64         // sets of prompt parts that are refused
 	Limited       int64         // upstreams that named a limit
+	ProcessorWait time.Duration // median of the last second
+	Pools         []PoolUse     // stage pools, of the requests that this entry decides on
+	Engines       []EngineUse   // of those requests
+}
+
+// PoolUse says what the upstreams of a stage pool do and what waits for them.
+type PoolUse struct {
+	Pool             string
+	Upstreams        map[string]int // by state: free, busy, slow, paused
+	Waiting, Running map[int]int    // pieces by rank
+}
+
+// EngineUse says what one engine has left.
+type EngineUse struct {
+	Pool, Engine string
+	Requests     int // that run
+	FreeSlots    int // for requests
+	FreeTokens   int // of memory
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -44,6 +63,8 @@
 	limited      meter.Counter
 	continued    meter.Counter
 	origins      meter.Counter
+	teams        meter.Counter
+	shed         meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -74,7 +95,14 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
+	gauge("edge.processorWait", "ms", "Time that this process waits until the processor runs it, median of the last second.",
+		func(s Gauges) int64 { return s.ProcessorWait.Milliseconds() })
+	registerUse(m, state)
 	return &Stats{
+		teams: m.Counter(meter.Spec{Name: "edge.teamRequests", Unit: "{request}",
+			Help: "Finished requests by team, rank and outcome: served, refused or failed."}),
+		shed: m.Counter(meter.Spec{Name: "edge.shedRequests", Unit: "{request}",
+			Help: "Requests refused because this entry was short of a resource, by resource and rank."}),
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
 		duration: m.Histogram(meter.Spec{Name: "edge.requestDuration", Unit: "ms",
@@ -122,6 +150,17 @@
 	s.duration.Record(millis(took), label("outcome", outcome))
 }
 
+// TeamFinished counts a finished request of a team, which is empty for public routes; outcome is "served", "refused" or
+// "failed".
+func (s *Stats) TeamFinished(team string, rank int, outcome string) {
+	s.teams.Add(1, label("team", team), label("rank", strconv.Itoa(rank)), label("outcome", outcome))
+}
+
+// Shed counts a request that was refused because this entry was short of a resource.
+func (s *Stats) Shed(resource string, rank int) {
+	s.shed.Add(1, label("resource", resource), label("rank", strconv.Itoa(rank)))
+}
+
 // FirstByte records the time from a request's arrival to the first byte of its answer.
 func (s *Stats) FirstByte(took time.Duration) { s.firstByte.Record(millis(took)) }
 
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -102,6 +102,7 @@
 	lookups     map[string]bool // IDs of orders for which the version that began their stream is looked up
 	rules       *rule.Rules
 	hosts       *hosts.Table
+	occupancy   atomic.Pointer[Occupancy]
 	openCount   atomic.Int64
 	queuedCount atomic.Int64
 
@@ -160,7 +161,7 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	timer := time.NewTimer(sweepInterval)
 	defer timer.Stop()
-	swept, counted := c.opts.Now(), c.opts.Now()
+	swept, counted, surveyed := c.opts.Now(), c.opts.Now(), c.opts.Now()
 	var next time.Time // earliest time of the next scheduling step
 	for {
 		select {
@@ -193,6 +194,10 @@
 			c.queuedCount.Store(int64(c.scheduler.Queued()))
 			counted = now
 		}
+		if now.Sub(surveyed) >= surveyInterval {
+			c.withRecovery(func() { c.survey(now) })
+			surveyed = now
+		}
 		if now.Sub(swept) > sweepInterval {
 			c.placer.Sweep(now)
 			c.firstVisits.Sweep(now)
@@ -713,6 +718,7 @@
 	}
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
+			c.logRefusal(o, r, now)
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
--- a/internal/ops/trace/cause.go
+++ b/internal/ops/trace/cause.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
+	"strings"
 )
 
 // refusalTexts explains the reasons for which the leader refuses a request.
@@ -13,6 +15,7 @@
 	"paused":      "all engines had asked its entry for a pause",
 	"noUpstreams": "a pool on its way had no upstream that takes work",
 	"failing":     "the calls of a stage failed too often",
+	"limited":     "all upstreams had named limits that other requests used up",
 }
 
 // failureTexts explains the error codes of failed requests.
@@ -73,7 +76,10 @@
 			code, _ := line.Fields["code"].(string)
 			verdict, _ := line.Fields["verdict"].(string)
 			if text, ok := refusalTexts[refused]; ok && code == "overloaded" {
-				return fmt.Sprintf("refused (%s): %s", verdict, text)
+				return fmt.Sprintf("refused (%s): %s%s", verdict, text, describeCompetition(t.Lines))
+			}
+			if short, _ := line.Fields["short"].(string); short != "" {
+				return fmt.Sprintf("refused (%s): its entry was short of %s, see the lines \"process short\"", verdict, short)
 			}
 			if text, ok := failureTexts[code]; ok {
 				return fmt.Sprintf("failed (%s): %s", verdict, text)
@@ -84,6 +90,57 @@
 	return "no end of it is logged; the process may have been killed, see the starts below"
 }
 
+// describeCompetition says what the upstreams of the stage pool with the longest queue did, and what waited there, when
+// the leader refused the request.
+func describeCompetition(lines []Line) string {
+	var pools []any
+	for _, line := range lines {
+		if listed, ok := line.Fields["pools"].([]any); ok && line.Message == "refused" {
+			pools = listed
+		}
+	}
+	var fullest map[string]any
+	for _, p := range pools {
+		pool, ok := p.(map[string]any)
+		if ok && (fullest == nil || sumOf(pool["waiting"]) > sumOf(fullest["waiting"])) {
+			fullest = pool
+		}
+	}
+	if fullest == nil {
+		return ""
+	}
+	text := fmt.Sprintf("; in pool %v ran %s and waited %s, with %v upstreams free", fullest["pool"],
+		piecesByRank(fullest["running"]), piecesByRank(fullest["waiting"]), fullest["free"])
+	if holders, _ := fullest["holders"].([]any); len(holders) > 0 {
+		text += fmt.Sprintf("; requests that ran there: %v", holders)
+	}
+	return text
+}
+
+// sumOf adds the pieces of all ranks.
+func sumOf(byRank any) float64 {
+	sum := 0.0
+	ranks, _ := byRank.(map[string]any)
+	for _, n := range ranks {
+		pieces, _ := n.(float64)
+		sum += pieces
+	}
+	return sum
+}
+
+// piecesByRank lists the pieces of each rank.
+func piecesByRank(byRank any) string {
+	ranks, _ := byRank.(map[string]any)
+	var parts []string
+	for _, rank := range slices.Sorted(maps.Keys(ranks)) {
+		parts = append(parts, fmt.Sprintf("%v of rank %s", ranks[rank], rank))
+	}
+	if len(parts) == 0 {
+		return "nothing"
+	}
+	return strings.Join(parts, ", ")
+}
+
 // isStream reports whether a line about the end follows an answer with the given status. It does for streams: a
 // successful answer to a request that the leader decided on.
 func (t Trace) isStream(status float64) bool {
--- a/internal/ops/trace/trace.go
+++ b/internal/ops/trace/trace.go
@@ -31,7 +31,7 @@
 	"upstream checked", "prompt parts blocked", "trial of blocked prompt parts", "prompt parts unblocked",
 	"leaders met, this one follows the other", "decisions failed, all orders are refused", "reload", "start", "stop",
 	"shutting down", "member left", "member expired",
-	"orders waited for a leader", "orders moved to the present leader",
+	"process short", "orders waited for a leader", "orders moved to the present leader",
 }
 
 // Trace holds the log lines about one request and the outcome derived from them.
@@ -130,8 +130,15 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		if value := l.Fields[name]; value != "" && value != float64(0) && value != false {
-			fmt.Fprintf(&b, " %s=%v", name, value)
+		switch value := l.Fields[name].(type) {
+		case []any, map[string]any:
+			if text, err := json.Marshal(value); err == nil {
+				fmt.Fprintf(&b, " %s=%s", name, text)
+			}
+		default:
+			if value != "" && value != float64(0) && value != false {
+				fmt.Fprintf(&b, " %s=%v", name, value)
+			}
 		}
 	}
 	return b.String()
