Add where: what would be done with a request now

Cause: operators could only see from logs where requests went, after the fact.

Change: an entry answers POST /where on the port of its metrics: route, team, rank, stages with their candidates, engines or upstreams with their cost by part, the age of each belief, or the refusal with its Retry-After. The answer comes from the functions that decide, and changes nothing. The command where asks an entry and then its leader.

Measured: one entry with two stages and two engines: the engine named first runs the next request; no upstream got the question and no counter of requests, sends or calls moved. The test fails with the candidates in reverse order and with refusals left out.

--- a/cmd/ragworthatch/command.go
+++ b/cmd/ragworthatch/command.go
@@ -115,6 +115,7 @@
 		settleCommand(s),
 		quarantineCommand(s),
 		explainRequestCommand(s),
+		whereCommand(s),
 		demoCommand(s),
 		loadCommand(s),
 		versionCommand(s),
--- a/internal/edge/balance/picker.go
+++ b/internal/edge/balance/picker.go
@@ -58,10 +58,7 @@
 			if (excluded && (excludeTried || !relaxed)) || (!relaxed && now.Before(s.ejectedUntil)) {
 				continue
 			}
-			cost := time.Duration(s.inFlight+1)*s.latency + time.Duration(s.errorRate*float64(errorCost))
-			if u.Zone != zone {
-				cost += crossZoneCost
-			}
+			cost := s.candidate(u, zone, now).Cost
 			if !found || cost < bestCost {
 				best, bestCost, found = u, cost, true
 			}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -157,9 +157,8 @@
 	x.o.Stats.TeamFinished(x.team, x.priority, "served")
 }
 
-// prepare finds the route, team and pool, reads the body and sets the deadline. It returns a failure for a request that
-// is refused before any upstream is tried.
-func (x *exchange) prepare(w http.ResponseWriter) *fault.Error {
+// identify finds the route, the team and the rank. It returns a failure for a request that has none.
+func (x *exchange) identify() *fault.Error {
 	if x.rules.Version() == 0 {
 		return fault.New(fault.NotRun, fault.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetryAfter)
 	}
@@ -182,6 +181,15 @@
 			x.priority = team.Priority
 		}
 	}
+	return nil
+}
+
+// prepare identifies the request, reads the body and sets the deadline and the pool. It returns a failure for a request
+// that is refused before any upstream is tried.
+func (x *exchange) prepare(w http.ResponseWriter) *fault.Error {
+	if failure := x.identify(); failure != nil {
+		return failure
+	}
 	if x.o.Stopping() {
 		return stopping()
 	}
@@ -192,10 +200,7 @@
 			return failure
 		}
 	}
-	limit := x.rules.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := x.bodyLimit()
 	body, err := io.ReadAll(http.MaxBytesReader(w, x.in.Body, limit))
 	if err != nil {
 		var large *http.MaxBytesError
@@ -213,22 +218,14 @@
 	if !x.head.HasAtMostPieces(maxPieces) {
 		return fault.New(fault.NotRun, fault.BadRequest, "more than %d pieces", maxPieces)
 	}
-	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
-	x.parts = crash.PartsOf(x.head.Model, x.head.Prefix)
+	x.mark(body)
 	x.o.Verify.Check()
 	if d := x.o.Crash.BlockedFor(x.fingerprint, x.parts); d > 0 {
 		return quarantined(d)
 	}
-	remaining := x.head.Remaining
-	if !x.head.HasDeadline {
-		remaining = defaultDeadline
-	}
-	if route.Timeout > 0 {
-		remaining = min(remaining, route.Timeout)
-	}
-	x.deadline = x.arrived.Add(remaining)
-	x.pool = route.PickPool(rand.Float64())
-	if route.Resumable {
+	x.setDeadline()
+	x.pool = x.route.PickPool(rand.Float64())
+	if x.route.Resumable {
 		x.pickStream()
 	}
 	x.o.Budget.CountRequest(x.pool)
@@ -238,6 +235,32 @@
 	return nil
 }
 
+// bodyLimit returns the greatest size of a body, in bytes.
+func (x *exchange) bodyLimit() int64 {
+	if limit := x.rules.Limits().BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxBodyBytes
+}
+
+// mark computes what requests that crash upstreams are known by.
+func (x *exchange) mark(body []byte) {
+	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
+	x.parts = crash.PartsOf(x.head.Model, x.head.Prefix)
+}
+
+// setDeadline sets the deadline of the caller or of the route, whichever is earlier.
+func (x *exchange) setDeadline() {
+	remaining := x.head.Remaining
+	if !x.head.HasDeadline {
+		remaining = defaultDeadline
+	}
+	if x.route.Timeout > 0 {
+		remaining = min(remaining, x.route.Timeout)
+	}
+	x.deadline = x.arrived.Add(remaining)
+}
+
 // checkShortage refuses a request that this process is too short of some resource to serve in time, unless it takes up a
 // stream, which was begun before.
 func (x *exchange) checkShortage() *fault.Error {
@@ -293,13 +316,18 @@
 
 // run sends the request to upstreams until one answers or no retry is left.
 func (x *exchange) run() *fault.Error {
-	spec, _ := x.rules.Pool(x.pool)
-	if spec.Engine != nil || len(x.route.Stages) > 0 || x.route.Resumable {
+	if x.isPlaced() {
 		return x.runPlaced()
 	}
 	return x.runPlain()
 }
 
+// isPlaced reports whether the leader decides where the request runs.
+func (x *exchange) isPlaced() bool {
+	spec, _ := x.rules.Pool(x.pool)
+	return spec.Engine != nil || len(x.route.Stages) > 0 || x.route.Resumable
+}
+
 // remaining returns the time left until the deadline.
 func (x *exchange) remaining() time.Duration { return x.deadline.Sub(x.o.Now()) }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -248,7 +248,7 @@
 		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
-	metrics := &http.Server{Handler: n.meter.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	metrics := &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 3)
 	for address, server := range map[string]*http.Server{
 		settings.ReadyAddress: ready, settings.FrontAddress: callers, n.metricsAddress(): metrics,
--- a/internal/edge/node/testbed_test.go
+++ b/internal/edge/node/testbed_test.go
@@ -45,6 +45,7 @@
 // entry is one running node.
 type entry struct {
 	front, ready string // addresses for callers and for readiness probes
+	metrics      string // address of the metrics
 	stop         context.CancelFunc
 	kill         context.CancelFunc
 	done         chan error // receives the result of Run
@@ -102,6 +103,7 @@
 func (w *testbed) startEntry(name string, more ...string) *entry {
 	e := &entry{front: ports.Next(), ready: ports.Next(), done: make(chan error, 1)}
 	peers := netip.MustParseAddrPort(ports.Range(internalPorts))
+	e.metrics = netip.AddrPortFrom(peers.Addr(), peers.Port()+1).String()
 	path := filepath.Join(w.c.TempDir(), "settings.conf")
 	settings := strings.Join(append([]string{
 		"node_name=" + name, "zone=zone-a", "ip=" + peers.Addr().String(), "listen.front=" + e.front,
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -145,12 +145,7 @@
 func (sc *Scheduler) freeWorkers(p *pool, now time.Time) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
-		switch {
-		case !w.present || w.running != nil:
-		case now.Before(w.pausedUntil) || now.Before(w.fullUntil):
-		case w.slow() && now.Before(w.retestAt):
-		case sc.limits.Wait(w.up.Lifetime()) > 0:
-		default:
+		if w.present && sc.state(w, now) == StateFree {
 			out = append(out, w)
 		}
 	}
@@ -158,16 +153,19 @@
 		sc.drawTies(out)
 	}
 	slices.SortFunc(out, func(a, c *worker) int {
-		return cmp.Or(
-			falseFirst(a.slow(), c.slow()),
-			cmp.Compare(a.class, c.class),
-			cmp.Compare(a.usedBytes+a.untracked, c.usedBytes+c.untracked),
-			cmp.Compare(a.tie, c.tie),
-			cmp.Compare(a.up.ID, c.up.ID))
+		return cmp.Or(compareFree(a, c), cmp.Compare(a.tie, c.tie), cmp.Compare(a.up.ID, c.up.ID))
 	})
 	return out
 }
 
+// compareFree orders upstreams that can take a call, up to those that are alike.
+func compareFree(a, c *worker) int {
+	return cmp.Or(
+		falseFirst(a.slow(), c.slow()),
+		cmp.Compare(a.class, c.class),
+		cmp.Compare(a.usedBytes+a.untracked, c.usedBytes+c.untracked))
+}
+
 // buildBatch fills one call to a free upstream from the queue, which is sorted by urgency.
 func (sc *Scheduler) buildBatch(p *pool, w *worker, queue []queuedStep, now time.Time) {
 	r := &activeCall{worker: w, startedAt: now}
--- a/internal/leader/sched/demand.go
+++ b/internal/leader/sched/demand.go
@@ -25,13 +25,13 @@
 	var out []Demand
 	for _, name := range sortedKeys(sc.pools) {
 		if len(names) == 0 || slices.Contains(names, name) {
-			out = append(out, sc.pools[name].demand(name, now))
+			out = append(out, sc.demand(name, sc.pools[name], now))
 		}
 	}
 	return out
 }
 
-func (p *pool) demand(name string, now time.Time) Demand {
+func (sc *Scheduler) demand(name string, p *pool, now time.Time) Demand {
 	d := Demand{Pool: name, Waiting: map[int]int{}, Running: map[int]int{}}
 	for _, s := range p.ready {
 		d.Waiting[s.job.Rank] += len(s.pending)
@@ -39,20 +39,22 @@
 	holders := map[int][]string{} // requests by rank
 	for _, id := range sortedKeys(p.workers) {
 		w := p.workers[id]
-		switch {
-		case w.running != nil:
+		if w.running == nil && !w.present {
+			continue
+		}
+		switch sc.state(w, now) {
+		case StateBusy:
 			d.Busy++
 			for _, part := range w.running.parts {
 				j := part.step.job
 				d.Running[j.Rank] += len(part.pieces)
 				holders[j.Rank] = append(holders[j.Rank], j.RequestID)
 			}
-		case !w.present:
-		case now.Before(w.pausedUntil) || now.Before(w.fullUntil):
+		case StatePaused, StateLimited:
 			d.Paused++
-		case w.slow() && now.Before(w.retestAt):
+		case StateSlow:
 			d.Slow++
-		default:
+		case StateFree:
 			d.Free++
 		}
 	}
--- a/internal/limit/shed/policy.go
+++ b/internal/limit/shed/policy.go
@@ -105,6 +105,23 @@
 	return None
 }
 
+// Chance returns what the process is short of for a request with the given rank and target, and the part of such requests
+// that is refused for it, from 0 to 1.
+func (p *Policy) Chance(rank int, target time.Duration) (Resource, float64) {
+	p.mu.Lock()
+	short, median := p.exhausted(), p.median
+	p.mu.Unlock()
+	if short != None {
+		return short, 1
+	}
+	if target > 0 {
+		if part := p.refusedPart(rank, target, median); part > 0 {
+			return Processor, part
+		}
+	}
+	return None, 0
+}
+
 // exhausted returns memory or descriptors if there is not enough of them for any request.
 func (p *Policy) exhausted() Resource {
 	switch {
@@ -120,13 +137,8 @@
 // Refuse reports what the process is too short of to serve a request with the given rank and target, and when its caller
 // may come back; None if it is to be served. A target of 0 stands for none.
 func (p *Policy) Refuse(rank int, target time.Duration) (Resource, time.Duration) {
-	p.mu.Lock()
-	short, median := p.exhausted(), p.median
-	p.mu.Unlock()
-	if short == None && target > 0 && p.opts.Random() < p.refusedPart(rank, target, median) {
-		short = Processor
-	}
-	if short == None {
+	short, part := p.Chance(rank, target)
+	if short == None || (part < 1 && p.opts.Random() >= part) {
 		return None, 0
 	}
 	return short, minRetryAfter + time.Duration(p.opts.Random()*float64(maxRetryAfter-minRetryAfter))
