Refuse for want of the processor only while the own use causes the waits

Cause: a host that others keep busy wakes the process late as well; refusing its callers would not shorten that.

Change: limit/shed also needs the process to use 0.8 of its share. A request counts five waits in place of ten, ranks weigh less, and the waits of half a second count, which follows the queue more closely.

--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -25,7 +25,7 @@
 	QueuedPieces  int64         // pieces of those requests that wait for a call
 	Blocks        int64         // sets of prompt parts that are refused
 	Limited       int64         // upstreams that named a limit
-	ProcessorWait time.Duration // median of the last second
+	ProcessorWait time.Duration // median of the last half second
 	Pools         []PoolUse     // stage pools, of the requests that this entry decides on
 	Engines       []EngineUse   // of those requests
 }
@@ -95,7 +95,7 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
-	gauge("edge.processorWait", "ms", "Time that this process waits until the processor runs it, median of the last second.",
+	gauge("edge.processorWait", "ms", "Time that this process waits until the processor runs it, median of the last half second.",
 		func(s Gauges) int64 { return s.ProcessorWait.Milliseconds() })
 	registerUse(m, state)
 	return &Stats{
--- a/internal/limit/shed/policy.go
+++ b/internal/limit/shed/policy.go
@@ -7,17 +7,18 @@
 )
 
 const (
-	window           = 1 * time.Second // of the waits for the processor that count
-	waitsPerRequest  = 10              // times that a request waits for the processor on its way through a process
-	firstRatio       = 0.75            // of these waits to the target of a request, from which on some are refused
-	fullRatio        = 1.5             // from which on maxRefused are refused
-	maxRefused       = 0.9             // so that some pass and show when the process can serve again
-	rankWeight       = 0.5             // by which each rank adds to the ratio, so that less urgent requests go first
-	leaderWeight     = 2               // the waits of a leader are added to the requests of all entries
-	maxMemory        = 0.9             // of the limit
-	minDescriptors   = 64              // left
-	spareDescriptors = 30              // one in so many descriptors is left
-	shortTarget      = 1 * time.Second // for which Short reports
+	window           = 500 * time.Millisecond // of the waits for the processor that count
+	waitsPerRequest  = 5                      // times that a request waits for the processor: head, body, decision, answer, its end
+	minBusy          = 0.8                    // of the share of the processor; below it, fewer requests would not shorten the waits
+	firstRatio       = 0.75                   // of these waits to the target of a request, from which on some are refused
+	fullRatio        = 1.5                    // from which on maxRefused are refused
+	maxRefused       = 0.9                    // so that some pass and show when the process can serve again
+	rankWeight       = 0.25                   // by which each rank adds to the ratio, so that less urgent requests go first
+	leaderWeight     = 2                      // the waits of a leader are added to the requests of all entries
+	maxMemory        = 0.9                    // of the limit
+	minDescriptors   = 64                     // left
+	spareDescriptors = 30                     // one in so many descriptors is left
+	shortTarget      = 1 * time.Second        // for which Short reports
 	minRetryAfter    = 300 * time.Millisecond
 	maxRetryAfter    = 1 * time.Second
 )
@@ -56,6 +57,7 @@
 	mu          sync.Mutex
 	waits       []wait // of the window, by time
 	median      time.Duration
+	busy        float64 // part of its share of the processor that the process used
 	memory      Usage
 	descriptors Usage
 }
@@ -78,14 +80,15 @@
 	p.median = sorted[(len(sorted)-1)/2]
 }
 
-// ObserveUsage records the memory, in bytes, and the descriptors that the process uses.
-func (p *Policy) ObserveUsage(memory, descriptors Usage) {
+// ObserveUsage records which part of its share of the processor the process used lately, and the memory, in bytes, and
+// the descriptors that it uses.
+func (p *Policy) ObserveUsage(busy float64, memory, descriptors Usage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.memory, p.descriptors = memory, descriptors
+	p.busy, p.memory, p.descriptors = busy, memory, descriptors
 }
 
-// Wait returns the median of the waits for the processor in the last second.
+// Wait returns the median of the waits for the processor in the last half second.
 func (p *Policy) Wait() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,7 +102,7 @@
 	if short := p.exhausted(); short != None {
 		return short
 	}
-	if p.refusedPart(0, shortTarget, p.median) > 0 {
+	if p.refusedPart(0, shortTarget, p.median, p.busy) > 0 {
 		return Processor
 	}
 	return None
@@ -109,13 +112,13 @@
 // that is refused for it, from 0 to 1.
 func (p *Policy) Chance(rank int, target time.Duration) (Resource, float64) {
 	p.mu.Lock()
-	short, median := p.exhausted(), p.median
+	short, median, busy := p.exhausted(), p.median, p.busy
 	p.mu.Unlock()
 	if short != None {
 		return short, 1
 	}
 	if target > 0 {
-		if part := p.refusedPart(rank, target, median); part > 0 {
+		if part := p.refusedPart(rank, target, median, busy); part > 0 {
 			return Processor, part
 		}
 	}
@@ -145,7 +148,10 @@
 }
 
 // refusedPart returns the part of the requests with a rank and a target that is refused for want of the processor.
-func (p *Policy) refusedPart(rank int, target, median time.Duration) float64 {
+func (p *Policy) refusedPart(rank int, target, median time.Duration, busy float64) float64 {
+	if busy < minBusy {
+		return 0
+	}
 	ratio := float64(waitsPerRequest*median) / float64(target) * (1 + rankWeight*float64(max(0, rank)))
 	if p.opts.Leads() {
 		ratio *= leaderWeight
