Let callers compete for stage pools by rank

Change: where priorities of routes or teams differ, the scheduler has a policy (limit/fair). Forecasts count work that is at least as urgent, less urgent jobs that have not begun give way, room for results goes by rank, what can't be served is refused at once with a Retry-After in time slots, and each route and team has a floor. Submit carries route and team.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -134,7 +134,7 @@
 // order describes the request to the leader.
 func (x *exchange) order() lead.Order {
 	job := sched.Job{
-		ID: x.key, RequestID: x.logID, PieceKey: x.head.PieceKey, Rank: x.priority,
+		ID: x.key, RequestID: x.logID, PieceKey: x.head.PieceKey, Rank: x.priority, Route: x.route.Name, Team: x.team,
 		Arrived: x.arrived, Target: x.arrived.Add(x.route.Target), Deadline: x.deadline,
 	}
 	if x.resumable.TakenUp {
--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -1,6 +1,7 @@
 package rule
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -108,6 +109,7 @@
 	teams    map[string]Team // by API key
 	needsKey bool
 	limits   Limits
+	ranked   bool // not all requests have the same priority
 	// resumable holds the pools of resumable routes, with their longest timeout.
 	resumable map[string]time.Duration
 }
@@ -143,12 +145,30 @@
 			r.resumable[s.Pool] = max(r.resumable[s.Pool], route.Timeout)
 		}
 	}
+	r.ranked = prioritiesDiffer(routes, teams)
 	for _, p := range pools {
 		r.pools[p.Name] = p
 	}
 	return r
 }
 
+// prioritiesDiffer reports whether the priorities of routes and teams are not all the same.
+func prioritiesDiffer(routes []Route, teams map[string]Team) bool {
+	differs := func(priority int) bool { return priority != routes[0].Priority }
+	if len(routes) == 0 {
+		return false
+	}
+	for _, t := range teams {
+		if t.HasPriority && differs(t.Priority) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(routes, func(r Route) bool { return differs(r.Priority) })
+}
+
+// Ranked reports whether the priorities of routes and teams differ, so that requests compete by rank.
+func (r *Rules) Ranked() bool { return r.ranked }
+
 // Version is the version of the configuration; a newer one has a higher number.
 func (r *Rules) Version() int64 { return r.version }
 
--- a/internal/edge/rule/rules_test.go
+++ b/internal/edge/rule/rules_test.go
@@ -38,6 +38,33 @@
 	c.Check(ok, qt.IsFalse)
 }
 
+// TestRankedRules guards against competition by rank where all requests have one priority.
+func TestRankedRules(t *testing.T) {
+	routes := func(priorities ...int) []rule.Route {
+		var all []rule.Route
+		for _, p := range priorities {
+			all = append(all, rule.Route{Host: "h", Prefix: "/", Priority: p})
+		}
+		return all
+	}
+	team := func(has bool, priority int) map[string]rule.Team {
+		return map[string]rule.Team{"key": {HasPriority: has, Priority: priority}}
+	}
+	for _, test := range []struct {
+		routes []rule.Route
+		teams  map[string]rule.Team
+		want   bool
+	}{
+		{nil, team(true, 1), false},
+		{routes(2, 2), team(false, 0), false},
+		{routes(2, 2), team(true, 2), false},
+		{routes(2, 2), team(true, 1), true},
+		{routes(2, 1), nil, true},
+	} {
+		qt.Check(t, rule.New(1, test.routes, nil, test.teams, rule.Limits{}).Ranked(), qt.Equals, test.want, qt.Commentf("%v", test))
+	}
+}
+
 // BenchmarkMatch shows that the time of a lookup does not grow with the number of routes.
 func BenchmarkMatch(b *testing.B) {
 	for _, n := range []int{10, 1500, 20000} {
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -26,6 +26,7 @@
 	s.Refused("reason")
 	s.StageCall("pool", "answered", 1)
 	s.FailedPieces("pool", "reason", 1)
+	s.StageOrder("route", "team", 1, "pool", "refused")
 	s.Repeat("pool", true)
 	s.Ejected("pool")
 	s.AnswerBroken("pool", "unbegun")
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -1,6 +1,7 @@
 package stats
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
@@ -36,6 +37,7 @@
 	stageCalls   meter.Counter
 	stagePieces  meter.Histogram
 	failedPieces meter.Counter
+	stageOrders  meter.Counter
 	storeCalls   meter.Counter
 	repeats      meter.Counter
 	ejections    meter.Counter
@@ -107,6 +109,9 @@
 				"has the same version."}),
 		origins: m.Counter(meter.Spec{Name: "edge.originLookups", Unit: "{lookup}",
 			Help: "Lookups of the version that began a stream, by where it was found."}),
+		stageOrders: m.Counter(meter.Spec{Name: "edge.stageOrders", Unit: "{request}",
+			Help: "Requests with stages that the leader decided on while callers compete by rank, by route, team, rank, the " +
+				"pool for which they were refused, and result."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -148,6 +153,13 @@
 	s.failedPieces.Add(int64(n), label("pool", pool), label("reason", reason))
 }
 
+// StageOrder counts a request with stages that was decided on while callers compete by rank; result is "inTime", "late" or
+// "refused", and pool is empty unless it was refused.
+func (s *Stats) StageOrder(route, team string, rank int, pool, result string) {
+	s.stageOrders.Add(1, label("route", route), label("team", team), label("rank", strconv.Itoa(rank)), label("pool", pool),
+		label("result", result))
+}
+
 // Repeat counts a retry that the retry budget allowed or denied.
 func (s *Stats) Repeat(pool string, allowed bool) {
 	result := "allowed"
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -24,6 +25,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/repeat"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -103,6 +105,8 @@
 	hosts       *hosts.Table
 	openCount   atomic.Int64
 	queuedCount atomic.Int64
+	policy      *fair.Policy // nil unless requests compete by rank
+	tally       *tally
 
 	releases sync.WaitGroup
 }
@@ -114,6 +118,7 @@
 	return &Coordinator{
 		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits), placer: place.New(o.Limits),
 		firstVisits: repeat.New(), orders: map[string]*openOrder{}, lookups: map[string]bool{},
+		tally: newTally(o.Stats, o.Log),
 	}
 }
 
@@ -243,6 +248,12 @@
 func (c *Coordinator) refreshConfig() {
 	if rules := c.opts.Rules(); rules != c.rules {
 		c.rules = rules
+		if !rules.Ranked() {
+			c.policy = nil
+		} else if c.policy == nil {
+			c.policy = fair.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		}
+		c.scheduler.SetPolicy(c.policy)
 		for _, p := range rules.Pools() {
 			if p.Batch != nil {
 				c.scheduler.SetPool(p.Name, *p.Batch)
@@ -329,7 +340,7 @@
 	}
 	waited := c.firstVisits.Record(o.Fingerprint, o.Job.Arrived, o.Job.Deadline)
 	if waited > 0 && !o.Stream.TakenUp { // the first event of a stream that is taken up came long before
-		o.Job.Target = o.Job.Target.Add(-waited)
+		o.Job.Target, o.Job.Retried = o.Job.Target.Add(-waited), true
 		c.opts.Log.Info("caller comes back", zap.String("request", o.Job.RequestID), zap.Duration("waited", waited))
 	}
 	if _, paused := c.placer.PauseLeft(o.Engine, c.hosts, now); paused {
@@ -707,11 +718,17 @@
 			continue
 		}
 		o.grant = granted
+		if c.policy != nil && o.order.Job.NeedsStages() {
+			c.tally.granted(o.order.Job, granted.Late)
+		}
 		o.order.Engine.ByZone = granted.ByZone
 		c.pickEngine(o, now)
 	}
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
+			if r.Pool != "" {
+				c.tally.refused(o.order.Job, r)
+			}
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
@@ -735,6 +752,7 @@
 			zap.Strings("requests", requestsOf(b.Items)))
 		go c.runBatch(b)
 	}
+	c.tally.flush(now)
 	for _, r := range out.Releases {
 		if wait := c.opts.Notices.PauseRemaining(r.Upstream.Lifetime()); wait > 0 {
 			c.releaseLater(r, wait)
--- a/internal/leader/sched/admit.go
+++ b/internal/leader/sched/admit.go
@@ -15,6 +15,9 @@
 			return Refusal{Job: j.ID, Reason: NoUpstreams, RetryAfter: time.Second}, true
 		}
 	}
+	if sc.policy != nil {
+		return sc.admitByRank(j, now)
+	}
 	var untilDone time.Duration
 	for i, s := range j.steps {
 		if len(s.spec.After) == 0 && s.spec.Pieces > 0 {
@@ -107,6 +110,9 @@
 // retryAfter returns when the work queued in the job's pools, late work included, is expected to be done. An overload
 // is expected to last as long again as it has lasted so far.
 func (sc *Scheduler) retryAfter(j *job, now time.Time) time.Duration {
+	if sc.policy != nil {
+		return sc.rankedRetryAfter(j, now)
+	}
 	var longest time.Duration
 	for _, s := range j.steps {
 		if p := sc.pools[s.spec.Pool]; s.spec.Pieces > 0 && p != nil {
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -76,7 +76,7 @@
 // urgency returns the latest time at which a step has to start, in Unix nanoseconds, plus a penalty for its rank. Lower
 // values are more urgent.
 func (sc *Scheduler) urgency(s *step) int64 {
-	return s.job.Target.Add(-sc.minTimeToFirstByte(s)).UnixNano() + int64(s.job.Rank)*int64(urgencyPerRank)
+	return s.job.Target.Add(-sc.minTimeToFirstByte(s)).UnixNano() + int64(sc.rankPenalty(s))
 }
 
 // minTimeToFirstByte returns the least time from the start of a step to the first byte of the answer.
@@ -96,7 +96,7 @@
 	for i, s := range j.steps {
 		p := sc.pools[s.spec.Pool]
 		if s.spec.Pieces > 0 && p != nil && slices.Contains(s.spec.After, index) {
-			longest = max(longest, p.avgWait+sc.expectedCallTime(s)+sc.expectedTail(j, i))
+			longest = max(longest, sc.stepWait(j, s)+sc.expectedCallTime(s)+sc.expectedTail(j, i))
 		}
 	}
 	return longest
@@ -166,6 +166,7 @@
 	for _, q := range queue {
 		backlog += len(q.step.pending)
 	}
+	var lacksMemory *job // the most urgent job for whose results there is no room here
 	splitAllowed := backlog > splitBacklog*p.spec.Size
 	for _, q := range queue {
 		s := q.step
@@ -178,9 +179,15 @@
 			continue
 		}
 		take := min(len(s.pending), capacity)
+		if lacksMemory != nil && s.needsRoomOf(lacksMemory) {
+			continue
+		}
 		if s.spec.ResultBytes > 0 {
 			take = min(take, int(max(0, freeBytes)/s.spec.ResultBytes))
 		}
+		if sc.policy != nil && lacksMemory == nil && !s.job.late && take < min(len(s.pending), capacity) {
+			lacksMemory = s.job
+		}
 		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size && !(splitAllowed && s.maySplit())) {
 			continue
 		}
--- a/internal/leader/sched/defer.go
+++ b/internal/leader/sched/defer.go
@@ -13,8 +13,7 @@
 	if s.spec.ResultBytes*int64(s.spec.Pieces) < minDeferredBytes || !s.job.isOutput(s.index) || s.failures > 0 {
 		return false
 	}
-	p := sc.pools[s.spec.Pool]
-	return sc.otherStepsTime(s, now) > p.avgWait+sc.expectedCallTime(s)+deferMargin
+	return sc.otherStepsTime(s, now) > sc.stepWait(s.job, s)+sc.expectedCallTime(s)+deferMargin
 }
 
 // otherStepsTime returns the expected time until all other steps of the job are done.
@@ -30,7 +29,7 @@
 		case stepRunning:
 			longest = max(longest, max(0, call-now.Sub(other.lastCallAt))+tail)
 		case stepReady:
-			longest = max(longest, max(0, p.avgWait-now.Sub(other.readySince))+call+tail)
+			longest = max(longest, max(0, sc.stepWait(s.job, other)-now.Sub(other.readySince))+call+tail)
 		}
 	}
 	return longest
--- a/internal/leader/sched/forecast.go
+++ b/internal/leader/sched/forecast.go
@@ -20,6 +20,10 @@
 // stages: that of started jobs and of more urgent ones. Otherwise work that is bound to be refused at a later stage
 // would take the place of other work at the first one.
 func (sc *Scheduler) markLate(now time.Time) {
+	if sc.policy != nil {
+		sc.markLateByRank(now)
+		return
+	}
 	waitingPieces := map[string]int{}
 	var notStarted []waitingJob
 	for _, j := range sc.order {
@@ -72,6 +76,13 @@
 
 // expectedStagesTime returns the expected time until all stages of a job are done, after the given waiting pieces.
 func (sc *Scheduler) expectedStagesTime(j *job, waitingPieces map[string]int) time.Duration {
+	return sc.stagesTime(j, func(name string, p *pool) time.Duration { return p.drainTime(waitingPieces[name]) },
+		noWait)
+}
+
+// stagesTime returns the expected time until all stages of a job are done. No pool takes them before busy has passed, and
+// each stage waits once its inputs are done.
+func (sc *Scheduler) stagesTime(j *job, busy, wait func(name string, p *pool) time.Duration) time.Duration {
 	finish := make([]time.Duration, len(j.steps))
 	var longest time.Duration
 	for i, s := range j.steps {
@@ -82,7 +93,7 @@
 		if s.spec.Pieces == 0 || p == nil {
 			continue
 		}
-		finish[i] = max(finish[i], p.drainTime(waitingPieces[s.spec.Pool])) + sc.expectedCallTime(s)
+		finish[i] = max(finish[i], busy(s.spec.Pool, p)) + wait(s.spec.Pool, p) + sc.expectedCallTime(s)
 		longest = max(longest, finish[i])
 	}
 	return longest
--- a/internal/leader/sched/job.go
+++ b/internal/leader/sched/job.go
@@ -23,6 +23,9 @@
 	Stages           []Stage
 	PieceKey         string // input of the stages that depend on no other
 	Rank             int    // priority; 0 is the most urgent
+	Route            string // of its caller; empty if it is not known
+	Team             string // of its caller; empty if it has none, or it is not known
+	Retried          bool   // its caller was refused before
 	Arrived          time.Time
 	Target           time.Time     // when the first byte of the answer is due
 	Deadline         time.Time     // when the caller gives up
@@ -70,6 +73,7 @@
 	steps          []*step
 	submitted      time.Time
 	late           bool // can no longer meet its target
+	claimRank      int  // rank with which it competes; 0 while it uses a floor
 	started        bool // at least one piece was in a call
 	granted        bool // may run on an engine, as all its stages are done
 	restarts       int  // times that it started over, as results were lost
@@ -211,6 +215,11 @@
 	return false
 }
 
+// NeedsStages reports whether some stage of the job has pieces.
+func (j Job) NeedsStages() bool {
+	return slices.ContainsFunc(j.Stages, func(s Stage) bool { return s.Pieces > 0 })
+}
+
 // hasLargeOutput reports whether the request itself reads the results of a stage and they are too large to move between
 // zones cheaply.
 func (j Job) hasLargeOutput(index int) bool {
--- a/internal/leader/sched/load_test.go
+++ b/internal/leader/sched/load_test.go
@@ -23,17 +23,27 @@
 
 // loadFile is the content of testdata/loads.yaml.
 type loadFile struct {
-	Pools map[string]struct {
-		Size      int
-		CallMs    float64 `yaml:"callMs"`
-		PieceMs   float64 `yaml:"pieceMs"`
-		Headroom  int64
-		Upstreams int
-	}
+	Pools map[string]loadPool
 	Kinds map[string]loadKind
 	Loads []load
 }
 
+// loadPool is a stage pool.
+type loadPool struct {
+	Size      int
+	CallMs    float64 `yaml:"callMs"`
+	PieceMs   float64 `yaml:"pieceMs"`
+	Headroom  int64
+	Upstreams int
+}
+
+func (p loadPool) spec() rule.Batch {
+	return rule.Batch{
+		Size: p.Size, Call: millis(p.CallMs), Piece: millis(p.PieceMs), Headroom: p.Headroom,
+		ResultRetention: 4 * time.Second,
+	}
+}
+
 // loadKind is a kind of job.
 type loadKind struct {
 	Rank       int
@@ -83,15 +93,11 @@
 // runLoad simulates a load and checks its outcome.
 func runLoad(c *qt.C, f loadFile, l load, seed uint64) {
 	pools := map[string]rule.Batch{}
-	count := 0
+	counts := map[string]int{}
 	for name, p := range f.Pools {
-		pools[name] = rule.Batch{
-			Size: p.Size, Call: millis(p.CallMs), Piece: millis(p.PieceMs), Headroom: p.Headroom,
-			ResultRetention: 4 * time.Second,
-		}
-		count = p.Upstreams
+		pools[name], counts[name] = p.spec(), p.Upstreams
 	}
-	sim := newSimulation(pools, count, seed)
+	sim := newSimulation(pools, counts, seed)
 	for name := range pools {
 		for i := range l.Slow {
 			sim.upstreams[fmt.Sprintf("%s-%d", name, i)].slowdown = slowFactor
@@ -116,9 +122,9 @@
 	id := 0
 	for _, kind := range sortedNames(l.PerSecond) {
 		spec := f.Kinds[kind]
-		resultBytes[kind] = nil
+		sim.resultBytes[kind] = nil
 		for _, s := range spec.Stages {
-			resultBytes[kind] = append(resultBytes[kind], s.Bytes)
+			sim.resultBytes[kind] = append(sim.resultBytes[kind], s.Bytes)
 		}
 		for at := 0.0; ; {
 			at += sim.random.ExpFloat64() / l.PerSecond[kind]
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -8,6 +8,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
@@ -90,6 +91,7 @@
 	Job        string
 	Reason     Reason
 	RetryAfter time.Duration
+	Pool       string // most in demand of those that the job needs; empty unless jobs compete by rank
 }
 
 // Release lists results that an upstream can drop.
@@ -163,8 +165,11 @@
 	avgBatchSize float64       // pieces of a call while others wait
 	avgBusy      float64       // upstreams with a call in flight while pieces wait
 	lastObserved time.Time
-	lastExpired  time.Time // when results were last scanned for expiry
-	countsValid  bool      // counts is up to date
+	lastExpired  time.Time   // when results were last scanned for expiry
+	congestedAt  time.Time   // when pieces last queued, as all upstreams were busy
+	rankedValid  bool        // ranked is up to date
+	ranked       map[int]int // pieces of in-time jobs that are in no call, by rank
+	countsValid  bool        // counts is up to date
 	counts       workerCounts
 }
 
@@ -184,10 +189,13 @@
 	calls       map[int64]*activeCall
 	nextID      int64
 	output      Output
-	toRelease   map[string][]string  // handles by upstream
-	workersByID map[string]*worker   // their present lifetimes
-	affected    map[*job]bool        // jobs that may have lost results
-	overloads   map[string]*overload // by pool names, joined by spaces
+	toRelease   map[string][]string    // handles by upstream
+	workersByID map[string]*worker     // their present lifetimes
+	affected    map[*job]bool          // jobs that may have lost results
+	overloads   map[string]*overload   // by pool names, joined by spaces
+	now         time.Time              // of the last event
+	lateAhead   map[int]map[string]int // waiting pieces of late jobs by rank and pool, as of the last step
+	policy      *fair.Policy           // nil unless jobs compete by rank
 }
 
 // New returns a scheduler without pools, which starts no more calls than limits allows.
@@ -196,7 +204,7 @@
 		limits: limits,
 		pools:  map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
 		toRelease: map[string][]string{}, workersByID: map[string]*worker{}, affected: map[*job]bool{},
-		overloads: map[string]*overload{},
+		overloads: map[string]*overload{}, lateAhead: map[int]map[string]int{},
 	}
 }
 
@@ -258,11 +266,18 @@
 	if sc.jobs[spec.ID] != nil {
 		return
 	}
+	sc.now = now
 	j := newJob(spec, now)
+	if sc.policy != nil {
+		j.limitTarget()
+	}
 	if refusal, refused := sc.admit(j, now); refused {
 		sc.output.Refusals = append(sc.output.Refusals, refusal)
 		return
 	}
+	if sc.policy != nil {
+		sc.countAdmitted(j, now)
+	}
 	sc.jobs[spec.ID] = j
 	sc.order = append(sc.order, j)
 	sc.resume(j, now)
@@ -516,13 +531,14 @@
 		return
 	}
 	sc.Cancel(j.ID)
-	sc.output.Refusals = append(sc.output.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: sc.retryAfter(j, now)})
+	sc.output.Refusals = append(sc.output.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: sc.retryAfter(j, now), Pool: sc.scarcePool(j, now)})
 }
 
 func (sc *Scheduler) enqueue(steps []*step) {
 	for _, s := range steps {
 		if p := sc.pools[s.spec.Pool]; p != nil && !s.job.recalled && !slices.Contains(p.ready, s) {
 			p.ready = append(p.ready, s)
+			p.rankedValid = false
 		}
 	}
 }
@@ -530,13 +546,16 @@
 func (sc *Scheduler) unqueue(s *step) {
 	if p := sc.pools[s.spec.Pool]; p != nil {
 		p.ready = slices.DeleteFunc(p.ready, func(o *step) bool { return o == s })
+		p.rankedValid = false
 	}
 }
 
 // Schedule assigns ready pieces to free upstreams and returns the actions to carry out.
 func (sc *Scheduler) Schedule(now time.Time) Output {
+	sc.now = now
 	for _, p := range sc.pools {
 		sc.expireResults(p, now)
+		p.rankedValid = false
 	}
 	sc.reopenAffected(now)
 	sc.hedge(now)
@@ -544,6 +563,11 @@
 	sc.refuseExpired(now)
 	sc.handOverRecalled(now)
 	sc.reportCheckpoints(now)
+	for _, p := range sc.pools {
+		if p.congested() {
+			p.congestedAt = now
+		}
+	}
 	sc.markLate(now)
 	for _, name := range sortedKeys(sc.pools) {
 		sc.assign(sc.pools[name], now)
@@ -576,7 +600,7 @@
 			sc.recordExpiry(j, now)
 			sc.refuse(j, Expired, now)
 		case j.late && !j.started:
-			if _, stillOverloaded := sc.overloadOf(j, now); stillOverloaded {
+			if sc.overloadedFor(j, now) {
 				sc.refuse(j, Overloaded, now)
 			}
 		}
--- a/internal/leader/sched/simulation_test.go
+++ b/internal/leader/sched/simulation_test.go
@@ -1,10 +1,10 @@
 package sched_test
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
@@ -18,6 +18,7 @@
 const (
 	tick           = 5 * time.Millisecond   // between calls of Schedule
 	firstByteDelay = 150 * time.Millisecond // from the end of the stages to the first byte
+	maxRetryDelay  = 200e6                  // ns that a caller lets pass after its retry time, at most
 	slowFactor     = 5.0                    // by which calls of a slow upstream take longer
 )
 
@@ -46,33 +47,39 @@
 	granted   bool
 	firstByte time.Time // first byte of the answer
 	started   bool      // at least one piece was in a call
+	job       sched.Job
+	first     time.Time // when the first attempt of its caller was submitted
+	retryOf   string    // ID of the first attempt of its caller; empty for that one
 }
 
 // simulation simulates upstreams and callers around a scheduler, in virtual time.
 type simulation struct {
-	scheduler  *sched.Scheduler
-	now        time.Time
-	events     []event
-	upstreams  map[string]*upstream
-	pools      map[string]rule.Batch
-	jobs       map[string]*outcome
-	random     *rand.Rand
-	handles    int
-	violations []string                            // violated guarantees of the scheduler
-	work       func(job string, stage int) float64 // run time of a piece, as a multiple of its pool's
+	scheduler   *sched.Scheduler
+	now         time.Time
+	events      []event // by time, those of the same time in the order in which they were added
+	upstreams   map[string]*upstream
+	pools       map[string]rule.Batch
+	jobs        map[string]*outcome
+	random      *rand.Rand
+	handles     int
+	violations  []string                            // violated guarantees of the scheduler
+	work        func(job string, stage int) float64 // run time of a piece, as a multiple of its pool's
+	resultBytes map[string][]int64                  // sizes of results by kind of job and stage
+	retries     bool                                // callers retry once after a refusal
 }
 
-func newSimulation(pools map[string]rule.Batch, count int, seed uint64) *simulation {
+// newSimulation returns a simulation with the given numbers of upstreams by pool.
+func newSimulation(pools map[string]rule.Batch, counts map[string]int, seed uint64) *simulation {
 	sim := &simulation{
-		scheduler: sched.New(noLimits()), now: start, upstreams: map[string]*upstream{}, pools: pools, jobs: map[string]*outcome{},
+		scheduler: sched.New(noLimits()), now: start, upstreams: map[string]*upstream{}, pools: pools, jobs: map[string]*outcome{}, resultBytes: map[string][]int64{},
 		random: rand.New(rand.NewPCG(seed, 1)), work: func(string, int) float64 { return 1 },
 	}
 	for name, spec := range pools {
 		sim.scheduler.SetPool(name, spec)
 	}
-	sim.scheduler.SetUpstreams(sim.table(count))
+	sim.scheduler.SetUpstreams(sim.table(counts))
 	for name, spec := range pools {
-		for i := range count {
+		for i := range counts[name] {
 			sim.upstreams[fmt.Sprintf("%s-%d", name, i)] = &upstream{
 				size: spec.Headroom, results: map[string]int64{}, slowdown: 1}
 		}
@@ -80,10 +87,10 @@
 	return sim
 }
 
-func (sim *simulation) table(count int) *hosts.Table {
+func (sim *simulation) table(counts map[string]int) *hosts.Table {
 	var all []hosts.Upstream
 	for name := range sim.pools {
-		for i := range count {
+		for i := range counts[name] {
 			all = append(all, hosts.Upstream{
 				ID: fmt.Sprintf("%s-%d", name, i), Pool: name, Zone: fmt.Sprintf("zone-%d", i%3), State: hosts.Ready,
 			})
@@ -94,13 +101,14 @@
 
 // after schedules an event d from now.
 func (sim *simulation) after(d time.Duration, do func(now time.Time)) {
-	sim.events = append(sim.events, event{at: sim.now.Add(d), do: do})
+	e := event{at: sim.now.Add(d), do: do}
+	later := sort.Search(len(sim.events), func(i int) bool { return sim.events[i].at.After(e.at) })
+	sim.events = slices.Insert(sim.events, later, e)
 }
 
 // run advances the virtual time by d, processes the events that are due and calls the scheduler at every tick.
 func (sim *simulation) run(d time.Duration) {
 	for end := sim.now.Add(d); sim.now.Before(end); sim.now = sim.now.Add(tick) {
-		slices.SortStableFunc(sim.events, func(a, b event) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
 		for len(sim.events) > 0 && !sim.events[0].at.After(sim.now) {
 			e := sim.events[0]
 			sim.events = sim.events[1:]
@@ -111,10 +119,25 @@
 }
 
 func (sim *simulation) submit(kind string, j sched.Job) {
-	sim.jobs[j.ID] = &outcome{kind: kind, submitted: sim.now, target: j.Target}
+	sim.jobs[j.ID] = &outcome{kind: kind, submitted: sim.now, target: j.Target, job: j, first: sim.now}
 	sim.scheduler.Submit(j, sim.now)
 }
 
+// retry submits a refused job again after its retry time, with the target and the deadline of the first attempt.
+func (sim *simulation) retry(r sched.Refusal) {
+	first := sim.jobs[r.Job]
+	sim.after(r.RetryAfter+time.Duration(maxRetryDelay*sim.random.Float64()), func(now time.Time) {
+		if !now.Before(first.job.Deadline) {
+			return
+		}
+		again := first.job
+		again.ID += "-again"
+		again.RequestID, again.Arrived, again.Retried = again.ID, now, true
+		sim.submit(first.kind, again)
+		sim.jobs[again.ID].retryOf, sim.jobs[again.ID].first = r.Job, first.first
+	})
+}
+
 // carryOut carries out the output of the scheduler, and notes violations in it.
 func (sim *simulation) carryOut(out sched.Output) {
 	for _, g := range out.Grants {
@@ -135,6 +158,9 @@
 		if r.RetryAfter <= 0 {
 			sim.violations = append(sim.violations, "refused without a retry time")
 		}
+		if sim.retries && sim.jobs[r.Job].retryOf == "" {
+			sim.retry(r)
+		}
 	}
 	for _, r := range out.Releases {
 		u := sim.upstreams[r.Upstream.ID]
@@ -187,12 +213,9 @@
 }
 
 func (sim *simulation) sizeOf(it call.Item) int64 {
-	return resultBytes[sim.jobs[it.RequestID].kind][it.Stage]
+	return sim.resultBytes[sim.jobs[it.RequestID].kind][it.Stage]
 }
 
-// resultBytes holds the sizes of results by kind of job and stage.
-var resultBytes = map[string][]int64{}
-
 // result runs one piece at the end of its call: it stores a result unless an input is gone or the memory is full.
 func (sim *simulation) result(u *upstream, it call.Item, bytes int64) call.Result {
 	for _, h := range it.Inputs {
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -339,7 +339,7 @@
 			Source: origin.Source(s.OriginSource),
 		}},
 		Job: sched.Job{
-			ID: s.Id, RequestID: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
+			ID: s.Id, RequestID: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Route: s.Route, Team: s.Team, Arrived: arrived,
 			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
 			Deadline: arrived.Add(time.Duration(s.DeadlineUs) * time.Microsecond),
 			Progress: cellpb.BoardProgress(s.Progress),
