Treat callers that come back early as new, and count begun work by rank only

Cause: a caller that ignores its Retry-After took the room kept for those that come back when told. Forecasts sorted all begun jobs at every step, which costs time on large leaders.

Change: the tracker of first attempts knows when a refused caller may come back. Begun jobs count by rank without order. The test of the tally of refusals is added.

--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -340,7 +340,8 @@
 	}
 	waited := c.firstVisits.Record(o.Fingerprint, o.Job.Arrived, o.Job.Deadline)
 	if waited > 0 && !o.Stream.TakenUp { // the first event of a stream that is taken up came long before
-		o.Job.Target, o.Job.Retried = o.Job.Target.Add(-waited), true
+		o.Job.Target = o.Job.Target.Add(-waited)
+		o.Job.Retried = !c.firstVisits.IsEarly(o.Fingerprint, o.Job.Arrived)
 		c.opts.Log.Info("caller comes back", zap.String("request", o.Job.RequestID), zap.Duration("waited", waited))
 	}
 	if _, paused := c.placer.PauseLeft(o.Engine, c.hosts, now); paused {
@@ -728,6 +729,7 @@
 		if o := c.orders[r.Job]; o != nil {
 			if r.Pool != "" {
 				c.tally.refused(o.order.Job, r)
+				c.firstVisits.Refused(o.order.Fingerprint, now.Add(r.RetryAfter))
 			}
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
--- a/internal/leader/repeat/tracker.go
+++ b/internal/leader/repeat/tracker.go
@@ -10,6 +10,7 @@
 type firstAttempt struct {
 	arrived  time.Time
 	deadline time.Time
+	retryAt  time.Time // when its caller may come back; zero unless it was refused
 }
 
 // Tracker remembers the first attempts of requests until their deadlines. One goroutine owns it.
@@ -31,6 +32,19 @@
 	return 0
 }
 
+// Refused records when the caller of a refused request may come back. Requests that are not known are ignored.
+func (t *Tracker) Refused(fingerprint uint64, retryAt time.Time) {
+	if first, ok := t.attempts[fingerprint]; ok {
+		first.retryAt = retryAt
+		t.attempts[fingerprint] = first
+	}
+}
+
+// IsEarly reports whether an attempt came before the time that its caller was last told, by more than its delays explain.
+func (t *Tracker) IsEarly(fingerprint uint64, arrived time.Time) bool {
+	return arrived.Before(t.attempts[fingerprint].retryAt.Add(-deadlineTolerance))
+}
+
 // Sweep removes requests whose deadline has passed.
 func (t *Tracker) Sweep(now time.Time) {
 	for fingerprint, f := range t.attempts {
--- a/internal/leader/repeat/tracker_test.go
+++ b/internal/leader/repeat/tracker_test.go
@@ -30,6 +30,11 @@
 		got := tracker.Record(test.fingerprint, at(test.arrived), at(test.deadline))
 		qt.Check(t, got, qt.Equals, test.want, qt.Commentf("%s", test.name))
 	}
+	tracker.Refused(1, at(4000))
+	tracker.Refused(7, at(4000))
+	qt.Check(t, tracker.IsEarly(1, at(3000)), qt.IsTrue)
+	qt.Check(t, tracker.IsEarly(1, at(3800)), qt.IsFalse)
+	qt.Check(t, tracker.IsEarly(2, at(100)), qt.IsFalse, qt.Commentf("it was not refused"))
 	tracker.Sweep(at(6500))
 	qt.Check(t, tracker.Len(), qt.Equals, 1)
 	tracker.Sweep(at(8000))
--- a/internal/leader/sched/contention.go
+++ b/internal/leader/sched/contention.go
@@ -48,7 +48,7 @@
 // countAdmitted counts the pieces of a job that was admitted.
 func (sc *Scheduler) countAdmitted(j *job, now time.Time) {
 	if j.late {
-		sc.addLate(j)
+		addWaiting(sc.lateAhead, j)
 		return
 	}
 	for _, s := range j.steps {
@@ -110,37 +110,47 @@
 // markLateByRank marks jobs that have not started and can't meet their target any more, given the work of jobs that are at
 // least as urgent. Less urgent jobs so give way to more urgent ones.
 func (sc *Scheduler) markLateByRank(now time.Time) {
-	var inTime []waitingJob
+	started := map[int]map[string]int{} // waiting pieces by rank and pool
+	var notStarted []waitingJob
 	sc.lateAhead = map[int]map[string]int{}
 	for _, j := range sc.order {
 		switch {
 		case sc.jobs[j.ID] != j || j.granted || j.recalled:
 		case j.late:
-			sc.addLate(j)
+			addWaiting(sc.lateAhead, j)
+		case j.started:
+			addWaiting(started, j)
 		default:
-			inTime = append(inTime, waitingJob{job: j, urgency: sc.jobUrgency(j)})
+			notStarted = append(notStarted, waitingJob{job: j, urgency: sc.jobUrgency(j)})
 		}
 	}
-	slices.SortStableFunc(inTime, func(a, c waitingJob) int {
+	slices.SortStableFunc(notStarted, func(a, c waitingJob) int {
 		return cmp.Or(cmp.Compare(a.claimRank, c.claimRank), cmp.Compare(a.urgency, c.urgency))
 	})
 	ahead := map[string]int{}
-	for _, j := range inTime {
-		if !j.started && sc.missesTarget(j.job, ahead, now) {
+	ranks := sortedKeys(started)
+	for _, j := range notStarted {
+		for len(ranks) > 0 && ranks[0] <= j.claimRank {
+			for pool, n := range started[ranks[0]] {
+				ahead[pool] += n
+			}
+			ranks = ranks[1:]
+		}
+		if sc.missesTarget(j.job, ahead, now) {
 			j.late = true
-			sc.addLate(j.job)
+			addWaiting(sc.lateAhead, j.job)
 			continue
 		}
 		j.addWaitingPieces(ahead)
 	}
 }
 
-// addLate counts the waiting pieces of a late job.
-func (sc *Scheduler) addLate(j *job) {
-	if sc.lateAhead[j.claimRank] == nil {
-		sc.lateAhead[j.claimRank] = map[string]int{}
+// addWaiting adds the waiting pieces of a job to the counts by rank and pool.
+func addWaiting(counts map[int]map[string]int, j *job) {
+	if counts[j.claimRank] == nil {
+		counts[j.claimRank] = map[string]int{}
 	}
-	j.addWaitingPieces(sc.lateAhead[j.claimRank])
+	j.addWaitingPieces(counts[j.claimRank])
 }
 
 // fullestPool returns the pool that is most in demand among those that a job needs, and the pieces that it needs there.
--- a/internal/leader/sched/job.go
+++ b/internal/leader/sched/job.go
@@ -25,7 +25,7 @@
 	Rank             int    // priority; 0 is the most urgent
 	Route            string // of its caller; empty if it is not known
 	Team             string // of its caller; empty if it has none, or it is not known
-	Retried          bool   // its caller was refused before
+	Retried          bool   // its caller was refused before, and came back no earlier than it was told
 	Arrived          time.Time
 	Target           time.Time     // when the first byte of the answer is due
 	Deadline         time.Time     // when the caller gives up
--- a/internal/leader/sched/simulation_test.go
+++ b/internal/leader/sched/simulation_test.go
@@ -64,6 +64,7 @@
 	handles     int
 	violations  []string                            // violated guarantees of the scheduler
 	work        func(job string, stage int) float64 // run time of a piece, as a multiple of its pool's
+	stored      map[string]bool                     // handles of all results that upstreams hold
 	resultBytes map[string][]int64                  // sizes of results by kind of job and stage
 	retries     bool                                // callers retry once after a refusal
 }
@@ -72,6 +73,7 @@
 func newSimulation(pools map[string]rule.Batch, counts map[string]int, seed uint64) *simulation {
 	sim := &simulation{
 		scheduler: sched.New(noLimits()), now: start, upstreams: map[string]*upstream{}, pools: pools, jobs: map[string]*outcome{}, resultBytes: map[string][]int64{},
+		stored: map[string]bool{},
 		random: rand.New(rand.NewPCG(seed, 1)), work: func(string, int) float64 { return 1 },
 	}
 	for name, spec := range pools {
@@ -166,6 +168,7 @@
 		u := sim.upstreams[r.Upstream.ID]
 		for _, h := range r.Handles {
 			u.used -= u.results[h]
+			delete(sim.stored, h)
 			delete(u.results, h)
 		}
 	}
@@ -175,12 +178,7 @@
 }
 
 func (sim *simulation) exists(handle string) bool {
-	for _, u := range sim.upstreams {
-		if _, ok := u.results[handle]; ok {
-			return true
-		}
-	}
-	return false
+	return sim.stored[handle]
 }
 
 // startCall runs a call after the calls that the upstream already has.
@@ -229,6 +227,7 @@
 	sim.handles++
 	h := fmt.Sprintf("h%d", sim.handles)
 	u.results[h] = bytes
+	sim.stored[h] = true
 	u.used += bytes
 	return call.Result{Handle: h}
 }
