Test that begun jobs outlive a leader and that room for results goes by rank

Seen to fail: TestBegunJobsOutliveTheirLeaderUnderOverload without the rule on progress, TestRoomForResultsGoesByRank without a policy (a case of its own), TestOrdersGoToTheLeader when the leader does not decode route and team.

--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -42,13 +42,14 @@
 	recalls  bool             // hands an order over when it is recalled
 	progress []sched.Progress // of the newest order
 	repeats  int              // of the newest order
+	caller   string           // route and team of the newest order
 }
 
 func (d *fakeDispatcher) Submit(o lead.Order, reply func(lead.Decision)) {
 	d.mu.Lock()
 	d.open[o.Job.ID] = true
 	d.replies[o.Job.ID] = reply
-	d.progress, d.repeats = o.Job.Progress, o.Stream.Repeats
+	d.progress, d.repeats, d.caller = o.Job.Progress, o.Stream.Repeats, o.Job.Route+" "+o.Job.Team
 	d.mu.Unlock()
 	if !d.silent {
 		reply(lead.Decision{Upstream: d.name})
@@ -218,7 +219,7 @@
 // submit submits an order and returns the channel on which its decisions arrive.
 func submit(l *link.Link, id string) chan lead.Decision {
 	got := make(chan lead.Decision, 2)
-	l.Submit(lead.Order{Job: sched.Job{ID: id, Deadline: time.Now().Add(time.Minute)}}, func(d lead.Decision) { got <- d })
+	l.Submit(lead.Order{Job: sched.Job{ID: id, Route: "chat", Team: "web", Deadline: time.Now().Add(time.Minute)}}, func(d lead.Decision) { got <- d })
 	return got
 }
 
@@ -260,6 +261,7 @@
 	l := startLink(c, newFake("local", false), p.Member)
 	eventually(c, func() bool { return !l.Leads() })
 	c.Check((<-submit(l, "1")).Upstream, qt.Equals, "remote")
+	c.Check(remote.caller, qt.Equals, "chat web", qt.Commentf("floors are those of routes and teams"))
 	l.Ended("1", "", false)
 	eventually(c, func() bool { return remote.openCount() == 0 })
 }
--- a/internal/leader/sched/contention_test.go
+++ b/internal/leader/sched/contention_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/goccy/go-yaml"
 
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
@@ -262,3 +263,56 @@
 		}
 	}
 }
+
+// TestBegunJobsOutliveTheirLeaderUnderOverload guards against a new leader that refuses work of which a stage is done.
+func TestBegunJobsOutliveTheirLeaderUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	s := twoPools()
+	s.SetPolicy(fair.New(rand.New(rand.NewPCG(1, 1))))
+	for i := range 400 {
+		s.Submit(chain(fmt.Sprint("urgent", i), 1000), start)
+		s.Schedule(start)
+	}
+	refused := func(j sched.Job) bool {
+		j.Rank = 2
+		s.Submit(j, start)
+		return slices.ContainsFunc(s.Schedule(start).Refusals, func(r sched.Refusal) bool { return r.Job == j.ID })
+	}
+	c.Check(refused(chain("new", 1000)), qt.IsTrue)
+	begun := chain("begun", 1000)
+	producer := hosts.Lifetime{ID: "a-0"}
+	begun.Progress = []sched.Progress{
+		{Done: true, Results: []sched.HeldResult{{Handle: "h", Producer: producer, ExpiresIn: time.Second}}}, {}}
+	c.Check(refused(begun), qt.IsFalse)
+}
+
+// TestRoomForResultsGoesByRank guards against results of less urgent jobs that take the room for which a more urgent job
+// waits, one by one.
+func TestRoomForResultsGoesByRank(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		policy *fair.Policy
+		want   []string
+	}{{nil, []string{"small"}}, {fair.New(rand.New(rand.NewPCG(1, 1))), nil}} {
+		s := sched.New(noLimits())
+		s.SetPool("a", spec)
+		s.SetPolicy(test.policy)
+		s.SetUpstreams(hosts.New([]hosts.Upstream{{ID: "a-0", Pool: "a", State: hosts.Ready}}, start))
+		submit := func(id string, rank, pieces int) []string {
+			s.Submit(sched.Job{ID: id, RequestID: id, Rank: rank, Arrived: start, Target: start.Add(2 * time.Second),
+				Deadline: start.Add(6 * time.Second),
+				Stages:   []sched.Stage{{Pool: "a", Pieces: pieces, ResultBytes: 1_500_000}}}, start)
+			var ids []string
+			for _, b := range s.Schedule(atMs(400)).Batches {
+				for _, it := range b.Items {
+					ids = append(ids, it.RequestID)
+				}
+			}
+			return ids
+		}
+		c.Assert(submit("first", 0, 10), qt.HasLen, 10)
+		s.CallFinished(1, results("1", "2", "3", "4", "5", "6", "7", "8", "9", "10"), atMs(300))
+		c.Assert(submit("large", 0, 3), qt.HasLen, 0)
+		c.Check(submit("small", 1, 1), qt.DeepEquals, test.want)
+	}
+}
