Forecast steps with small results without those that wait for memory

Cause: in a burst of long, queued steps with large results waited for memory while slots were left, and forecasts of kinds with small results counted them, so that these were refused without need.

Change: while in-time work waits for memory and admitted work leaves slots, forecasts of small steps leave out large ones.

--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -186,7 +186,7 @@
 			take = min(take, int(max(0, freeBytes)/s.spec.ResultBytes))
 		}
 		if sc.policy != nil && lacksMemory == nil && !s.job.late && take < min(len(s.pending), capacity) {
-			lacksMemory = s.job
+			lacksMemory, p.lackedAt = s.job, now
 		}
 		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size && !(splitAllowed && s.maySplit())) {
 			continue
--- a/internal/leader/sched/contention.go
+++ b/internal/leader/sched/contention.go
@@ -23,7 +23,8 @@
 	// Safety margin of forecasts over all stages, in place of jobForecastMargin. With 200 ms, queues were too short to fill
 	// calls: 52 of 60 pieces while draft was three times as much as usual on deployment N.
 	rankedForecastMargin = 120 * time.Millisecond
-	anyRank              = 1 << 30 // less urgent than any rank
+	largeSuffix          = " large" // of a pool's name, for pieces that wait for memory there
+	anyRank              = 1 << 30  // less urgent than any rank
 )
 
 // SetPolicy makes jobs of different ranks compete by a policy, or by their latest start alone if it is nil.
@@ -42,13 +43,20 @@
 
 // missesTarget reports whether a job is expected to miss its target, after the given waiting pieces by pool.
 func (sc *Scheduler) missesTarget(j *job, waiting map[string]int, now time.Time) bool {
-	return now.Add(sc.expectedStagesTime(j, waiting) + j.TimeToFirstToken + rankedForecastMargin).After(j.Target)
+	busy := func(s *step, p *pool) time.Duration {
+		n := waiting[s.spec.Pool]
+		if s.isLarge() {
+			n += waiting[s.spec.Pool+largeSuffix]
+		}
+		return p.drainTime(n)
+	}
+	return now.Add(sc.stagesTime(j, busy, noWait) + j.TimeToFirstToken + rankedForecastMargin).After(j.Target)
 }
 
 // countAdmitted counts the pieces of a job that was admitted.
 func (sc *Scheduler) countAdmitted(j *job, now time.Time) {
 	if j.late {
-		addWaiting(sc.lateAhead, j)
+		sc.addWaiting(sc.lateAhead, j, now)
 		return
 	}
 	for _, s := range j.steps {
@@ -66,20 +74,27 @@
 		hold /= firstHoldDivisor
 	}
 	own := map[string]int{}
-	j.addWaitingPieces(own)
+	sc.addWaitingByMemory(own, j, now)
 	for _, name := range j.pools() {
 		p := sc.pools[name]
 		if p == nil || now.Sub(p.congestedAt) > congestionMemory {
 			continue
 		}
-		inTime, _ := p.queued()
-		late := own[name]
+		needsMemory := own[name+largeSuffix] > 0
+		inTime := p.queuedUpTo(anyRank, needsMemory, now)
+		late := own[name] + own[name+largeSuffix]
 		for rank, ahead := range sc.lateAhead {
 			if rank <= j.claimRank {
 				late += ahead[name]
+				if needsMemory {
+					late += ahead[name+largeSuffix]
+				}
 			}
 		}
 		left := max(minLeft, sc.policy.Left(name, anyRank, p.capacity(), now))
+		if p.lacksMemory(now) && !needsMemory {
+			left = 1
+		}
 		wait := (float64(inTime) + float64(late)/left) / p.capacity()
 		if time.Duration(wait*float64(time.Second)) > hold {
 			return false
@@ -88,18 +103,31 @@
 	return true
 }
 
-// queuedUpTo returns the pieces that are in no call, of jobs that are in time and at least as urgent as rank.
-func (p *pool) queuedUpTo(rank int) int {
+// queuedUpTo returns the pieces that are in no call, of jobs that are in time and at least as urgent as rank. Those that wait
+// for memory only count for a step that needs memory itself.
+func (p *pool) queuedUpTo(rank int, large bool, now time.Time) int {
 	if !p.rankedValid {
-		p.rankedValid, p.ranked = true, map[int]int{}
+		p.rankedValid, p.ranked, p.rankedLarge = true, map[int]int{}, map[int]int{}
 		for _, s := range p.ready {
-			if !s.job.late {
+			switch {
+			case s.job.late:
+			case s.isLarge():
+				p.rankedLarge[s.job.claimRank] += len(s.pending)
+			default:
 				p.ranked[s.job.claimRank] += len(s.pending)
 			}
 		}
 	}
+	sum := countUpTo(p.ranked, rank)
+	if large || !p.lacksMemory(now) {
+		sum += countUpTo(p.rankedLarge, rank)
+	}
+	return sum
+}
+
+func countUpTo(byRank map[int]int, rank int) int {
 	sum := 0
-	for r, n := range p.ranked {
+	for r, n := range byRank {
 		if r <= rank {
 			sum += n
 		}
@@ -107,6 +135,16 @@
 	return sum
 }
 
+// isLarge reports whether the results of a step are large, so that it may wait for memory while slots are free.
+func (s *step) isLarge() bool { return s.spec.ResultBytes*int64(s.spec.Pieces) >= minZoneBytes }
+
+// lacksMemory reports whether in-time work has waited for memory for results lately, while demand leaves a part of the
+// pool's slots. Where slots are short as well, large results that wait count for all: else long, of rank 0, was served 0.12
+// less than draft, of rank 2, in a burst of long on deployment K.
+func (p *pool) lacksMemory(now time.Time) bool {
+	return now.Sub(p.lackedAt) <= congestionMemory && p.slotsLeft > 0
+}
+
 // markLateByRank marks jobs that have not started and can't meet their target any more, given the work of jobs that are at
 // least as urgent. Less urgent jobs so give way to more urgent ones.
 func (sc *Scheduler) markLateByRank(now time.Time) {
@@ -117,9 +155,9 @@
 		switch {
 		case sc.jobs[j.ID] != j || j.granted || j.recalled:
 		case j.late:
-			addWaiting(sc.lateAhead, j)
+			sc.addWaiting(sc.lateAhead, j, now)
 		case j.started:
-			addWaiting(started, j)
+			sc.addWaiting(started, j, now)
 		default:
 			notStarted = append(notStarted, waitingJob{job: j, urgency: sc.jobUrgency(j)})
 		}
@@ -138,19 +176,36 @@
 		}
 		if sc.missesTarget(j.job, ahead, now) {
 			j.late = true
-			addWaiting(sc.lateAhead, j.job)
+			sc.addWaiting(sc.lateAhead, j.job, now)
 			continue
 		}
-		j.addWaitingPieces(ahead)
+		sc.addWaitingByMemory(ahead, j.job, now)
 	}
 }
 
 // addWaiting adds the waiting pieces of a job to the counts by rank and pool.
-func addWaiting(counts map[int]map[string]int, j *job) {
+func (sc *Scheduler) addWaiting(counts map[int]map[string]int, j *job, now time.Time) {
 	if counts[j.claimRank] == nil {
 		counts[j.claimRank] = map[string]int{}
 	}
-	j.addWaitingPieces(counts[j.claimRank])
+	sc.addWaitingByMemory(counts[j.claimRank], j, now)
+}
+
+// addWaitingByMemory adds the waiting pieces of a job by pool, those that wait for memory apart, under the name of the pool
+// with largeSuffix.
+func (sc *Scheduler) addWaitingByMemory(counts map[string]int, j *job, now time.Time) {
+	for _, s := range j.steps {
+		name := s.spec.Pool
+		if p := sc.pools[name]; p != nil && s.isLarge() && p.lacksMemory(now) {
+			name += largeSuffix
+		}
+		switch s.state {
+		case stepReady:
+			counts[name] += len(s.pending)
+		case stepBlocked:
+			counts[name] += s.spec.Pieces
+		}
+	}
 }
 
 // fullestPool returns the pool that is most in demand among those that a job needs, and the pieces that it needs there.
@@ -205,22 +260,22 @@
 
 // isLateAt reports whether a new job is expected to miss its target if it competes with a rank.
 func (sc *Scheduler) isLateAt(j *job, rank int, now time.Time) bool {
-	finish := sc.stagesTime(j, noWait, func(name string, p *pool) time.Duration { return sc.rankedWait(p, name, rank, now) })
+	finish := sc.stagesTime(j, noWait, func(s *step, p *pool) time.Duration { return sc.rankedWait(p, s, rank, now) })
 	return now.Add(finish + j.TimeToFirstToken).After(j.Target)
 }
 
-func noWait(string, *pool) time.Duration { return 0 }
+func noWait(*step, *pool) time.Duration { return 0 }
 
 // rankedWait returns the expected wait for a call of a step with a rank. More urgent work that arrives meanwhile comes first.
-func (sc *Scheduler) rankedWait(p *pool, name string, rank int, now time.Time) time.Duration {
+func (sc *Scheduler) rankedWait(p *pool, s *step, rank int, now time.Time) time.Duration {
 	present := p.present()
 	if present == 0 || p.count().unavailable < present {
 		return 0
 	}
 	// More urgent work that arrives meanwhile overtakes only in part, as its target may be later. Without the square, kinds
 	// of rank 2 were refused at 0.85 of the capacity of deployment N.
-	taken := 1 - sc.policy.Left(name, rank, p.capacity(), now)
-	return time.Duration(float64(p.processingTime(p.queuedUpTo(rank), 0.5)) / max(minLeft, 1-taken*taken))
+	taken := 1 - sc.policy.Left(s.spec.Pool, rank, p.capacity(), now)
+	return time.Duration(float64(p.processingTime(p.queuedUpTo(rank, s.isLarge(), now), 0.5)) / max(minLeft, 1-taken*taken))
 }
 
 // overloadedFor reports whether a late job that has not started is to be refused.
@@ -273,10 +328,10 @@
 	if sc.policy == nil {
 		return p.avgWait
 	}
-	return sc.rankedWait(p, s.spec.Pool, j.claimRank, sc.now)
+	return sc.rankedWait(p, s, j.claimRank, sc.now)
 }
 
 // needsRoomOf reports whether a step would take the room for large results that a more urgent job waits for.
 func (s *step) needsRoomOf(urgent *job) bool {
-	return s.job.claimRank > urgent.claimRank && s.spec.ResultBytes*int64(s.spec.Pieces) >= minZoneBytes
+	return s.job.claimRank > urgent.claimRank && s.isLarge()
 }
--- a/internal/leader/sched/forecast.go
+++ b/internal/leader/sched/forecast.go
@@ -76,13 +76,12 @@
 
 // expectedStagesTime returns the expected time until all stages of a job are done, after the given waiting pieces.
 func (sc *Scheduler) expectedStagesTime(j *job, waitingPieces map[string]int) time.Duration {
-	return sc.stagesTime(j, func(name string, p *pool) time.Duration { return p.drainTime(waitingPieces[name]) },
-		noWait)
+	return sc.stagesTime(j, func(s *step, p *pool) time.Duration { return p.drainTime(waitingPieces[s.spec.Pool]) }, noWait)
 }
 
 // stagesTime returns the expected time until all stages of a job are done. No pool takes them before busy has passed, and
 // each stage waits once its inputs are done.
-func (sc *Scheduler) stagesTime(j *job, busy, wait func(name string, p *pool) time.Duration) time.Duration {
+func (sc *Scheduler) stagesTime(j *job, busy, wait func(s *step, p *pool) time.Duration) time.Duration {
 	finish := make([]time.Duration, len(j.steps))
 	var longest time.Duration
 	for i, s := range j.steps {
@@ -93,7 +92,7 @@
 		if s.spec.Pieces == 0 || p == nil {
 			continue
 		}
-		finish[i] = max(finish[i], busy(s.spec.Pool, p)) + wait(s.spec.Pool, p) + sc.expectedCallTime(s)
+		finish[i] = max(finish[i], busy(s, p)) + wait(s, p) + sc.expectedCallTime(s)
 		longest = max(longest, finish[i])
 	}
 	return longest
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -169,6 +169,9 @@
 	lastExpired  time.Time   // when results were last scanned for expiry
 	congestedAt  time.Time   // when pieces last queued, as all upstreams were busy
 	rankedValid  bool        // ranked is up to date
+	lackedAt     time.Time   // when in-time work last waited for memory for results
+	slotsLeft    float64     // part of the pool that admitted work leaves, as of the last step
+	rankedLarge  map[int]int // as ranked, of steps with large results
 	ranked       map[int]int // pieces of in-time jobs that are in no call, by rank
 	countsValid  bool        // counts is up to date
 	counts       workerCounts
@@ -567,7 +570,10 @@
 	sc.refuseWithheld(now)
 	sc.handOverRecalled(now)
 	sc.reportCheckpoints(now)
-	for _, p := range sc.pools {
+	for name, p := range sc.pools {
+		if sc.policy != nil {
+			p.slotsLeft = sc.policy.Left(name, anyRank, p.capacity(), now)
+		}
 		if p.congested() {
 			p.congestedAt = now
 		}
