--- a/internal/leader/sched/contention.go
+++ b/internal/leader/sched/contention.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
@@ -235,8 +237,15 @@
 	return name
 }
 
-// key returns the key of the job's floor.
-func (j *job) key() fair.Key { return fair.Key{Route: j.Route, Team: j.Team} }
+// key returns the key of the job's floor. Sizes of jobs are powers of two of their pieces, so that few large jobs are not
+// kept out by many small ones.
+func (j *job) key() fair.Key {
+	pieces := 0
+	for _, s := range j.steps {
+		pieces += s.spec.Pieces
+	}
+	return fair.Key{Route: j.Route, Team: j.Team, Size: strconv.Itoa(1 << bits.Len(uint(pieces)))}
+}
 
 // admitByRank is admit for jobs that compete by rank. A job that can't be in time because of more urgent work may use the
 // floor of its key. A late job is refused if it is not expected to be served soon, unless another scheduler has started it.
