--- a/internal/leader/sched/early.go
+++ b/internal/leader/sched/early.go
@@ -11,7 +11,8 @@
 // whole of those calls, and the producers would run calls that are not full. If such a call fails, the results are
 // produced again.
 func (sc *Scheduler) releaseRead(now time.Time) {
-	for _, r := range sc.calls {
+	for _, id := range sortedKeys(sc.calls) { // in order, as a call may release the inputs of later ones
+		r := sc.calls[id]
 		if now.Sub(r.startedAt) < inputReadTime {
 			continue
 		}
--- a/internal/leader/sched/uneven_test.go
+++ b/internal/leader/sched/uneven_test.go
@@ -58,7 +58,7 @@
 		for range entries {
 			s := sched.New(noLimits()).WithRandom(random.Uint64)
 			s.SetPool("p", stagePool)
-			table := (&simulation{pools: map[string]rule.Batch{"p": stagePool}, now: start}).table(stageUpstreams)
+			table := (&simulation{pools: map[string]rule.Batch{"p": stagePool}, now: start}).table(map[string]int{"p": stageUpstreams})
 			s.SetUpstreams(table)
 			for n, u := range table.Ready("p") {
 				load := call.Load{Running: 1, Waiting: 1, Slots: 1, TimePercent: 200}
@@ -82,7 +82,7 @@
 func waitOfCrowd(entries int, useLoad bool, seed uint64) (wait time.Duration, most int) {
 	const seconds, perSecond = 20, 35
 	random := rand.New(rand.NewPCG(seed, 3))
-	table := (&simulation{pools: map[string]rule.Batch{"p": stagePool}, now: start}).table(stageUpstreams)
+	table := (&simulation{pools: map[string]rule.Batch{"p": stagePool}, now: start}).table(map[string]int{"p": stageUpstreams})
 	ups := table.Ready("p")
 	sim := &simulation{now: start}
 	sim.disturbed = disturbance(ups, seconds, random)
@@ -163,10 +163,10 @@
 // inTimeWhenDisturbed returns the fraction of requests that meet their target while other work disturbs the upstreams.
 func inTimeWhenDisturbed(c *qt.C, seed uint64, perSecond float64, statesLoad bool) float64 {
 	const seconds = 20
-	sim := newSimulation(map[string]rule.Batch{"p": stagePool}, stageUpstreams, seed)
+	sim := newSimulation(map[string]rule.Batch{"p": stagePool}, map[string]int{"p": stageUpstreams}, seed)
 	sim.scheduler.WithRandom(rand.New(rand.NewPCG(seed, 5)).Uint64)
 	sim.statesLoad = statesLoad
-	sim.disturbed = disturbance(sim.table(stageUpstreams).Ready("p"), 2*seconds, rand.New(rand.NewPCG(seed, 2)))
+	sim.disturbed = disturbance(sim.table(map[string]int{"p": stageUpstreams}).Ready("p"), 2*seconds, rand.New(rand.NewPCG(seed, 2)))
 	f := loadFile{Kinds: map[string]loadKind{"draft": {TargetMs: 1000, DeadlineMs: 6000}}}
 	kind := f.Kinds["draft"]
 	kind.Stages = append(kind.Stages, struct {
@@ -194,7 +194,7 @@
 // no correction by what was learned of a slow upstream or of another pool.
 func TestPoolsWithoutStatedLoadAreScheduledAsBefore(t *testing.T) {
 	c := qt.New(t)
-	sim := newSimulation(map[string]rule.Batch{"p": stagePool, "q": stagePool}, 3, 1)
+	sim := newSimulation(map[string]rule.Batch{"p": stagePool, "q": stagePool}, map[string]int{"p": 3, "q": 3}, 1)
 	sim.upstreams["p-0"].slowdown = 3
 	sim.scheduler.WithRandom(func() uint64 { c.Fatal("a random order"); return 0 })
 	sim.scheduler.ObserveLoad(hosts.Lifetime{ID: "q-0"}, call.Load{Running: 9, Slots: 1, TimePercent: 400}, start)
@@ -210,7 +210,7 @@
 			c.Check(b.Expected, qt.Equals, expected)
 			c.Check(b.Timeout, qt.Equals, max(time.Second, 5*expected))
 		}
-		resultBytes["k"] = []int64{0}
+		sim.resultBytes["k"] = []int64{0}
 		sim.carryOut(out)
 		sim.run(100 * time.Millisecond)
 	}
