--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
@@ -103,6 +104,7 @@
 	lookups     map[string]bool // IDs of orders for which the version that began their stream is looked up
 	rules       *rule.Rules
 	hosts       *hosts.Table
+	occupancy   atomic.Pointer[Occupancy]
 	openCount   atomic.Int64
 	queuedCount atomic.Int64
 	policy      *fair.Policy // nil unless requests compete by rank
@@ -164,7 +166,7 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	timer := time.NewTimer(sweepInterval)
 	defer timer.Stop()
-	swept, counted := c.opts.Now(), c.opts.Now()
+	swept, counted, surveyed := c.opts.Now(), c.opts.Now(), c.opts.Now()
 	var next time.Time // earliest time of the next scheduling step
 	for {
 		select {
@@ -197,6 +199,10 @@
 			c.queuedCount.Store(int64(c.scheduler.Queued()))
 			counted = now
 		}
+		if now.Sub(surveyed) >= surveyInterval {
+			c.withRecovery(func() { c.survey(now) })
+			surveyed = now
+		}
 		if now.Sub(swept) > sweepInterval {
 			c.placer.Sweep(now)
 			c.firstVisits.Sweep(now)
@@ -735,6 +741,7 @@
 				c.tally.refused(o.order.Job, r)
 				c.firstVisits.Refused(o.order.Fingerprint, now.Add(r.RetryAfter))
 			}
+			c.logRefusal(o, r, now)
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
@@ -755,7 +762,7 @@
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
 			zap.Int("waitInTime", b.QueuedInTime), zap.Int("waitLate", b.QueuedLate), zap.Int64("room", b.FreeBytes),
 			zap.Int("emptyInputs", emptyInputs(b.Items)), zap.Duration("listAge", now.Sub(c.hosts.Read())),
-			zap.Strings("requests", requestsOf(b.Items)))
+			zap.Strings("requests", requestsOf(b.Items)), zap.Inline(speedFields{b, now}))
 		go c.runBatch(b)
 	}
 	c.tally.flush(now)
@@ -829,6 +836,10 @@
 	}
 	defer answer.Close()
 	c.opts.Notices.AddAnswer(u, sent, answer.Status, answer.Head)
+	if answer.Head.HasLoad {
+		load, at := answer.Head.Load, c.opts.Now()
+		c.inbox <- func(time.Time) { c.scheduler.ObserveLoad(u.Lifetime(), load, at) }
+	}
 	if answer.Head.HasLimit {
 		c.opts.Stats.LimitNamed(u.Pool)
 		c.opts.Log.Info("stage upstream named a limit", zap.String("upstream", u.ID), zap.String("path", r.URI),
@@ -950,6 +961,28 @@
 		zap.Strings("producers", producers)}
 }
 
+// speedFields describes how the expected duration of a call follows from the usual one, for upstreams that state their load.
+type speedFields struct {
+	sched.Batch
+	now time.Time
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (f speedFields) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	age, known := f.Speed.Age(f.now)
+	if !known {
+		return nil
+	}
+	load := f.Speed.Load()
+	e.AddDuration("usual", f.Usual)
+	e.AddFloat64("slowness", f.Speed.Slowness())
+	e.AddDuration("loadAge", age)
+	e.AddInt("upstreamRunning", load.Running)
+	e.AddInt("upstreamWaiting", load.Waiting)
+	e.AddInt("timePercent", load.TimePercent)
+	return nil
+}
+
 // emptyInputs counts the pieces of a call that name an input without a handle.
 func emptyInputs(items []call.Item) int {
 	n := 0
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 // assign builds calls for the free upstreams of a pool, from the most urgent steps first.
@@ -128,37 +129,47 @@
 	return max(sc.minCallTime(s), sc.pools[s.spec.Pool].avgCallTime)
 }
 
-// callTime returns the processing time of a call with the given number of pieces.
+// callTime returns the processing time of a call with the given number of pieces at the mean speed of the upstreams.
 func (p *pool) callTime(pieces int) time.Duration {
+	return p.speed.scale(p.usualCallTime(pieces))
+}
+
+// usualCallTime returns the processing time of a call with the given number of pieces by the configuration.
+func (p *pool) usualCallTime(pieces int) time.Duration {
 	return p.spec.Call + time.Duration(pieces)*p.spec.Piece
 }
 
 // freeWorkers returns the upstreams that can take a call: fast ones before slow ones, then those with less used memory
-// first.
+// first. Where upstreams state their load, those that are slower than most now come later, and those that are alike in a
+// random order, so that entries that decide alone do not all begin with the same one.
 func (sc *Scheduler) freeWorkers(p *pool, now time.Time) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
-		switch {
-		case !w.present || w.running != nil:
-		case now.Before(w.pausedUntil) || now.Before(w.fullUntil):
-		case w.slow() && now.Before(w.retestAt):
-		case sc.limits.Wait(w.up.Lifetime()) > 0:
-		default:
+		if w.present && sc.state(w, now) == StateFree {
 			out = append(out, w)
 		}
 	}
+	if p.speed.known {
+		sc.drawTies(out)
+	}
 	slices.SortFunc(out, func(a, c *worker) int {
-		return cmp.Or(
-			falseFirst(a.slow(), c.slow()),
-			cmp.Compare(a.usedBytes+a.untracked, c.usedBytes+c.untracked),
-			cmp.Compare(a.up.ID, c.up.ID))
+		return cmp.Or(compareFree(a, c), cmp.Compare(a.tie, c.tie), cmp.Compare(a.up.ID, c.up.ID))
 	})
 	return out
 }
 
+// compareFree orders upstreams that can take a call, up to those that are alike.
+func compareFree(a, c *worker) int {
+	return cmp.Or(
+		falseFirst(a.slow(), c.slow()),
+		cmp.Compare(a.class, c.class),
+		cmp.Compare(a.usedBytes+a.untracked, c.usedBytes+c.untracked))
+}
+
 // buildBatch fills one call to a free upstream from the queue, which is sorted by urgency.
 func (sc *Scheduler) buildBatch(p *pool, w *worker, queue []queuedStep, now time.Time) {
 	r := &activeCall{worker: w, startedAt: now}
+	most := p.sizeAt(w, now) // pieces of a call that holds more than one step
 	var items []call.Item
 	freeBytes := p.freeBytes(w)
 	queueCache := map[*pool]bool{}
@@ -171,6 +182,9 @@
 	for _, q := range queue {
 		s := q.step
 		capacity := p.spec.Size - len(items)
+		if len(items) > 0 {
+			capacity = min(capacity, max(0, most-len(items)))
+		}
 		if capacity == 0 || (w.slow() && len(items) > 0) {
 			break
 		}
@@ -215,7 +229,8 @@
 	sc.limits.Take(w.up.Lifetime())
 	sc.nextID++
 	r.id = sc.nextID
-	r.expected = p.callTime(len(items)) + overheadPerCall
+	r.usual = p.usualCallTime(len(items)) + overheadPerCall
+	r.reference, r.expected = w.speed.Reference(r.usual, now), w.speed.Duration(r.usual, now)
 	r.timeout = max(minTimeout, timeoutFactor*r.expected)
 	updateAverage(&p.avgCallTime, r.expected)
 	w.running = r
@@ -230,7 +245,7 @@
 		updateAverage(&p.avgBatchSize, float64(len(items)))
 	}
 	sc.output.Batches = append(sc.output.Batches, Batch{
-		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, Timeout: r.timeout,
+		ID: r.id, Upstream: w.up, Items: items, Usual: r.usual, Expected: r.expected, Timeout: r.timeout, Speed: w.speed,
 		QueuedInTime: inTime, QueuedLate: late, FreeBytes: freeBytes,
 	})
 }
@@ -255,7 +270,7 @@
 	}
 	for _, other := range p.workers {
 		if other.present && other.up.Zone == s.preferredZone && !now.Before(other.pausedUntil) &&
-			other.slowness < slowFactor {
+			other.speed.Slowness() < speed.SlowFactor {
 			return false
 		}
 	}
--- a/internal/leader/sched/contention_test.go
+++ b/internal/leader/sched/contention_test.go
@@ -316,3 +316,25 @@
 		c.Check(submit("small", 1, 1), qt.DeepEquals, test.want)
 	}
 }
+
+// TestExplanationsClaimNothing guards against explanations that use up the floor of a caller.
+func TestExplanationsClaimNothing(t *testing.T) {
+	c := qt.New(t)
+	explained, other := twoPools(), twoPools()
+	for _, s := range []*sched.Scheduler{explained, other} {
+		s.SetPolicy(fair.New(rand.New(rand.NewPCG(1, 1))))
+		for i := range 400 {
+			s.Submit(chain(fmt.Sprint("urgent", i), 1000), start)
+			s.Schedule(start)
+		}
+	}
+	j := chain("new", 1000)
+	j.Rank = 2
+	want := explained.Explain(j, start)
+	for range 20 {
+		c.Assert(explained.Explain(j, start), qt.DeepEquals, want)
+	}
+	explained.Submit(j, start)
+	other.Submit(j, start)
+	c.Check(explained.Schedule(start).Refusals, qt.DeepEquals, other.Schedule(start).Refusals)
+}
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
+	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 const (
@@ -30,8 +32,6 @@
 	hedgeFactor          = 1.5 // a call is hedged after this multiple of its expected duration,
 	hedgeQueuedFactor    = 3.0 // or after this one while other steps wait for the pool
 	hedgeSlack           = 60 * time.Millisecond
-	slownessSmoothing    = 0.4
-	slowFactor           = 1.7 // slower upstreams get single steps to test whether they have recovered
 	retestInterval       = 700 * time.Millisecond
 	averageSmoothing     = 0.15                   // weight of a new value in the averages of a pool
 	minProbedHeadroom    = 4_000_000              // bytes; reports are in whole MB, too coarse for less memory
@@ -54,11 +54,13 @@
 	ID           int64
 	Upstream     hosts.Upstream
 	Items        []call.Item
+	Usual        time.Duration // of such a call, by the configuration
 	Expected     time.Duration
-	Timeout      time.Duration // timeout of the call
-	QueuedInTime int           // pieces of jobs that can meet their target, still queued in the pool
-	QueuedLate   int           // pieces of late jobs, still queued in the pool
-	FreeBytes    int64         // free bytes for results on the upstream after this call
+	Timeout      time.Duration  // timeout of the call
+	Speed        speed.Estimate // of the upstream when the call was scheduled
+	QueuedInTime int            // pieces of jobs that can meet their target, still queued in the pool
+	QueuedLate   int            // pieces of late jobs, still queued in the pool
+	FreeBytes    int64          // free bytes for results on the upstream after this call
 }
 
 // Grant reports that all stages of a job are done and the request can run.
@@ -117,8 +119,10 @@
 	present          bool // takes work
 	withheld         bool // would take work if its zone were not evacuated
 	running          *activeCall
-	usedBytes        int64         // by tracked results and those of the call in flight
-	slowness         float64       // ratio of call durations to the expected ones, smoothed
+	usedBytes        int64 // by tracked results and those of the call in flight
+	speed            speed.Estimate
+	class            int           // by its speed now, among those of its pool; the lowest is preferred
+	tie              uint64        // random; orders upstreams that are alike
 	backoff          time.Duration // length of the last pause after a failed call
 	pausedUntil      time.Time     // no calls until then, after failures or at the upstream's request
 	fullUntil        time.Time     // no calls until then, after a piece found no memory for its result
@@ -150,6 +154,8 @@
 	worker    *worker
 	parts     []part
 	startedAt time.Time
+	usual     time.Duration // on an upstream of usual speed that others leave alone
+	reference time.Duration // expected if the upstream were as fast as the others of its pool
 	expected  time.Duration
 	timeout   time.Duration
 	bytes     int64
@@ -175,6 +181,7 @@
 	ranked       map[int]int // pieces of in-time jobs that are in no call, by rank
 	countsValid  bool        // counts is up to date
 	counts       workerCounts
+	speed        poolSpeed
 }
 
 // workerCounts counts the upstreams of a pool that are listed and ready.
@@ -200,6 +207,7 @@
 	now         time.Time              // of the last event
 	lateAhead   map[int]map[string]int // waiting pieces of late jobs by rank and pool, as of the last step
 	policy      *fair.Policy           // nil unless jobs compete by rank
+	random      func() uint64          // orders upstreams that are alike
 }
 
 // New returns a scheduler without pools, which starts no more calls than limits allows.
@@ -208,7 +216,7 @@
 		limits: limits,
 		pools:  map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
 		toRelease: map[string][]string{}, workersByID: map[string]*worker{}, affected: map[*job]bool{},
-		overloads: map[string]*overload{}, lateAhead: map[int]map[string]int{},
+		overloads: map[string]*overload{}, lateAhead: map[int]map[string]int{}, random: rand.Uint64,
 	}
 }
 
@@ -237,12 +245,7 @@
 			w.present, w.withheld = false, false
 		}
 		for _, u := range t.Ready(name) {
-			w := p.workers[u.ID]
-			if w == nil {
-				w = &worker{slowness: 1, held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
-				p.workers[u.ID] = w
-				sc.workersByID[u.ID] = w
-			}
+			w := sc.workerOf(p, u.ID)
 			w.up, w.present = u, true
 		}
 		sc.keepWithheld(p, t.Withheld(name))
@@ -256,6 +259,17 @@
 	}
 }
 
+// workerOf returns the worker of an upstream of a pool, a new one if there is none.
+func (sc *Scheduler) workerOf(p *pool, id string) *worker {
+	w := p.workers[id]
+	if w == nil {
+		w = &worker{speed: speed.New(), held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
+		p.workers[id] = w
+		sc.workersByID[id] = w
+	}
+	return w
+}
+
 // endLifetime forgets an upstream that has restarted, and marks the jobs that it held results of.
 func (sc *Scheduler) endLifetime(w *worker) {
 	for _, h := range w.held {
@@ -365,7 +379,7 @@
 	sc.endCall(r)
 	w := r.worker
 	w.backoff = 0
-	w.recordSlowness(float64(now.Sub(r.startedAt)) / float64(r.expected))
+	w.speed = w.speed.WithCall(now.Sub(r.startedAt), r.usual, r.reference, now)
 	at := 0
 	for _, p := range r.parts {
 		for _, piece := range p.pieces {
@@ -559,6 +573,7 @@
 func (sc *Scheduler) Schedule(now time.Time) Output {
 	sc.now = now
 	for _, p := range sc.pools {
+		p.updateSpeed(now)
 		sc.expireResults(p, now)
 		p.rankedValid = false
 	}
