--- a/internal/leader/lead/tally_test.go
+++ b/internal/leader/lead/tally_test.go
@@ -9,8 +9,12 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
+	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 )
 
@@ -43,3 +47,27 @@
 	tl.flush(now.Add(2 * tallyInterval))
 	c.Check(logs.Len(), qt.Equals, maxTallyLines, qt.Commentf("counts start anew"))
 }
+
+// TestPrioritiesMakeOrdersCompete guards against competition by rank where all priorities are the same, and against the loss
+// of what the policy knows with each version of the configuration.
+func TestPrioritiesMakeOrdersCompete(t *testing.T) {
+	c := qt.New(t)
+	var rules *rule.Rules
+	limits := pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now})
+	l := New(Options{Rules: func() *rule.Rules { return rules }, Hosts: func() *hosts.Table { return hosts.New(nil, time.Time{}) },
+		Limits: limits, Log: zap.NewNop()})
+	publish := func(priorities ...int) *fair.Policy {
+		var routes []rule.Route
+		for i, p := range priorities {
+			routes = append(routes, rule.Route{Host: fmt.Sprint(i), Prefix: "/", Priority: p})
+		}
+		rules = rule.New(1, routes, nil, nil, rule.Limits{})
+		l.refreshConfig()
+		return l.policy
+	}
+	c.Check(publish(1, 1), qt.IsNil)
+	first := publish(1, 2)
+	c.Check(first, qt.IsNotNil)
+	c.Check(publish(0, 2) == first, qt.IsTrue)
+	c.Check(publish(2, 2), qt.IsNil)
+}
