Take late jobs first that need least of the fullest pool

Cause: late answers of a rank are worth the same as far as the configuration says, but their order was that of their targets.

TestLateJobsThatNeedLeastComeFirst fails without a policy (a case of its own).

--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -25,7 +25,7 @@
 	}
 	queue := make([]queuedStep, len(p.ready))
 	for i, s := range p.ready {
-		queue[i] = queuedStep{step: s, urgency: sc.urgency(s)}
+		queue[i] = queuedStep{step: s, urgency: sc.urgency(s), claim: sc.lateClaim(s, now)}
 	}
 	hasZonePreference := slices.ContainsFunc(queue, func(q queuedStep) bool { return q.step.preferredZone != "" })
 	byZone := map[string][]queuedStep{}
@@ -40,7 +40,7 @@
 		if byZone[zone] == nil {
 			byZone[zone] = slices.Clone(queue)
 			slices.SortStableFunc(byZone[zone], func(a, c queuedStep) int {
-				return cmp.Or(falseFirst(a.step.job.late, c.step.job.late), cmp.Compare(a.urgencyIn(zone), c.urgencyIn(zone)))
+				return cmp.Or(falseFirst(a.step.job.late, c.step.job.late), a.claim.compare(c.claim), cmp.Compare(a.urgencyIn(zone), c.urgencyIn(zone)))
 			})
 		}
 		byZone[zone] = slices.DeleteFunc(byZone[zone], func(q queuedStep) bool { return q.step.state != stepReady })
@@ -52,6 +52,7 @@
 type queuedStep struct {
 	step    *step
 	urgency int64
+	claim   claim // of a late job
 }
 
 // urgencyIn returns the urgency of the step at upstreams of a zone. Steps that prefer another zone are less urgent
--- a/internal/leader/sched/contention.go
+++ b/internal/leader/sched/contention.go
@@ -344,3 +344,26 @@
 func (s *step) needsRoomOf(urgent *job) bool {
 	return s.job.claimRank > urgent.claimRank && s.isLarge()
 }
+
+// claim orders late jobs while jobs compete by rank: all late answers of a rank are worth the same as far as is known, so
+// the one that needs least of the fullest pool comes first. It is zero for jobs that are in time.
+type claim struct{ rank, pieces int }
+
+func (a claim) compare(c claim) int {
+	return cmp.Or(cmp.Compare(a.rank, c.rank), cmp.Compare(a.pieces, c.pieces))
+}
+
+// lateClaim returns the claim of the job of a step.
+func (sc *Scheduler) lateClaim(s *step, now time.Time) claim {
+	if sc.policy == nil || !s.job.late {
+		return claim{}
+	}
+	out := claim{rank: s.job.claimRank}
+	name, _ := sc.fullestPool(s.job, now)
+	for _, other := range s.job.steps {
+		if other.spec.Pool == name && (other.state == stepReady || other.state == stepBlocked) {
+			out.pieces += len(other.pending)
+		}
+	}
+	return out
+}
--- a/internal/leader/sched/contention_test.go
+++ b/internal/leader/sched/contention_test.go
@@ -338,3 +338,24 @@
 	other.Submit(j, start)
 	c.Check(explained.Schedule(start).Refusals, qt.DeepEquals, other.Schedule(start).Refusals)
 }
+
+// TestLateJobsThatNeedLeastComeFirst guards against late jobs that need much of the fullest pool before others of their rank
+// that are worth as much.
+func TestLateJobsThatNeedLeastComeFirst(t *testing.T) {
+	for _, test := range []struct {
+		policy *fair.Policy
+		want   string
+	}{{nil, "large"}, {fair.New(rand.New(rand.NewPCG(1, 1))), "small"}} {
+		s := sched.New(noLimits())
+		s.SetPool("a", spec)
+		s.SetPolicy(test.policy)
+		s.SetUpstreams(hosts.New([]hosts.Upstream{{ID: "a-0", Pool: "a", State: hosts.Ready}}, start))
+		for i, id := range []string{"large", "small"} {
+			s.Submit(sched.Job{ID: id, RequestID: id, Arrived: start, Target: start.Add(time.Duration(i) * time.Millisecond),
+				Deadline: start.Add(6 * time.Second), Stages: []sched.Stage{{Pool: "a", Pieces: 4 - 3*i}}}, start)
+		}
+		batches := s.Schedule(start).Batches
+		qt.Assert(t, batches, qt.HasLen, 1)
+		qt.Check(t, batches[0].Items[0].RequestID, qt.Equals, test.want)
+	}
+}
