--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -737,11 +737,11 @@
 	}
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
-			c.logRefusal(o, r, now)
 			if r.Pool != "" {
 				c.tally.refused(o.order.Job, r)
 				c.firstVisits.Refused(o.order.Fingerprint, now.Add(r.RetryAfter))
 			}
+			c.logRefusal(o, r, now)
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
--- a/internal/leader/sched/contention_test.go
+++ b/internal/leader/sched/contention_test.go
@@ -316,3 +316,46 @@
 		c.Check(submit("small", 1, 1), qt.DeepEquals, test.want)
 	}
 }
+
+// TestExplanationsClaimNothing guards against explanations that use up the floor of a caller.
+func TestExplanationsClaimNothing(t *testing.T) {
+	c := qt.New(t)
+	explained, other := twoPools(), twoPools()
+	for _, s := range []*sched.Scheduler{explained, other} {
+		s.SetPolicy(fair.New(rand.New(rand.NewPCG(1, 1))))
+		for i := range 400 {
+			s.Submit(chain(fmt.Sprint("urgent", i), 1000), start)
+			s.Schedule(start)
+		}
+	}
+	j := chain("new", 1000)
+	j.Rank = 2
+	want := explained.Explain(j, start)
+	for range 20 {
+		c.Assert(explained.Explain(j, start), qt.DeepEquals, want)
+	}
+	explained.Submit(j, start)
+	other.Submit(j, start)
+	c.Check(explained.Schedule(start).Refusals, qt.DeepEquals, other.Schedule(start).Refusals)
+}
+
+// TestLateJobsThatNeedLeastComeFirst guards against late jobs that need much of the fullest pool before others of their rank
+// that are worth as much.
+func TestLateJobsThatNeedLeastComeFirst(t *testing.T) {
+	for _, test := range []struct {
+		policy *fair.Policy
+		want   string
+	}{{nil, "large"}, {fair.New(rand.New(rand.NewPCG(1, 1))), "small"}} {
+		s := sched.New(noLimits())
+		s.SetPool("a", spec)
+		s.SetPolicy(test.policy)
+		s.SetUpstreams(hosts.New([]hosts.Upstream{{ID: "a-0", Pool: "a", State: hosts.Ready}}, start))
+		for i, id := range []string{"large", "small"} {
+			s.Submit(sched.Job{ID: id, RequestID: id, Arrived: start, Target: start.Add(time.Duration(i) * time.Millisecond),
+				Deadline: start.Add(6 * time.Second), Stages: []sched.Stage{{Pool: "a", Pieces: 4 - 3*i}}}, start)
+		}
+		batches := s.Schedule(start).Batches
+		qt.Assert(t, batches, qt.HasLen, 1)
+		qt.Check(t, batches[0].Items[0].RequestID, qt.Equals, test.want)
+	}
+}
--- a/internal/leader/sched/explain.go
+++ b/internal/leader/sched/explain.go
@@ -51,6 +51,12 @@
 // Explain returns what would become of a job that were submitted now. It changes nothing.
 func (sc *Scheduler) Explain(spec Job, now time.Time) Outlook {
 	j := newJob(spec, now)
+	if sc.policy != nil {
+		defer sc.SetPolicy(sc.policy)
+		sc.SetPolicy(sc.policy.Clone())
+		sc.now = now
+		j.limitTarget()
+	}
 	var out Outlook
 	refusal, refused := sc.admit(j, now)
 	if refused {
@@ -63,6 +69,9 @@
 		if p != nil && s.spec.Pieces > 0 {
 			stage.Demand = sc.demand(s.spec.Pool, p, now)
 			stage.Wait, stage.Call = sc.expectedWait(s.spec.Pool), sc.expectedCallTime(s)
+			if sc.policy != nil {
+				stage.Wait = sc.rankedWait(p, s, j.claimRank, now)
+			}
 			stage.Candidates = sc.candidates(p, min(s.spec.Pieces, p.spec.Size), now)
 		}
 		out.Stages = append(out.Stages, stage)
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -206,8 +206,8 @@
 	overloads   map[string]*overload   // by pool names, joined by spaces
 	now         time.Time              // of the last event
 	lateAhead   map[int]map[string]int // waiting pieces of late jobs by rank and pool, as of the last step
-	random      func() uint64          // orders upstreams that are alike
 	policy      *fair.Policy           // nil unless jobs compete by rank
+	random      func() uint64          // orders upstreams that are alike
 }
 
 // New returns a scheduler without pools, which starts no more calls than limits allows.
--- a/internal/limit/fair/policy.go
+++ b/internal/limit/fair/policy.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -64,6 +65,24 @@
 	return r
 }
 
+// Clone returns a copy whose claims don't count in p, with a random source of its own that is always the same.
+func (p *Policy) Clone() *Policy {
+	out := New(rand.New(rand.NewPCG(1, 1)))
+	for name, r := range p.resources {
+		c := out.resource(name)
+		for rank, d := range r.demand {
+			copied := *d
+			c.demand[rank] = &copied
+		}
+		for key, f := range r.floors {
+			copied := *f
+			c.floors[key] = &copied
+		}
+		maps.Copy(c.returns, r.returns)
+	}
+	return out
+}
+
 // Admit counts units of a resource that work of a rank was promised.
 func (p *Policy) Admit(name string, rank int, units float64, now time.Time) {
 	r := p.resource(name)
