Place prompts by learned rates and within bounds on the backlog

Cause: with a constant rate the engines of deployment K look faster and those of N slower than they are. At their capacity and above, all requests queue on the engines and are late.

Change: the placer learns rates from first events, as tokens of one busy period that the engine had to read in any case. While the inflow policy applies, only engines within its bounds are offered; tokens that another engine has cached count twice there, as reading them again costs others their place. A new leader counts only what surely is not cached for 5 s.

--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -12,11 +12,18 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/limit/inflow"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
+	"github.com/ragworthatch/ragworthatch/internal/route/rates"
 )
 
 const (
-	prefillTokensPerMs   = 45.0                  // prompt tokens that an engine reads per ms; known engines read 44 to 51
+	prefillTokensPerMs   = 45.0                  // prompt tokens that an engine reads per ms, until rates are learned
+	maxBusyPeriod        = 4 * time.Second       // over which reading is measured, so that an early pause does not count for long
+	prefillChunk         = 2048                  // prompt tokens that an engine reads in a step
+	cacheGrace           = 5 * time.Second       // after which a new leader knows most of what engines have cached
+	partMemory           = 10 * time.Minute      // within which a part may still be cached, though it is not relied on
+	maxOverheadPart      = 0.25                  // of the time to a first token that may count as firstTokenOverhead
 	missWeight           = 3                     // prefill of uncached tokens also delays other requests on the engine
 	homeConfidence       = 0.5                   // fraction of the possible savings expected from the home engine's cache
 	crossZoneCostPerMB   = 80 * time.Millisecond // for moving stage results between zones
@@ -29,6 +36,7 @@
 	uncachedSmoothing    = 0.02 // for avgUncached
 	initialUncached      = 2000 // tokens
 	maxSlowness          = 8.0
+	slownessTolerance    = 1.35                   // slowness below is noise, which would move requests away from their cached prompts
 	firstTokenOverhead   = 15 * time.Millisecond  // time to the first token of a request with an empty prompt
 	zoneMargin           = 50 * time.Millisecond  // by which a zone must be better than all others to be preferred
 	failuresToEject      = 2                      // in a row
@@ -58,6 +66,18 @@
 	InTime       bool             // only engines that are expected to begin it within Within
 	Base         string           // using an engine of another version costs RecordTime; empty for no such cost
 	RecordTime   time.Duration
+	Route        string
+	Rank         int           // 0 is the most urgent
+	Target       time.Duration // of its route, for the first token
+	Gap          time.Duration // the longest pause between two events that is in time; 0 for any
+	Left         time.Duration // until its target; the request is late if it is not positive
+	Staged       bool          // its stages are done
+}
+
+// inflow returns what the bounds on waiting prompts depend on.
+func (o Order) inflow() inflow.Request {
+	return inflow.Request{Route: o.Route, Rank: o.Rank, Tokens: o.PromptTokens, Target: o.Target, Gap: o.Gap, Left: o.Left,
+		Staged: o.Staged}
 }
 
 // runningRequest is a request that runs on an engine.
@@ -65,18 +85,29 @@
 	born           int64         // of the engine that it was assigned to
 	reservedTokens int           // memory that it is expected to take, in tokens
 	pendingPrefill int           // uncached prompt tokens that are not read yet
+	surelyRead     int           // prompt tokens that the engine has to read, whatever it has cached before
 	expected       time.Duration // time to the first token
 	started        time.Time
 }
 
 // engine is the state of one model engine.
 type engine struct {
-	hash                uint64 // of the engine's ID
-	born                int64  // start of the engine in Unix ms; 0 if unknown
+	id                  string
+	pool                string
+	hash                uint64  // of the engine's ID
+	born                int64   // start of the engine in Unix ms; 0 if unknown
+	median              float64 // of the rates of the pool's engines
+	rate                float64 // at which it reads prompts, in tokens per ms
+	busySince           time.Time
+	busyRead            int // prompt tokens that it has surely read since busySince
 	running             map[string]runningRequest
-	pendingPrefill      int
+	pendingPrefill      int // prompt tokens of running requests that are not read yet
+	pendingSurely       int // those of them that are not cached in any case
 	reservedTokens      int
 	lastUsed            map[uint64]time.Time // cached prompt parts, by prefix key
+	mayHave             map[uint64]time.Time // shared parts that may be cached, with the time of their last use
+	knownSince          time.Time            // all requests since then are known
+	restarted           bool                 // since this process knows it, so that it had nothing cached then
 	slowness            float64              // ratio of the time to the first token to its expectation, smoothed
 	failureRate         float64              // fraction of recent requests that it failed, as of failureRateAt
 	failureRateAt       time.Time
@@ -91,14 +122,17 @@
 type Placer struct {
 	limits      *pace.Limiter[hosts.Lifetime]
 	engines     map[string]*engine
-	engineOf    map[string]string // engine ID by request ID
-	avgUncached float64           // moving average of the prompt tokens that an engine has to read for a request
+	rates       map[string]*rates.Estimator[hosts.Lifetime] // by pool
+	inflows     map[string]*inflow.Policy                   // by pool
+	engineOf    map[string]string                           // engine ID by request ID
+	avgUncached float64                                     // moving average of the prompt tokens that an engine has to read for a request
 }
 
 // New returns a Placer without engines, which assigns no more requests than limits allows.
 func New(limits *pace.Limiter[hosts.Lifetime]) *Placer {
 	return &Placer{
 		limits: limits, avgUncached: initialUncached, engines: map[string]*engine{}, engineOf: map[string]string{},
+		rates: map[string]*rates.Estimator[hosts.Lifetime]{}, inflows: map[string]*inflow.Policy{},
 	}
 }
 
@@ -112,10 +146,17 @@
 			delete(p.engines, id)
 		case known && e.born != u.StartedMs:
 			p.engines[id] = &engine{
-				hash: e.hash, born: u.StartedMs, running: e.running, pendingPrefill: e.pendingPrefill,
-				reservedTokens: e.reservedTokens, lastUsed: map[uint64]time.Time{}, slowness: 1}
+				id: id, pool: e.pool, hash: e.hash, born: u.StartedMs, running: e.running, pendingPrefill: e.pendingPrefill, pendingSurely: e.pendingSurely,
+				reservedTokens: e.reservedTokens, restarted: true, lastUsed: map[uint64]time.Time{}, mayHave: map[uint64]time.Time{}, slowness: 1,
+				rate: prefillTokensPerMs}
 		}
 	}
+	for _, r := range p.rates {
+		r.Retain(func(l hosts.Lifetime) bool {
+			u, known := t.Get(l.ID)
+			return known && u.Lifetime() == l
+		})
+	}
 }
 
 // Ready returns the engines that an order may use and that accept new work, sorted by ID.
@@ -128,47 +169,45 @@
 }
 
 // Pick assigns a request to the engine with the lowest cost. It returns false if no engine is ready, or if each has
-// paused the request's entry or accepts no more requests for now. While some name limits, the others get only what they
-// are expected to begin in time.
+// paused the request's entry, accepts no more requests for now, or has too many prompts to read; see Crowded. While some
+// name limits, the others get only what they are expected to begin in time.
 func (p *Placer) Pick(o Order, t *hosts.Table, spec rule.Engine, now time.Time) (hosts.Upstream, bool) {
 	p.Ended(o.ID)
-	var best hosts.Upstream
-	var bestCost time.Duration
-	found := false
 	keys := prefixKeys(o)
-	home := p.homeEngine(o, keys, t, now)
-	inTime := o.InTime || p.isLimited(o, t)
-	ready := o.Ready(t)
+	s := p.newSelection(o, keys, t, spec, now)
 	for _, lastResort := range []bool{false, true} { // the second pass admits ejected and excluded engines
-		for _, u := range ready {
-			e := p.engine(u)
+		for _, u := range o.Ready(t) {
+			e := p.current(u, now)
 			if now.Before(e.pausedUntil[o.Entry]) || p.limits.Wait(u.Lifetime()) > 0 {
 				continue
 			}
 			if !lastResort && (now.Before(e.ejectedUntil) || slices.Contains(o.Exclude, u.ID)) {
 				continue
 			}
-			if inTime && e.startTime(o.PromptTokens-e.cachedTokens(o, keys, now)) > o.Within {
-				continue
-			}
-			cost := e.cost(o, keys, u, spec, now)
-			if u.ID == home {
-				cost -= e.homeDiscount(o)
-			}
-			if !found || cost < bestCost {
-				best, bestCost, found = u, cost, true
-			}
+			s.offer(u, e)
 		}
-		if found {
+		if s.found || (s.bounded && s.offered > 0) {
 			break
 		}
 	}
-	if !found {
-		return best, false
+	if !s.found && s.spareFound && s.policy.TakeFloor(o.inflow(), s.spareTokens, p.poolRate(o, t, now), now) {
+		s.best, s.found = s.spare, true
+	}
+	if !s.found {
+		return s.best, false
 	}
-	p.limits.Take(best.Lifetime())
-	p.assign(o, keys, best, now)
-	return best, true
+	p.limits.Take(s.best.Lifetime())
+	p.assign(o, keys, s.best, now)
+	return s.best, true
+}
+
+// poolRate returns the rate at which all engines that an order may use read prompts, in tokens per ms.
+func (p *Placer) poolRate(o Order, t *hosts.Table, now time.Time) float64 {
+	sum := 0.0
+	for _, u := range o.Ready(t) {
+		sum += p.current(u, now).rate
+	}
+	return sum
 }
 
 // isLimited reports whether an engine that an order may use has named a limit. The others may then get more than they can
@@ -184,7 +223,7 @@
 	o Order, t *hosts.Table, d time.Duration, now time.Time) (requests float64, wait time.Duration, known bool) {
 	wait = d
 	for _, u := range o.Ready(t) {
-		e := p.engine(u)
+		e := p.current(u, now)
 		n, limited := p.limits.Capacity(u.Lifetime(), d)
 		switch {
 		case limited:
@@ -203,10 +242,21 @@
 }
 
 // startTime returns the expected time until the engine has read its pending prompts and so many more tokens.
-func (e *engine) startTime(tokens int) time.Duration {
-	return time.Duration(max(1, e.slowness) * float64(e.prefillTime(e.pendingPrefill+tokens)+firstTokenOverhead))
+func (e *engine) startTime(tokens int) time.Duration { return e.readTime(e.pendingPrefill + tokens) }
+
+// readTime returns the expected time from now to the first token after so many prompt tokens.
+func (e *engine) readTime(tokens int) time.Duration {
+	return time.Duration(e.slowdown() * float64(e.prefillTime(tokens)+firstTokenOverhead))
 }
 
+// knowsCache reports whether the leader has seen enough requests of the engine to know most of what it has cached.
+func (e *engine) knowsCache(now time.Time) bool {
+	return e.restarted || now.Sub(e.knownSince) >= cacheGrace
+}
+
+// slowdown returns the factor by which the engine is slower now than its rate says.
+func (e *engine) slowdown() float64 { return max(1, e.slowness/slownessTolerance) }
+
 // Pause keeps requests of an entry from an engine until the given time.
 func (p *Placer) Pause(u hosts.Upstream, entry string, until time.Time) {
 	e := p.engine(u)
@@ -244,7 +294,7 @@
 	home := p.homeEngine(o, keys, t, now)
 	o.ByZone = nil
 	for _, u := range o.Ready(t) {
-		e := p.engine(u)
+		e := p.current(u, now)
 		if now.Before(e.ejectedUntil) {
 			continue
 		}
@@ -315,31 +365,93 @@
 	e := p.engines[u.ID]
 	if e == nil {
 		e = &engine{
-			hash: xxhash.Sum64String(u.ID), born: u.StartedMs, running: map[string]runningRequest{},
-			lastUsed: map[uint64]time.Time{}, slowness: 1}
+			id: u.ID, pool: u.Pool, hash: xxhash.Sum64String(u.ID), born: u.StartedMs, running: map[string]runningRequest{},
+			lastUsed: map[uint64]time.Time{}, mayHave: map[uint64]time.Time{}, slowness: 1,
+			rate: prefillTokensPerMs}
 		p.engines[u.ID] = e
 	}
 	return e
 }
 
+// current returns the state of an engine with the rate at which it is expected to read now.
+func (p *Placer) current(u hosts.Upstream, now time.Time) *engine {
+	e := p.engine(u)
+	e.median = p.ratesOf(u.Pool).Median(now)
+	if e.knownSince.IsZero() && !e.restarted {
+		e.knownSince = now
+	}
+	if rate := p.ratesOf(u.Pool).Rate(e.lifetime(), now); rate != e.rate {
+		e.slowness = min(maxSlowness, max(0.5, e.slowness*rate/e.rate)) // the ratio to what is expected now
+		e.rate = rate
+	}
+	return e
+}
+
+func (p *Placer) ratesOf(pool string) *rates.Estimator[hosts.Lifetime] {
+	r := p.rates[pool]
+	if r == nil {
+		r = rates.New[hosts.Lifetime](prefillTokensPerMs)
+		p.rates[pool] = r
+	}
+	return r
+}
+
+func (e *engine) lifetime() hosts.Lifetime { return hosts.Lifetime{ID: e.id, StartedMs: e.born} }
+
+// observeRate learns the engine's rate from a request whose first event came now: it has read the prompts whose first
+// events came since it was busy. The first of them may have been read in part before.
+func (p *Placer) observeRate(e *engine, req runningRequest, now time.Time) {
+	e.busyRead += req.surelyRead
+	took := now.Sub(e.busySince)
+	took -= min(firstTokenOverhead, time.Duration(maxOverheadPart*float64(took)))
+	p.ratesOf(e.pool).Observe(e.lifetime(), e.busyRead, took, now)
+	if now.Sub(e.busySince) > maxBusyPeriod {
+		e.busySince, e.busyRead = now, -prefillChunk
+	}
+}
+
 // assign counts a request as running on an engine, which will have its prompt cached.
 func (p *Placer) assign(o Order, keys []uint64, u hosts.Upstream, now time.Time) {
-	e := p.engine(u)
+	e := p.current(u, now)
 	uncached := o.PromptTokens - e.cachedTokens(o, keys, now)
+	if e.pendingPrefill == 0 {
+		e.busySince, e.busyRead = now, 0
+	}
 	req := runningRequest{
 		born: e.born, reservedTokens: o.PromptTokens + o.OutputTokens, pendingPrefill: uncached, started: now,
-		expected: e.prefillTime(e.pendingPrefill+uncached) + firstTokenOverhead,
+		surelyRead: e.surelyUncached(o, keys, now),
+		expected:   e.prefillTime(e.pendingPrefill+uncached) + firstTokenOverhead,
 	}
 	p.avgUncached += uncachedSmoothing * (float64(uncached) - p.avgUncached)
 	e.running[o.ID] = req
 	e.pendingPrefill += req.pendingPrefill
+	e.pendingSurely += req.surelyRead
 	e.reservedTokens += req.reservedTokens
-	for _, k := range keys {
+	for i, k := range keys {
 		e.lastUsed[k] = now
+		if i < len(keys)-1 {
+			e.mayHave[k] = now
+		}
 	}
 	p.engineOf[o.ID] = u.ID
 }
 
+// surelyUncached returns the number of prompt tokens that the engine has to read in any case. Shared parts may be cached
+// if requests with them were sent there long ago, or by an earlier leader.
+func (e *engine) surelyUncached(o Order, keys []uint64, now time.Time) int {
+	tokens := o.PromptTokens - e.cachedTokens(o, keys, now)
+	for i, k := range keys[:max(0, len(keys)-1)] { // the last part is unique to the request
+		used, mayHave := e.mayHave[k]
+		if last, has := e.lastUsed[k]; has && now.Sub(last) <= cacheTTL {
+			continue
+		}
+		if now.Sub(e.knownSince) < partMemory || (mayHave && now.Sub(used) < partMemory) {
+			tokens -= o.Prefix[i].Tokens
+		}
+	}
+	return max(0, tokens)
+}
+
 // FirstByte records that the engine has read the prompt of a request.
 func (p *Placer) FirstByte(id string, now time.Time) {
 	e := p.engines[p.engineOf[id]]
@@ -354,8 +466,10 @@
 	e.slowness += slownessSmoothing * (ratio - e.slowness)
 	e.consecutiveFailures, e.ejectionTime = 0, 0
 	e.recordOutcome(0, now)
+	p.observeRate(e, req, now)
 	e.pendingPrefill -= req.pendingPrefill
-	req.pendingPrefill = 0
+	e.pendingSurely -= req.surelyRead
+	req.pendingPrefill, req.surelyRead = 0, 0
 	e.running[id] = req
 }
 
@@ -369,6 +483,7 @@
 	req := e.running[id]
 	delete(e.running, id)
 	e.pendingPrefill -= req.pendingPrefill
+	e.pendingSurely -= req.surelyRead
 	e.reservedTokens -= req.reservedTokens
 }
 
@@ -398,7 +513,7 @@
 	var best time.Duration
 	keys := prefixKeys(o)
 	for i, u := range o.Ready(t) {
-		e := p.engine(u)
+		e := p.current(u, now)
 		expected := firstTokenOverhead + e.prefillTime(e.pendingPrefill+o.PromptTokens-e.cachedTokens(o, keys, now))
 		if i == 0 || expected < best {
 			best = expected
@@ -424,15 +539,21 @@
 
 // prefillTime returns the time that an engine needs to read a number of prompt tokens.
 func (e *engine) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerMs * float64(time.Millisecond))
+	return time.Duration(float64(tokens) / e.rate * float64(time.Millisecond))
+}
+
+// usualPrefillTime returns the time that a usual engine of the pool, or this one if it is slower, needs to read a number
+// of prompt tokens. Fast engines are not to read again what others have cached.
+func (e *engine) usualPrefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / min(e.rate, e.median) * float64(time.Millisecond))
 }
 
 // cost returns the delay that the engine would cause for the request and for others.
 func (e *engine) cost(o Order, keys []uint64, u hosts.Upstream, spec rule.Engine, now time.Time) time.Duration {
 	uncached := o.PromptTokens - e.cachedTokens(o, keys, now)
-	cost := e.prefillTime(e.pendingPrefill) + time.Duration(missWeight*float64(e.prefillTime(uncached)))
+	cost := e.prefillTime(e.pendingPrefill) + time.Duration(missWeight*float64(e.usualPrefillTime(uncached)))
 	cost += time.Duration(len(e.running)) * runningRequestCost
-	cost = time.Duration(max(1, e.slowness) * float64(cost))
+	cost = time.Duration(e.slowdown() * float64(cost))
 	cost += time.Duration(e.currentFailureRate(now) * float64(failureCost))
 	if now.Before(e.lastPauseEnd) {
 		cost += pausedCost
@@ -486,6 +607,7 @@
 // Sweep removes cached parts that have expired and pauses that are over.
 func (p *Placer) Sweep(now time.Time) {
 	for _, e := range p.engines {
+		maps.DeleteFunc(e.mayHave, func(_ uint64, used time.Time) bool { return now.Sub(used) > partMemory })
 		maps.DeleteFunc(e.pausedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 		for k, used := range e.lastUsed {
 			if now.Sub(used) > cacheTTL {
@@ -499,7 +621,7 @@
 func (p *Placer) Loads() []Load {
 	out := make([]Load, 0, len(p.engines))
 	for id, e := range p.engines {
-		out = append(out, Load{ID: id, Running: len(e.running), Tokens: e.reservedTokens, Slowness: e.slowness})
+		out = append(out, Load{ID: id, Running: len(e.running), Tokens: e.reservedTokens, Slowness: e.slowness, Rate: e.rate})
 	}
 	slices.SortFunc(out, func(a, b Load) int { return cmp.Compare(a.ID, b.ID) })
 	return out
@@ -511,4 +633,5 @@
 	Running  int
 	Tokens   int
 	Slowness float64
+	Rate     float64 // at which it is expected to read prompts, in tokens per ms
 }
