Refuse requests that crowded engines can't begin in time

Cause: the leader sent every request to an engine, whatever it had to read, so requests queued there until they were late.

Change: orders carry their route, the longest pause and the output limit, as new optional fields of Submit. The leader asks the placer before the stages of an order run and when it picks an engine, and refuses with the reason crowded and a Retry-After. Each refusal is a log line, engines crowded, and counts in edge_engineRefusals by pool and rank.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -155,6 +155,7 @@
 	return lead.Order{Fingerprint: x.fingerprint, Job: job, Stream: x.resumable, Engine: place.Order{
 		ID: x.key, Entry: x.o.Host, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
 		PromptTokens: x.head.PromptTokens, OutputTokens: min(output, max(x.head.OutputLimit, 1)),
+		OutputLimit: x.head.OutputLimit, Route: x.route.Name, Rank: x.priority, Target: x.route.Target, Gap: x.route.TargetEventGap,
 	}}
 }
 
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -31,6 +31,7 @@
 	s.AnswerBroken("pool", "unbegun")
 	s.CrashReport("counted")
 	s.LimitNamed("pool")
+	s.EngineRefusal("pool", 1)
 	s.StreamContinued("pool", true)
 	s.OriginLookedUp("memory")
 	s.StoreCall("topic", true)
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -1,6 +1,7 @@
 package stats
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
@@ -44,6 +45,7 @@
 	limited      meter.Counter
 	continued    meter.Counter
 	origins      meter.Counter
+	crowded      meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -107,6 +109,8 @@
 				"has the same version."}),
 		origins: m.Counter(meter.Spec{Name: "edge.originLookups", Unit: "{lookup}",
 			Help: "Lookups of the version that began a stream, by where it was found."}),
+		crowded: m.Counter(meter.Spec{Name: "edge.engineRefusals", Unit: "{request}",
+			Help: "Requests refused because engines had too much to read or to hold, by pool and rank."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -184,6 +188,12 @@
 // OriginLookedUp counts a lookup of the version that began a stream; source says where it was found.
 func (s *Stats) OriginLookedUp(source string) { s.origins.Add(1, label("source", source)) }
 
+// EngineRefusal counts a request that was refused because the engines of a pool had too many prompts to read, or too little
+// memory.
+func (s *Stats) EngineRefusal(pool string, rank int) {
+	s.crowded.Add(1, label("pool", pool), label("rank", strconv.Itoa(rank)))
+}
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/leader/lead/dispatcher.go
+++ b/internal/leader/lead/dispatcher.go
@@ -41,6 +41,9 @@
 	Progress []sched.Progress
 }
 
+// Crowded is the reason of refusals by engines that have too many prompts to read, or not enough memory, for a request.
+const Crowded sched.Reason = "crowded"
+
 // Problem is the reason why a request did not run on the engine that was picked for it.
 type Problem string
 
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -340,6 +340,10 @@
 		reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
 		return
 	}
+	if wait, crowded := c.crowded(o, now); crowded {
+		reply(Decision{Refused: Crowded, RetryAfter: wait})
+		return
+	}
 	o.Job.TimeToFirstToken = c.placer.TimeToFirstToken(o.Engine, c.hosts, now)
 	if o.Job.ReadsLargeResults() {
 		o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
@@ -362,6 +366,7 @@
 		}
 		o.reply = reply
 		o.order.Engine.Exclude = append(o.order.Engine.Exclude, engine)
+		o.order.Engine.Staged = true // what was done for it is lost if it is refused
 		if begunAt != "" {
 			o.order.Engine.Version = begunAt
 		}
@@ -528,7 +533,8 @@
 		c.restartStages(o, now)
 		return
 	}
-	o.order.Engine.Within = timeLeft(o.order, now)
+	o.order.Engine.Within, o.order.Engine.Left = timeLeft(o.order, now), o.order.Job.Target.Sub(now)
+	o.order.Engine.Staged = o.order.Engine.Staged || len(o.grant.Inputs) > 0
 	order := o.order.Engine
 	if o.begins() {
 		placement := c.opts.Origins.Placement(o.order.Stream.Key, order.Pool)
@@ -543,6 +549,10 @@
 		return
 	}
 	if !ok {
+		if wait, crowded := c.crowded(o.order, now); crowded {
+			c.sendDecision(id, o, Decision{Refused: Crowded, RetryAfter: wait})
+			return
+		}
 		c.sendDecision(id, o, c.refuseNoEngine(order, now))
 		return
 	}
@@ -665,6 +675,20 @@
 	return wait, float64(ahead+1) > capacity
 }
 
+// crowded reports whether the engines that an order may use have too many prompts to read for it, and when its caller
+// may come back.
+func (c *Coordinator) crowded(o Order, now time.Time) (retryAfter time.Duration, crowded bool) {
+	o.Engine.Left = o.Job.Target.Sub(now)
+	retryAfter, crowded = c.placer.Crowded(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
+	if crowded {
+		c.opts.Stats.EngineRefusal(o.Engine.Pool, o.Job.Rank)
+		c.opts.Log.Info("engines crowded", zap.String("request", o.Job.RequestID), zap.String("pool", o.Engine.Pool),
+			zap.String("route", o.Engine.Route), zap.Int("rank", o.Job.Rank), zap.Int("promptTokens", o.Engine.PromptTokens),
+			zap.Bool("staged", o.Engine.Staged), zap.Duration("left", o.Engine.Left), zap.Duration("retryAfter", retryAfter))
+	}
+	return retryAfter, crowded
+}
+
 // refuseNoEngine returns the refusal of an order that no engine can take now. If all engines have paused its entry, the
 // caller may retry when the first pause ends.
 func (c *Coordinator) refuseNoEngine(o place.Order, now time.Time) Decision {
--- a/internal/leader/lead/lead_test.go
+++ b/internal/leader/lead/lead_test.go
@@ -28,12 +28,15 @@
 	rules := rule.New(1, nil, pools, nil, rule.Limits{})
 	table := hosts.New([]hosts.Upstream{{ID: "e", Pool: "engines", Version: "v1", State: hosts.Ready}}, time.Now())
 	limits := pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now})
+	m, err := meter.New(meter.Process{Role: "edge"})
+	qt.Assert(t, err, qt.IsNil)
 	l := lead.New(lead.Options{
 		Rules: func() *rule.Rules { return rules }, Hosts: func() *hosts.Table { return table }, Now: time.Now,
 		Log: zap.NewNop(),
 		Crash: crash.New(crash.Options{Now: time.Now, Leads: func() bool { return true },
 			HearsOthers: func() bool { return true }}),
 		Limits:  limits,
+		Stats:   stats.New(m, func() stats.Gauges { return stats.Gauges{} }),
 		Origins: newOrigins(t),
 		Notices: notices.New(notices.Options{Now: time.Now, Log: zap.NewNop()}),
 	})
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -444,7 +444,8 @@
 		Pool:       o.Engine.Pool, Zone: o.Engine.Zone, Model: o.Engine.Model,
 		PromptTokens: int32(o.Engine.PromptTokens), OutputTokens: int32(o.Engine.OutputTokens), Exclude: o.Engine.Exclude,
 		Fingerprint: o.Fingerprint, Stream: o.Stream.Key, TakenUp: o.Stream.TakenUp, Repeats: int32(o.Stream.Repeats),
-		Version: o.Engine.Version,
+		Version: o.Engine.Version, GapUs: o.Engine.Gap.Microseconds(), OutputLimit: int32(o.Engine.OutputLimit),
+		Kind: o.Engine.Route,
 	}
 	for _, st := range o.Job.Stages {
 		stage := &cellpb.Stage{Pool: st.Pool, Pieces: int32(st.Pieces), ResultBytes: st.ResultBytes}
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -59,6 +59,7 @@
 	Prefix       []call.PrefixBlock
 	PromptTokens int
 	OutputTokens int              // expected
+	OutputLimit  int              // output tokens at most; 0 if unknown
 	ByZone       map[string]int64 // bytes of the stage results that it reads, by zone
 	Exclude      []string         // IDs of engines that have refused or failed it
 	Within       time.Duration    // longest useful time to its first token
@@ -66,7 +67,7 @@
 	InTime       bool             // only engines that are expected to begin it within Within
 	Base         string           // using an engine of another version costs RecordTime; empty for no such cost
 	RecordTime   time.Duration
-	Route        string
+	Route        string        // requests of a route have prompts of similar length
 	Rank         int           // 0 is the most urgent
 	Target       time.Duration // of its route, for the first token
 	Gap          time.Duration // the longest pause between two events that is in time; 0 for any
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -347,6 +347,8 @@
 		Engine: place.Order{
 			ID: s.Id, Pool: s.Pool, Zone: s.Zone, Model: s.Model, PromptTokens: int(s.PromptTokens),
 			OutputTokens: int(s.OutputTokens), Exclude: s.Exclude, Version: s.Version,
+			OutputLimit: int(s.OutputLimit), Route: s.Kind, Rank: int(s.Rank), Target: time.Duration(s.TargetUs) * time.Microsecond,
+			Gap: time.Duration(s.GapUs) * time.Microsecond,
 		},
 	}
 	pieces := 0
--- a/internal/ops/trace/cause.go
+++ b/internal/ops/trace/cause.go
@@ -12,6 +12,7 @@
 	"expired":     "it waited too long for a place in a stage",
 	"paused":      "all engines had asked its entry for a pause",
 	"noUpstreams": "a pool on its way had no upstream that takes work",
+	"crowded":     "the engines had too many prompts to read, or too little memory, for a request of its rank",
 	"failing":     "the calls of a stage failed too often",
 }
 
