Never give engines more requests than their memory holds

Cause: memory was a cost, and prompts and answers beyond an engine's memory crash it with all its requests.

Change: kvmem.Budget reserves the prompt and the longest possible answer of each request (outlen: its maximum, or what requests of its route have stated), and no engine is picked without room for it; a request that fits nowhere is refused as crowded. A process gives out the part of the entries that it leads and that have told what runs: entries tell it the next leader with the new message Running, and themselves if they decide alone.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -148,14 +148,10 @@
 		}
 		job.Stages = append(job.Stages, sched.Stage{Pool: s.Pool, After: s.After, Pieces: pieces, ResultBytes: s.ResultBytes})
 	}
-	output := x.head.OutputHint
-	if output == 0 {
-		output = x.head.OutputLimit / 2
-	}
 	return lead.Order{Fingerprint: x.fingerprint, Job: job, Stream: x.resumable, Engine: place.Order{
 		ID: x.key, Entry: x.o.Host, Pool: x.pool, Zone: x.o.Zone, Model: x.head.Model, Prefix: x.head.Prefix,
-		PromptTokens: x.head.PromptTokens, OutputTokens: min(output, max(x.head.OutputLimit, 1)),
-		OutputLimit: x.head.OutputLimit, Route: x.route.Name, Rank: x.priority, Target: x.route.Target, Gap: x.route.TargetEventGap,
+		PromptTokens: x.head.PromptTokens, OutputHint: x.head.OutputHint, OutputLimit: x.head.OutputLimit, Deadline: x.deadline,
+		Route: x.route.Name, Rank: x.priority, Target: x.route.Target, Gap: x.route.TargetEventGap,
 	}}
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -143,7 +143,7 @@
 	})
 	n.lead = lead.New(lead.Options{
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Notices: n.notices,
-		Limits: n.limits, Origins: n.origins, Stats: n.stats,
+		Limits: n.limits, Origins: n.origins, Stats: n.stats, MemoryShare: n.memoryShare,
 		Now: time.Now, Log: log.Named("lead"),
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, ReleasePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
@@ -306,6 +306,16 @@
 	return float64(served) / float64(all)
 }
 
+// memoryShare returns the part of the engines' memory that this process may give out: that of itself and of the entries
+// that follow it, once they have told which requests run. It is 0 if it follows another one.
+func (n *Node) memoryShare() float64 {
+	service := n.service.Load()
+	if _, follows := n.link.Leader(); follows || service == nil {
+		return 0
+	}
+	return min(1, float64(service.Told()+1)/float64(max(1, n.registry.Size())))
+}
+
 // sharedRules returns the configuration that other entries may adopt.
 func (n *Node) sharedRules() serve.Rules {
 	seen, body := n.watch.RawRules()
--- a/internal/leader/lead/crowd_test.go
+++ b/internal/leader/lead/crowd_test.go
@@ -24,7 +24,7 @@
 				now, got := time.Now(), make(chan lead.Decision, 1)
 				l.Submit(lead.Order{
 					Job: sched.Job{ID: id, Rank: rank, Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(6 * time.Second)},
-					Engine: place.Order{ID: id, Pool: "engines", PromptTokens: tokens, OutputTokens: 10, Route: route, Rank: rank,
+					Engine: place.Order{ID: id, Pool: "engines", PromptTokens: tokens, OutputLimit: 10, Route: route, Rank: rank,
 						Target: time.Second},
 				}, func(d lead.Decision) { got <- d })
 				return <-got
--- a/internal/leader/lead/dispatcher.go
+++ b/internal/leader/lead/dispatcher.go
@@ -78,6 +78,11 @@
 // Decider is a Dispatcher that makes the decisions itself. It is safe for concurrent use.
 type Decider interface {
 	Dispatcher
+	// Adopt counts requests of an entry that run on engines by the decision of another process. With whole, these are all
+	// that the entry has.
+	Adopt(entry string, runs []place.Run, whole bool)
+	// Abandon says that requests may run on although their entry is out of touch. Ended comes after it.
+	Abandon(ids []string)
 	// Recall asks for an undecided order back. The reply is a decision with Moved, unless another decision comes first.
 	Recall(id string)
 }
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -24,6 +24,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/repeat"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/kvmem"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -72,9 +73,11 @@
 	Notices *notices.Record
 	Limits  *pace.Limiter[hosts.Lifetime]
 	Origins *origin.Keeper
-	Stats   *stats.Stats
-	Now     func() time.Time
-	Log     *zap.Logger
+	// MemoryShare returns the part of the engines' memory that this process may give out; nil for all.
+	MemoryShare func() float64
+	Stats       *stats.Stats
+	Now         func() time.Time
+	Log         *zap.Logger
 }
 
 // openOrder is an order that is undecided, or that may still need another decision.
@@ -95,6 +98,7 @@
 	inbox       chan func(now time.Time)
 	scheduler   *sched.Scheduler
 	placer      *place.Placer
+	memory      *kvmem.Budget
 	firstVisits *repeat.Tracker
 	orders      map[string]*openOrder
 	waiting     []*openOrder    // whose engines all accept no more requests for now
@@ -111,8 +115,14 @@
 
 // New returns a coordinator, which does nothing until Run is called.
 func New(o Options) *Coordinator {
+	share := o.MemoryShare
+	if share == nil {
+		share = func() float64 { return 1 }
+	}
+	memory := kvmem.New(kvmem.Options{Share: share, Now: o.Now})
 	return &Coordinator{
-		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits), placer: place.New(o.Limits),
+		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits),
+		placer: place.New(o.Limits, memory), memory: memory,
 		firstVisits: repeat.New(), orders: map[string]*openOrder{}, lookups: map[string]bool{},
 	}
 }
@@ -215,7 +225,7 @@
 		c.opts.Log.Error("decisions failed, all orders are refused", zap.Any("panic", panicked), zap.Stack("stack"),
 			zap.Int("orders", len(c.orders)))
 		waiting := c.orders
-		c.scheduler, c.placer, c.orders = sched.New(c.opts.Limits), place.New(c.opts.Limits), map[string]*openOrder{}
+		c.scheduler, c.placer, c.orders = sched.New(c.opts.Limits), place.New(c.opts.Limits, c.memory), map[string]*openOrder{}
 		c.waiting = nil
 		c.rules, c.hosts = nil, nil // reloaded before the next decision
 		for _, o := range waiting {
@@ -449,6 +459,26 @@
 	}
 }
 
+// Adopt counts requests of an entry that run on engines by the decision of another process.
+func (c *Coordinator) Adopt(entry string, runs []place.Run, whole bool) {
+	c.inbox <- func(now time.Time) {
+		c.refreshConfig()
+		c.placer.Adopt(entry, runs, whole, c.hosts, now)
+		if len(runs) > 1 {
+			c.opts.Log.Info("running requests adopted", zap.String("member", entry), zap.Int("requests", len(runs)))
+		}
+	}
+}
+
+// Abandon keeps the memory of requests whose entry is out of touch, until their deadline.
+func (c *Coordinator) Abandon(ids []string) {
+	c.inbox <- func(time.Time) {
+		for _, id := range ids {
+			c.placer.Abandon(id)
+		}
+	}
+}
+
 // Crashed counts a crash of an upstream under a request.
 func (c *Coordinator) Crashed(r crash.Report) {
 	blocked := c.opts.Crash.ObserveCrash(r)
--- a/internal/leader/lead/lead_test.go
+++ b/internal/leader/lead/lead_test.go
@@ -24,7 +24,7 @@
 
 // startCoordinator runs a coordinator with one engine until the test ends.
 func startCoordinator(t *testing.T) (*lead.Coordinator, *pace.Limiter[hosts.Lifetime]) {
-	pools := []rule.Pool{{Name: "engines", Engine: &rule.Engine{Slots: 64, Tokens: 100_000}}}
+	pools := []rule.Pool{{Name: "engines", Engine: &rule.Engine{Slots: 64, Tokens: 400_000}}}
 	rules := rule.New(1, nil, pools, nil, rule.Limits{})
 	table := hosts.New([]hosts.Upstream{{ID: "e", Pool: "engines", Version: "v1", State: hosts.Ready}}, time.Now())
 	limits := pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now})
@@ -87,7 +87,7 @@
 			l.Submit(lead.Order{
 				Fingerprint: 1, Stream: test.stream,
 				Job:    sched.Job{ID: test.id, Arrived: now, Target: now.Add(2 * time.Second), Deadline: deadline},
-				Engine: place.Order{ID: test.id, Pool: "engines", PromptTokens: 100, OutputTokens: 10},
+				Engine: place.Order{ID: test.id, Pool: "engines", PromptTokens: 100, OutputLimit: 10},
 			}, func(d lead.Decision) { got <- d })
 			d := <-got
 			qt.Check(t, d.Refused, qt.Equals, test.refused, qt.Commentf("%s", test.id))
@@ -121,7 +121,7 @@
 			l.Submit(lead.Order{
 				Fingerprint: test.fingerprint,
 				Job:         sched.Job{ID: test.id, Arrived: now, Target: now.Add(2 * time.Second), Deadline: deadline},
-				Engine:      place.Order{ID: test.id, Pool: "engines", PromptTokens: 100, OutputTokens: 10},
+				Engine:      place.Order{ID: test.id, Pool: "engines", PromptTokens: 100, OutputLimit: 10},
 			}, func(d lead.Decision) { got <- d })
 			d := <-got
 			qt.Check(t, d.Upstream, qt.Equals, "e")
--- a/internal/leader/lead/limit_test.go
+++ b/internal/leader/lead/limit_test.go
@@ -33,7 +33,7 @@
 			id := fmt.Sprint(i)
 			l.Submit(lead.Order{
 				Job:    sched.Job{ID: id, Arrived: start, Target: start.Add(within), Deadline: start.Add(2 * within)},
-				Engine: place.Order{ID: id, Pool: "engines", PromptTokens: 100, OutputTokens: 10},
+				Engine: place.Order{ID: id, Pool: "engines", PromptTokens: 100, OutputLimit: 10},
 			}, func(d lead.Decision) { results <- result{d, time.Since(start)} })
 		}
 		served, refused := 0, 0
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
+	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
@@ -94,6 +95,19 @@
 	queued     bool             // until a leader is found
 	progress   []sched.Progress // as last reported by the dispatcher
 	progressAt time.Time
+
+	engine string // that was picked; empty before the decision
+	begun  bool   // its answer has begun
+}
+
+// run describes a decided order to a leader that has not decided on it.
+func (p *pending) run() place.Run {
+	e := p.order.Engine
+	r := place.Run{ID: e.ID, Pool: e.Pool, Engine: p.engine, Tokens: e.MaxTokens(), Until: e.Deadline}
+	if !p.begun {
+		r.Unread = e.UniqueTokens()
+	}
+	return r
 }
 
 // setResumePoint makes the next dispatcher resume the order from the progress that was last reported.
@@ -404,6 +418,7 @@
 		next.postLimits()
 		next.postStreams()
 	}
+	l.tellRuns(next, before)
 	l.staleProbesLeft = maxStaleProbes
 	l.opts.Log.Info("leader", zap.String("member", m.Host), zap.Bool("before", alive))
 	if before != nil && !alive {
@@ -414,6 +429,27 @@
 	l.finishElection()
 }
 
+// tellRuns tells a new leader, or the local decider if next is nil, which requests run on engines, and the one before that
+// this entry has left it.
+func (l *Link) tellRuns(next, before *session) {
+	l.mu.Lock()
+	var runs []place.Run
+	for _, p := range l.requests {
+		if p.engine != "" {
+			runs = append(runs, p.run())
+		}
+	}
+	l.mu.Unlock()
+	if before != nil {
+		before.post(&cellpb.ToLead{Body: &cellpb.ToLead_Running{Running: &cellpb.Running{Leaves: true}}})
+	}
+	if next == nil {
+		l.opts.Local.Adopt(l.opts.Self, runs, true)
+		return
+	}
+	next.postRuns(runs, true)
+}
+
 // finishElection submits the orders that waited for a leader.
 func (l *Link) finishElection() {
 	l.mu.Lock()
@@ -561,10 +597,23 @@
 		l.submit(next)
 		return
 	}
+	var lateRun []place.Run // that the present leader does not know
+	current := l.current
 	if p != nil {
 		reply, p.reply = p.reply, nil
+		p.engine, p.begun = d.Upstream, false
+		if d.Upstream != "" && p.session != current {
+			lateRun = append(lateRun, p.run())
+		}
 	}
 	l.mu.Unlock()
+	switch {
+	case len(lateRun) == 0:
+	case current == nil:
+		l.opts.Local.Adopt(l.opts.Self, lateRun, false)
+	default:
+		current.postRuns(lateRun, false)
+	}
 	if reply != nil {
 		reply(d)
 	}
@@ -579,7 +628,7 @@
 		reply(lead.Decision{Refused: sched.Failing, RetryAfter: time.Second})
 		return
 	}
-	p.reply = reply
+	p.reply, p.engine = reply, ""
 	p.order.Engine.Exclude = append(p.order.Engine.Exclude, engine)
 	if begunAt != "" {
 		p.order.Engine.Version = begunAt
@@ -606,29 +655,50 @@
 
 // FirstByte tells the leader that made the decision that the answer has begun.
 func (l *Link) FirstByte(id string, keep bool) {
-	ses, ok := l.sessionFor(id)
-	switch {
-	case !ok:
-	case ses == nil:
-		l.opts.Local.FirstByte(id, keep)
-	default:
+	l.mu.Lock()
+	current, p := l.current, l.requests[id]
+	if p == nil {
+		l.mu.Unlock()
+		return
+	}
+	ses := p.session
+	p.begun = true
+	l.mu.Unlock()
+	tell := func(ses *session) {
+		if ses == nil {
+			l.opts.Local.FirstByte(id, keep)
+			return
+		}
 		ses.firstByte(id, keep)
 	}
+	tell(ses)
+	if current != ses {
+		tell(current) // which knows of the request as one that runs
+	}
 }
 
 // Ended tells the leader that made the decision that the request is over.
 func (l *Link) Ended(id, engine string, failed bool) {
-	ses, ok := l.sessionFor(id)
 	l.mu.Lock()
+	current, p := l.current, l.requests[id]
+	if p == nil {
+		l.mu.Unlock()
+		return
+	}
 	delete(l.requests, id)
+	decider := p.session
 	l.mu.Unlock()
-	switch {
-	case !ok:
-	case ses == nil:
-		l.opts.Local.Ended(id, engine, failed)
-	default:
+	tell := func(ses *session, failed bool) {
+		if ses == nil {
+			l.opts.Local.Ended(id, engine, failed)
+			return
+		}
 		ses.ended(id, engine, failed)
 	}
+	tell(decider, failed)
+	if current != decider {
+		tell(current, false) // the other one counts the failure
+	}
 }
 
 // Crashed tells the leader of a crash, as the leader counts the crashes that all entries see.
@@ -712,17 +782,6 @@
 	return l.current.member, true
 }
 
-// sessionFor returns the session that has a request, nil for the local decider; false if the request is not known.
-func (l *Link) sessionFor(id string) (*session, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.requests[id]
-	if p == nil {
-		return nil, false
-	}
-	return p.session, true
-}
-
 // Close closes the connections to leaders, which then drop the orders of this entry.
 func (l *Link) Close() {
 	l.mu.Lock()
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -23,6 +23,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/link"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
+	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
@@ -42,6 +43,7 @@
 	recalls  bool             // hands an order over when it is recalled
 	progress []sched.Progress // of the newest order
 	repeats  int              // of the newest order
+	adopted  map[string]place.Run
 }
 
 func (d *fakeDispatcher) Submit(o lead.Order, reply func(lead.Decision)) {
@@ -68,6 +70,14 @@
 	d.replies[id](lead.Decision{Moved: true, Progress: []sched.Progress{{Done: true,
 		Results: []sched.HeldResult{{Handle: "h", Producer: hosts.Lifetime{ID: "m", StartedMs: 7}, ExpiresIn: time.Second}}}}})
 }
+func (d *fakeDispatcher) Abandon([]string) {}
+func (d *fakeDispatcher) Adopt(_ string, runs []place.Run, _ bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range runs {
+		d.adopted[r.ID] = r
+	}
+}
 func (d *fakeDispatcher) Crashed(crash.Report)                  {}
 func (d *fakeDispatcher) Served(uint64)                         {}
 func (d *fakeDispatcher) UpstreamNotice(string, notices.Notice) {}
@@ -75,6 +85,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.open, id)
+	delete(d.adopted, id)
+}
+
+func (d *fakeDispatcher) runOf(id string) place.Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.adopted[id]
 }
 
 // sendDecision sends a decision on an open order.
@@ -92,7 +109,7 @@
 }
 
 func newFake(name string, silent bool) *fakeDispatcher {
-	return &fakeDispatcher{name: name, silent: silent, open: map[string]bool{}, replies: map[string]func(lead.Decision){}}
+	return &fakeDispatcher{name: name, silent: silent, open: map[string]bool{}, adopted: map[string]place.Run{}, replies: map[string]func(lead.Decision){}}
 }
 
 // peer is another entry.
@@ -284,6 +301,37 @@
 	c.Check(l.Leads(), qt.IsTrue)
 }
 
+// The next leader must know what runs on the engines before it fills them, and hear when that ends. The last leader is
+// this entry itself.
+func TestEntriesTellTheNextLeaderWhatRuns(t *testing.T) {
+	c := qt.New(t)
+	old, next, local := newFake("old", false), newFake("next", false), newFake("local", false)
+	first, second := newPeer(c, "first", old), newPeer(c, "second", next)
+	members := []registry.Member{first.Member, second.Member, {Host: "self"}}
+	var skip atomic.Int64
+	l := startWithMembers(c, local, func() []registry.Member { return members[skip.Load():] })
+	eventually(c, func() bool { return !l.Leads() })
+	for _, id := range []string{"1", "2"} {
+		got := make(chan lead.Decision, 1)
+		l.Submit(lead.Order{Job: sched.Job{ID: id}, Engine: place.Order{ID: id, PromptTokens: 100, OutputLimit: 7,
+			Deadline: time.Now().Add(time.Minute)}}, func(d lead.Decision) { got <- d })
+		c.Check((<-got).Upstream, qt.Equals, "old")
+	}
+	l.FirstByte("2", false)
+	skip.Store(1)
+	eventually(c, func() bool { return next.runOf("2").Engine == "old" })
+	c.Check(next.runOf("1").Tokens, qt.Equals, 107)
+	c.Check(next.runOf("1").Unread, qt.Equals, 100)
+	c.Check(next.runOf("2").Unread, qt.Equals, 0)
+	l.Ended("2", "old", false)
+	eventually(c, func() bool { return next.runOf("2").ID == "" && old.openCount() == 1 })
+	second.server.Stop()
+	first.server.Stop()
+	skip.Store(2)
+	eventually(c, func() bool { return local.runOf("1").Engine == "old" })
+	c.Check(local.runOf("2").ID, qt.Equals, "")
+}
+
 // A replaced leader keeps its orders. If it stops before it has decided, they resume at the present leader from the
 // progress that it reported.
 func TestUndecidedOrdersResumeWhereTheLostLeaderWas(t *testing.T) {
--- a/internal/leader/link/session.go
+++ b/internal/leader/link/session.go
@@ -22,6 +22,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
@@ -392,6 +393,18 @@
 	}
 }
 
+// postRuns tells the leader of requests that run on engines by the decision of another process.
+func (s *session) postRuns(runs []place.Run, whole bool) {
+	m := &cellpb.Running{Whole: whole}
+	for _, r := range runs {
+		m.Runs = append(m.Runs, &cellpb.Run{
+			Id: r.ID, Pool: r.Pool, Engine: r.Engine, Tokens: int32(r.Tokens), Unread: int32(r.Unread),
+			LeftUs: r.Until.Sub(s.now()).Microseconds(),
+		})
+	}
+	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Running{Running: m}})
+}
+
 // permit asks the leader for permission to send one request to an upstream, unless it has said that the upstream accepts
 // none yet. It returns the time until the upstream accepts one, 0 if the request may be sent.
 func (s *session) permit(ctx context.Context, to hosts.Lifetime) time.Duration {
@@ -442,10 +455,11 @@
 		AgeUs: now.Sub(o.Job.Arrived).Microseconds(), TargetUs: o.Job.Target.Sub(o.Job.Arrived).Microseconds(),
 		DeadlineUs: o.Job.Deadline.Sub(o.Job.Arrived).Microseconds(),
 		Pool:       o.Engine.Pool, Zone: o.Engine.Zone, Model: o.Engine.Model,
-		PromptTokens: int32(o.Engine.PromptTokens), OutputTokens: int32(o.Engine.OutputTokens), Exclude: o.Engine.Exclude,
+		PromptTokens: int32(o.Engine.PromptTokens), OutputTokens: int32(expectedOutput(o.Engine)), Exclude: o.Engine.Exclude,
 		Fingerprint: o.Fingerprint, Stream: o.Stream.Key, TakenUp: o.Stream.TakenUp, Repeats: int32(o.Stream.Repeats),
 		Version: o.Engine.Version, GapUs: o.Engine.Gap.Microseconds(), OutputLimit: int32(o.Engine.OutputLimit),
-		Kind: o.Engine.Route,
+		OutputHint: int32(o.Engine.OutputHint),
+		Kind:       o.Engine.Route,
 	}
 	for _, st := range o.Job.Stages {
 		stage := &cellpb.Stage{Pool: st.Pool, Pieces: int32(st.Pieces), ResultBytes: st.ResultBytes}
@@ -464,6 +478,14 @@
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Submit{Submit: m}})
 }
 
+// expectedOutput returns the output tokens that a leader of an earlier release is to expect.
+func expectedOutput(o place.Order) int {
+	if o.OutputHint > 0 {
+		return min(o.OutputHint, max(o.OutputLimit, 1))
+	}
+	return o.OutputLimit / 2
+}
+
 func (s *session) retry(id, engine string, why lead.Problem, begunAt string) {
 	s.post(&cellpb.ToLead{Body: &cellpb.ToLead_Again{Again: &cellpb.Again{
 		Id: id, Engine: engine, Problem: string(why), BegunAt: begunAt}}})
--- a/internal/leader/place/limit_test.go
+++ b/internal/leader/place/limit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
+	"github.com/ragworthatch/ragworthatch/internal/limit/kvmem"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
@@ -20,6 +21,11 @@
 	})
 }
 
+// noBudget returns a budget of a process that leads all entries.
+func noBudget() *kvmem.Budget {
+	return kvmem.New(kvmem.Options{Share: func() float64 { return 1 }, Now: func() time.Time { return start }})
+}
+
 func noLimits() *pace.Limiter[hosts.Lifetime] { return limitsAt(&start) }
 
 // Two thirds of the engines name limits: they get what they named, and the others get the rest. Engines read a prompt in
@@ -30,7 +36,7 @@
 	c := qt.New(t)
 	now := start
 	limits := limitsAt(&now)
-	p := place.New(limits)
+	p := place.New(limits, noBudget())
 	for i := range 4 {
 		limits.Observe(pace.Statement[hosts.Lifetime]{
 			Key: hosts.Lifetime{ID: fmt.Sprintf("e%d", i)}, Limited: true, Rate: rate, At: now})
@@ -72,7 +78,7 @@
 	c := qt.New(t)
 	now := start
 	limits := limitsAt(&now)
-	p := place.New(limits)
+	p := place.New(limits, noBudget())
 	for i := range 5 {
 		limits.Observe(pace.Statement[hosts.Lifetime]{
 			Key: hosts.Lifetime{ID: fmt.Sprintf("e%d", i)}, Limited: true, Rate: 1, At: now})
--- a/internal/leader/place/loads_test.go
+++ b/internal/leader/place/loads_test.go
@@ -56,7 +56,7 @@
 			l.placer.SetUpstreams(l.table)
 		})
 	},
-	"leader": func(l *load) { l.after(5*time.Second, func() { l.placer = place.New(noLimits()) }) },
+	"leader": func(l *load) { l.after(5*time.Second, func() { l.placer = place.New(noLimits(), noBudget()) }) },
 	"burst": func(l *load) {
 		k, random := l.kinds[0], rand.New(rand.NewPCG(1, 2))
 		n := int(5 * 1.5 * l.perSecond(k, 0.5))
@@ -85,6 +85,9 @@
 		from := l.now
 		disturbances[disturbance](l)
 		l.run(part, 20*time.Second)
+		for id, e := range l.engines {
+			qt.Check(t, e.mostHeld <= l.spec.Tokens, qt.IsTrue, qt.Commentf("%s: %s held %d tokens", lines.Text(), id, e.mostHeld))
+		}
 		served := func(kind string) float64 {
 			r := l.results(kind, from, l.now)
 			return float64(r.served) / float64(r.arrived)
--- a/internal/leader/place/model_test.go
+++ b/internal/leader/place/model_test.go
@@ -41,6 +41,8 @@
 	streaming []*simulated
 	cached    map[string]bool
 	stepping  bool
+	held      int // tokens of the requests on it
+	mostHeld  int
 }
 
 // simulated is a request in the simulation.
@@ -94,7 +96,7 @@
 
 // newLoad returns engines of one pool that read at a rate, in tokens per ms.
 func newLoad(engines int, rate float64, spec rule.Engine, kinds ...kind) *load {
-	l := &load{kinds: kinds, engines: map[string]*modelEngine{}, spec: spec, placer: place.New(noLimits()),
+	l := &load{kinds: kinds, engines: map[string]*modelEngine{}, spec: spec, placer: place.New(noLimits(), noBudget()),
 		random: rand.New(rand.NewPCG(1, 2))}
 	var all []hosts.Upstream
 	for i := range engines {
@@ -158,7 +160,7 @@
 		at: l.now, toDecode: k.events * k.tokensInEvent}
 	l.done = append(l.done, r)
 	o := place.Order{ID: r.id, Pool: "p", Zone: "z0", Model: "m", PromptTokens: k.shared + k.own,
-		OutputTokens: r.toDecode, Within: k.target, Left: k.target, Route: k.name, Rank: k.rank, Target: k.target, Gap: k.gap,
+		OutputLimit: r.toDecode, Within: k.target, Left: k.target, Route: k.name, Rank: k.rank, Target: k.target, Gap: k.gap,
 		Prefix: []call.PrefixBlock{{ID: "all", Tokens: k.shared / 3}, {ID: r.session, Tokens: k.shared - k.shared/3}, {ID: r.id, Tokens: k.own}}}
 	if l.order != nil {
 		o = l.order(r, o)
@@ -175,6 +177,7 @@
 			r.unread, r.missed = r.unread+k.shared, true
 			r.engine.cached[r.session] = true
 		}
+		r.engine.hold(k.shared + k.own)
 		r.engine.waiting = append(r.engine.waiting, r)
 		if !r.engine.stepping {
 			l.startStep(r.engine)
@@ -208,8 +211,15 @@
 	})
 }
 
+// hold changes the tokens that the engine holds.
+func (e *modelEngine) hold(tokens int) {
+	e.held += tokens
+	e.mostHeld = max(e.mostHeld, e.held)
+}
+
 // decode gives a request a token and reports whether it was the last one.
 func (l *load) decode(r *simulated) bool {
+	r.engine.hold(1)
 	r.toDecode--
 	if (r.events*r.tokensInEvent-r.toDecode)%r.tokensInEvent != 0 {
 		return false
@@ -222,6 +232,7 @@
 	}
 	r.last = l.now
 	if r.toDecode == 0 {
+		r.engine.hold(-r.shared - r.own - r.events*r.tokensInEvent)
 		l.after(2*networkTime, func() { l.placer.Ended(r.id) })
 	}
 	return r.toDecode == 0
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -13,6 +13,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/limit/inflow"
+	"github.com/ragworthatch/ragworthatch/internal/limit/kvmem"
+	"github.com/ragworthatch/ragworthatch/internal/limit/outlen"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/route/rates"
 )
@@ -58,8 +60,9 @@
 	Model        string
 	Prefix       []call.PrefixBlock
 	PromptTokens int
-	OutputTokens int              // expected
-	OutputLimit  int              // output tokens at most; 0 if unknown
+	OutputHint   int // output tokens that its caller expects; 0 if unknown
+	OutputLimit  int // output tokens at most; 0 if unknown
+	Deadline     time.Time
 	ByZone       map[string]int64 // bytes of the stage results that it reads, by zone
 	Exclude      []string         // IDs of engines that have refused or failed it
 	Within       time.Duration    // longest useful time to its first token
@@ -75,6 +78,20 @@
 	Staged       bool          // its stages are done
 }
 
+// UniqueTokens returns the prompt tokens that no other request shares, which an engine has to read in any case.
+func (o Order) UniqueTokens() int {
+	tokens := o.PromptTokens
+	for _, part := range o.Prefix[:max(0, len(o.Prefix)-1)] { // the last part is unique to the request
+		tokens -= part.Tokens
+	}
+	return max(0, tokens)
+}
+
+// MaxTokens returns the tokens of the prompt and, at most, of the output, as far as the order itself says.
+func (o Order) MaxTokens() int {
+	return o.PromptTokens + outlen.New().Most("", o.OutputHint, o.OutputLimit)
+}
+
 // inflow returns what the bounds on waiting prompts depend on.
 func (o Order) inflow() inflow.Request {
 	return inflow.Request{Route: o.Route, Rank: o.Rank, Tokens: o.PromptTokens, Target: o.Target, Gap: o.Gap, Left: o.Left,
@@ -89,6 +106,7 @@
 	surelyRead     int           // prompt tokens that the engine has to read, whatever it has cached before
 	expected       time.Duration // time to the first token
 	started        time.Time
+	adopted        bool // another process assigned it
 }
 
 // engine is the state of one model engine.
@@ -126,13 +144,15 @@
 	rates       map[string]*rates.Estimator[hosts.Lifetime] // by pool
 	inflows     map[string]*inflow.Policy                   // by pool
 	engineOf    map[string]string                           // engine ID by request ID
-	avgUncached float64                                     // moving average of the prompt tokens that an engine has to read for a request
+	memory      *kvmem.Budget
+	outputs     *outlen.Estimator
+	avgUncached float64 // moving average of the prompt tokens that an engine has to read for a request
 }
 
-// New returns a Placer without engines, which assigns no more requests than limits allows.
-func New(limits *pace.Limiter[hosts.Lifetime]) *Placer {
+// New returns a Placer without engines, which assigns no more requests than limits and memory allow.
+func New(limits *pace.Limiter[hosts.Lifetime], memory *kvmem.Budget) *Placer {
 	return &Placer{
-		limits: limits, avgUncached: initialUncached, engines: map[string]*engine{}, engineOf: map[string]string{},
+		limits: limits, memory: memory, outputs: outlen.New(), avgUncached: initialUncached, engines: map[string]*engine{}, engineOf: map[string]string{},
 		rates: map[string]*rates.Estimator[hosts.Lifetime]{}, inflows: map[string]*inflow.Policy{},
 	}
 }
@@ -419,9 +439,10 @@
 		e.busySince, e.busyRead = now, 0
 	}
 	req := runningRequest{
-		born: e.born, reservedTokens: o.PromptTokens + o.OutputTokens, pendingPrefill: uncached, started: now,
-		surelyRead: e.surelyUncached(o, keys, now),
-		expected:   e.prefillTime(e.pendingPrefill+uncached) + firstTokenOverhead,
+		born: e.born, pendingPrefill: uncached, started: now,
+		reservedTokens: o.PromptTokens + p.outputs.Expected(o.Route, o.OutputHint, o.OutputLimit),
+		surelyRead:     e.surelyUncached(o, keys, now),
+		expected:       e.prefillTime(e.pendingPrefill+uncached) + firstTokenOverhead,
 	}
 	p.avgUncached += uncachedSmoothing * (float64(uncached) - p.avgUncached)
 	e.running[o.ID] = req
@@ -435,8 +456,51 @@
 		}
 	}
 	p.engineOf[o.ID] = u.ID
+	p.memory.Reserve(kvmem.Request{ID: o.ID, Owner: o.Entry, Engine: u.ID, Tokens: p.tokensOf(o), Until: o.Deadline})
+}
+
+// tokensOf returns the tokens of an order's prompt and, at most, of its output.
+func (p *Placer) tokensOf(o Order) int {
+	return o.PromptTokens + p.outputs.Most(o.Route, o.OutputHint, o.OutputLimit)
+}
+
+// Run is a request that an entry has sent to an engine by the decision of another process.
+type Run struct {
+	ID     string
+	Pool   string
+	Engine string    // ID
+	Tokens int       // of its prompt and, at most, of its output
+	Unread int       // prompt tokens that are not read yet
+	Until  time.Time // its deadline
+}
+
+// Adopt counts requests of an entry that run on engines. With whole, these are all that it has, which ends what was
+// reserved for it while it was out of touch.
+func (p *Placer) Adopt(entry string, runs []Run, whole bool, t *hosts.Table, now time.Time) {
+	if whole {
+		p.memory.Reported(entry)
+	}
+	for _, r := range runs {
+		p.memory.Reserve(kvmem.Request{ID: r.ID, Owner: entry, Engine: r.Engine, Tokens: r.Tokens, Until: r.Until})
+		u, listed := t.Get(r.Engine)
+		if _, known := p.engineOf[r.ID]; known || !listed {
+			continue
+		}
+		e := p.current(u, now)
+		e.running[r.ID] = runningRequest{
+			born: e.born, reservedTokens: r.Tokens, pendingPrefill: r.Unread, surelyRead: r.Unread, started: now,
+			expected: e.prefillTime(e.pendingPrefill+r.Unread) + firstTokenOverhead, adopted: true,
+		}
+		e.pendingPrefill += r.Unread
+		e.pendingSurely += r.Unread
+		e.reservedTokens += r.Tokens
+		p.engineOf[r.ID] = r.Engine
+	}
 }
 
+// Abandon keeps the memory of a request of an entry that is out of touch, in which it may run on.
+func (p *Placer) Abandon(id string) { p.memory.Abandon(id) }
+
 // surelyUncached returns the number of prompt tokens that the engine has to read in any case. Shared parts may be cached
 // if requests with them were sent there long ago, or by an earlier leader.
 func (e *engine) surelyUncached(o Order, keys []uint64, now time.Time) int {
@@ -459,15 +523,25 @@
 	if e == nil {
 		return
 	}
-	req := e.running[id]
-	if req.born != e.born {
+	req, running := e.running[id]
+	if !running || req.born != e.born {
 		return // it says nothing of the present lifetime
 	}
+	if req.adopted {
+		e.endPrefill(id)
+		return // it is not known when it began
+	}
 	ratio := min(maxSlowness, max(0.5, float64(now.Sub(req.started))/float64(req.expected)))
 	e.slowness += slownessSmoothing * (ratio - e.slowness)
 	e.consecutiveFailures, e.ejectionTime = 0, 0
 	e.recordOutcome(0, now)
 	p.observeRate(e, req, now)
+	e.endPrefill(id)
+}
+
+// endPrefill records that the engine has read the prompt of a request.
+func (e *engine) endPrefill(id string) {
+	req := e.running[id]
 	e.pendingPrefill -= req.pendingPrefill
 	e.pendingSurely -= req.surelyRead
 	req.pendingPrefill, req.surelyRead = 0, 0
@@ -476,6 +550,7 @@
 
 // Ended removes a request from its engine.
 func (p *Placer) Ended(id string) {
+	p.memory.Release(id)
 	e := p.engines[p.engineOf[id]]
 	delete(p.engineOf, id)
 	if e == nil {
@@ -605,8 +680,10 @@
 	return keys
 }
 
-// Sweep removes cached parts that have expired and pauses that are over.
+// Sweep removes what has expired: cached parts, pauses, and memory kept for entries that are out of touch.
 func (p *Placer) Sweep(now time.Time) {
+	p.memory.Sweep()
+	p.outputs.Sweep(now)
 	for _, e := range p.engines {
 		maps.DeleteFunc(e.mayHave, func(_ uint64, used time.Time) bool { return now.Sub(used) > partMemory })
 		maps.DeleteFunc(e.pausedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
--- a/internal/leader/place/place_test.go
+++ b/internal/leader/place/place_test.go
@@ -32,14 +32,14 @@
 // order returns an order whose prompt begins with a block that all sessions share and one of its session.
 func order(id, session string, prompt int) place.Order {
 	return place.Order{
-		ID: id, Pool: "p", Zone: "z0", Model: "m", PromptTokens: prompt, OutputTokens: 50,
+		ID: id, Pool: "p", Zone: "z0", Model: "m", PromptTokens: prompt, OutputLimit: 50,
 		Prefix: []call.PrefixBlock{{ID: "shared", Tokens: 2500}, {ID: session, Tokens: 3800}},
 	}
 }
 
 func TestSessionsReturnToTheEngineThatHasTheirPrefix(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	first, ok := p.Pick(order("1", "s", 9000), engines(), spec, start)
 	c.Assert(ok, qt.IsTrue)
 	p.FirstByte("1", start.Add(200*time.Millisecond))
@@ -56,7 +56,7 @@
 
 func TestPreferredZoneFollowsTheCachedPrompt(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	c.Check(p.PreferredZone(order("1", "s", 9000), engines(), spec, start), qt.Equals, "",
 		qt.Commentf("no engine has cached the prompt"))
 	first, ok := p.Pick(order("1", "s", 9000), engines(), spec, start)
@@ -72,7 +72,7 @@
 
 func TestLoadOutweighsThePrefix(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	used := map[string]int{}
 	for i := range 30 {
 		u, _ := p.Pick(order(fmt.Sprint(i), "s", 9000), engines(), spec, start)
@@ -85,13 +85,13 @@
 	c := qt.New(t)
 	o := order("1", "s", 500)
 	o.ByZone = map[string]int64{"z2": 4_000_000}
-	u, _ := place.New(noLimits()).Pick(o, engines(), spec, start)
+	u, _ := place.New(noLimits(), noBudget()).Pick(o, engines(), spec, start)
 	c.Check(u.Zone, qt.Equals, "z2")
 }
 
 func TestFailingEnginesAreEjected(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	first, _ := p.Pick(order("1", "s", 9000), engines(), spec, start)
 	p.EngineFailed(first, "", start)
 	c.Check(p.EngineFailed(first, "", start) > 0, qt.IsTrue)
@@ -103,7 +103,7 @@
 // has to keep requests away.
 func TestPartlyFailingEnginesGetFewRequests(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	now, sent := start, map[string]int{}
 	for i := range 120 {
 		now = now.Add(100 * time.Millisecond)
@@ -134,7 +134,7 @@
 func TestRestartedEnginesHaveEmptyCaches(t *testing.T) {
 	for _, lists := range []int{0, 1} {
 		c := qt.New(t)
-		p := place.New(noLimits())
+		p := place.New(noLimits(), noBudget())
 		first, _ := p.Pick(order("1", "s", 9000), restarted(1), spec, start)
 		c.Assert(first.ID, qt.Equals, "old")
 		for range lists {
@@ -154,7 +154,7 @@
 // A crash fails the requests of a lifetime, which may be reported after the engine has restarted.
 func TestRestartedEnginesAreNotEjectedForRequestsBefore(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	var requests []string
 	for i := range 6 {
 		requests = append(requests, fmt.Sprint(i))
@@ -170,7 +170,7 @@
 
 func TestExcludedEnginesAreAvoided(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	o := order("1", "s", 9000)
 	first, _ := p.Pick(o, engines(), spec, start)
 	o.Exclude = []string{first.ID}
@@ -186,7 +186,7 @@
 
 func TestPausesApplyToOneEntry(t *testing.T) {
 	c := qt.New(t)
-	p, table := place.New(noLimits()), engines()
+	p, table := place.New(noLimits(), noBudget()), engines()
 	one := order("1", "s", 100)
 	one.Entry = "entry-1"
 	best, _ := p.Pick(one, table, spec, start)
@@ -227,7 +227,7 @@
 	const running = 30 // requests that are open at a time
 	random := rand.New(rand.NewPCG(1, 2))
 	for leader := range 4 {
-		p := place.New(noLimits())
+		p := place.New(noLimits(), noBudget())
 		for n := range sessions * rounds {
 			now = now.Add(10 * time.Millisecond)
 			session := fmt.Sprint(random.IntN(sessions))
--- a/internal/leader/place/selection.go
+++ b/internal/leader/place/selection.go
@@ -7,6 +7,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/limit/inflow"
+	"github.com/ragworthatch/ragworthatch/internal/limit/kvmem"
 )
 
 // selection is the choice of an engine for one order.
@@ -20,6 +21,9 @@
 	policy  *inflow.Policy
 	bounded bool // the policy applies
 	bound   inflow.Bound
+	memory  *kvmem.Budget
+	tokens  int // of memory that the order may need
+	full    int // engines seen that lack memory
 	cached  int // prompt tokens that an engine has cached, at most
 
 	offered int // engines seen
@@ -39,8 +43,10 @@
 	policy := p.inflowOf(o.Pool)
 	s := &selection{
 		order: o, keys: keys, spec: spec, now: now, home: p.homeEngine(o, keys, t, now), inTime: o.InTime || p.isLimited(o, t),
-		policy: policy,
+		policy: policy, memory: p.memory, bound: inflow.Bound{Memory: 1},
 	}
+	p.outputs.Observe(o.Route, o.OutputHint, o.OutputLimit, now)
+	s.tokens = p.tokensOf(o)
 	policy.Observe(o.inflow(), now)
 	if o.Version == "" && policy.Active(now) {
 		s.bounded, s.bound = true, policy.BoundOf(o.inflow())
@@ -64,6 +70,10 @@
 func (s *selection) offer(u hosts.Upstream, e *engine) {
 	s.offered++
 	uncached := s.order.PromptTokens - e.cachedTokens(s.order, s.keys, s.now)
+	if s.spec.Tokens > 0 && !s.memory.Fits(u.ID, s.tokens, s.spec.Tokens, s.bound.Memory) {
+		s.full++
+		return
+	}
 	if s.inTime && e.startTime(uncached) > s.order.Within {
 		return
 	}
@@ -103,8 +113,8 @@
 	return false
 }
 
-// Crowded reports whether all engines that an order may use have too many prompts to read for it, or no free slot. The
-// order is to be refused then, and its caller may come back after a time.
+// Crowded reports whether all engines that an order may use have too many prompts to read for it, no free slot, or too
+// little memory. The order is to be refused then, and its caller may come back after a time.
 func (p *Placer) Crowded(o Order, t *hosts.Table, spec rule.Engine, now time.Time) (retryAfter time.Duration, crowded bool) {
 	s := p.newSelection(o, prefixKeys(o), t, spec, now)
 	for _, u := range o.Ready(t) {
@@ -112,7 +122,7 @@
 			s.offer(u, e)
 		}
 	}
-	if !s.bounded || s.found || s.spareFound || s.offered == 0 {
+	if (!s.bounded && s.full < s.offered) || s.found || s.spareFound || s.offered == 0 {
 		return 0, false
 	}
 	return s.policy.Refuse(o.inflow(), now), true
--- a/internal/leader/place/version_test.go
+++ b/internal/leader/place/version_test.go
@@ -23,7 +23,7 @@
 // Streams that go on are many, and only one engine has their version; the others take the new ones.
 func TestStreamsThatGoOnGetTheirVersion(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	table := versions("v1", "v2", "v2")
 	old := table.Ready("p")[0]
 	p.EngineFailed(old, "", start)
@@ -54,7 +54,7 @@
 		record time.Duration
 		atBase int // at least, of ten streams
 	}{{0, 4}, {time.Second, 9}} {
-		p := place.New(noLimits())
+		p := place.New(noLimits(), noBudget())
 		atBase := 0
 		for i := range 10 {
 			o := order(fmt.Sprint(i), fmt.Sprint("s", i), 2000)
@@ -71,7 +71,7 @@
 // in time are refused, not queued.
 func TestTheBaseTakesWhatItBeginsInTime(t *testing.T) {
 	c := qt.New(t)
-	p := place.New(noLimits())
+	p := place.New(noLimits(), noBudget())
 	taken := 0
 	for i := range 100 {
 		o := order(fmt.Sprint(i), fmt.Sprint("s", i), 4500)
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,9 +25,10 @@
 )
 
 const (
-	maxPieces    = 10_000 // of all stages of an order
-	outboxSize   = 512    // messages to one entry
-	maxTransfers = 8      // large answers sent at the same time, which leaves bandwidth for the other messages
+	maxPieces    = 10_000          // of all stages of an order
+	outboxSize   = 512             // messages to one entry
+	assumeTold   = 2 * time.Second // after its start a session counts as that of an entry that has told what runs
+	maxTransfers = 8               // large answers sent at the same time, which leaves bandwidth for the other messages
 )
 
 // Server serves the connections of other entries, which follow this one.
@@ -49,6 +51,7 @@
 	history     tableHistory
 	transfers   chan struct{} // holds one value for each large answer that is being sent
 	entries     atomic.Int64  // connected
+	told        atomic.Int64  // connected entries that follow and have told which requests run
 
 	compressedRules compressed
 	compressedHosts compressed
@@ -94,6 +97,9 @@
 // Entries returns the number of entries that are connected.
 func (s *Server) Entries() int { return int(s.entries.Load()) }
 
+// Told returns the number of connected entries that follow this one and have told which of their requests run on engines.
+func (s *Server) Told() int { return int(s.told.Load()) }
+
 // session is the connection of one entry.
 type session struct {
 	*Server
@@ -103,6 +109,7 @@
 	sentMembers registry.View // members that the entry was sent
 	sentChanges int64         // number of the last change of crashes that the entry was sent
 	sentLimits  int64         // number of the last change of limits that the entry was sent
+	told        atomic.Bool
 	mu          sync.Mutex
 	open        map[string]bool // IDs of requests that have not ended
 }
@@ -115,6 +122,10 @@
 	done := make(chan struct{})
 	defer close(done)
 	defer ses.endRequests()
+	defer ses.setTold(false)
+	// Entries of an earlier release do not tell. Probes end sooner.
+	timer := time.AfterFunc(assumeTold, func() { ses.setTold(true) })
+	defer timer.Stop()
 	go func() {
 		for {
 			select {
@@ -162,6 +173,12 @@
 			streams[s.Key] = origin.Origin{Pool: s.Pool, Version: s.Version}
 		}
 		ses.origins.Learn(streams)
+	case *cellpb.ToLead_Running:
+		if body.Running.Leaves {
+			ses.setTold(false)
+			return
+		}
+		ses.adopt(body.Running)
 	case *cellpb.ToLead_Recall:
 		ses.dispatcher.Recall(body.Recall.Id)
 	case *cellpb.ToLead_FirstByte:
@@ -279,6 +296,35 @@
 	return &cellpb.ToEntry{Body: &cellpb.ToEntry_Crew{Crew: m}}
 }
 
+// adopt counts the requests of the entry that run by the decision of another leader.
+func (ses *session) adopt(m *cellpb.Running) {
+	now := ses.now()
+	runs := make([]place.Run, 0, len(m.Runs))
+	for _, r := range m.Runs {
+		ses.track(r.Id)
+		runs = append(runs, place.Run{
+			ID: r.Id, Pool: r.Pool, Engine: r.Engine, Tokens: int(r.Tokens), Unread: int(r.Unread),
+			Until: now.Add(time.Duration(r.LeftUs) * time.Microsecond),
+		})
+	}
+	ses.dispatcher.Adopt(ses.entry, runs, m.Whole)
+	if m.Whole {
+		ses.setTold(true)
+	}
+}
+
+// setTold counts the session among those of entries that follow and have told which requests run, or no longer.
+func (ses *session) setTold(told bool) {
+	if ses.told.Swap(told) == told {
+		return
+	}
+	if told {
+		ses.Server.told.Add(1)
+		return
+	}
+	ses.Server.told.Add(-1)
+}
+
 // track notes that a request is open, so that it ends with the connection.
 func (ses *session) track(id string) {
 	ses.mu.Lock()
@@ -298,6 +344,7 @@
 	open := ses.open
 	ses.open = nil
 	ses.mu.Unlock()
+	ses.dispatcher.Abandon(slices.Collect(maps.Keys(open)))
 	for id := range open {
 		ses.dispatcher.Ended(id, "", false)
 	}
@@ -346,11 +393,14 @@
 		},
 		Engine: place.Order{
 			ID: s.Id, Pool: s.Pool, Zone: s.Zone, Model: s.Model, PromptTokens: int(s.PromptTokens),
-			OutputTokens: int(s.OutputTokens), Exclude: s.Exclude, Version: s.Version,
+			OutputHint: int(s.OutputHint), Deadline: arrived.Add(time.Duration(s.DeadlineUs) * time.Microsecond), Exclude: s.Exclude, Version: s.Version,
 			OutputLimit: int(s.OutputLimit), Route: s.Kind, Rank: int(s.Rank), Target: time.Duration(s.TargetUs) * time.Microsecond,
 			Gap: time.Duration(s.GapUs) * time.Microsecond,
 		},
 	}
+	if s.OutputLimit == 0 && s.OutputHint == 0 {
+		o.Engine.OutputHint = int(s.OutputTokens) // all that an entry of an earlier release says
+	}
 	pieces := 0
 	for i, st := range s.Stages {
 		if pieces += int(st.Pieces); st.Pieces < 0 || pieces > maxPieces {
--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
+	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
@@ -37,6 +38,8 @@
 func (nopDispatcher) Crashed(crash.Report)                                            {}
 func (nopDispatcher) UpstreamNotice(string, notices.Notice)                           {}
 func (nopDispatcher) Served(uint64)                                                   {}
+func (nopDispatcher) Adopt(string, []place.Run, bool)                                 {}
+func (nopDispatcher) Abandon([]string)                                                {}
 func (nopDispatcher) Recall(string)                                                   {}
 
 // newTracker returns a tracker of a process that leads.
--- a/internal/limit/inflow/policy.go
+++ b/internal/limit/inflow/policy.go
@@ -13,6 +13,7 @@
 	targetPart     = 0.85             // of its target that may pass until an engine has read the prompt; its first event takes the rest
 	yieldPart      = 0.45             // of the least target of more urgent requests that may be taken up before them
 	latePart       = 0.25             // of the least target of all that late requests may take up
+	yieldMemory    = 0.9              // of an engine's memory that requests may fill that yield to others
 	floorPart      = 0.05             // of what the engines read that each route gets despite more urgent ones
 	floorBurst     = 1 * time.Second  // for which an unused floor is kept
 	overloadGap    = 3 * time.Second  // without a refusal, after which an overload is over
@@ -86,10 +87,11 @@
 	maps.DeleteFunc(p.kinds, func(_ string, k *kind) bool { return now.Sub(k.seen) > kindTTL })
 }
 
-// Bound is the longest expected time to read prompts on an engine that may take a request.
+// Bound says which engines may take a request.
 type Bound struct {
-	Ahead time.Duration // for the prompts before that of the request
-	Total time.Duration // for those and its own; 0 for any
+	Ahead  time.Duration // longest expected time to read the prompts before that of the request
+	Total  time.Duration // longest expected time to read those and its own; 0 for any
+	Memory float64       // part of the engine's memory that may be filled with it
 }
 
 // BoundOf returns the bounds for a request.
@@ -113,10 +115,11 @@
 		if r.Staged {
 			part = yieldPart
 		}
-		return Bound{Ahead: scale(least, part)}
+		return Bound{Ahead: scale(least, part), Memory: yieldMemory}
 	}
-	b := Bound{Ahead: scale(r.Left, targetPart), Total: scale(r.Left, targetPart)}
+	b := Bound{Ahead: scale(r.Left, targetPart), Total: scale(r.Left, targetPart), Memory: 1}
 	if len(ranks) > 0 && !r.Staged {
+		b.Memory = yieldMemory
 		b.Ahead = min(b.Ahead, scale(urgent, yieldPart/float64(len(ranks))))
 	}
 	return b
