Serve requests late on engines with little to read

Cause: a request whose stages took nearly all of its time begins in time on no engine, and was refused as crowded.

Change: an engine whose backlog is a small part of the least target takes any request, as it takes late ones.

Measured: TestRequestsThatWillBeLateUseIdleEngines fails without it; TestLoads gives the same figures.

--- a/internal/leader/place/loads_test.go
+++ b/internal/leader/place/loads_test.go
@@ -101,3 +101,18 @@
 		}
 	}
 }
+
+// A request whose stages took nearly all of its time can't begin in time on any engine. It must be served late by an idle
+// one, and not refused.
+func TestRequestsThatWillBeLateUseIdleEngines(t *testing.T) {
+	c := qt.New(t)
+	l := deployment("N")
+	l.run(0.4, 5*time.Second)
+	o := order("o", "s", 9000)
+	o.Route, o.Rank, o.Target, o.Left, o.Staged = "draft", 0, 1800*time.Millisecond, 20*time.Millisecond, true
+	now := start.Add(l.now)
+	_, crowded := l.placer.Crowded(o, l.table, l.spec, now)
+	c.Check(crowded, qt.IsFalse)
+	_, ok := l.placer.Pick(o, l.table, l.spec, now)
+	c.Check(ok, qt.IsTrue)
+}
--- a/internal/leader/place/selection.go
+++ b/internal/leader/place/selection.go
@@ -101,13 +101,17 @@
 		pending, uncached = e.pendingSurely, min(uncached, e.surelyUncached(s.order, s.keys, s.now))
 	}
 	ahead, start := e.readTime(pending), e.readTime(pending+uncached+again)
-	if s.bound.Total > 0 && start > s.bound.Total {
+	ahead -= firstTokenOverhead
+	if ahead <= s.bound.Late {
+		return true
+	}
+	if start > s.bound.Total {
 		return false
 	}
-	if ahead-firstTokenOverhead <= s.bound.Ahead {
+	if ahead <= s.bound.Ahead {
 		return true
 	}
-	if s.bound.Total > 0 && (!s.spareFound || start < s.spareStart) {
+	if !s.spareFound || start < s.spareStart {
 		s.spare, s.spareTokens, s.spareStart, s.spareFound = u, uncached, start, true
 	}
 	return false
--- a/internal/limit/inflow/policy.go
+++ b/internal/limit/inflow/policy.go
@@ -12,7 +12,7 @@
 	smoothing      = 0.05             // of the mean length of a route's prompts
 	targetPart     = 0.85             // of its target that may pass until an engine has read the prompt; its first event takes the rest
 	yieldPart      = 0.45             // of the least target of more urgent requests that may be taken up before them
-	latePart       = 0.25             // of the least target of all that late requests may take up
+	latePart       = 0.25             // of the least target of all that requests may take up even if they will be late
 	yieldMemory    = 0.9              // of an engine's memory that requests may fill that yield to others
 	floorPart      = 0.05             // of what the engines read that each route gets despite more urgent ones
 	floorBurst     = 1 * time.Second  // for which an unused floor is kept
@@ -72,6 +72,9 @@
 	first, shortest, longest, ranked, paced := true, 0.0, 0.0, false, false
 	var rank int
 	for _, k := range p.kinds {
+		if k.Target <= 0 {
+			continue
+		}
 		if first {
 			first, shortest, longest, rank = false, k.meanTokens, k.meanTokens, k.Rank
 		}
@@ -87,10 +90,11 @@
 	maps.DeleteFunc(p.kinds, func(_ string, k *kind) bool { return now.Sub(k.seen) > kindTTL })
 }
 
-// Bound says which engines may take a request.
+// Bound says which engines may take a request: those that keep within Ahead and Total, or within Late.
 type Bound struct {
 	Ahead  time.Duration // longest expected time to read the prompts before that of the request
-	Total  time.Duration // longest expected time to read those and its own; 0 for any
+	Total  time.Duration // longest expected time to read those and its own
+	Late   time.Duration // longest expected time to read the prompts before it, even if it will be late
 	Memory float64       // part of the engine's memory that may be filled with it
 }
 
@@ -99,6 +103,9 @@
 	least, urgent := time.Duration(0), time.Duration(0) // targets of all, and of more urgent requests
 	ranks := map[int]bool{}
 	for _, k := range p.kinds {
+		if k.Target <= 0 {
+			continue
+		}
 		if least == 0 || k.Target < least {
 			least = k.Target
 		}
@@ -110,16 +117,17 @@
 			urgent = k.Target
 		}
 	}
-	if r.Left <= 0 {
-		part := latePart
-		if r.Staged {
-			part = yieldPart
-		}
-		return Bound{Ahead: scale(least, part), Memory: yieldMemory}
+	b := Bound{Late: scale(least, latePart), Memory: 1}
+	if r.Staged {
+		b.Late = scale(least, yieldPart)
 	}
-	b := Bound{Ahead: scale(r.Left, targetPart), Total: scale(r.Left, targetPart), Memory: 1}
-	if len(ranks) > 0 && !r.Staged {
+	if r.Left > 0 {
+		b.Ahead, b.Total = scale(r.Left, targetPart), scale(r.Left, targetPart)
+	}
+	if r.Left <= 0 || (len(ranks) > 0 && !r.Staged) {
 		b.Memory = yieldMemory
+	}
+	if len(ranks) > 0 && !r.Staged {
 		b.Ahead = min(b.Ahead, scale(urgent, yieldPart/float64(len(ranks))))
 	}
 	return b
--- a/internal/limit/inflow/policy_test.go
+++ b/internal/limit/inflow/policy_test.go
@@ -46,8 +46,10 @@
 	late, staged := long, chat
 	late.Left, staged.Staged = 0, true
 	c.Check(p.BoundOf(long).Ahead, qt.Equals, 850*time.Millisecond)
-	c.Check(p.BoundOf(chat), qt.Equals, inflow.Bound{Ahead: 450 * time.Millisecond, Total: 1700 * time.Millisecond, Memory: 0.9})
-	c.Check(p.BoundOf(late).Ahead, qt.Equals, 250*time.Millisecond)
+	c.Check(p.BoundOf(chat), qt.Equals, inflow.Bound{
+		Ahead: 450 * time.Millisecond, Total: 1700 * time.Millisecond, Late: 250 * time.Millisecond, Memory: 0.9})
+	c.Check(p.BoundOf(late), qt.Equals, inflow.Bound{Late: 250 * time.Millisecond, Memory: 0.9})
+	c.Check(p.BoundOf(staged).Late, qt.Equals, 450*time.Millisecond)
 	c.Check(p.BoundOf(staged).Ahead, qt.Equals, 1700*time.Millisecond, qt.Commentf("its stages would be lost"))
 }
 
