Show rates, backlog and memory of engines as metrics

Cause: what the leader knows of engines was not visible to operators.

Change: four gauges by pool, updated once a second. The loads with a change of the leader tell the next one what runs; a request that it adopts begins a busy period, as any other does.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -201,6 +201,7 @@
 		ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.registry.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
 		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited()),
+		Engines: n.lead.EngineLoads(),
 	}
 }
 
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -19,7 +19,7 @@
 	c := qt.New(t)
 	m, err := meter.New(meter.Process{Role: "edge"})
 	c.Assert(err, qt.IsNil)
-	s := stats.New(m, func() stats.Gauges { return stats.Gauges{} })
+	s := stats.New(m, func() stats.Gauges { return stats.Gauges{Engines: []stats.EnginePool{{Pool: "pool"}}} })
 	s.Finished("route", "served", time.Second)
 	s.FirstByte(time.Second)
 	s.Sent("pool", false, "answered")
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -25,6 +25,16 @@
 	QueuedPieces  int64         // pieces of those requests that wait for a call
 	Blocks        int64         // sets of prompt parts that are refused
 	Limited       int64         // upstreams that named a limit
+	Engines       []EnginePool  // by this process as the leader
+}
+
+// EnginePool is the load of the engines of a pool.
+type EnginePool struct {
+	Pool           string
+	MedianRate     float64 // at which engines read prompts, in tokens per ms
+	SlowestRate    float64
+	LongestBacklog time.Duration // to read the prompts that wait on an engine
+	FullestMemory  float64       // part of an engine's memory that is reserved
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -76,6 +86,21 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
+	engines := func(name, unit, help string, value func(EnginePool) float64) {
+		m.GaugeFunc(meter.Spec{Name: name, Unit: unit, Help: help}, func(o meter.Observe) {
+			for _, p := range state().Engines {
+				o(int64(value(p)), label("pool", p.Pool))
+			}
+		})
+	}
+	engines("edge.engineRate", "{token}/s", "Median rate at which engines read prompts.",
+		func(p EnginePool) float64 { return 1000 * p.MedianRate })
+	engines("edge.slowestEngineRate", "{token}/s", "Rate at which the slowest engine reads prompts.",
+		func(p EnginePool) float64 { return 1000 * p.SlowestRate })
+	engines("edge.engineBacklog", "ms", "Longest expected time to read the prompts that wait on an engine.",
+		func(p EnginePool) float64 { return millis(p.LongestBacklog) })
+	engines("edge.engineMemory", "%", "Reserved part of the memory of the fullest engine.",
+		func(p EnginePool) float64 { return 100 * p.FullestMemory })
 	return &Stats{
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -41,6 +41,7 @@
 	limitedRetryAfter    = 1 * time.Second // least Retry-After while upstreams accept no more requests
 	unrecordedRetryAfter = 300 * time.Millisecond
 
+	publishInterval    = 1 * time.Second        // between updates of the metrics of engines
 	sweepInterval      = 5 * time.Second        // between sweeps, and at most between scheduling steps
 	maxAnswerBytes     = 64 << 10               // of an answer of a stage upstream, without the results in it
 	maxResultBytes     = 1 << 10                // added to maxAnswerBytes for each result
@@ -107,6 +108,7 @@
 	hosts       *hosts.Table
 	openCount   atomic.Int64
 	queuedCount atomic.Int64
+	engineLoads atomic.Pointer[[]stats.EnginePool]
 
 	releases sync.WaitGroup
 }
@@ -130,6 +132,36 @@
 // Load returns the number of requests that are scheduled here, and of their pieces that wait for a call.
 func (c *Coordinator) Load() (open, queued int64) { return c.openCount.Load(), c.queuedCount.Load() }
 
+// EngineLoads returns the loads of the engines by pool, which are a second old at most.
+func (c *Coordinator) EngineLoads() []stats.EnginePool {
+	if loads := c.engineLoads.Load(); loads != nil {
+		return *loads
+	}
+	return nil
+}
+
+// publishLoads makes the loads of the engines known to EngineLoads.
+func (c *Coordinator) publishLoads() {
+	byPool := map[string][]place.Load{}
+	for _, l := range c.placer.Loads() {
+		byPool[l.Pool] = append(byPool[l.Pool], l)
+	}
+	out := make([]stats.EnginePool, 0, len(byPool))
+	for pool, loads := range byPool {
+		p := stats.EnginePool{Pool: pool}
+		slices.SortFunc(loads, func(a, b place.Load) int { return cmp.Compare(a.Rate, b.Rate) })
+		p.SlowestRate, p.MedianRate = loads[0].Rate, loads[len(loads)/2].Rate
+		for _, l := range loads {
+			p.LongestBacklog = max(p.LongestBacklog, l.Backlog)
+			if capacity := c.engineSpec(pool).Tokens; capacity > 0 {
+				p.FullestMemory = max(p.FullestMemory, float64(l.Reserved)/float64(capacity))
+			}
+		}
+		out = append(out, p)
+	}
+	c.engineLoads.Store(&out)
+}
+
 // Finish waits until no order is open or ctx ends, then cancels what is left and releases its results.
 func (c *Coordinator) Finish(ctx context.Context) {
 	open := 1
@@ -169,7 +201,7 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	timer := time.NewTimer(sweepInterval)
 	defer timer.Stop()
-	swept, counted := c.opts.Now(), c.opts.Now()
+	swept, counted, published := c.opts.Now(), c.opts.Now(), c.opts.Now()
 	var next time.Time // earliest time of the next scheduling step
 	for {
 		select {
@@ -202,6 +234,10 @@
 			c.queuedCount.Store(int64(c.scheduler.Queued()))
 			counted = now
 		}
+		if now.Sub(published) >= publishInterval {
+			c.withRecovery(c.publishLoads)
+			published = now
+		}
 		if now.Sub(swept) > sweepInterval {
 			c.placer.Sweep(now)
 			c.firstVisits.Sweep(now)
--- a/internal/leader/place/loads_test.go
+++ b/internal/leader/place/loads_test.go
@@ -56,7 +56,24 @@
 			l.placer.SetUpstreams(l.table)
 		})
 	},
-	"leader": func(l *load) { l.after(5*time.Second, func() { l.placer = place.New(noLimits(), noBudget()) }) },
+	// Entries tell the new leader what runs.
+	"leader": func(l *load) {
+		l.after(5*time.Second, func() {
+			l.placer = place.New(noLimits(), noBudget())
+			var runs []place.Run
+			for _, r := range l.done {
+				if r.refused || r.toDecode == 0 {
+					continue
+				}
+				run := place.Run{ID: r.id, Engine: r.engine.id, Tokens: r.shared + r.own + r.events*r.tokensInEvent}
+				if r.first == 0 {
+					run.Unread = r.own
+				}
+				runs = append(runs, run)
+			}
+			l.placer.Adopt("entry", runs, true, l.table, start.Add(l.now))
+		})
+	},
 	"burst": func(l *load) {
 		k, random := l.kinds[0], rand.New(rand.NewPCG(1, 2))
 		n := int(5 * 1.5 * l.perSecond(k, 0.5))
--- a/internal/leader/place/model_test.go
+++ b/internal/leader/place/model_test.go
@@ -33,6 +33,7 @@
 
 // modelEngine reads prompts in chunks, which lengthen the step of all running requests.
 type modelEngine struct {
+	id        string
 	rate      float64 // prompt tokens per ms
 	slow      float64 // factor of the duration of its steps
 	step      time.Duration
@@ -101,7 +102,7 @@
 	var all []hosts.Upstream
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
-		l.engines[id] = &modelEngine{rate: rate, slow: 1, step: 5 * time.Millisecond, slots: spec.Slots, cached: map[string]bool{}}
+		l.engines[id] = &modelEngine{id: id, rate: rate, slow: 1, step: 5 * time.Millisecond, slots: spec.Slots, cached: map[string]bool{}}
 		all = append(all, hosts.Upstream{ID: id, Pool: "p", Zone: fmt.Sprintf("z%d", i%3), State: hosts.Ready, StartedMs: 1})
 	}
 	l.table = hosts.New(all, start)
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -487,6 +487,9 @@
 			continue
 		}
 		e := p.current(u, now)
+		if e.pendingPrefill == 0 {
+			e.busySince, e.busyRead = now, 0
+		}
 		e.running[r.ID] = runningRequest{
 			born: e.born, reservedTokens: r.Tokens, pendingPrefill: r.Unread, surelyRead: r.Unread, started: now,
 			expected: e.prefillTime(e.pendingPrefill+r.Unread) + firstTokenOverhead, adopted: true,
@@ -698,8 +701,10 @@
 // Loads returns the load of all engines, sorted by ID.
 func (p *Placer) Loads() []Load {
 	out := make([]Load, 0, len(p.engines))
+	reserved := p.memory.Reserved()
 	for id, e := range p.engines {
-		out = append(out, Load{ID: id, Running: len(e.running), Tokens: e.reservedTokens, Slowness: e.slowness, Rate: e.rate})
+		out = append(out, Load{ID: id, Pool: e.pool, Running: len(e.running), Tokens: e.reservedTokens, Slowness: e.slowness,
+			Rate: e.rate, Backlog: e.startTime(0) - firstTokenOverhead, Reserved: reserved[id]})
 	}
 	slices.SortFunc(out, func(a, b Load) int { return cmp.Compare(a.ID, b.ID) })
 	return out
@@ -708,8 +713,11 @@
 // Load is the load of one engine.
 type Load struct {
 	ID       string
+	Pool     string
 	Running  int
-	Tokens   int
+	Tokens   int // of memory that its requests are expected to take
 	Slowness float64
-	Rate     float64 // at which it is expected to read prompts, in tokens per ms
+	Rate     float64       // at which it is expected to read prompts, in tokens per ms
+	Backlog  time.Duration // expected time to read the prompts that wait
+	Reserved int           // tokens of memory that its requests take at most
 }
