--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -15,17 +15,19 @@
 
 // Gauges holds the values of the gauges.
 type Gauges struct {
-	ConfigVersion int64
-	ConfigAge     time.Duration // since the store last confirmed it
-	ListAge       time.Duration // since the list of upstreams was read
-	Members       int64         // known entries, this one among them
-	Leads         bool          // this entry is the leader or decides for itself
-	InFlight      int64         // requests of callers
-	OpenOrders    int64         // requests that this entry decides on as the leader
-	QueuedPieces  int64         // pieces of those requests that wait for a call
-	Blocks        int64         // sets of prompt parts that are refused
-	Limited       int64         // upstreams that named a limit
-	Engines       []EnginePool  // by this process as the leader
+	ConfigVersion  int64
+	ConfigAge      time.Duration // since the store last confirmed it
+	ListAge        time.Duration // since the list of upstreams was read
+	Members        int64         // known entries, this one among them
+	Leads          bool          // this entry is the leader or decides for itself
+	InFlight       int64         // requests of callers
+	OpenOrders     int64         // requests that this entry decides on as the leader
+	QueuedPieces   int64         // pieces of those requests that wait for a call
+	Blocks         int64         // sets of prompt parts that are refused
+	Limited        int64         // upstreams that named a limit
+	Cold           int64         // upstreams that are known to be cold
+	EvacuatedZones int64         // zones that get no requests from this entry
+	Engines        []EnginePool  // by this process as the leader
 }
 
 // EnginePool is the load of the engines of a pool.
@@ -86,6 +88,10 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
+	gauge("edge.coldUpstreams", "{upstream}", "Upstreams that are cold and accept only a few requests.",
+		func(s Gauges) int64 { return s.Cold })
+	gauge("edge.evacuatedZones", "{zone}", "Zones whose upstreams get no requests from this entry.",
+		func(s Gauges) int64 { return s.EvacuatedZones })
 	engines := func(name, unit, help string, value func(EnginePool) float64) {
 		m.GaugeFunc(meter.Spec{Name: name, Unit: unit, Help: help}, func(o meter.Observe) {
 			for _, p := range state().Engines {
