End adopted requests after their deadline

Cause: the end of a request may reach a new leader before the message that tells of it; its memory and its unread prompt would count for as long as the process runs.

Change: entries tell a new leader what runs before they tell it of any end, and the placer ends adopted requests 5 s after their deadline.

Measured: TestAdoptedRequestsEndAfterTheirDeadline fails without the latter.

--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -434,6 +434,9 @@
 // tellRuns tells a new leader, or the local decider if next is nil, which requests run on engines, and the one before that
 // this entry has left it.
 func (l *Link) tellRuns(next, before *session) {
+	if before != nil {
+		before.post(&cellpb.ToLead{Body: &cellpb.ToLead_Running{Running: &cellpb.Running{Leaves: true}}})
+	}
 	l.mu.Lock()
 	var runs []place.Run
 	for _, p := range l.requests {
@@ -441,15 +444,13 @@
 			runs = append(runs, p.run())
 		}
 	}
-	l.mu.Unlock()
-	if before != nil {
-		before.post(&cellpb.ToLead{Body: &cellpb.ToLead_Running{Running: &cellpb.Running{Leaves: true}}})
+	if next != nil {
+		next.postRuns(runs, true) // before the end of any of them
 	}
+	l.mu.Unlock()
 	if next == nil {
 		l.opts.Local.Adopt(l.opts.Self, runs, true)
-		return
 	}
-	next.postRuns(runs, true)
 }
 
 // finishElection submits the orders that waited for a leader.
--- a/internal/leader/place/loads_test.go
+++ b/internal/leader/place/loads_test.go
@@ -133,3 +133,18 @@
 	_, ok := l.placer.Pick(o, l.table, l.spec, now)
 	c.Check(ok, qt.IsTrue)
 }
+
+// The end of a request may reach a new leader before the message that tells of it. Its memory must not stay reserved.
+func TestAdoptedRequestsEndAfterTheirDeadline(t *testing.T) {
+	c := qt.New(t)
+	p := place.New(noLimits(), noBudget())
+	run := place.Run{ID: "1", Engine: "e0", Tokens: 1000, Unread: 500, Until: start.Add(time.Second)}
+	p.Ended(run.ID)
+	p.Adopt("entry", []place.Run{run, run}, true, engines(), start)
+	c.Check(p.Loads()[0].Running, qt.Equals, 1)
+	c.Check(p.Loads()[0].Reserved, qt.Equals, 1000)
+	p.Sweep(start.Add(10 * time.Second))
+	c.Check(p.Loads()[0].Running, qt.Equals, 0)
+	c.Check(p.Loads()[0].Reserved, qt.Equals, 0)
+	c.Check(p.Loads()[0].Backlog, qt.Equals, time.Duration(0))
+}
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -23,6 +23,7 @@
 	prefillTokensPerMs   = 45.0                  // prompt tokens that an engine reads per ms, until rates are learned
 	maxBusyPeriod        = 4 * time.Second       // over which reading is measured, so that an early pause does not count for long
 	prefillChunk         = 2048                  // prompt tokens that an engine reads in a step
+	adoptedGrace         = 5 * time.Second       // from the deadline of an adopted request until it counts as over
 	cacheGrace           = 5 * time.Second       // after which a new leader knows most of what engines have cached
 	partMemory           = 10 * time.Minute      // within which a part may still be cached, though it is not relied on
 	maxOverheadPart      = 0.25                  // of the time to a first token that may count as firstTokenOverhead
@@ -106,7 +107,8 @@
 	surelyRead     int           // prompt tokens that the engine has to read, whatever it has cached before
 	expected       time.Duration // time to the first token
 	started        time.Time
-	adopted        bool // another process assigned it
+	adopted        bool      // another process assigned it
+	until          time.Time // its deadline, if it was adopted
 }
 
 // engine is the state of one model engine.
@@ -492,7 +494,7 @@
 		}
 		e.running[r.ID] = runningRequest{
 			born: e.born, reservedTokens: r.Tokens, pendingPrefill: r.Unread, surelyRead: r.Unread, started: now,
-			expected: e.prefillTime(e.pendingPrefill+r.Unread) + firstTokenOverhead, adopted: true,
+			expected: e.prefillTime(e.pendingPrefill+r.Unread) + firstTokenOverhead, adopted: true, until: r.Until,
 		}
 		e.pendingPrefill += r.Unread
 		e.pendingSurely += r.Unread
@@ -686,6 +688,7 @@
 // Sweep removes what has expired: cached parts, pauses, and memory kept for entries that are out of touch.
 func (p *Placer) Sweep(now time.Time) {
 	p.memory.Sweep()
+	p.endOverdue(now)
 	p.outputs.Sweep(now)
 	for _, e := range p.engines {
 		maps.DeleteFunc(e.mayHave, func(_ uint64, used time.Time) bool { return now.Sub(used) > partMemory })
@@ -698,6 +701,18 @@
 	}
 }
 
+// endOverdue ends adopted requests whose deadline has passed for adoptedGrace: their end may have come before the message
+// that told of them.
+func (p *Placer) endOverdue(now time.Time) {
+	for _, e := range p.engines {
+		for id, req := range e.running {
+			if req.adopted && now.Sub(req.until) > adoptedGrace {
+				p.Ended(id)
+			}
+		}
+	}
+}
+
 // Loads returns the load of all engines, sorted by ID.
 func (p *Placer) Loads() []Load {
 	out := make([]Load, 0, len(p.engines))
