Believe few low samples of reading rates less

Cause: samples are lower bounds. After a change of the leader the first four of them gave 18 tokens per ms for engines that read 61, and at 0.7 of the capacity 0.04 of the chats were refused for a second.

Change: a rate below the one that was expected counts only as samples become more.

--- a/internal/route/rates/estimator.go
+++ b/internal/route/rates/estimator.go
@@ -10,6 +10,7 @@
 
 const (
 	minSamples     = 4                      // before the rate of an engine is its own
+	doubtSamples   = 10                     // after which the doubt about rates below the prior one is half
 	maxSamples     = 48                     // kept for each engine
 	minTokens      = 1000                   // in a sample; a smaller prompt takes mostly other time than reading
 	fullTokens     = 60_000                 // a sample of so many tokens has the full weight
@@ -33,6 +34,8 @@
 // engine holds the samples of one lifetime of an engine.
 type engine struct {
 	samples []sample // the oldest first
+	count   int      // of all samples
+	prior   float64  // rate that was expected before the first sample
 	rate    float64  // 0 while there are less than minSamples
 }
 
@@ -57,15 +60,21 @@
 	rate = min(e.assumed*maxFactor, max(e.assumed/maxFactor, rate))
 	g := e.engines[key]
 	if g == nil {
-		g = &engine{}
+		g = &engine{prior: e.Median(now)}
 		e.engines[key] = g
 	}
 	if len(g.samples) == maxSamples {
 		g.samples = slices.Delete(g.samples, 0, 1)
 	}
 	g.samples = append(g.samples, sample{rate: rate, weight: min(1, float64(tokens)/fullTokens), at: now})
-	if len(g.samples) >= minSamples {
-		g.rate = g.quantile(now)
+	g.count++
+	if len(g.samples) < minSamples {
+		return
+	}
+	// Samples are lower bounds, so that a few low ones say little.
+	g.rate = g.quantile(now)
+	if g.rate < g.prior {
+		g.rate += math.Exp2(-float64(g.count)/doubtSamples) * (g.prior - g.rate)
 	}
 }
 
