--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -27,16 +27,26 @@
 	Limited        int64         // upstreams that named a limit
 	Cold           int64         // upstreams that are known to be cold
 	EvacuatedZones int64         // zones that get no requests from this entry
-	Engines        []EnginePool  // by this process as the leader
+	ProcessorWait  time.Duration // median of the last half second
+	Pools          []PoolUse     // stage pools, of the requests that this entry decides on
+	Engines        []EngineUse   // of those requests
 }
 
-// EnginePool is the load of the engines of a pool.
-type EnginePool struct {
-	Pool           string
-	MedianRate     float64 // at which engines read prompts, in tokens per ms
-	SlowestRate    float64
-	LongestBacklog time.Duration // to read the prompts that wait on an engine
-	FullestMemory  float64       // part of an engine's memory that is reserved
+// PoolUse says what the upstreams of a stage pool do and what waits for them.
+type PoolUse struct {
+	Pool             string
+	Upstreams        map[string]int // by state: free, busy, slow, paused
+	Waiting, Running map[int]int    // pieces by rank
+}
+
+// EngineUse says what one engine has left.
+type EngineUse struct {
+	Pool, Engine string
+	Requests     int           // that run
+	FreeSlots    int           // for requests
+	FreeTokens   int           // of memory
+	Rate         int           // prompt tokens that it is expected to read in a second
+	Backlog      time.Duration // expected time to read the prompts that wait on it
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -58,6 +68,8 @@
 	continued    meter.Counter
 	origins      meter.Counter
 	crowded      meter.Counter
+	teams        meter.Counter
+	shed         meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -92,22 +104,14 @@
 		func(s Gauges) int64 { return s.Cold })
 	gauge("edge.evacuatedZones", "{zone}", "Zones whose upstreams get no requests from this entry.",
 		func(s Gauges) int64 { return s.EvacuatedZones })
-	engines := func(name, unit, help string, value func(EnginePool) float64) {
-		m.GaugeFunc(meter.Spec{Name: name, Unit: unit, Help: help}, func(o meter.Observe) {
-			for _, p := range state().Engines {
-				o(int64(value(p)), label("pool", p.Pool))
-			}
-		})
-	}
-	engines("edge.engineRate", "{token}/s", "Median rate at which engines read prompts.",
-		func(p EnginePool) float64 { return 1000 * p.MedianRate })
-	engines("edge.slowestEngineRate", "{token}/s", "Rate at which the slowest engine reads prompts.",
-		func(p EnginePool) float64 { return 1000 * p.SlowestRate })
-	engines("edge.engineBacklog", "ms", "Longest expected time to read the prompts that wait on an engine.",
-		func(p EnginePool) float64 { return millis(p.LongestBacklog) })
-	engines("edge.engineMemory", "%", "Reserved part of the memory of the fullest engine.",
-		func(p EnginePool) float64 { return 100 * p.FullestMemory })
+	gauge("edge.processorWait", "ms", "Time that this process waits until the processor runs it, median of the last half second.",
+		func(s Gauges) int64 { return s.ProcessorWait.Milliseconds() })
+	registerUse(m, state)
 	return &Stats{
+		teams: m.Counter(meter.Spec{Name: "edge.teamRequests", Unit: "{request}",
+			Help: "Finished requests by team, rank and outcome: served, refused or failed."}),
+		shed: m.Counter(meter.Spec{Name: "edge.shedRequests", Unit: "{request}",
+			Help: "Requests refused because this entry was short of a resource, by resource and rank."}),
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
 		duration: m.Histogram(meter.Spec{Name: "edge.requestDuration", Unit: "ms",
@@ -157,6 +161,17 @@
 	s.duration.Record(millis(took), label("outcome", outcome))
 }
 
+// TeamFinished counts a finished request of a team, which is empty for public routes; outcome is "served", "refused" or
+// "failed".
+func (s *Stats) TeamFinished(team string, rank int, outcome string) {
+	s.teams.Add(1, label("team", team), label("rank", strconv.Itoa(rank)), label("outcome", outcome))
+}
+
+// Shed counts a request that was refused because this entry was short of a resource.
+func (s *Stats) Shed(resource string, rank int) {
+	s.shed.Add(1, label("resource", resource), label("rank", strconv.Itoa(rank)))
+}
+
 // FirstByte records the time from a request's arrival to the first byte of its answer.
 func (s *Stats) FirstByte(took time.Duration) { s.firstByte.Record(millis(took)) }
 
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
@@ -41,7 +42,6 @@
 	limitedRetryAfter    = 1 * time.Second // least Retry-After while upstreams accept no more requests
 	unrecordedRetryAfter = 300 * time.Millisecond
 
-	publishInterval    = 1 * time.Second        // between updates of the metrics of engines
 	sweepInterval      = 5 * time.Second        // between sweeps, and at most between scheduling steps
 	maxAnswerBytes     = 64 << 10               // of an answer of a stage upstream, without the results in it
 	maxResultBytes     = 1 << 10                // added to maxAnswerBytes for each result
@@ -106,9 +106,9 @@
 	lookups     map[string]bool // IDs of orders for which the version that began their stream is looked up
 	rules       *rule.Rules
 	hosts       *hosts.Table
+	occupancy   atomic.Pointer[Occupancy]
 	openCount   atomic.Int64
 	queuedCount atomic.Int64
-	engineLoads atomic.Pointer[[]stats.EnginePool]
 
 	releases sync.WaitGroup
 }
@@ -132,36 +132,6 @@
 // Load returns the number of requests that are scheduled here, and of their pieces that wait for a call.
 func (c *Coordinator) Load() (open, queued int64) { return c.openCount.Load(), c.queuedCount.Load() }
 
-// EngineLoads returns the loads of the engines by pool, which are a second old at most.
-func (c *Coordinator) EngineLoads() []stats.EnginePool {
-	if loads := c.engineLoads.Load(); loads != nil {
-		return *loads
-	}
-	return nil
-}
-
-// publishLoads makes the loads of the engines known to EngineLoads.
-func (c *Coordinator) publishLoads() {
-	byPool := map[string][]place.Load{}
-	for _, l := range c.placer.Loads() {
-		byPool[l.Pool] = append(byPool[l.Pool], l)
-	}
-	out := make([]stats.EnginePool, 0, len(byPool))
-	for pool, loads := range byPool {
-		p := stats.EnginePool{Pool: pool}
-		slices.SortFunc(loads, func(a, b place.Load) int { return cmp.Compare(a.Rate, b.Rate) })
-		p.SlowestRate, p.MedianRate = loads[0].Rate, loads[len(loads)/2].Rate
-		for _, l := range loads {
-			p.LongestBacklog = max(p.LongestBacklog, l.Backlog)
-			if capacity := c.engineSpec(pool).Tokens; capacity > 0 {
-				p.FullestMemory = max(p.FullestMemory, float64(l.Reserved)/float64(capacity))
-			}
-		}
-		out = append(out, p)
-	}
-	c.engineLoads.Store(&out)
-}
-
 // Finish waits until no order is open or ctx ends, then cancels what is left and releases its results.
 func (c *Coordinator) Finish(ctx context.Context) {
 	open := 1
@@ -201,7 +171,7 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	timer := time.NewTimer(sweepInterval)
 	defer timer.Stop()
-	swept, counted, published := c.opts.Now(), c.opts.Now(), c.opts.Now()
+	swept, counted, surveyed := c.opts.Now(), c.opts.Now(), c.opts.Now()
 	var next time.Time // earliest time of the next scheduling step
 	for {
 		select {
@@ -234,9 +204,9 @@
 			c.queuedCount.Store(int64(c.scheduler.Queued()))
 			counted = now
 		}
-		if now.Sub(published) >= publishInterval {
-			c.withRecovery(c.publishLoads)
-			published = now
+		if now.Sub(surveyed) >= surveyInterval {
+			c.withRecovery(func() { c.survey(now) })
+			surveyed = now
 		}
 		if now.Sub(swept) > sweepInterval {
 			c.placer.Sweep(now)
@@ -806,6 +776,7 @@
 	}
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
+			c.logRefusal(o, r, now)
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
@@ -826,7 +797,7 @@
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
 			zap.Int("waitInTime", b.QueuedInTime), zap.Int("waitLate", b.QueuedLate), zap.Int64("room", b.FreeBytes),
 			zap.Int("emptyInputs", emptyInputs(b.Items)), zap.Duration("listAge", now.Sub(c.hosts.Read())),
-			zap.Strings("requests", requestsOf(b.Items)))
+			zap.Strings("requests", requestsOf(b.Items)), zap.Inline(speedFields{b, now}))
 		go c.runBatch(b)
 	}
 	for _, r := range out.Releases {
@@ -899,6 +870,10 @@
 	}
 	defer answer.Close()
 	c.opts.Notices.AddAnswer(u, sent, answer.Status, answer.Head)
+	if answer.Head.HasLoad {
+		load, at := answer.Head.Load, c.opts.Now()
+		c.inbox <- func(time.Time) { c.scheduler.ObserveLoad(u.Lifetime(), load, at) }
+	}
 	if answer.Head.HasLimit {
 		c.opts.Stats.LimitNamed(u.Pool)
 		c.opts.Log.Info("stage upstream named a limit", zap.String("upstream", u.ID), zap.String("path", r.URI),
@@ -1020,6 +995,28 @@
 		zap.Strings("producers", producers)}
 }
 
+// speedFields describes how the expected duration of a call follows from the usual one, for upstreams that state their load.
+type speedFields struct {
+	sched.Batch
+	now time.Time
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (f speedFields) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	age, known := f.Speed.Age(f.now)
+	if !known {
+		return nil
+	}
+	load := f.Speed.Load()
+	e.AddDuration("usual", f.Usual)
+	e.AddFloat64("slowness", f.Speed.Slowness())
+	e.AddDuration("loadAge", age)
+	e.AddInt("upstreamRunning", load.Running)
+	e.AddInt("upstreamWaiting", load.Waiting)
+	e.AddInt("timePercent", load.TimePercent)
+	return nil
+}
+
 // emptyInputs counts the pieces of a call that name an input without a handle.
 func emptyInputs(items []call.Item) int {
 	n := 0
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -197,6 +197,7 @@
 func (p *Placer) Pick(o Order, t *hosts.Table, spec rule.Engine, now time.Time) (hosts.Upstream, bool) {
 	p.Ended(o.ID)
 	keys := prefixKeys(o)
+	p.observe(o, now)
 	s := p.newSelection(o, keys, t, spec, now)
 	for _, lastResort := range []bool{false, true} { // the second pass admits ejected and excluded engines
 		for _, u := range o.Ready(t) {
--- a/internal/leader/place/selection.go
+++ b/internal/leader/place/selection.go
@@ -45,9 +45,7 @@
 		order: o, keys: keys, spec: spec, now: now, home: p.homeEngine(o, keys, t, now), inTime: o.InTime || p.isLimited(o, t),
 		policy: policy, memory: p.memory, bound: inflow.Bound{Memory: 1},
 	}
-	p.outputs.Observe(o.Route, o.OutputHint, o.OutputLimit, now)
 	s.tokens = p.tokensOf(o)
-	policy.Observe(o.inflow(), now)
 	if o.Version == "" && policy.Active(now) {
 		s.bounded, s.bound = true, policy.BoundOf(o.inflow())
 		for _, u := range o.Ready(t) {
@@ -57,6 +55,12 @@
 	return s
 }
 
+// observe learns from an order that is to be placed.
+func (p *Placer) observe(o Order, now time.Time) {
+	p.inflowOf(o.Pool).Observe(o.inflow(), now)
+	p.outputs.Observe(o.Route, o.OutputHint, o.OutputLimit, now)
+}
+
 func (p *Placer) inflowOf(pool string) *inflow.Policy {
 	policy := p.inflows[pool]
 	if policy == nil {
@@ -69,15 +73,7 @@
 // offer considers an engine.
 func (s *selection) offer(u hosts.Upstream, e *engine) {
 	s.offered++
-	uncached := s.order.PromptTokens - e.cachedTokens(s.order, s.keys, s.now)
-	if s.spec.Tokens > 0 && !s.memory.Fits(u.ID, s.tokens, s.spec.Tokens, s.bound.Memory) {
-		s.full++
-		return
-	}
-	if s.inTime && e.startTime(uncached) > s.order.Within {
-		return
-	}
-	if s.bounded && !s.withinBounds(u, e, uncached) {
+	if !s.admits(u, e) {
 		return
 	}
 	cost := e.cost(s.order, s.keys, u, s.spec, s.now)
@@ -89,6 +85,19 @@
 	}
 }
 
+// admits reports whether an engine may take the order.
+func (s *selection) admits(u hosts.Upstream, e *engine) bool {
+	if s.spec.Tokens > 0 && !s.memory.Fits(u.ID, s.tokens, s.spec.Tokens, s.bound.Memory) {
+		s.full++
+		return false
+	}
+	uncached := s.order.PromptTokens - e.cachedTokens(s.order, s.keys, s.now)
+	if s.inTime && e.startTime(uncached) > s.order.Within {
+		return false
+	}
+	return !s.bounded || s.withinBounds(u, e, uncached)
+}
+
 // withinBounds reports whether an engine has few enough prompts to read for the order, and a free slot. Tokens that are
 // cached at another engine count twice, because reading them again takes the place of other prompts. It remembers the
 // engine as a spare one if these would be few enough without more urgent requests.
@@ -120,6 +129,7 @@
 // Crowded reports whether all engines that an order may use have too many prompts to read for it, no free slot, or too
 // little memory. The order is to be refused then, and its caller may come back after a time.
 func (p *Placer) Crowded(o Order, t *hosts.Table, spec rule.Engine, now time.Time) (retryAfter time.Duration, crowded bool) {
+	p.observe(o, now)
 	s := p.newSelection(o, prefixKeys(o), t, spec, now)
 	for _, u := range o.Ready(t) {
 		if e := p.current(u, now); !now.Before(e.ejectedUntil) {
