Tell ranks of teams apart in the bounds on prompts

Cause: a route whose teams have ranks of their own counted with the rank of its last request.

Change: kinds are by route and rank.

Measured: TestThePolicyIsOffWhereNothingCallsForIt fails without it; TestLoads passes unchanged.

--- a/internal/limit/inflow/policy.go
+++ b/internal/limit/inflow/policy.go
@@ -37,12 +37,20 @@
 // Policy bounds the backlog of the engines of one pool. It is not safe for concurrent use.
 type Policy struct {
 	random      func() float64 // in [0, 1)
-	kinds       map[string]*kind
+	kinds       map[kindKey]*kind
 	refusedAt   time.Time // zero for never
 	refusedFrom time.Time // when the present overload began
 }
 
-// kind is what is known of the requests of a route.
+// kindKey names a kind of requests. Teams may have another rank than the route.
+type kindKey struct {
+	route string
+	rank  int
+}
+
+func (r Request) key() kindKey { return kindKey{r.Route, r.Rank} }
+
+// kind is what is known of the requests of a route and rank.
 type kind struct {
 	Request
 	meanTokens float64
@@ -52,14 +60,14 @@
 }
 
 // New returns a Policy without routes, which bounds nothing. random returns numbers in [0, 1).
-func New(random func() float64) *Policy { return &Policy{random: random, kinds: map[string]*kind{}} }
+func New(random func() float64) *Policy { return &Policy{random: random, kinds: map[kindKey]*kind{}} }
 
 // Observe learns of a route from one of its requests.
 func (p *Policy) Observe(r Request, now time.Time) {
-	k := p.kinds[r.Route]
+	k := p.kinds[r.key()]
 	if k == nil {
 		k = &kind{meanTokens: float64(r.Tokens), floorAt: now}
-		p.kinds[r.Route] = k
+		p.kinds[r.key()] = k
 	}
 	k.Request, k.seen = r, now
 	k.meanTokens += smoothing * (float64(r.Tokens) - k.meanTokens)
@@ -87,7 +95,7 @@
 
 // forget removes the routes without requests of late.
 func (p *Policy) forget(now time.Time) {
-	maps.DeleteFunc(p.kinds, func(_ string, k *kind) bool { return now.Sub(k.seen) > kindTTL })
+	maps.DeleteFunc(p.kinds, func(_ kindKey, k *kind) bool { return now.Sub(k.seen) > kindTTL })
 }
 
 // Bound says which engines may take a request: those that keep within Ahead and Total, or within Late.
@@ -138,7 +146,7 @@
 // TakeFloor reports whether a request in time may be placed despite the bound that more urgent ones set, as its route has
 // had less than its floor of what the engines read, in tokens per ms.
 func (p *Policy) TakeFloor(r Request, tokens int, rate float64, now time.Time) bool {
-	k := p.kinds[r.Route]
+	k := p.kinds[r.key()]
 	if k == nil || r.Left <= 0 {
 		return false
 	}
--- a/internal/limit/inflow/policy_test.go
+++ b/internal/limit/inflow/policy_test.go
@@ -36,6 +36,10 @@
 	c.Check(policy(noGap, chat).Active(start), qt.IsFalse, qt.Commentf("no bound on pauses"))
 	c.Check(policy(sameRank, chat).Active(start), qt.IsTrue)
 	c.Check(policy(long, chat).Active(start), qt.IsTrue)
+	urgentTeam := chat
+	urgentTeam.Rank = 0
+	c.Check(policy(chat, urgentTeam, chat).Active(start), qt.IsTrue, qt.Commentf("a team with a rank of its own"))
+	c.Check(policy(chat, urgentTeam, chat).BoundOf(chat).Ahead, qt.Equals, 900*time.Millisecond)
 	c.Check(policy(noGap, long, chat).Active(start.Add(2*time.Minute)), qt.IsFalse, qt.Commentf("no requests of late"))
 }
 
