--- a/internal/leader/lead/evacuation_test.go
+++ b/internal/leader/lead/evacuation_test.go
@@ -75,7 +75,7 @@
 	l.Submit(lead.Order{
 		Job: sched.Job{ID: "one", Arrived: now, Target: now.Add(2 * time.Second), Deadline: now.Add(5 * time.Second),
 			Stages: []sched.Stage{{Pool: "stages", Pieces: 1, ResultBytes: 10}}},
-		Engine: place.Order{ID: "one", Pool: "engines", PromptTokens: 100, OutputTokens: 10},
+		Engine: place.Order{ID: "one", Pool: "engines", PromptTokens: 100, OutputLimit: 10},
 	}, func(d lead.Decision) {
 		if !d.Pending {
 			got <- d
--- a/internal/leader/lead/explain.go
+++ b/internal/leader/lead/explain.go
@@ -39,6 +39,7 @@
 }
 
 func (c *Coordinator) explain(o Order, now time.Time) Outlook {
+	o.Engine.Within, o.Engine.Left = timeLeft(o, now), o.Job.Target.Sub(now)
 	o.Job.TimeToFirstToken = c.placer.TimeToFirstToken(o.Engine, c.hosts, now)
 	stages := c.scheduler.Explain(o.Job, now)
 	out := Outlook{Refused: stages.Refused, RetryAfter: stages.RetryAfter, Late: stages.Late, Stages: stages.Stages,
@@ -57,6 +58,10 @@
 		out.Refused, out.RetryAfter = sched.Limited, max(wait, limitedRetryAfter)
 		return out
 	}
+	if len(out.Engines) > 0 && out.Engines[0].State == place.StateCrowded {
+		out.Refused, out.RetryAfter = Crowded, time.Second
+		return out
+	}
 	if out.Refused == "" && len(out.Engines) == 0 {
 		d := c.refuseNoEngine(o.Engine, now)
 		out.Refused, out.RetryAfter = d.Refused, d.RetryAfter
--- a/internal/leader/lead/survey.go
+++ b/internal/leader/lead/survey.go
@@ -47,7 +47,7 @@
 		spec := c.engineSpec(u.Pool)
 		o.Engines = append(o.Engines, stats.EngineUse{
 			Pool: u.Pool, Engine: l.ID, Requests: l.Running, FreeSlots: max(0, spec.Slots-l.Running),
-			FreeTokens: max(0, spec.Tokens-l.Tokens),
+			FreeTokens: max(0, spec.Tokens-l.Reserved), Rate: int(1000 * l.Rate), Backlog: l.Backlog,
 		})
 	}
 	c.occupancy.Store(o)
