Do not refuse all requests while one engine has a limit

While an engine has a limit, the others get only what they begin in time, and the check at admission left that time at 0. Change: the check sets it to the time until the target.

--- a/internal/leader/lead/crowd_test.go
+++ b/internal/leader/lead/crowd_test.go
@@ -8,9 +8,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
+	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 )
 
 // Forty long prompts come at once for an engine that reads ten of them before their target. Where another route has
@@ -44,3 +46,21 @@
 		})
 	}
 }
+
+// Guards against refusals of all requests as crowded as soon as one engine, such as one that is cold, has a limit.
+func TestALimitOfAnEngineDoesNotMakeItCrowded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l, limits := startCoordinator(t)
+		limits.Observe(pace.Statement[hosts.Lifetime]{Key: hosts.Lifetime{ID: "e"}, Limited: true, Rate: 50, At: time.Now()})
+		for i := range 4 {
+			id, now, got := fmt.Sprint(i), time.Now(), make(chan lead.Decision, 1)
+			l.Submit(lead.Order{
+				Job: sched.Job{ID: id, Rank: i % 2, Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(6 * time.Second)},
+				Engine: place.Order{ID: id, Pool: "engines", PromptTokens: 100, OutputLimit: 10, Route: fmt.Sprint(i % 2), Rank: i % 2,
+					Target: time.Second},
+			}, func(d lead.Decision) { got <- d })
+			c.Check((<-got).Refused, qt.Equals, sched.Reason(""))
+		}
+	})
+}
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -730,7 +730,7 @@
 // crowded reports whether the engines that an order may use have too many prompts to read for it, and when its caller
 // may come back.
 func (c *Coordinator) crowded(o Order, now time.Time) (retryAfter time.Duration, crowded bool) {
-	o.Engine.Left = o.Job.Target.Sub(now)
+	o.Engine.Within, o.Engine.Left = timeLeft(o, now), o.Job.Target.Sub(now)
 	retryAfter, crowded = c.placer.Crowded(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
 	if crowded {
 		c.opts.Stats.EngineRefusal(o.Engine.Pool, o.Job.Rank)
