Spread refusals while no zone is left, and evacuate zones in the soak

Cause: callers that are refused as all zones of a pool are evacuated were told to come back after 0.3 or 1 s, all alike, though an evacuation lasts longer. The soak had one zone.

Change: such refusals name 1 to 3 s at random. The table indexes withheld upstreams, so that a refusal does not sort the whole list. The soak has two zones, evacuates them from a random source of its own, so that the other faults of each seed stay the same, and checks that nothing arrives in a zone later than 5 s after its evacuation, unless the store was disturbed within the last 4 s.

--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -39,6 +41,9 @@
 		}
 		candidates, retryAfter := x.o.Notices.NotPaused(x.o.Hosts().Ready(x.pool))
 		candidates = without(candidates, exhausted)
+		if x.o.Hosts().IsWithheld(x.pool) {
+			retryAfter = zones.RetryAfter(rand.Float64())
+		}
 		u, ok := x.o.Picker.Pick(candidates, x.o.Zone, tried, len(tried) > 0)
 		if !ok {
 			return x.giveUp(fallback, fault.New(fault.NotRun, fault.NoUpstream,
--- a/internal/edge/front/sends_test.go
+++ b/internal/edge/front/sends_test.go
@@ -24,17 +24,21 @@
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
-// A request that is not sent because its upstream has left the list leaves the number of attempts as it was.
+// A request that is not sent because its upstream has left the list, or its zone is evacuated, leaves the number of
+// attempts as it was.
 func TestRequestsThatWereNotSentDoNotCount(t *testing.T) {
 	c := qt.New(t)
-	f := New(Options{Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) }, Now: time.Now})
+	evacuated := hosts.Upstream{ID: "evacuated", Zone: "z", State: hosts.Ready}
+	f := New(Options{Hosts: func() *hosts.Table {
+		return hosts.New([]hosts.Upstream{evacuated}, time.Now()).WithEvacuated([]string{"z"})
+	}, Now: time.Now})
 	x := &exchange{
 		Front: f, in: httptest.NewRequest("GET", "/x", nil), caller: context.Background(),
 		out:   relay.New(httptest.NewRecorder()),
 		route: rule.Route{Kind: rule.Safe, Attempts: 2}, deadline: time.Now().Add(time.Minute),
 	}
-	for range 3 {
-		_, failure := x.send(hosts.Upstream{ID: "gone"}, nil, "")
+	for _, u := range []hosts.Upstream{{ID: "gone"}, evacuated, {ID: "gone"}} {
+		_, failure := x.send(u, nil, "")
 		c.Assert(failure != nil, qt.IsTrue)
 		c.Check(x.shouldRetry(failure), qt.IsTrue)
 		c.Check(x.sends, qt.Equals, 0,
--- a/internal/edge/hosts/table.go
+++ b/internal/edge/hosts/table.go
@@ -46,7 +46,8 @@
 	byID    map[string]Upstream
 	byPool  map[string][]Upstream // those that take work, sorted by ID
 
-	evacuated []string // zones whose upstreams take no work, sorted
+	evacuated []string              // zones whose upstreams take no work, sorted
+	withheld  map[string][]Upstream // by pool, those that take no work for that reason only, sorted by ID
 }
 
 // New returns a table of the upstreams that the platform was asked for at the given time.
@@ -59,16 +60,21 @@
 	return t
 }
 
-// indexPools lists the upstreams of each pool that take work.
+// indexPools lists the upstreams of each pool that take work, and those that are withheld.
 func (t *Table) indexPools() {
-	t.byPool = map[string][]Upstream{}
+	t.byPool, t.withheld = map[string][]Upstream{}, map[string][]Upstream{}
 	for _, u := range t.byID {
-		if t.takesWork(u) {
+		switch {
+		case t.takesWork(u):
 			t.byPool[u.Pool] = append(t.byPool[u.Pool], u)
+		case u.State == Ready:
+			t.withheld[u.Pool] = append(t.withheld[u.Pool], u)
 		}
 	}
-	for _, list := range t.byPool {
-		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	for _, lists := range []map[string][]Upstream{t.byPool, t.withheld} {
+		for _, list := range lists {
+			slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		}
 	}
 }
 
@@ -144,14 +150,13 @@
 // Evacuated lists the evacuated zones, sorted. The list must not be changed.
 func (t *Table) Evacuated() []string { return t.evacuated }
 
-// Withheld lists the upstreams of a pool that would take work if their zone were not evacuated, sorted by ID.
-func (t *Table) Withheld(pool string) []Upstream {
-	if len(t.evacuated) == 0 {
-		return nil
-	}
-	return slices.DeleteFunc(t.All(), func(u Upstream) bool {
-		return u.Pool != pool || u.State != Ready || !t.IsEvacuated(u.Zone)
-	})
+// Withheld lists the upstreams of a pool that would take work if their zone were not evacuated, sorted by ID. The list
+// must not be changed.
+func (t *Table) Withheld(pool string) []Upstream { return t.withheld[pool] }
+
+// IsWithheld reports whether the pool has ready upstreams, but all are in evacuated zones.
+func (t *Table) IsWithheld(pool string) bool {
+	return len(t.byPool[pool]) == 0 && len(t.withheld[pool]) > 0
 }
 
 // Same reports whether two tables hold the same upstreams.
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/repeat"
@@ -336,8 +338,8 @@
 		reply(c.refuseNoEngine(o.Engine, now))
 		return
 	}
-	if len(c.hosts.Evacuated()) > 0 && len(o.Engine.Ready(c.hosts)) == 0 {
-		reply(Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second})
+	if c.hosts.IsWithheld(o.Engine.Pool) {
+		reply(Decision{Refused: sched.NoUpstreams, RetryAfter: zones.RetryAfter(rand.Float64())})
 		return
 	}
 	if wait, exceeds := c.exceedsLimits(o, now); exceeds {
@@ -678,6 +680,9 @@
 	if _, wait, known := c.placer.Capacity(o, c.hosts, limitedRetryAfter, now); known {
 		return Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)}
 	}
+	if c.hosts.IsWithheld(o.Pool) {
+		return Decision{Refused: sched.NoUpstreams, RetryAfter: zones.RetryAfter(rand.Float64())}
+	}
 	return Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second}
 }
 
@@ -716,6 +721,9 @@
 	}
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
+			if slices.ContainsFunc(o.order.Job.Stages, func(s sched.Stage) bool { return c.hosts.IsWithheld(s.Pool) }) {
+				r.RetryAfter = zones.RetryAfter(rand.Float64())
+			}
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
--- a/internal/proof/soak/check_test.go
+++ b/internal/proof/soak/check_test.go
@@ -41,6 +41,7 @@
 		s.problem("%s", b)
 	}
 	s.checkDrains()
+	s.checkEvacuations()
 	s.checkVersions()
 	s.checkInputs()
 	s.checkRetryBudget(outcomes)
--- a/internal/proof/soak/environment_test.go
+++ b/internal/proof/soak/environment_test.go
@@ -35,11 +35,15 @@
 	internalPorts = 2 // one for other entries, one for the metrics
 )
 
+// zoneNames are the availability zones of the upstreams; the entries are in the first one.
+var zoneNames = []string{"zone-a", "zone-b"}
+
 // service is an upstream behind a proxy. Its lifetimes replace each other at the same address.
 type service struct {
 	pool      string
 	name      string
 	shape     shape
+	zone      string
 	version   int // of the software of all its lifetimes
 	proxy     *proxy.Proxy
 	current   atomic.Pointer[cloud.Upstream]
@@ -91,13 +95,13 @@
 	c.Assert(err, qt.IsNil)
 	env := &environment{c: c, dir: dir, store: cloud.NewStore(), peers: map[string]*proxy.Proxy{}}
 	c.Cleanup(env.close)
-	for i := range 3 {
-		env.addService("plain", i, shape{work: 15 * time.Millisecond})
-		env.addService("engines", i, shape{work: 40 * time.Millisecond, events: tokens, gap: 30 * time.Millisecond})
+	for i, zone := range []string{"zone-a", "zone-a", "zone-b"} {
+		env.addService("plain", zone, i, shape{work: 15 * time.Millisecond})
+		env.addService("engines", zone, i, shape{work: 40 * time.Millisecond, events: tokens, gap: 30 * time.Millisecond})
 	}
-	for i := range 2 {
-		env.addService("first", i, shape{work: 20 * time.Millisecond})
-		env.addService("second", i, shape{work: 20 * time.Millisecond})
+	for i, zone := range zoneNames {
+		env.addService("first", zone, i, shape{work: 20 * time.Millisecond})
+		env.addService("second", zone, i, shape{work: 20 * time.Millisecond})
 	}
 	env.publish()
 	for i := range entries {
@@ -123,8 +127,8 @@
 	_ = os.RemoveAll(env.dir)
 }
 
-func (env *environment) addService(pool string, i int, template shape) {
-	s := &service{pool: pool, name: fmt.Sprintf("%s-%d", pool, i), shape: template, version: i % versions}
+func (env *environment) addService(pool, zone string, i int, template shape) {
+	s := &service{pool: pool, zone: zone, name: fmt.Sprintf("%s-%d", pool, i), shape: template, version: i % versions}
 	s.startLifetime(0)
 	server := httptest.NewServer(s)
 	s.proxy = env.newProxy(server.Listener.Addr().String())
@@ -149,7 +153,7 @@
 
 // list writes the record of a service's current lifetime to the store.
 func (env *environment) list(s *service, state string) {
-	env.store.PutServer(s.current.Load().ID, s.pool, s.current.Load().Version, s.proxy.Address(), state, 8, 1)
+	env.store.PutServerIn(s.zone, s.current.Load().ID, s.pool, s.current.Load().Version, s.proxy.Address(), state, 8, 1)
 }
 
 func (env *environment) unlist(s *service) { env.store.Put(topicHosts, s.current.Load().ID, nil) }
--- a/internal/proof/soak/faults_test.go
+++ b/internal/proof/soak/faults_test.go
@@ -62,6 +62,7 @@
 	mu                sync.Mutex
 	storeDisturbances []span // when the store or a connection to it or to a leader was disturbed
 	drained           []drained
+	evacuated         []evacuation
 	problems          []string
 }
 
--- a/internal/proof/soak/outofstep_test.go
+++ b/internal/proof/soak/outofstep_test.go
@@ -199,7 +199,7 @@
 // release adds engines of the new version, and drains those of the old one.
 func (env *environment) release() {
 	for i := range 2 {
-		env.addService("engines", 3+2*i, shape{work: 40 * time.Millisecond, events: tokens, gap: 30 * time.Millisecond})
+		env.addService("engines", zoneNames[0], 3+2*i, shape{work: 40 * time.Millisecond, events: tokens, gap: 30 * time.Millisecond})
 	}
 	env.listEngines(oldVersion, "draining")
 }
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -55,7 +55,7 @@
 	s.waitReady(startLimit)
 	t := env.startTraffic()
 	time.Sleep(calmPeriod)
-	s.play(s.plan(rand.New(rand.NewPCG(seed, 0)), duration))
+	s.play(append(s.plan(rand.New(rand.NewPCG(seed, 0)), duration), s.planEvacuations(rand.New(rand.NewPCG(seed, 1)), duration)...))
 	s.checkRecovery(t)
 	s.check(t, t.finish())
 	for i, p := range s.problems {
