--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -321,6 +321,9 @@
 
 // coldRate returns the requests per second that an upstream accepts from all entries together while it is cold.
 func (n *Node) coldRate(l hosts.Lifetime) (rate float64, cold bool) {
+	if !n.watch.Rules().HasCold() {
+		return 0, false
+	}
 	u, listed := n.watch.Hosts().Get(l.ID)
 	if !listed || u.ColdUntilMs == 0 || u.Lifetime() != l || time.Now().UnixMilli() >= u.ColdUntilMs {
 		return 0, false
--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -114,6 +114,7 @@
 	pools    map[string]Pool
 	teams    map[string]Team // by API key
 	needsKey bool
+	hasCold  bool
 	limits   Limits
 	// resumable holds the pools of resumable routes, with their longest timeout.
 	resumable map[string]time.Duration
@@ -152,6 +153,7 @@
 	}
 	for _, p := range pools {
 		r.pools[p.Name] = p
+		r.hasCold = r.hasCold || p.Cold.PerSecond > 0
 	}
 	return r
 }
@@ -166,6 +168,9 @@
 // Limits returns the bounds on what callers may send.
 func (r *Rules) Limits() Limits { return r.limits }
 
+// HasCold reports whether some pool has cold upstreams.
+func (r *Rules) HasCold() bool { return r.hasCold }
+
 // Match returns the route of the host with the longest prefix of the path. It tries only the prefixes that end with a
 // slash, so the time does not grow with the number of routes.
 func (r *Rules) Match(host, path string) (Route, bool) {
