Probe the memory of upstreams after an evacuation

Cause: results in an evacuated zone are not released, so upstreams that come back hold results that the scheduler does not track. Nothing tested that releases count at cold upstreams.

Change: upstreams of evacuated zones are asked for their free memory when they come back.

--- a/internal/leader/sched/withheld.go
+++ b/internal/leader/sched/withheld.go
@@ -13,11 +13,12 @@
 	for _, u := range withheld {
 		w := p.workers[u.ID]
 		if w == nil {
-			w = &worker{slowness: 1, held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
+			w = &worker{slowness: 1, held: map[string]held{}}
 			p.workers[u.ID] = w
 			sc.workersByID[u.ID] = w
 		}
 		w.up, w.withheld = u, true
+		w.mayHoldUntracked = p.spec.Headroom >= minProbedHeadroom // results there are not released meanwhile
 	}
 }
 
