Let followers learn that upstreams are warm after an evacuation

Cause: a follower took upstreams of a zone that came back to be cold for the whole of cold_start_s, as it does not read the list in which they say otherwise, and its permit queries made the leader count plain requests to them.

Result: the tests of edge/watch pass with -race; without the change the new test fails.

--- a/internal/edge/watch/cold.go
+++ b/internal/edge/watch/cold.go
@@ -55,3 +55,15 @@
 		delete(w.returned, l)
 	}
 }
+
+// endReturned applies the leader's list, in which upstreams whose zone came back are cold until they have said otherwise.
+func (w *Watcher) endReturned(t *hosts.Table) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for l, term := range w.returned {
+		u, listed := t.Get(l.ID)
+		if listed && u.Lifetime() == l && u.ColdUntilMs == 0 && t.Read().Sub(term.since) > maxEntryAge {
+			delete(w.returned, l)
+		}
+	}
+}
--- a/internal/edge/watch/cold_test.go
+++ b/internal/edge/watch/cold_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
@@ -61,6 +62,27 @@
 	})
 }
 
+// The leader hears from an upstream that it is warm, and its followers do not read the list.
+func TestFollowersLearnThatUpstreamsAreWarm(t *testing.T) {
+	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
+		s.put(platform.TopicRules, platform.RulesKey, fmt.Sprintf(coldRules, 6, 6))
+		s.put(platform.TopicRules, "evacuate/z", `{}`)
+		time.Sleep(2 * time.Second)
+		s.put(platform.TopicRules, "evacuate/z", ``)
+		for i := range 10 { // the leader's list is read 200 ms before it arrives
+			time.Sleep(250 * time.Millisecond)
+			told := revisionAt(6, time.Now())
+			told.LacksZones = true
+			w.Confirm(told, hosts.New([]hosts.Upstream{{ID: "u1", Pool: "p", Zone: "z", StartedMs: 1, State: hosts.Ready}},
+				time.Now().Add(-200*time.Millisecond)))
+			if i == 3 {
+				c.Check(coldFor(w, "u1") > 0, qt.IsTrue, qt.Commentf("the list is from before an entry after the return"))
+			}
+		}
+		c.Check(coldFor(w, "u1"), qt.Equals, time.Duration(0))
+	})
+}
+
 func TestUpstreamsAreColdAfterAnEvacuation(t *testing.T) {
 	for _, cold := range []int{6, 0} {
 		runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -222,6 +222,7 @@
 	if table != nil {
 		w.leaderHostsAt.Store(&now)
 		w.ObserveRead(table.Read())
+		w.endReturned(table)
 		w.updateHosts(table)
 	}
 }
