--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
+	"github.com/ragworthatch/ragworthatch/internal/limit/shed"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
 
@@ -42,6 +43,7 @@
 	maxBufferedBytes    = 256 << 10             // bytes; a longer answer is streamed to the caller
 	maxPieces           = 10_000                // in all stages of a request
 	streamBufferBytes   = 8 << 10               // bytes
+	maxUnreadBytes      = 128 << 10             // of a body; the server reads as much after a refusal
 
 	// A stream takes a few times the target of its first event, which counts from its arrival.
 	streamTargets     = 2 // expected from its arrival on, while this process is about to exit
@@ -70,6 +72,9 @@
 	// Permit asks for permission to send one request to an upstream; it returns the time until the upstream accepts one,
 	// 0 if the request may be sent.
 	Permit func(context.Context, hosts.Lifetime) time.Duration
+	// Short reports what this process is too short of to serve a request with the given rank and target, and when its
+	// caller may come back; empty if it is to be served.
+	Short  func(rank int, target time.Duration) (shed.Resource, time.Duration)
 	Budget *resend.Budget
 	Stats  *stats.Stats
 	Crash  *crash.Tracker
@@ -125,6 +130,7 @@
 	resumable   lead.Stream     // that the caller may take up
 	fingerprint uint64          // see fingerprintOf
 	parts       []string        // of the prompt, which other requests may share
+	short       shed.Resource   // that it was refused for
 	breaks      int             // sends that ended before their answer began
 	checked     <-chan struct{} // closed when the upstream of the last of them has been asked whether it runs
 }
@@ -148,11 +154,11 @@
 		return
 	}
 	x.o.Stats.Finished(x.route.Name, "served", x.o.Now().Sub(x.arrived))
+	x.o.Stats.TeamFinished(x.team, x.priority, "served")
 }
 
-// prepare finds the route, team and pool, reads the body and sets the deadline. It returns a failure for a request that
-// is refused before any upstream is tried.
-func (x *exchange) prepare(w http.ResponseWriter) *fault.Error {
+// identify finds the route, the team and the rank. It returns a failure for a request that has none.
+func (x *exchange) identify() *fault.Error {
 	if x.rules.Version() == 0 {
 		return fault.New(fault.NotRun, fault.NotReady, "no configuration is known yet").WithRetryAfter(notReadyRetryAfter)
 	}
@@ -175,13 +181,26 @@
 			x.priority = team.Priority
 		}
 	}
+	return nil
+}
+
+// prepare identifies the request, reads the body and sets the deadline and the pool. It returns a failure for a request
+// that is refused before any upstream is tried.
+func (x *exchange) prepare(w http.ResponseWriter) *fault.Error {
+	if failure := x.identify(); failure != nil {
+		return failure
+	}
 	if x.o.Stopping() {
 		return stopping()
 	}
-	limit := x.rules.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
+	// An unread body up to this size does not keep the caller from reading the refusal.
+	readFirst := x.in.ContentLength < 0 || x.in.ContentLength > maxUnreadBytes
+	if !readFirst {
+		if failure := x.checkShortage(); failure != nil {
+			return failure
+		}
 	}
+	limit := x.bodyLimit()
 	body, err := io.ReadAll(http.MaxBytesReader(w, x.in.Body, limit))
 	if err != nil {
 		var large *http.MaxBytesError
@@ -191,25 +210,22 @@
 		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
 	}
 	x.body = body
+	if readFirst {
+		if failure := x.checkShortage(); failure != nil {
+			return failure
+		}
+	}
 	if !x.head.HasAtMostPieces(maxPieces) {
 		return fault.New(fault.NotRun, fault.BadRequest, "more than %d pieces", maxPieces)
 	}
-	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
-	x.parts = crash.PartsOf(x.head.Model, x.head.Prefix)
+	x.mark(body)
 	x.o.Verify.Check()
 	if d := x.o.Crash.BlockedFor(x.fingerprint, x.parts); d > 0 {
 		return quarantined(d)
 	}
-	remaining := x.head.Remaining
-	if !x.head.HasDeadline {
-		remaining = defaultDeadline
-	}
-	if route.Timeout > 0 {
-		remaining = min(remaining, route.Timeout)
-	}
-	x.deadline = x.arrived.Add(remaining)
-	x.pool = route.PickPool(rand.Float64())
-	if route.Resumable {
+	x.setDeadline()
+	x.pool = x.route.PickPool(rand.Float64())
+	if x.route.Resumable {
 		x.pickStream()
 	}
 	x.o.Budget.CountRequest(x.pool)
@@ -219,6 +235,47 @@
 	return nil
 }
 
+// bodyLimit returns the greatest size of a body, in bytes.
+func (x *exchange) bodyLimit() int64 {
+	if limit := x.rules.Limits().BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxBodyBytes
+}
+
+// mark computes what requests that crash upstreams are known by.
+func (x *exchange) mark(body []byte) {
+	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
+	x.parts = crash.PartsOf(x.head.Model, x.head.Prefix)
+}
+
+// setDeadline sets the deadline of the caller or of the route, whichever is earlier.
+func (x *exchange) setDeadline() {
+	remaining := x.head.Remaining
+	if !x.head.HasDeadline {
+		remaining = defaultDeadline
+	}
+	if x.route.Timeout > 0 {
+		remaining = min(remaining, x.route.Timeout)
+	}
+	x.deadline = x.arrived.Add(remaining)
+}
+
+// checkShortage refuses a request that this process is too short of some resource to serve in time, unless it takes up a
+// stream, which was begun before.
+func (x *exchange) checkShortage() *fault.Error {
+	if x.head.LastEventID != "" {
+		return nil
+	}
+	short, wait := x.o.Short(x.priority, x.route.Target)
+	if short == shed.None {
+		return nil
+	}
+	x.short = short
+	x.o.Stats.Shed(string(short), x.priority)
+	return fault.New(fault.NotRun, fault.Overloaded, "this entry is short of %s", short).WithRetryAfter(wait)
+}
+
 // stopping is the refusal of a request that this entry can't finish before it exits.
 func stopping() *fault.Error {
 	return fault.New(fault.NotRun, fault.Draining, "this entry is shutting down").WithRetryAfter(defaultRetryAfter)
@@ -259,13 +316,18 @@
 
 // run sends the request to upstreams until one answers or no retry is left.
 func (x *exchange) run() *fault.Error {
-	spec, _ := x.rules.Pool(x.pool)
-	if spec.Engine != nil || len(x.route.Stages) > 0 || x.route.Resumable {
+	if x.isPlaced() {
 		return x.runPlaced()
 	}
 	return x.runPlain()
 }
 
+// isPlaced reports whether the leader decides where the request runs.
+func (x *exchange) isPlaced() bool {
+	spec, _ := x.rules.Pool(x.pool)
+	return spec.Engine != nil || len(x.route.Stages) > 0 || x.route.Resumable
+}
+
 // remaining returns the time left until the deadline.
 func (x *exchange) remaining() time.Duration { return x.deadline.Sub(x.o.Now()) }
 
@@ -366,9 +428,15 @@
 func (x *exchange) recordFailure(code fault.Code, verdict fault.Verdict, cause error, extra ...zap.Field) {
 	age := x.o.Now().Sub(x.arrived)
 	x.o.Log.Info("failed", append(extra, zap.String("request", x.logID), zap.String("route", x.route.Name),
+		zap.String("team", x.team), zap.Int("rank", x.priority),
 		zap.Int("sends", x.sends), zap.Duration("age", age), zap.Int64("version", x.rules.Version()),
-		zap.String("code", string(code)), zap.String("verdict", string(verdict)), zap.Error(cause))...)
+		zap.String("code", string(code)), zap.String("verdict", string(verdict)), zap.String("short", string(x.short)), zap.Error(cause))...)
 	x.o.Stats.Finished(x.route.Name, string(code), age)
+	outcome := "failed"
+	if verdict == fault.NotRun {
+		outcome = "refused"
+	}
+	x.o.Stats.TeamFinished(x.team, x.priority, outcome)
 }
 
 // abort records the failure of a partly written answer and cuts the caller's connection.
--- a/internal/leader/lead/evacuation_test.go
+++ b/internal/leader/lead/evacuation_test.go
@@ -36,8 +36,8 @@
 	arrivals map[string][]time.Time // of calls and releases, by upstream and path
 }
 
-// startStages runs a coordinator until the test ends; encoding is called between the decision on a call and its send.
-func startStages(t *testing.T, limits *pace.Limiter[hosts.Lifetime], encoding func(*stageSite)) *stageSite {
+// startStageSite runs a coordinator until the test ends; encoding is called between the decision on a call and its send.
+func startStageSite(t *testing.T, limits *pace.Limiter[hosts.Lifetime], encoding func(*stageSite)) *stageSite {
 	s := &stageSite{c: qt.New(t), arrivals: map[string][]time.Time{}}
 	serve := func(id string) string {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -104,7 +104,7 @@
 // A stage call that is scheduled when its zone is evacuated is not sent, and its pieces go to another zone without
 // counting as failed.
 func TestScheduledCallsDoNotEnterAnEvacuatedZone(t *testing.T) {
-	s := startStages(t, pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now}),
+	s := startStageSite(t, pace.New[hosts.Lifetime](pace.Options{Share: func() float64 { return 1 }, Now: time.Now}),
 		func(s *stageSite) { s.table.Store(s.table.Load().WithEvacuated([]string{"a"})) })
 	s.c.Check(s.decide().Upstream, qt.Equals, "e")
 	s.c.Check(s.arrivalsAt("s1"+platform.StageRunPath), qt.HasLen, 0)
@@ -117,7 +117,7 @@
 	limits.LimitCold(pace.Cold[hosts.Lifetime]{Share: func() float64 { return 1 },
 		Rate:  func(l hosts.Lifetime) (float64, bool) { return 2, l.ID != "e" },
 		Bound: func() (float64, float64) { return 1.5, 1.5 }})
-	s := startStages(t, limits, func(*stageSite) {})
+	s := startStageSite(t, limits, func(*stageSite) {})
 	s.c.Check(s.decide().Upstream, qt.Equals, "e")
 	s.FirstByte("one", false)
 	calls := s.arrivalsAt("s1" + platform.StageRunPath)
--- a/internal/leader/sched/withheld.go
+++ b/internal/leader/sched/withheld.go
@@ -11,12 +11,7 @@
 // can be read, also those of jobs that another scheduler began.
 func (sc *Scheduler) keepWithheld(p *pool, withheld []hosts.Upstream) {
 	for _, u := range withheld {
-		w := p.workers[u.ID]
-		if w == nil {
-			w = &worker{slowness: 1, held: map[string]held{}}
-			p.workers[u.ID] = w
-			sc.workersByID[u.ID] = w
-		}
+		w := sc.workerOf(p, u.ID)
 		w.up, w.withheld = u, true
 		w.mayHoldUntracked = p.spec.Headroom >= minProbedHeadroom // results there are not released meanwhile
 	}
