Ignore odd rates in the permit queries of other entries

Cause: a permit query with a rate reached a limiter without limits of cold upstreams, or with a rate that is no number.

Change: such a rate is ignored. The seeds of the fuzz target for messages of entries hold a rate and zones.

Result: the tests of limit/pace and leader/serve pass; without the check the fuzz target ends with a nil pointer on its seed.

--- a/internal/leader/serve/server_test.go
+++ b/internal/leader/serve/server_test.go
@@ -166,6 +166,8 @@
 			Stages: []*cellpb.Stage{{Pieces: 2}, {Pieces: 1, After: []int32{0}}}}}},
 		{Body: &cellpb.ToLead_Holds{Holds: &cellpb.Holds{HostsVersion: 1}}},
 		{Body: &cellpb.ToLead_Notice{Notice: &cellpb.Notice{Id: "u", PauseUs: 1 << 62}}},
+		{Body: &cellpb.ToLead_PermitQuery{PermitQuery: &cellpb.PermitQuery{Id: "u", ColdRate: 3}}},
+		{Body: &cellpb.ToLead_Ping{Ping: &cellpb.Ping{Zones: []*cellpb.Zone{{Name: "z", Era: -1}, {}}}}},
 		{},
 	} {
 		data, err := proto.Marshal(m)
--- a/internal/limit/pace/cold.go
+++ b/internal/limit/pace/cold.go
@@ -1,6 +1,9 @@
 package pace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // takeoverDelay is how long a process whose share has grown sends nothing to cold upstreams. By then the process that had
 // the share before has noticed that others no longer follow it.
@@ -51,8 +54,12 @@
 	return 0
 }
 
-// TakeCold does the same as Take for an upstream that another process knows to be cold with a rate.
+// TakeCold does the same as Take for an upstream that another process knows to be cold with a rate. A rate that is no
+// positive finite number is ignored.
 func (l *Limiter[K]) TakeCold(key K, rate float64) time.Duration {
+	if !(rate > 0) || math.IsInf(rate, 0) || l.cold.Rate == nil {
+		rate = 0
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.waitFor(key, max(rate, l.ColdRate(key)), true)
