--- a/internal/leader/lead/dispatcher.go
+++ b/internal/leader/lead/dispatcher.go
@@ -41,6 +41,9 @@
 	Progress []sched.Progress
 }
 
+// Crowded is the reason of refusals by engines that have too many prompts to read, or not enough memory, for a request.
+const Crowded sched.Reason = "crowded"
+
 // Problem is the reason why a request did not run on the engine that was picked for it.
 type Problem string
 
@@ -75,6 +78,11 @@
 // Decider is a Dispatcher that makes the decisions itself. It is safe for concurrent use.
 type Decider interface {
 	Dispatcher
+	// Adopt counts requests of an entry that run on engines by the decision of another process. With whole, these are all
+	// that the entry has.
+	Adopt(entry string, runs []place.Run, whole bool)
+	// Abandon says that requests may run on although their entry is out of touch. Ended comes after it.
+	Abandon(ids []string)
 	// Recall asks for an undecided order back. The reply is a decision with Moved, unless another decision comes first.
 	Recall(id string)
 }
