--- a/internal/leader/sched/withheld.go
+++ b/internal/leader/sched/withheld.go
@@ -13,6 +13,7 @@
 	for _, u := range withheld {
 		w := sc.workerOf(p, u.ID)
 		w.up, w.withheld = u, true
+		w.mayHoldUntracked = p.spec.Headroom >= minProbedHeadroom // results there are not released meanwhile
 	}
 }
 
