--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -28,21 +28,9 @@
 	ProcessorWait time.Duration // median of the last half second
 	Pools         []PoolUse     // stage pools, of the requests that this entry decides on
 	Engines       []EngineUse   // of those requests
-}
-
-// PoolUse says what the upstreams of a stage pool do and what waits for them.
-type PoolUse struct {
-	Pool             string
-	Upstreams        map[string]int // by state: free, busy, slow, paused
-	Waiting, Running map[int]int    // pieces by rank
-}
 
-// EngineUse says what one engine has left.
-type EngineUse struct {
-	Pool, Engine string
-	Requests     int // that run
-	FreeSlots    int // for requests
-	FreeTokens   int // of memory
+	Cold           int64 // upstreams that are known to be cold
+	EvacuatedZones int64 // zones that get no requests from this entry
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -98,6 +86,10 @@
 	gauge("edge.processorWait", "ms", "Time that this process waits until the processor runs it, median of the last half second.",
 		func(s Gauges) int64 { return s.ProcessorWait.Milliseconds() })
 	registerUse(m, state)
+	gauge("edge.coldUpstreams", "{upstream}", "Upstreams that are cold and accept only a few requests.",
+		func(s Gauges) int64 { return s.Cold })
+	gauge("edge.evacuatedZones", "{zone}", "Zones whose upstreams get no requests from this entry.",
+		func(s Gauges) int64 { return s.EvacuatedZones })
 	return &Stats{
 		teams: m.Counter(meter.Spec{Name: "edge.teamRequests", Unit: "{request}",
 			Help: "Finished requests by team, rank and outcome: served, refused or failed."}),
--- a/internal/edge/stats/use.go
+++ b/internal/edge/stats/use.go
@@ -6,6 +6,21 @@
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 )
 
+// PoolUse says what the upstreams of a stage pool do and what waits for them.
+type PoolUse struct {
+	Pool             string
+	Upstreams        map[string]int // by state: free, busy, slow, paused
+	Waiting, Running map[int]int    // pieces by rank
+}
+
+// EngineUse says what one engine has left.
+type EngineUse struct {
+	Pool, Engine string
+	Requests     int // that run
+	FreeSlots    int // for requests
+	FreeTokens   int // of memory
+}
+
 // registerUse registers the gauges by pool, rank and engine, which only a leader reports.
 func registerUse(m *meter.Meter, state func() Gauges) {
 	gauge := func(name, unit, help string, read func(Gauges, meter.Observe)) {
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -342,6 +342,10 @@
 		reply(c.refuseNoEngine(o.Engine, now))
 		return
 	}
+	if len(c.hosts.Evacuated()) > 0 && len(o.Engine.Ready(c.hosts)) == 0 {
+		reply(Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second})
+		return
+	}
 	if wait, exceeds := c.exceedsLimits(o, now); exceeds {
 		reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
 		return
@@ -743,11 +747,14 @@
 		go c.runBatch(b)
 	}
 	for _, r := range out.Releases {
+		if c.hosts.IsEvacuated(r.Upstream.Zone) {
+			continue // the results expire
+		}
 		if wait := c.opts.Notices.PauseRemaining(r.Upstream.Lifetime()); wait > 0 {
-			c.releaseLater(r, wait)
+			c.releaseLater(r, wait, now.Add(maxReleaseDelay))
 			continue
 		}
-		c.releases.Go(func() { c.release(r) })
+		c.releases.Go(func() { c.release(r, now.Add(maxReleaseDelay)) })
 	}
 	for _, u := range out.Probes {
 		go c.updateFreeBytes(u)
@@ -786,6 +793,9 @@
 // its maximum size.
 func (c *Coordinator) roundTrip(u hosts.Upstream, timeout time.Duration, results int,
 	r uphttp.Request) (stageAnswer, *fault.Error) {
+	if c.opts.Hosts().IsEvacuated(u.Zone) {
+		return stageAnswer{}, fault.New(fault.NotRun, fault.Draining, "the zone of %s is evacuated", u.ID)
+	}
 	if wait := c.opts.Notices.PauseRemaining(u.Lifetime()); wait > 0 {
 		return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s wants nothing for now", u.ID).WithRetryAfter(wait)
 	}
@@ -793,7 +803,11 @@
 	defer cancel()
 	r.Host = u.Address
 	if r.URI != c.opts.Codec.RunPath { // calls were counted when they were scheduled
-		c.opts.Limits.Spend(u.Lifetime())
+		if c.opts.Limits.ColdRate(u.Lifetime()) == 0 {
+			c.opts.Limits.Spend(u.Lifetime())
+		} else if wait := c.opts.Limits.Take(u.Lifetime()); wait > 0 {
+			return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s is cold", u.ID).WithRetryAfter(wait)
+		}
 	}
 	sent := c.opts.Now()
 	answer, failure := c.opts.Client.Do(ctx, u.Address, r)
@@ -828,7 +842,8 @@
 // runBatch calls a stage upstream with a batch and passes the outcome to the scheduler.
 func (c *Coordinator) runBatch(b sched.Batch) {
 	results, failure := c.callBatch(b)
-	busy := failure != nil && failure.Code == fault.Overloaded
+	// A call that was not sent as its zone is evacuated is no failure of its pieces either.
+	busy := failure != nil && (failure.Code == fault.Overloaded || failure.Code == fault.Draining)
 	outcome := "answered"
 	if failure != nil {
 		outcome = string(failure.Code)
@@ -979,18 +994,19 @@
 	return d
 }
 
-// releaseLater releases results once the pause of their upstream ends, unless they have expired by then.
-func (c *Coordinator) releaseLater(r sched.Release, wait time.Duration) {
-	if wait > maxReleaseDelay {
+// releaseLater releases results once the pause of their upstream ends, unless that is after last, when they have expired.
+func (c *Coordinator) releaseLater(r sched.Release, wait time.Duration, last time.Time) {
+	if c.opts.Now().Add(wait).After(last) {
 		c.opts.Log.Info("results are left to expire", zap.String("upstream", r.Upstream.ID),
 			zap.Int("results", len(r.Handles)))
 		return
 	}
-	time.AfterFunc(wait, func() { c.release(r) })
+	time.AfterFunc(wait, func() { c.release(r, last) })
 }
 
-// release tells an upstream to drop results. If that fails, they take up memory until they expire.
-func (c *Coordinator) release(r sched.Release) {
+// release tells an upstream to drop results, later if it is cold and accepts no request now. If that fails, they take up
+// memory until they expire.
+func (c *Coordinator) release(r sched.Release, last time.Time) {
 	body, err := c.opts.Codec.EncodeRelease(r.Handles)
 	if err != nil {
 		c.opts.Log.Warn("can't encode a release", zap.Error(err))
@@ -999,6 +1015,10 @@
 	_, failure := c.roundTrip(r.Upstream, releaseTimeout, 0, uphttp.Request{
 		Method: http.MethodPost, URI: c.opts.Codec.ReleasePath, Body: body, Header: c.opts.Codec.HeaderFor(r.Upstream.ID, 0),
 	})
+	if failure != nil && failure.Verdict == fault.NotRun && failure.RetryAfter > 0 {
+		c.releaseLater(r, failure.RetryAfter, last)
+		return
+	}
 	if failure != nil {
 		c.opts.Log.Info("release failed", zap.String("upstream", r.Upstream.ID), zap.Error(failure))
 	}
