Compare the upstreams of a pool every 5 ms at most

Cause: with 400 upstreams that state their load, comparing them took 133 of 476 us of a scheduling step.

Change: the comparison holds for 5 ms, in which samples fade by 3%.

Measured: 0.42 to 0.44 ms a step with 400 upstreams that state their load, 0.39 to 0.43 ms without (3 runs of 100 steps).

--- a/internal/leader/sched/speed.go
+++ b/internal/leader/sched/speed.go
@@ -10,10 +10,14 @@
 	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
+// speedInterval is the least time between comparisons of the upstreams of a pool; samples fade by 3% in it.
+const speedInterval = 5 * time.Millisecond
+
 // poolSpeed is how fast the upstreams of a pool are now. It is empty while none of them has stated its load.
 type poolSpeed struct {
 	known   bool          // some upstream has stated its load
 	typical time.Duration // median duration of a call of the reference size
+	updated time.Time     // when these were computed
 	mean    float64       // duration of a call as a multiple of the usual one, by what all upstreams together complete
 }
 
@@ -49,9 +53,10 @@
 
 // updateSpeed compares the upstreams of a pool that state their load.
 func (p *pool) updateSpeed(now time.Time) {
-	if !p.speed.known {
+	if !p.speed.known || now.Sub(p.speed.updated) < speedInterval {
 		return
 	}
+	p.speed.updated = now
 	usual := p.referenceCall()
 	var durations []time.Duration
 	var rate int64 // millionths of calls in the usual duration of one, by all upstreams; whole, so that the order is irrelevant
