Give up calls to slow upstreams no later than at the limit of slow ones

Cause: a time-out of five times the expected time let an upstream that states a long time hold pieces for up to 21 usual call times.

Change: time-outs use the same bound on the expected time as hedges, 1.7 usual call times.

Measured: with an upstream that states twice the time and a queue, the time-out stays below 8.5 usual call times; the test fails without the bound.

--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -224,7 +224,7 @@
 	r.id = sc.nextID
 	r.usual = p.usualCallTime(len(items)) + overheadPerCall
 	r.reference, r.expected = w.speed.Reference(r.usual, now), w.speed.Duration(r.usual, now)
-	r.timeout = max(minTimeout, timeoutFactor*r.expected)
+	r.timeout = max(minTimeout, timeoutFactor*r.boundedExpectation())
 	updateAverage(&p.avgCallTime, r.expected)
 	w.running = r
 	p.countsValid = false
--- a/internal/leader/sched/hedge.go
+++ b/internal/leader/sched/hedge.go
@@ -19,9 +19,7 @@
 		if p := sc.pools[r.worker.up.Pool]; p != nil && len(p.ready) > 0 {
 			factor = hedgeQueuedFactor
 		}
-		// A call at an upstream that is known to be slow is hedged no later than one at the limit of slow ones.
-		expected := min(r.expected, time.Duration(speed.SlowFactor*float64(r.usual)))
-		if r.hedged || elapsed < time.Duration(factor*float64(expected))+hedgeSlack {
+		if r.hedged || elapsed < time.Duration(factor*float64(r.boundedExpectation()))+hedgeSlack {
 			continue
 		}
 		r.hedged = true
@@ -38,5 +36,11 @@
 	}
 }
 
+// boundedExpectation returns the duration by which a call is hedged and given up: the expected one, but of an upstream
+// that is known to be slow no more than at the limit of slow ones.
+func (r *activeCall) boundedExpectation() time.Duration {
+	return min(r.expected, time.Duration(speed.SlowFactor*float64(r.usual)))
+}
+
 // slow reports whether the upstream gets single steps, to test whether it has recovered.
 func (w *worker) slow() bool { return w.speed.Slow() }
--- a/internal/leader/sched/uneven_test.go
+++ b/internal/leader/sched/uneven_test.go
@@ -69,7 +69,9 @@
 			}
 			s.Submit(sched.Job{ID: "j", Arrived: start, Target: start.Add(time.Hour), Deadline: start.Add(2 * time.Hour),
 				Stages: []sched.Stage{{Pool: "p", Pieces: 3}}}, start)
-			calls[s.Schedule(start.Add(tick)).Batches[0].Upstream.ID]++
+			b := s.Schedule(start.Add(tick)).Batches[0]
+			calls[b.Upstream.ID]++
+			c.Check(float64(b.Timeout) <= 5*1.7*float64(b.Usual), qt.IsTrue, qt.Commentf("holds its pieces for %v", b.Timeout))
 		}
 		mean, most := float64(entries)/stageUpstreams, slices.Max(slices.Collect(maps.Values(calls)))
 		c.Logf("%d entries: %d calls at most to one upstream, %.1f on average", entries, most, mean)
