Make two tests steady on busy machines

Cause: late closes of earlier tests could leave more descriptors than the test of a short entry assumes, and a sample could fade before the second call of the test of the way from header to call.

Change: the limit is set anew for each request; the duration is compared only while the sample is younger than 100 ms, the sample itself always.

--- a/internal/edge/node/short_test.go
+++ b/internal/edge/node/short_test.go
@@ -30,13 +30,16 @@
 
 		var before syscall.Rlimit
 		w.c.Assert(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before), qt.IsNil)
-		open, err := os.ReadDir("/proc/self/fd")
-		w.c.Assert(err, qt.IsNil)
-		limit := syscall.Rlimit{Cur: uint64(len(open)) + 40, Max: before.Max}
-		w.c.Assert(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit), qt.IsNil)
+		leaveFew := func() { // anew for each request, as earlier tests may close descriptors late
+			open, err := os.ReadDir("/proc/self/fd")
+			w.c.Assert(err, qt.IsNil)
+			limit := syscall.Rlimit{Cur: uint64(len(open)) + 40, Max: before.Max}
+			w.c.Assert(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit), qt.IsNil)
+		}
 		restore := func() { w.c.Check(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before), qt.IsNil) }
 		refused := 0
 		for i, end := 0, time.Now().Add(1500*time.Millisecond); time.Now().Before(end); i++ {
+			leaveFew()
 			id := fmt.Sprint(i)
 			got := w.do(e, http.MethodGet, "/read/x", id, "")
 			if got.status == http.StatusServiceUnavailable {
--- a/internal/leader/lead/load_test.go
+++ b/internal/leader/lead/load_test.go
@@ -27,6 +27,9 @@
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
+// maxSampleAge is the age up to which the sample of the test still makes a call longer.
+const maxSampleAge = 100 * time.Millisecond
+
 // The load that an upstream states in the answer to one call must count for the next one: a header that is decoded and
 // then dropped on its way to the scheduler changes no other test.
 func TestStatedLoadReachesTheNextCall(t *testing.T) {
@@ -59,6 +62,9 @@
 		c.Assert(calls, qt.HasLen, 2)
 		fields := calls[1].ContextMap()
 		c.Check(fields["timePercent"], qt.Equals, test.percent, qt.Commentf("%q", test.header))
+		if age, ok := fields["loadAge"].(time.Duration); ok && age > maxSampleAge {
+			continue // on a busy machine: the sample has faded
+		}
 		c.Check(fields["usual"] != nil && fields["expected"].(time.Duration) > fields["usual"].(time.Duration), qt.Equals, test.longer,
 			qt.Commentf("%q", test.header))
 	}
