--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -234,12 +234,7 @@
 			w.present, w.withheld = false, false
 		}
 		for _, u := range t.Ready(name) {
-			w := p.workers[u.ID]
-			if w == nil {
-				w = &worker{speed: speed.New(), held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
-				p.workers[u.ID] = w
-				sc.workersByID[u.ID] = w
-			}
+			w := sc.workerOf(p, u.ID)
 			w.up, w.present = u, true
 		}
 		sc.keepWithheld(p, t.Withheld(name))
@@ -253,6 +248,17 @@
 	}
 }
 
+// workerOf returns the worker of an upstream of a pool, a new one if there is none.
+func (sc *Scheduler) workerOf(p *pool, id string) *worker {
+	w := p.workers[id]
+	if w == nil {
+		w = &worker{speed: speed.New(), held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
+		p.workers[id] = w
+		sc.workersByID[id] = w
+	}
+	return w
+}
+
 // endLifetime forgets an upstream that has restarted, and marks the jobs that it held results of.
 func (sc *Scheduler) endLifetime(w *worker) {
 	for _, h := range w.held {
--- a/internal/leader/sched/simulation_test.go
+++ b/internal/leader/sched/simulation_test.go
@@ -179,13 +179,13 @@
 	if u.busyUntil.After(callStart) {
 		callStart = u.busyUntil
 	}
-	u.busyUntil = callStart.Add(sim.durationAt(b.Upstream.ID, callStart, time.Duration(u.slowdown*float64(callTime))))
 	gone := make([]bool, len(b.Items)) // an input of the item was gone when the call fetched it
 	sim.after(callStart.Add(fetchTime).Sub(sim.now), func(time.Time) {
 		for i, it := range b.Items {
 			gone[i] = slices.ContainsFunc(it.Inputs, func(h string) bool { return !sim.exists(h) })
 		}
 	})
+	u.busyUntil = callStart.Add(sim.durationAt(b.Upstream.ID, callStart, time.Duration(u.slowdown*float64(callTime))))
 	sim.after(u.busyUntil.Sub(sim.now), func(now time.Time) {
 		results := make([]call.Result, len(b.Items))
 		for i, it := range b.Items {
--- a/internal/leader/sched/withheld.go
+++ b/internal/leader/sched/withheld.go
@@ -5,19 +5,13 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
-	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 // keepWithheld tracks the upstreams of a pool whose zones are evacuated. They get no calls, but results that they hold
 // can be read, also those of jobs that another scheduler began.
 func (sc *Scheduler) keepWithheld(p *pool, withheld []hosts.Upstream) {
 	for _, u := range withheld {
-		w := p.workers[u.ID]
-		if w == nil {
-			w = &worker{speed: speed.New(), held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
-			p.workers[u.ID] = w
-			sc.workersByID[u.ID] = w
-		}
+		w := sc.workerOf(p, u.ID)
 		w.up, w.withheld = u, true
 	}
 }
