--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -15,17 +15,16 @@
 
 // Gauges holds the values of the gauges.
 type Gauges struct {
-	ConfigVersion int64
-	ConfigAge     time.Duration // since the store last confirmed it
-	ListAge       time.Duration // since the list of upstreams was read
-	Members       int64         // known entries, this one among them
-	Leads         bool          // this entry is the leader or decides for itself
-	InFlight      int64         // requests of callers
-	OpenOrders    int64         // requests that this entry decides on as the leader
-	QueuedPieces  int64         // pieces of those requests that wait for a call
-	Blocks        int64         // sets of prompt parts that are refused
-	Limited       int64         // upstreams that named a limit
-
+	ConfigVersion  int64
+	ConfigAge      time.Duration // since the store last confirmed it
+	ListAge        time.Duration // since the list of upstreams was read
+	Members        int64         // known entries, this one among them
+	Leads          bool          // this entry is the leader or decides for itself
+	InFlight       int64         // requests of callers
+	OpenOrders     int64         // requests that this entry decides on as the leader
+	QueuedPieces   int64         // pieces of those requests that wait for a call
+	Blocks         int64         // sets of prompt parts that are refused
+	Limited        int64         // upstreams that named a limit
 	Cold           int64         // upstreams that are known to be cold
 	EvacuatedZones int64         // zones that get no requests from this entry
 	ProcessorWait  time.Duration // median of the last half second
@@ -43,9 +42,11 @@
 // EngineUse says what one engine has left.
 type EngineUse struct {
 	Pool, Engine string
-	Requests     int // that run
-	FreeSlots    int // for requests
-	FreeTokens   int // of memory
+	Requests     int           // that run
+	FreeSlots    int           // for requests
+	FreeTokens   int           // of memory
+	Rate         int           // prompt tokens that it is expected to read in a second
+	Backlog      time.Duration // expected time to read the prompts that wait on it
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -58,6 +59,7 @@
 	stageCalls   meter.Counter
 	stagePieces  meter.Histogram
 	failedPieces meter.Counter
+	stageOrders  meter.Counter
 	storeCalls   meter.Counter
 	repeats      meter.Counter
 	ejections    meter.Counter
@@ -66,6 +68,7 @@
 	limited      meter.Counter
 	continued    meter.Counter
 	origins      meter.Counter
+	crowded      meter.Counter
 	teams        meter.Counter
 	shed         meter.Counter
 }
@@ -142,6 +145,11 @@
 				"has the same version."}),
 		origins: m.Counter(meter.Spec{Name: "edge.originLookups", Unit: "{lookup}",
 			Help: "Lookups of the version that began a stream, by where it was found."}),
+		stageOrders: m.Counter(meter.Spec{Name: "edge.stageOrders", Unit: "{request}",
+			Help: "Requests with stages that the leader decided on while callers compete by rank, by route, team, rank, the " +
+				"pool for which they were refused, and result."}),
+		crowded: m.Counter(meter.Spec{Name: "edge.engineRefusals", Unit: "{request}",
+			Help: "Requests refused because engines had too much to read or to hold, by pool and rank."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -194,6 +202,13 @@
 	s.failedPieces.Add(int64(n), label("pool", pool), label("reason", reason))
 }
 
+// StageOrder counts a request with stages that was decided on while callers compete by rank; result is "inTime", "late" or
+// "refused", and pool is empty unless it was refused.
+func (s *Stats) StageOrder(route, team string, rank int, pool, result string) {
+	s.stageOrders.Add(1, label("route", route), label("team", team), label("rank", strconv.Itoa(rank)), label("pool", pool),
+		label("result", result))
+}
+
 // Repeat counts a retry that the retry budget allowed or denied.
 func (s *Stats) Repeat(pool string, allowed bool) {
 	result := "allowed"
@@ -230,6 +245,12 @@
 // OriginLookedUp counts a lookup of the version that began a stream; source says where it was found.
 func (s *Stats) OriginLookedUp(source string) { s.origins.Add(1, label("source", source)) }
 
+// EngineRefusal counts a request that was refused because the engines of a pool had too many prompts to read, or too little
+// memory.
+func (s *Stats) EngineRefusal(pool string, rank int) {
+	s.crowded.Add(1, label("pool", pool), label("rank", strconv.Itoa(rank)))
+}
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/edge/stats/use.go
+++ b/internal/edge/stats/use.go
@@ -40,6 +40,10 @@
 	byEngine("edge.engineRequests", "{request}", "Requests that run on an engine.", func(e EngineUse) int { return e.Requests })
 	byEngine("edge.engineFreeSlots", "{request}", "Requests that an engine can take beside those that run.",
 		func(e EngineUse) int { return e.FreeSlots })
+	byEngine("edge.engineRate", "{token}/s", "Prompt tokens that an engine is expected to read in a second.",
+		func(e EngineUse) int { return e.Rate })
+	byEngine("edge.engineBacklog", "ms", "Expected time to read the prompts that wait on an engine.",
+		func(e EngineUse) int { return int(e.Backlog.Milliseconds()) })
 	byEngine("edge.engineFreeTokens", "{token}", "Tokens of memory that an engine has left.",
 		func(e EngineUse) int { return e.FreeTokens })
 }
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +26,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/repeat"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
+	"github.com/ragworthatch/ragworthatch/internal/limit/kvmem"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -73,9 +76,11 @@
 	Notices *notices.Record
 	Limits  *pace.Limiter[hosts.Lifetime]
 	Origins *origin.Keeper
-	Stats   *stats.Stats
-	Now     func() time.Time
-	Log     *zap.Logger
+	// MemoryShare returns the part of the engines' memory that this process may give out; nil for all.
+	MemoryShare func() float64
+	Stats       *stats.Stats
+	Now         func() time.Time
+	Log         *zap.Logger
 }
 
 // openOrder is an order that is undecided, or that may still need another decision.
@@ -96,6 +101,7 @@
 	inbox       chan func(now time.Time)
 	scheduler   *sched.Scheduler
 	placer      *place.Placer
+	memory      *kvmem.Budget
 	firstVisits *repeat.Tracker
 	orders      map[string]*openOrder
 	waiting     []*openOrder    // whose engines all accept no more requests for now
@@ -105,6 +111,8 @@
 	occupancy   atomic.Pointer[Occupancy]
 	openCount   atomic.Int64
 	queuedCount atomic.Int64
+	policy      *fair.Policy // nil unless requests compete by rank
+	tally       *tally
 
 	releases sync.WaitGroup
 }
@@ -113,9 +121,16 @@
 
 // New returns a coordinator, which does nothing until Run is called.
 func New(o Options) *Coordinator {
+	share := o.MemoryShare
+	if share == nil {
+		share = func() float64 { return 1 }
+	}
+	memory := kvmem.New(kvmem.Options{Share: share, Now: o.Now})
 	return &Coordinator{
-		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits), placer: place.New(o.Limits),
+		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits),
+		placer: place.New(o.Limits, memory), memory: memory,
 		firstVisits: repeat.New(), orders: map[string]*openOrder{}, lookups: map[string]bool{},
+		tally: newTally(o.Stats, o.Log),
 	}
 }
 
@@ -221,7 +236,7 @@
 		c.opts.Log.Error("decisions failed, all orders are refused", zap.Any("panic", panicked), zap.Stack("stack"),
 			zap.Int("orders", len(c.orders)))
 		waiting := c.orders
-		c.scheduler, c.placer, c.orders = sched.New(c.opts.Limits), place.New(c.opts.Limits), map[string]*openOrder{}
+		c.scheduler, c.placer, c.orders = sched.New(c.opts.Limits), place.New(c.opts.Limits, c.memory), map[string]*openOrder{}
 		c.waiting = nil
 		c.rules, c.hosts = nil, nil // reloaded before the next decision
 		for _, o := range waiting {
@@ -249,6 +264,12 @@
 func (c *Coordinator) refreshConfig() {
 	if rules := c.opts.Rules(); rules != c.rules {
 		c.rules = rules
+		if !rules.Ranked() {
+			c.policy = nil
+		} else if c.policy == nil {
+			c.policy = fair.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		}
+		c.scheduler.SetPolicy(c.policy)
 		for _, p := range rules.Pools() {
 			if p.Batch != nil {
 				c.scheduler.SetPool(p.Name, *p.Batch)
@@ -336,6 +357,7 @@
 	waited := c.firstVisits.Record(o.Fingerprint, o.Job.Arrived, o.Job.Deadline)
 	if waited > 0 && !o.Stream.TakenUp { // the first event of a stream that is taken up came long before
 		o.Job.Target = o.Job.Target.Add(-waited)
+		o.Job.Retried = !c.firstVisits.IsEarly(o.Fingerprint, o.Job.Arrived)
 		c.opts.Log.Info("caller comes back", zap.String("request", o.Job.RequestID), zap.Duration("waited", waited))
 	}
 	if _, paused := c.placer.PauseLeft(o.Engine, c.hosts, now); paused {
@@ -350,6 +372,10 @@
 		reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
 		return
 	}
+	if wait, crowded := c.crowded(o, now); crowded {
+		reply(Decision{Refused: Crowded, RetryAfter: wait})
+		return
+	}
 	o.Job.TimeToFirstToken = c.placer.TimeToFirstToken(o.Engine, c.hosts, now)
 	if o.Job.ReadsLargeResults() {
 		o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
@@ -372,6 +398,7 @@
 		}
 		o.reply = reply
 		o.order.Engine.Exclude = append(o.order.Engine.Exclude, engine)
+		o.order.Engine.Staged = true // what was done for it is lost if it is refused
 		if begunAt != "" {
 			o.order.Engine.Version = begunAt
 		}
@@ -454,6 +481,26 @@
 	}
 }
 
+// Adopt counts requests of an entry that run on engines by the decision of another process.
+func (c *Coordinator) Adopt(entry string, runs []place.Run, whole bool) {
+	c.inbox <- func(now time.Time) {
+		c.refreshConfig()
+		c.placer.Adopt(entry, runs, whole, c.hosts, now)
+		if len(runs) > 1 {
+			c.opts.Log.Info("running requests adopted", zap.String("member", entry), zap.Int("requests", len(runs)))
+		}
+	}
+}
+
+// Abandon keeps the memory of requests whose entry is out of touch, until their deadline.
+func (c *Coordinator) Abandon(ids []string) {
+	c.inbox <- func(time.Time) {
+		for _, id := range ids {
+			c.placer.Abandon(id)
+		}
+	}
+}
+
 // Crashed counts a crash of an upstream under a request.
 func (c *Coordinator) Crashed(r crash.Report) {
 	blocked := c.opts.Crash.ObserveCrash(r)
@@ -538,7 +585,8 @@
 		c.restartStages(o, now)
 		return
 	}
-	o.order.Engine.Within = timeLeft(o.order, now)
+	o.order.Engine.Within, o.order.Engine.Left = timeLeft(o.order, now), o.order.Job.Target.Sub(now)
+	o.order.Engine.Staged = o.order.Engine.Staged || len(o.grant.Inputs) > 0
 	order := o.order.Engine
 	if o.begins() {
 		placement := c.opts.Origins.Placement(o.order.Stream.Key, order.Pool)
@@ -553,6 +601,10 @@
 		return
 	}
 	if !ok {
+		if wait, crowded := c.crowded(o.order, now); crowded {
+			c.sendDecision(id, o, Decision{Refused: Crowded, RetryAfter: wait})
+			return
+		}
 		c.sendDecision(id, o, c.refuseNoEngine(order, now))
 		return
 	}
@@ -675,6 +727,20 @@
 	return wait, float64(ahead+1) > capacity
 }
 
+// crowded reports whether the engines that an order may use have too many prompts to read for it, and when its caller
+// may come back.
+func (c *Coordinator) crowded(o Order, now time.Time) (retryAfter time.Duration, crowded bool) {
+	o.Engine.Left = o.Job.Target.Sub(now)
+	retryAfter, crowded = c.placer.Crowded(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
+	if crowded {
+		c.opts.Stats.EngineRefusal(o.Engine.Pool, o.Job.Rank)
+		c.opts.Log.Info("engines crowded", zap.String("request", o.Job.RequestID), zap.String("pool", o.Engine.Pool),
+			zap.String("route", o.Engine.Route), zap.Int("rank", o.Job.Rank), zap.Int("promptTokens", o.Engine.PromptTokens),
+			zap.Bool("staged", o.Engine.Staged), zap.Duration("left", o.Engine.Left), zap.Duration("retryAfter", retryAfter))
+	}
+	return retryAfter, crowded
+}
+
 // refuseNoEngine returns the refusal of an order that no engine can take now. If all engines have paused its entry, the
 // caller may retry when the first pause ends.
 func (c *Coordinator) refuseNoEngine(o place.Order, now time.Time) Decision {
@@ -717,11 +783,18 @@
 			continue
 		}
 		o.grant = granted
+		if c.policy != nil && o.order.Job.NeedsStages() {
+			c.tally.granted(o.order.Job, granted.Late)
+		}
 		o.order.Engine.ByZone = granted.ByZone
 		c.pickEngine(o, now)
 	}
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
+			if r.Pool != "" {
+				c.tally.refused(o.order.Job, r)
+				c.firstVisits.Refused(o.order.Fingerprint, now.Add(r.RetryAfter))
+			}
 			c.logRefusal(o, r, now)
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
@@ -746,6 +819,7 @@
 			zap.Strings("requests", requestsOf(b.Items)), zap.Inline(speedFields{b, now}))
 		go c.runBatch(b)
 	}
+	c.tally.flush(now)
 	for _, r := range out.Releases {
 		if c.hosts.IsEvacuated(r.Upstream.Zone) {
 			continue // the results expire
--- a/internal/leader/lead/load_test.go
+++ b/internal/leader/lead/load_test.go
@@ -54,7 +54,7 @@
 			l.Submit(lead.Order{
 				Job: sched.Job{ID: id, RequestID: id, Arrived: now, Target: now.Add(2 * time.Second), Deadline: now.Add(6 * time.Second),
 					PieceKey: "key", Stages: []sched.Stage{{Pool: "p", Pieces: 1, ResultBytes: 100}}},
-				Engine: place.Order{ID: id, Pool: "engines", PromptTokens: 100, OutputTokens: 10},
+				Engine: place.Order{ID: id, Pool: "engines", PromptTokens: 100, OutputLimit: 10},
 			}, func(d lead.Decision) { got <- d })
 			c.Assert((<-got).Upstream, qt.Equals, "e")
 		}
--- a/internal/leader/lead/survey_test.go
+++ b/internal/leader/lead/survey_test.go
@@ -29,7 +29,7 @@
 		l.Submit(lead.Order{
 			Job: sched.Job{ID: id, RequestID: id, Rank: i % 2, Arrived: now, Target: now.Add(time.Second),
 				Deadline: now.Add(10 * time.Second), PieceKey: "key", Stages: []sched.Stage{{Pool: "p", Pieces: 3, ResultBytes: 100}}},
-			Engine: place.Order{ID: id, Pool: "engines", PromptTokens: 100, OutputTokens: 10},
+			Engine: place.Order{ID: id, Pool: "engines", PromptTokens: 100, OutputLimit: 10},
 		}, func(lead.Decision) {})
 		time.Sleep(time.Millisecond)
 		for _, line := range lines.FilterMessage("refused").TakeAll() {
--- a/internal/leader/place/explain.go
+++ b/internal/leader/place/explain.go
@@ -18,6 +18,7 @@
 	StatePaused  State = "paused"  // wants no requests of the order's entry for now
 	StateLimited State = "limited" // named a limit that is used up
 	StateEjected State = "ejected" // failed lately; it is picked only if there is no other
+	StateCrowded State = "crowded" // has too many prompts to read for the order, no free slot, or too little memory
 )
 
 // Candidate is an engine with the cost that it would have for an order, by part.
@@ -37,10 +38,10 @@
 // first. It changes nothing.
 func (p *Placer) Explain(o Order, t *hosts.Table, spec rule.Engine, now time.Time) []Candidate {
 	keys := prefixKeys(o)
-	home := p.homeEngine(o, keys, t, now)
+	s := p.newSelection(o, keys, t, spec, now)
 	var out []Candidate
 	for _, u := range o.Ready(t) {
-		e := p.engine(u)
+		e := p.current(u, now)
 		near, empty := o, o
 		near.Zone, near.ByZone, near.Base = u.Zone, nil, ""
 		empty = near
@@ -49,7 +50,7 @@
 		c.Backlog = e.cost(empty, nil, u, spec, now)
 		c.Prompt = e.cost(near, keys, u, spec, now) - c.Backlog
 		c.Distance = e.cost(o, keys, u, spec, now) - c.Prompt - c.Backlog
-		if u.ID == home {
+		if u.ID == s.home {
 			c.Home = -e.homeDiscount(o)
 		}
 		c.Cost = c.Backlog + c.Prompt + c.Distance + c.Home
@@ -60,10 +61,14 @@
 			c.State = StateLimited
 		case now.Before(e.ejectedUntil):
 			c.State = StateEjected
+		case !s.admits(u, e):
+			c.State = StateCrowded
 		}
 		out = append(out, c)
 	}
-	rank := func(s State) int { return slices.Index([]State{StateFree, StateEjected, StateLimited, StatePaused}, s) }
+	rank := func(s State) int {
+		return slices.Index([]State{StateFree, StateEjected, StateCrowded, StateLimited, StatePaused}, s)
+	}
 	slices.SortFunc(out, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(rank(a.State), rank(b.State)), cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.ID, b.ID))
 	})
--- a/internal/leader/sched/early_test.go
+++ b/internal/leader/sched/early_test.go
@@ -21,8 +21,8 @@
 		"second": {Size: 20, Call: millis(200), Piece: millis(8.6), Headroom: 2_600_000, ResultRetention: 4 * time.Second},
 		"third":  {Size: 28, Call: millis(200), Piece: millis(6.1), Headroom: 360_000, ResultRetention: 4 * time.Second},
 	}
-	resultBytes["plan"] = []int64{8_000, 60_000, 6_000}
-	sim := newSimulation(pools, 5, 1)
+	sim := newSimulation(pools, map[string]int{"first": 5, "second": 5, "third": 5}, 1)
+	sim.resultBytes["plan"] = []int64{8_000, 60_000, 6_000}
 	const perSecond, seconds = 46, 10
 	for i := range perSecond * seconds {
 		sim.run(time.Second / perSecond)
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -9,6 +9,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
@@ -92,6 +93,7 @@
 	Job        string
 	Reason     Reason
 	RetryAfter time.Duration
+	Pool       string // most in demand of those that the job needs; empty unless jobs compete by rank
 }
 
 // Release lists results that an upstream can drop.
@@ -170,8 +172,14 @@
 	avgBatchSize float64       // pieces of a call while others wait
 	avgBusy      float64       // upstreams with a call in flight while pieces wait
 	lastObserved time.Time
-	lastExpired  time.Time // when results were last scanned for expiry
-	countsValid  bool      // counts is up to date
+	lastExpired  time.Time   // when results were last scanned for expiry
+	congestedAt  time.Time   // when pieces last queued, as all upstreams were busy
+	rankedValid  bool        // ranked is up to date
+	lackedAt     time.Time   // when in-time work last waited for memory for results
+	slotsLeft    float64     // part of the pool that admitted work leaves, as of the last step
+	rankedLarge  map[int]int // as ranked, of steps with large results
+	ranked       map[int]int // pieces of in-time jobs that are in no call, by rank
+	countsValid  bool        // counts is up to date
 	counts       workerCounts
 	speed        poolSpeed
 }
@@ -192,11 +200,14 @@
 	calls       map[int64]*activeCall
 	nextID      int64
 	output      Output
-	toRelease   map[string][]string  // handles by upstream
-	workersByID map[string]*worker   // their present lifetimes
-	affected    map[*job]bool        // jobs that may have lost results
-	overloads   map[string]*overload // by pool names, joined by spaces
-	random      func() uint64        // orders upstreams that are alike
+	toRelease   map[string][]string    // handles by upstream
+	workersByID map[string]*worker     // their present lifetimes
+	affected    map[*job]bool          // jobs that may have lost results
+	overloads   map[string]*overload   // by pool names, joined by spaces
+	now         time.Time              // of the last event
+	lateAhead   map[int]map[string]int // waiting pieces of late jobs by rank and pool, as of the last step
+	policy      *fair.Policy           // nil unless jobs compete by rank
+	random      func() uint64          // orders upstreams that are alike
 }
 
 // New returns a scheduler without pools, which starts no more calls than limits allows.
@@ -205,7 +216,7 @@
 		limits: limits,
 		pools:  map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
 		toRelease: map[string][]string{}, workersByID: map[string]*worker{}, affected: map[*job]bool{},
-		overloads: map[string]*overload{}, random: rand.Uint64,
+		overloads: map[string]*overload{}, lateAhead: map[int]map[string]int{}, random: rand.Uint64,
 	}
 }
 
@@ -274,11 +285,18 @@
 	if sc.jobs[spec.ID] != nil {
 		return
 	}
+	sc.now = now
 	j := newJob(spec, now)
+	if sc.policy != nil {
+		j.limitTarget()
+	}
 	if refusal, refused := sc.admit(j, now); refused {
 		sc.output.Refusals = append(sc.output.Refusals, refusal)
 		return
 	}
+	if sc.policy != nil {
+		sc.countAdmitted(j, now)
+	}
 	sc.jobs[spec.ID] = j
 	sc.order = append(sc.order, j)
 	sc.resume(j, now)
@@ -532,13 +550,14 @@
 		return
 	}
 	sc.Cancel(j.ID)
-	sc.output.Refusals = append(sc.output.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: sc.retryAfter(j, now)})
+	sc.output.Refusals = append(sc.output.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: sc.retryAfter(j, now), Pool: sc.scarcePool(j, now)})
 }
 
 func (sc *Scheduler) enqueue(steps []*step) {
 	for _, s := range steps {
 		if p := sc.pools[s.spec.Pool]; p != nil && !s.job.recalled && !slices.Contains(p.ready, s) {
 			p.ready = append(p.ready, s)
+			p.rankedValid = false
 		}
 	}
 }
@@ -546,14 +565,17 @@
 func (sc *Scheduler) unqueue(s *step) {
 	if p := sc.pools[s.spec.Pool]; p != nil {
 		p.ready = slices.DeleteFunc(p.ready, func(o *step) bool { return o == s })
+		p.rankedValid = false
 	}
 }
 
 // Schedule assigns ready pieces to free upstreams and returns the actions to carry out.
 func (sc *Scheduler) Schedule(now time.Time) Output {
+	sc.now = now
 	for _, p := range sc.pools {
 		p.updateSpeed(now)
 		sc.expireResults(p, now)
+		p.rankedValid = false
 	}
 	sc.reopenAffected(now)
 	sc.hedge(now)
@@ -563,6 +585,14 @@
 	sc.refuseWithheld(now)
 	sc.handOverRecalled(now)
 	sc.reportCheckpoints(now)
+	for name, p := range sc.pools {
+		if sc.policy != nil {
+			p.slotsLeft = sc.policy.Left(name, anyRank, p.capacity(), now)
+		}
+		if p.congested() {
+			p.congestedAt = now
+		}
+	}
 	sc.markLate(now)
 	for _, name := range sortedKeys(sc.pools) {
 		sc.assign(sc.pools[name], now)
@@ -595,7 +625,7 @@
 			sc.recordExpiry(j, now)
 			sc.refuse(j, Expired, now)
 		case j.late && !j.started:
-			if _, stillOverloaded := sc.overloadOf(j, now); stillOverloaded {
+			if sc.overloadedFor(j, now) {
 				sc.refuse(j, Overloaded, now)
 			}
 		}
