--- a/internal/fake/child/child.go
+++ b/internal/fake/child/child.go
@@ -122,6 +122,9 @@
 	return kb / 1000
 }
 
+// PID returns the process ID of the latest run.
+func (c *Child) PID() int { return c.latestRun().cmd.Process.Pid }
+
 // Signal sends a signal; it does nothing if the process has ended.
 func (c *Child) Signal(s syscall.Signal) { _ = c.latestRun().cmd.Process.Signal(s) }
 
