Bound the memory that clients of a process may occupy

Cause: nothing bounded the sum of what connections, heads and bodies held, the memory of the settings was not read, Go's collector knew no limit, and three of the four limits of the configuration were constants. Bodies were read into growing buffers and kept to the end of the request. A request that was refused before its body was read could hold its connection for ever.

Change: limit/memory holds the bytes by kind of holder; ops/intake wraps the listener, follows the framing of messages as bytes are read, counts heads by bytes and lines before net/http parses them, reads bodies after their memory is taken, and gives up first what makes no progress. edge and entry use both. The limits of the configuration apply as they change, without a restart of the listener. Bodies that can't be sent again are dropped when the head of the answer has come. Without limits.memory_mb (limits.memoryMB of an entry) memory is not counted. The crowds' settings of an entry name the new limits; crowds and bounds are unchanged.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -29,8 +27,10 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/memory"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 )
 
 const (
@@ -42,6 +42,7 @@
 	maxBufferedBytes    = 256 << 10             // bytes; a longer answer is streamed to the caller
 	maxPieces           = 10_000                // in all stages of a request
 	streamBufferBytes   = 8 << 10               // bytes
+	minBodyTime         = 3 * time.Second       // that a body may take, also if the deadline is earlier
 
 	// A stream takes a few times the target of its first event, which counts from its arrival.
 	streamTargets     = 2 // expected from its arrival on, while this process is about to exit
@@ -83,6 +84,9 @@
 	ExitAt func() time.Time
 	// Ending is closed when the shutdown leaves no more time to wait for the leader's decisions.
 	Ending <-chan struct{}
+	// Intake reads the bodies of requests.
+	Intake *intake.Intake
+	Memory *memory.Budget // nil leaves memory unbounded
 	Now    func() time.Time
 	Log    *zap.Logger
 }
@@ -108,7 +112,8 @@
 	head       call.Request
 	key        string // unique; the IDs that callers set may not be
 	logID      string // the caller's ID, or the key if there is none
-	body       []byte
+	body       *intake.Body
+	answerHeld int64 // bytes of memory.Answers
 	rules      *rule.Rules
 	route      rule.Route
 	team       string
@@ -138,6 +143,7 @@
 		Front: f, in: r, caller: r.Context(), out: relay.New(w), arrived: f.o.Now(), rules: f.o.Rules(),
 		head: f.o.Codec.ReadRequest(r.Header), key: f.keyPrefix + "-" + strconv.FormatUint(f.keyCount.Add(1), 36),
 	}
+	defer x.releaseMemory()
 	x.logID = cmp.Or(x.head.ID, x.key)
 	failure := x.prepare(w)
 	if failure == nil {
@@ -182,32 +188,30 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, x.in.Body, limit))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return fault.New(fault.NotRun, fault.TooLarge, "the body is larger than %d bytes", limit)
-		}
-		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
+	remaining := x.head.Remaining
+	if !x.head.HasDeadline {
+		remaining = defaultDeadline
+	}
+	if route.Timeout > 0 {
+		remaining = min(remaining, route.Timeout)
+	}
+	x.deadline = x.arrived.Add(remaining)
+	body, failure := x.o.Intake.ReadBody(w, x.in, intake.BodyOptions{
+		Limit: limit, Owner: x.team, Until: x.arrived.Add(max(remaining, minBodyTime)),
+	})
+	if failure != nil {
+		return failure
 	}
 	x.body = body
 	if !x.head.HasAtMostPieces(maxPieces) {
 		return fault.New(fault.NotRun, fault.BadRequest, "more than %d pieces", maxPieces)
 	}
-	x.fingerprint = fingerprintOf(x.in, x.head.Key, body)
+	x.fingerprint = fingerprintOf(x.in, x.head.Key, body.Bytes())
 	x.parts = crash.PartsOf(x.head.Model, x.head.Prefix)
 	x.o.Verify.Check()
 	if d := x.o.Crash.BlockedFor(x.fingerprint, x.parts); d > 0 {
 		return quarantined(d)
 	}
-	remaining := x.head.Remaining
-	if !x.head.HasDeadline {
-		remaining = defaultDeadline
-	}
-	if route.Timeout > 0 {
-		remaining = min(remaining, route.Timeout)
-	}
-	x.deadline = x.arrived.Add(remaining)
 	x.pool = route.PickPool(rand.Float64())
 	if route.Resumable {
 		x.pickStream()
@@ -284,7 +288,7 @@
 		Instance: u.ID, Team: x.team, Remaining: x.remaining(), Inputs: inputs, LastEventID: lastEvent,
 	})
 	answer, failure := x.o.Client.Do(x.in.Context(), u.Address, uphttp.Request{
-		Method: x.in.Method, URI: rawTarget(x.in), Host: x.in.Host, Header: header, Body: x.body,
+		Method: x.in.Method, URI: rawTarget(x.in), Host: x.in.Host, Header: header, Body: x.body.Bytes(),
 		ID: x.head.ID, NoRetry: !x.route.Repeatable(),
 	})
 	x.logSend(u, answer, failure)
@@ -312,9 +316,32 @@
 		return nil, fault.New(fault.NotRun, code, "upstream %s did not run the request: status %d", u.ID, answer.Status)
 	}
 	x.mayHaveRun = true
+	if !x.mayBeSentAgain() {
+		x.body.Release()
+	}
 	return answer, nil
 }
 
+// mayBeSentAgain reports whether the request may go to another upstream after one that may have run it.
+func (x *exchange) mayBeSentAgain() bool {
+	return (x.route.Repeatable() || x.route.Resumable) && x.sends < x.route.Attempts
+}
+
+// growAnswer takes memory for a buffered answer, until the end of the request.
+func (x *exchange) growAnswer(bytes int64) bool {
+	if !x.o.Memory.TryAcquire(memory.Answers, "", bytes) {
+		return false
+	}
+	x.answerHeld += bytes
+	return true
+}
+
+// releaseMemory gives back the memory of the body and of buffered answers.
+func (x *exchange) releaseMemory() {
+	x.body.Release()
+	x.o.Memory.Release(memory.Answers, "", x.answerHeld)
+}
+
 // logSend counts a send and logs it as "sent" once the upstream has answered or failed. The field "send" is the number
 // of the send within the request; the number of a send that doesn't count in sends is used again.
 func (x *exchange) logSend(u hosts.Upstream, answer *uphttp.Answer, failure *fault.Error) {
@@ -386,6 +413,8 @@
 		return http.StatusUnauthorized
 	case fault.TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case fault.SlowBody:
+		return http.StatusRequestTimeout
 	case fault.BadRequest:
 		return http.StatusBadRequest
 	}
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -219,7 +219,7 @@
 
 // relayFailure relays an answer that is not a stream, unless it is a failure that another engine may not have.
 func (x *exchange) relayFailure(u hosts.Upstream, answer *uphttp.Answer) (lead.Problem, *bufferedAnswer, *fault.Error) {
-	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes)
+	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes, x.growAnswer)
 	failure := fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
 	if err != nil {
 		x.answerBroke(u, true, 0, len(body), err)
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -93,7 +93,7 @@
 		return nil, failure
 	}
 	defer answer.Close()
-	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes)
+	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes, x.growAnswer)
 	if err != nil {
 		x.answerBroke(u, true, 0, len(body), err)
 		failure := fault.New(fault.MayHaveRun, fault.Incomplete, "the answer of %s broke off", u.ID).WithCause(err)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -31,8 +31,10 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/memory"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 	"github.com/ragworthatch/ragworthatch/internal/ops/pause"
 	"github.com/ragworthatch/ragworthatch/internal/wire/cellpb"
@@ -40,7 +42,7 @@
 )
 
 const (
-	maxHeaderBytes      = 64 << 10
+	maxHeaderBytes      = 64 << 10 // of the ready and metrics servers, and of answers of the store
 	headerTimeout       = 10 * time.Second
 	idleTimeout         = 90 * time.Second // longer than any caller keeps an idle connection
 	callerKeepAliveIdle = 5 * time.Second
@@ -84,6 +86,8 @@
 	notices  *notices.Record
 	limits   *pace.Limiter[hosts.Lifetime]
 	front    *front.Front
+	memory   *memory.Budget // nil if the settings bound no memory
+	intake   *intake.Intake
 	leaving  atomic.Bool               // after SIGTERM
 	exitAt   atomic.Pointer[time.Time] // nil before SIGTERM
 	stopping atomic.Bool               // set serveAfterTerm after SIGTERM: new requests are refused
@@ -171,6 +175,7 @@
 	})
 	n.budget = resend.New(s.RetryWindow, func() int { return max(assumedEntries, n.registry.Size()) }, time.Now)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
+	n.boundMemory(s)
 	n.front = front.New(front.Options{
 		Host: s.Name, Zone: s.Zone,
 		Codec: front.Codec{
@@ -186,6 +191,7 @@
 		Verify:   n.verify,
 		Origins:  n.origins,
 		Stopping: n.stopping.Load, Leaving: n.leaving.Load, ExitAt: n.plannedExit, Ending: n.ending,
+		Intake: n.intake, Memory: n.memory,
 		Now: time.Now, Log: log.Named("front"),
 	})
 	return n, nil
@@ -201,6 +207,7 @@
 		ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.registry.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
 		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited()),
+		Connections: int64(n.intake.Connections()), Held: n.heldMemory(),
 	}
 }
 
@@ -234,20 +241,22 @@
 	}
 	defer peers.Stop()
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout}
-	callers := &http.Server{
-		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-	metrics := &http.Server{Handler: n.meter.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callers := &http.Server{Handler: http.HandlerFunc(n.serve)}
+	n.intake.Attach(callers)
+	metrics := &http.Server{Handler: n.meter.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 3)
 	for address, server := range map[string]*http.Server{
 		settings.ReadyAddress: ready, settings.FrontAddress: callers, n.metricsAddress(): metrics,
 	} {
-		listener, err := listen(ctx, address)
+		listener, err := listen(ctx, address, server == callers && n.memory != nil)
 		if err != nil {
 			return err
 		}
+		if server == callers {
+			listener = n.intake.Listen(listener)
+		}
 		go func() { failed <- server.Serve(listener) }()
 	}
 	select {
@@ -265,7 +274,7 @@
 // servePeers starts the gRPC server through which other entries use this one as their leader.
 func (n *Node) servePeers(ctx context.Context) (*grpc.Server, error) {
 	settings := n.settings.Load()
-	listener, err := listen(ctx, netip.AddrPortFrom(settings.IP, uint16(settings.PeerPort)).String())
+	listener, err := listen(ctx, netip.AddrPortFrom(settings.IP, uint16(settings.PeerPort)).String(), false)
 	if err != nil {
 		return nil, err
 	}
@@ -323,12 +332,16 @@
 	return netip.AddrPortFrom(n.settings.Load().IP, uint16(port)).String()
 }
 
-// listen opens a TCP listener; keepalive probes and TCP_USER_TIMEOUT end connections whose peer no longer answers.
-func listen(ctx context.Context, address string) (net.Listener, error) {
+// listen opens a TCP listener; keepalive probes and TCP_USER_TIMEOUT end connections whose peer no longer answers. With
+// bounded, the receive buffers of its connections are those of intake.
+func listen(ctx context.Context, address string, bounded bool) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAliveIdle, Interval: time.Second, Count: 3},
 		Control:         sock.UserTimeout(callerUserTimeout),
 	}
+	if bounded {
+		config.Control = sock.ReceiveBuffer(intake.ReceiveBufferBytes, config.Control)
+	}
 	listener, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", address, err)
@@ -398,6 +411,7 @@
 			return
 		case <-ticker.C:
 			n.client.Sweep()
+			n.intake.Sweep()
 			n.verify.Check()
 			n.picker.Forget(n.watch.Hosts())
 			n.notices.Forget(n.watch.Hosts())
--- a/internal/edge/node/reload.go
+++ b/internal/edge/node/reload.go
@@ -63,8 +63,10 @@
 	before := n.settings.Load()
 	n.settings.Store(&s)
 	n.budget.Set(s.RetryRatio, s.RetrySlack)
+	n.resizeMemory(s)
 	needsRestart := before.FrontAddress != s.FrontAddress || before.ReadyAddress != s.ReadyAddress ||
-		before.StoreAddress != s.StoreAddress || before.IP != s.IP || before.PeerPort != s.PeerPort || before.Name != s.Name
+		before.StoreAddress != s.StoreAddress || before.IP != s.IP || before.PeerPort != s.PeerPort || before.Name != s.Name ||
+		(s.MemoryBytes > 0) != (n.memory != nil)
 	n.log.Info("reload", zap.String("reason", reason), zap.Duration("drainWithin", s.DrainWithin),
 		zap.Duration("grace", s.Grace),
 		zap.Float64("retryRatio", s.RetryRatio), zap.Int("retrySlack", s.RetrySlack),
--- a/internal/edge/relay/writer.go
+++ b/internal/edge/relay/writer.go
@@ -57,13 +57,20 @@
 // Abort closes the caller's connection by a panic, so that an incomplete answer does not look complete.
 func (w *Writer) Abort() { panic(http.ErrAbortHandler) }
 
-// ReadLimited reads the body of an answer into memory, until about limit bytes. If whole is false, there is more to
-// read, or err says why the body ended early.
-func ReadLimited(a *uphttp.Answer, limit int) (body []byte, whole bool, err error) {
+// FreeAnswerBytes is what ReadLimited reads without asking for memory: the size of a fixed buffer of a connection.
+const FreeAnswerBytes = 8 << 10
+
+// ReadLimited reads the body of an answer into memory, until about limit bytes. grow asks for memory beyond
+// FreeAnswerBytes; without it, reading ends as at the limit. If whole is false, there is more to read, or err says why the
+// body ended early.
+func ReadLimited(a *uphttp.Answer, limit int, grow func(bytes int64) bool) (body []byte, whole bool, err error) {
 	buffer := make([]byte, 0, 2048)
 	for len(buffer) < limit {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+		if size := cap(buffer); len(buffer) == size {
+			if 2*size > FreeAnswerBytes && !grow(int64(size)) {
+				return buffer, false, nil
+			}
+			buffer = append(make([]byte, 0, 2*size), buffer...)
 		}
 		n, err := a.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -95,9 +95,12 @@
 	Priority    int // takes precedence over that of the route
 }
 
-// Limits bound what callers may send.
+// Limits bound what callers may send; a field that is zero is not set.
 type Limits struct {
-	BodyBytes int64
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration // from the first byte of a header to its end
+	IdleTimeout   time.Duration // of a connection without a request
 }
 
 // Rules is one immutable version of the configuration.
--- a/internal/edge/sock/control.go
+++ b/internal/edge/sock/control.go
@@ -39,3 +39,13 @@
 		return errors.Join(err, optionErr)
 	}
 }
+
+// ReceiveBuffer returns a hook that sets the receive buffer of a listener's connections, in bytes (SO_RCVBUF), after the
+// hook next.
+func ReceiveBuffer(size int, next Control) Control {
+	return func(network, address string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+		return errors.Join(err, optionErr, next(network, address, raw))
+	}
+}
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -19,7 +19,7 @@
 	c := qt.New(t)
 	m, err := meter.New(meter.Process{Role: "edge"})
 	c.Assert(err, qt.IsNil)
-	s := stats.New(m, func() stats.Gauges { return stats.Gauges{} })
+	s := stats.New(m, func() stats.Gauges { return stats.Gauges{Held: []stats.HeldMemory{{Kind: "bodies"}}} })
 	s.Finished("route", "served", time.Second)
 	s.FirstByte(time.Second)
 	s.Sent("pool", false, "answered")
@@ -34,6 +34,7 @@
 	s.StreamContinued("pool", true)
 	s.OriginLookedUp("memory")
 	s.StoreCall("topic", true)
+	s.ClientRefused("reason")
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -24,6 +24,14 @@
 	QueuedPieces  int64         // pieces of those requests that wait for a call
 	Blocks        int64         // sets of prompt parts that are refused
 	Limited       int64         // upstreams that named a limit
+	Connections   int64         // of callers
+	Held          []HeldMemory  // by kind of holder
+}
+
+// HeldMemory is the memory that a kind of holder has taken from the budget.
+type HeldMemory struct {
+	Kind        string
+	Used, Limit int64 // bytes
 }
 
 // Stats records the metrics; it is safe for concurrent use.
@@ -44,6 +52,7 @@
 	limited      meter.Counter
 	continued    meter.Counter
 	origins      meter.Counter
+	clients      meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -74,6 +83,18 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
+	gauge("edge.connections", "{connection}", "Open connections of callers.",
+		func(s Gauges) int64 { return s.Connections })
+	held := func(name, help string, value func(HeldMemory) int64) {
+		m.GaugeFunc(meter.Spec{Name: name, Unit: "By", Help: help}, func(o meter.Observe) {
+			for _, h := range state().Held {
+				o(value(h), label("kind", h.Kind))
+			}
+		})
+	}
+	held("edge.memoryHeld", "Memory held for callers, by kind of holder.", func(h HeldMemory) int64 { return h.Used })
+	held("edge.memoryLimit", "Memory that may be held for callers, by kind of holder.",
+		func(h HeldMemory) int64 { return h.Limit })
 	return &Stats{
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
@@ -107,6 +128,8 @@
 				"has the same version."}),
 		origins: m.Counter(meter.Spec{Name: "edge.originLookups", Unit: "{lookup}",
 			Help: "Lookups of the version that began a stream, by where it was found."}),
+		clients: m.Counter(meter.Spec{Name: "edge.refusedClients", Unit: "{client}",
+			Help: "Requests refused and connections closed to bound memory, by reason."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -184,6 +207,9 @@
 // OriginLookedUp counts a lookup of the version that began a stream; source says where it was found.
 func (s *Stats) OriginLookedUp(source string) { s.origins.Add(1, label("source", source)) }
 
+// ClientRefused counts a request that was refused, or a connection that was closed, to bound the memory of clients.
+func (s *Stats) ClientRefused(reason string) { s.clients.Add(1, label("reason", reason)) }
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/entry/boot/boot.go
+++ b/internal/entry/boot/boot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,6 +13,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/infra/loghttp"
 	"github.com/ragworthatch/ragworthatch/internal/infra/weight"
 	"github.com/ragworthatch/ragworthatch/internal/infra/weighthttp"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 	"github.com/ragworthatch/ragworthatch/internal/ops/listen"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 	"github.com/ragworthatch/ragworthatch/internal/ops/setup"
@@ -47,6 +49,8 @@
 		Weights:       weights,
 		Dial:          link.Dial,
 		Metrics:       metrics.New(m),
+		Limits:        clientLimits(s.Limits),
+		MemoryBytes:   int64(s.Limits.MemoryMB) * 1_000_000,
 		Logger:        log,
 	})
 	if err != nil {
@@ -60,6 +64,16 @@
 	return out, err
 }
 
+// clientLimits converts the settings.
+func clientLimits(l setup.Limits) intake.Limits {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	return intake.Limits{
+		HeadBytes: l.HeaderBytes, BodyBytes: int64(l.BodyBytes), HeadTimeout: ms(l.HeaderTimeoutMs),
+		IdleTimeout: ms(l.IdleTimeoutMs), BodyTimeout: ms(l.BodyTimeoutMs), WriteTimeout: ms(l.WriteTimeoutMs),
+		Wait: ms(l.BodyWaitMs), Connections: intake.MaxConnections(l.Connections, l.FileDescriptors),
+	}
+}
+
 // Run serves as node.Node.Run does, together with the metrics.
 func (e *Entry) Run(stop, kill context.Context) error {
 	if e.metrics != nil {
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/index"
 	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 )
 
 // Runner runs an admitted request.
@@ -61,6 +62,7 @@
 	Admitter Admitter
 	Outcomes Outcomes
 	Observer Observer
+	Intake   *intake.Intake // reads the bodies of requests; nil stands for one without bounds
 	Log      *zap.Logger
 	Now      func() time.Time
 }
@@ -71,7 +73,12 @@
 }
 
 // New returns a Front with the given dependencies.
-func New(o Options) *Front { return &Front{opts: o} }
+func New(o Options) *Front {
+	if o.Intake == nil {
+		o.Intake = intake.New(intake.Options{Limits: func() intake.Limits { return intake.Limits{} }, Now: o.Now, Log: o.Log})
+	}
+	return &Front{opts: o}
+}
 
 // Routes returns the routes for callers and for the health checks of the platform's load balancer.
 func (f *Front) Routes() []rest.Route {
--- a/internal/entry/front/parse.go
+++ b/internal/entry/front/parse.go
@@ -1,11 +1,11 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -19,12 +19,14 @@
 	"github.com/ragworthatch/ragworthatch/internal/model/ident"
 	"github.com/ragworthatch/ragworthatch/internal/model/pipe"
 	"github.com/ragworthatch/ragworthatch/internal/model/team"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 )
 
 const (
 	maxBodyBytes    = 1 << 20
 	maxLabelBytes   = 128
 	bodyTimeout     = 5 * time.Second // to receive the whole body
+	bodyFactor      = 4               // memory for each byte of a body: itself, the decoder's buffer, the input, a message to a side
 	bearer          = "Bearer "
 	eventStreamType = "text/event-stream"
 )
@@ -40,8 +42,9 @@
 }
 
 // parse authenticates and validates a request against one configuration revision. The bool reports whether the caller
-// wants a stream.
-func (f *Front) parse(w http.ResponseWriter, r *http.Request, now time.Time) (task.Request, bool, *fault.Error) {
+// wants a stream. It sets body to the body, whose memory the caller releases at the end of the request.
+func (f *Front) parse(
+	w http.ResponseWriter, r *http.Request, now time.Time, body **intake.Body) (task.Request, bool, *fault.Error) {
 	if err := f.opts.Admitter.Ready(); err != nil {
 		return task.Request{}, false, err
 	}
@@ -54,7 +57,11 @@
 	if err != nil {
 		return req, false, err
 	}
-	env, err := readEnvelope(w, r, req.Pipeline)
+	*body, err = f.readBody(w, r, req)
+	if err != nil {
+		return req, false, err
+	}
+	env, err := decode((*body).Bytes())
 	if err != nil {
 		return req, false, err
 	}
@@ -100,38 +107,24 @@
 	return req, nil
 }
 
-// readEnvelope reads and decodes the body of a request within bodyTimeout and the size limit of p.
-func readEnvelope(w http.ResponseWriter, r *http.Request, p pipe.Spec) (envelope, *fault.Error) {
+// readBody reads the body of a request within bodyTimeout and the size limit of its pipeline.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, req task.Request) (*intake.Body, *fault.Error) {
 	limit := int64(maxBodyBytes)
-	if p.MaxBodyBytes > 0 {
-		limit = min(limit, p.MaxBodyBytes)
+	if req.Pipeline.MaxBodyBytes > 0 {
+		limit = min(limit, req.Pipeline.MaxBodyBytes)
 	}
-	ctl := http.NewResponseController(w)
-	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout)) // not supported by the response recorders of tests
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = ctl.SetReadDeadline(time.Time{})
-	if err != nil {
-		return envelope{}, bodyError(err, limit)
+	if own := f.opts.Intake.MaxBodyBytes(); own > 0 {
+		limit = min(limit, own)
 	}
-	return decode(body)
-}
-
-// bodyError returns the error of a request whose body could not be read.
-func bodyError(err error, limit int64) *fault.Error {
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return fault.New(fault.NotRun, fault.TooLarge, "the body is over %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fault.New(fault.NotRun, fault.SlowBody, "the body took over %s", bodyTimeout)
-	}
-	return fault.New(fault.NotRun, fault.BadRequest, "the body was cut").WithCause(err)
+	return f.opts.Intake.ReadBody(w, r, intake.BodyOptions{
+		Limit: limit, Owner: req.Team.Name, Until: time.Now().Add(bodyTimeout), Factor: bodyFactor,
+	})
 }
 
 // decode parses an envelope; unknown fields and trailing data are errors.
 func decode(body []byte) (envelope, *fault.Error) {
 	var env envelope
-	dec := json.NewDecoder(strings.NewReader(string(body)))
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&env); err != nil {
 		return env, fault.New(fault.NotRun, fault.BadRequest, "the body is not a request").WithCause(err)
--- a/internal/entry/front/run.go
+++ b/internal/entry/front/run.go
@@ -9,6 +9,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/entry/exec"
 	"github.com/ragworthatch/ragworthatch/internal/entry/task"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 )
 
 // run handles POST /v1/pipelines/{pipeline}.
@@ -19,7 +20,9 @@
 		return
 	}
 	defer f.opts.Admitter.End()
-	req, stream, err := f.parse(w, r, start)
+	var body *intake.Body // the parts of the request that come from it use its memory until the end
+	defer func() { body.Release() }()
+	req, stream, err := f.parse(w, r, start, &body)
 	if err == nil {
 		req, err = f.opts.Admitter.Admit(req)
 	}
--- a/internal/entry/metrics/metrics.go
+++ b/internal/entry/metrics/metrics.go
@@ -37,6 +37,7 @@
 	tokens     meter.Counter
 	prefill    meter.Counter
 	cached     meter.Counter
+	clients    meter.Counter
 }
 
 // New creates the instruments.
@@ -61,9 +62,16 @@
 			Help: "Prompt tokens computed."}),
 		cached: m.Counter(meter.Spec{Name: "stageCachedTokens", Unit: "{token}",
 			Help: "Prompt tokens found in a prefix cache."}),
+		clients: m.Counter(meter.Spec{Name: "refusedClients", Unit: "{client}",
+			Help: "Requests refused and connections closed to bound memory, by reason."}),
 	}
 }
 
+// ClientRefused counts a request that was refused, or a connection that was closed, to bound the memory of clients.
+func (c *Metrics) ClientRefused(reason string) {
+	c.clients.Add(1, meter.Label{Name: "reason", Value: reason})
+}
+
 // Finished records a finished request.
 func (c *Metrics) Finished(r front.Record) {
 	result := outcomeOf(r)
--- a/internal/entry/node/gauges.go
+++ b/internal/entry/node/gauges.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/fleet/member"
+	"github.com/ragworthatch/ragworthatch/internal/limit/memory"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 )
 
@@ -25,10 +26,25 @@
 		func(o meter.Observe) { n.countMarks(o) })
 	m.GaugeFunc(meter.Spec{Name: "ejectedUpstreams", Unit: "{upstream}", Help: "Upstreams that get no calls of this entry because they failed."},
 		func(o meter.Observe) { o(int64(len(n.router.Ejected()))) })
+	m.GaugeFunc(meter.Spec{Name: "connections", Unit: "{connection}", Help: "Open connections of callers."},
+		func(o meter.Observe) { o(int64(n.intake.Connections())) })
+	m.GaugeFunc(meter.Spec{Name: "memoryHeld", Unit: "By", Help: "Memory held for callers, by kind of holder."},
+		func(o meter.Observe) { n.countMemory(o, func(used, _ int64) int64 { return used }) })
+	m.GaugeFunc(meter.Spec{Name: "memoryLimit", Unit: "By", Help: "Memory that may be held for callers, by kind of holder."},
+		func(o meter.Observe) { n.countMemory(o, func(_, limit int64) int64 { return limit }) })
 	m.GaugeFunc(meter.Spec{Name: "upstreams", Unit: "{upstream}", Help: "Known upstreams by pool and state."},
 		func(o meter.Observe) { countStates(n.links.View(), o) })
 }
 
+// countMemory reports a value of each part of the memory budget, if there is one.
+func (n *Node) countMemory(o meter.Observe, value func(used, limit int64) int64) {
+	for _, kind := range memory.Kinds {
+		if used, limit := n.memory.Load(kind); limit > 0 {
+			o(value(used, limit), meter.Label{Name: "kind", Value: string(kind)})
+		}
+	}
+}
+
 // countMarks reports the number of suspect and quarantined fingerprints by state.
 func (n *Node) countMarks(o meter.Observe) {
 	counts := map[string]int64{}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -29,6 +29,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/infra/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/infra/logs"
 	"github.com/ragworthatch/ragworthatch/internal/infra/weight"
+	"github.com/ragworthatch/ragworthatch/internal/limit/memory"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 	"github.com/ragworthatch/ragworthatch/internal/ops/listen"
 	"github.com/ragworthatch/ragworthatch/internal/state/atomval"
 	"github.com/ragworthatch/ragworthatch/internal/state/feed"
@@ -51,6 +53,8 @@
 	Weights       weight.Store // nil disables placement
 	Dial          link.Dialer
 	Metrics       *metrics.Metrics // nil disables metrics
+	Limits        intake.Limits    // of clients; a zero field has its default
+	MemoryBytes   int64            // that the process may use; 0 for no bound
 	Logger        *zap.Logger
 }
 
@@ -76,6 +80,8 @@
 	firstViewAt time.Time
 	// entries is the number of entries that share the teams' limits; only the control goroutine uses it.
 	entries int
+	memory  *memory.Budget // nil if MemoryBytes is 0
+	intake  *intake.Intake
 	http    *listen.Server
 	peers   *grpc.Server
 	peersLn net.Listener
@@ -131,7 +137,9 @@
 // listen builds the HTTP and gRPC servers and listens on their addresses.
 func (n *Node) listen() error {
 	actions := query.New(n.index.Load, n.router)
+	n.boundMemory()
 	callers := front.New(front.Options{
+		Intake:   n.intake,
 		Index:    n.index.Load,
 		Runner:   n.exec,
 		Admitter: n.guard,
@@ -157,7 +165,11 @@
 		Drain:       n.startDrain,
 		Log:         n.opts.Logger,
 	})
-	server, err := listen.New(n.opts.HTTP, append(callers.Routes(), operators.Routes()...))
+	receiveBytes := 0
+	if n.memory != nil {
+		receiveBytes = intake.ReceiveBufferBytes
+	}
+	server, err := listen.NewBounded(n.opts.HTTP, append(callers.Routes(), operators.Routes()...), n.intake, receiveBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/node/run.go
+++ b/internal/entry/node/run.go
@@ -19,6 +19,7 @@
 	g.Go(func() error { n.feed.Run(background); return nil })
 	g.Go(func() error { return n.links.Run(background) })
 	g.Go(func() error { n.runControl(background); return nil })
+	g.Go(func() error { n.sweep(background); return nil })
 	g.Go(func() error { return n.gossip.Run(background) })
 	g.Go(func() error { return n.runPlacement(background) })
 	g.Go(func() error { return n.peers.Serve(n.peersLn) })
--- a/internal/ops/setup/check.go
+++ b/internal/ops/setup/check.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -23,6 +24,7 @@
 	expectedName    = "a name of a-z, 0-9 and -"
 	expectedAddress = "an address as IP:port with a port from 1 to 65535"
 	expectedDigest  = "a SHA-256 as 64 hex digits"
+	expectedLimit   = "a number from 0 to 1000000000"
 	expectedLevel   = "debug, info, warn or error"
 )
 
@@ -51,11 +53,28 @@
 
 // fields returns the settings of an entry with their validation.
 func (e Entry) fields() []field {
-	return append(e.Common.fields(EntryRole),
+	return append(append(e.Common.fields(EntryRole),
 		field{"http", e.HTTP, expectedAddress, isAddress},
 		optional(field{"operatorTokenDigest", e.OperatorTokenDigest, expectedDigest, isDigest}),
 		optional(field{"weightStore", e.WeightStore, expectedAddress, isAddress}),
-	)
+	), e.Limits.fields()...)
+}
+
+// fields returns the limits with their validation.
+func (l Limits) fields() []field {
+	var out []field
+	for _, f := range []struct {
+		name  string
+		value int
+	}{
+		{"memoryMB", l.MemoryMB}, {"fileDescriptors", l.FileDescriptors}, {"connections", l.Connections},
+		{"headerBytes", l.HeaderBytes}, {"bodyBytes", l.BodyBytes}, {"headerTimeoutMs", l.HeaderTimeoutMs},
+		{"idleTimeoutMs", l.IdleTimeoutMs}, {"bodyTimeoutMs", l.BodyTimeoutMs}, {"writeTimeoutMs", l.WriteTimeoutMs},
+		{"bodyWaitMs", l.BodyWaitMs},
+	} {
+		out = append(out, field{"limits." + f.name, strconv.Itoa(f.value), expectedLimit, isLimit})
+	}
+	return out
 }
 
 // fields returns the settings of a side with their validation.
@@ -87,6 +106,12 @@
 	return err == nil && len(b) == 32
 }
 
+// isLimit reports whether s is a number from 0 to a billion.
+func isLimit(s string) bool {
+	n, err := strconv.Atoi(s)
+	return err == nil && n >= 0 && n <= 1e9
+}
+
 func isLogLevel(s string) bool {
 	return slices.Contains([]string{"debug", "info", "warn", "error"}, s)
 }
--- a/internal/ops/setup/settings.go
+++ b/internal/ops/setup/settings.go
@@ -43,6 +43,22 @@
 	OperatorTokenDigest string `yaml:"operatorTokenDigest"`
 	// WeightStore is the IP:port of the platform's weight store; empty disables model placement.
 	WeightStore string `yaml:"weightStore"`
+	// Limits bound what clients may occupy.
+	Limits Limits `yaml:"limits"`
+}
+
+// Limits bound what the clients of an entry may occupy. A field that is 0 or left out has its default.
+type Limits struct {
+	MemoryMB        int `yaml:"memoryMB"`        // of the process; 0 leaves memory unbounded
+	FileDescriptors int `yaml:"fileDescriptors"` // of the process; 0 leaves them unbounded
+	Connections     int `yaml:"connections"`     // at the same time; as many as memory and descriptors allow
+	HeaderBytes     int `yaml:"headerBytes"`     // 1 MiB
+	BodyBytes       int `yaml:"bodyBytes"`       // 1 MiB, which is also the most
+	HeaderTimeoutMs int `yaml:"headerTimeoutMs"` // 5000
+	IdleTimeoutMs   int `yaml:"idleTimeoutMs"`   // 120000
+	BodyTimeoutMs   int `yaml:"bodyTimeoutMs"`   // without a byte of a body; 5000
+	WriteTimeoutMs  int `yaml:"writeTimeoutMs"`  // for 64 KiB of an answer; 10000
+	BodyWaitMs      int `yaml:"bodyWaitMs"`      // of a body for memory; 100
 }
 
 // Side holds the settings of a side.
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -68,7 +68,7 @@
 }
 
 // checkCrowd runs a crowd and checks that the process lives within its memory and descriptors, and answers an ordinary
-// request while the crowd is there.
+// request afterwards.
 func (p *process) checkCrowd(clients int, target string, send client, ordinary func() *http.Request) {
 	mostMB, mostOpen := p.load(func() { p.runCrowd(clients, target, send) })
 	p.c.Logf("at most %.0f MB and %d descriptors", mostMB, mostOpen)
--- a/internal/proof/crowd/process_test.go
+++ b/internal/proof/crowd/process_test.go
@@ -48,7 +48,6 @@
 	longAnswer  = 8 << 20          // bytes of the answer to /read/long
 
 	operatorsDigest = "66da63681d0c05a8af0d0abaec587ce0127af1a469ecd1a46379d7f91d837677" // of the token demo-operators
-	entryLimits     = ""                                                                 // lines of an entry's settings
 )
 
 func TestMain(m *testing.M) {
@@ -110,7 +109,8 @@
 	list.Put(host.Host{Name: "treasury-0", Address: side, Zone: "zone-a", Region: "north", Pool: "treasury", State: host.Live})
 	start(c, "", "", "side", "--settings", settings("side", "treasury-0", side, "pool: treasury\nupstream: "+service))
 	p := start(c, front, "http://"+front+"/healthz", "entry", "--settings",
-		settings("entry", "entry-0", peer, "operatorTokenDigest: "+operatorsDigest+"\nhttp: "+front+entryLimits))
+		settings("entry", "entry-0", peer, fmt.Sprintf("operatorTokenDigest: %s\nhttp: %s\nlimits:\n  memoryMB: %d\n  fileDescriptors: %d",
+			operatorsDigest, front, memoryMB, descriptors)))
 	publishDeclarations(c, front)
 	p.awaitStatusOK("http://" + front + "/readyz")
 	return p
