Bound what upstreams send for callers that do not read, and test the bounds of clients

Cause: the kernel let the receive buffers of connections to upstreams grow to megabytes for answers that a caller does not read, which count as memory of the process. The crowds counted only the callers' side, and asked for an ordinary request only afterwards.

Change: connections to upstreams have a receive buffer of 64 kB where memory is bounded. The write deadline of a connection stays set between answers, as setting it for each took part of the time of a request. The crowds count all unread bytes of the process and ask for an ordinary request while the crowd is there, too: stricter, sizes and bounds as before.

--- a/internal/edge/node/memory.go
+++ b/internal/edge/node/memory.go
@@ -9,11 +9,16 @@
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
+// upstreamReceiveBytes is the receive buffer of connections to upstreams where memory is bounded. Unbounded, the kernel lets
+// it grow to 6 MB.
+const upstreamReceiveBytes = 64 << 10
+
 // boundMemory sets up the memory of callers' requests and the bounds of their connections.
 func (n *Node) boundMemory(s platform.Settings) {
 	if s.MemoryBytes > 0 {
 		n.memory = memory.New(s.MemoryBytes)
 		memory.LimitRuntime(s.MemoryBytes)
+		n.client.LimitReceiveBuffer(upstreamReceiveBytes)
 	}
 	n.intake = intake.New(intake.Options{
 		Limits: n.intakeLimits, Budget: n.memory,
--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -96,6 +96,12 @@
 	}
 }
 
+// LimitReceiveBuffer sets the receive buffer of later connections, in bytes. What an upstream has sent for a caller that does
+// not read is held there. It must be called before the first request.
+func (c *Client) LimitReceiveBuffer(bytes int) {
+	c.dialer.Control = sock.ReceiveBuffer(bytes, sock.UserTimeout(unackedTimeout))
+}
+
 // Do sends a request and returns its answer with the header read. The error's verdict is NotRun only if nothing was
 // sent. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Answer, *fault.Error) {
--- a/internal/ops/intake/conn.go
+++ b/internal/ops/intake/conn.go
@@ -234,8 +234,12 @@
 	}
 }
 
-// SetWriteDeadline sets the deadline of writes, until the next Write.
+// SetWriteDeadline sets the deadline of writes, until the next Write. The one that Write has set stays when net/http removes
+// it after an answer, as setting it costs about as much as reading a head.
 func (c *conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		return nil
+	}
 	c.writeBy = t
 	return c.Conn.SetWriteDeadline(t)
 }
--- a/internal/ops/intake/intake.go
+++ b/internal/ops/intake/intake.go
@@ -127,8 +127,12 @@
 func (in *Intake) Attach(server *http.Server) {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			handler.ServeHTTP(w, r)
+			return
+		}
 		c, _ := r.Context().Value(connKey{}).(*conn)
-		if c == nil || r.ContentLength == 0 {
+		if c == nil {
 			handler.ServeHTTP(w, r)
 			return
 		}
--- a/internal/ops/intake/intake_test.go
+++ b/internal/ops/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -70,6 +71,9 @@
 // result reads an answer and returns its status and body; "closed" at the end of the connection.
 func result(r *bufio.Reader) string {
 	answer, err := http.ReadResponse(r, nil)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return "no answer"
+	}
 	if err != nil {
 		return "closed"
 	}
--- a/internal/proof/crowd/clients_test.go
+++ b/internal/proof/crowd/clients_test.go
@@ -15,7 +15,9 @@
 	entryBody  = 1 << 20 // the largest body that an entry accepts
 	writeLimit = 4 * time.Second
 	holdFor    = 3 * time.Second // that a crowd keeps its connections after writing
-	trickleGap = 20 * time.Millisecond
+	// crowdGathers is the time in which a crowd connects and begins to write.
+	crowdGathers = 500 * time.Millisecond
+	trickleGap   = 20 * time.Millisecond
 )
 
 // client writes what one client of a crowd sends. The writer fails once the process has closed the connection, and
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -68,14 +69,22 @@
 }
 
 // checkCrowd runs a crowd and checks that the process lives within its memory and descriptors, and answers an ordinary
-// request afterwards.
+// request while the crowd is there, and one afterwards.
 func (p *process) checkCrowd(clients int, target string, send client, ordinary func() *http.Request) {
-	mostMB, mostOpen := p.load(func() { p.runCrowd(clients, target, send) })
+	during := make(chan bool, 1)
+	mostMB, mostOpen := p.load(func() {
+		go func() {
+			time.Sleep(crowdGathers)
+			during <- p.answers(ordinary, holdFor)
+		}()
+		p.runCrowd(clients, target, send)
+	})
 	p.c.Logf("at most %.0f MB and %d descriptors", mostMB, mostOpen)
 	p.c.Check(p.isAlive(), qt.IsTrue)
 	p.c.Check(mostMB < memoryMB, qt.IsTrue, qt.Commentf("%s MB", fmt.Sprintf("%.0f", mostMB)))
 	p.c.Check(mostOpen < descriptors, qt.IsTrue, qt.Commentf("%d descriptors", mostOpen))
-	p.c.Check(p.answers(ordinary), qt.IsTrue)
+	p.c.Check(<-during, qt.IsTrue, qt.Commentf("while the crowd is there"))
+	p.c.Check(p.answers(ordinary, answerLimit), qt.IsTrue)
 }
 
 // As above, for an entry of the product's own deployment.
--- a/internal/proof/crowd/process_test.go
+++ b/internal/proof/crowd/process_test.go
@@ -1,8 +1,6 @@
 package crowd_test
 
 import (
-	"encoding/binary"
-	"encoding/hex"
 	"fmt"
 	"maps"
 	"net/http"
@@ -187,18 +185,23 @@
 	return resident*1024/1e6 + p.unreadBytes()/1e6
 }
 
-// unreadBytes returns the bytes in the receive queues of the callers' connections.
+// unreadBytes returns the bytes in the receive queues of the process, of callers and of upstreams.
 func (p *process) unreadBytes() float64 {
-	address := netip.MustParseAddrPort(p.front)
-	ip := address.Addr().As4()
-	local := strings.ToUpper(hex.EncodeToString(binary.LittleEndian.AppendUint32(nil, binary.BigEndian.Uint32(ip[:])))) +
-		fmt.Sprintf(":%04X", address.Port())
+	sockets := map[string]bool{}
+	dir := fmt.Sprintf("/proc/%d/fd", p.PID())
+	open, _ := os.ReadDir(dir)
+	for _, descriptor := range open {
+		target, _ := os.Readlink(filepath.Join(dir, descriptor.Name()))
+		if inode, ok := strings.CutPrefix(target, "socket:["); ok {
+			sockets[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
 	table, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", p.PID()))
 	var sum float64
 	for line := range strings.SplitSeq(string(table), "\n") {
 		fields := strings.Fields(line)
 		const listening = "0A" // its queue counts connections
-		if len(fields) < 5 || fields[1] != local || fields[3] == listening {
+		if len(fields) < 10 || !sockets[fields[9]] || fields[3] == listening {
 			continue
 		}
 		var sent, unread int64
@@ -241,11 +244,11 @@
 	}
 }
 
-// answers reports whether an ordinary request is answered with 200 in the end; as a caller would, it tries again after a
+// answers reports whether an ordinary request is answered with 200 within a time; as a caller would, it tries again after a
 // refusal.
-func (p *process) answers(request func() *http.Request) bool {
+func (p *process) answers(request func() *http.Request, within time.Duration) bool {
 	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for end := time.Now().Add(answerLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		answer, err := client.Do(request())
 		if err != nil {
 			continue
