--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/limit/memory"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
+	"github.com/ragworthatch/ragworthatch/internal/limit/shed"
 	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
 	"github.com/ragworthatch/ragworthatch/internal/ops/pause"
@@ -85,6 +86,7 @@
 	picker   *balance.Picker
 	notices  *notices.Record
 	limits   *pace.Limiter[hosts.Lifetime]
+	shed     *shed.Policy
 	front    *front.Front
 	memory   *memory.Budget // nil if the settings bound no memory
 	intake   *intake.Intake
@@ -116,6 +118,10 @@
 	n.store = store
 	answered := wakeup.New()
 	n.limits = pace.New[hosts.Lifetime](pace.Options{Share: n.limitShare, Now: time.Now})
+	n.limits.LimitCold(pace.Cold[hosts.Lifetime]{Rate: n.coldRate, Share: n.coldShare, Bound: func() (overshoot, slack float64) {
+		s := n.settings.Load()
+		return s.ColdOvershoot, s.ColdSlack
+	}})
 	n.notices = notices.New(notices.Options{
 		OnLeaving: func() { n.watch.RefreshLeaving() }, OnNotice: func(notice notices.Notice) { n.link.UpstreamNotice(s.Name, notice) },
 		OnLimit: func(s pace.Statement[hosts.Lifetime]) bool { return n.link.ObserveLimit(s) },
@@ -123,8 +129,9 @@
 	})
 	n.watch = watch.New(watch.Options{
 		Store: store, Answered: answered, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin },
-		Stats:       n.stats,
-		RulesWithin: func() time.Duration { return n.settings.Load().RulesWithin }, IsLeaving: n.notices.IsLeaving,
+		Stats:          n.stats,
+		EvacuateWithin: func() time.Duration { return n.settings.Load().EvacuateWithin },
+		RulesWithin:    func() time.Duration { return n.settings.Load().RulesWithin }, IsLeaving: n.notices.IsLeaving,
 		AwaitsLeader: func() bool { return n.link.DefersReads() },
 		Now:          time.Now, Log: log.Named("watch"),
 	})
@@ -136,6 +143,7 @@
 		Report: func(r crash.Report) { n.link.Crashed(r) }, Now: time.Now, Log: log.Named("verify"),
 	})
 	n.picker = balance.New(time.Now)
+	n.shed = shed.New(shed.Options{Leads: n.leadsOthers, Random: rand.Float64, Now: time.Now})
 	leads := func() bool {
 		_, follows := n.link.Leader()
 		return !follows
@@ -147,7 +155,7 @@
 	})
 	n.lead = lead.New(lead.Options{
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Client: n.client, Crash: n.crash, Notices: n.notices,
-		Limits: n.limits, Origins: n.origins, Stats: n.stats,
+		Limits: n.limits, Origins: n.origins, Stats: n.stats, MemoryShare: n.memoryShare,
 		Now: time.Now, Log: log.Named("lead"),
 		Codec: lead.Codec{
 			RunPath: platform.StageRunPath, ReleasePath: platform.StageFreePath, EncodeBatch: platform.EncodeBatch,
@@ -166,7 +174,7 @@
 		Self: s.Name, Local: n.lead, Members: n.registry.Members, MemberCount: n.registry.Size, MembersRead: n.registry.HasRead,
 		Leaving: n.leaving.Load, Crash: n.crash, Limits: n.limits, Origins: n.origins,
 		Confirm: n.watch.Confirm, AdoptRules: n.watch.Adopt, LacksRules: n.watch.ShouldPull, Notices: n.notices.Notices,
-		ConfirmMembers: n.registry.Confirm, ListReadAt: n.watch.ListReadAt,
+		ConfirmMembers: n.registry.Confirm, Zones: n.watch.Zones, ListReadAt: n.watch.ListReadAt,
 		RulesVersion: func() int64 { return n.watch.Rules().Version() }, ObserveEra: store.ObserveEra, Now: time.Now, Log: log.Named("link"),
 	})
 	n.ledger = ledger.New(ledger.Options{
@@ -185,6 +193,7 @@
 		},
 		Rules: n.watch.Rules, Hosts: n.watch.Hosts, Leader: n.link, Client: n.client, Picker: n.picker, Notices: n.notices,
 		Permit:   n.link.Permit,
+		Short:    n.shed.Refuse,
 		Budget:   n.budget,
 		Stats:    n.stats,
 		Crash:    n.crash,
@@ -201,13 +210,17 @@
 func (n *Node) state() stats.Gauges {
 	now := time.Now()
 	open, queued := n.lead.Load()
+	use := n.lead.Occupancy()
 	return stats.Gauges{
+		ProcessorWait: n.shed.Wait(), Pools: use.Pools, Engines: use.Engines,
 		OpenOrders: open, QueuedPieces: queued,
 		ConfigVersion: n.watch.Rules().Version(), ConfigAge: now.Sub(n.watch.RulesReadAt()),
 		ListAge: now.Sub(n.watch.Hosts().Read()),
 		Members: int64(n.registry.Size()), Leads: n.link.Leads(), InFlight: n.inFlight.Load(),
-		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited()),
-		Connections: int64(n.intake.Connections()), Held: n.heldMemory(),
+		Blocks: int64(len(n.crash.Blocks())), Limited: int64(n.limits.Limited() - n.limits.Cold()),
+		Cold:           n.coldUpstreams(),
+		EvacuatedZones: int64(len(n.watch.Hosts().Evacuated())),
+		Connections:    int64(n.intake.Connections()), Held: n.heldMemory(),
 	}
 }
 
@@ -235,6 +248,9 @@
 	go n.ledger.Run(ctx)
 	go n.origins.Run(ctx)
 	go n.sweep(ctx)
+	if settings.CoresNamed {
+		go n.measure(ctx)
+	}
 	peers, err := n.servePeers(ctx)
 	if err != nil {
 		return err
@@ -244,7 +260,7 @@
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	callers := &http.Server{Handler: http.HandlerFunc(n.serve)}
 	n.intake.Attach(callers)
-	metrics := &http.Server{Handler: n.meter.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	metrics := &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 3)
 	for address, server := range map[string]*http.Server{
@@ -282,6 +298,7 @@
 	service := serve.New(serve.Options{
 		Dispatcher: n.lead, Born: n.born, Leaving: n.leaving.Load, Leader: n.link.Leader, Crash: n.crash, Limits: n.limits,
 		Origins: n.origins, Hosts: n.watch.SharedHosts, ObserveRead: n.watch.ObserveRead,
+		Zones: n.watch.Zones, ObserveZones: n.watch.ObserveZones,
 		Rules: n.sharedRules, Era: n.store.Era, Crew: n.registry.View,
 		Now: time.Now, Log: n.log.Named("serve"),
 	})
@@ -308,11 +325,36 @@
 	if _, follows := n.link.Leader(); follows || service == nil {
 		return 0
 	}
-	served, all := service.Entries()+1, n.registry.Size()
-	if 2*served > all {
-		return 1
+	return pace.Part(service.Entries()+1, n.registry.Size())
+}
+
+// coldShare returns the part of the limits of cold upstreams that this process may use: none once it leaves, as the next
+// leader may have the whole by then.
+func (n *Node) coldShare() float64 {
+	if n.leaving.Load() {
+		return 0
 	}
-	return float64(served) / float64(all)
+	return n.limitShare()
+}
+
+// coldRate returns the requests per second that an upstream accepts from all entries together while it is cold.
+func (n *Node) coldRate(l hosts.Lifetime) (rate float64, cold bool) {
+	u, listed := n.watch.Hosts().Get(l.ID)
+	if !listed || u.ColdUntilMs == 0 || u.Lifetime() != l || time.Now().UnixMilli() >= u.ColdUntilMs {
+		return 0, false
+	}
+	p, _ := n.watch.Rules().Pool(u.Pool)
+	return p.Cold.PerSecond, p.Cold.PerSecond > 0
+}
+
+// memoryShare returns the part of the engines' memory that this process may give out: that of itself and of the entries
+// that follow it, once they have told which requests run. It is 0 if it follows another one.
+func (n *Node) memoryShare() float64 {
+	service := n.service.Load()
+	if _, follows := n.link.Leader(); follows || service == nil {
+		return 0
+	}
+	return min(1, float64(service.Told()+1)/float64(max(1, n.registry.Size())))
 }
 
 // sharedRules returns the configuration that other entries may adopt.
@@ -420,6 +462,17 @@
 	}
 }
 
+// coldUpstreams counts the upstreams that are known to be cold.
+func (n *Node) coldUpstreams() int64 {
+	count := int64(0)
+	for _, u := range n.watch.Hosts().All() {
+		if _, cold := n.coldRate(u.Lifetime()); cold {
+			count++
+		}
+	}
+	return count
+}
+
 // isListed reports whether a lifetime of an upstream is in the list.
 func (n *Node) isListed(l hosts.Lifetime) bool {
 	u, ok := n.watch.Hosts().Get(l.ID)
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -1,6 +1,7 @@
 package stats
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/ops/meter"
@@ -14,18 +15,23 @@
 
 // Gauges holds the values of the gauges.
 type Gauges struct {
-	ConfigVersion int64
-	ConfigAge     time.Duration // since the store last confirmed it
-	ListAge       time.Duration // since the list of upstreams was read
-	Members       int64         // known entries, this one among them
-	Leads         bool          // this entry is the leader or decides for itself
-	InFlight      int64         // requests of callers
-	OpenOrders    int64         // requests that this entry decides on as the leader
-	QueuedPieces  int64         // pieces of those requests that wait for a call
-	Blocks        int64         // sets of prompt parts that are refused
-	Limited       int64         // upstreams that named a limit
-	Connections   int64         // of callers
-	Held          []HeldMemory  // by kind of holder
+	ConfigVersion  int64
+	ConfigAge      time.Duration // since the store last confirmed it
+	ListAge        time.Duration // since the list of upstreams was read
+	Members        int64         // known entries, this one among them
+	Leads          bool          // this entry is the leader or decides for itself
+	InFlight       int64         // requests of callers
+	OpenOrders     int64         // requests that this entry decides on as the leader
+	QueuedPieces   int64         // pieces of those requests that wait for a call
+	Blocks         int64         // sets of prompt parts that are refused
+	Limited        int64         // upstreams that named a limit
+	Cold           int64         // upstreams that are known to be cold
+	EvacuatedZones int64         // zones that get no requests from this entry
+	ProcessorWait  time.Duration // median of the last half second
+	Pools          []PoolUse     // stage pools, of the requests that this entry decides on
+	Engines        []EngineUse   // of those requests
+	Connections    int64         // of callers
+	Held           []HeldMemory  // by kind of holder
 }
 
 // HeldMemory is the memory that a kind of holder has taken from the budget.
@@ -34,6 +40,23 @@
 	Used, Limit int64 // bytes
 }
 
+// PoolUse says what the upstreams of a stage pool do and what waits for them.
+type PoolUse struct {
+	Pool             string
+	Upstreams        map[string]int // by state: free, busy, slow, paused
+	Waiting, Running map[int]int    // pieces by rank
+}
+
+// EngineUse says what one engine has left.
+type EngineUse struct {
+	Pool, Engine string
+	Requests     int           // that run
+	FreeSlots    int           // for requests
+	FreeTokens   int           // of memory
+	Rate         int           // prompt tokens that it is expected to read in a second
+	Backlog      time.Duration // expected time to read the prompts that wait on it
+}
+
 // Stats records the metrics; it is safe for concurrent use.
 type Stats struct {
 	requests     meter.Counter
@@ -44,6 +67,7 @@
 	stageCalls   meter.Counter
 	stagePieces  meter.Histogram
 	failedPieces meter.Counter
+	stageOrders  meter.Counter
 	storeCalls   meter.Counter
 	repeats      meter.Counter
 	ejections    meter.Counter
@@ -53,6 +77,9 @@
 	continued    meter.Counter
 	origins      meter.Counter
 	clients      meter.Counter
+	crowded      meter.Counter
+	teams        meter.Counter
+	shed         meter.Counter
 }
 
 // New registers the metrics with m; state is called when the gauges are read.
@@ -95,7 +122,18 @@
 	held("edge.memoryHeld", "Memory held for callers, by kind of holder.", func(h HeldMemory) int64 { return h.Used })
 	held("edge.memoryLimit", "Memory that may be held for callers, by kind of holder.",
 		func(h HeldMemory) int64 { return h.Limit })
+	gauge("edge.coldUpstreams", "{upstream}", "Upstreams that are cold and accept only a few requests.",
+		func(s Gauges) int64 { return s.Cold })
+	gauge("edge.evacuatedZones", "{zone}", "Zones whose upstreams get no requests from this entry.",
+		func(s Gauges) int64 { return s.EvacuatedZones })
+	gauge("edge.processorWait", "ms", "Time that this process waits until the processor runs it, median of the last half second.",
+		func(s Gauges) int64 { return s.ProcessorWait.Milliseconds() })
+	registerUse(m, state)
 	return &Stats{
+		teams: m.Counter(meter.Spec{Name: "edge.teamRequests", Unit: "{request}",
+			Help: "Finished requests by team, rank and outcome: served, refused or failed."}),
+		shed: m.Counter(meter.Spec{Name: "edge.shedRequests", Unit: "{request}",
+			Help: "Requests refused because this entry was short of a resource, by resource and rank."}),
 		requests: m.Counter(meter.Spec{Name: "edge.requests", Unit: "{request}",
 			Help: "Finished requests by route and outcome."}),
 		duration: m.Histogram(meter.Spec{Name: "edge.requestDuration", Unit: "ms",
@@ -130,6 +168,11 @@
 			Help: "Lookups of the version that began a stream, by where it was found."}),
 		clients: m.Counter(meter.Spec{Name: "edge.refusedClients", Unit: "{client}",
 			Help: "Requests refused and connections closed to bound memory, by reason."}),
+		stageOrders: m.Counter(meter.Spec{Name: "edge.stageOrders", Unit: "{request}",
+			Help: "Requests with stages that the leader decided on while callers compete by rank, by route, team, rank, the " +
+				"pool for which they were refused, and result."}),
+		crowded: m.Counter(meter.Spec{Name: "edge.engineRefusals", Unit: "{request}",
+			Help: "Requests refused because engines had too much to read or to hold, by pool and rank."}),
 		storeCalls: m.Counter(meter.Spec{Name: "edge.storeCalls", Unit: "{call}",
 			Help: "Calls to the platform's store by topic and result."}),
 	}
@@ -145,6 +188,17 @@
 	s.duration.Record(millis(took), label("outcome", outcome))
 }
 
+// TeamFinished counts a finished request of a team, which is empty for public routes; outcome is "served", "refused" or
+// "failed".
+func (s *Stats) TeamFinished(team string, rank int, outcome string) {
+	s.teams.Add(1, label("team", team), label("rank", strconv.Itoa(rank)), label("outcome", outcome))
+}
+
+// Shed counts a request that was refused because this entry was short of a resource.
+func (s *Stats) Shed(resource string, rank int) {
+	s.shed.Add(1, label("resource", resource), label("rank", strconv.Itoa(rank)))
+}
+
 // FirstByte records the time from a request's arrival to the first byte of its answer.
 func (s *Stats) FirstByte(took time.Duration) { s.firstByte.Record(millis(took)) }
 
@@ -171,6 +225,13 @@
 	s.failedPieces.Add(int64(n), label("pool", pool), label("reason", reason))
 }
 
+// StageOrder counts a request with stages that was decided on while callers compete by rank; result is "inTime", "late" or
+// "refused", and pool is empty unless it was refused.
+func (s *Stats) StageOrder(route, team string, rank int, pool, result string) {
+	s.stageOrders.Add(1, label("route", route), label("team", team), label("rank", strconv.Itoa(rank)), label("pool", pool),
+		label("result", result))
+}
+
 // Repeat counts a retry that the retry budget allowed or denied.
 func (s *Stats) Repeat(pool string, allowed bool) {
 	result := "allowed"
@@ -210,6 +271,12 @@
 // ClientRefused counts a request that was refused, or a connection that was closed, to bound the memory of clients.
 func (s *Stats) ClientRefused(reason string) { s.clients.Add(1, label("reason", reason)) }
 
+// EngineRefusal counts a request that was refused because the engines of a pool had too many prompts to read, or too little
+// memory.
+func (s *Stats) EngineRefusal(pool string, rank int) {
+	s.crowded.Add(1, label("pool", pool), label("rank", strconv.Itoa(rank)))
+}
+
 // StoreCall counts a call to the platform's store; ok says whether it was answered.
 func (s *Stats) StoreCall(topic string, ok bool) {
 	result := "answered"
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
@@ -24,6 +26,8 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/repeat"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
+	"github.com/ragworthatch/ragworthatch/internal/limit/kvmem"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -72,9 +76,11 @@
 	Notices *notices.Record
 	Limits  *pace.Limiter[hosts.Lifetime]
 	Origins *origin.Keeper
-	Stats   *stats.Stats
-	Now     func() time.Time
-	Log     *zap.Logger
+	// MemoryShare returns the part of the engines' memory that this process may give out; nil for all.
+	MemoryShare func() float64
+	Stats       *stats.Stats
+	Now         func() time.Time
+	Log         *zap.Logger
 }
 
 // openOrder is an order that is undecided, or that may still need another decision.
@@ -95,14 +101,18 @@
 	inbox       chan func(now time.Time)
 	scheduler   *sched.Scheduler
 	placer      *place.Placer
+	memory      *kvmem.Budget
 	firstVisits *repeat.Tracker
 	orders      map[string]*openOrder
 	waiting     []*openOrder    // whose engines all accept no more requests for now
 	lookups     map[string]bool // IDs of orders for which the version that began their stream is looked up
 	rules       *rule.Rules
 	hosts       *hosts.Table
+	occupancy   atomic.Pointer[Occupancy]
 	openCount   atomic.Int64
 	queuedCount atomic.Int64
+	policy      *fair.Policy // nil unless requests compete by rank
+	tally       *tally
 
 	releases sync.WaitGroup
 }
@@ -111,9 +121,16 @@
 
 // New returns a coordinator, which does nothing until Run is called.
 func New(o Options) *Coordinator {
+	share := o.MemoryShare
+	if share == nil {
+		share = func() float64 { return 1 }
+	}
+	memory := kvmem.New(kvmem.Options{Share: share, Now: o.Now})
 	return &Coordinator{
-		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits), placer: place.New(o.Limits),
+		opts: o, inbox: make(chan func(time.Time), inboxSize), scheduler: sched.New(o.Limits),
+		placer: place.New(o.Limits, memory), memory: memory,
 		firstVisits: repeat.New(), orders: map[string]*openOrder{}, lookups: map[string]bool{},
+		tally: newTally(o.Stats, o.Log),
 	}
 }
 
@@ -159,7 +176,7 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	timer := time.NewTimer(sweepInterval)
 	defer timer.Stop()
-	swept, counted := c.opts.Now(), c.opts.Now()
+	swept, counted, surveyed := c.opts.Now(), c.opts.Now(), c.opts.Now()
 	var next time.Time // earliest time of the next scheduling step
 	for {
 		select {
@@ -192,6 +209,10 @@
 			c.queuedCount.Store(int64(c.scheduler.Queued()))
 			counted = now
 		}
+		if now.Sub(surveyed) >= surveyInterval {
+			c.withRecovery(func() { c.survey(now) })
+			surveyed = now
+		}
 		if now.Sub(swept) > sweepInterval {
 			c.placer.Sweep(now)
 			c.firstVisits.Sweep(now)
@@ -215,7 +236,7 @@
 		c.opts.Log.Error("decisions failed, all orders are refused", zap.Any("panic", panicked), zap.Stack("stack"),
 			zap.Int("orders", len(c.orders)))
 		waiting := c.orders
-		c.scheduler, c.placer, c.orders = sched.New(c.opts.Limits), place.New(c.opts.Limits), map[string]*openOrder{}
+		c.scheduler, c.placer, c.orders = sched.New(c.opts.Limits), place.New(c.opts.Limits, c.memory), map[string]*openOrder{}
 		c.waiting = nil
 		c.rules, c.hosts = nil, nil // reloaded before the next decision
 		for _, o := range waiting {
@@ -243,6 +264,12 @@
 func (c *Coordinator) refreshConfig() {
 	if rules := c.opts.Rules(); rules != c.rules {
 		c.rules = rules
+		if !rules.Ranked() {
+			c.policy = nil
+		} else if c.policy == nil {
+			c.policy = fair.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		}
+		c.scheduler.SetPolicy(c.policy)
 		for _, p := range rules.Pools() {
 			if p.Batch != nil {
 				c.scheduler.SetPool(p.Name, *p.Batch)
@@ -330,16 +357,25 @@
 	waited := c.firstVisits.Record(o.Fingerprint, o.Job.Arrived, o.Job.Deadline)
 	if waited > 0 && !o.Stream.TakenUp { // the first event of a stream that is taken up came long before
 		o.Job.Target = o.Job.Target.Add(-waited)
+		o.Job.Retried = !c.firstVisits.IsEarly(o.Fingerprint, o.Job.Arrived)
 		c.opts.Log.Info("caller comes back", zap.String("request", o.Job.RequestID), zap.Duration("waited", waited))
 	}
 	if _, paused := c.placer.PauseLeft(o.Engine, c.hosts, now); paused {
 		reply(c.refuseNoEngine(o.Engine, now))
 		return
 	}
+	if len(c.hosts.Evacuated()) > 0 && len(o.Engine.Ready(c.hosts)) == 0 {
+		reply(Decision{Refused: sched.NoUpstreams, RetryAfter: time.Second})
+		return
+	}
 	if wait, exceeds := c.exceedsLimits(o, now); exceeds {
 		reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
 		return
 	}
+	if wait, crowded := c.crowded(o, now); crowded {
+		reply(Decision{Refused: Crowded, RetryAfter: wait})
+		return
+	}
 	o.Job.TimeToFirstToken = c.placer.TimeToFirstToken(o.Engine, c.hosts, now)
 	if o.Job.ReadsLargeResults() {
 		o.Job.Zone = c.placer.PreferredZone(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
@@ -362,6 +398,7 @@
 		}
 		o.reply = reply
 		o.order.Engine.Exclude = append(o.order.Engine.Exclude, engine)
+		o.order.Engine.Staged = true // what was done for it is lost if it is refused
 		if begunAt != "" {
 			o.order.Engine.Version = begunAt
 		}
@@ -444,6 +481,26 @@
 	}
 }
 
+// Adopt counts requests of an entry that run on engines by the decision of another process.
+func (c *Coordinator) Adopt(entry string, runs []place.Run, whole bool) {
+	c.inbox <- func(now time.Time) {
+		c.refreshConfig()
+		c.placer.Adopt(entry, runs, whole, c.hosts, now)
+		if len(runs) > 1 {
+			c.opts.Log.Info("running requests adopted", zap.String("member", entry), zap.Int("requests", len(runs)))
+		}
+	}
+}
+
+// Abandon keeps the memory of requests whose entry is out of touch, until their deadline.
+func (c *Coordinator) Abandon(ids []string) {
+	c.inbox <- func(time.Time) {
+		for _, id := range ids {
+			c.placer.Abandon(id)
+		}
+	}
+}
+
 // Crashed counts a crash of an upstream under a request.
 func (c *Coordinator) Crashed(r crash.Report) {
 	blocked := c.opts.Crash.ObserveCrash(r)
@@ -528,7 +585,8 @@
 		c.restartStages(o, now)
 		return
 	}
-	o.order.Engine.Within = timeLeft(o.order, now)
+	o.order.Engine.Within, o.order.Engine.Left = timeLeft(o.order, now), o.order.Job.Target.Sub(now)
+	o.order.Engine.Staged = o.order.Engine.Staged || len(o.grant.Inputs) > 0
 	order := o.order.Engine
 	if o.begins() {
 		placement := c.opts.Origins.Placement(o.order.Stream.Key, order.Pool)
@@ -543,6 +601,10 @@
 		return
 	}
 	if !ok {
+		if wait, crowded := c.crowded(o.order, now); crowded {
+			c.sendDecision(id, o, Decision{Refused: Crowded, RetryAfter: wait})
+			return
+		}
 		c.sendDecision(id, o, c.refuseNoEngine(order, now))
 		return
 	}
@@ -665,6 +727,20 @@
 	return wait, float64(ahead+1) > capacity
 }
 
+// crowded reports whether the engines that an order may use have too many prompts to read for it, and when its caller
+// may come back.
+func (c *Coordinator) crowded(o Order, now time.Time) (retryAfter time.Duration, crowded bool) {
+	o.Engine.Left = o.Job.Target.Sub(now)
+	retryAfter, crowded = c.placer.Crowded(o.Engine, c.hosts, c.engineSpec(o.Engine.Pool), now)
+	if crowded {
+		c.opts.Stats.EngineRefusal(o.Engine.Pool, o.Job.Rank)
+		c.opts.Log.Info("engines crowded", zap.String("request", o.Job.RequestID), zap.String("pool", o.Engine.Pool),
+			zap.String("route", o.Engine.Route), zap.Int("rank", o.Job.Rank), zap.Int("promptTokens", o.Engine.PromptTokens),
+			zap.Bool("staged", o.Engine.Staged), zap.Duration("left", o.Engine.Left), zap.Duration("retryAfter", retryAfter))
+	}
+	return retryAfter, crowded
+}
+
 // refuseNoEngine returns the refusal of an order that no engine can take now. If all engines have paused its entry, the
 // caller may retry when the first pause ends.
 func (c *Coordinator) refuseNoEngine(o place.Order, now time.Time) Decision {
@@ -707,11 +783,19 @@
 			continue
 		}
 		o.grant = granted
+		if c.policy != nil && o.order.Job.NeedsStages() {
+			c.tally.granted(o.order.Job, granted.Late)
+		}
 		o.order.Engine.ByZone = granted.ByZone
 		c.pickEngine(o, now)
 	}
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
+			if r.Pool != "" {
+				c.tally.refused(o.order.Job, r)
+				c.firstVisits.Refused(o.order.Fingerprint, now.Add(r.RetryAfter))
+			}
+			c.logRefusal(o, r, now)
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
@@ -732,15 +816,19 @@
 			zap.String("pool", b.Upstream.Pool), zap.Int("pieces", len(b.Items)), zap.Duration("expected", b.Expected),
 			zap.Int("waitInTime", b.QueuedInTime), zap.Int("waitLate", b.QueuedLate), zap.Int64("room", b.FreeBytes),
 			zap.Int("emptyInputs", emptyInputs(b.Items)), zap.Duration("listAge", now.Sub(c.hosts.Read())),
-			zap.Strings("requests", requestsOf(b.Items)))
+			zap.Strings("requests", requestsOf(b.Items)), zap.Inline(speedFields{b, now}))
 		go c.runBatch(b)
 	}
+	c.tally.flush(now)
 	for _, r := range out.Releases {
+		if c.hosts.IsEvacuated(r.Upstream.Zone) {
+			continue // the results expire
+		}
 		if wait := c.opts.Notices.PauseRemaining(r.Upstream.Lifetime()); wait > 0 {
-			c.releaseLater(r, wait)
+			c.releaseLater(r, wait, now.Add(maxReleaseDelay))
 			continue
 		}
-		c.releases.Go(func() { c.release(r) })
+		c.releases.Go(func() { c.release(r, now.Add(maxReleaseDelay)) })
 	}
 	for _, u := range out.Probes {
 		go c.updateFreeBytes(u)
@@ -779,6 +867,9 @@
 // its maximum size.
 func (c *Coordinator) roundTrip(u hosts.Upstream, timeout time.Duration, results int,
 	r uphttp.Request) (stageAnswer, *fault.Error) {
+	if c.opts.Hosts().IsEvacuated(u.Zone) {
+		return stageAnswer{}, fault.New(fault.NotRun, fault.Draining, "the zone of %s is evacuated", u.ID)
+	}
 	if wait := c.opts.Notices.PauseRemaining(u.Lifetime()); wait > 0 {
 		return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s wants nothing for now", u.ID).WithRetryAfter(wait)
 	}
@@ -786,7 +877,11 @@
 	defer cancel()
 	r.Host = u.Address
 	if r.URI != c.opts.Codec.RunPath { // calls were counted when they were scheduled
-		c.opts.Limits.Spend(u.Lifetime())
+		if c.opts.Limits.ColdRate(u.Lifetime()) == 0 {
+			c.opts.Limits.Spend(u.Lifetime())
+		} else if wait := c.opts.Limits.Take(u.Lifetime()); wait > 0 {
+			return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s is cold", u.ID).WithRetryAfter(wait)
+		}
 	}
 	sent := c.opts.Now()
 	answer, failure := c.opts.Client.Do(ctx, u.Address, r)
@@ -795,6 +890,10 @@
 	}
 	defer answer.Close()
 	c.opts.Notices.AddAnswer(u, sent, answer.Status, answer.Head)
+	if answer.Head.HasLoad {
+		load, at := answer.Head.Load, c.opts.Now()
+		c.inbox <- func(time.Time) { c.scheduler.ObserveLoad(u.Lifetime(), load, at) }
+	}
 	if answer.Head.HasLimit {
 		c.opts.Stats.LimitNamed(u.Pool)
 		c.opts.Log.Info("stage upstream named a limit", zap.String("upstream", u.ID), zap.String("path", r.URI),
@@ -817,7 +916,8 @@
 // runBatch calls a stage upstream with a batch and passes the outcome to the scheduler.
 func (c *Coordinator) runBatch(b sched.Batch) {
 	results, failure := c.callBatch(b)
-	busy := failure != nil && failure.Code == fault.Overloaded
+	// A call that was not sent as its zone is evacuated is no failure of its pieces either.
+	busy := failure != nil && (failure.Code == fault.Overloaded || failure.Code == fault.Draining)
 	outcome := "answered"
 	if failure != nil {
 		outcome = string(failure.Code)
@@ -915,6 +1015,28 @@
 		zap.Strings("producers", producers)}
 }
 
+// speedFields describes how the expected duration of a call follows from the usual one, for upstreams that state their load.
+type speedFields struct {
+	sched.Batch
+	now time.Time
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (f speedFields) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	age, known := f.Speed.Age(f.now)
+	if !known {
+		return nil
+	}
+	load := f.Speed.Load()
+	e.AddDuration("usual", f.Usual)
+	e.AddFloat64("slowness", f.Speed.Slowness())
+	e.AddDuration("loadAge", age)
+	e.AddInt("upstreamRunning", load.Running)
+	e.AddInt("upstreamWaiting", load.Waiting)
+	e.AddInt("timePercent", load.TimePercent)
+	return nil
+}
+
 // emptyInputs counts the pieces of a call that name an input without a handle.
 func emptyInputs(items []call.Item) int {
 	n := 0
@@ -946,18 +1068,19 @@
 	return d
 }
 
-// releaseLater releases results once the pause of their upstream ends, unless they have expired by then.
-func (c *Coordinator) releaseLater(r sched.Release, wait time.Duration) {
-	if wait > maxReleaseDelay {
+// releaseLater releases results once the pause of their upstream ends, unless that is after last, when they have expired.
+func (c *Coordinator) releaseLater(r sched.Release, wait time.Duration, last time.Time) {
+	if c.opts.Now().Add(wait).After(last) {
 		c.opts.Log.Info("results are left to expire", zap.String("upstream", r.Upstream.ID),
 			zap.Int("results", len(r.Handles)))
 		return
 	}
-	time.AfterFunc(wait, func() { c.release(r) })
+	time.AfterFunc(wait, func() { c.release(r, last) })
 }
 
-// release tells an upstream to drop results. If that fails, they take up memory until they expire.
-func (c *Coordinator) release(r sched.Release) {
+// release tells an upstream to drop results, later if it is cold and accepts no request now. If that fails, they take up
+// memory until they expire.
+func (c *Coordinator) release(r sched.Release, last time.Time) {
 	body, err := c.opts.Codec.EncodeRelease(r.Handles)
 	if err != nil {
 		c.opts.Log.Warn("can't encode a release", zap.Error(err))
@@ -966,6 +1089,10 @@
 	_, failure := c.roundTrip(r.Upstream, releaseTimeout, 0, uphttp.Request{
 		Method: http.MethodPost, URI: c.opts.Codec.ReleasePath, Body: body, Header: c.opts.Codec.HeaderFor(r.Upstream.ID, 0),
 	})
+	if failure != nil && failure.Verdict == fault.NotRun && failure.RetryAfter > 0 {
+		c.releaseLater(r, failure.RetryAfter, last)
+		return
+	}
 	if failure != nil {
 		c.opts.Log.Info("release failed", zap.String("upstream", r.Upstream.ID), zap.Error(failure))
 	}
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -18,11 +18,13 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
 	"github.com/ragworthatch/ragworthatch/internal/edge/watch"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/fake/ports"
 	"github.com/ragworthatch/ragworthatch/internal/fake/proxy"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/link"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
+	"github.com/ragworthatch/ragworthatch/internal/leader/place"
 	"github.com/ragworthatch/ragworthatch/internal/leader/registry"
 	"github.com/ragworthatch/ragworthatch/internal/leader/sched"
 	"github.com/ragworthatch/ragworthatch/internal/leader/serve"
@@ -42,13 +44,15 @@
 	recalls  bool             // hands an order over when it is recalled
 	progress []sched.Progress // of the newest order
 	repeats  int              // of the newest order
+	caller   string           // route and team of the newest order
+	adopted  map[string]place.Run
 }
 
 func (d *fakeDispatcher) Submit(o lead.Order, reply func(lead.Decision)) {
 	d.mu.Lock()
 	d.open[o.Job.ID] = true
 	d.replies[o.Job.ID] = reply
-	d.progress, d.repeats = o.Job.Progress, o.Stream.Repeats
+	d.progress, d.repeats, d.caller = o.Job.Progress, o.Stream.Repeats, o.Job.Route+" "+o.Job.Team
 	d.mu.Unlock()
 	if !d.silent {
 		reply(lead.Decision{Upstream: d.name})
@@ -68,6 +72,14 @@
 	d.replies[id](lead.Decision{Moved: true, Progress: []sched.Progress{{Done: true,
 		Results: []sched.HeldResult{{Handle: "h", Producer: hosts.Lifetime{ID: "m", StartedMs: 7}, ExpiresIn: time.Second}}}}})
 }
+func (d *fakeDispatcher) Abandon([]string) {}
+func (d *fakeDispatcher) Adopt(_ string, runs []place.Run, _ bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range runs {
+		d.adopted[r.ID] = r
+	}
+}
 func (d *fakeDispatcher) Crashed(crash.Report)                  {}
 func (d *fakeDispatcher) Served(uint64)                         {}
 func (d *fakeDispatcher) UpstreamNotice(string, notices.Notice) {}
@@ -75,6 +87,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.open, id)
+	delete(d.adopted, id)
+}
+
+func (d *fakeDispatcher) runOf(id string) place.Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.adopted[id]
 }
 
 // sendDecision sends a decision on an open order.
@@ -92,7 +111,7 @@
 }
 
 func newFake(name string, silent bool) *fakeDispatcher {
-	return &fakeDispatcher{name: name, silent: silent, open: map[string]bool{}, replies: map[string]func(lead.Decision){}}
+	return &fakeDispatcher{name: name, silent: silent, open: map[string]bool{}, adopted: map[string]place.Run{}, replies: map[string]func(lead.Decision){}}
 }
 
 // peer is another entry.
@@ -104,6 +123,7 @@
 	crash  *crash.Tracker
 	limits *pace.Limiter[hosts.Lifetime]
 	readAt atomic.Pointer[time.Time] // of the list of upstreams by an entry
+	zones  atomic.Pointer[zones.Set] // that it knows to be evacuated
 	hellos atomic.Int64              // lines that its server logged, which is one for each connection
 }
 
@@ -122,6 +142,7 @@
 	c.Assert(err, qt.IsNil)
 	p := &peer{Member: registry.Member{Host: host, Address: listener.Addr().String(), Born: 1}, server: grpc.NewServer(),
 		born: 1, crash: newTracker(), limits: newLimits()}
+	p.zones.Store(zones.New())
 	log := zap.New(logHook(func() { p.hellos.Add(1) }))
 	cellpb.RegisterCellServer(p.server, serve.New(serve.Options{
 		Dispatcher: dispatcher, Limits: p.limits, Born: p.born, Leaving: func() bool { return false }, Leader: func() (registry.Member, bool) {
@@ -131,6 +152,7 @@
 			return registry.Member{}, false
 		},
 		Crash: p.crash,
+		Zones: p.zones.Load, ObserveZones: func(r []zones.Record) { p.zones.Store(p.zones.Load().WithRecords(r)) },
 		Rules: func() serve.Rules { return serve.Rules{} }, Era: func() int64 { return 0 },
 		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) }, ObserveRead: func(at time.Time) { p.readAt.Store(&at) },
 		Crew: func() registry.View { return registry.View{} }, Now: time.Now, Log: log,
@@ -187,6 +209,7 @@
 		LacksRules: func(watch.Revision) bool { return false },
 		Notices:    func() []notices.Notice { return nil }, ConfirmMembers: func(registry.View) {},
 		RulesVersion: func() int64 { return 0 }, ObserveEra: func(int64) {}, ListReadAt: func() time.Time { return listReadAt },
+		Zones:   zones.New,
 		Confirm: func(watch.Revision, *hosts.Table) {}, Now: time.Now, Log: zap.NewNop(),
 	})
 }
@@ -218,7 +241,7 @@
 // submit submits an order and returns the channel on which its decisions arrive.
 func submit(l *link.Link, id string) chan lead.Decision {
 	got := make(chan lead.Decision, 2)
-	l.Submit(lead.Order{Job: sched.Job{ID: id, Deadline: time.Now().Add(time.Minute)}}, func(d lead.Decision) { got <- d })
+	l.Submit(lead.Order{Job: sched.Job{ID: id, Route: "chat", Team: "web", Deadline: time.Now().Add(time.Minute)}}, func(d lead.Decision) { got <- d })
 	return got
 }
 
@@ -260,6 +283,7 @@
 	l := startLink(c, newFake("local", false), p.Member)
 	eventually(c, func() bool { return !l.Leads() })
 	c.Check((<-submit(l, "1")).Upstream, qt.Equals, "remote")
+	c.Check(remote.caller, qt.Equals, "chat web", qt.Commentf("floors are those of routes and teams"))
 	l.Ended("1", "", false)
 	eventually(c, func() bool { return remote.openCount() == 0 })
 }
@@ -284,6 +308,37 @@
 	c.Check(l.Leads(), qt.IsTrue)
 }
 
+// The next leader must know what runs on the engines before it fills them, and hear when that ends. The last leader is
+// this entry itself.
+func TestEntriesTellTheNextLeaderWhatRuns(t *testing.T) {
+	c := qt.New(t)
+	old, next, local := newFake("old", false), newFake("next", false), newFake("local", false)
+	first, second := newPeer(c, "first", old), newPeer(c, "second", next)
+	members := []registry.Member{first.Member, second.Member, {Host: "self"}}
+	var skip atomic.Int64
+	l := startWithMembers(c, local, func() []registry.Member { return members[skip.Load():] })
+	eventually(c, func() bool { return !l.Leads() })
+	for _, id := range []string{"1", "2"} {
+		got := make(chan lead.Decision, 1)
+		l.Submit(lead.Order{Job: sched.Job{ID: id}, Engine: place.Order{ID: id, PromptTokens: 100, OutputLimit: 7,
+			Deadline: time.Now().Add(time.Minute)}}, func(d lead.Decision) { got <- d })
+		c.Check((<-got).Upstream, qt.Equals, "old")
+	}
+	l.FirstByte("2", false)
+	skip.Store(1)
+	eventually(c, func() bool { return next.runOf("2").Engine == "old" })
+	c.Check(next.runOf("1").Tokens, qt.Equals, 107)
+	c.Check(next.runOf("1").Unread, qt.Equals, 100)
+	c.Check(next.runOf("2").Unread, qt.Equals, 0)
+	l.Ended("2", "old", false)
+	eventually(c, func() bool { return next.runOf("2").ID == "" && old.openCount() == 1 })
+	second.server.Stop()
+	first.server.Stop()
+	skip.Store(2)
+	eventually(c, func() bool { return local.runOf("1").Engine == "old" })
+	c.Check(local.runOf("2").ID, qt.Equals, "")
+}
+
 // A replaced leader keeps its orders. If it stops before it has decided, they resume at the present leader from the
 // progress that it reported.
 func TestUndecidedOrdersResumeWhereTheLostLeaderWas(t *testing.T) {
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 // assign builds calls for the free upstreams of a pool, from the most urgent steps first.
@@ -24,7 +25,7 @@
 	}
 	queue := make([]queuedStep, len(p.ready))
 	for i, s := range p.ready {
-		queue[i] = queuedStep{step: s, urgency: sc.urgency(s)}
+		queue[i] = queuedStep{step: s, urgency: sc.urgency(s), claim: sc.lateClaim(s, now)}
 	}
 	hasZonePreference := slices.ContainsFunc(queue, func(q queuedStep) bool { return q.step.preferredZone != "" })
 	byZone := map[string][]queuedStep{}
@@ -39,7 +40,7 @@
 		if byZone[zone] == nil {
 			byZone[zone] = slices.Clone(queue)
 			slices.SortStableFunc(byZone[zone], func(a, c queuedStep) int {
-				return cmp.Or(falseFirst(a.step.job.late, c.step.job.late), cmp.Compare(a.urgencyIn(zone), c.urgencyIn(zone)))
+				return cmp.Or(falseFirst(a.step.job.late, c.step.job.late), a.claim.compare(c.claim), cmp.Compare(a.urgencyIn(zone), c.urgencyIn(zone)))
 			})
 		}
 		byZone[zone] = slices.DeleteFunc(byZone[zone], func(q queuedStep) bool { return q.step.state != stepReady })
@@ -51,6 +52,7 @@
 type queuedStep struct {
 	step    *step
 	urgency int64
+	claim   claim // of a late job
 }
 
 // urgencyIn returns the urgency of the step at upstreams of a zone. Steps that prefer another zone are less urgent
@@ -76,7 +78,7 @@
 // urgency returns the latest time at which a step has to start, in Unix nanoseconds, plus a penalty for its rank. Lower
 // values are more urgent.
 func (sc *Scheduler) urgency(s *step) int64 {
-	return s.job.Target.Add(-sc.minTimeToFirstByte(s)).UnixNano() + int64(s.job.Rank)*int64(urgencyPerRank)
+	return s.job.Target.Add(-sc.minTimeToFirstByte(s)).UnixNano() + int64(sc.rankPenalty(s))
 }
 
 // minTimeToFirstByte returns the least time from the start of a step to the first byte of the answer.
@@ -96,7 +98,7 @@
 	for i, s := range j.steps {
 		p := sc.pools[s.spec.Pool]
 		if s.spec.Pieces > 0 && p != nil && slices.Contains(s.spec.After, index) {
-			longest = max(longest, p.avgWait+sc.expectedCallTime(s)+sc.expectedTail(j, i))
+			longest = max(longest, sc.stepWait(j, s)+sc.expectedCallTime(s)+sc.expectedTail(j, i))
 		}
 	}
 	return longest
@@ -128,48 +130,62 @@
 	return max(sc.minCallTime(s), sc.pools[s.spec.Pool].avgCallTime)
 }
 
-// callTime returns the processing time of a call with the given number of pieces.
+// callTime returns the processing time of a call with the given number of pieces at the mean speed of the upstreams.
 func (p *pool) callTime(pieces int) time.Duration {
+	return p.speed.scale(p.usualCallTime(pieces))
+}
+
+// usualCallTime returns the processing time of a call with the given number of pieces by the configuration.
+func (p *pool) usualCallTime(pieces int) time.Duration {
 	return p.spec.Call + time.Duration(pieces)*p.spec.Piece
 }
 
 // freeWorkers returns the upstreams that can take a call: fast ones before slow ones, then those with less used memory
-// first.
+// first. Where upstreams state their load, those that are slower than most now come later, and those that are alike in a
+// random order, so that entries that decide alone do not all begin with the same one.
 func (sc *Scheduler) freeWorkers(p *pool, now time.Time) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
-		switch {
-		case !w.present || w.running != nil:
-		case now.Before(w.pausedUntil) || now.Before(w.fullUntil):
-		case w.slow() && now.Before(w.retestAt):
-		case sc.limits.Wait(w.up.Lifetime()) > 0:
-		default:
+		if w.present && sc.state(w, now) == StateFree {
 			out = append(out, w)
 		}
 	}
+	if p.speed.known {
+		sc.drawTies(out)
+	}
 	slices.SortFunc(out, func(a, c *worker) int {
-		return cmp.Or(
-			falseFirst(a.slow(), c.slow()),
-			cmp.Compare(a.usedBytes+a.untracked, c.usedBytes+c.untracked),
-			cmp.Compare(a.up.ID, c.up.ID))
+		return cmp.Or(compareFree(a, c), cmp.Compare(a.tie, c.tie), cmp.Compare(a.up.ID, c.up.ID))
 	})
 	return out
 }
 
+// compareFree orders upstreams that can take a call, up to those that are alike.
+func compareFree(a, c *worker) int {
+	return cmp.Or(
+		falseFirst(a.slow(), c.slow()),
+		cmp.Compare(a.class, c.class),
+		cmp.Compare(a.usedBytes+a.untracked, c.usedBytes+c.untracked))
+}
+
 // buildBatch fills one call to a free upstream from the queue, which is sorted by urgency.
 func (sc *Scheduler) buildBatch(p *pool, w *worker, queue []queuedStep, now time.Time) {
 	r := &activeCall{worker: w, startedAt: now}
+	most := p.sizeAt(w, now) // pieces of a call that holds more than one step
 	var items []call.Item
-	freeBytes := int64(usableFraction*float64(p.spec.Headroom)) - w.usedBytes - w.untracked
+	freeBytes := p.freeBytes(w)
 	queueCache := map[*pool]bool{}
 	backlog := 0
 	for _, q := range queue {
 		backlog += len(q.step.pending)
 	}
+	var lacksMemory *job // the most urgent job for whose results there is no room here
 	splitAllowed := backlog > splitBacklog*p.spec.Size
 	for _, q := range queue {
 		s := q.step
 		capacity := p.spec.Size - len(items)
+		if len(items) > 0 {
+			capacity = min(capacity, max(0, most-len(items)))
+		}
 		if capacity == 0 || (w.slow() && len(items) > 0) {
 			break
 		}
@@ -178,9 +194,15 @@
 			continue
 		}
 		take := min(len(s.pending), capacity)
+		if lacksMemory != nil && s.needsRoomOf(lacksMemory) {
+			continue
+		}
 		if s.spec.ResultBytes > 0 {
 			take = min(take, int(max(0, freeBytes)/s.spec.ResultBytes))
 		}
+		if sc.policy != nil && lacksMemory == nil && !s.job.late && take < min(len(s.pending), capacity) {
+			lacksMemory, p.lackedAt = s.job, now
+		}
 		if take == 0 || (take < len(s.pending) && len(s.pending) <= p.spec.Size && !(splitAllowed && s.maySplit())) {
 			continue
 		}
@@ -208,7 +230,8 @@
 	sc.limits.Take(w.up.Lifetime())
 	sc.nextID++
 	r.id = sc.nextID
-	r.expected = p.callTime(len(items)) + overheadPerCall
+	r.usual = p.usualCallTime(len(items)) + overheadPerCall
+	r.reference, r.expected = w.speed.Reference(r.usual, now), w.speed.Duration(r.usual, now)
 	r.timeout = max(minTimeout, timeoutFactor*r.expected)
 	updateAverage(&p.avgCallTime, r.expected)
 	w.running = r
@@ -223,11 +246,16 @@
 		updateAverage(&p.avgBatchSize, float64(len(items)))
 	}
 	sc.output.Batches = append(sc.output.Batches, Batch{
-		ID: r.id, Upstream: w.up, Items: items, Expected: r.expected, Timeout: r.timeout,
+		ID: r.id, Upstream: w.up, Items: items, Usual: r.usual, Expected: r.expected, Timeout: r.timeout, Speed: w.speed,
 		QueuedInTime: inTime, QueuedLate: late, FreeBytes: freeBytes,
 	})
 }
 
+// freeBytes returns the memory that an upstream has left for results, in bytes.
+func (p *pool) freeBytes(w *worker) int64 {
+	return int64(usableFraction*float64(p.spec.Headroom)) - w.usedBytes - w.untracked
+}
+
 // maySplit reports whether a step that fits into one call may be split between calls when its pool has a backlog. Steps
 // that other stages read stay whole because those stages need all pieces, and steps with large results because their
 // results belong in one zone.
@@ -243,7 +271,7 @@
 	}
 	for _, other := range p.workers {
 		if other.present && other.up.Zone == s.preferredZone && !now.Before(other.pausedUntil) &&
-			other.slowness < slowFactor {
+			other.speed.Slowness() < speed.SlowFactor {
 			return false
 		}
 	}
--- a/internal/leader/sched/sched.go
+++ b/internal/leader/sched/sched.go
@@ -2,13 +2,16 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
+	"github.com/ragworthatch/ragworthatch/internal/limit/fair"
 	"github.com/ragworthatch/ragworthatch/internal/limit/pace"
+	"github.com/ragworthatch/ragworthatch/internal/route/speed"
 )
 
 const (
@@ -29,8 +32,6 @@
 	hedgeFactor          = 1.5 // a call is hedged after this multiple of its expected duration,
 	hedgeQueuedFactor    = 3.0 // or after this one while other steps wait for the pool
 	hedgeSlack           = 60 * time.Millisecond
-	slownessSmoothing    = 0.4
-	slowFactor           = 1.7 // slower upstreams get single steps to test whether they have recovered
 	retestInterval       = 700 * time.Millisecond
 	averageSmoothing     = 0.15                   // weight of a new value in the averages of a pool
 	minProbedHeadroom    = 4_000_000              // bytes; reports are in whole MB, too coarse for less memory
@@ -53,11 +54,13 @@
 	ID           int64
 	Upstream     hosts.Upstream
 	Items        []call.Item
+	Usual        time.Duration // of such a call, by the configuration
 	Expected     time.Duration
-	Timeout      time.Duration // timeout of the call
-	QueuedInTime int           // pieces of jobs that can meet their target, still queued in the pool
-	QueuedLate   int           // pieces of late jobs, still queued in the pool
-	FreeBytes    int64         // free bytes for results on the upstream after this call
+	Timeout      time.Duration  // timeout of the call
+	Speed        speed.Estimate // of the upstream when the call was scheduled
+	QueuedInTime int            // pieces of jobs that can meet their target, still queued in the pool
+	QueuedLate   int            // pieces of late jobs, still queued in the pool
+	FreeBytes    int64          // free bytes for results on the upstream after this call
 }
 
 // Grant reports that all stages of a job are done and the request can run.
@@ -90,6 +93,7 @@
 	Job        string
 	Reason     Reason
 	RetryAfter time.Duration
+	Pool       string // most in demand of those that the job needs; empty unless jobs compete by rank
 }
 
 // Release lists results that an upstream can drop.
@@ -112,10 +116,13 @@
 // worker is a stage upstream with its scheduling state.
 type worker struct {
 	up               hosts.Upstream
-	present          bool // listed and ready
+	present          bool // takes work
+	withheld         bool // would take work if its zone were not evacuated
 	running          *activeCall
-	usedBytes        int64         // by tracked results and those of the call in flight
-	slowness         float64       // ratio of call durations to the expected ones, smoothed
+	usedBytes        int64 // by tracked results and those of the call in flight
+	speed            speed.Estimate
+	class            int           // by its speed now, among those of its pool; the lowest is preferred
+	tie              uint64        // random; orders upstreams that are alike
 	backoff          time.Duration // length of the last pause after a failed call
 	pausedUntil      time.Time     // no calls until then, after failures or at the upstream's request
 	fullUntil        time.Time     // no calls until then, after a piece found no memory for its result
@@ -147,6 +154,8 @@
 	worker    *worker
 	parts     []part
 	startedAt time.Time
+	usual     time.Duration // on an upstream of usual speed that others leave alone
+	reference time.Duration // expected if the upstream were as fast as the others of its pool
 	expected  time.Duration
 	timeout   time.Duration
 	bytes     int64
@@ -163,9 +172,16 @@
 	avgBatchSize float64       // pieces of a call while others wait
 	avgBusy      float64       // upstreams with a call in flight while pieces wait
 	lastObserved time.Time
-	lastExpired  time.Time // when results were last scanned for expiry
-	countsValid  bool      // counts is up to date
+	lastExpired  time.Time   // when results were last scanned for expiry
+	congestedAt  time.Time   // when pieces last queued, as all upstreams were busy
+	rankedValid  bool        // ranked is up to date
+	lackedAt     time.Time   // when in-time work last waited for memory for results
+	slotsLeft    float64     // part of the pool that admitted work leaves, as of the last step
+	rankedLarge  map[int]int // as ranked, of steps with large results
+	ranked       map[int]int // pieces of in-time jobs that are in no call, by rank
+	countsValid  bool        // counts is up to date
 	counts       workerCounts
+	speed        poolSpeed
 }
 
 // workerCounts counts the upstreams of a pool that are listed and ready.
@@ -184,10 +200,14 @@
 	calls       map[int64]*activeCall
 	nextID      int64
 	output      Output
-	toRelease   map[string][]string  // handles by upstream
-	workersByID map[string]*worker   // their present lifetimes
-	affected    map[*job]bool        // jobs that may have lost results
-	overloads   map[string]*overload // by pool names, joined by spaces
+	toRelease   map[string][]string    // handles by upstream
+	workersByID map[string]*worker     // their present lifetimes
+	affected    map[*job]bool          // jobs that may have lost results
+	overloads   map[string]*overload   // by pool names, joined by spaces
+	now         time.Time              // of the last event
+	lateAhead   map[int]map[string]int // waiting pieces of late jobs by rank and pool, as of the last step
+	policy      *fair.Policy           // nil unless jobs compete by rank
+	random      func() uint64          // orders upstreams that are alike
 }
 
 // New returns a scheduler without pools, which starts no more calls than limits allows.
@@ -196,7 +216,7 @@
 		limits: limits,
 		pools:  map[string]*pool{}, jobs: map[string]*job{}, calls: map[int64]*activeCall{},
 		toRelease: map[string][]string{}, workersByID: map[string]*worker{}, affected: map[*job]bool{},
-		overloads: map[string]*overload{},
+		overloads: map[string]*overload{}, lateAhead: map[int]map[string]int{}, random: rand.Uint64,
 	}
 }
 
@@ -222,20 +242,16 @@
 	}
 	for name, p := range sc.pools {
 		for _, w := range p.workers {
-			w.present = false
+			w.present, w.withheld = false, false
 		}
 		for _, u := range t.Ready(name) {
-			w := p.workers[u.ID]
-			if w == nil {
-				w = &worker{slowness: 1, held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
-				p.workers[u.ID] = w
-				sc.workersByID[u.ID] = w
-			}
+			w := sc.workerOf(p, u.ID)
 			w.up, w.present = u, true
 		}
+		sc.keepWithheld(p, t.Withheld(name))
 		p.countsValid = false
 		for id, w := range p.workers {
-			if !w.present && w.running == nil && len(w.held) == 0 {
+			if !w.present && !w.withheld && w.running == nil && len(w.held) == 0 {
 				delete(p.workers, id)
 				delete(sc.workersByID, id)
 			}
@@ -243,6 +259,17 @@
 	}
 }
 
+// workerOf returns the worker of an upstream of a pool, a new one if there is none.
+func (sc *Scheduler) workerOf(p *pool, id string) *worker {
+	w := p.workers[id]
+	if w == nil {
+		w = &worker{speed: speed.New(), held: map[string]held{}, mayHoldUntracked: p.spec.Headroom >= minProbedHeadroom}
+		p.workers[id] = w
+		sc.workersByID[id] = w
+	}
+	return w
+}
+
 // endLifetime forgets an upstream that has restarted, and marks the jobs that it held results of.
 func (sc *Scheduler) endLifetime(w *worker) {
 	for _, h := range w.held {
@@ -258,11 +285,18 @@
 	if sc.jobs[spec.ID] != nil {
 		return
 	}
+	sc.now = now
 	j := newJob(spec, now)
+	if sc.policy != nil {
+		j.limitTarget()
+	}
 	if refusal, refused := sc.admit(j, now); refused {
 		sc.output.Refusals = append(sc.output.Refusals, refusal)
 		return
 	}
+	if sc.policy != nil {
+		sc.countAdmitted(j, now)
+	}
 	sc.jobs[spec.ID] = j
 	sc.order = append(sc.order, j)
 	sc.resume(j, now)
@@ -345,7 +379,7 @@
 	sc.endCall(r)
 	w := r.worker
 	w.backoff = 0
-	w.recordSlowness(float64(now.Sub(r.startedAt)) / float64(r.expected))
+	w.speed = w.speed.WithCall(now.Sub(r.startedAt), r.usual, r.reference, now)
 	at := 0
 	for _, p := range r.parts {
 		for _, piece := range p.pieces {
@@ -516,13 +550,14 @@
 		return
 	}
 	sc.Cancel(j.ID)
-	sc.output.Refusals = append(sc.output.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: sc.retryAfter(j, now)})
+	sc.output.Refusals = append(sc.output.Refusals, Refusal{Job: j.ID, Reason: reason, RetryAfter: sc.retryAfter(j, now), Pool: sc.scarcePool(j, now)})
 }
 
 func (sc *Scheduler) enqueue(steps []*step) {
 	for _, s := range steps {
 		if p := sc.pools[s.spec.Pool]; p != nil && !s.job.recalled && !slices.Contains(p.ready, s) {
 			p.ready = append(p.ready, s)
+			p.rankedValid = false
 		}
 	}
 }
@@ -530,20 +565,34 @@
 func (sc *Scheduler) unqueue(s *step) {
 	if p := sc.pools[s.spec.Pool]; p != nil {
 		p.ready = slices.DeleteFunc(p.ready, func(o *step) bool { return o == s })
+		p.rankedValid = false
 	}
 }
 
 // Schedule assigns ready pieces to free upstreams and returns the actions to carry out.
 func (sc *Scheduler) Schedule(now time.Time) Output {
+	sc.now = now
 	for _, p := range sc.pools {
+		p.updateSpeed(now)
 		sc.expireResults(p, now)
+		p.rankedValid = false
 	}
 	sc.reopenAffected(now)
 	sc.hedge(now)
+	sc.releaseRead(now)
 	sc.order = slices.DeleteFunc(sc.order, func(j *job) bool { return sc.jobs[j.ID] != j })
 	sc.refuseExpired(now)
+	sc.refuseWithheld(now)
 	sc.handOverRecalled(now)
 	sc.reportCheckpoints(now)
+	for name, p := range sc.pools {
+		if sc.policy != nil {
+			p.slotsLeft = sc.policy.Left(name, anyRank, p.capacity(), now)
+		}
+		if p.congested() {
+			p.congestedAt = now
+		}
+	}
 	sc.markLate(now)
 	for _, name := range sortedKeys(sc.pools) {
 		sc.assign(sc.pools[name], now)
@@ -576,7 +625,7 @@
 			sc.recordExpiry(j, now)
 			sc.refuse(j, Expired, now)
 		case j.late && !j.started:
-			if _, stillOverloaded := sc.overloadOf(j, now); stillOverloaded {
+			if sc.overloadedFor(j, now) {
 				sc.refuse(j, Overloaded, now)
 			}
 		}
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
+	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/leader/place"
@@ -24,9 +26,11 @@
 )
 
 const (
-	maxPieces    = 10_000 // of all stages of an order
-	outboxSize   = 512    // messages to one entry
-	maxTransfers = 8      // large answers sent at the same time, which leaves bandwidth for the other messages
+	maxPieces      = 10_000          // of all stages of an order
+	outboxSize     = 512             // messages to one entry
+	maxSharedZones = 64              // sent in each pong
+	assumeTold     = 2 * time.Second // after its start a session counts as that of an entry that has told what runs
+	maxTransfers   = 8               // large answers sent at the same time, which leaves bandwidth for the other messages
 )
 
 // Server serves the connections of other entries, which follow this one.
@@ -43,12 +47,15 @@
 	era         func() int64
 	hosts       func() *hosts.Table
 	observeRead func(time.Time)
+	zones       func() *zones.Set
+	observe     func([]zones.Record)
 	members     func() registry.View
 	now         func() time.Time
 	log         *zap.Logger
 	history     tableHistory
 	transfers   chan struct{} // holds one value for each large answer that is being sent
 	entries     atomic.Int64  // connected
+	told        atomic.Int64  // connected entries that follow and have told which requests run
 
 	compressedRules compressed
 	compressedHosts compressed
@@ -77,9 +84,12 @@
 	Hosts      func() *hosts.Table
 	// ObserveRead takes the times at which entries have read the upstreams from the store.
 	ObserveRead func(time.Time)
-	Crew        func() registry.View // the members, as other entries may rely on them
-	Now         func() time.Time
-	Log         *zap.Logger
+	// Zones are the records of evacuated zones; ObserveZones takes those that an entry knows.
+	Zones        func() *zones.Set
+	ObserveZones func([]zones.Record)
+	Crew         func() registry.View // the members, as other entries may rely on them
+	Now          func() time.Time
+	Log          *zap.Logger
 }
 
 // New returns a server that passes the orders of other entries to o.Dispatcher.
@@ -87,6 +97,7 @@
 	return &Server{
 		dispatcher: o.Dispatcher, born: o.Born, leaving: o.Leaving, leader: o.Leader, crash: o.Crash, limits: o.Limits,
 		origins: o.Origins, rules: o.Rules, era: o.Era,
+		zones: o.Zones, observe: o.ObserveZones,
 		hosts: o.Hosts, observeRead: o.ObserveRead, members: o.Crew, now: o.Now, log: o.Log, transfers: make(chan struct{}, maxTransfers),
 	}
 }
@@ -94,6 +105,9 @@
 // Entries returns the number of entries that are connected.
 func (s *Server) Entries() int { return int(s.entries.Load()) }
 
+// Told returns the number of connected entries that follow this one and have told which of their requests run on engines.
+func (s *Server) Told() int { return int(s.told.Load()) }
+
 // session is the connection of one entry.
 type session struct {
 	*Server
@@ -103,6 +117,7 @@
 	sentMembers registry.View // members that the entry was sent
 	sentChanges int64         // number of the last change of crashes that the entry was sent
 	sentLimits  int64         // number of the last change of limits that the entry was sent
+	told        atomic.Bool
 	mu          sync.Mutex
 	open        map[string]bool // IDs of requests that have not ended
 }
@@ -115,6 +130,10 @@
 	done := make(chan struct{})
 	defer close(done)
 	defer ses.endRequests()
+	defer ses.setTold(false)
+	// Entries of an earlier release do not tell. Probes end sooner.
+	timer := time.AfterFunc(assumeTold, func() { ses.setTold(true) })
+	defer timer.Stop()
 	go func() {
 		for {
 			select {
@@ -162,6 +181,12 @@
 			streams[s.Key] = origin.Origin{Pool: s.Pool, Version: s.Version}
 		}
 		ses.origins.Learn(streams)
+	case *cellpb.ToLead_Running:
+		if body.Running.Leaves {
+			ses.setTold(false)
+			return
+		}
+		ses.adopt(body.Running)
 	case *cellpb.ToLead_Recall:
 		ses.dispatcher.Recall(body.Recall.Id)
 	case *cellpb.ToLead_FirstByte:
@@ -197,7 +222,7 @@
 		}
 	case *cellpb.ToLead_PermitQuery:
 		q := body.PermitQuery
-		wait := ses.limits.Take(hosts.Lifetime{ID: q.Id, StartedMs: q.Born})
+		wait := ses.limits.TakeCold(hosts.Lifetime{ID: q.Id, StartedMs: q.Born}, q.ColdRate)
 		ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Permit{
 			Permit: &cellpb.Permit{Number: q.Number, WaitUs: wait.Microseconds()}}})
 	case *cellpb.ToLead_Holds:
@@ -209,6 +234,7 @@
 		if age := body.Ping.ListAgeUs; age > 0 {
 			ses.observeRead(ses.now().Add(-time.Duration(age) * time.Microsecond))
 		}
+		ses.observe(cellpb.ZoneRecords(body.Ping.Zones))
 		ses.pong(body.Ping.Sequence)
 	}
 }
@@ -219,7 +245,7 @@
 	table := ses.hosts()
 	if ses.sentTable != nil && table.Version() != ses.sentTable.Version() {
 		ses.history.add(table)
-		if ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: ses.history.changes(ses.sentTable, table)}}) {
+		if ses.post(&cellpb.ToEntry{Body: &cellpb.ToEntry_Hosts{Hosts: ses.history.changes(ses.sentTable, table, ses.now())}}) {
 			ses.sentTable = table
 		}
 	}
@@ -242,6 +268,11 @@
 		HostsVersion: table.Version(), HostsAgeUs: now.Sub(table.Read()).Microseconds(),
 		CrewAgeUs: now.Sub(view.Read).Microseconds(),
 	}
+	// More zones would make pongs large; entries read the records from the store then.
+	if known := ses.zones(); len(known.Records()) <= maxSharedZones {
+		pong.SharesZones, pong.Zones = true, cellpb.ZonesOf(known.Records())
+		pong.ZonesEra, pong.ZonesEnd = known.End()
+	}
 	if leader, follows := ses.leader(); follows {
 		pong.Follows = true
 		if leader.Host != "" {
@@ -279,6 +310,35 @@
 	return &cellpb.ToEntry{Body: &cellpb.ToEntry_Crew{Crew: m}}
 }
 
+// adopt counts the requests of the entry that run by the decision of another leader.
+func (ses *session) adopt(m *cellpb.Running) {
+	now := ses.now()
+	runs := make([]place.Run, 0, len(m.Runs))
+	for _, r := range m.Runs {
+		ses.track(r.Id)
+		runs = append(runs, place.Run{
+			ID: r.Id, Pool: r.Pool, Engine: r.Engine, Tokens: int(r.Tokens), Unread: int(r.Unread),
+			Until: now.Add(time.Duration(r.LeftUs) * time.Microsecond),
+		})
+	}
+	ses.dispatcher.Adopt(ses.entry, runs, m.Whole)
+	if m.Whole {
+		ses.setTold(true)
+	}
+}
+
+// setTold counts the session among those of entries that follow and have told which requests run, or no longer.
+func (ses *session) setTold(told bool) {
+	if ses.told.Swap(told) == told {
+		return
+	}
+	if told {
+		ses.Server.told.Add(1)
+		return
+	}
+	ses.Server.told.Add(-1)
+}
+
 // track notes that a request is open, so that it ends with the connection.
 func (ses *session) track(id string) {
 	ses.mu.Lock()
@@ -298,6 +358,7 @@
 	open := ses.open
 	ses.open = nil
 	ses.mu.Unlock()
+	ses.dispatcher.Abandon(slices.Collect(maps.Keys(open)))
 	for id := range open {
 		ses.dispatcher.Ended(id, "", false)
 	}
@@ -339,16 +400,21 @@
 			Source: origin.Source(s.OriginSource),
 		}},
 		Job: sched.Job{
-			ID: s.Id, RequestID: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Arrived: arrived,
+			ID: s.Id, RequestID: s.Request, PieceKey: s.PieceKey, Rank: int(s.Rank), Route: s.Route, Team: s.Team, Arrived: arrived,
 			Target:   arrived.Add(time.Duration(s.TargetUs) * time.Microsecond),
 			Deadline: arrived.Add(time.Duration(s.DeadlineUs) * time.Microsecond),
 			Progress: cellpb.BoardProgress(s.Progress),
 		},
 		Engine: place.Order{
 			ID: s.Id, Pool: s.Pool, Zone: s.Zone, Model: s.Model, PromptTokens: int(s.PromptTokens),
-			OutputTokens: int(s.OutputTokens), Exclude: s.Exclude, Version: s.Version,
+			OutputHint: int(s.OutputHint), Deadline: arrived.Add(time.Duration(s.DeadlineUs) * time.Microsecond), Exclude: s.Exclude, Version: s.Version,
+			OutputLimit: int(s.OutputLimit), Route: s.Route, Rank: int(s.Rank), Target: time.Duration(s.TargetUs) * time.Microsecond,
+			Gap: time.Duration(s.GapUs) * time.Microsecond,
 		},
 	}
+	if s.OutputLimit == 0 && s.OutputHint == 0 {
+		o.Engine.OutputHint = int(s.OutputTokens) // all that an entry of an earlier release says
+	}
 	pieces := 0
 	for i, st := range s.Stages {
 		if pieces += int(st.Pieces); st.Pieces < 0 || pieces > maxPieces {
