--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -29,9 +27,11 @@
 	"github.com/ragworthatch/ragworthatch/internal/leader/lead"
 	"github.com/ragworthatch/ragworthatch/internal/leader/origin"
 	"github.com/ragworthatch/ragworthatch/internal/limit/crash"
+	"github.com/ragworthatch/ragworthatch/internal/limit/memory"
 	"github.com/ragworthatch/ragworthatch/internal/limit/resend"
 	"github.com/ragworthatch/ragworthatch/internal/limit/shed"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/ops/intake"
 )
 
 const (
@@ -43,6 +43,7 @@
 	maxBufferedBytes    = 256 << 10             // bytes; a longer answer is streamed to the caller
 	maxPieces           = 10_000                // in all stages of a request
 	streamBufferBytes   = 8 << 10               // bytes
+	minBodyTime         = 3 * time.Second       // that a body may take, also if the deadline is earlier
 	maxUnreadBytes      = 128 << 10             // of a body; the server reads as much after a refusal
 
 	// A stream takes a few times the target of its first event, which counts from its arrival.
@@ -88,6 +89,9 @@
 	ExitAt func() time.Time
 	// Ending is closed when the shutdown leaves no more time to wait for the leader's decisions.
 	Ending <-chan struct{}
+	// Intake reads the bodies of requests.
+	Intake *intake.Intake
+	Memory *memory.Budget // nil leaves memory unbounded
 	Now    func() time.Time
 	Log    *zap.Logger
 }
@@ -113,7 +117,8 @@
 	head       call.Request
 	key        string // unique; the IDs that callers set may not be
 	logID      string // the caller's ID, or the key if there is none
-	body       []byte
+	body       *intake.Body
+	answerHeld int64 // bytes of memory.Answers
 	rules      *rule.Rules
 	route      rule.Route
 	team       string
@@ -144,6 +149,7 @@
 		Front: f, in: r, caller: r.Context(), out: relay.New(w), arrived: f.o.Now(), rules: f.o.Rules(),
 		head: f.o.Codec.ReadRequest(r.Header), key: f.keyPrefix + "-" + strconv.FormatUint(f.keyCount.Add(1), 36),
 	}
+	defer x.releaseMemory()
 	x.logID = cmp.Or(x.head.ID, x.key)
 	failure := x.prepare(w)
 	if failure == nil {
@@ -200,14 +206,12 @@
 			return failure
 		}
 	}
-	limit := x.bodyLimit()
-	body, err := io.ReadAll(http.MaxBytesReader(w, x.in.Body, limit))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return fault.New(fault.NotRun, fault.TooLarge, "the body is larger than %d bytes", limit)
-		}
-		return fault.New(fault.NotRun, fault.BadRequest, "the body can't be read").WithCause(err)
+	x.setDeadline()
+	body, failure := x.o.Intake.ReadBody(w, x.in, intake.BodyOptions{
+		Limit: x.bodyLimit(), Owner: x.team, Until: x.arrived.Add(max(x.deadline.Sub(x.arrived), minBodyTime)),
+	})
+	if failure != nil {
+		return failure
 	}
 	x.body = body
 	if readFirst {
@@ -218,12 +222,11 @@
 	if !x.head.HasAtMostPieces(maxPieces) {
 		return fault.New(fault.NotRun, fault.BadRequest, "more than %d pieces", maxPieces)
 	}
-	x.mark(body)
+	x.mark(body.Bytes())
 	x.o.Verify.Check()
 	if d := x.o.Crash.BlockedFor(x.fingerprint, x.parts); d > 0 {
 		return quarantined(d)
 	}
-	x.setDeadline()
 	x.pool = x.route.PickPool(rand.Float64())
 	if x.route.Resumable {
 		x.pickStream()
@@ -346,7 +349,7 @@
 		Instance: u.ID, Team: x.team, Remaining: x.remaining(), Inputs: inputs, LastEventID: lastEvent,
 	})
 	answer, failure := x.o.Client.Do(x.in.Context(), u.Address, uphttp.Request{
-		Method: x.in.Method, URI: rawTarget(x.in), Host: x.in.Host, Header: header, Body: x.body,
+		Method: x.in.Method, URI: rawTarget(x.in), Host: x.in.Host, Header: header, Body: x.body.Bytes(),
 		ID: x.head.ID, NoRetry: !x.route.Repeatable(),
 	})
 	x.logSend(u, answer, failure)
@@ -374,9 +377,32 @@
 		return nil, fault.New(fault.NotRun, code, "upstream %s did not run the request: status %d", u.ID, answer.Status)
 	}
 	x.mayHaveRun = true
+	if !x.mayBeSentAgain() {
+		x.body.Release()
+	}
 	return answer, nil
 }
 
+// mayBeSentAgain reports whether the request may go to another upstream after one that may have run it.
+func (x *exchange) mayBeSentAgain() bool {
+	return (x.route.Repeatable() || x.route.Resumable) && x.sends < x.route.Attempts
+}
+
+// growAnswer takes memory for a buffered answer, until the end of the request.
+func (x *exchange) growAnswer(bytes int64) bool {
+	if !x.o.Memory.TryAcquire(memory.Answers, "", bytes) {
+		return false
+	}
+	x.answerHeld += bytes
+	return true
+}
+
+// releaseMemory gives back the memory of the body and of buffered answers.
+func (x *exchange) releaseMemory() {
+	x.body.Release()
+	x.o.Memory.Release(memory.Answers, "", x.answerHeld)
+}
+
 // logSend counts a send and logs it as "sent" once the upstream has answered or failed. The field "send" is the number
 // of the send within the request; the number of a send that doesn't count in sends is used again.
 func (x *exchange) logSend(u hosts.Upstream, answer *uphttp.Answer, failure *fault.Error) {
@@ -454,6 +480,8 @@
 		return http.StatusUnauthorized
 	case fault.TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case fault.SlowBody:
+		return http.StatusRequestTimeout
 	case fault.BadRequest:
 		return http.StatusBadRequest
 	}
--- a/internal/edge/stats/pages_test.go
+++ b/internal/edge/stats/pages_test.go
@@ -21,6 +21,7 @@
 	c.Assert(err, qt.IsNil)
 	s := stats.New(m, func() stats.Gauges {
 		return stats.Gauges{
+			Held: []stats.HeldMemory{{Kind: "bodies"}},
 			Pools: []stats.PoolUse{{Pool: "pool", Upstreams: map[string]int{"free": 1}, Waiting: map[int]int{0: 1},
 				Running: map[int]int{0: 1}}},
 			Engines: []stats.EngineUse{{Pool: "pool", Engine: "engine"}},
@@ -42,6 +43,7 @@
 	s.StreamContinued("pool", true)
 	s.OriginLookedUp("memory")
 	s.StoreCall("topic", true)
+	s.ClientRefused("reason")
 	s.TeamFinished("team", 0, "served")
 	s.Shed("processor", 0)
 	w := httptest.NewRecorder()
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -30,6 +30,14 @@
 	ProcessorWait  time.Duration // median of the last half second
 	Pools          []PoolUse     // stage pools, of the requests that this entry decides on
 	Engines        []EngineUse   // of those requests
+	Connections    int64         // of callers
+	Held           []HeldMemory  // by kind of holder
+}
+
+// HeldMemory is the memory that a kind of holder has taken from the budget.
+type HeldMemory struct {
+	Kind        string
+	Used, Limit int64 // bytes
 }
 
 // PoolUse says what the upstreams of a stage pool do and what waits for them.
@@ -68,6 +76,7 @@
 	limited      meter.Counter
 	continued    meter.Counter
 	origins      meter.Counter
+	clients      meter.Counter
 	crowded      meter.Counter
 	teams        meter.Counter
 	shed         meter.Counter
@@ -101,6 +110,18 @@
 		func(s Gauges) int64 { return s.Blocks })
 	gauge("edge.limitedUpstreams", "{upstream}", "Upstreams that named a limit in their last answer.",
 		func(s Gauges) int64 { return s.Limited })
+	gauge("edge.connections", "{connection}", "Open connections of callers.",
+		func(s Gauges) int64 { return s.Connections })
+	held := func(name, help string, value func(HeldMemory) int64) {
+		m.GaugeFunc(meter.Spec{Name: name, Unit: "By", Help: help}, func(o meter.Observe) {
+			for _, h := range state().Held {
+				o(value(h), label("kind", h.Kind))
+			}
+		})
+	}
+	held("edge.memoryHeld", "Memory held for callers, by kind of holder.", func(h HeldMemory) int64 { return h.Used })
+	held("edge.memoryLimit", "Memory that may be held for callers, by kind of holder.",
+		func(h HeldMemory) int64 { return h.Limit })
 	gauge("edge.coldUpstreams", "{upstream}", "Upstreams that are cold and accept only a few requests.",
 		func(s Gauges) int64 { return s.Cold })
 	gauge("edge.evacuatedZones", "{zone}", "Zones whose upstreams get no requests from this entry.",
@@ -145,6 +166,8 @@
 				"has the same version."}),
 		origins: m.Counter(meter.Spec{Name: "edge.originLookups", Unit: "{lookup}",
 			Help: "Lookups of the version that began a stream, by where it was found."}),
+		clients: m.Counter(meter.Spec{Name: "edge.refusedClients", Unit: "{client}",
+			Help: "Requests refused and connections closed to bound memory, by reason."}),
 		stageOrders: m.Counter(meter.Spec{Name: "edge.stageOrders", Unit: "{request}",
 			Help: "Requests with stages that the leader decided on while callers compete by rank, by route, team, rank, the " +
 				"pool for which they were refused, and result."}),
@@ -245,6 +268,9 @@
 // OriginLookedUp counts a lookup of the version that began a stream; source says where it was found.
 func (s *Stats) OriginLookedUp(source string) { s.origins.Add(1, label("source", source)) }
 
+// ClientRefused counts a request that was refused, or a connection that was closed, to bound the memory of clients.
+func (s *Stats) ClientRefused(reason string) { s.clients.Add(1, label("reason", reason)) }
+
 // EngineRefusal counts a request that was refused because the engines of a pool had too many prompts to read, or too little
 // memory.
 func (s *Stats) EngineRefusal(pool string, rank int) {
