Count only entries that are heard as followers for the limits of cold upstreams

Cause: found in review. A leader counted open connections, also of entries that follow another leader or are cut off, for up to 8 s; two groups could then both use the whole limit, 25.9 requests a second in place of 19.4. A share that shrank and grew again unnoticed, and requests counted between Wait and Take, added to it. Change: followers are those heard within 750 ms that have not left; the share is observed ten times a second while pools have cold upstreams; calls that are sent are counted in any case.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -56,7 +56,8 @@
 	exitMargin          = 300 * time.Millisecond // before the end of the grace period, the process exits
 	refuseMargin        = 700 * time.Millisecond // before that end, requests without a decision are refused
 	sweepEvery          = 1 * time.Second
-	assumedEntries      = 8 // least number of entries that the retry slack is divided by, as not all may be known yet
+	shareEvery          = 100 * time.Millisecond // well below the delay after which a grown share counts
+	assumedEntries      = 8                      // least number of entries that the retry slack is divided by, as not all may be known yet
 )
 
 // Node is one entry: the process that accepts requests of callers and forwards them to upstreams.
@@ -331,10 +332,11 @@
 // coldShare returns the part of the limits of cold upstreams that this process may use: none once it leaves, as the next
 // leader may have the whole by then.
 func (n *Node) coldShare() float64 {
-	if n.leaving.Load() {
+	service := n.service.Load()
+	if _, follows := n.link.Leader(); follows || service == nil || n.leaving.Load() {
 		return 0
 	}
-	return n.limitShare()
+	return pace.Part(service.Followers()+1, n.registry.Size())
 }
 
 // coldRate returns the requests per second that an upstream accepts from all entries together while it is cold.
@@ -450,10 +452,16 @@
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
+	shares := time.NewTicker(shareEvery)
+	defer shares.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-shares.C:
+			if n.watch.Rules().HasCold() {
+				n.limits.ObserveShare()
+			}
 		case <-ticker.C:
 			n.client.Sweep()
 			n.intake.Sweep()
--- a/internal/leader/place/place.go
+++ b/internal/leader/place/place.go
@@ -220,7 +220,7 @@
 	if !s.found {
 		return s.best, false
 	}
-	p.limits.Take(s.best.Lifetime())
+	p.limits.Spend(s.best.Lifetime()) // also if another request has been counted since Wait
 	p.assign(o, keys, s.best, now)
 	return s.best, true
 }
--- a/internal/leader/sched/assign.go
+++ b/internal/leader/sched/assign.go
@@ -227,7 +227,7 @@
 	if len(items) == 0 {
 		return
 	}
-	sc.limits.Take(w.up.Lifetime())
+	sc.limits.Spend(w.up.Lifetime()) // also if a release has taken the request since Wait
 	sc.nextID++
 	r.id = sc.nextID
 	r.usual = p.usualCallTime(len(items)) + overheadPerCall
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -31,6 +31,10 @@
 	maxSharedZones = 64              // sent in each pong
 	assumeTold     = 2 * time.Second // after its start a session counts as that of an entry that has told what runs
 	maxTransfers   = 8               // large answers sent at the same time, which leaves bandwidth for the other messages
+
+	// A follower that has sent nothing for followerSilence may follow another entry. It is shorter than the delay after which
+	// a share that grew counts in package pace, and several ping intervals of package link.
+	followerSilence = 750 * time.Millisecond
 )
 
 // Server serves the connections of other entries, which follow this one.
@@ -55,6 +59,7 @@
 	history     tableHistory
 	transfers   chan struct{} // holds one value for each large answer that is being sent
 	entries     atomic.Int64  // connected
+	sessions    sync.Map      // holds each *session that is connected
 	told        atomic.Int64  // connected entries that follow and have told which requests run
 
 	compressedRules compressed
@@ -105,6 +110,20 @@
 // Entries returns the number of entries that are connected.
 func (s *Server) Entries() int { return int(s.entries.Load()) }
 
+// Followers returns the number of connected entries that have been heard within followerSilence and have not left for
+// another leader.
+func (s *Server) Followers() int {
+	now, count := s.now(), 0
+	s.sessions.Range(func(key, _ any) bool {
+		ses := key.(*session)
+		if at := ses.heardAt.Load(); !ses.left.Load() && at != nil && now.Sub(*at) < followerSilence {
+			count++
+		}
+		return true
+	})
+	return count
+}
+
 // Told returns the number of connected entries that follow this one and have told which of their requests run on engines.
 func (s *Server) Told() int { return int(s.told.Load()) }
 
@@ -118,6 +137,8 @@
 	sentChanges int64         // number of the last change of crashes that the entry was sent
 	sentLimits  int64         // number of the last change of limits that the entry was sent
 	told        atomic.Bool
+	left        atomic.Bool               // the entry follows another leader
+	heardAt     atomic.Pointer[time.Time] // time of the last message; nil before the first
 	mu          sync.Mutex
 	open        map[string]bool // IDs of requests that have not ended
 }
@@ -127,6 +148,8 @@
 	s.entries.Add(1)
 	defer s.entries.Add(-1)
 	ses := &session{Server: s, outbox: make(chan *cellpb.ToEntry, outboxSize), open: map[string]bool{}}
+	s.sessions.Store(ses, nil)
+	defer s.sessions.Delete(ses)
 	done := make(chan struct{})
 	defer close(done)
 	defer ses.endRequests()
@@ -151,6 +174,8 @@
 		if err != nil {
 			return err
 		}
+		now := ses.now()
+		ses.heardAt.Store(&now)
 		ses.handle(m)
 	}
 }
@@ -183,6 +208,7 @@
 		ses.origins.Learn(streams)
 	case *cellpb.ToLead_Running:
 		if body.Running.Leaves {
+			ses.left.Store(true)
 			ses.setTold(false)
 			return
 		}
--- a/internal/limit/pace/cold.go
+++ b/internal/limit/pace/cold.go
@@ -110,6 +110,14 @@
 	return share
 }
 
+// ObserveShare notes the share of this process. It must be called more often than takeoverDelay, as the share may shrink and
+// grow again while no cold upstream is asked for.
+func (l *Limiter[K]) ObserveShare() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coldShare(l.opts.Now())
+}
+
 // coldPerSecond returns the part of a rate that all shares together may use: with maxShares it stays within the overshoot.
 func (l *Limiter[K]) coldPerSecond(rate float64) float64 {
 	overshoot, _ := l.cold.Bound()
--- a/internal/limit/pace/cold_test.go
+++ b/internal/limit/pace/cold_test.go
@@ -137,3 +137,32 @@
 	c.Check(l.Take("u"), qt.Equals, time.Duration(0), qt.Commentf("an upstream that nobody takes to be cold has no limit"))
 	c.Check(l.IsLimited("u"), qt.IsFalse)
 }
+
+// Guards against two leaders that both use a whole limit: a former leader that follows another entry for a while, and leads
+// again while that one has not noticed, must wait although no request asked for a cold upstream meanwhile.
+func TestAShareThatShrankUnnoticedGrowsWithADelay(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(24, 13, 11)
+	f.share[0], f.share[1] = 1, 0
+	f.run(3 * time.Second)
+	f.share[0], f.share[1] = 0, 1
+	f.lead[0].ObserveShare()
+	for end := f.now.Add(4 * time.Second); f.now.Before(end); f.now = f.now.Add(tick) {
+		for f.lead[1].Take("u") == 0 {
+			f.sent = append(f.sent, f.now)
+		}
+	}
+	f.share[0] = 1 // the other group has not noticed yet
+	f.run(900 * time.Millisecond)
+	most := 0
+	for i, at := range f.sent {
+		n := 0
+		for _, later := range f.sent[i:] {
+			if later.Sub(at) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	c.Check(float64(most) <= coldRate*coldOvershoot+coldSlack, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+}
