Frame messages as net/http does, and keep the bounds on bodies fair

Cause: found in review. A message of HTTP/1.0 with Transfer-Encoding, or a length behind 300 blanks, was framed otherwise than by net/http, so that what followed had no bounds or was counted as thousands of messages. Trailers without memory gave 400. A team at its share made others lose bodies. A body was released while it was still being written. Change: HTTP/1.0 knows no chunks, overlong framing fields and chunk sizes are refused, trailers without memory give 503, only bodies of the team itself are given up for its share, and a body is released once it is written.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -377,7 +377,7 @@
 		return nil, fault.New(fault.NotRun, code, "upstream %s did not run the request: status %d", u.ID, answer.Status)
 	}
 	x.mayHaveRun = true
-	if !x.mayBeSentAgain() {
+	if !x.mayBeSentAgain() && answer.HasSent() {
 		x.body.Release()
 	}
 	return answer, nil
--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -301,6 +301,17 @@
 	}
 }
 
+// HasSent reports, without waiting, whether the writing of the request has ended, so that its body is not in use any more.
+func (a *Answer) HasSent() bool {
+	select {
+	case err := <-a.conn.written:
+		a.conn.written <- err // for wasWritten
+		return true
+	default:
+		return false
+	}
+}
+
 // Read reads the body; it returns io.EOF only at the end of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
--- a/internal/limit/memory/budget.go
+++ b/internal/limit/memory/budget.go
@@ -150,6 +150,18 @@
 		(owner == "" || held == 0 || held+bytes <= int64(maxOwnerShare*float64(p.limit)))
 }
 
+// ExceedsShare reports whether bytes are refused to an owner for its share of the part, whatever others release.
+func (b *Budget) ExceedsShare(kind Kind, owner string, bytes int64) bool {
+	if b == nil || owner == "" {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.parts[kind]
+	held := p.byOwner[owner]
+	return held > 0 && held+bytes > int64(maxOwnerShare*float64(p.limit))
+}
+
 func (p *part) take(owner string, bytes int64) {
 	p.used += bytes
 	if owner != "" {
--- a/internal/ops/intake/body.go
+++ b/internal/ops/intake/body.go
@@ -28,6 +28,7 @@
 // reading is the state of a body that is being read; conn.mu guards it.
 type reading struct {
 	kind    memory.Kind
+	owner   string
 	bytes   int64 // held of that kind
 	begun   time.Time
 	due     time.Time // when the next bytes are due
@@ -83,7 +84,11 @@
 		kind = memory.Bodies
 	}
 	if !b.budget.TryAcquire(kind, b.owner, size) {
-		in.reclaimBodies(c, kind, size)
+		owner := "" // anyone
+		if b.budget.ExceedsShare(kind, b.owner, size) {
+			owner = b.owner // the bodies of others would not help
+		}
+		in.reclaimBodies(c, kind, owner, size)
 		if !b.budget.Acquire(ctx, kind, b.owner, size) {
 			return false
 		}
@@ -198,6 +203,8 @@
 	case c != nil && c.wasEvicted():
 		in.refuse(BodyEvicted)
 		return noMemory().WithCause(err)
+	case c != nil && c.short: // for trailers; Read has counted the refusal
+		return noMemory().WithCause(err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		in.refuse(BodySlow)
 		return fault.New(fault.NotRun, fault.SlowBody, "the body made no progress").WithCause(err)
@@ -221,7 +228,7 @@
 		now := c.in.o.Now()
 		c.body = &reading{begun: now, due: now.Add(slowGrace)}
 	}
-	c.body.kind, c.body.bytes = b.kind, b.held
+	c.body.kind, c.body.owner, c.body.bytes = b.kind, b.owner, b.held
 }
 
 // endBody ends that, and removes the deadline of the reads.
--- a/internal/ops/intake/conn.go
+++ b/internal/ops/intake/conn.go
@@ -35,6 +35,7 @@
 	in      *Intake
 	scan    scanner
 	refused bool      // nothing more is read
+	short   bool      // refused for HeadMemory
 	writeBy time.Time // write deadline
 	// bodyRead says that the handler has read the body of the present request.
 	bodyRead bool
@@ -58,7 +59,7 @@
 		}
 		kept, reason := c.check(p[:n])
 		if reason != "" {
-			c.refused = true
+			c.refused, c.short = true, reason == HeadMemory
 			c.in.refuse(reason)
 			if kept == 0 {
 				c.writeRefusal(reason)
@@ -116,7 +117,7 @@
 
 // charge checks the size of a head with its trailers, and takes memory for them. ends says that the message is whole.
 func (c *conn) charge(limits Limits, ends bool) Reason {
-	if c.scan.bytes > limits.HeadBytes+lineSlack {
+	if c.scan.invalid || c.scan.bytes > limits.HeadBytes+lineSlack {
 		return HeadTooLarge
 	}
 	need := max(0, int64(c.scan.bytes)+lineBytes*int64(c.scan.lines)-ordinaryBytes)
--- a/internal/ops/intake/reclaim.go
+++ b/internal/ops/intake/reclaim.go
@@ -37,11 +37,11 @@
 	return out
 }
 
-// reclaimBodies gives up overdue bodies of a kind, until so many bytes are to be released.
-func (in *Intake) reclaimBodies(except *conn, kind memory.Kind, bytes int64) {
+// reclaimBodies gives up overdue bodies of a kind, only those of an owner if that is not empty, until so many bytes are to be released.
+func (in *Intake) reclaimBodies(except *conn, kind memory.Kind, owner string, bytes int64) {
 	now := in.o.Now()
 	for _, v := range in.victims(except, func(c *conn) (time.Time, int64, bool) {
-		if c.body == nil || c.body.kind != kind || c.body.bytes == 0 {
+		if c.body == nil || c.body.kind != kind || c.body.bytes == 0 || (owner != "" && c.body.owner != owner) {
 			return time.Time{}, 0, false
 		}
 		since, ok := c.body.overdue(now)
--- a/internal/ops/intake/scan.go
+++ b/internal/ops/intake/scan.go
@@ -19,9 +19,11 @@
 	inTrailers state = "trailers" // in the lines after the last chunk
 )
 
-// maxFieldBytes bounds what is kept of a header line that frames the body. A longer one is not valid.
+// maxFieldBytes bounds what is kept of a header line that frames the body. A longer one is refused.
 const maxFieldBytes = 256
 
+const version10 = "HTTP/1.0"
+
 // scanner follows the messages in the bytes of a connection and counts the lines and bytes of their heads, without keeping
 // them. It takes a body to be framed as net/http does; where a message is not valid, net/http closes the connection.
 type scanner struct {
@@ -35,6 +37,8 @@
 	left     int64  // bytes of the body or chunk to come
 	length   int64  // Content-Length of this message
 	chunked  bool   // Transfer-Encoding of this message
+	http10   bool   // HTTP/1.0, where net/http ignores Transfer-Encoding
+	invalid  bool   // a field that frames the body is too long to be evaluated
 }
 
 // next scans bytes up to the end of a head, of a body or chunk, or of a message. It returns their number and whether a
@@ -89,6 +93,10 @@
 	if s.framing || s.state == inSize {
 		s.field = append(s.field, text[:min(len(text), maxFieldBytes-len(s.field))]...)
 	}
+	if s.state == inHead && s.lines == 0 { // keep the end of the request line
+		s.field = append(s.field, text[max(0, len(text)-len(version10)):]...)
+		s.field = s.field[max(0, len(s.field)-len(version10)):]
+	}
 	s.lineSize += len(text)
 }
 
@@ -109,7 +117,10 @@
 	s.lineSize = 0
 	switch s.state {
 	case inHead:
-		s.lines++
+		if s.lines++; s.lines == 1 {
+			s.http10 = string(s.field) == version10
+			s.field = s.field[:0]
+		}
 		if size > 0 {
 			return false
 		}
@@ -128,6 +139,7 @@
 		s.field = s.field[:0]
 		chunk, err := strconv.ParseInt(strings.TrimSpace(text), 16, 62)
 		s.state, s.left = inChunk, chunk+int64(len("\r\n"))
+		s.invalid = s.invalid || err != nil || chunk < 0
 		if err != nil || chunk <= 0 {
 			s.state = inTrailers
 		}
@@ -147,12 +159,15 @@
 		name, value, _ := bytes.Cut(s.field, []byte(":"))
 		value = bytes.TrimSpace(value)
 		switch {
+		case len(s.field) >= maxFieldBytes && (bytes.EqualFold(name, []byte("Content-Length")) ||
+			bytes.EqualFold(name, []byte("Transfer-Encoding"))):
+			s.invalid = true
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			if n, err := strconv.ParseInt(string(value), 10, 63); err == nil && n >= 0 {
 				s.length = n
 			}
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			s.chunked = s.chunked || bytes.EqualFold(value, []byte("chunked"))
+			s.chunked = s.chunked || !s.http10 && bytes.EqualFold(value, []byte("chunked"))
 		}
 	}
 	s.framing, s.field = false, s.field[:0]
