Decide orders that are submitted again, and free what they held

Cause: found in review. An order that reached the same leader again after its connection was lost was never decided, or was ended with the former connection. One whose end overtook its submission kept a slot and memory. With a limit on one engine, orders without engine memory waited until their deadline. Adopted requests whose end nobody told kept their memory. Orders with finished stages were checked as new ones. Change: a submission replaces what is known of the order, sessions end only requests that they own, an end follows a late submission, crowded engines are looked at before a limit, memory ends 10 s after the deadline, and finished stages count as such.

--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -290,6 +290,7 @@
 	c.inbox <- func(now time.Time) {
 		c.refreshConfig()
 		c.judge()
+		c.replace(&o)
 		if o.Stream.TakenUp && o.Engine.Version == "" {
 			c.findOrigin(o, reply, now)
 			return
@@ -298,6 +299,18 @@
 	}
 }
 
+// replace drops what is known of an order that is submitted again, as its entry did not get the decision. The results of
+// its stages are released, so they are produced again.
+func (c *Coordinator) replace(o *Order) {
+	id := o.Job.ID
+	c.placer.Ended(id)
+	if c.orders[id] != nil {
+		c.scheduler.Cancel(id)
+		delete(c.orders, id)
+		o.Job.Progress = nil
+	}
+}
+
 // findOrigin finds the version at which the stream of an order began, and then admits the order. The entries tell the
 // leader which streams they have passed on; else what the order's entry has found holds, or this one looks it up.
 func (c *Coordinator) findOrigin(o Order, reply func(Decision), now time.Time) {
@@ -373,6 +386,8 @@
 		reply(Decision{Refused: sched.Limited, RetryAfter: max(wait, limitedRetryAfter)})
 		return
 	}
+	// Work that another leader had done for it is lost if it is refused.
+	o.Engine.Staged = o.Engine.Staged || slices.ContainsFunc(o.Job.Progress, func(p sched.Progress) bool { return p.Done })
 	if wait, crowded := c.crowded(o, now); crowded {
 		reply(Decision{Refused: Crowded, RetryAfter: wait})
 		return
@@ -598,14 +613,14 @@
 		}
 	}
 	up, ok := c.placer.Pick(order, c.hosts, c.engineSpec(order.Pool), now)
-	if !ok && c.awaitEngine(o, now) {
-		return
-	}
 	if !ok {
 		if wait, crowded := c.crowded(o.order, now); crowded {
 			c.sendDecision(id, o, Decision{Refused: Crowded, RetryAfter: wait})
 			return
 		}
+		if c.awaitEngine(o, now) {
+			return
+		}
 		c.sendDecision(id, o, c.refuseNoEngine(order, now))
 		return
 	}
--- a/internal/leader/link/link.go
+++ b/internal/leader/link/link.go
@@ -577,9 +577,19 @@
 	id := s.order.Job.ID
 	if s.session == nil {
 		l.opts.Local.Submit(s.order, func(d lead.Decision) { l.decided(id, d) })
-		return
+	} else {
+		s.session.submit(s.order)
+	}
+	l.mu.Lock()
+	_, open := l.requests[id]
+	l.mu.Unlock()
+	switch { // it may have ended meanwhile, and its end may have come before it
+	case open:
+	case s.session == nil:
+		l.opts.Local.Ended(id, "", false)
+	default:
+		s.session.ended(id, "", false)
 	}
-	s.session.submit(s.order)
 }
 
 // decided handles a decision: it is passed to its request, or its progress is kept or submitted to the present leader.
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -39,6 +39,7 @@
 
 // Server serves the connections of other entries, which follow this one.
 type Server struct {
+	owners sync.Map // *session by ID of a request: the last one that named it
 	cellpb.UnimplementedCellServer
 	dispatcher  lead.Decider
 	leaving     func() bool
@@ -370,12 +371,14 @@
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
 	ses.open[id] = true
+	ses.owners.Store(id, ses)
 }
 
 func (ses *session) untrack(id string) {
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
 	delete(ses.open, id)
+	ses.owners.CompareAndDelete(id, ses)
 }
 
 // endRequests ends the requests of an entry whose connection has closed.
@@ -384,6 +387,8 @@
 	open := ses.open
 	ses.open = nil
 	ses.mu.Unlock()
+	// An entry that has connected again may have submitted a request again before its former connection ended here.
+	maps.DeleteFunc(open, func(id string, _ bool) bool { return !ses.owners.CompareAndDelete(id, ses) })
 	ses.dispatcher.Abandon(slices.Collect(maps.Keys(open)))
 	for id := range open {
 		ses.dispatcher.Ended(id, "", false)
--- a/internal/limit/kvmem/budget.go
+++ b/internal/limit/kvmem/budget.go
@@ -95,11 +95,14 @@
 	}
 }
 
-// Sweep frees abandoned requests whose deadline has passed.
+// overdueGrace is the time after its deadline until a request whose end was not told counts as over.
+const overdueGrace = 10 * time.Second
+
+// Sweep frees abandoned requests whose deadline has passed, and others whose deadline has passed for overdueGrace.
 func (b *Budget) Sweep() {
 	now := b.opts.Now()
 	for id, r := range b.byID {
-		if r.abandoned && !now.Before(r.Until) {
+		if (r.abandoned && !now.Before(r.Until)) || (!r.Until.IsZero() && now.Sub(r.Until) > overdueGrace) {
 			b.drop(id)
 		}
 	}
