Look at engines only until one admits an order, and survey pools once a step

Each order was compared with all 120 engines twice more than before, and each refusal surveyed the pools again. Change: the check at admission ends at the first engine that admits the order, what other engines have cached is looked up only for engines with a backlog, and refusals of one step share a survey.

--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -808,6 +808,7 @@
 		o.order.Engine.ByZone = granted.ByZone
 		c.pickEngine(o, now)
 	}
+	demands := sync.OnceValue(func() []sched.Demand { return c.scheduler.Demands(now) }) // once for all refusals of a step
 	for _, r := range out.Refusals {
 		if o := c.orders[r.Job]; o != nil {
 			if slices.ContainsFunc(o.order.Job.Stages, func(s sched.Stage) bool { return c.hosts.IsWithheld(s.Pool) }) {
@@ -817,7 +818,7 @@
 				c.tally.refused(o.order.Job, r)
 				c.firstVisits.Refused(o.order.Fingerprint, now.Add(r.RetryAfter))
 			}
-			c.logRefusal(o, r, now)
+			c.logRefusal(o, r, demands(), now)
 			c.sendDecision(r.Job, o, Decision{Refused: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
--- a/internal/leader/lead/survey.go
+++ b/internal/leader/lead/survey.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -53,8 +54,8 @@
 	c.occupancy.Store(o)
 }
 
-// logRefusal logs who was refused, and what waits and runs in the pools that the request needs.
-func (c *Coordinator) logRefusal(o *openOrder, r sched.Refusal, now time.Time) {
+// logRefusal logs who was refused, and what waits and runs in the pools that the request needs, out of all demands.
+func (c *Coordinator) logRefusal(o *openOrder, r sched.Refusal, all []sched.Demand, now time.Time) {
 	var pools []string
 	for _, s := range o.order.Job.Stages {
 		if s.Pieces > 0 {
@@ -62,8 +63,10 @@
 		}
 	}
 	var demands demandFields
-	if len(pools) > 0 {
-		demands = c.scheduler.Demands(now, pools...)
+	for _, d := range all {
+		if slices.Contains(pools, d.Pool) {
+			demands = append(demands, d)
+		}
 	}
 	c.opts.Log.Info("refused", zap.String("request", o.order.Job.RequestID), zap.String("reason", string(r.Reason)),
 		zap.Int("rank", o.order.Job.Rank), zap.Duration("retryAfter", r.RetryAfter),
--- a/internal/leader/place/selection.go
+++ b/internal/leader/place/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
@@ -24,7 +25,9 @@
 	memory  *kvmem.Budget
 	tokens  int // of memory that the order may need
 	full    int // engines seen that lack memory
-	cached  int // prompt tokens that an engine has cached, at most
+	// mostCached returns the prompt tokens that an engine has cached, at most. It looks at all engines, and is called only for
+	// engines with a backlog.
+	mostCached func() int
 
 	offered int // engines seen
 	found   bool
@@ -48,10 +51,14 @@
 	s.tokens = p.tokensOf(o)
 	if o.Version == "" && policy.Active(now) {
 		s.bounded, s.bound = true, policy.BoundOf(o.inflow())
+	}
+	s.mostCached = sync.OnceValue(func() int {
+		most := 0
 		for _, u := range o.Ready(t) {
-			s.cached = max(s.cached, p.engine(u).cachedTokens(o, keys, now))
+			most = max(most, p.engine(u).cachedTokens(o, keys, now))
 		}
-	}
+		return most
+	})
 	return s
 }
 
@@ -105,15 +112,15 @@
 	if s.spec.Slots > 0 && len(e.running) >= s.spec.Slots {
 		return false
 	}
-	pending, again := e.pendingPrefill, max(0, s.cached-(s.order.PromptTokens-uncached))
+	pending, cached := e.pendingPrefill, s.order.PromptTokens-uncached
 	if !e.knowsCache(s.now) { // refuses nothing for prompts that may well be cached
 		pending, uncached = e.pendingSurely, min(uncached, e.surelyUncached(s.order, s.keys, s.now))
 	}
-	ahead, start := e.readTime(pending), e.readTime(pending+uncached+again)
-	ahead -= firstTokenOverhead
+	ahead := e.readTime(pending) - firstTokenOverhead
 	if ahead <= s.bound.Late {
 		return true
 	}
+	start := e.readTime(pending + uncached + max(0, s.mostCached()-cached))
 	if start > s.bound.Total {
 		return false
 	}
@@ -132,8 +139,13 @@
 	p.observe(o, now)
 	s := p.newSelection(o, prefixKeys(o), t, spec, now)
 	for _, u := range o.Ready(t) {
-		if e := p.current(u, now); !now.Before(e.ejectedUntil) {
-			s.offer(u, e)
+		e := p.current(u, now)
+		if now.Before(e.ejectedUntil) {
+			continue
+		}
+		s.offered++
+		if s.admits(u, e) || s.spareFound { // one is enough
+			return 0, false
 		}
 	}
 	if (!s.bounded && s.full < s.offered) || s.found || s.spareFound || s.offered == 0 {
