Guard the shares of a leader in one place, and drop an unused filter of demands

Cause: found when the whole change was read again. Three shares of limits and memory each checked whether this process follows another one, and nobody asked for the demand of single pools any more. Change: ownService holds the check; Demands returns all pools. Behaviour stays as it is.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -319,11 +319,19 @@
 	return n.registry.Size() <= 1 || (service != nil && service.Entries() > 0)
 }
 
+// ownService returns the service for the entries that follow this one; nil if it follows another one, or serves none yet.
+func (n *Node) ownService() *serve.Server {
+	if _, follows := n.link.Leader(); follows {
+		return nil
+	}
+	return n.service.Load()
+}
+
 // limitShare returns the part of the limits of upstreams that this process may use for itself and the entries that
 // follow it: none if it follows another one, and all if most entries follow it, so that others can't use as much.
 func (n *Node) limitShare() float64 {
-	service := n.service.Load()
-	if _, follows := n.link.Leader(); follows || service == nil {
+	service := n.ownService()
+	if service == nil {
 		return 0
 	}
 	return pace.Part(service.Entries()+1, n.registry.Size())
@@ -332,8 +340,8 @@
 // coldShare returns the part of the limits of cold upstreams that this process may use: none once it leaves, as the next
 // leader may have the whole by then.
 func (n *Node) coldShare() float64 {
-	service := n.service.Load()
-	if _, follows := n.link.Leader(); follows || service == nil || n.leaving.Load() {
+	service := n.ownService()
+	if service == nil || n.leaving.Load() {
 		return 0
 	}
 	return pace.Part(service.Followers()+1, n.registry.Size())
@@ -355,8 +363,8 @@
 // memoryShare returns the part of the engines' memory that this process may give out: that of itself and of the entries
 // that follow it, once they have told which requests run. It is 0 if it follows another one.
 func (n *Node) memoryShare() float64 {
-	service := n.service.Load()
-	if _, follows := n.link.Leader(); follows || service == nil {
+	service := n.ownService()
+	if service == nil {
 		return 0
 	}
 	return min(1, float64(service.Told()+1)/float64(max(1, n.registry.Size())))
--- a/internal/leader/sched/demand.go
+++ b/internal/leader/sched/demand.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 )
 
@@ -20,13 +19,11 @@
 	Holders []string    // some of the requests whose pieces run, the most urgent ranks first
 }
 
-// Demands returns the demand of the given pools, or of all if none are given, sorted by name. It changes nothing.
-func (sc *Scheduler) Demands(now time.Time, names ...string) []Demand {
+// Demands returns the demand of all pools, sorted by name. It changes nothing.
+func (sc *Scheduler) Demands(now time.Time) []Demand {
 	var out []Demand
 	for _, name := range sortedKeys(sc.pools) {
-		if len(names) == 0 || slices.Contains(names, name) {
-			out = append(out, sc.demand(name, sc.pools[name], now))
-		}
+		out = append(out, sc.demand(name, sc.pools[name], now))
 	}
 	return out
 }
