--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,6 +23,7 @@
 // cases are the plays by name. A play returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
 	"late-extra": playLateExtra,
+	"poison":     playPoison,
 }
 
 func main() { os.Exit(run()) }
