Review case 10: a report that the store executes late brings a leaving runner back

Tried: one report of each of two runners gets no answer and is executed 6 s later; the runners leave in between.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -25,6 +25,7 @@
 	"late-extra": playLateExtra,
 	"poison":     playPoison,
 	"take-up":    playTakeUp,
+	"late-beat":  playLateBeat,
 }
 
 func main() { os.Exit(run()) }
