--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -26,6 +26,7 @@
 	"poison":     playPoison,
 	"take-up":    playTakeUp,
 	"late-beat":  playLateBeat,
+	"short-body": playShortBody,
 }
 
 func main() { os.Exit(run()) }
