--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -9,7 +9,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -43,12 +45,19 @@
 	defer record.Close()
 	w := newWorld(record, os.Getenv("TROUBLE") != "0")
 	defer w.close()
-	watchdog := time.AfterFunc(115*time.Second, func() {
-		fmt.Fprintln(os.Stderr, "the case takes too long")
+	stop := func(why string) {
+		fmt.Fprintln(os.Stderr, why)
 		w.close()
 		os.Exit(exitNotRun)
-	})
+	}
+	watchdog := time.AfterFunc(115*time.Second, func() { stop("the case takes too long") })
 	defer watchdog.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		stop("the case was stopped")
+	}()
 	broken, err := cases[os.Args[1]](w)
 	switch {
 	case err != nil:
