--- a/review/standins-2/latebeat.go
+++ b/review/standins-2/latebeat.go
@@ -156,6 +156,9 @@
 	}
 	wg.Wait()
 	w.note("orders by status (0: no answer): %v", counts)
+	if counts[http.StatusOK] < 500 {
+		return false, fmt.Errorf("only %d orders were served", counts[http.StatusOK])
+	}
 	total := 0
 	for _, b := range runners {
 		b.mu.Lock()
--- a/review/standins-2/shortbody.go
+++ b/review/standins-2/shortbody.go
@@ -68,7 +68,7 @@
 	notReady := 0
 	wg.Go(func() { notReady = w.probeReadiness(edge) })
 	wg.Wait()
-	return w.judgeShortBody(s, notReady), nil
+	return w.judgeShortBody(s, notReady)
 }
 
 // sendShort sends bodies until shortUntil; after that it keeps the channel that is open.
@@ -122,7 +122,7 @@
 
 // judgeShortBody looks for contact_ms without an answer to any sound client, while seven or more try. Only the time after
 // the last bytes and channels of the other clients counts, so that none of it is load.
-func (w *world) judgeShortBody(s *soundLog, notReady int) bool {
+func (w *world) judgeShortBody(s *soundLog, notReady int) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calm := w.start.Add(shortUntil + 2*time.Second)
@@ -153,5 +153,8 @@
 	w.note("answers to sound clients by status (0: none): %v; the machine was not ready %d times", counts, notReady)
 	w.note("RECOVER: at most %.1f s without an answer to any of %d clients that tried, after the others sent nothing any more; "+
 		"contact_ms is %v", longest.Seconds(), soundClients, contactTime)
-	return longest > contactTime && notReady == 0
+	if before := counts["before"]; before[http.StatusOK] < 100 {
+		return false, fmt.Errorf("only %d requests were served before the other clients came", before[http.StatusOK])
+	}
+	return longest > contactTime && notReady == 0, nil
 }
--- a/review/standins-2/takeup.go
+++ b/review/standins-2/takeup.go
@@ -44,8 +44,9 @@
 	mu                 sync.Mutex
 	inTouch            time.Time // when all machines that were not killed are in touch again
 	killed             *edge
-	again              map[string]bool // streams that were taken up again; true if one of the attempts brought an event
-	fresh, freshServed int             // new streams
+	atFirst            map[net.Conn]bool // open channels to the first machine
+	again              map[string]bool   // streams that were taken up again; true if one of the attempts brought an event
+	fresh, freshServed int               // new streams
 }
 
 func (t *takeUps) isKilled(e *edge) bool {
@@ -54,14 +55,29 @@
 	return t.killed == e
 }
 
+// watch notes an open channel to the first machine, until the function that it returns is called.
+func (t *takeUps) watch(c net.Conn) (done func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.atFirst[c] = true
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.atFirst, c)
+	}
+}
+
 // attempt sends the stream's next attempt to an edge and reads events until the end. It returns whether the stream is
 // complete, whether an event came, and when to come back.
-func (s *streamClient) attempt(front, id string, left time.Duration) (complete, moved bool, wait time.Duration, status int) {
-	c, err := net.DialTimeout("tcp4", front, time.Second)
+func (s *streamClient) attempt(t *takeUps, e *edge, id string, left time.Duration) (complete, moved bool, wait time.Duration, status int) {
+	c, err := net.DialTimeout("tcp4", e.front, time.Second)
 	if err != nil {
 		return false, false, time.Second, 0
 	}
 	defer c.Close()
+	if e == s.w.edges[0] {
+		defer t.watch(c)()
+	}
 	_ = c.SetDeadline(time.Now().Add(left))
 	fmt.Fprintf(c, "POST /chat/x HTTP/1.1\r\nHost: chats.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nCredential: key-1\r\n"+
 		"Model: m\r\nToken-Counts: 700,600\r\nPrompt-Prefix: 5c1e07a2:500,%08x:200\r\nContent-Length: 2\r\n", id, left.Milliseconds(), s.number)
@@ -110,7 +126,7 @@
 		if t.isKilled(edge) { // the platform forwards no channels to it, or the client would take the next one
 			edge = s.w.edges[(s.number+try+1)%len(s.w.edges)]
 		}
-		complete, moved, wait, status := s.attempt(edge.front, id, left)
+		complete, moved, wait, status := s.attempt(t, edge, id, left)
 		s.w.note("stream %d, attempt %s (taken up: %v), sent at %.3f: status %d, events up to %d", s.number, id, again,
 			sent.Sub(s.w.start).Seconds(), status, s.last)
 		t.mu.Lock()
@@ -166,7 +182,7 @@
 		return false, fmt.Errorf("the restarts took %v", time.Since(w.start))
 	}
 	time.Sleep(time.Until(w.start.Add(trafficAt)))
-	t := &takeUps{again: map[string]bool{}}
+	t := &takeUps{again: map[string]bool{}, atFirst: map[net.Conn]bool{}}
 	var wg sync.WaitGroup
 	wg.Go(func() { w.drill(t, written) })
 	for n := 0; time.Since(w.start) < takeUpEnd; n++ {
@@ -184,9 +200,6 @@
 	}
 	w.note("LOST: of %d streams taken up again at machines in touch, %d went on; of %d new ones, %d began", len(t.again), wentOn,
 		t.fresh, t.freshServed)
-	if !w.trouble {
-		return false, nil
-	}
 	if len(t.again) < leastTakenUp || t.fresh == 0 {
 		return false, fmt.Errorf("only %d streams were taken up again", len(t.again))
 	}
@@ -213,7 +226,7 @@
 // drill takes the store away for a moment and lets it come back from a copy. Later it kills the machine that has run for
 // longest.
 func (w *world) drill(t *takeUps, written []func()) {
-	parts := os.Getenv("PARTS") // for a closer look: only the drill, or only the kill
+	parts := os.Getenv("PARTS") // for a closer look: "kill" leaves out the drill
 	time.Sleep(time.Until(w.start.Add(drillAt - copyAge)))
 	ends := w.store.Copy()
 	time.Sleep(time.Until(w.start.Add(drillAt)))
@@ -232,10 +245,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inTouch = time.Now()
-	if w.trouble && parts != "drill" {
+	if w.trouble {
 		t.killed = w.edges[0]
 		w.note("%s is killed", t.killed.name)
 		_ = t.killed.cmd.Process.Kill()
+		return
+	}
+	// Without the disruption the same streams are taken up at the same places: their clients close their channels.
+	w.note("%d clients of %s close their channels, to take their streams up elsewhere", len(t.atFirst), w.edges[0].name)
+	for c := range t.atFirst {
+		_ = c.Close()
 	}
 }
 
