Review stand-ins: processes of the program end with a stand-in that is killed

With SIGKILL to the script of case 10 its three edges went on; with SIGTERM and SIGINT all scripts ended all of theirs (1 run each). The kernel now ends the edges with the stand-in.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -30,7 +31,10 @@
 	"short-body": playShortBody,
 }
 
-func main() { os.Exit(run()) }
+func main() {
+	runtime.LockOSThread() // see endsWithParent
+	os.Exit(run())
+}
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ragworthatch/ragworthatch/internal/fake/cloud"
@@ -124,6 +125,10 @@
 	return "", errors.New("no loopback address with free ports")
 }
 
+// endsWithParent makes a process end with the one that starts it, also if that is killed. The kernel watches the thread that
+// starts it, so only the main goroutine may, which main keeps on its thread.
+func endsWithParent() *syscall.SysProcAttr { return &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} }
+
 // startEdges starts so many edges with settings like those of the small sites, and waits until they are ready.
 func (w *world) startEdges(n int) error {
 	if _, err := os.Stat(command[0]); err != nil {
@@ -177,7 +182,7 @@
 		}
 		e.cmd = exec.Command(command[0], command[1:]...)
 		e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RAGWORTHATCH_NODE_FILE=" + e.settings}
-		e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
+		e.cmd.Stdout, e.cmd.Stderr, e.cmd.SysProcAttr = e.log, e.log, endsWithParent()
 		if err := e.cmd.Start(); err != nil {
 			return err
 		}
@@ -206,7 +211,7 @@
 		return err
 	}
 	next := exec.Command(command[0], command[1:]...)
-	next.Env, next.Stdout, next.Stderr = e.cmd.Env, e.log, e.log
+	next.Env, next.Stdout, next.Stderr, next.SysProcAttr = e.cmd.Env, e.log, e.log, endsWithParent()
 	if err := next.Start(); err != nil {
 		return err
 	}
