Break off answers whose connection is reset while the request is being sent

Callers got the part that had come as a complete answer, when an upstream answered an upload at once with a 200 without a length and reset the connection within the body.

Cause: the kernel reports a reset once, to the reader or to the writer of a connection. When the writer of the request received it, the next read returned the end of the connection, which is the orderly end of a body without a length.

Change: reads go through edge/reset, which asks the kernel for the state of the connection (TCP_INFO) at each end: CLOSE after a reset or a time-out, CLOSE_WAIT after an orderly end. After a body that only the connection ends, the client also waits up to 300 ms while the request is not acknowledged: an upstream that has closed the connection, instead of only its side, resets it at the next bytes. One that still reads, or holds the rest back, does not, and its answer is delivered.

--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -13,12 +13,12 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/call"
+	"github.com/ragworthatch/ragworthatch/internal/edge/reset"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
 )
@@ -30,6 +30,8 @@
 	idleMargin      = 500 * time.Millisecond // a connection is dropped this long before the upstream's limit
 	maxIdleNoRetry  = 300 * time.Millisecond // a NoRetry request takes no connection that was idle for longer
 	writeTimeout    = 10 * time.Millisecond  // for writing a request, after the end of its answer; see wasWritten
+	resetTimeout    = 300 * time.Millisecond // for a reset after the end of the answer; above TCP's shortest retransmission time
+	resetPoll       = 5 * time.Millisecond   // between two looks for such a reset
 	maxIdlePerHost  = 16                     // idle connections that are kept for each address
 	maxAnswersRead  = 4                      // per request, until one is its own
 	maxSkippedBytes = 64 << 10               // of the body of an answer to another request
@@ -77,7 +79,7 @@
 
 // conn is a connection that serves one request at a time.
 type conn struct {
-	net.Conn
+	*reset.Conn
 	address   string
 	reader    *bufio.Reader
 	limit     *io.LimitedReader // bounds the header of an answer
@@ -204,8 +206,9 @@
 		return nil, err
 	}
 	c.dialed()
-	limit := &io.LimitedReader{R: raw, N: maxHeadBytes}
-	return &conn{Conn: raw, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes)}, nil
+	watched := reset.New(raw)
+	limit := &io.LimitedReader{R: watched, N: maxHeadBytes}
+	return &conn{Conn: watched, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes)}, nil
 }
 
 // takeIdle removes and returns the idle connection to an address that was used last and may carry the request with an
@@ -237,7 +240,7 @@
 	if cn.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := cn.Conn.(syscall.Conn).SyscallConn()
+	raw, err := cn.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -301,20 +304,44 @@
 	}
 }
 
-// HasSent reports, without waiting, whether the writing of the request has ended, so that its body is not in use any more.
-func (a *Answer) HasSent() bool {
+// hasSent reports, without waiting, whether the writing of the request has ended.
+func (cn *conn) hasSent() bool {
 	select {
-	case err := <-a.conn.written:
-		a.conn.written <- err // for wasWritten
+	case err := <-cn.written:
+		cn.written <- err // for wasWritten
 		return true
 	default:
 		return false
 	}
 }
 
-// Read reads the body; it returns io.EOF only at the end of a complete body.
+// awaitReset returns an error if the upstream resets the connection before it has the whole request. An upstream that has
+// ended its side and still reads leaves the connection open; one that has closed it answers the rest of the request with
+// a reset.
+func (cn *conn) awaitReset() error {
+	for end := time.Now().Add(resetTimeout); ; time.Sleep(resetPoll) {
+		unacked, err := cn.HasUnacked()
+		if err != nil {
+			return err
+		}
+		if (cn.hasSent() && !unacked) || time.Now().After(end) {
+			return nil
+		}
+	}
+}
+
+// HasSent reports, without waiting, whether the writing of the request has ended, so that its body is not in use any more.
+func (a *Answer) HasSent() bool { return a.conn.hasSent() }
+
+// Read reads the body; it returns io.EOF only at the end of a complete body. After a body that ends with the connection,
+// it waits for a reset while the rest of the request is on its way.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if err == io.EOF && a.unframed && !a.complete {
+		if resetErr := a.conn.awaitReset(); resetErr != nil {
+			return n, resetErr
+		}
+	}
 	if err == io.EOF {
 		a.complete = true
 	}
