Refuse answers whose status is none

Callers waited to the deadline for an answer with the status 000 and no body, and got a 504; one that wrote another answer right behind it got that other one passed on as sound. Statuses from 600 on were passed on. The clients of the platform's services, of the operators' interface and of the callers' interface took an answer with the status 000 for a success, or for the answer that its body told.

Cause: net/http takes any three digits, also with a sign. All below 200 were skipped as interim answers, or were below the first status of a failure.

Change: wire/head refuses a status outside 100 to 599 (RFC 9110, 15) as malformed, at each reader that does not take one status alone. A caller gets 502 at once.

Evidence, on the code before: TestMalformedAnswersAreNotPassedOn failed for 000 with length 0, 001, 099 and +20 (504 after 1.15 s on a plain route, 3.15 s on one of streams), for an answer behind 000 (200) and for 600 and 999 (passed on); it held for 000 with a body (502). Without the check the first test fails (mutant).

--- a/internal/edge/node/broken_test.go
+++ b/internal/edge/node/broken_test.go
@@ -6,10 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/goccy/go-yaml"
 
 	"github.com/ragworthatch/ragworthatch/internal/fake/cloud"
 )
@@ -85,6 +89,29 @@
 	}
 }
 
+// An answer that breaks HTTP is refused at once, not at the deadline.
+func TestMalformedAnswersAreNotPassedOn(t *testing.T) {
+	data, err := os.ReadFile("testdata/malformed.yaml")
+	qt.Assert(t, err, qt.IsNil)
+	var cases []struct{ Name, Status, Text string }
+	qt.Assert(t, yaml.Unmarshal(data, &cases), qt.IsNil)
+	var sent atomic.Int64 // index of the case
+	w, e := startBroken(t, func(conn *net.TCPConn, r *http.Request) {
+		sound := strings.TrimSuffix(answerHead(r, cases[sent.Load()].Status), "\r\n")
+		_, _ = io.WriteString(conn, sound+strings.ReplaceAll(cases[sent.Load()].Text, "ID", r.Header.Get("Request-Id")))
+	})
+	for i, test := range cases {
+		sent.Store(int64(i))
+		for _, path := range []string{"/act/x", "/once/x"} {
+			started := time.Now()
+			got := w.do(e, http.MethodPost, path, fmt.Sprintf("id%s-%d", path, i), "prompt")
+			w.c.Check(got.err, qt.IsNil, qt.Commentf("%s at %s", test.Name, path))
+			w.c.Check(got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s at %s: %q %q", test.Name, path, got.header, got.body))
+			w.c.Check(time.Since(started) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%s at %s: %v", test.Name, path, time.Since(started)))
+		}
+	}
+}
+
 // An upstream gives its whole answer before it has read the upload, and then reads on.
 func TestWholeEarlyAnswersAreDelivered(t *testing.T) {
 	w, e := startBroken(t, func(conn *net.TCPConn, r *http.Request) {
--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -21,6 +21,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/reset"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/wire/head"
 )
 
 const (
@@ -140,11 +141,14 @@
 			return nil, fault.New(fault.MayHaveRun, fault.Transport, "no answer from %s", cn.address).WithCause(err)
 		}
 		cn.limit.N = math.MaxInt64
+		if err := head.Check(got); err != nil {
+			return nil, fault.New(fault.MayHaveRun, fault.Malformed, "malformed answer from %s", cn.address).WithCause(err)
+		}
 		if got.StatusCode < http.StatusOK {
 			continue
 		}
-		head := c.decode(got.Header)
-		if r.ID != "" && head.RequestID != r.ID {
+		decoded := c.decode(got.Header)
+		if r.ID != "" && decoded.RequestID != r.ID {
 			if !skip(got.Body) {
 				break
 			}
@@ -153,12 +157,12 @@
 		if got.Header.Get("Content-Encoding") != "" {
 			return nil, fault.New(fault.MayHaveRun, fault.Malformed, "encoded answer from %s", cn.address)
 		}
-		if head.NotRun {
+		if decoded.NotRun {
 			cn.refused = append(cn.refused, r.ID)
 		}
 		return &Answer{
-			Status: got.StatusCode, Header: got.Header, Length: got.ContentLength, Head: head,
-			body: got.Body, conn: cn, client: c, closeConn: got.Close || len(cn.refused) >= maxRefused || (head.NotRun && r.ID == ""),
+			Status: got.StatusCode, Header: got.Header, Length: got.ContentLength, Head: decoded,
+			body: got.Body, conn: cn, client: c, closeConn: got.Close || len(cn.refused) >= maxRefused || (decoded.NotRun && r.ID == ""),
 			unframed: got.ContentLength < 0 && len(got.TransferEncoding) == 0,
 		}, nil
 	}
--- a/internal/infra/client/client.go
+++ b/internal/infra/client/client.go
@@ -15,6 +15,8 @@
 
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/ragworthatch/ragworthatch/internal/wire/head"
 )
 
 const (
@@ -129,6 +131,10 @@
 	if err != nil {
 		return nil, &Error{Sent: connected.Load(), Cause: err}
 	}
+	if err := head.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, &Error{Sent: true, Cause: fmt.Errorf("malformed answer: %w", err)}
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, statusError(resp)
 	}
--- a/internal/ops/admin/client.go
+++ b/internal/ops/admin/client.go
@@ -13,6 +13,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
+	"github.com/ragworthatch/ragworthatch/internal/wire/head"
 )
 
 // maxResponseBytes is the maximum size of a response body that is read.
@@ -72,6 +73,9 @@
 		return fmt.Errorf("entry %s: %w", c.entry, err)
 	}
 	defer resp.Body.Close()
+	if err := head.Check(resp); err != nil {
+		return fmt.Errorf("entry %s: malformed answer: %w", c.entry, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return fmt.Errorf("entry %s: %w", c.entry, err)
--- a/internal/ops/caller/caller.go
+++ b/internal/ops/caller/caller.go
@@ -16,6 +16,8 @@
 
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/ragworthatch/ragworthatch/internal/wire/head"
 )
 
 const (
@@ -65,6 +67,9 @@
 		return Answer{Err: err}
 	}
 	defer resp.Body.Close()
+	if err := head.Check(resp); err != nil {
+		return Answer{Err: fmt.Errorf("malformed answer: %w", err)}
+	}
 	a := Answer{Status: resp.StatusCode}
 	limited := io.LimitReader(resp.Body, maxResponseBytes)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
