Refuse answers with a field name that is no token

Callers got answers as sound in whose head a field name held a blank, with that line left out; where it was the length or the coding of the body, they got a body that the upstream had not meant: chunks with their sizes, or all bytes up to the end of the connection.

Cause: net/http refuses other invalid bytes in a name, but keeps a name with a blank and looks for no field under it.

Change: wire/head, which each reader of answers now asks, refuses a name that is no token (RFC 9110, 5.1).

Evidence, on the code before, on a plain route and on one of streams: TestMalformedAnswersAreNotPassedOn failed for a blank inside or before the colon, "Content-Length : 6" (19 bytes passed on), "Transfer-Encoding : chunked" (30 bytes for 19), two lengths, and a 500; with "Content-Length : 19" on a kept connection there was no end before the deadline. It held for a tab, CR, NUL, 0x01, DEL, a byte over 0x7f and an empty name (502), which stay as tests. TestReadersRejectMalformedHeads failed for all six readers with a blank, for none with 0x01.

--- a/internal/edge/node/broken_test.go
+++ b/internal/edge/node/broken_test.go
@@ -93,12 +93,19 @@
 func TestMalformedAnswersAreNotPassedOn(t *testing.T) {
 	data, err := os.ReadFile("testdata/malformed.yaml")
 	qt.Assert(t, err, qt.IsNil)
-	var cases []struct{ Name, Status, Text string }
+	var cases []struct {
+		Name, Status, Text string
+		Closes             bool // the connection ends with the text
+	}
 	qt.Assert(t, yaml.Unmarshal(data, &cases), qt.IsNil)
 	var sent atomic.Int64 // index of the case
 	w, e := startBroken(t, func(conn *net.TCPConn, r *http.Request) {
-		sound := strings.TrimSuffix(answerHead(r, cases[sent.Load()].Status), "\r\n")
-		_, _ = io.WriteString(conn, sound+strings.ReplaceAll(cases[sent.Load()].Text, "ID", r.Header.Get("Request-Id")))
+		test := cases[sent.Load()]
+		sound := strings.TrimSuffix(answerHead(r, test.Status), "\r\n")
+		_, _ = io.WriteString(conn, sound+strings.ReplaceAll(test.Text, "ID", r.Header.Get("Request-Id")))
+		if test.Closes {
+			_ = conn.CloseWrite()
+		}
 	})
 	for i, test := range cases {
 		sent.Store(int64(i))
--- a/internal/ops/where/client.go
+++ b/internal/ops/where/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/ragworthatch/ragworthatch/internal/wire/head"
 )
 
 const (
@@ -44,6 +46,9 @@
 		return Answer{}, fmt.Errorf("asking %s: %w", address, err)
 	}
 	defer got.Body.Close()
+	if err := head.Check(got); err != nil {
+		return Answer{}, fmt.Errorf("asking %s: malformed answer: %w", address, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
 	if err != nil {
 		return Answer{}, fmt.Errorf("asking %s: %w", address, err)
--- a/internal/wire/head/readers_test.go
+++ b/internal/wire/head/readers_test.go
@@ -77,10 +77,13 @@
 func TestReadersRejectMalformedHeads(t *testing.T) {
 	for name, read := range readers {
 		for head, sound := range map[string]bool{
-			"HTTP/1.1 200 OK\r\n":      true,
-			"HTTP/1.1 000 Unknown\r\n": false,
-			"HTTP/1.1 099 Unknown\r\n": false,
-			"HTTP/1.1 999 Unknown\r\n": false,
+			"HTTP/1.1 200 OK\r\n":                true,
+			"HTTP/1.1 000 Unknown\r\n":           false,
+			"HTTP/1.1 099 Unknown\r\n":           false,
+			"HTTP/1.1 999 Unknown\r\n":           false,
+			"HTTP/1.1 200 OK\r\nBad Name: x\r\n": false,
+			"HTTP/1.1 200 OK\r\nBad : x\r\n":     false,
+			"HTTP/1.1 200 OK\r\nBad\x01: x\r\n":  false,
 		} {
 			t.Run(name+" "+head, func(t *testing.T) {
 				c := qt.New(t)
