Refuse answers of upstreams with a head line that begins with a blank

Callers got answers as sound in whose head the name of a field began with a blank. The line came to them as the end of the value before it, as in "Content-Type: text/plain Bad: x"; where it was the length or the coding of the body, they got other bytes than the upstream meant.

Cause: net/http takes such a line for the obsolete folding of the one before, which a gateway may refuse instead (RFC 9112, 5.2), and hands out no trace of it.

The clients that read by way of net/http.Transport can't see it; folding is allowed there, and they check what they read.

--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -83,7 +84,8 @@
 	*reset.Conn
 	address   string
 	reader    *bufio.Reader
-	limit     *io.LimitedReader // bounds the header of an answer
+	recorder  *recorder         // of the header of an answer
+	limit     *io.LimitedReader // bounds it
 	written   chan error        // receives the result of writing the last request
 	idleUntil time.Time
 	idleSince time.Time
@@ -135,13 +137,11 @@
 func (c *Client) receive(cn *conn, r Request) (*Answer, *fault.Error) {
 	asked := &http.Request{Method: r.Method}
 	for range maxAnswersRead {
-		cn.limit.N = maxHeadBytes
-		got, err := http.ReadResponse(cn.reader, asked)
+		got, lines, err := cn.readHead(asked)
 		if err != nil {
 			return nil, fault.New(fault.MayHaveRun, fault.Transport, "no answer from %s", cn.address).WithCause(err)
 		}
-		cn.limit.N = math.MaxInt64
-		if err := head.Check(got); err != nil {
+		if err := cmp.Or(head.Check(got), head.CheckLines(lines)); err != nil {
 			return nil, fault.New(fault.MayHaveRun, fault.Malformed, "malformed answer from %s", cn.address).WithCause(err)
 		}
 		if got.StatusCode < http.StatusOK {
@@ -169,6 +169,17 @@
 	return nil, fault.New(fault.MayHaveRun, fault.Malformed, "only answers to other requests from %s", cn.address)
 }
 
+// readHead reads the head of an answer, and also returns its bytes.
+func (cn *conn) readHead(asked *http.Request) (*http.Response, []byte, error) {
+	cn.limit.N = maxHeadBytes
+	buffered, _ := cn.reader.Peek(cn.reader.Buffered())
+	cn.recorder.start(buffered)
+	got, err := http.ReadResponse(cn.reader, asked)
+	lines := cn.recorder.stop(cn.reader.Buffered())
+	cn.limit.N = math.MaxInt64
+	return got, lines, err
+}
+
 // skip discards the body of an answer to another request, and reports whether it ended within the limit.
 func skip(body io.Reader) bool {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
@@ -211,8 +222,11 @@
 	}
 	c.dialed()
 	watched := reset.New(raw)
-	limit := &io.LimitedReader{R: watched, N: maxHeadBytes}
-	return &conn{Conn: watched, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes)}, nil
+	recorder := &recorder{from: watched}
+	limit := &io.LimitedReader{R: recorder, N: maxHeadBytes}
+	return &conn{
+		Conn: watched, address: address, recorder: recorder, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes),
+	}, nil
 }
 
 // takeIdle removes and returns the idle connection to an address that was used last and may carry the request with an
--- a/internal/wire/head/check.go
+++ b/internal/wire/head/check.go
@@ -1,6 +1,8 @@
 package head
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -26,3 +28,12 @@
 	}
 	return nil
 }
+
+// CheckLines returns an error for the bytes of a head in which a line begins with a blank. net/http joins such a line with
+// the one before it, which a gateway may refuse instead (RFC 9112, 5.2).
+func CheckLines(lines []byte) error {
+	if bytes.Contains(lines, []byte("\n ")) || bytes.Contains(lines, []byte("\n\t")) {
+		return errors.New("a line begins with a blank")
+	}
+	return nil
+}
