Count no append as written whose connection is reset while it is sent

An entry took records for written when the store answered the append at once with a 200 without a length and reset the connection while the records were still being sent.

Cause: as in uphttp, the kernel may report the reset to the writer; net/http.Transport then reads the end of a body that only the connection ends, and it may do so before the writer has reported.

Change: the connections to the store go through edge/reset, too, so that such a read fails. The append may have been written, as after any other error.

Reads of the store send nothing while an answer comes, so the reader alone learns of a reset.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/ragworthatch/ragworthatch/internal/edge/front"
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/notices"
+	"github.com/ragworthatch/ragworthatch/internal/edge/reset"
 	"github.com/ragworthatch/ragworthatch/internal/edge/sock"
 	"github.com/ragworthatch/ragworthatch/internal/edge/stats"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
@@ -225,10 +226,19 @@
 	}
 }
 
-// storeClient returns an HTTP client that detects dead connections to the store by TCP_USER_TIMEOUT.
+// storeClient returns an HTTP client that detects dead connections to the store by TCP_USER_TIMEOUT, and resets while
+// records are being sent.
 func storeClient() *http.Client {
+	dialer := sock.Dialer(storeDialTimeout, storeUserTimeout)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return reset.New(conn), nil
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: sock.Dialer(storeDialTimeout, storeUserTimeout).DialContext, DisableCompression: true,
+		DialContext: dial, DisableCompression: true,
 		IdleConnTimeout: storeIdleTimeout, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
