Tests of broken answers: status in place of time, an upstream that never reads on

A malformed answer is told from one awaited to the deadline by its status, 502 or 504, so the bound of 500 ms, which said nothing else, goes. The upstreams of TestWholeEarlyAnswers that read slowly or not at all now do so until all answers are delivered, in place of a bound of 1 s.

--- a/internal/edge/node/broken_test.go
+++ b/internal/edge/node/broken_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/goccy/go-yaml"
@@ -73,7 +72,8 @@
 
 const event = "id: 1\ndata: token\n\n"
 
-// An upstream answers an upload at once, without a length, and resets the connection within the body.
+// An upstream answers an upload at once, without a length, and resets the connection within the body. Whether the reader or
+// the writer meets the reset is a matter of chance, so there are several requests.
 func TestAnswersOfResetConnectionsLookIncomplete(t *testing.T) {
 	w, e := startBroken(t, func(conn *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(conn, answerHead(r, "200 OK")+event)
@@ -89,7 +89,7 @@
 	}
 }
 
-// An answer that breaks HTTP is refused at once, not at the deadline.
+// An answer that breaks HTTP is refused with 502 when it comes, not with 504 at the deadline.
 func TestMalformedAnswersAreNotPassedOn(t *testing.T) {
 	data, err := os.ReadFile("testdata/malformed.yaml")
 	qt.Assert(t, err, qt.IsNil)
@@ -110,11 +110,9 @@
 	for i, test := range cases {
 		sent.Store(int64(i))
 		for _, path := range []string{"/act/x", "/once/x"} {
-			started := time.Now()
 			got := w.do(e, http.MethodPost, path, fmt.Sprintf("id%s-%d", path, i), "prompt")
 			w.c.Check(got.err, qt.IsNil, qt.Commentf("%s at %s", test.Name, path))
-			w.c.Check(got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s at %s: %q %q", test.Name, path, got.header, got.body))
-			w.c.Check(time.Since(started) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%s at %s: %v", test.Name, path, time.Since(started)))
+			w.c.Check(got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s at %s: %q", test.Name, path, got.body))
 		}
 	}
 }
--- a/internal/edge/uphttp/early_test.go
+++ b/internal/edge/uphttp/early_test.go
@@ -99,8 +99,10 @@
 	c.Check(err, qt.ErrorIs, syscall.ECONNRESET)
 }
 
-// Whole answers that come before the upstream has read the request are delivered.
+// Whole answers that come before the upstream has read the request are delivered, also if it does not read on.
 func TestWholeEarlyAnswers(t *testing.T) {
+	delivered := make(chan struct{}) // closed when all answers are
+	defer close(delivered)
 	readAll := func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) }
 	for name, test := range map[string]struct {
 		text string
@@ -115,7 +117,7 @@
 		}},
 		"of an upstream that reads slowly": {unframed + "whole", func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
-			for b := make([]byte, 64<<10); ; time.Sleep(10 * time.Millisecond) {
+			for b := make([]byte, 1<<10); ; time.Sleep(10 * time.Millisecond) {
 				if _, err := conn.Read(b); err != nil {
 					return
 				}
@@ -123,7 +125,7 @@
 		}},
 		"of an upstream that does not read": {unframed + "whole", func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
-			time.Sleep(2 * time.Second)
+			<-delivered
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -131,11 +133,9 @@
 			proceed := make(chan struct{})
 			got := upload(c, earlyServer(c, test.text, proceed, test.end))
 			close(proceed)
-			started := time.Now()
 			rest, err := io.ReadAll(got)
 			c.Assert(err, qt.IsNil)
 			c.Check(string(rest), qt.Equals, "e")
-			c.Check(time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
 		})
 	}
 }
