Tests of broken answers: take the bounds in time back in

Both bounds are as they were; the upstreams that read slowly or not at all until all answers are delivered stay.

--- a/internal/edge/node/broken_test.go
+++ b/internal/edge/node/broken_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/goccy/go-yaml"
@@ -89,7 +90,7 @@
 	}
 }
 
-// An answer that breaks HTTP is refused with 502 when it comes, not with 504 at the deadline.
+// An answer that breaks HTTP is refused with 502 at once, not with 504 at the deadline.
 func TestMalformedAnswersAreNotPassedOn(t *testing.T) {
 	data, err := os.ReadFile("testdata/malformed.yaml")
 	qt.Assert(t, err, qt.IsNil)
@@ -110,9 +111,11 @@
 	for i, test := range cases {
 		sent.Store(int64(i))
 		for _, path := range []string{"/act/x", "/once/x"} {
+			started := time.Now()
 			got := w.do(e, http.MethodPost, path, fmt.Sprintf("id%s-%d", path, i), "prompt")
 			w.c.Check(got.err, qt.IsNil, qt.Commentf("%s at %s", test.Name, path))
 			w.c.Check(got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s at %s: %q", test.Name, path, got.body))
+			w.c.Check(time.Since(started) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%s at %s: %v", test.Name, path, time.Since(started)))
 		}
 	}
 }
--- a/internal/edge/uphttp/early_test.go
+++ b/internal/edge/uphttp/early_test.go
@@ -133,9 +133,11 @@
 			proceed := make(chan struct{})
 			got := upload(c, earlyServer(c, test.text, proceed, test.end))
 			close(proceed)
+			started := time.Now()
 			rest, err := io.ReadAll(got)
 			c.Assert(err, qt.IsNil)
 			c.Check(string(rest), qt.Equals, "e")
+			c.Check(time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
 		})
 	}
 }
