--- a/internal/edge/node/testbed_test.go
+++ b/internal/edge/node/testbed_test.go
@@ -37,6 +37,7 @@
 	storeURL  string
 	upstreams map[string]*cloud.Upstream
 	addresses map[string]string // of the upstreams, by ID
+	pools     map[string]string // of those that startUpstream started, by ID
 	servers   sync.Map          // *httptest.Server by ID
 	version   int               // of the last configuration that configure wrote
 	entries   []*entry
@@ -53,7 +54,7 @@
 
 func newTestbed(t *testing.T) *testbed {
 	w := &testbed{c: qt.New(t), store: cloud.NewStore(), upstreams: map[string]*cloud.Upstream{},
-		addresses: map[string]string{}}
+		addresses: map[string]string{}, pools: map[string]string{}}
 	server := httptest.NewServer(w.store)
 	t.Cleanup(server.Close)
 	w.storeURL = server.Listener.Addr().String()
@@ -67,6 +68,7 @@
 	w.upstreams[u.ID] = u
 	w.servers.Store(u.ID, server)
 	w.addresses[u.ID] = server.Listener.Addr().String()
+	w.pools[u.ID] = pool
 	w.listUpstream(u.ID, pool, "ready")
 	return u
 }
--- a/internal/edge/node/version_test.go
+++ b/internal/edge/node/version_test.go
@@ -269,3 +269,32 @@
 	t.Logf("%d went on, %d were refused", went, refused)
 	w.c.Check(refused > 0, qt.IsTrue)
 }
+
+// An entry that has read the records as a follower takes the lead, the store comes back from an older copy, and the entry is
+// lost. All its streams were refused for the whole retention (review/10).
+func TestStreamsGoOnAfterTheLeaderChangedAndTheStoreWasRestored(t *testing.T) {
+	w := startStaged(t, 3, oldAndNew(2, 4, nil)...)
+	time.Sleep(2 * time.Second)
+	w.entries[0].kill() // the leader, as it is the oldest entry
+	time.Sleep(3 * time.Second)
+	copied := w.store.Copy()
+	began := map[string]string{}
+	for i := range streams {
+		first := fmt.Sprint("first-", i)
+		began[first] = w.beginStream(w.entries[1], first)
+	}
+	w.store.SetStatus(http.StatusServiceUnavailable)
+	time.Sleep(time.Second)
+	w.store.Restore(copied)
+	w.configure()
+	for id := range w.upstreams {
+		w.listUpstream(id, w.pools[id], "ready")
+	}
+	w.store.SetStatus(0)
+	time.Sleep(3 * time.Second)
+	w.entries[1].kill()
+	time.Sleep(time.Second)
+	for first, version := range began {
+		w.checkGoesOn(w.entries[2], first, version)
+	}
+}
--- a/internal/leader/link/link_test.go
+++ b/internal/leader/link/link_test.go
@@ -151,7 +151,7 @@
 			}
 			return registry.Member{}, false
 		},
-		Crash: p.crash,
+		Crash: p.crash, Origins: newOrigins(),
 		Zones: p.zones.Load, ObserveZones: func(r []zones.Record) { p.zones.Store(p.zones.Load().WithRecords(r)) },
 		Rules: func() serve.Rules { return serve.Rules{} }, Era: func() int64 { return 0 },
 		Hosts: func() *hosts.Table { return hosts.New(nil, time.Now()) }, ObserveRead: func(at time.Time) { p.readAt.Store(&at) },
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -310,6 +310,17 @@
 	k.remember(key, s, k.o.Now())
 }
 
+// Joined records that an entry has connected to follow this one. Until now it may have followed another leader, which may
+// have written records that this entry has not read.
+func (k *Keeper) Joined() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.readAgain()
+}
+
+// readAgain has the records read, and doubts until then that this entry knows them all. The caller holds mu.
+func (k *Keeper) readAgain() { k.complete, k.synced = false, false }
+
 // Own returns the streams that this entry passed on and that may be taken up.
 func (k *Keeper) Own() map[uint64]Origin {
 	k.mu.Lock()
--- a/internal/leader/origin/keeper_test.go
+++ b/internal/leader/origin/keeper_test.go
@@ -193,7 +193,7 @@
 					kill:  map[string]context.CancelFunc{}}
 				s.table.Store(hosts.New(nil, time.Now()))
 				for step := range strings.Lines(steps) {
-					if fields := strings.Fields(step); len(fields) > 0 {
+					if fields := strings.Fields(step); len(fields) > 0 && fields[0] != "#" {
 						s.play(fields)
 						synctest.Wait()
 					}
@@ -295,6 +295,8 @@
 		s.keepers[step[1]].Begun(s.streamKey(step[2]), origin.Origin{Pool: "pool", Version: step[3]})
 	case "learn":
 		s.keepers[step[1]].Learn(s.keepers[step[2]].Own())
+	case "join":
+		s.keepers[step[1]].Joined()
 	case "find":
 		done := make(chan origin.Found, 1)
 		found, atOnce := s.keepers[step[1]].Find(s.streamKey(step[2]), "pool", time.Now(), func(f origin.Found) { done <- f })
--- a/internal/leader/origin/read.go
+++ b/internal/leader/origin/read.go
@@ -64,6 +64,7 @@
 		k.ledSince = time.Time{}
 	case k.ledSince.IsZero():
 		k.ledSince = now
+		k.readAgain() // the leader before may have written records since the last read
 	}
 	if read := table.Read(); read.After(k.listReadAt) {
 		if read.Sub(k.listReadAt) > maxListGap {
--- a/internal/leader/serve/server.go
+++ b/internal/leader/serve/server.go
@@ -186,6 +186,7 @@
 	switch body := m.Body.(type) {
 	case *cellpb.ToLead_Hello:
 		ses.entry = body.Hello.Host
+		ses.origins.Joined()
 		ses.log.Info("entry connected", zap.String("member", body.Hello.Host))
 	case *cellpb.ToLead_Submit:
 		order, err := decodeOrder(body.Submit, ses.now())
