--- a/internal/leader/basis/policy.go
+++ b/internal/leader/basis/policy.go
@@ -79,6 +79,19 @@
 	return version, true
 }
 
+// IsOnly reports whether engines of a version are listed in a pool, and none of another one has been listed since a time.
+func (p *Policy) IsOnly(pool, version string, since time.Time) bool {
+	if !p.IsListed(pool, version) {
+		return false
+	}
+	for other, at := range p.pools[pool].lastListed {
+		if other != version && !at.Before(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // IsListed reports whether engines of a version are listed in a pool.
 func (p *Policy) IsListed(pool, version string) bool {
 	v := p.pools[pool]
--- a/internal/leader/basis/policy_test.go
+++ b/internal/leader/basis/policy_test.go
@@ -62,6 +62,8 @@
 		c.Check(version(next, moves), qt.Equals, step[3], qt.Commentf("%v", step))
 	case "restart":
 		p.Restart(at(step[1]))
+	case "only":
+		c.Check(strconv.FormatBool(p.IsOnly("pool", step[1], at(step[2]))), qt.Equals, step[3], qt.Commentf("%v", step))
 	case "sole":
 		c.Check(version(p.Sole("pool", at(step[1]))), qt.Equals, step[2], qt.Commentf("%v", step))
 	default:
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -34,6 +34,8 @@
 	retentionTimeouts = 2               // the retention in timeouts of a route
 	maxListAge        = 3 * time.Second // of a list that says which versions serve
 	maxListGap        = 2 * time.Second // between two lists, in which no engine joins, begins a stream and leaves
+	maxRestoreGap     = 5 * time.Second // the same while the store comes back from a copy, and engines can't leave
+	restoreSettleTime = 3 * time.Second // for engines to write their entries again after that
 	maxPerRecord      = 4000            // streams
 	maxDeletions      = 500             // records in one call
 	latencySmoothing  = 0.2
@@ -114,6 +116,9 @@
 	synced     bool                 // the topic was read since the versions changed
 	era        int64                // of the store, as of the last read
 	doubtedTo  time.Time            // until then, the store may lack records of streams
+	restoredAt time.Time            // of the read that found the present era
+	readAt     time.Time            // when the last read began, provided that lists were known; zero if there was a gap in them
+	knownTo    time.Time            // readAt as of the last read before the records in doubt; zero if there was none
 	// complete says that this entry has led since it read the store, so that it knows all records.
 	complete   bool
 	ledSince   time.Time     // when this entry took the lead; zero while it has not
--- a/internal/leader/origin/read.go
+++ b/internal/leader/origin/read.go
@@ -67,9 +67,14 @@
 		k.readAgain() // the leader before may have written records since the last read
 	}
 	if read := table.Read(); read.After(k.listReadAt) {
-		if read.Sub(k.listReadAt) > maxListGap {
+		gap := read.Sub(k.listReadAt)
+		if gap > maxListGap {
 			k.policy.Restart(now)
 		}
+		if gap > maxRestoreGap {
+			k.readAt, k.knownTo = time.Time{}, time.Time{}
+			k.synced = false
+		}
 		k.listReadAt = read
 	}
 	for pool := range k.o.Pools() {
@@ -84,11 +89,29 @@
 			k.synced = false
 		}
 	}
+	if now.Before(k.doubtedTo) && k.lacksNothing() {
+		k.doubtedTo = time.Time{}
+		k.o.Log.Info("store lacks no origins of streams, as only the base versions were listed", zap.Int64("era", k.era))
+	}
 	if k.o.Store.Era() != k.era {
 		k.synced = false
 	}
 }
 
+// lacksNothing reports whether the copy that the store came back from can't lack a record: since this entry last read
+// them, only engines of the base versions were listed, and their streams need none. The caller holds mu.
+func (k *Keeper) lacksNothing() bool {
+	if k.knownTo.IsZero() || k.listReadAt.Sub(k.restoredAt) < restoreSettleTime {
+		return false
+	}
+	for pool, b := range k.bases {
+		if !k.policy.IsOnly(pool, b.version, k.knownTo) {
+			return false
+		}
+	}
+	return true
+}
+
 // nextBase returns the base version that this entry should write for a pool. The caller holds mu.
 func (k *Keeper) nextBase(pool string, b base, now time.Time) (version string, due bool) {
 	if k.ledSince.IsZero() || now.Before(k.doubtedTo) || now.Sub(k.o.Hosts().Read()) > maxListAge {
@@ -149,7 +172,7 @@
 // sync reads the topic up to its end and answers the lookups that came before.
 func (k *Keeper) sync(ctx context.Context, cur *cursor.Cursor) error {
 	k.mu.Lock()
-	lookups := len(k.lookups)
+	lookups, begun, observed := len(k.lookups), k.o.Now(), !k.listReadAt.IsZero()
 	k.mu.Unlock()
 	for read := true; read && ctx.Err() == nil; {
 		isSnapshot := !cur.Synced()
@@ -173,6 +196,11 @@
 		// A read returns a part of many records; a snapshot misses those that were written meanwhile.
 		read = isSnapshot || len(records) > 0
 	}
+	if observed {
+		k.mu.Lock()
+		k.readAt = begun
+		k.mu.Unlock()
+	}
 	k.answer(lookups)
 	return ctx.Err()
 }
@@ -248,6 +276,10 @@
 	}
 	k.era = era
 	if restored {
+		if !now.Before(k.doubtedTo) {
+			k.knownTo = k.readAt
+		}
+		k.restoredAt = now
 		k.rewrite(now)
 	}
 	isOld := slices.ContainsFunc(slices.Collect(maps.Values(k.bases)), base.isOld)
