--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -50,10 +50,25 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	ID      string // that the answer must echo; empty if it need not
+	ID      string // that the answer must echo; without one, the request has a connection of its own
 	NoRetry bool   // can't be sent again, so it avoids connections that the upstream may be about to close
+	// MayOmitID says that the answer may lack the ID if it is the first one on its connection, which is not kept then.
+	MayOmitID bool
+	// Uniform says that all answers to requests of this kind are alike, so that it does no harm if one without an ID belongs to
+	// another of them. These requests share connections with each other only, which are kept also without IDs.
+	Uniform bool
 }
 
+// isAnsweredBy reports whether an answer that echoes an ID, or none, counts for the request. Only the first answer on a
+// connection needs no ID, as an upstream may write an answer once more in place of the next one.
+func (r Request) isAnsweredBy(id string, first bool) bool {
+	return r.ID == "" || id == r.ID || (r.MayOmitID && id == "" && (first || r.Uniform))
+}
+
+// keepsConn reports whether the answers to later requests on the connection can be told from another one to this request,
+// which echoes an ID, or none.
+func (r Request) keepsConn(id string) bool { return r.ID != "" && (id != "" || r.Uniform) }
+
 // Answer is an answer whose body is not read yet; Close must be called.
 type Answer struct {
 	Status       int
@@ -76,13 +91,19 @@
 	now    func() time.Time
 	dialed func() // called for each new connection
 	mu     sync.Mutex
-	idle   map[string][]*conn // by address; the last one used comes last
+	idle   map[route][]*conn // the last one used comes last
+}
+
+// route is what requests have in common that may share connections.
+type route struct {
+	address string
+	uniform bool // see Request
 }
 
 // conn is a connection that serves one request at a time.
 type conn struct {
 	*reset.Conn
-	address   string
+	route
 	reader    *bufio.Reader
 	recorder  *recorder         // of the header of an answer
 	limit     *io.LimitedReader // bounds it
@@ -90,6 +111,7 @@
 	idleUntil time.Time
 	idleSince time.Time
 	digests   []uint64 // of the last bodies that were given to CheckDuplicate
+	lastID    string   // of the last request that was answered on it; empty if none was
 	refused   []string // IDs of the requests that were refused on it
 }
 
@@ -97,7 +119,7 @@
 func New(decode func(http.Header) call.Answer, now func() time.Time, dialed func()) *Client {
 	return &Client{
 		dialer: sock.Dialer(dialTimeout, unackedTimeout),
-		decode: decode, now: now, dialed: dialed, idle: map[string][]*conn{},
+		decode: decode, now: now, dialed: dialed, idle: map[route][]*conn{},
 	}
 }
 
@@ -110,7 +132,7 @@
 // Do sends a request and returns its answer with the header read. The error's verdict is NotRun only if nothing was
 // sent. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Answer, *fault.Error) {
-	cn, err := c.get(ctx, address, r.ID, r.NoRetry)
+	cn, err := c.get(ctx, address, r)
 	if err != nil {
 		return nil, fault.New(fault.NotRun, fault.NoUpstream, "can't connect to %s", address).WithCause(err)
 	}
@@ -148,7 +170,7 @@
 			continue
 		}
 		decoded := c.decode(got.Header)
-		if r.ID != "" && decoded.RequestID != r.ID {
+		if !r.isAnsweredBy(decoded.RequestID, cn.lastID == "") {
 			if !skip(got.Body) {
 				break
 			}
@@ -157,13 +179,15 @@
 		if got.Header.Get("Content-Encoding") != "" {
 			return nil, fault.New(fault.MayHaveRun, fault.Malformed, "encoded answer from %s", cn.address)
 		}
+		cn.lastID = r.ID
 		if decoded.NotRun {
 			cn.refused = append(cn.refused, r.ID)
 		}
 		return &Answer{
 			Status: got.StatusCode, Header: got.Header, Length: got.ContentLength, Head: decoded,
-			body: got.Body, conn: cn, client: c, closeConn: got.Close || len(cn.refused) >= maxRefused || (decoded.NotRun && r.ID == ""),
-			unframed: got.ContentLength < 0 && len(got.TransferEncoding) == 0,
+			body: got.Body, conn: cn, client: c,
+			closeConn: got.Close || !r.keepsConn(decoded.RequestID) || len(cn.refused) >= maxRefused,
+			unframed:  got.ContentLength < 0 && len(got.TransferEncoding) == 0,
 		}, nil
 	}
 	return nil, fault.New(fault.MayHaveRun, fault.Malformed, "only answers to other requests from %s", cn.address)
@@ -201,16 +225,17 @@
 	return w.Flush()
 }
 
-// get returns an idle connection that is still usable for the request with an ID, or a new one. For a NoRetry request, a connection that was idle
-// for longer than maxIdleNoRetry is closed instead.
-func (c *Client) get(ctx context.Context, address, id string, noRetry bool) (*conn, error) {
-	for {
-		cn := c.takeIdle(address, id)
+// get returns an idle connection that is still usable for the request, or a new one. For a NoRetry request, a connection
+// that was idle for longer than maxIdleNoRetry is closed instead.
+func (c *Client) get(ctx context.Context, address string, r Request) (*conn, error) {
+	to := route{address, r.Uniform}
+	for r.ID != "" {
+		cn := c.takeIdle(to, r.ID)
 		if cn == nil {
 			break
 		}
 		now := c.now()
-		if now.After(cn.idleUntil) || (noRetry && now.Sub(cn.idleSince) > maxIdleNoRetry) || !cn.isQuiet() {
+		if now.After(cn.idleUntil) || (r.NoRetry && now.Sub(cn.idleSince) > maxIdleNoRetry) || !cn.isQuiet() {
 			_ = cn.Close()
 			continue
 		}
@@ -225,32 +250,29 @@
 	recorder := &recorder{from: watched}
 	limit := &io.LimitedReader{R: recorder, N: maxHeadBytes}
 	return &conn{
-		Conn: watched, address: address, recorder: recorder, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes),
+		Conn: watched, route: to, recorder: recorder, limit: limit, reader: bufio.NewReaderSize(limit, bufferBytes),
 	}, nil
 }
 
-// takeIdle removes and returns the idle connection to an address that was used last and may carry the request with an
-// ID; nil if there is none.
-func (c *Client) takeIdle(address, id string) *conn {
+// takeIdle removes and returns the idle connection of a route that was used last and may carry the request with an ID;
+// nil if there is none.
+func (c *Client) takeIdle(to route, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[address]
+	list := c.idle[to]
 	for i := len(list) - 1; i >= 0; i-- {
-		if cn := list[i]; !cn.mayRepeatRefusal(id) {
-			c.idle[address] = slices.Delete(list, i, i+1)
+		if cn := list[i]; !cn.mayRepeatAnswer(id) {
+			c.idle[to] = slices.Delete(list, i, i+1)
 			return cn
 		}
 	}
 	return nil
 }
 
-// mayRepeatRefusal reports whether a refusal that the upstream writes once more on the connection could be taken for the
-// answer to the request with an ID.
-func (cn *conn) mayRepeatRefusal(id string) bool {
-	if id == "" {
-		return len(cn.refused) > 0
-	}
-	return slices.Contains(cn.refused, id)
+// mayRepeatAnswer reports whether an answer that the upstream writes once more on the connection could be taken for the
+// answer to the request with an ID. An answer comes again with the next one, a refusal may come later.
+func (cn *conn) mayRepeatAnswer(id string) bool {
+	return id == cn.lastID || slices.Contains(cn.refused, id)
 }
 
 // isQuiet reports whether the upstream has neither closed the idle connection nor sent anything on it.
@@ -281,12 +303,12 @@
 	cn.idleUntil = cn.idleSince.Add(min(idle-idleMargin, maxIdle))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[cn.address]
+	list := c.idle[cn.route]
 	if len(list) >= maxIdlePerHost {
 		_ = cn.Close()
 		return
 	}
-	c.idle[cn.address] = append(list, cn)
+	c.idle[cn.route] = append(list, cn)
 }
 
 // Sweep closes connections that have been idle for too long.
@@ -294,7 +316,7 @@
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, list := range c.idle {
+	for to, list := range c.idle {
 		kept := list[:0]
 		for _, cn := range list {
 			if now.After(cn.idleUntil) {
@@ -304,10 +326,10 @@
 			kept = append(kept, cn)
 		}
 		if len(kept) == 0 {
-			delete(c.idle, address)
+			delete(c.idle, to)
 			continue
 		}
-		c.idle[address] = kept
+		c.idle[to] = kept
 	}
 }
 
@@ -387,6 +409,13 @@
 	return same
 }
 
+// Discard ends the exchange after an answer that can't be used. It may not have been the answer to the request, which then
+// is still to come, so the connection is closed.
+func (a *Answer) Discard() {
+	a.closeConn = true
+	a.Close()
+}
+
 // Close ends the exchange. The connection is kept for other requests if the request was fully written, the answer fully
 // read and nothing follows it.
 func (a *Answer) Close() {
--- a/internal/edge/uphttp/client_test.go
+++ b/internal/edge/uphttp/client_test.go
@@ -307,15 +307,14 @@
 
 func TestDuplicateBodiesAreReported(t *testing.T) {
 	c := qt.New(t)
-	address, _ := server(c, func(conn net.Conn, _ string, nth int) bool {
-		_, _ = io.WriteString(conn, answer("", fmt.Sprint("body ", (nth+1)/2))) // each body is sent twice
+	address, _ := server(c, func(conn net.Conn, id string, nth int) bool {
+		_, _ = io.WriteString(conn, answer(id, fmt.Sprint("body ", (nth+1)/2))) // each body is sent twice
 		return true
 	})
 	client := uphttp.New(decode, time.Now, func() {})
 	var duplicate []bool
-	for range 3 {
-		got, failure := client.Do(context.Background(), address, uphttp.Request{
-			Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}})
+	for i := range 3 {
+		got, failure := client.Do(context.Background(), address, omittable(fmt.Sprint(i)))
 		c.Assert(failure == nil, qt.IsTrue)
 		body, err := io.ReadAll(got)
 		c.Assert(err, qt.IsNil)
--- a/internal/leader/lead/lead.go
+++ b/internal/leader/lead/lead.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -63,8 +65,9 @@
 	EncodeRelease   func([]string) ([]byte, error)
 	ReportPath      string                      // for reports of free memory
 	DecodeFreeBytes func([]byte) (int64, error) // memory that an upstream has left for results, in bytes
-	// HeaderFor returns the headers of a call to an upstream; remaining is the longest time to a deadline of its pieces.
-	HeaderFor func(upstream string, remaining time.Duration) http.Header
+	// HeaderFor returns the headers of a call with an ID to an upstream; remaining is the longest time to a deadline of its
+	// pieces.
+	HeaderFor func(upstream, call string, remaining time.Duration) http.Header
 }
 
 // Options are the dependencies of a Coordinator.
@@ -870,13 +873,17 @@
 }
 
 func (c *Coordinator) fetchFreeBytes(u hosts.Upstream) (int64, error) {
-	answer, failure := c.roundTrip(u, releaseTimeout, 0, uphttp.Request{
+	var free int64
+	failure := c.roundTrip(u, releaseTimeout, 0, uphttp.Request{
 		Method: http.MethodGet, URI: c.opts.Codec.ReportPath, Header: http.Header{},
+	}, func(got stageAnswer) (err error) {
+		free, err = c.opts.Codec.DecodeFreeBytes(got.body)
+		return err
 	})
 	if failure != nil {
 		return 0, failure
 	}
-	return c.opts.Codec.DecodeFreeBytes(answer.body)
+	return free, nil
 }
 
 // stageAnswer is an answer of a stage upstream.
@@ -886,15 +893,22 @@
 	duplicate bool // same body as an earlier answer on its connection
 }
 
-// roundTrip sends a request to a stage upstream and returns the whole answer. The number of results in it determines
-// its maximum size.
-func (c *Coordinator) roundTrip(u hosts.Upstream, timeout time.Duration, results int,
-	r uphttp.Request) (stageAnswer, *fault.Error) {
+// request returns a request to a stage upstream, which may ignore its ID.
+func (c *Coordinator) request(u hosts.Upstream, path string, body []byte, remaining time.Duration) uphttp.Request {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	return uphttp.Request{Method: http.MethodPost, URI: path, Body: body, ID: id, MayOmitID: true,
+		Header: c.opts.Codec.HeaderFor(u.ID, id, remaining)}
+}
+
+// roundTrip sends a request to a stage upstream and passes the whole answer to decode, which fails if it can't be used.
+// The number of results in it determines its maximum size.
+func (c *Coordinator) roundTrip(u hosts.Upstream, timeout time.Duration, results int, r uphttp.Request,
+	decode func(stageAnswer) error) *fault.Error {
 	if c.opts.Hosts().IsEvacuated(u.Zone) {
-		return stageAnswer{}, fault.New(fault.NotRun, fault.Draining, "the zone of %s is evacuated", u.ID)
+		return fault.New(fault.NotRun, fault.Draining, "the zone of %s is evacuated", u.ID)
 	}
 	if wait := c.opts.Notices.PauseRemaining(u.Lifetime()); wait > 0 {
-		return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s wants nothing for now", u.ID).WithRetryAfter(wait)
+		return fault.New(fault.NotRun, fault.Overloaded, "%s wants nothing for now", u.ID).WithRetryAfter(wait)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -903,13 +917,13 @@
 		if c.opts.Limits.ColdRate(u.Lifetime()) == 0 {
 			c.opts.Limits.Spend(u.Lifetime())
 		} else if wait := c.opts.Limits.Take(u.Lifetime()); wait > 0 {
-			return stageAnswer{}, fault.New(fault.NotRun, fault.Overloaded, "%s is cold", u.ID).WithRetryAfter(wait)
+			return fault.New(fault.NotRun, fault.Overloaded, "%s is cold", u.ID).WithRetryAfter(wait)
 		}
 	}
 	sent := c.opts.Now()
 	answer, failure := c.opts.Client.Do(ctx, u.Address, r)
 	if failure != nil {
-		return stageAnswer{}, failure
+		return failure
 	}
 	defer answer.Close()
 	c.opts.Notices.AddAnswer(u, sent, answer.Status, answer.Head)
@@ -926,14 +940,22 @@
 	data, err := io.ReadAll(io.LimitReader(answer, maxBytes+1))
 	switch {
 	case err != nil:
-		return stageAnswer{}, fault.New(fault.MayHaveRun, fault.Incomplete,
+		return fault.New(fault.MayHaveRun, fault.Incomplete,
 			"the answer of %s is cut off", u.ID).WithCause(err)
 	case int64(len(data)) > maxBytes:
-		return stageAnswer{}, fault.New(fault.MayHaveRun, fault.Malformed,
+		return fault.New(fault.MayHaveRun, fault.Malformed,
 			"the answer of %s is longer than %d bytes", u.ID, maxBytes)
 	}
-	return stageAnswer{
-		status: answer.Status, body: data, duplicate: results > 0 && answer.CheckDuplicate(xxhash.Sum64(data))}, nil
+	err = decode(stageAnswer{
+		status: answer.Status, body: data, duplicate: results > 0 && answer.CheckDuplicate(xxhash.Sum64(data))})
+	if err == nil {
+		return nil
+	}
+	answer.Discard()
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return fault.New(fault.MayHaveRun, fault.Malformed, "the answer of %s can't be decoded", u.ID).WithCause(err)
 }
 
 // runBatch calls a stage upstream with a batch and passes the outcome to the scheduler.
@@ -985,13 +1007,20 @@
 	if err != nil {
 		return nil, fault.New(fault.NotRun, fault.Internal, "a batch can't be encoded").WithCause(err)
 	}
-	got, failure := c.roundTrip(b.Upstream, b.Timeout, len(b.Items), uphttp.Request{
-		Method: http.MethodPost, URI: c.opts.Codec.RunPath, Body: body,
-		Header: c.opts.Codec.HeaderFor(b.Upstream.ID, maxRemaining(b.Items)),
-	})
+	var results []call.Result
+	failure := c.roundTrip(b.Upstream, b.Timeout, len(b.Items),
+		c.request(b.Upstream, c.opts.Codec.RunPath, body, maxRemaining(b.Items)),
+		func(got stageAnswer) (err error) {
+			results, err = c.decodeBatch(b, got)
+			return err
+		})
+	return results, failure
+}
+
+// decodeBatch returns the results that an answer to a batch names. It fails with a fault.Error if the upstream refused the
+// batch, or if the answer belongs to another call, and on malformed answers.
+func (c *Coordinator) decodeBatch(b sched.Batch, got stageAnswer) ([]call.Result, error) {
 	switch {
-	case failure != nil:
-		return nil, failure
 	case got.status == http.StatusServiceUnavailable:
 		return nil, fault.New(fault.NotRun, fault.Overloaded, "%s takes no call", b.Upstream.ID)
 	case got.status != http.StatusOK:
@@ -999,8 +1028,7 @@
 	}
 	results, err := c.opts.Codec.DecodeBatch(got.body, len(b.Items))
 	if err != nil {
-		return nil, fault.New(fault.MayHaveRun, fault.Malformed,
-			"results from %s can't be read", b.Upstream.ID).WithCause(err)
+		return nil, err
 	}
 	// Upstreams never use a handle twice, so this is the answer to another call.
 	if got.duplicate && slices.ContainsFunc(results, func(r call.Result) bool { return r.Handle != "" }) {
@@ -1109,9 +1137,15 @@
 		c.opts.Log.Warn("can't encode a release", zap.Error(err))
 		return
 	}
-	_, failure := c.roundTrip(r.Upstream, releaseTimeout, 0, uphttp.Request{
-		Method: http.MethodPost, URI: c.opts.Codec.ReleasePath, Body: body, Header: c.opts.Codec.HeaderFor(r.Upstream.ID, 0),
-	})
+	request := c.request(r.Upstream, c.opts.Codec.ReleasePath, body, 0)
+	request.Uniform = true
+	failure := c.roundTrip(r.Upstream, releaseTimeout, 0, request,
+		func(got stageAnswer) error {
+			if got.status != http.StatusOK {
+				return fault.New(fault.MayHaveRun, fault.Upstream, "%s answered with status %d", r.Upstream.ID, got.status)
+			}
+			return nil
+		})
 	if failure != nil && failure.Verdict == fault.NotRun && failure.RetryAfter > 0 {
 		c.releaseLater(r, failure.RetryAfter, last)
 		return
--- a/internal/leader/lead/load_test.go
+++ b/internal/leader/lead/load_test.go
@@ -47,7 +47,7 @@
 		}})
 		defer server.Close()
 		core, lines := observer.New(zap.InfoLevel)
-		l := startStages(t, server.Listener.Addr().String(), zap.New(core))
+		l := startStages(t, server.Listener.Addr().String(), 27e6, zap.New(core))
 		for i := range 2 {
 			now, id := time.Now(), fmt.Sprint(i)
 			got := make(chan lead.Decision, 1)
@@ -70,10 +70,11 @@
 	}
 }
 
-// startStages runs a coordinator with one stage upstream at an address, and one engine.
-func startStages(t *testing.T, address string, log *zap.Logger) *lead.Coordinator {
+// startStages runs a coordinator with one stage upstream at an address, which has memory for so many bytes of results, and
+// one engine.
+func startStages(t *testing.T, address string, headroom int64, log *zap.Logger) *lead.Coordinator {
 	pools := []rule.Pool{{Name: "engines", Engine: &rule.Engine{Slots: 64, Tokens: 100_000}},
-		{Name: "p", Batch: &rule.Batch{Size: 12, Call: 20 * time.Millisecond, Piece: time.Millisecond, Headroom: 27e6,
+		{Name: "p", Batch: &rule.Batch{Size: 12, Call: 20 * time.Millisecond, Piece: time.Millisecond, Headroom: headroom,
 			ResultRetention: 4 * time.Second}}}
 	rules := rule.New(1, nil, pools, nil, rule.Limits{})
 	table := hosts.New([]hosts.Upstream{{ID: "e", Pool: "engines", Version: "v1", State: hosts.Ready},
--- a/internal/leader/lead/survey_test.go
+++ b/internal/leader/lead/survey_test.go
@@ -22,7 +22,7 @@
 	server := httptest.NewServer(&cloud.Upstream{ID: "u", Work: 25 * time.Millisecond})
 	defer server.Close()
 	core, lines := observer.New(zap.InfoLevel)
-	l := startStages(t, server.Listener.Addr().String(), zap.New(core))
+	l := startStages(t, server.Listener.Addr().String(), 27e6, zap.New(core))
 	described, waited := false, false
 	for i, end := 0, time.Now().Add(10*time.Second); !(described && waited) && time.Now().Before(end); i++ {
 		now, id := time.Now(), fmt.Sprint(i)
