--- a/internal/edge/cursor/cursor.go
+++ b/internal/edge/cursor/cursor.go
@@ -42,6 +42,29 @@
 	return &Cursor{store: store, topic: topic, wait: wait, limit: limit}
 }
 
+// Recent returns the records before the next read that the store still holds. Together with an error it returns those that it
+// could read.
+func (c *Cursor) Recent(ctx context.Context) (records []platform.Record, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.limit)
+	defer cancel()
+	for from := (platform.Position{Era: c.next.Era}); from.Offset < c.next.Offset; {
+		found, next, err := c.store.Read(ctx, c.topic, from, 0)
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.First > from.Offset {
+			from.Offset = trimmed.First
+			continue
+		}
+		if err != nil {
+			return records, err
+		}
+		if len(found) == 0 {
+			break
+		}
+		records, from = append(records, found...), next
+	}
+	return records, nil
+}
+
 // Synced reports whether the next read continues the last one; if not, it reads a snapshot.
 func (c *Cursor) Synced() bool { return c.synced }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -132,6 +132,7 @@
 	n.watch = watch.New(watch.Options{
 		Store: store, Answered: answered, DrainWithin: func() time.Duration { return n.settings.Load().DrainWithin },
 		Stats:          n.stats,
+		ReportInterval: func() time.Duration { return n.settings.Load().ReportInterval },
 		EvacuateWithin: func() time.Duration { return n.settings.Load().EvacuateWithin },
 		RulesWithin:    func() time.Duration { return n.settings.Load().RulesWithin }, IsLeaving: n.notices.IsLeaving,
 		AwaitsLeader: func() bool { return n.link.DefersReads() },
--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -1,16 +1,22 @@
 package watch
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
+	"github.com/ragworthatch/ragworthatch/internal/edge/report"
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
-// restoreDoubt is how long snapshots may show what was true before, after the store came back from an older copy.
-const restoreDoubt = 10 * time.Second
+const (
+	// restoreDoubt is how long snapshots may show what was true before, after the store came back from an older copy.
+	restoreDoubt = 10 * time.Second
+	// lapseIntervals is after how many intervals between reports the entry of a silent upstream has lapsed for certain.
+	lapseIntervals = 4
+)
 
 // hostList folds records of the upstreams topic into the current list of upstreams.
 type hostList struct {
@@ -23,6 +29,10 @@
 	lastState    func(hosts.Lifetime) (state hosts.State, left bool)
 	doubtedUntil time.Time // snapshots may show what was true before
 
+	reports        *report.History
+	reportInterval func() time.Duration // between the reports of an upstream
+	held           map[string]heldEntry // entries that may be older than what is known, by ID
+
 	// coldStart returns for how long upstreams of a pool are cold after their start; 0 if the pool has no cold ones.
 	coldStart func(pool string) time.Duration
 	// coldNamed is told that an upstream has written whether it is cold, which was read at a time.
@@ -31,11 +41,18 @@
 	asked     time.Time        // when the store was asked for the records that are applied
 }
 
-func newHostList(
-	now func() time.Time, lastState func(hosts.Lifetime) (hosts.State, bool), log *zap.Logger) *hostList {
+// heldEntry is an entry that counts only if it is still there at a time, as that of an upstream that has left lapses.
+type heldEntry struct {
+	record platform.Record
+	until  time.Time
+}
+
+func newHostList(now func() time.Time, lastState func(hosts.Lifetime) (hosts.State, bool),
+	reportInterval func() time.Duration, log *zap.Logger) *hostList {
 	return &hostList{
 		now: now, lastState: lastState, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{},
 		offsets: map[string]int64{}, coldStart: func(string) time.Duration { return 0 },
+		reports: report.New(reportInterval, now), reportInterval: reportInterval, held: map[string]heldEntry{},
 	}
 }
 
@@ -53,21 +70,16 @@
 // settled reports whether no removed entry is kept for a grace period.
 func (l *hostList) settled() bool { return len(l.missing) == 0 }
 
-// apply folds in records. A snapshot is complete: entries that it lacks are removed.
-func (l *hostList) apply(records []platform.Record, snapshot bool) {
+// apply folds in records. A snapshot is complete: entries that it lacks are removed. It hides older records of the same
+// keys; the recent ones of them, which come before the others, show whether it holds late reports.
+func (l *hostList) apply(recent, records []platform.Record, snapshot bool) {
+	doubtful := snapshot && l.now().Before(l.doubtedUntil)
+	for _, r := range recent {
+		l.applyRecord(r, doubtful)
+	}
 	seen := map[string]bool{}
 	for _, r := range records {
-		if r.Err != nil {
-			l.log.Warn("entry can't be read", zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(r.Err))
-			l.drop(r.Key)
-			continue
-		}
-		if len(r.Value) == 0 {
-			l.remove(r.Key)
-			continue
-		}
-		seen[r.Key] = true
-		l.update(r, snapshot && l.now().Before(l.doubtedUntil))
+		seen[r.Key] = l.applyRecord(r, doubtful)
 	}
 	if snapshot {
 		for id := range l.byID {
@@ -75,20 +87,41 @@
 				l.remove(id)
 			}
 		}
+		maps.DeleteFunc(l.held, func(id string, _ heldEntry) bool { return !seen[id] })
 	}
 	l.afterOutage = false
 	for id, until := range l.missing {
 		if !l.now().Before(until) {
 			delete(l.missing, id)
-			l.drop(id)
+			l.leave(id)
+		}
+	}
+	for id, h := range l.held {
+		if !l.now().Before(h.until) {
+			delete(l.held, id)
+			l.confirm(h.record)
 		}
 	}
 }
 
+// applyRecord folds in a record, and reports whether it is an entry.
+func (l *hostList) applyRecord(r platform.Record, doubtful bool) bool {
+	switch {
+	case r.Err != nil:
+		l.log.Warn("entry can't be read", zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(r.Err))
+		l.drop(r.Key)
+	case len(r.Value) == 0:
+		l.remove(r.Key)
+	default:
+		l.update(r, doubtful)
+		return true
+	}
+	return false
+}
+
 // update adds or replaces the entry of a record. An entry that cannot be decoded is dropped. A doubtful one does not
-// replace what is known since.
+// replace what is known since, nor does one that the store has executed late.
 func (l *hostList) update(r platform.Record, doubtful bool) {
-	delete(l.missing, r.Key)
 	u, err := platform.DecodeUpstream(r.Key, r.Value)
 	if err != nil {
 		l.log.Warn("entry names no upstream", zap.Int64("offset", r.Offset), zap.Error(err))
@@ -96,6 +129,49 @@
 		return
 	}
 	before, known := l.byID[u.ID]
+	sequence := platform.DecodeSequence(r.Value)
+	verdict := l.reports.Add(u.Lifetime(), sequence)
+	if verdict == report.Current && known && sequence > 0 && 0 < u.StartedMs && u.StartedMs < before.StartedMs {
+		verdict = report.Doubtful // its ID has been used again
+	}
+	if verdict != report.Current {
+		l.log.Info("upstream's report is older than what is known", zap.String("upstream", u.ID), zap.Int64("born", u.StartedMs),
+			zap.Int64("sequence", sequence), zap.Int64("offset", r.Offset), zap.String("verdict", string(verdict)))
+		if verdict == report.Doubtful {
+			l.hold(r)
+		}
+		return
+	}
+	delete(l.held, u.ID)
+	l.put(u, r, doubtful)
+}
+
+// hold keeps an entry aside until that of an upstream that has left would have lapsed.
+func (l *hostList) hold(r platform.Record) {
+	if h, held := l.held[r.Key]; held && h.record.Offset == r.Offset {
+		return
+	}
+	l.held[r.Key] = heldEntry{record: r, until: l.now().Add(lapseIntervals * l.reportInterval())}
+}
+
+// confirm adds an entry that was held.
+func (l *hostList) confirm(r platform.Record) {
+	u, err := platform.DecodeUpstream(r.Key, r.Value)
+	if err != nil {
+		return // it was decoded before
+	}
+	l.log.Info("upstream's report holds", zap.String("upstream", u.ID), zap.Int64("offset", r.Offset))
+	l.reports.Confirm(u.Lifetime(), platform.DecodeSequence(r.Value))
+	l.put(u, r, false)
+}
+
+// put adds or replaces the entry of an upstream. A doubtful one does not replace what is known since.
+func (l *hostList) put(u hosts.Upstream, r platform.Record, doubtful bool) {
+	delete(l.missing, u.ID)
+	before, known := l.byID[u.ID]
+	if known && before.Lifetime() != u.Lifetime() {
+		l.reports.Left(before.Lifetime())
+	}
 	if doubtful {
 		switch state, left := l.lastState(u.Lifetime()); {
 		case left, known && before.StartedMs > u.StartedMs:
@@ -144,6 +220,7 @@
 // remove drops an entry, after lapseGrace if it may have expired only because the store was unavailable.
 func (l *hostList) remove(id string) {
 	if _, known := l.byID[id]; !known {
+		delete(l.held, id)
 		return
 	}
 	if _, pending := l.missing[id]; pending {
@@ -153,11 +230,20 @@
 		l.missing[id] = l.now().Add(lapseGrace)
 		return
 	}
+	l.leave(id)
+}
+
+// leave drops the entry of an upstream that has left.
+func (l *hostList) leave(id string) {
+	if u, known := l.byID[id]; known {
+		l.reports.Left(u.Lifetime())
+	}
 	l.drop(id)
 }
 
 // drop deletes an entry at once, if there is one.
 func (l *hostList) drop(id string) {
+	delete(l.held, id)
 	if _, known := l.byID[id]; !known {
 		return
 	}
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -46,7 +46,9 @@
 type Options struct {
 	Store       cursor.Store
 	DrainWithin func() time.Duration // longest time until a record that an upstream leaves has effect here
-	RulesWithin func() time.Duration // longest time until a record of a configuration has effect here
+	// ReportInterval is the time between two reports of an upstream.
+	ReportInterval func() time.Duration
+	RulesWithin    func() time.Duration // longest time until a record of a configuration has effect here
 	// EvacuateWithin is the longest time until a record of an evacuation has effect here.
 	EvacuateWithin func() time.Duration
 	AwaitsLeader   func() bool               // reports whether the leader is about to send its state to this process
@@ -295,7 +297,7 @@
 			},
 		})
 	}()
-	list := newHostList(w.o.Now, w.lastState, w.o.Log)
+	list := newHostList(w.o.Now, w.lastState, w.o.ReportInterval, w.o.Log)
 	list.coldStart, list.coldNamed = w.coldStart, w.coldNamed
 	w.follow(ctx, &topicReader{
 		topic: hostsTopic,
@@ -303,7 +305,7 @@
 			now := w.o.Now()
 			w.listReadAt.Store(&now)
 			list.asked = r.asked
-			list.apply(r.records, r.snapshot)
+			list.apply(r.recent, r.records, r.snapshot)
 			w.unsettled.Store(!list.settled())
 			w.updateHosts(list.table(r.asked))
 		},
@@ -314,7 +316,8 @@
 			}
 			list.storeRecovered()
 		},
-		restored: list.storeRestored,
+		restored:   list.storeRestored,
+		readRecent: true,
 		// Until the first configuration is read, one reader is enough to detect that the store is back.
 		blocked: func() bool { return w.Rules().Version() == 0 },
 		fresh: func() bool {
@@ -335,6 +338,7 @@
 // reading is one answer of the store.
 type reading struct {
 	records  []platform.Record
+	recent   []platform.Record // the records before a snapshot that the store still holds, see topicReader
 	snapshot bool
 	era      int64
 	end      int64     // offset after the last record
@@ -352,6 +356,8 @@
 	fresh     func() bool          // reports whether the current state is recent enough to skip the read
 	blocked   func() bool          // reports whether the first snapshot must wait for that of another topic
 	interval  func() time.Duration // pause after a read that returned records; nil for none
+	// readRecent says that recent records are read with a snapshot, unless it holds all that were ever written.
+	readRecent bool
 	// skipTo returns the position before which records are not needed, with offset -1 if it is unknown; nil for none.
 	skipTo func() platform.Position
 }
@@ -418,13 +424,27 @@
 		if cur.Restored() && f.restored != nil {
 			f.restored()
 		}
-		f.apply(reading{records, snapshot, cur.Position().Era, cur.Position().Offset, asked})
+		var recent []platform.Record
+		if f.readRecent && snapshot && cur.Position().Offset > int64(len(records)) {
+			recent = w.readRecent(ctx, cur, f.topic)
+		}
+		f.apply(reading{records, recent, snapshot, cur.Position().Era, cur.Position().Offset, asked})
 		if f.interval != nil && len(records) > 0 {
 			pause.For(ctx, f.interval())
 		}
 	}
 }
 
+// readRecent reads the recent records of a topic. Without them the snapshot counts as it is.
+func (w *Watcher) readRecent(ctx context.Context, cur *cursor.Cursor, topic platform.Topic) []platform.Record {
+	records, err := cur.Recent(ctx)
+	w.o.Stats.StoreCall(string(topic), err == nil)
+	if err != nil {
+		w.o.Log.Warn("can't read the recent records", zap.String("topic", string(topic)), zap.Error(err))
+	}
+	return records
+}
+
 // hearsLeader reports whether the leader has sent its version of the configuration recently.
 func (w *Watcher) hearsLeader() bool { return w.o.Now().Sub(*w.leaderRulesAt.Load()) < leaderTimeout }
 
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -109,7 +109,7 @@
 	case from.Era != s.era:
 		return nil, platform.Position{}, platform.ErrRestored
 	case topic == platform.TopicUpstreams && from.Offset < s.first, from.Offset > int64(len(s.logs[topic])):
-		return nil, platform.Position{}, platform.ErrTrimmed
+		return nil, platform.Position{}, &platform.TrimmedError{First: s.first}
 	}
 	for _, r := range s.logs[topic][from.Offset:] {
 		s.sent += len(r.Value)
@@ -175,6 +175,7 @@
 		s.put(platform.TopicUpstreams, "u2", upstreamEntry("ready"))
 		w := watch.New(watch.Options{
 			Store: s, Answered: wakeup.New(), DrainWithin: func() time.Duration { return drainWithin },
+			ReportInterval: func() time.Duration { return time.Second },
 			RulesWithin:    func() time.Duration { return rulesWithin },
 			EvacuateWithin: func() time.Duration { return 5 * time.Second },
 			AwaitsLeader:   func() bool { return s.awaits }, IsLeaving: s.isLeaving, Now: time.Now, Log: zap.NewNop(),
--- a/internal/fake/cloud/store.go
+++ b/internal/fake/cloud/store.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -234,6 +235,7 @@
 		s.mu.Unlock()
 		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
+			_, _ = fmt.Fprintf(w, `{"first":%d}`, first)
 			return
 		}
 		if len(found) > 0 || time.Now().After(deadline) || r.Context().Err() != nil {
