--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -474,15 +475,22 @@
 	return platform.Position{Offset: -1}
 }
 
-// applyRules puts the newest valid configuration of the records in force. The records of evacuated zones come first, so
-// that a process that starts knows them before it can serve.
+// applyRules puts the valid configuration of the highest version among the records in force, which need not be the last one.
+// The records of evacuated zones come first, so that a process that starts knows them before it can serve.
 func (w *Watcher) applyRules(read reading) {
 	now := w.o.Now()
 	w.applyZones(read)
 	w.rulesReadAt.Store(&now)
-	for _, r := range slices.Backward(read.records) {
-		at := platform.Position{Era: read.era, Offset: r.Offset}
-		if r.Key == platform.RulesKey && len(r.Value) > 0 && w.updateRules(r.Value, at, "store") {
+	versions := slices.DeleteFunc(slices.Clone(read.records), func(r platform.Record) bool {
+		return r.Key != platform.RulesKey || len(r.Value) == 0
+	})
+	if len(versions) > 1 {
+		slices.SortStableFunc(versions, func(a, b platform.Record) int {
+			return cmp.Compare(platform.RulesVersion(a.Value), platform.RulesVersion(b.Value))
+		})
+	}
+	for _, r := range slices.Backward(versions) {
+		if w.updateRules(r.Value, platform.Position{Era: read.era, Offset: r.Offset}, "store") {
 			return
 		}
 	}
--- a/internal/edge/watch/watch_test.go
+++ b/internal/edge/watch/watch_test.go
@@ -502,3 +502,13 @@
 			})
 	}
 }
+
+// The store executes an older configuration late, and both are read at once.
+func TestALateConfigurationDoesNotHideANewerOne(t *testing.T) {
+	runWatcher(t, func(c *qt.C, s *memStore, w *watch.Watcher) {
+		s.put(platform.TopicRules, platform.RulesKey, `{"version":9}`)
+		s.put(platform.TopicRules, platform.RulesKey, `{"version":8}`)
+		time.Sleep(drainWithin)
+		c.Check(w.Rules().Version(), qt.Equals, int64(9))
+	})
+}
