--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -357,7 +357,8 @@
 	fresh     func() bool          // reports whether the current state is recent enough to skip the read
 	blocked   func() bool          // reports whether the first snapshot must wait for that of another topic
 	interval  func() time.Duration // pause after a read that returned records; nil for none
-	// readRecent says that recent records are read with a snapshot, unless it holds all that were ever written.
+	// readRecent says that recent records are read with a snapshot, unless it holds all that were ever written, or the store
+	// came back from a copy, whose records are older than what is known.
 	readRecent bool
 	// skipTo returns the position before which records are not needed, with offset -1 if it is unknown; nil for none.
 	skipTo func() platform.Position
@@ -426,7 +427,7 @@
 			f.restored()
 		}
 		var recent []platform.Record
-		if f.readRecent && snapshot && cur.Position().Offset > int64(len(records)) {
+		if f.readRecent && snapshot && !cur.Restored() && cur.Position().Offset > int64(len(records)) {
 			recent = w.readRecent(ctx, cur, f.topic)
 		}
 		f.apply(reading{records, recent, snapshot, cur.Position().Era, cur.Position().Offset, asked})
--- a/internal/leader/origin/keeper.go
+++ b/internal/leader/origin/keeper.go
@@ -320,7 +320,9 @@
 func (k *Keeper) Joined() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.readAgain()
+	if !k.ledSince.IsZero() { // else it reads them once it leads
+		k.readAgain()
+	}
 }
 
 // readAgain has the records read, and doubts until then that this entry knows them all. The caller holds mu.
