--- a/internal/edge/cursor/cursor.go
+++ b/internal/edge/cursor/cursor.go
@@ -27,6 +27,7 @@
 	read          bool              // a snapshot was read
 	snapshotTries int               // reads of a snapshot so far
 	restored      bool              // the last read began a new era
+	missed        int64             // offset of the first record that a snapshot stands for; the end if that is not known
 }
 
 // Of three tries of a snapshot, two have a short timeout, so that the recovery of a silent store is soon noticed, and
@@ -42,12 +43,24 @@
 	return &Cursor{store: store, topic: topic, wait: wait, limit: limit}
 }
 
-// Recent returns the records before the next read that the store still holds. Together with an error it returns those that it
-// could read.
+// firstMissed returns the offset of the first record that was not read before a snapshot, whose end is given. Records of an
+// older copy of the store are older than what was read.
+func (c *Cursor) firstMissed(end platform.Position) int64 {
+	switch {
+	case !c.read:
+		return 0
+	case end.Era != c.next.Era || end.Offset < c.next.Offset:
+		return end.Offset
+	}
+	return c.next.Offset
+}
+
+// Recent returns the records that the last snapshot stands for, as far as the store still holds them. Together with an error
+// it returns those that it could read. It must be called before the next read.
 func (c *Cursor) Recent(ctx context.Context) (records []platform.Record, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.limit)
 	defer cancel()
-	for from := (platform.Position{Era: c.next.Era}); from.Offset < c.next.Offset; {
+	for from := (platform.Position{Era: c.next.Era, Offset: c.missed}); from.Offset < c.next.Offset; {
 		found, next, err := c.store.Read(ctx, c.topic, from, 0)
 		var trimmed *platform.TrimmedError
 		if errors.As(err, &trimmed) && trimmed.First > from.Offset {
@@ -109,6 +122,9 @@
 		c.synced = false
 	case err == nil:
 		c.restored = c.read && next.Era != c.next.Era
+		if whole {
+			c.missed = c.firstMissed(next)
+		}
 		c.next, c.synced, c.read = next, true, true
 	}
 	return records, whole, err
--- a/internal/edge/watch/late_test.go
+++ b/internal/edge/watch/late_test.go
@@ -87,6 +87,14 @@
 		first, err := strconv.ParseInt(step[1], 10, 64)
 		s.Assert(err, qt.IsNil)
 		s.store.setState(false, first)
+	case "back":
+		n, err := strconv.Atoi(step[1])
+		s.Assert(err, qt.IsNil)
+		s.store.put(platform.TopicUpstreams, "extra", "")
+		time.Sleep(drainWithin)
+		s.store.mu.Lock()
+		s.store.logs[platform.TopicUpstreams] = s.store.logs[platform.TopicUpstreams][:n]
+		s.store.mu.Unlock()
 	case "wait":
 		time.Sleep(s.seconds(step[1]))
 	case "ready":
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -339,7 +339,7 @@
 // reading is one answer of the store.
 type reading struct {
 	records  []platform.Record
-	recent   []platform.Record // the records before a snapshot that the store still holds, see topicReader
+	recent   []platform.Record // those that a snapshot stands for; see topicReader
 	snapshot bool
 	era      int64
 	end      int64     // offset after the last record
@@ -357,8 +357,7 @@
 	fresh     func() bool          // reports whether the current state is recent enough to skip the read
 	blocked   func() bool          // reports whether the first snapshot must wait for that of another topic
 	interval  func() time.Duration // pause after a read that returned records; nil for none
-	// readRecent says that recent records are read with a snapshot, unless it holds all that were ever written, or the store
-	// came back from a copy, whose records are older than what is known.
+	// readRecent says that the records which a snapshot stands for are read, too, unless it holds all that were ever written.
 	readRecent bool
 	// skipTo returns the position before which records are not needed, with offset -1 if it is unknown; nil for none.
 	skipTo func() platform.Position
@@ -427,7 +426,7 @@
 			f.restored()
 		}
 		var recent []platform.Record
-		if f.readRecent && snapshot && !cur.Restored() && cur.Position().Offset > int64(len(records)) {
+		if f.readRecent && snapshot && cur.Position().Offset > int64(len(records)) {
 			recent = w.readRecent(ctx, cur, f.topic)
 		}
 		f.apply(reading{records, recent, snapshot, cur.Position().Era, cur.Position().Offset, asked})
