--- a/internal/edge/watch/late_test.go
+++ b/internal/edge/watch/late_test.go
@@ -40,7 +40,7 @@
 				ctx, stop := context.WithCancel(t.Context())
 				s := &lateScene{C: qt.New(t), store: &memStore{logs: map[platform.Topic][]platform.Record{}},
 					started: time.Now(), watchers: map[string]*watch.Watcher{}}
-				s.store.put(platform.TopicRules, platform.RulesKey, `{"version":5}`)
+				s.store.put(platform.TopicRules, platform.RulesKey, `{"version":5,"services":[{"name":"p"}]}`)
 				for step := range strings.Lines(steps) {
 					if fields := strings.Fields(step); len(fields) > 0 {
 						s.play(ctx, fields)
@@ -65,9 +65,13 @@
 func (s *lateScene) play(ctx context.Context, step []string) {
 	switch step[0] {
 	case "put":
+		pool, state := "p", step[2]
+		if state == "odd" {
+			pool, state = "odd", "ready"
+		}
 		s.store.put(platform.TopicUpstreams, step[1], fmt.Sprintf(
-			`{"service":"p","address":"10.0.0.1:80","zone":"z","version":"v1","slots":1,"state":%q,"born":%d,"sequence":%s}`,
-			step[2], s.started.Add(s.seconds(step[3])).UnixMilli(), step[4]))
+			`{"service":%q,"address":"10.0.0.1:80","zone":"z","version":"v1","slots":1,"state":%q,"born":%d,"sequence":%s}`,
+			pool, state, s.started.Add(s.seconds(step[3])).UnixMilli(), step[4]))
 	case "remove":
 		s.store.put(platform.TopicUpstreams, step[1], "")
 	case "start":
--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -32,6 +32,7 @@
 	reports        *report.History
 	reportInterval func() time.Duration // between the reports of an upstream
 	held           map[string]heldEntry // entries that may be older than what is known, by ID
+	hasPool        func(string) bool    // reports whether the configuration has a pool
 
 	// coldStart returns for how long upstreams of a pool are cold after their start; 0 if the pool has no cold ones.
 	coldStart func(pool string) time.Duration
@@ -53,6 +54,7 @@
 		now: now, lastState: lastState, log: log, byID: map[string]hosts.Upstream{}, missing: map[string]time.Time{},
 		offsets: map[string]int64{}, coldStart: func(string) time.Duration { return 0 },
 		reports: report.New(reportInterval, now), reportInterval: reportInterval, held: map[string]heldEntry{},
+		hasPool: func(string) bool { return true },
 	}
 }
 
@@ -128,22 +130,33 @@
 		l.drop(r.Key)
 		return
 	}
-	before, known := l.byID[u.ID]
+	switch verdict := l.judge(u, r); verdict {
+	case report.Current:
+		delete(l.held, u.ID)
+		l.put(u, r, doubtful)
+	case report.Doubtful:
+		l.hold(r)
+		fallthrough
+	default:
+		l.log.Info("upstream's report is older than what is known", zap.String("upstream", u.ID), zap.Int64("born", u.StartedMs),
+			zap.Int64("offset", r.Offset), zap.String("verdict", string(verdict)))
+	}
+}
+
+// judge reports whether an entry is older than what is known. One of a pool that the configuration lacks may have been written
+// by anyone, and says nothing of the order of others.
+func (l *hostList) judge(u hosts.Upstream, r platform.Record) report.Verdict {
+	if !l.hasPool(u.Pool) {
+		return report.Current
+	}
 	sequence := platform.DecodeSequence(r.Value)
 	verdict := l.reports.Add(u.Lifetime(), sequence)
-	if verdict == report.Current && known && sequence > 0 && 0 < u.StartedMs && u.StartedMs < before.StartedMs {
-		verdict = report.Doubtful // its ID has been used again
-	}
-	if verdict != report.Current {
-		l.log.Info("upstream's report is older than what is known", zap.String("upstream", u.ID), zap.Int64("born", u.StartedMs),
-			zap.Int64("sequence", sequence), zap.Int64("offset", r.Offset), zap.String("verdict", string(verdict)))
-		if verdict == report.Doubtful {
-			l.hold(r)
-		}
-		return
+	before, known := l.byID[u.ID]
+	if verdict == report.Current && known && l.hasPool(before.Pool) && sequence > 0 && 0 < u.StartedMs &&
+		u.StartedMs < before.StartedMs {
+		return report.Doubtful // its ID has been used again
 	}
-	delete(l.held, u.ID)
-	l.put(u, r, doubtful)
+	return verdict
 }
 
 // hold keeps an entry aside until that of an upstream that has left would have lapsed.
@@ -169,7 +182,7 @@
 func (l *hostList) put(u hosts.Upstream, r platform.Record, doubtful bool) {
 	delete(l.missing, u.ID)
 	before, known := l.byID[u.ID]
-	if known && before.Lifetime() != u.Lifetime() {
+	if known && before.Lifetime() != u.Lifetime() && l.hasPool(u.Pool) {
 		l.reports.Left(before.Lifetime())
 	}
 	if doubtful {
--- a/internal/edge/watch/watch.go
+++ b/internal/edge/watch/watch.go
@@ -300,6 +300,10 @@
 	}()
 	list := newHostList(w.o.Now, w.lastState, w.o.ReportInterval, w.o.Log)
 	list.coldStart, list.coldNamed = w.coldStart, w.coldNamed
+	list.hasPool = func(name string) bool {
+		_, ok := w.Rules().Pool(name)
+		return ok
+	}
 	w.follow(ctx, &topicReader{
 		topic: hostsTopic,
 		apply: func(r reading) {
