--- a/internal/ops/intake/bounds_test.go
+++ b/internal/ops/intake/bounds_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -115,3 +117,24 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(served.StatusCode, qt.Equals, http.StatusOK)
 }
+
+// Guards against connections that are held for good: a handler that ends by a panic left the rest of the body to net/http, which
+// waits for it without a deadline (review/7).
+func TestAbortedRequestsDoNotHoldTheirConnections(t *testing.T) {
+	for name, reads := range map[string]bool{"before the body was read": false, "after it made no progress": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, reader := serveBounded(c, memory.New(144<<20), func(in *Intake, w http.ResponseWriter, r *http.Request) {
+				if reads {
+					_, failure := in.ReadBody(w, r, BodyOptions{Until: time.Now().Add(100 * time.Millisecond)})
+					c.Check(failure.Code, qt.Equals, fault.SlowBody)
+				}
+				panic(http.ErrAbortHandler)
+			})
+			fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n%s", strings.Repeat("x", 59_999))
+			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+			_, err := reader.ReadByte()
+			c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("the connection is still open"))
+		})
+	}
+}
--- a/internal/ops/intake/intake.go
+++ b/internal/ops/intake/intake.go
@@ -137,10 +137,12 @@
 			return
 		}
 		c.bodyRead = false
+		defer func() { // also if the handler panics
+			if !c.bodyRead {
+				c.linger() // net/http reads the rest of a body that the handler did not read
+			}
+		}()
 		handler.ServeHTTP(w, r)
-		if !c.bodyRead {
-			c.linger() // net/http reads the rest of a body that the handler did not read
-		}
 	})
 	server.MaxHeaderBytes = MaxHeaderBytes
 	// The connections replace the length of these timeouts, as the limits change.
