--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -112,7 +112,8 @@
 type exchange struct {
 	*Front
 	in         *http.Request
-	caller     context.Context // ends when the caller disconnects
+	caller     context.Context // ends when the caller disconnects, and when a read of the body fails
+	bodyCut    bool            // this entry has ended the reading of the body
 	out        *relay.Writer
 	head       call.Request
 	key        string // unique; the IDs that callers set may not be
@@ -211,6 +212,7 @@
 		Limit: x.bodyLimit(), Owner: x.team, Until: x.arrived.Add(max(x.deadline.Sub(x.arrived), minBodyTime)),
 	})
 	if failure != nil {
+		x.bodyCut = failure.Code != fault.BadRequest
 		return failure
 	}
 	x.body = body
@@ -435,11 +437,12 @@
 		failure = fault.New(fault.MayHaveRun, failure.Code, "an upstream may have run it, and no other did").
 			WithCause(failure)
 	}
-	if x.caller.Err() != nil {
+	left := x.caller.Err() != nil && !x.bodyCut
+	if left {
 		failure = fault.New(failure.Verdict, fault.Canceled, "the caller left").WithCause(failure)
 	}
 	x.recordFailure(failure.Code, failure.Verdict, failure, zap.Duration("retryAfter", failure.RetryAfter))
-	if x.caller.Err() != nil || x.out.Started() {
+	if left || x.out.Started() {
 		x.out.Abort()
 	}
 	status := statusOf(failure)
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -1,10 +1,14 @@
 package node_test
 
 import (
+	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +35,28 @@
 	return w, e
 }
 
+// A body that stops short of its end is refused with an answer, and its connection is closed. Callers got none, and the
+// connections were held for good (review/7).
+func TestBodiesThatStopAreRefusedWithAnAnswer(t *testing.T) {
+	up := &cloud.Upstream{ID: "up-1"}
+	w, e := startPlain(t, up)
+	conn, err := net.Dial("tcp", e.front)
+	w.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST /act/x HTTP/1.1\r\nHost: svc.example\r\nCredential: key-one\r\nRequest-Id: short\r\nDeadline-Ms: 1000\r\n"+
+		"Content-Length: 900\r\n\r\n%s", strings.Repeat("x", 899))
+	_ = conn.SetReadDeadline(time.Now().Add(8 * time.Second))
+	reader := bufio.NewReader(conn)
+	got, err := http.ReadResponse(reader, nil)
+	w.c.Assert(err, qt.IsNil)
+	w.c.Check(got.StatusCode, qt.Equals, http.StatusRequestTimeout)
+	_, err = io.Copy(io.Discard, got.Body)
+	w.c.Check(err, qt.IsNil)
+	_, err = reader.ReadByte()
+	w.c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("the connection is still open"))
+	w.c.Check(up.RunCount("short"), qt.Equals, 0)
+}
+
 func TestRequestsReachUpstreamsUnchanged(t *testing.T) {
 	u := &cloud.Upstream{ID: "up-1"}
 	w, e := startPlain(t, u)
