--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -16,6 +16,8 @@
 	restoreDoubt = 10 * time.Second
 	// lapseIntervals is after how many intervals between reports the entry of a silent upstream has lapsed for certain.
 	lapseIntervals = 4
+	// maxLeavingPart is the part of the upstreams, as a divisor, that may leave while the store can't be read.
+	maxLeavingPart = 3
 )
 
 // hostList folds records of the upstreams topic into the current list of upstreams.
@@ -58,8 +60,8 @@
 	}
 }
 
-// storeRecovered keeps the entries that the next read shows as removed for lapseGrace, as they may have expired only
-// because the store was unavailable. An entry removed by a later read has really left and is dropped at once.
+// storeRecovered keeps the entries that the next read shows as removed for lapseGrace, if they are many, as they may have
+// expired only because the store was unavailable. An entry removed by a later read has really left and is dropped at once.
 func (l *hostList) storeRecovered() { l.afterOutage = true }
 
 // storeRestored keeps the entries that the next read lacks as storeRecovered does, as they were written after the copy
@@ -91,6 +93,12 @@
 		}
 		maps.DeleteFunc(l.held, func(id string, _ heldEntry) bool { return !seen[id] })
 	}
+	if l.afterOutage && l.isOwnOutage() {
+		for id := range l.missing {
+			delete(l.missing, id)
+			l.leave(id)
+		}
+	}
 	l.afterOutage = false
 	for id, until := range l.missing {
 		if !l.now().Before(until) {
@@ -106,6 +114,26 @@
 	}
 }
 
+// isOwnOutage reports whether so few entries are missing after an outage that they have left: in an outage of the store all
+// upstreams are silent for as long, and most of their entries expire.
+func (l *hostList) isOwnOutage() bool {
+	if l.now().Before(l.doubtedUntil) || len(l.missing) > len(l.byID)/maxLeavingPart {
+		return false
+	}
+	ready := map[string]bool{} // pools in which others are ready
+	for id, u := range l.byID {
+		if _, missing := l.missing[id]; !missing && u.State == hosts.Ready {
+			ready[u.Pool] = true
+		}
+	}
+	for id := range l.missing {
+		if !ready[l.byID[id].Pool] {
+			return false
+		}
+	}
+	return true
+}
+
 // applyRecord folds in a record, and reports whether it is an entry.
 func (l *hostList) applyRecord(r platform.Record, doubtful bool) bool {
 	switch {
--- a/internal/edge/watch/late_test.go
+++ b/internal/edge/watch/script_test.go
@@ -19,8 +19,8 @@
 	"github.com/ragworthatch/ragworthatch/platform"
 )
 
-// lateScene is the state of one case of testdata/late.txt.
-type lateScene struct {
+// listScene is the state of one case of testdata/late.txt or testdata/outage.txt.
+type listScene struct {
 	*qt.C
 	store    *memStore
 	started  time.Time
@@ -30,15 +30,22 @@
 
 // TestLateReportsBringNoUpstreamBack plays the cases of testdata/late.txt. Requests went to upstreams that had left, as the
 // store executed an earlier report of them seconds later (review/9).
-func TestLateReportsBringNoUpstreamBack(t *testing.T) {
-	text, err := os.ReadFile("testdata/late.txt")
+func TestLateReportsBringNoUpstreamBack(t *testing.T) { playList(t, "testdata/late.txt") }
+
+// TestUpstreamsThatLeftInAnOutageAreDropped plays the cases of testdata/outage.txt. A host that had been cut off sent requests to
+// upstreams that had left, as it took its own outage for one of the store (review/8).
+func TestUpstreamsThatLeftInAnOutageAreDropped(t *testing.T) { playList(t, "testdata/outage.txt") }
+
+// playList plays the cases of a file.
+func playList(t *testing.T, path string) {
+	text, err := os.ReadFile(path)
 	qt.Assert(t, err, qt.IsNil)
 	for _, section := range strings.Split(string(text), "\n[")[1:] {
 		name, steps, _ := strings.Cut(section, "]\n")
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				s := &lateScene{C: qt.New(t), store: &memStore{logs: map[platform.Topic][]platform.Record{}},
+				s := &listScene{C: qt.New(t), store: &memStore{logs: map[platform.Topic][]platform.Record{}},
 					started: time.Now(), watchers: map[string]*watch.Watcher{}}
 				s.store.put(platform.TopicRules, platform.RulesKey, `{"version":5,"services":[{"name":"p"}]}`)
 				for step := range strings.Lines(steps) {
@@ -55,14 +62,14 @@
 }
 
 // seconds parses a number of seconds.
-func (s *lateScene) seconds(text string) time.Duration {
+func (s *listScene) seconds(text string) time.Duration {
 	n, err := strconv.Atoi(text)
 	s.Assert(err, qt.IsNil)
 	return time.Duration(n) * time.Second
 }
 
 // play carries out one step of a case.
-func (s *lateScene) play(ctx context.Context, step []string) {
+func (s *listScene) play(ctx context.Context, step []string) {
 	switch step[0] {
 	case "put":
 		pool, state := "p", step[2]
