--- a/internal/edge/watch/list.go
+++ b/internal/edge/watch/list.go
@@ -16,8 +16,8 @@
 	restoreDoubt = 10 * time.Second
 	// lapseIntervals is after how many intervals between reports the entry of a silent upstream has lapsed for certain.
 	lapseIntervals = 4
-	// maxLeavingPart is the part of the upstreams, as a divisor, that may leave while the store can't be read.
-	maxLeavingPart = 3
+	// maxLeavingShare is the share of the upstreams that may leave while the store can't be read.
+	maxLeavingShare = 1.0 / 3
 )
 
 // hostList folds records of the upstreams topic into the current list of upstreams.
@@ -117,7 +117,7 @@
 // isOwnOutage reports whether so few entries are missing after an outage that they have left: in an outage of the store all
 // upstreams are silent for as long, and most of their entries expire.
 func (l *hostList) isOwnOutage() bool {
-	if l.now().Before(l.doubtedUntil) || len(l.missing) > len(l.byID)/maxLeavingPart {
+	if l.now().Before(l.doubtedUntil) || float64(len(l.missing)) > maxLeavingShare*float64(len(l.byID)) {
 		return false
 	}
 	ready := map[string]bool{} // pools in which others are ready
