--- a/review/standins-3/kit/runner.go
+++ b/review/standins-3/kit/runner.go
@@ -40,29 +40,32 @@
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
 	go func() { _ = r.server.Serve(listener) }()
 	d.runners = append(d.runners, r)
-	born := time.Now().UnixMilli()
-	go func() {
-		for sequence := 1; ; sequence++ {
-			entry, err := json.Marshal(map[string]any{
-				"service": r.Service, "address": listener.Addr().String(), "zone": r.Zone, "version": "v1", "slots": r.Slots,
-				"state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": born,
-			})
-			if err != nil {
-				panic(err) // strings and numbers always encode
-			}
-			d.Store.Put("keyed.servers", r.ID, entry)
-			select {
-			case <-time.After(heartbeat):
-			case <-r.ended:
-				return
-			case <-d.stopping:
-				return
-			}
-		}
-	}()
+	go d.keepListed(r.ended, r.ID, map[string]any{
+		"service": r.Service, "address": listener.Addr().String(), "zone": r.Zone, "version": "v1", "slots": r.Slots,
+		"state": "ready", "cold_remaining_ms": 0, "born": time.Now().UnixMilli(),
+	})
 	return nil
 }
 
+// keepListed writes the entry of a runner at once and then with each heartbeat, until it has ended.
+func (d *Deployment) keepListed(ended <-chan struct{}, id string, entry map[string]any) {
+	for sequence := 1; ; sequence++ {
+		entry["sequence"] = sequence
+		data, err := json.Marshal(entry)
+		if err != nil {
+			panic(err) // strings and numbers always encode
+		}
+		d.Store.Put("keyed.servers", id, data)
+		select {
+		case <-time.After(heartbeat):
+		case <-ended:
+			return
+		case <-d.stopping:
+			return
+		}
+	}
+}
+
 // Kill ends the runner with all its channels.
 func (r *Runner) Kill() {
 	r.once.Do(func() {
