--- a/review/standins-3/kit/stage.go
+++ b/review/standins-3/kit/stage.go
@@ -32,7 +32,6 @@
 	stages  *Stages
 	address string
 	slot    chan struct{}
-	server  *http.Server
 	results map[string]bool // by handle, guarded by stages.mu
 	count   int             // of results so far, guarded by stages.mu
 }
