--- a/review/standins-3/kit/deployment.go
+++ b/review/standins-3/kit/deployment.go
@@ -169,6 +169,7 @@
 	f.process = exec.Command(command[0], command[1:]...)
 	f.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RAGWORTHATCH_NODE_FILE=" + f.settings}
 	f.process.Stdout, f.process.Stderr = f.log, f.log
+	f.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this process, however that ends
 	if err := f.process.Start(); err != nil {
 		return err
 	}
