Withhold refusals that an upstream has not confirmed

Cause: an entry returned the status of an upstream unchanged. For the entry only the header Not-Run says that a request did not run; for the caller 408, 421, 429 and 503 say so by themselves. Nothing compared the two.

Fix: such an answer without Not-Run is a failure that may have run, at both places that read the answers of upstreams: callers get 502 of the entry's own, without the upstream's proof, or another upstream's answer where the request may be repeated.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -497,6 +497,25 @@
 	return http.StatusBadGateway
 }
 
+// promisesNotRun reports whether a status tells callers that their request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// unconfirmedRefusal returns the failure to report in place of an answer whose status promises that the request did not run
+// although the upstream has not confirmed it; nil for other answers. Callers may send such a request again.
+func unconfirmedRefusal(u hosts.Upstream, answer *uphttp.Answer) *fault.Error {
+	if answer.Head.NotRun || !promisesNotRun(answer.Status) {
+		return nil
+	}
+	return fault.New(fault.MayHaveRun, fault.Upstream,
+		"upstream %s answered with status %d and may have run the request", u.ID, answer.Status)
+}
+
 // crashReport describes the last send as one under which its upstream may have crashed.
 func (x *exchange) crashReport(begun bool) crash.Report {
 	return crash.Report{
--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -220,6 +220,8 @@
 	failure := fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
 	if err != nil {
 		x.answerBroke(u, true, 0, len(body), err)
+	} else if withheld := unconfirmedRefusal(u, answer); withheld != nil {
+		return lead.ProblemFailed, nil, withheld
 	}
 	if err != nil || !whole || x.out.Started() {
 		return lead.ProblemFailed, nil, failure
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -89,7 +89,7 @@
 }
 
 // tryUpstream sends the request once and reads the whole answer. It returns nil and no error for a long answer, which
-// it streams to the caller.
+// it streams to the caller. An answer that unconfirmedRefusal withholds is a failure.
 func (x *exchange) tryUpstream(u hosts.Upstream) (*bufferedAnswer, *fault.Error) {
 	started := x.o.Now()
 	answer, failure := x.send(u, nil, "")
@@ -106,7 +106,12 @@
 		return nil, failure
 	}
 	x.reportServed()
-	x.o.Picker.Answered(u.Lifetime(), x.o.Now().Sub(started), answer.Status < http.StatusInternalServerError)
+	failure = unconfirmedRefusal(u, answer)
+	x.o.Picker.Answered(u.Lifetime(), x.o.Now().Sub(started),
+		answer.Status < http.StatusInternalServerError && failure == nil)
+	if failure != nil {
+		return nil, failure
+	}
 	header := x.o.Codec.AnswerHeader(answer.Header)
 	if !whole {
 		x.stream(u, answer, header, body)
--- a/internal/ops/trace/cause.go
+++ b/internal/ops/trace/cause.go
@@ -36,6 +36,7 @@
 	"badRequest":   "it could not be read",
 	"conflict":     "the results of its stages were lost",
 	"wrongTarget":  "another upstream had the address",
+	"upstream":     "the upstream answered with an error that was not passed on; its line \"sent\" has the status",
 }
 
 // describeCause explains the outcome of the request and, if it was a retry, how long before its caller had first sent
--- a/internal/ops/trace/trace_test.go
+++ b/internal/ops/trace/trace_test.go
@@ -36,6 +36,7 @@
 		"id-10": `refused \(notRun\): it could not .*; in pool b ran 60 of rank 0, 3 of rank 2 and waited 40 of rank 0, ` +
 			`6 of rank 1, with 0 upstreams free; requests that ran there: \[id-7 id-8\]`,
 		"id-11": `refused \(notRun\): its entry was short of processor.*`,
+		"id-12": `failed \(mayHaveRun\): the upstream answered with an error that was not passed on.*`,
 	} {
 		c.Check(readTrace(c, request).Cause, qt.Matches, want, qt.Commentf(request))
 	}
