Let no request without a key pass for the empty key

A tenant with an empty key among its keys let in each request without a key, as both were looked up as "".

Fix: the empty key is nobody's.

--- a/internal/edge/rule/rules.go
+++ b/internal/edge/rule/rules.go
@@ -225,8 +225,11 @@
 // NeedsKey reports whether requests of routes that are not public must carry a key.
 func (r *Rules) NeedsKey() bool { return r.needsKey }
 
-// Team returns the team that holds a key.
+// Team returns the team that holds a key. Nobody holds the empty key, which stands for none.
 func (r *Rules) Team(key string) (Team, bool) {
+	if key == "" {
+		return Team{}, false
+	}
 	t, ok := r.teams[key]
 	return t, ok
 }
