Take a stream that ends inside an event for incomplete wherever it is read

Cause: only the code that relays the answers of engines checked where a stream ends. A route without engine, stages and resumption goes through the code for plain requests, which takes the end of the connection for the end of the body.

Fix: Answer.Read reports the end of a successful event stream only after a blank line, so all readers are covered. Long ones are sent without the length of the upstream, as the caller would have a whole answer before its end is checked.

EventSplitter.InsideEvent, which had no other use, goes; the check of its test is now on Rest, which must be empty.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -277,8 +277,8 @@
 				x.abort(fault.Canceled, werr)
 			}
 		}
-		if isEOF(err) && x.endsEarly(answer, events, before) {
-			err = io.ErrUnexpectedEOF
+		if isEOF(err) && answer.IsEventStream() && answer.EndsWithConnection() && events.Count() == before {
+			err = io.ErrUnexpectedEOF // cut off before its first event
 		}
 		switch {
 		case isEOF(err):
@@ -312,13 +312,4 @@
 	}
 }
 
-// endsEarly reports whether a stream has ended inside an event, or ended with its connection before its first event.
-// before is the count of events at the start of the answer.
-func (x *exchange) endsEarly(answer *uphttp.Answer, events *relay.EventSplitter, before int) bool {
-	if !answer.IsEventStream() {
-		return false
-	}
-	return events.InsideEvent() || (answer.EndsWithConnection() && events.Count() == before)
-}
-
 func isEOF(err error) bool { return errors.Is(err, io.EOF) }
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -196,7 +196,11 @@
 
 // stream relays an answer that is too long to buffer; first is what was read of it.
 func (x *exchange) stream(u hosts.Upstream, answer *uphttp.Answer, header http.Header, first []byte) {
-	x.out.Head(answer.Status, header, answer.Length)
+	length := answer.Length
+	if answer.IsEventStream() {
+		length = -1 // with a length, the answer would be whole for the caller before its end is checked
+	}
+	x.out.Head(answer.Status, header, length)
 	if err := x.out.Body(first); err != nil {
 		x.abort(fault.Canceled, err)
 	}
--- a/internal/edge/relay/events.go
+++ b/internal/edge/relay/events.go
@@ -51,9 +51,6 @@
 	return rest
 }
 
-// InsideEvent reports whether an event has begun that is not whole.
-func (e *EventSplitter) InsideEvent() bool { return len(bytes.TrimSpace(e.partial)) > 0 }
-
 // LastID is the last ID of a whole event; empty if there was none.
 func (e *EventSplitter) LastID() string { return e.lastID }
 
--- a/internal/edge/relay/events_test.go
+++ b/internal/edge/relay/events_test.go
@@ -47,7 +47,7 @@
 			}
 			c.Check(got.String(), qt.Equals, text, qt.Commentf("%q by %d", text, size))
 			c.Check(e.Count(), qt.Equals, 2, qt.Commentf("%q by %d", text, size))
-			c.Check(e.InsideEvent(), qt.IsFalse)
+			c.Check(string(e.Rest()), qt.Equals, "")
 			c.Check(e.LastID(), qt.Equals, "1")
 		}
 	}
--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -8,11 +8,11 @@
 	"fmt"
 	"io"
 	"math"
-	"mime"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -82,6 +82,7 @@
 	stopWatching func() bool // stops closing the connection at the end of ctx; false if ctx has ended; nil after Close
 	closeConn    bool        // the connection must not be used again
 	unframed     bool        // the body has neither a length nor chunks
+	tail         *eventTail  // of the body of a successful event stream; nil for other bodies
 }
 
 // Client sends requests and keeps idle connections to upstreams; it is safe for concurrent use.
@@ -183,12 +184,16 @@
 		if decoded.NotRun {
 			cn.refused = append(cn.refused, r.ID)
 		}
-		return &Answer{
+		answer := &Answer{
 			Status: got.StatusCode, Header: got.Header, Length: got.ContentLength, Head: decoded,
 			body: got.Body, conn: cn, client: c,
 			closeConn: got.Close || !r.keepsConn(decoded.RequestID) || len(cn.refused) >= maxRefused,
 			unframed:  got.ContentLength < 0 && len(got.TransferEncoding) == 0,
-		}, nil
+		}
+		if answer.IsEventStream() && answer.isSuccess() {
+			answer.tail = &eventTail{}
+		}
+		return answer, nil
 	}
 	return nil, fault.New(fault.MayHaveRun, fault.Malformed, "only answers to other requests from %s", cn.address)
 }
@@ -374,14 +379,21 @@
 func (a *Answer) HasSent() bool { return a.conn.hasSent() }
 
 // Read reads the body; it returns io.EOF only at the end of a complete body. After a body that ends with the connection,
-// it waits for a reset while the rest of the request is on its way.
+// it waits for a reset while the rest of the request is on its way. A successful event stream that ends inside an event
+// is incomplete, also if its length or its chunks say otherwise.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if a.tail != nil {
+		a.tail.add(p[:n])
+	}
 	if err == io.EOF && a.unframed && !a.complete {
 		if resetErr := a.conn.awaitReset(); resetErr != nil {
 			return n, resetErr
 		}
 	}
+	if err == io.EOF && a.tail != nil && a.tail.inside {
+		return n, io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		a.complete = true
 	}
@@ -391,10 +403,16 @@
 // EndsWithConnection reports whether only the end of the connection ends the body.
 func (a *Answer) EndsWithConnection() bool { return a.unframed }
 
-// IsEventStream reports whether the body is a series of server-sent events.
+// IsEventStream reports whether the body is a series of server-sent events. Malformed parameters of the media type do not
+// matter.
 func (a *Answer) IsEventStream() bool {
-	kind, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
+	kind, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
+
+// isSuccess reports whether the status is one of success.
+func (a *Answer) isSuccess() bool {
+	return a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
 }
 
 // CheckDuplicate records the digest of a whole body, and reports whether one of the last answers on the connection had
