Forward the events of plain services as they arrive

A stream without any event, which ended with its connection, was answered 200.

Cause: such a request goes through the code for plain requests, which reads a whole answer before it passes it on.

Fix: on streaming routes it relays events by the same code as those of engines. The upstream counts as busy until the end of the stream, also if the caller leaves.

--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworthatch/ragworthatch/internal/edge/hosts"
 	"github.com/ragworthatch/ragworthatch/internal/edge/relay"
+	"github.com/ragworthatch/ragworthatch/internal/edge/rule"
 	"github.com/ragworthatch/ragworthatch/internal/edge/uphttp"
 	"github.com/ragworthatch/ragworthatch/internal/edge/zones"
 	"github.com/ragworthatch/ragworthatch/internal/model/fault"
@@ -88,8 +89,8 @@
 	return out
 }
 
-// tryUpstream sends the request once and reads the whole answer. It returns nil and no error for a long answer, which
-// it streams to the caller. An answer that unconfirmedRefusal withholds is a failure.
+// tryUpstream sends the request once and reads the whole answer. It returns nil and no error for a long answer and for a
+// stream, which it passes on to the caller as they arrive. An answer that unconfirmedRefusal withholds is a failure.
 func (x *exchange) tryUpstream(u hosts.Upstream) (*bufferedAnswer, *fault.Error) {
 	started := x.o.Now()
 	answer, failure := x.send(u, nil, "")
@@ -98,6 +99,9 @@
 		return nil, failure
 	}
 	defer answer.Close()
+	if x.isStream(answer) {
+		return nil, x.relayStream(u, answer, started)
+	}
 	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes, x.growAnswer)
 	if err != nil {
 		x.answerBroke(u, true, 0, len(body), err)
@@ -120,6 +124,30 @@
 	return &bufferedAnswer{status: answer.Status, header: header, body: body, length: x.lengthOf(answer, body)}, nil
 }
 
+// isStream reports whether the events of an answer are forwarded as they arrive.
+func (x *exchange) isStream(answer *uphttp.Answer) bool {
+	return x.route.Kind == rule.Streaming && answer.Status == http.StatusOK && answer.IsEventStream() &&
+		x.in.Method != http.MethodHead
+}
+
+// relayStream relays a stream of an upstream that the picker has chosen, and reports its end to the picker.
+func (x *exchange) relayStream(u hosts.Upstream, answer *uphttp.Answer, started time.Time) *fault.Error {
+	ended := false
+	defer func() {
+		if !ended { // the caller left, which aborts the exchange by a panic
+			x.o.Picker.Dropped(u.Lifetime())
+		}
+	}()
+	_, failure := x.relayEvents(u, answer, &relay.EventSplitter{})
+	ended = true
+	if failure != nil {
+		x.reportToPicker(u, failure)
+		return failure
+	}
+	x.o.Picker.Answered(u.Lifetime(), x.o.Now().Sub(started), true)
+	return nil
+}
+
 // lengthOf returns the Content-Length for the caller, -1 for none. The answer to HEAD keeps that of the upstream.
 func (x *exchange) lengthOf(answer *uphttp.Answer, body []byte) int64 {
 	switch {
--- a/internal/edge/node/events_test.go
+++ b/internal/edge/node/events_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -82,6 +84,13 @@
 	}
 }
 
+// A stream that ends with its connection before its first event has been cut off, too.
+func TestStreamsWithoutEventsLookIncomplete(t *testing.T) {
+	w, e := startPlain(t, &cloud.Upstream{ID: "up-1", Intercept: endWith(endings["close"], "")})
+	got := w.do(e, http.MethodPost, "/notes/cut", "id-1", "x")
+	w.c.Check(got.status, qt.Equals, http.StatusBadGateway)
+}
+
 // A repeatable request whose answer is cut inside an event goes to another upstream.
 func TestCutStreamsOfRepeatableRequestsAreRetried(t *testing.T) {
 	var cut atomic.Int64
@@ -97,3 +106,68 @@
 	w.c.Check(got.body, qt.Matches, "answer of up-. to id-1")
 	w.c.Check(cut.Load(), qt.Equals, int64(2))
 }
+
+// Whole streams of services without engines come with all their events, each as soon as the upstream has written it.
+func TestEventsAreForwardedAsTheyArrive(t *testing.T) {
+	for name, pool := range map[string]string{"/notes/slow": "plain", "/once/slow": "engines"} {
+		read := make(chan struct{}) // closed when the caller has the first event
+		act := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+			if !strings.HasSuffix(r.URL.Path, "/slow") {
+				return false
+			}
+			cloud.WriteEvents(w, 1, 1)
+			select {
+			case <-read:
+				cloud.WriteEvents(w, 2, 2)
+			case <-r.Context().Done():
+			}
+			return true
+		}
+		w, e := startPlain(t, &cloud.Upstream{ID: "up-1", Intercept: act})
+		w.startUpstream("engines", &cloud.Upstream{ID: "engine-1", Events: 1, Intercept: act})
+		w.eventually(func() bool { return w.do(e, http.MethodPost, "/once/warm", "warm", "x").status == http.StatusOK })
+		conn, err := net.Dial("tcp", e.front)
+		w.c.Assert(err, qt.IsNil)
+		_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: svc.example\r\nCredential: key-one\r\nRequest-Id: slow\r\nDeadline-Ms: 3000\r\n"+
+			"Content-Length: 0\r\n\r\n", name)
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		w.c.Assert(err, qt.IsNil, qt.Commentf("%s to %s: nothing arrives before the last event", name, pool))
+		first := make([]byte, len("id: 1\ndata: token 1\n\n"))
+		_, err = io.ReadFull(got.Body, first)
+		w.c.Check(err, qt.IsNil)
+		close(read)
+		rest, err := io.ReadAll(got.Body)
+		w.c.Check(err, qt.IsNil)
+		w.c.Check(string(first)+string(rest), qt.Equals, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n")
+		_ = conn.Close()
+	}
+}
+
+// A stream whose caller leaves is stopped at its upstream, and no longer counts as running there.
+func TestStreamsThatTheirCallersLeaveAreStopped(t *testing.T) {
+	stopped := make(chan struct{})
+	act := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if !strings.HasSuffix(r.URL.Path, "/left") {
+			return false
+		}
+		defer close(stopped)
+		for i := 1; r.Context().Err() == nil; i++ {
+			cloud.WriteEvents(w, i, i)
+			time.Sleep(5 * time.Millisecond)
+		}
+		return true
+	}
+	w, e := startPlain(t, &cloud.Upstream{ID: "up-1", Intercept: act})
+	running := func() int {
+		return w.ask(e, "GET /read/x HTTP/1.1\nHost: svc.example\nCredential: key-one\n").Upstreams[0].Running
+	}
+	w.c.Check(w.sendRaw(e, "POST /notes/left HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: left\r\nCredential: key-one\r\n"+
+		"Deadline-Ms: 60000\r\nContent-Length: 1\r\n\r\nx"), qt.Equals, "HTTP/1.1 200 OK")
+	select {
+	case <-stopped:
+	case <-time.After(waitLimit):
+		t.Fatal("the stream was not stopped")
+	}
+	w.eventually(func() bool { return running() == 0 })
+}
