Answer HEAD on a route to engines with the head of the engine

Cause: an answer to HEAD has no body, and without a length it was taken for a stream that was cut off before its first event. With a length, that was dropped.

Fix: an answer to HEAD is no stream: it is passed on like other answers without events, and no end of its connection is waited for.

Before the fix TestHeadOfAStreamHasNoEvents failed at /once/x (502) and /once/length (no length); it passes now.

--- a/internal/edge/front/placed.go
+++ b/internal/edge/front/placed.go
@@ -207,15 +207,15 @@
 		return lead.ProblemFailed, nil, failure
 	}
 	defer answer.Close()
-	if answer.Status != http.StatusOK || (x.out.Started() && !answer.IsEventStream()) {
-		return x.relayFailure(u, answer)
+	if answer.Status != http.StatusOK || x.in.Method == http.MethodHead || (x.out.Started() && !answer.IsEventStream()) {
+		return x.relayBuffered(u, answer)
 	}
 	problem, failure := x.relayEvents(u, answer, events)
 	return problem, nil, failure
 }
 
-// relayFailure relays an answer that is not a stream, unless it is a failure that another engine may not have.
-func (x *exchange) relayFailure(u hosts.Upstream, answer *uphttp.Answer) (lead.Problem, *bufferedAnswer, *fault.Error) {
+// relayBuffered relays an answer that is not a stream, unless it is a failure that another engine may not have.
+func (x *exchange) relayBuffered(u hosts.Upstream, answer *uphttp.Answer) (lead.Problem, *bufferedAnswer, *fault.Error) {
 	body, whole, err := relay.ReadLimited(answer, maxBufferedBytes, x.growAnswer)
 	failure := fault.New(fault.MayHaveRun, fault.Upstream, "status %d of %s", answer.Status, u.ID).WithCause(err)
 	if err != nil {
--- a/internal/edge/node/events_test.go
+++ b/internal/edge/node/events_test.go
@@ -171,3 +171,27 @@
 	}
 	w.eventually(func() bool { return running() == 0 })
 }
+
+// HEAD of a stream has a head and no events, however long the upstream says that the body would be.
+func TestHeadOfAStreamHasNoEvents(t *testing.T) {
+	act := func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		if r.Method != http.MethodHead {
+			return false
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		if strings.HasSuffix(r.URL.Path, "/length") {
+			w.Header().Set("Content-Length", "40")
+		}
+		w.WriteHeader(http.StatusOK)
+		return true
+	}
+	w, e := startPlain(t, &cloud.Upstream{ID: "up-1", Intercept: act})
+	w.startUpstream("engines", &cloud.Upstream{ID: "engine-1", Events: 1, Intercept: act})
+	w.eventually(func() bool { return w.do(e, http.MethodPost, "/once/warm", "warm", "x").status == http.StatusOK })
+	for _, target := range []string{"/notes/x", "/notes/length", "/once/x", "/once/length", "/read/x", "/read/length"} {
+		got := w.do(e, http.MethodHead, target, "id"+target, "")
+		w.c.Check(got.err, qt.IsNil, qt.Commentf("%s", target))
+		w.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", target))
+		w.c.Check(got.header.Get("Content-Length") == "40", qt.Equals, strings.HasSuffix(target, "/length"), qt.Commentf("%s", target))
+	}
+}
--- a/internal/edge/uphttp/client.go
+++ b/internal/edge/uphttp/client.go
@@ -188,7 +188,7 @@
 			Status: got.StatusCode, Header: got.Header, Length: got.ContentLength, Head: decoded,
 			body: got.Body, conn: cn, client: c,
 			closeConn: got.Close || !r.keepsConn(decoded.RequestID) || len(cn.refused) >= maxRefused,
-			unframed:  got.ContentLength < 0 && len(got.TransferEncoding) == 0,
+			unframed:  r.Method != http.MethodHead && got.ContentLength < 0 && len(got.TransferEncoding) == 0,
 		}
 		if answer.IsEventStream() && answer.isSuccess() {
 			answer.tail = &eventTail{}
