Play false refusals and cut streams in the soak

Upstreams of callers' pools fail with 503 or 429 after they ran a request, and end streams inside an event, among the other faults. They have a random source of their own, so the other faults of a seed stay the same.

--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -55,7 +56,8 @@
 	s.waitReady(startLimit)
 	t := env.startTraffic()
 	time.Sleep(calmPeriod)
-	s.play(append(s.plan(rand.New(rand.NewPCG(seed, 0)), duration), s.planEvacuations(rand.New(rand.NewPCG(seed, 1)), duration)...))
+	s.play(slices.Concat(s.plan(rand.New(rand.NewPCG(seed, 0)), duration),
+		s.planEvacuations(rand.New(rand.NewPCG(seed, 1)), duration), s.planFalseAnswers(rand.New(rand.NewPCG(seed, 2)), duration)))
 	s.checkRecovery(t)
 	s.check(t, t.finish())
 	for i, p := range s.problems {
