--- a/internal/edge/node/refusal_test.go
+++ b/internal/edge/node/refusal_test.go
@@ -23,16 +23,15 @@
 		if err != nil {
 			return false
 		}
-		text := "it ran"
-		switch {
-		case strings.Contains(r.URL.Path, "/refuse/"):
+		if strings.Contains(r.URL.Path, "/refuse/") {
 			w.Header().Set("Not-Run", "1")
-		case strings.Contains(r.URL.Path, "/long/"):
-			text = strings.Repeat("it ran", longBytes/len(text))
-			fallthrough
-		default:
+		} else {
 			u.CountRun(r.Header.Get("Request-Id"))
 		}
+		text := "failed"
+		if strings.Contains(r.URL.Path, "/long/") {
+			text = strings.Repeat(text, longBytes/len(text))
+		}
 		w.Header().Set("Response-Stamp", "stamp of the failure")
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte(text))
