--- a/internal/edge/node/events_test.go
+++ b/internal/edge/node/events_test.go
@@ -84,14 +84,15 @@
 	}
 }
 
-// A stream that ends with its connection before its first event has been cut off, too.
+// A stream that ends with its connection before its first event has been cut off, too. Of services without engines it came as
+// a whole, empty answer.
 func TestStreamsWithoutEventsLookIncomplete(t *testing.T) {
 	w, e := startPlain(t, &cloud.Upstream{ID: "up-1", Intercept: endWith(endings["close"], "")})
 	got := w.do(e, http.MethodPost, "/notes/cut", "id-1", "x")
 	w.c.Check(got.status, qt.Equals, http.StatusBadGateway)
 }
 
-// A repeatable request whose answer is cut inside an event goes to another upstream.
+// A repeatable request whose answer is cut inside an event goes to another upstream. The cut answer was passed on.
 func TestCutStreamsOfRepeatableRequestsAreRetried(t *testing.T) {
 	var cut atomic.Int64
 	act := func(w http.ResponseWriter, r *http.Request, n int) bool {
@@ -107,7 +108,8 @@
 	w.c.Check(cut.Load(), qt.Equals, int64(2))
 }
 
-// Whole streams of services without engines come with all their events, each as soon as the upstream has written it.
+// Events are forwarded as soon as the upstream has written them. Those of services without engines came together, after the
+// last one.
 func TestEventsAreForwardedAsTheyArrive(t *testing.T) {
 	for name, pool := range map[string]string{"/notes/slow": "plain", "/once/slow": "engines"} {
 		read := make(chan struct{}) // closed when the caller has the first event
@@ -144,7 +146,8 @@
 	}
 }
 
-// A stream whose caller leaves is stopped at its upstream, and no longer counts as running there.
+// A stream whose caller leaves is stopped at its upstream, and no longer counts as running there. It had not begun for the
+// caller before its last event.
 func TestStreamsThatTheirCallersLeaveAreStopped(t *testing.T) {
 	stopped := make(chan struct{})
 	act := func(w http.ResponseWriter, r *http.Request, _ int) bool {
@@ -172,7 +175,8 @@
 	w.eventually(func() bool { return running() == 0 })
 }
 
-// HEAD of a stream has a head and no events, however long the upstream says that the body would be.
+// HEAD of a stream has a head and no events, however long the upstream says that the body would be. Engines' answers were
+// taken for cut streams and came as 502, or lost their length.
 func TestHeadOfAStreamHasNoEvents(t *testing.T) {
 	act := func(w http.ResponseWriter, r *http.Request, _ int) bool {
 		if r.Method != http.MethodHead {
--- a/internal/edge/uphttp/events_test.go
+++ b/internal/edge/uphttp/events_test.go
@@ -29,7 +29,8 @@
 	return got
 }
 
-// An event stream that ends inside an event is incomplete, in whichever pieces it arrives.
+// An event stream that ends inside an event is incomplete, in whichever pieces it arrives. The end of its connection passed for
+// the end of its body (review/14).
 func TestEventStreamsEndAfterAnEvent(t *testing.T) {
 	c := qt.New(t)
 	data, err := os.ReadFile("testdata/events.yaml")
